--- /dev/null
+++ b/entity/src/directory.rs
@@ -0,0 +1,90 @@
+//! The mapping from names to dense indices.
+//!
+//! Invariant: entries are only added, so an index stays valid and keeps its
+//! meaning while revisions of the rules come and go.
+
+use cranelift_entity::{EntityRef, PrimaryMap};
+use std::collections::HashMap;
+
+use crate::{DataCentreId, ModelId, Name, PoolId, RouteId, Tag, TargetId, TeamId};
+
+/// The names of one kind of entity, in order of first appearance.
+#[derive(Clone, Debug)]
+pub struct DirectoryEntry<K: EntityRef> {
+    names: PrimaryMap<K, Name>,
+    tags: HashMap<Tag, K>,
+}
+
+impl<K: EntityRef> Default for DirectoryEntry<K> {
+    fn default() -> Self {
+        Self {
+            names: PrimaryMap::new(),
+            tags: HashMap::new(),
+        }
+    }
+}
+
+impl<K: EntityRef> DirectoryEntry<K> {
+    /// Returns the index of `name`, adding the name if it is new.
+    pub fn intern(&mut self, name: &Name) -> K {
+        let tag = name.tag();
+        match self.tags.get(&tag) {
+            Some(&id) => {
+                debug_assert_eq!(&self.names[id], name, "two names share a tag");
+                id
+            }
+            None => {
+                let id = self.names.push(name.clone());
+                self.tags.insert(tag, id);
+                id
+            }
+        }
+    }
+
+    /// Returns the index of the name with this tag, if the name is known.
+    pub fn by_tag(&self, tag: Tag) -> Option<K> {
+        self.tags.get(&tag).copied()
+    }
+
+    /// Returns the index of `name`, if it is known.
+    pub fn by_name(&self, name: &str) -> Option<K> {
+        self.by_tag(Name::new(name).tag())
+    }
+
+    /// The name of `id`.
+    pub fn name(&self, id: K) -> &Name {
+        &self.names[id]
+    }
+
+    /// The tag of `id`.
+    pub fn tag(&self, id: K) -> Tag {
+        self.names[id].tag()
+    }
+
+    /// The number of names.
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Whether there is no name.
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+}
+
+/// All names that a process has met.
+#[derive(Clone, Default, Debug)]
+pub struct Directory {
+    /// Teams.
+    pub teams: DirectoryEntry<TeamId>,
+    /// Pools.
+    pub pools: DirectoryEntry<PoolId>,
+    /// Targets.
+    pub targets: DirectoryEntry<TargetId>,
+    /// Data centres.
+    pub centres: DirectoryEntry<DataCentreId>,
+    /// Routes.
+    pub routes: DirectoryEntry<RouteId>,
+    /// Models.
+    pub models: DirectoryEntry<ModelId>,
+}
--- /dev/null
+++ b/entity/src/id.rs
@@ -0,0 +1,285 @@
+//! Typed identifiers.
+
+use core::fmt;
+use std::sync::Arc;
+
+use cranelift_entity::entity_impl;
+use derive_more::{Display, From, FromStr, Into};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// An immutable name that is shared between structures without copying.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Name(Arc<str>);
+
+impl Name {
+    /// Creates a name from text.
+    pub fn new(text: &str) -> Self {
+        Self(Arc::from(text))
+    }
+
+    /// The text of the name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// The tag under which the name travels between processes.
+    pub fn tag(&self) -> Tag {
+        Tag(xxh3_64(self.0.as_bytes()))
+    }
+}
+
+impl From<&str> for Name {
+    fn from(text: &str) -> Self {
+        Self::new(text)
+    }
+}
+
+impl AsRef<str> for Name {
+    fn as_ref(&self) -> &str {
+        &self.0
+    }
+}
+
+/// The 64-bit hash of a name; the form in which names travel between processes.
+///
+/// The rules checker refuses documents in which two names of one kind share a tag.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display, Serialize, Deserialize,
+)]
+#[display("{_0:016x}")]
+#[serde(transparent)]
+pub struct Tag(pub u64);
+
+macro_rules! dense_id {
+    ($(#[$doc:meta])* $name:ident, $prefix:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(u32);
+        entity_impl!($name, $prefix);
+    };
+}
+
+dense_id! {
+    /// A team in this process's [`Directory`](crate::Directory).
+    TeamId, "team"
+}
+dense_id! {
+    /// A pool of interchangeable targets.
+    PoolId, "pool"
+}
+dense_id! {
+    /// A target: one back end that runs requests.
+    TargetId, "target"
+}
+dense_id! {
+    /// A data centre.
+    DataCentreId, "dc"
+}
+dense_id! {
+    /// A route: a rule that maps a method and path to a pool.
+    RouteId, "route"
+}
+dense_id! {
+    /// A language model that engines can load.
+    ModelId, "model"
+}
+/// A process of the fleet: the tag of its name.
+///
+/// An agent bears the name of its target, so its id is the target's tag.
+#[derive(
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Debug,
+    Display,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct ProcessId(pub Tag);
+
+/// The revision of a rules document; a higher revision replaces a lower one.
+#[derive(
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Debug,
+    Display,
+    From,
+    Into,
+    FromStr,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+/// The 64-bit hash of a rules document's text.
+#[derive(
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Debug,
+    Display,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0:016x}")]
+#[serde(transparent)]
+pub struct DocumentHash(pub u64);
+
+/// Distinguishes successive lives of one process; a later life has a higher number.
+///
+/// The number is the wall-clock time of the start in microseconds since the
+/// Unix epoch, raised above any higher number that a peer reports.
+#[derive(
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Debug,
+    Display,
+    From,
+    Into,
+    FromStr,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+/// One request of a caller, from arrival at a router to its outcome.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestId(pub u128);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "req-{:x}", self.0)
+    }
+}
+
+impl core::str::FromStr for RequestId {
+    type Err = core::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// One try to run a request on a target; a request may have several.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+pub struct AttemptId {
+    /// The request that is tried.
+    pub request: RequestId,
+    /// The number of the attempt within the request, from 0.
+    pub number: u16,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.request, self.number)
+    }
+}
+
+impl core::str::FromStr for AttemptId {
+    type Err = core::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (request, number) = text.split_once('.').unwrap_or((text, ""));
+        Ok(Self {
+            request: request.parse()?,
+            number: number.parse()?,
+        })
+    }
+}
+
+/// Identifies equal requests of a team regardless of their request ids.
+///
+/// It is the hash of team, route and body.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display, Serialize, Deserialize,
+)]
+#[display("{_0:032x}")]
+#[serde(transparent)]
+pub struct Fingerprint(pub u128);
+
+/// The hash of a prompt's leading part, for prefix-cache preference.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display, Serialize, Deserialize,
+)]
+#[display("{_0:016x}")]
+#[serde(transparent)]
+pub struct PrefixHash(pub u64);
+
+/// The service class of a request within its team's portion.
+#[derive(
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Debug,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Class {
+    /// A person waits for the answer.
+    #[display("interactive")]
+    Interactive,
+    /// The ordinary class.
+    #[default]
+    #[display("standard")]
+    Standard,
+    /// Nobody waits; served after the other classes of the same team.
+    #[display("batch")]
+    Batch,
+}
+
+/// A reference to one rule: the line of a document of a given revision.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display, Serialize, Deserialize,
+)]
+#[display("r{revision}:{line}")]
+pub struct RuleRef {
+    /// The revision of the document.
+    pub revision: Revision,
+    /// The line number in the document, from 1.
+    pub line: u32,
+}
--- /dev/null
+++ b/policy/src/lib.rs
@@ -0,0 +1,16 @@
+//! All decisions of the fleet, as state machines without I/O.
+//!
+//! The crate owns what a router and an agent decide. It opens no socket, reads
+//! no clock, draws no random number of its own and keeps no global state: time
+//! and seeds are passed in. [`Router`] and [`Agent`] compose the smaller
+//! machines; daemons and the scenario runner drive the same two types.
+
+pub mod message;
+
+mod agent;
+mod router;
+
+pub use agent::{Agent, AgentAction, AgentEvent, AgentSettings, AttemptEnd};
+pub use router::{
+    Arrival, AttemptResult, DispatchOrder, Router, RouterAction, RouterEvent, RouterSettings,
+};
--- /dev/null
+++ b/wire/src/header.rs
@@ -0,0 +1,40 @@
+//! Values that ride on HTTP requests and responses between routers and agents.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD_NO_PAD;
+use derive_more::{Display, Error};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Headers with this prefix are internal; routers remove them from callers' requests.
+pub const INTERNAL_PREFIX: &str = "kw-";
+
+/// Carries an [`Offer`](policy::message::Offer) from a router to an agent.
+pub const OFFER_HEADER: &str = "kw-offer";
+
+/// Carries a [`Reply`](policy::message::Reply) from an agent to a router.
+pub const REPLY_HEADER: &str = "kw-reply";
+
+/// Why a header cannot be read.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, Error)]
+#[display("malformed internal header")]
+pub struct HeaderError;
+
+/// Encodes a value for a header.
+///
+/// # Panics
+///
+/// Panics if the value cannot be encoded, which no message type causes.
+pub fn write_header<T: Serialize>(value: &T) -> String {
+    STANDARD_NO_PAD.encode(postcard::to_stdvec(value).expect("messages encode"))
+}
+
+/// Decodes a header's value.
+///
+/// # Errors
+///
+/// Returns an error if the text is not what [`write_header`] writes.
+pub fn read_header<T: DeserializeOwned>(text: &str) -> Result<T, HeaderError> {
+    let bytes = STANDARD_NO_PAD.decode(text).map_err(|_| HeaderError)?;
+    postcard::from_bytes(&bytes).map_err(|_| HeaderError)
+}
--- /dev/null
+++ b/wire/src/lib.rs
@@ -0,0 +1,17 @@
+//! The protocol between the system's own processes.
+//!
+//! The crate owns the control service, the envelope of its messages and the
+//! headers that ride on requests between routers and agents. It decides nothing.
+//!
+//! Invariant: a message that cannot be read is reported as a value; it never
+//! stops the process that received it.
+
+mod envelope;
+mod header;
+mod service;
+
+pub use envelope::{Envelope, EnvelopeError, MAX_ENVELOPE_BYTES, Message, VERSION};
+pub use header::{
+    HeaderError, INTERNAL_PREFIX, OFFER_HEADER, REPLY_HEADER, read_header, write_header,
+};
+pub use service::{Control, ControlClient};
