Rules: reader, verifier and compiler of the operators' document

The grammar is regular: statement, name, then key and value pairs, with the asker in the comment of each rule line. Every fault is listed with its place. Reading keeps the text byte for byte; route lookup is by specificity.

--- a/rules/src/config.rs
+++ b/rules/src/config.rs
@@ -3,23 +3,57 @@
 //! Tables are dense maps keyed by the indices of [`Config::names`]; an entry is
 //! `None` when the document in force has no rule for a name that an earlier one had.
 
+use core::fmt;
+use core::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use cranelift_entity::SecondaryMap;
+use derive_more::Display;
 use entity::{
     Class, Cost, DataCentreId, Directory, DocumentHash, ModelId, Name, PoolId, Revision, RouteId,
     RuleRef, TargetId, TeamId, Weight,
 };
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
 
-/// The SHA-256 hash of an API key.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+use crate::document::{Document, RuleSource};
+use crate::route::RouteTable;
+
+/// The SHA-256 hash of an API key; the time of a comparison does not depend on the hashes.
+#[derive(Clone, Copy, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct KeyHash(pub [u8; 32]);
 
+impl KeyHash {
+    /// The hash of `key`.
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+}
+
+impl PartialEq for KeyHash {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Hash for KeyHash {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
+impl fmt::Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("sha256:")?;
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
 /// A rules document, checked and compiled.
 #[derive(Clone, Default, Debug)]
 pub struct Config {
@@ -43,6 +77,10 @@
     pub centres: SecondaryMap<DataCentreId, Option<DataCentre>>,
     /// Models.
     pub models: SecondaryMap<ModelId, Option<Model>>,
+    /// Routes by method and path.
+    pub table: RouteTable,
+    /// The document itself.
+    pub document: Arc<Document>,
 }
 
 impl Config {
@@ -54,6 +92,26 @@
             .drain
             .or_else(|| centre.and_then(|centre| centre.drain))
     }
+
+    /// The team whose API key is `key`.
+    pub fn team_by_key(&self, key: &str) -> Option<TeamId> {
+        self.keys.get(&KeyHash::of(key)).copied()
+    }
+
+    /// What was written for `rule`, if it is a rule of this revision.
+    pub fn source(&self, rule: RuleRef) -> Option<&RuleSource> {
+        let found = self.document.rule(rule.line);
+        found
+            .filter(|_| rule.revision == self.revision)
+            .map(|found| &found.source)
+    }
+
+    /// The route of a request, by its path without the query.
+    ///
+    /// An exact path wins over a pattern, a longer pattern over a shorter one.
+    pub fn match_route(&self, method: &str, path: &str) -> Option<RouteId> {
+        self.table.find(method, path)
+    }
 }
 
 /// A team.
@@ -100,11 +158,13 @@
 }
 
 /// What runs behind a pool.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display, Serialize, Deserialize)]
 pub enum PoolKind {
     /// Language-model engines.
+    #[display("model")]
     Model,
     /// Plain services.
+    #[display("service")]
     Service,
 }
 
@@ -137,11 +197,13 @@
 }
 
 /// Whether a target refuses orders with an old fencing number.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display, Serialize, Deserialize)]
 pub enum Fencing {
     /// It refuses them.
+    #[display("checked")]
     Checked,
     /// It carries out every order.
+    #[display("ignored")]
     Ignored,
 }
 
@@ -169,11 +231,13 @@
 }
 
 /// Whether a request may be repeated.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display, Serialize, Deserialize)]
 pub enum Repeat {
     /// Idempotent: it may run again.
+    #[display("idempotent")]
     Idempotent,
     /// It runs at most once.
+    #[display("once")]
     Once,
 }
 
--- a/rules/src/lib.rs
+++ b/rules/src/lib.rs
@@ -6,9 +6,30 @@
 //! Invariant: checking and compiling are deterministic, so every process and
 //! `knapweedctl check` accept and refuse the same documents.
 
+mod compile;
 mod config;
+mod document;
+mod error;
+mod part;
+mod read;
+mod route;
+mod scan;
+mod statement;
+mod value;
+mod verify;
 
+pub use compile::{DEFAULT_HINT, DEFAULT_TIMEOUT, compile, load};
 pub use config::{
     Config, DataCentre, Fencing, KeyHash, Limits, Model, Pool, PoolKind, RateLimit, Repeat, Route,
     Target, Team, Window,
 };
+pub use document::{Document, Line, MAX_DOCUMENT_BYTES, MAX_LINE_BYTES, Rule, RuleSource};
+pub use error::RuleError;
+pub use part::{MAX_VALUE_BYTES, assemble, part_hash, parts};
+pub use route::RouteTable;
+pub use statement::{
+    DrainStatement, KeyStatement, ModelStatement, PartStatement, PoolStatement, RouteStatement,
+    Statement, TargetStatement, TeamStatement,
+};
+pub use value::{MAX_NAME_BYTES, MAX_TIMEOUT};
+pub use verify::{MAX_WINDOW, verify};
--- /dev/null
+++ b/rules/src/part.rs
@@ -0,0 +1,113 @@
+//! Joins the values of the configuration service that make up a document.
+//!
+//! The document's text is the root value, then the named parts in order, each
+//! after a comment line with its key. Parts may not name further parts.
+
+use std::collections::BTreeMap;
+
+use entity::Name;
+
+use crate::config::KeyHash;
+use crate::document::{Document, MAX_DOCUMENT_BYTES};
+use crate::error::RuleError;
+use crate::statement::{PartStatement, Statement};
+
+/// The greatest size of one value of the configuration service, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// The parts that a root document names, in order.
+pub fn parts(root: &Document) -> Vec<PartStatement> {
+    root.parts().cloned().collect()
+}
+
+/// The hash by which a root document names `text` as a part.
+pub fn part_hash(text: &str) -> KeyHash {
+    KeyHash::of(text)
+}
+
+/// Joins a root document with its parts and returns the text of the whole.
+///
+/// The same root and parts give the same text everywhere.
+///
+/// # Errors
+///
+/// Returns every fault: a part that is missing, too large, has another hash than
+/// the root states or names further parts, and a whole that is too large.
+pub fn assemble(
+    root: &Document,
+    values: &BTreeMap<Name, String>,
+) -> Result<String, Vec<RuleError>> {
+    let mut errors = Vec::new();
+    let mut text = root.to_string();
+    if text.len() > MAX_VALUE_BYTES {
+        errors.push(too_large(
+            1,
+            "the root document",
+            text.len(),
+            MAX_VALUE_BYTES,
+        ));
+    }
+    for (line, rule) in root.rules() {
+        let Statement::Part(part) = &rule.statement else {
+            continue;
+        };
+        match check(line, part, values.get(&part.key)) {
+            Ok(value) => append(&mut text, &part.key, value),
+            Err(fault) => errors.push(fault),
+        }
+    }
+    if text.len() > MAX_DOCUMENT_BYTES {
+        errors.push(too_large(1, "the document", text.len(), MAX_DOCUMENT_BYTES));
+    }
+    match errors.is_empty() {
+        true => Ok(text),
+        false => Err(errors),
+    }
+}
+
+fn append(text: &mut String, key: &Name, value: &str) {
+    if !text.ends_with('\n') {
+        text.push('\n');
+    }
+    text.push_str("# part ");
+    text.push_str(key.as_str());
+    text.push('\n');
+    text.push_str(value);
+}
+
+fn check<'a>(
+    line: u32,
+    part: &PartStatement,
+    value: Option<&'a String>,
+) -> Result<&'a str, RuleError> {
+    let key = &part.key;
+    let Some(value) = value else {
+        let found = format!("no value for part `{key}`");
+        return Err(RuleError::new(line, 1, found, "each part that is named"));
+    };
+    if value.len() > MAX_VALUE_BYTES {
+        let what = format!("part `{key}`");
+        return Err(too_large(line, &what, value.len(), MAX_VALUE_BYTES));
+    }
+    let hash = part_hash(value);
+    if hash != part.hash {
+        let found = format!("part `{key}` with {hash}");
+        return Err(RuleError::new(line, 1, found, part.hash.to_string()));
+    }
+    let nested = |line: &str| matches!(line.split_whitespace().next(), Some("part"));
+    if value.lines().any(nested) {
+        let found = format!("part `{key}` that names a part");
+        return Err(RuleError::new(
+            line,
+            1,
+            found,
+            "parts named by the root only",
+        ));
+    }
+    Ok(value)
+}
+
+fn too_large(line: u32, what: &str, size: usize, limit: usize) -> RuleError {
+    let found = format!("{what} of {size} bytes");
+    RuleError::new(line, 1, found, format!("at most {limit} bytes"))
+}
--- /dev/null
+++ b/rules/src/scan.rs
@@ -0,0 +1,74 @@
+//! Splits a line into words and a comment.
+
+use winnow::Parser;
+use winnow::combinator::{opt, preceded, repeat, terminated};
+use winnow::error::ContextError;
+use winnow::stream::LocatingSlice;
+use winnow::token::{rest, take_while};
+
+/// A word and its place.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) struct Word<'a> {
+    /// The text.
+    pub(crate) text: &'a str,
+    /// The column of its first character, from 1.
+    pub(crate) column: u32,
+}
+
+/// A line in parts.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub(crate) struct Scan<'a> {
+    /// The words before the comment.
+    pub(crate) words: Vec<Word<'a>>,
+    /// The comment with its `#`.
+    pub(crate) comment: Option<Word<'a>>,
+    /// The column after the last character.
+    pub(crate) end: u32,
+}
+
+type Input<'a> = LocatingSlice<&'a str>;
+
+/// Splits `line`; any text can be split.
+pub(crate) fn scan(line: &str) -> Scan<'_> {
+    let trimmed = line.trim_end();
+    let (words, comment) = parts
+        .parse(LocatingSlice::new(trimmed))
+        .expect("every line splits into words and a comment");
+    let word = |(text, span): (_, core::ops::Range<usize>)| Word {
+        text,
+        column: column(trimmed, span.start),
+    };
+    Scan {
+        words: words.into_iter().map(word).collect(),
+        comment: comment.map(word),
+        end: column(trimmed, trimmed.len()),
+    }
+}
+
+/// The column of a byte offset.
+fn column(line: &str, offset: usize) -> u32 {
+    let before = line[..offset].chars().count();
+    u32::try_from(before + 1).unwrap_or(u32::MAX)
+}
+
+type Place<'a> = (&'a str, core::ops::Range<usize>);
+type Parts<'a> = (Vec<Place<'a>>, Option<Place<'a>>);
+
+fn parts<'a>(input: &mut Input<'a>) -> Result<Parts<'a>, ContextError> {
+    let words = repeat(0.., terminated(word.with_span(), blank));
+    preceded(blank, (words, opt(comment.with_span()))).parse_next(input)
+}
+
+fn blank<'a>(input: &mut Input<'a>) -> Result<&'a str, ContextError> {
+    take_while(0.., char::is_whitespace).parse_next(input)
+}
+
+fn word<'a>(input: &mut Input<'a>) -> Result<&'a str, ContextError> {
+    let first = take_while(1, |c: char| c != '#' && !c.is_whitespace());
+    let others = take_while(0.., |c: char| !c.is_whitespace());
+    (first, others).take().parse_next(input)
+}
+
+fn comment<'a>(input: &mut Input<'a>) -> Result<&'a str, ContextError> {
+    ('#', rest).take().parse_next(input)
+}
--- /dev/null
+++ b/rules/src/statement.rs
@@ -0,0 +1,214 @@
+//! The statements of the rules language and their canonical text.
+
+use core::fmt;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use derive_more::{Display, From};
+use entity::{Class, Cost, Name, Revision};
+
+use crate::config::{Fencing, KeyHash, PoolKind, Repeat};
+use crate::value;
+
+/// One statement, without its comment.
+#[derive(Clone, PartialEq, Eq, Debug, Display, From)]
+pub enum Statement {
+    /// The document's revision.
+    #[display("revision {_0}")]
+    Revision(Revision),
+    /// A data centre.
+    #[display("data-centre {_0}")]
+    #[from(skip)]
+    DataCentre(Name),
+    /// A pool.
+    Pool(PoolStatement),
+    /// A target.
+    Target(TargetStatement),
+    /// A team.
+    Team(TeamStatement),
+    /// An API key of a team.
+    Key(KeyStatement),
+    /// A route.
+    Route(RouteStatement),
+    /// A model.
+    Model(ModelStatement),
+    /// Takes a data centre or a target out of service.
+    Drain(DrainStatement),
+    /// Another value whose lines belong to the document.
+    Part(PartStatement),
+}
+
+/// `pool NAME kind model|service [cold N] [max N]`
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct PoolStatement {
+    /// The name.
+    pub name: Name,
+    /// What runs behind the pool.
+    pub kind: PoolKind,
+    /// The window of a freshly started target, in concurrent requests.
+    pub cold: Option<u32>,
+    /// The window of a warm target, in concurrent requests.
+    pub max: Option<u32>,
+}
+
+/// `target NAME pool P data-centre D data IP:PORT control IP:PORT ...`
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct TargetStatement {
+    /// The name.
+    pub name: Name,
+    /// The pool.
+    pub pool: Name,
+    /// The data centre.
+    pub centre: Name,
+    /// The agent's address for requests.
+    pub data: SocketAddr,
+    /// The agent's address for control messages.
+    pub control: SocketAddr,
+    /// How the target treats fencing numbers.
+    pub fencing: Option<Fencing>,
+    /// The issue time of the first key that the target is home to.
+    pub from: Option<SystemTime>,
+    /// The issue time of the first key that the target is no longer home to.
+    pub until: Option<SystemTime>,
+}
+
+/// `team NAME [weight N] [class C] [in-flight N] [rate N/s] [burst N] [queue N]`
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct TeamStatement {
+    /// The name.
+    pub name: Name,
+    /// The weight.
+    pub weight: Option<u32>,
+    /// The class.
+    pub class: Option<Class>,
+    /// The greatest number of requests in flight at one router.
+    pub in_flight: Option<u32>,
+    /// The greatest rate of arrivals at one router, in requests per second.
+    pub rate: Option<u32>,
+    /// The depth of the rate limit's bucket, in requests.
+    pub burst: Option<u32>,
+    /// The greatest number of requests that wait at one router.
+    pub queue: Option<u32>,
+}
+
+/// `key TEAM sha256:HEX`
+#[derive(Clone, PartialEq, Eq, Debug, Display)]
+#[display("key {team} {hash}")]
+pub struct KeyStatement {
+    /// The team.
+    pub team: Name,
+    /// The hash of the key.
+    pub hash: KeyHash,
+}
+
+/// `route NAME METHOD PATH pool P idempotent|once [class C] [cost N] [timeout T]`
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct RouteStatement {
+    /// The name.
+    pub name: Name,
+    /// The HTTP method.
+    pub method: Name,
+    /// The path; a final `*` matches any rest.
+    pub path: Name,
+    /// The pool.
+    pub pool: Name,
+    /// Whether requests may be repeated.
+    pub repeat: Repeat,
+    /// The class, in place of the team's.
+    pub class: Option<Class>,
+    /// The assumed cost of a request.
+    pub cost: Option<Cost>,
+    /// The time limit where the caller states none.
+    pub timeout: Option<Duration>,
+}
+
+/// `model NAME pool P version V replicas N`
+#[derive(Clone, PartialEq, Eq, Debug, Display)]
+#[display("model {name} pool {pool} version {version} replicas {replicas}")]
+pub struct ModelStatement {
+    /// The name.
+    pub name: Name,
+    /// The pool.
+    pub pool: Name,
+    /// The version.
+    pub version: Name,
+    /// The number of targets that hold the model.
+    pub replicas: u32,
+}
+
+/// `drain data-centre D` or `drain target T`
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug, Display)]
+pub enum DrainStatement {
+    /// A data centre takes no new work.
+    #[display("drain data-centre {_0}")]
+    DataCentre(Name),
+    /// A target takes no new work.
+    #[display("drain target {_0}")]
+    Target(Name),
+}
+
+/// `part KEY sha256:HEX`
+#[derive(Clone, PartialEq, Eq, Debug, Display)]
+#[display("part {key} {hash}")]
+pub struct PartStatement {
+    /// The key in the configuration service.
+    pub key: Name,
+    /// The hash of the value.
+    pub hash: KeyHash,
+}
+
+/// Writes ` key value` if there is a value.
+fn option<T: fmt::Display>(f: &mut fmt::Formatter<'_>, key: &str, value: Option<T>) -> fmt::Result {
+    match value {
+        Some(value) => write!(f, " {key} {value}"),
+        None => Ok(()),
+    }
+}
+
+impl fmt::Display for PoolStatement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "pool {} kind {}", self.name, self.kind)?;
+        option(f, "cold", self.cold)?;
+        option(f, "max", self.max)
+    }
+}
+
+impl fmt::Display for TargetStatement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "target {} pool {}", self.name, self.pool)?;
+        write!(f, " data-centre {}", self.centre)?;
+        write!(f, " data {} control {}", self.data, self.control)?;
+        option(f, "fencing", self.fencing)?;
+        option(f, "from", self.from.map(value::write_time))?;
+        option(f, "until", self.until.map(value::write_time))
+    }
+}
+
+impl fmt::Display for TeamStatement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "team {}", self.name)?;
+        option(f, "weight", self.weight)?;
+        option(f, "class", self.class)?;
+        option(f, "in-flight", self.in_flight)?;
+        option(f, "rate", self.rate.map(|rate| format!("{rate}/s")))?;
+        option(f, "burst", self.burst)?;
+        option(f, "queue", self.queue)
+    }
+}
+
+impl fmt::Display for RouteStatement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            name,
+            method,
+            path,
+            pool,
+            repeat,
+            ..
+        } = self;
+        write!(f, "route {name} {method} {path} pool {pool} {repeat}")?;
+        option(f, "class", self.class)?;
+        option(f, "cost", self.cost)?;
+        option(f, "timeout", self.timeout.map(value::write_timeout))
+    }
+}
--- /dev/null
+++ b/rules/src/verify.rs
@@ -0,0 +1,319 @@
+//! Checks a document as a whole.
+//!
+//! The checker depends on nothing but the document, so that every process
+//! accepts and refuses the same documents.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use entity::{Name, Tag};
+
+use crate::config::{KeyHash, PoolKind, Window};
+use crate::document::Document;
+use crate::error::{RuleError, quote};
+use crate::statement::{
+    DrainStatement, KeyStatement, ModelStatement, PartStatement, PoolStatement, RouteStatement,
+    Statement, TargetStatement, TeamStatement,
+};
+
+/// The greatest number of slots of one target.
+pub const MAX_WINDOW: u32 = 65_535;
+
+/// Where a fault is on its line.
+#[derive(Clone, Copy)]
+enum Place {
+    /// The word with this index.
+    Word(usize),
+    /// The value of this key.
+    Value(&'static str),
+}
+
+/// Names of one kind and the lines that define them.
+#[derive(Default)]
+struct Names {
+    kind: &'static str,
+    lines: BTreeMap<Name, u32>,
+    tags: BTreeMap<Tag, Name>,
+}
+
+impl Names {
+    fn new(kind: &'static str) -> Self {
+        Self {
+            kind,
+            ..Self::default()
+        }
+    }
+
+    fn has(&self, name: &Name) -> bool {
+        self.lines.contains_key(name)
+    }
+}
+
+/// The state of the check.
+struct Verifier<'a> {
+    document: &'a Document,
+    errors: Vec<RuleError>,
+    centres: Names,
+    pools: Names,
+    targets: Names,
+    teams: Names,
+    routes: Names,
+    models: Names,
+    parts: Names,
+    kinds: BTreeMap<&'a Name, PoolKind>,
+    sizes: BTreeMap<&'a Name, u32>,
+    addresses: BTreeMap<SocketAddr, u32>,
+    keys: BTreeMap<KeyHash, u32>,
+    patterns: BTreeMap<(&'a Name, &'a Name), u32>,
+    drains: BTreeMap<&'a DrainStatement, u32>,
+    revision: Option<u32>,
+}
+
+/// Checks `document` as a whole.
+///
+/// # Errors
+///
+/// Returns every violation, in order of line and column.
+pub fn verify(document: &Document) -> Result<(), Vec<RuleError>> {
+    let mut verifier = Verifier::new(document);
+    for (line, rule) in document.rules() {
+        verifier.define(line, &rule.statement);
+    }
+    for (line, rule) in document.rules() {
+        verifier.refer(line, &rule.statement);
+    }
+    if verifier.revision.is_none() {
+        let error = RuleError::new(1, 1, "no revision", "one `revision N` in the document");
+        verifier.errors.push(error);
+    }
+    verifier.errors.sort();
+    match verifier.errors.is_empty() {
+        true => Ok(()),
+        false => Err(verifier.errors),
+    }
+}
+
+impl<'a> Verifier<'a> {
+    fn new(document: &'a Document) -> Self {
+        Self {
+            document,
+            errors: Vec::new(),
+            centres: Names::new("data centre"),
+            pools: Names::new("pool"),
+            targets: Names::new("target"),
+            teams: Names::new("team"),
+            routes: Names::new("route"),
+            models: Names::new("model"),
+            parts: Names::new("part"),
+            kinds: BTreeMap::new(),
+            sizes: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            patterns: BTreeMap::new(),
+            drains: BTreeMap::new(),
+            revision: None,
+        }
+    }
+
+    fn fault(
+        &mut self,
+        line: u32,
+        place: Place,
+        found: impl Into<String>,
+        expected: impl Into<String>,
+    ) {
+        let words = self.document.words(line);
+        let word = match place {
+            Place::Word(index) => words.get(index),
+            Place::Value(key) => {
+                let key = words.iter().skip(2).position(|word| word.text == key);
+                key.and_then(|key| words.get(key + 3))
+            }
+        };
+        let column = word.or(words.first()).map_or(1, |word| word.column);
+        self.errors
+            .push(RuleError::new(line, column, found, expected));
+    }
+
+    /// Reports that `found` on `line` repeats what stands on line `first`.
+    fn twice(&mut self, line: u32, place: Place, found: String, first: u32) {
+        let expected = format!("it once; line {first} has it already");
+        self.fault(line, place, found, expected);
+    }
+
+    /// Collects what `statement` defines.
+    fn define(&mut self, line: u32, statement: &'a Statement) {
+        match statement {
+            Statement::Revision(revision) => match self.revision {
+                None => self.revision = Some(line),
+                Some(first) => {
+                    let found = format!("revision {revision}");
+                    self.twice(line, Place::Word(0), found, first);
+                }
+            },
+            Statement::DataCentre(name) => self.name(line, name, |all| &mut all.centres),
+            Statement::Pool(pool) => self.define_pool(line, pool),
+            Statement::Target(target) => self.define_target(line, target),
+            Statement::Team(team) => self.name(line, &team.name, |all| &mut all.teams),
+            Statement::Key(key) => self.define_key(line, key),
+            Statement::Route(route) => self.define_route(line, route),
+            Statement::Model(model) => self.name(line, &model.name, |all| &mut all.models),
+            Statement::Drain(drain) => {
+                if let Some(first) = self.drains.insert(drain, line) {
+                    self.twice(line, Place::Word(0), quote(&drain.to_string()), first);
+                }
+            }
+            Statement::Part(PartStatement { key, .. }) => {
+                self.name(line, key, |all| &mut all.parts);
+            }
+        }
+    }
+
+    fn name(&mut self, line: u32, name: &Name, table: fn(&mut Self) -> &mut Names) {
+        let names = table(self);
+        let kind = names.kind;
+        let first = names.lines.get(name).copied();
+        let tagged = names.tags.get(&name.tag()).cloned();
+        match (first, tagged) {
+            (Some(first), _) => {
+                self.twice(
+                    line,
+                    Place::Word(1),
+                    format!("{kind} {}", quote(name.as_str())),
+                    first,
+                );
+            }
+            (None, Some(other)) => {
+                let found = format!("{kind} {}", quote(name.as_str()));
+                let expected = format!("a name whose hash differs from that of `{other}`");
+                self.fault(line, Place::Word(1), found, expected);
+            }
+            (None, None) => {
+                names.lines.insert(name.clone(), line);
+                names.tags.insert(name.tag(), name.clone());
+            }
+        }
+    }
+
+    fn define_pool(&mut self, line: u32, pool: &'a PoolStatement) {
+        self.name(line, &pool.name, |all| &mut all.pools);
+        self.kinds.insert(&pool.name, pool.kind);
+    }
+
+    fn define_target(&mut self, line: u32, target: &'a TargetStatement) {
+        self.name(line, &target.name, |all| &mut all.targets);
+        *self.sizes.entry(&target.pool).or_default() += 1;
+        let addresses = [("data", target.data), ("control", target.control)];
+        for (key, address) in addresses {
+            if let Some(first) = self.addresses.insert(address, line) {
+                self.twice(line, Place::Value(key), format!("address {address}"), first);
+            }
+        }
+    }
+
+    fn define_key(&mut self, line: u32, key: &'a KeyStatement) {
+        if let Some(first) = self.keys.insert(key.hash, line) {
+            self.twice(line, Place::Word(2), "the hash of a key".to_owned(), first);
+        }
+    }
+
+    fn define_route(&mut self, line: u32, route: &'a RouteStatement) {
+        self.name(line, &route.name, |all| &mut all.routes);
+        let pattern = (&route.method, &route.path);
+        if let Some(first) = self.patterns.insert(pattern, line) {
+            let found = format!("route for `{} {}`", route.method, route.path);
+            self.twice(line, Place::Word(2), found, first);
+        }
+    }
+
+    /// Checks what `statement` refers to.
+    fn refer(&mut self, line: u32, statement: &Statement) {
+        match statement {
+            Statement::Pool(pool) => self.refer_pool(line, pool),
+            Statement::Target(target) => self.refer_target(line, target),
+            Statement::Team(team) => self.refer_team(line, team),
+            Statement::Key(key) => {
+                self.known(line, Place::Word(1), &key.team, |all| &all.teams);
+            }
+            Statement::Route(route) => {
+                self.known(line, Place::Value("pool"), &route.pool, |all| &all.pools);
+            }
+            Statement::Model(model) => self.refer_model(line, model),
+            Statement::Drain(DrainStatement::DataCentre(name)) => {
+                self.known(line, Place::Word(2), name, |all| &all.centres);
+            }
+            Statement::Drain(DrainStatement::Target(name)) => {
+                self.known(line, Place::Word(2), name, |all| &all.targets);
+            }
+            Statement::Revision(_) | Statement::DataCentre(_) | Statement::Part(_) => {}
+        }
+    }
+
+    fn known(&mut self, line: u32, place: Place, name: &Name, table: fn(&Self) -> &Names) {
+        let names = table(self);
+        if !names.has(name) {
+            let expected = format!("the name of a {} of this document", names.kind);
+            self.fault(line, place, quote(name.as_str()), expected);
+        }
+    }
+
+    fn refer_pool(&mut self, line: u32, pool: &PoolStatement) {
+        if !self.sizes.contains_key(&pool.name) {
+            let found = format!("pool `{}` without targets", pool.name);
+            self.fault(line, Place::Word(1), found, "a target in each pool");
+        }
+        let default = Window::default();
+        let cold = pool.cold.unwrap_or(default.cold);
+        let max = pool.max.unwrap_or(default.max);
+        if max > MAX_WINDOW {
+            let expected = format!("at most {MAX_WINDOW}");
+            self.fault(line, Place::Value("max"), max.to_string(), expected);
+        }
+        if cold > max {
+            let place = Place::Value(if pool.cold.is_some() { "cold" } else { "max" });
+            let found = format!("cold {cold} over max {max}");
+            self.fault(line, place, found, "cold at most as great as max");
+        }
+    }
+
+    fn refer_target(&mut self, line: u32, target: &TargetStatement) {
+        self.known(line, Place::Value("pool"), &target.pool, |all| &all.pools);
+        self.known(line, Place::Value("data-centre"), &target.centre, |all| {
+            &all.centres
+        });
+        match (target.from, target.until) {
+            (Some(from), Some(until)) if from >= until => {
+                let found = "an end that is not after the start";
+                self.fault(line, Place::Value("until"), found, "`until` after `from`");
+            }
+            _ => {}
+        }
+    }
+
+    fn refer_team(&mut self, line: u32, team: &TeamStatement) {
+        if team.burst.is_some() && team.rate.is_none() {
+            let expected = "`rate` and its value along with `burst`";
+            self.fault(
+                line,
+                Place::Value("burst"),
+                "`burst` without `rate`",
+                expected,
+            );
+        }
+    }
+
+    fn refer_model(&mut self, line: u32, model: &ModelStatement) {
+        let place = Place::Value("pool");
+        self.known(line, place, &model.pool, |all| &all.pools);
+        if self.kinds.get(&model.pool) == Some(&PoolKind::Service) {
+            let found = format!("pool `{}` of kind `service`", model.pool);
+            self.fault(line, place, found, "a pool of kind `model`");
+        }
+        let size = self.sizes.get(&model.pool).copied().unwrap_or(0);
+        if self.pools.has(&model.pool) && model.replicas > size {
+            let found = format!("{} replicas", model.replicas);
+            let expected = format!("at most {size}, the number of targets of `{}`", model.pool);
+            self.fault(line, Place::Value("replicas"), found, expected);
+        }
+    }
+}
