--- a/entity/src/key.rs
+++ b/entity/src/key.rs
@@ -50,6 +50,16 @@
             }
         }
     }
+
+    /// The time from which the key is refused and its memory may be given up.
+    ///
+    /// A ticket carries its own; a caller's key lives for `lifetime`.
+    pub fn expires(&self, lifetime: Duration) -> SystemTime {
+        match self {
+            Self::Ticket(ticket) => UNIX_EPOCH + Duration::from_millis(ticket.expires),
+            Self::Caller(_) => self.issued() + lifetime,
+        }
+    }
 }
 
 /// Why a text is not an idempotency key.
--- a/entity/src/reason.rs
+++ b/entity/src/reason.rs
@@ -89,6 +89,15 @@
     /// The outcome of an earlier run of this key is not known.
     #[display("earlier run has no known outcome")]
     EarlierRunUnknown,
+    /// The key was issued in the future, beyond the bound on clock skew.
+    #[display("key issued in the future")]
+    KeyFuture,
+    /// The agent remembers as many keys as it can.
+    #[display("key memory full")]
+    KeyMemoryFull,
+    /// The process was paused between the decision to start and the hand-over.
+    #[display("paused before the hand-over")]
+    HandOverLate,
 }
 
 /// Whether and when a caller should send a refused request again.
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,7 +5,14 @@
 //! and seeds are passed in. [`Router`] and [`Agent`] compose the smaller
 //! machines; daemons and the scenario runner drive the same two types.
 
+pub mod attempt;
+pub mod drain;
+pub mod home;
 pub mod message;
+pub mod once;
+pub mod quarantine;
+pub mod retry;
+pub mod status;
 
 mod agent;
 mod router;
--- /dev/null
+++ b/policy/src/status.rs
@@ -0,0 +1,81 @@
+//! The HTTP form of outcomes.
+//!
+//! [`Ending::of`] is the only place that maps an [`Outcome`] to a status, the
+//! `kw-outcome` header and `Retry-After`.
+
+use std::time::Duration;
+
+use entity::{Outcome, Reason, Refusal, RetryAdvice};
+
+/// The response header that states the outcome.
+pub const OUTCOME_HEADER: &str = "kw-outcome";
+
+/// The value of [`OUTCOME_HEADER`] on a target's answer.
+pub const ANSWERED: &str = "answered";
+
+/// The value of [`OUTCOME_HEADER`] if nothing was handed to a target.
+pub const NOT_RUN: &str = "not-run";
+
+/// The value of [`OUTCOME_HEADER`] if a target may have run the request.
+pub const UNKNOWN: &str = "unknown";
+
+/// The HTTP form of an outcome other than an answer.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Ending {
+    /// The status code.
+    pub status: u16,
+    /// The value of [`OUTCOME_HEADER`].
+    pub outcome: &'static str,
+    /// The value of `Retry-After` in seconds, if the header is sent.
+    pub retry_after: Option<u64>,
+}
+
+impl Ending {
+    /// The HTTP form; `None` for an answer, whose status is the target's own.
+    pub fn of(outcome: &Outcome) -> Option<Self> {
+        match outcome {
+            Outcome::Answered { .. } => None,
+            Outcome::NotRun { refusal, .. } => Some(Self::new(NOT_RUN, refusal)),
+            Outcome::Unknown { refusal } => Some(Self::new(UNKNOWN, refusal)),
+        }
+    }
+
+    fn new(outcome: &'static str, refusal: &Refusal) -> Self {
+        let retry_after = match refusal.retry {
+            RetryAdvice::After(delay) => Some(whole_seconds(delay)),
+            RetryAdvice::Never | RetryAdvice::VerifyFirst => None,
+        };
+        Self {
+            status: status(refusal.reason),
+            outcome,
+            retry_after,
+        }
+    }
+}
+
+fn status(reason: Reason) -> u16 {
+    match reason {
+        Reason::Malformed | Reason::KeyRequired | Reason::KeyMalformed => 400,
+        Reason::KeyFuture => 400,
+        Reason::Unauthorized => 401,
+        Reason::NoRoute => 404,
+        Reason::KeyNotCovered | Reason::EarlierRunUnknown => 409,
+        Reason::KeyExpired | Reason::AnswerDropped => 410,
+        Reason::TooLarge => 413,
+        Reason::KeyReused => 422,
+        Reason::QueueFull | Reason::TeamLimit => 429,
+        Reason::CallerGone => 499,
+        Reason::ConnectionLost | Reason::TargetDied => 502,
+        Reason::NoTarget | Reason::NoSlot | Reason::Draining | Reason::Stopping => 503,
+        Reason::NotConfigured | Reason::Quarantined | Reason::RetryBudget => 503,
+        Reason::HomeUnconfirmed | Reason::HomeUnreachable => 503,
+        Reason::KeyMemoryFull | Reason::HandOverLate => 503,
+        Reason::DeadlinePassed => 504,
+    }
+}
+
+/// Rounds up, and to at least one second: zero would invite an immediate repeat.
+fn whole_seconds(delay: Duration) -> u64 {
+    let part = u64::from(delay.subsec_nanos() > 0);
+    (delay.as_secs() + part).max(1)
+}
