--- /dev/null
+++ b/agent/src/relay.rs
@@ -0,0 +1,236 @@
+//! Sends attempts to the target and reads its answers.
+//!
+//! Invariant: an attempt that was started reports exactly one
+//! [`Input::Ended`], also when its stream is dropped.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use actix_http::header::HeaderMap;
+use actix_http::{Method, Uri};
+use awc::ClientResponse;
+use awc::error::SendRequestError;
+use bytes::Bytes;
+use entity::{AttemptId, Cost};
+use futures::{FutureExt, Stream, StreamExt};
+use node::body::{Chunks, CutBody};
+use node::http::forwarded;
+use policy::AttemptEnd;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::control::Input;
+
+/// The number of streamed tokens after which their cost is reported.
+const REPORT_TOKENS: i64 = 16;
+
+/// The service time that counts as one cost unit where the target streams no tokens.
+const UNIT_TIME: Duration = Duration::from_millis(1);
+
+/// The channel from traffic threads to the control thread.
+#[derive(Clone, Debug)]
+pub struct Reporter(mpsc::Sender<Input>);
+
+impl Reporter {
+    /// Creates a reporter.
+    pub fn new(inputs: mpsc::Sender<Input>) -> Self {
+        Self(inputs)
+    }
+
+    /// Reports if there is room; `false` if the control thread is overloaded.
+    pub fn try_report(&self, input: Input) -> bool {
+        self.0.try_send(input).is_ok()
+    }
+
+    /// Reports what must not be lost: waits for room on a task of its own if the channel is full.
+    pub fn report(&self, input: Input) {
+        if let Err(mpsc::error::TrySendError::Full(input)) = self.0.try_send(input) {
+            let inputs = self.0.clone();
+            actix_rt::spawn(async move { inputs.send(input).await });
+        }
+    }
+}
+
+/// A request as the target receives it.
+#[derive(Clone, Debug)]
+pub struct Outbound {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub uri: Uri,
+    /// The headers that are forwarded.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What came of handing an attempt to the target.
+pub enum Handed {
+    /// The target answers: the response follows.
+    Answer(ClientResponse),
+    /// The attempt ended without an answer.
+    Ended(AttemptEnd),
+}
+
+/// Hands an attempt to the target and waits for the head of its answer.
+pub async fn hand_over(
+    client: &awc::Client,
+    target: &str,
+    outbound: &Outbound,
+    cancelled: &mut oneshot::Receiver<()>,
+) -> Handed {
+    let url = format!("{target}{}", outbound.uri);
+    let mut request = client.request(outbound.method.clone(), url).no_decompress();
+    for (name, value) in outbound.headers.iter().filter(|(name, _)| forwarded(name)) {
+        request.headers_mut().append(name.clone(), value.clone());
+    }
+    let sending = request.send_body(outbound.body.clone());
+    tokio::select! {
+        biased;
+        _ = cancelled => Handed::Ended(AttemptEnd::Cancelled),
+        sent = sending => match sent {
+            Ok(response) => Handed::Answer(response),
+            Err(SendRequestError::Connect(_)) => Handed::Ended(AttemptEnd::Unsent),
+            Err(_) => Handed::Ended(AttemptEnd::Broken),
+        },
+    }
+}
+
+/// Counts the cost of an answer as its parts pass.
+#[derive(Debug)]
+pub struct Meter {
+    started: Instant,
+    tokens: i64,
+    reported: i64,
+}
+
+impl Meter {
+    /// Starts a meter.
+    pub fn new() -> Self {
+        Self { started: Instant::now(), tokens: 0, reported: 0 }
+    }
+
+    /// Counts a part; returns the cost to report, if enough has gathered.
+    pub fn count(&mut self, chunk: &[u8]) -> Option<Cost> {
+        self.tokens += events(chunk);
+        let gathered = self.tokens - self.reported;
+        (gathered >= REPORT_TOKENS).then(|| {
+            self.reported = self.tokens;
+            Cost(gathered)
+        })
+    }
+
+    /// The whole cost: tokens if the target streamed any, else service time.
+    pub fn total(&self) -> Cost {
+        match self.tokens {
+            0 => Cost((self.started.elapsed().as_micros() / UNIT_TIME.as_micros()).max(1) as i64),
+            tokens => Cost(tokens),
+        }
+    }
+}
+
+impl Default for Meter {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// The number of server-sent events that begin in `chunk`.
+fn events(chunk: &[u8]) -> i64 {
+    const FIELD: &[u8] = b"data:";
+    let lines = chunk.split(|&byte| byte == b'\n');
+    lines.filter(|line| line.starts_with(FIELD)).count() as i64
+}
+
+/// Reads a whole answer body.
+///
+/// # Errors
+///
+/// Returns an error if the body breaks, is over `limit` bytes or is cancelled.
+pub async fn read_whole(
+    response: &mut ClientResponse,
+    limit: usize,
+    cancelled: &mut oneshot::Receiver<()>,
+    meter: &mut Meter,
+) -> Result<Bytes, CutBody> {
+    let mut body = bytes::BytesMut::new();
+    loop {
+        let chunk = tokio::select! {
+            biased;
+            _ = &mut *cancelled => return Err(CutBody),
+            chunk = response.next() => chunk,
+        };
+        match chunk {
+            None => return Ok(body.freeze()),
+            Some(Ok(chunk)) if body.len() + chunk.len() <= limit => {
+                meter.count(&chunk);
+                body.extend_from_slice(&chunk);
+            }
+            Some(_) => return Err(CutBody),
+        }
+    }
+}
+
+/// The body of an answer on its way from the target to a router.
+pub struct TargetStream {
+    response: ClientResponse,
+    cancelled: oneshot::Receiver<()>,
+    reporter: Reporter,
+    attempt: AttemptId,
+    meter: Meter,
+    ended: bool,
+}
+
+impl TargetStream {
+    /// Creates the stream of the answer to `attempt`.
+    pub fn new(
+        response: ClientResponse,
+        cancelled: oneshot::Receiver<()>,
+        reporter: Reporter,
+        attempt: AttemptId,
+        meter: Meter,
+    ) -> Self {
+        Self { response, cancelled, reporter, attempt, meter, ended: false }
+    }
+
+    fn end(&mut self, end: AttemptEnd) {
+        if !std::mem::replace(&mut self.ended, true) {
+            self.reporter.report(Input::Ended { attempt: self.attempt, end });
+        }
+    }
+}
+
+impl Chunks for TargetStream {
+    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, CutBody>>> {
+        if self.cancelled.poll_unpin(cx).is_ready() && !self.ended {
+            self.end(AttemptEnd::Cancelled);
+            return Poll::Ready(Some(Err(CutBody)));
+        }
+        match Pin::new(&mut self.response).poll_next(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Ok(chunk))) => {
+                if let Some(cost) = self.meter.count(&chunk) {
+                    self.reporter.report(Input::Streamed { attempt: self.attempt, cost });
+                }
+                Poll::Ready(Some(Ok(chunk)))
+            }
+            Poll::Ready(Some(Err(_))) => {
+                self.end(AttemptEnd::Broken);
+                Poll::Ready(Some(Err(CutBody)))
+            }
+            Poll::Ready(None) => {
+                let cost = self.meter.total();
+                self.end(AttemptEnd::Answered { cost });
+                Poll::Ready(None)
+            }
+        }
+    }
+}
+
+impl Drop for TargetStream {
+    fn drop(&mut self) {
+        self.end(AttemptEnd::Cancelled);
+    }
+}
--- /dev/null
+++ b/node/src/event.rs
@@ -0,0 +1,1 @@
+//! Log events.
--- /dev/null
+++ b/node/src/start.rs
@@ -0,0 +1,63 @@
+//! The common start of the daemons: settings, logging, exit codes.
+
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::UNIX_EPOCH;
+
+use entity::{Clock, Incarnation, Name, ProcessId};
+use eyre::WrapErr;
+use policy::message::Endpoint;
+use serde::de::DeserializeOwned;
+
+use crate::host::Exit;
+use crate::settings::{self, Validate};
+
+/// The exit code when the program cannot start.
+const CANNOT_START: u8 = 1;
+
+/// The exit code when settings or flags are wrong.
+const BAD_SETTINGS: u8 = 2;
+
+/// The exit code when running work was cut.
+const WORK_CUT: u8 = 3;
+
+/// Reads the settings and runs `daemon` with them, or only checks them.
+pub fn main<S: DeserializeOwned + Validate>(
+    path: &Path,
+    check: bool,
+    daemon: impl FnOnce(S) -> eyre::Result<Exit>,
+) -> ExitCode {
+    let settings = match settings::load(path) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if check {
+        println!("{}: ok", path.display());
+        return ExitCode::SUCCESS;
+    }
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    match daemon(settings) {
+        Ok(Exit::Finished) => ExitCode::SUCCESS,
+        Ok(Exit::Cut(_)) => ExitCode::from(WORK_CUT),
+        Err(error) => {
+            eprintln!("{error:?}");
+            ExitCode::from(CANNOT_START)
+        }
+    }
+}
+
+/// The endpoint of this process, in a new life.
+///
+/// # Errors
+///
+/// Returns an error if the listener has no address.
+pub fn endpoint(name: &Name, control: &TcpListener, clock: &impl Clock) -> eyre::Result<Endpoint> {
+    let since = clock.now().wall.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let incarnation = Incarnation(since.as_micros() as u64);
+    let control = control.local_addr().wrap_err("the control listener has no address")?;
+    Ok(Endpoint { id: ProcessId(name.tag()), incarnation, control })
+}
--- /dev/null
+++ b/router/src/control.rs
@@ -0,0 +1,283 @@
+//! The controller that connects traffic threads with [`policy::Router`].
+//!
+//! Invariant: a request's entry in the order table lives from its submission to
+//! its last order; traffic threads whose entry is gone get no further orders.
+
+use std::sync::Arc;
+
+use entity::{AttemptId, Decision, Incarnation, Machine, Now, RequestId, TargetId};
+use node::host::{Outgoing, Readiness, Role};
+use node::trace::Trace;
+use policy::message::{Endpoint, Load};
+use policy::{
+    Arrival, AttemptResult, DispatchOrder, Router, RouterAction, RouterEvent, RouterSettings,
+};
+use rules::Config;
+use rustc_hash::FxHashMap;
+use tokio::sync::mpsc;
+use wire::Message;
+
+/// The number of requests whose decisions are kept.
+const TRACE_CAPACITY: usize = 10_000;
+
+/// What traffic threads tell the control thread.
+#[derive(Debug)]
+pub enum Input {
+    /// A request passed the filters.
+    Submit(Box<Submission>),
+    /// An attempt ended.
+    Ended {
+        /// The attempt.
+        attempt: AttemptId,
+        /// How.
+        result: AttemptResult,
+    },
+    /// An agent stated its load.
+    Loaded {
+        /// The agent's target.
+        target: TargetId,
+        /// The agent's life.
+        incarnation: Incarnation,
+        /// The load.
+        load: Load,
+    },
+    /// The caller closed its connection.
+    CallerGone(RequestId),
+    /// An agent answered another attempt than the one that was sent.
+    Mismatched {
+        /// The attempt that was sent.
+        expected: AttemptId,
+        /// The attempt that the answer names.
+        answered: AttemptId,
+    },
+    /// A filter rejected a request after these decisions.
+    Rejected(Vec<Decision>),
+}
+
+/// A request handed to the control thread.
+#[derive(Debug)]
+pub struct Submission {
+    /// The request.
+    pub arrival: Arrival,
+    /// The decisions of the filters.
+    pub decisions: Vec<Decision>,
+    /// Where the request's orders go.
+    pub orders: mpsc::UnboundedSender<Order>,
+}
+
+/// What the control thread tells the traffic thread of a request.
+#[derive(Debug)]
+pub enum Order {
+    /// Send an attempt.
+    Dispatch(Box<DispatchOrder>),
+    /// End the request without an answer.
+    Finish(entity::Outcome),
+    /// Abandon the attempt in flight.
+    Cancel(AttemptId),
+}
+
+/// The channel from traffic threads to the control thread.
+#[derive(Clone, Debug)]
+pub struct Reporter(mpsc::Sender<Input>);
+
+impl Reporter {
+    /// Creates a reporter.
+    pub fn new(inputs: mpsc::Sender<Input>) -> Self {
+        Self(inputs)
+    }
+
+    /// Submits a request; `false` if the control thread is overloaded.
+    pub fn submit(&self, submission: Submission) -> bool {
+        self.0.try_send(Input::Submit(Box::new(submission))).is_ok()
+    }
+
+    /// Reports what must not be lost: waits for room on a task of its own if the channel is full.
+    pub fn report(&self, input: Input) {
+        if let Err(mpsc::error::TrySendError::Full(input)) = self.0.try_send(input) {
+            let inputs = self.0.clone();
+            actix_rt::spawn(async move { inputs.send(input).await });
+        }
+    }
+}
+
+/// The control state of a router.
+pub struct RouterRole {
+    router: Router,
+    orders: FxHashMap<RequestId, mpsc::UnboundedSender<Order>>,
+    trace: Trace,
+    config: Option<Arc<Config>>,
+    actions: Vec<RouterAction>,
+    readiness: Readiness,
+    mismatches: u64,
+    finished: u64,
+}
+
+impl RouterRole {
+    /// Creates the state of a router that has no configuration yet.
+    pub fn new(settings: RouterSettings) -> Self {
+        Self {
+            router: Router::new(settings),
+            orders: FxHashMap::default(),
+            trace: Trace::new(TRACE_CAPACITY),
+            config: None,
+            actions: Vec::new(),
+            readiness: Readiness::NotReady("no configuration in force"),
+            mismatches: 0,
+            finished: 0,
+        }
+    }
+
+    /// Processes one event; direct answers to the event's sender are returned.
+    fn handle(
+        &mut self,
+        now: Now,
+        event: RouterEvent,
+        out: &mut Vec<Outgoing>,
+    ) -> Vec<Message> {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.router.handle(now, event, &mut actions);
+        let mut answers = Vec::new();
+        for action in actions.drain(..) {
+            self.carry_out(action, out, &mut answers);
+        }
+        self.actions = actions;
+        answers
+    }
+
+    fn carry_out(
+        &mut self,
+        action: RouterAction,
+        out: &mut Vec<Outgoing>,
+        answers: &mut Vec<Message>,
+    ) {
+        match action {
+            RouterAction::Dispatch(order) => {
+                let request = order.offer.attempt.request;
+                self.order(request, Order::Dispatch(Box::new(order)));
+            }
+            RouterAction::Finish { request, outcome } => {
+                self.finished += 1;
+                self.order(request, Order::Finish(outcome));
+                self.orders.remove(&request);
+            }
+            RouterAction::Cancel(attempt) => self.order(attempt.request, Order::Cancel(attempt)),
+            RouterAction::Bid { target, update } => {
+                let to = self.control_address(target);
+                out.extend(to.map(|to| Outgoing::one(to, Message::Bids(update))));
+            }
+            RouterAction::PullReply { pulled, .. } => answers.push(Message::Pulled(pulled)),
+            RouterAction::Decided(decision) => self.trace.record(decision),
+            RouterAction::Stopped => self.readiness = Readiness::Stopped,
+        }
+    }
+
+    /// Gives an order to a request's traffic thread, unless its caller left.
+    fn order(&mut self, request: RequestId, order: Order) {
+        let lost = match self.orders.get(&request) {
+            Some(orders) => orders.send(order).is_err(),
+            None => false,
+        };
+        if lost {
+            self.orders.remove(&request);
+        }
+    }
+
+    fn control_address(&self, target: TargetId) -> Option<std::net::SocketAddr> {
+        let config = self.config.as_ref()?;
+        config.targets[target].as_ref().map(|target| target.control)
+    }
+
+    fn submitted(&mut self, now: Now, submission: Submission, out: &mut Vec<Outgoing>) {
+        let Submission { arrival, decisions, orders } = submission;
+        self.orders.insert(arrival.request, orders);
+        for decision in decisions {
+            self.trace.record(decision);
+        }
+        self.handle(now, RouterEvent::Arrived(arrival), out);
+    }
+}
+
+impl Role for RouterRole {
+    type Input = Input;
+
+    fn configured(&mut self, now: Now, config: Arc<Config>, out: &mut Vec<Outgoing>) {
+        self.config = Some(config.clone());
+        if self.readiness != Readiness::Stopped {
+            self.readiness = Readiness::Ready;
+        }
+        self.handle(now, RouterEvent::Configured(config), out);
+    }
+
+    fn input(&mut self, now: Now, input: Input, out: &mut Vec<Outgoing>) {
+        match input {
+            Input::Submit(submission) => self.submitted(now, *submission, out),
+            Input::Ended { attempt, result } => {
+                if matches!(result, AttemptResult::Answered { .. }) {
+                    self.orders.remove(&attempt.request);
+                }
+                self.handle(now, RouterEvent::Ended { attempt, result }, out);
+            }
+            Input::Loaded { target, load, .. } => {
+                self.handle(now, RouterEvent::Loaded { target, load }, out);
+            }
+            Input::CallerGone(request) => {
+                self.orders.remove(&request);
+                self.handle(now, RouterEvent::CallerGone(request), out);
+            }
+            Input::Mismatched { .. } => self.mismatches += 1,
+            Input::Rejected(decisions) => {
+                for decision in decisions {
+                    self.trace.record(decision);
+                }
+            }
+        }
+    }
+
+    fn received(
+        &mut self,
+        now: Now,
+        _sender: Endpoint,
+        message: Message,
+        out: &mut Vec<Outgoing>,
+    ) -> Vec<Message> {
+        match message {
+            Message::Pull(pull) => self.handle(now, RouterEvent::Pull(pull), out),
+            Message::Solicit(solicit) => self.handle(now, RouterEvent::Solicit(solicit), out),
+            // Other messages are for agents; a router that gets one ignores it.
+            _ => Vec::new(),
+        }
+    }
+
+    fn undelivered(&mut self, _now: Now, _lost: Outgoing, _out: &mut Vec<Outgoing>) {}
+
+    fn tick(&mut self, now: Now, out: &mut Vec<Outgoing>) {
+        self.handle(now, RouterEvent::Tick, out);
+    }
+
+    fn stop(&mut self, now: Now, out: &mut Vec<Outgoing>) {
+        self.readiness = Readiness::NotReady("stopping");
+        self.handle(now, RouterEvent::Stop, out);
+    }
+
+    fn readiness(&self) -> Readiness {
+        self.readiness.clone()
+    }
+
+    fn unfinished(&self) -> usize {
+        self.orders.len()
+    }
+
+    fn dump(&self, _now: Now) -> serde_json::Value {
+        serde_json::json!({
+            "kind": "router",
+            "requests": self.orders.len(),
+            "finished": self.finished,
+            "mismatches": self.mismatches,
+            "traces": self.trace.len(),
+        })
+    }
+
+    fn why(&self, request: RequestId) -> Option<Vec<Decision>> {
+        self.trace.why(request).map(<[Decision]>::to_vec)
+    }
+}
--- /dev/null
+++ b/router/src/main.rs
@@ -0,0 +1,36 @@
+//! The `knapweed-router` program.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use knapweed_router::run;
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Takes callers' requests and sends them to agents.
+        ///
+        /// Exit codes: 0 stopped with all work ended; 1 cannot start; 2 settings
+        /// or flags are wrong; 3 stopped by a second signal or the stop limit
+        /// while requests ran.
+        cmd knapweed-router {
+            /// The settings file, in YAML.
+            optional --settings file: PathBuf
+            /// Only check the settings.
+            optional --check
+            /// Print the version.
+            optional --version
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::KnapweedRouter::from_env_or_exit();
+    if flags.version {
+        println!("knapweed-router {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let path = flags.settings.unwrap_or_else(|| PathBuf::from("router.yaml"));
+    node::start::main(&path, flags.check, run::run)
+}
