--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -124,7 +124,14 @@
         }
         self.actions = actions;
         for attempt in std::mem::take(&mut self.lost) {
-            self.handle(now, AgentEvent::Ended { attempt, end: AttemptEnd::Unsent }, out);
+            self.handle(
+                now,
+                AgentEvent::Ended {
+                    attempt,
+                    end: AttemptEnd::Unsent,
+                },
+                out,
+            );
         }
     }
 
@@ -135,7 +142,9 @@
                 self.cancels.insert(attempt, cancel);
                 self.decide(attempt, Order::Start(cancelled));
             }
-            AgentAction::Reject { attempt, refusal, .. } => {
+            AgentAction::Reject {
+                attempt, refusal, ..
+            } => {
                 self.decide(attempt, Order::Reject(refusal));
             }
             AgentAction::Unknown { attempt, refusal } => {
@@ -204,7 +213,10 @@
 
     fn configured(&mut self, now: Now, config: Arc<Config>, out: &mut Vec<Outgoing>) {
         self.config = Some(config.clone());
-        if matches!(self.readiness, Readiness::NotReady("no configuration in force")) {
+        if matches!(
+            self.readiness,
+            Readiness::NotReady("no configuration in force")
+        ) {
             self.readiness = Readiness::Ready;
         }
         self.handle(now, AgentEvent::Configured(config), out);
@@ -221,7 +233,15 @@
                 self.cancels.remove(&attempt);
                 AgentEvent::Ended { attempt, end }
             }
-            Input::Report { running, queued, age } => AgentEvent::Report { running, queued, age },
+            Input::Report {
+                running,
+                queued,
+                age,
+            } => AgentEvent::Report {
+                running,
+                queued,
+                age,
+            },
             Input::TargetUp => AgentEvent::TargetUp,
             Input::TargetDown => AgentEvent::TargetDown,
         };
@@ -257,7 +277,9 @@
 
     fn undelivered(&mut self, now: Now, lost: Outgoing, out: &mut Vec<Outgoing>) {
         for message in lost.messages {
-            let Message::Pull(pull) = message else { continue };
+            let Message::Pull(pull) = message else {
+                continue;
+            };
             let sequence = pull.sequence;
             if let Some(router) = self.pulls.remove(&sequence) {
                 self.handle(now, AgentEvent::PullLost { router, sequence }, out);
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -31,6 +31,8 @@
         println!("knapweed-agent {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let path = flags.settings.unwrap_or_else(|| PathBuf::from("agent.yaml"));
+    let path = flags
+        .settings
+        .unwrap_or_else(|| PathBuf::from("agent.yaml"));
     node::start::main(&path, flags.check, run::run)
 }
--- a/agent/src/relay.rs
+++ b/agent/src/relay.rs
@@ -109,7 +109,11 @@
 impl Meter {
     /// Starts a meter.
     pub fn new() -> Self {
-        Self { started: Instant::now(), tokens: 0, reported: 0 }
+        Self {
+            started: Instant::now(),
+            tokens: 0,
+            reported: 0,
+        }
     }
 
     /// Counts a part; returns the cost to report, if enough has gathered.
@@ -192,12 +196,22 @@
         attempt: AttemptId,
         meter: Meter,
     ) -> Self {
-        Self { response, cancelled, reporter, attempt, meter, ended: false }
+        Self {
+            response,
+            cancelled,
+            reporter,
+            attempt,
+            meter,
+            ended: false,
+        }
     }
 
     fn end(&mut self, end: AttemptEnd) {
         if !std::mem::replace(&mut self.ended, true) {
-            self.reporter.report(Input::Ended { attempt: self.attempt, end });
+            self.reporter.report(Input::Ended {
+                attempt: self.attempt,
+                end,
+            });
         }
     }
 }
@@ -212,7 +226,10 @@
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(chunk))) => {
                 if let Some(cost) = self.meter.count(&chunk) {
-                    self.reporter.report(Input::Streamed { attempt: self.attempt, cost });
+                    self.reporter.report(Input::Streamed {
+                        attempt: self.attempt,
+                        cost,
+                    });
                 }
                 Poll::Ready(Some(Ok(chunk)))
             }
--- a/agent/src/run.rs
+++ b/agent/src/run.rs
@@ -46,7 +46,10 @@
     let (queries, query_inputs) = mpsc::channel(QUERY_DEPTH);
     let reporter = Reporter::new(traffic);
 
-    let policy = AgentPolicy { endpoint, seed: endpoint.incarnation.0 };
+    let policy = AgentPolicy {
+        endpoint,
+        seed: endpoint.incarnation.0,
+    };
     let role = AgentRole::new(policy, answers.clone());
     let host = Host::new(settings.name.clone(), endpoint, role, snapshot);
     let shared = Shared {
@@ -57,7 +60,11 @@
         body_limit: settings.limits.body_bytes,
         answer_limit: settings.limits.answer_bytes,
     };
-    actix_rt::spawn(target::watch(node::http::client(), shared.target.clone(), reporter));
+    actix_rt::spawn(target::watch(
+        node::http::client(),
+        shared.target.clone(),
+        reporter,
+    ));
     let server = listen(data, &settings, shared)?;
     let handle = server.handle();
     actix_rt::spawn(server);
@@ -65,18 +72,18 @@
     let operators_handle = operators.handle();
     actix_rt::spawn(operators);
 
-    let inputs = Inputs { traffic: traffic_inputs, queries: query_inputs };
+    actix_rt::spawn(node::watch::follow(host.clone(), settings.service.clone()));
+    let inputs = Inputs {
+        traffic: traffic_inputs,
+        queries: query_inputs,
+    };
     let exit = host.run(control, inputs, settings.stop_limit).await?;
     handle.stop(exit == Exit::Finished).await;
     operators_handle.stop(false).await;
     Ok(exit)
 }
 
-fn listen(
-    listener: TcpListener,
-    settings: &AgentSettings,
-    shared: Shared,
-) -> eyre::Result<Server> {
+fn listen(listener: TcpListener, settings: &AgentSettings, shared: Shared) -> eyre::Result<Server> {
     let head_timeout = settings.limits.head_timeout;
     let server = Server::build()
         .workers(settings.workers)
--- a/agent/src/service.rs
+++ b/agent/src/service.rs
@@ -51,7 +51,10 @@
 impl Service {
     /// Creates the service of the current thread.
     pub fn new(shared: Shared) -> Rc<Self> {
-        Rc::new(Self { shared, client: node::http::client() })
+        Rc::new(Self {
+            shared,
+            client: node::http::client(),
+        })
     }
 
     /// Answers one offer.
@@ -66,7 +69,10 @@
         };
         let keyed = offer.key.is_some();
         let (order, decision) = oneshot::channel();
-        if !self.shared.reporter.try_report(Input::Offered { offer: Box::new(offer), order }) {
+        if !self.shared.reporter.try_report(Input::Offered {
+            offer: Box::new(offer),
+            order,
+        }) {
             return self.refuse(attempt, Reason::NoSlot);
         }
         let Ok(Decided { order, load }) = decision.await else {
@@ -116,8 +122,13 @@
         cancelled: oneshot::Receiver<()>,
         load: Load,
     ) -> Answer {
-        let mut answer: Answer = Response::new(response.status()).set_body(Body::Whole(Bytes::new()));
-        for (name, value) in response.headers().iter().filter(|(name, _)| forwarded(name)) {
+        let mut answer: Answer =
+            Response::new(response.status()).set_body(Body::Whole(Bytes::new()));
+        for (name, value) in response
+            .headers()
+            .iter()
+            .filter(|(name, _)| forwarded(name))
+        {
             answer.headers_mut().append(name.clone(), value.clone());
         }
         self.mark(&mut answer, attempt, Verdict::Answered, load);
@@ -160,9 +171,16 @@
     }
 
     fn mark(&self, answer: &mut Answer, attempt: AttemptId, verdict: Verdict, load: Load) {
-        let reply = Reply { attempt, incarnation: self.shared.incarnation, verdict, load };
+        let reply = Reply {
+            attempt,
+            incarnation: self.shared.incarnation,
+            verdict,
+            load,
+        };
         let value = HeaderValue::from_str(&write_header(&reply)).expect("base64 is plain text");
-        answer.headers_mut().insert(HeaderName::from_static(REPLY_HEADER), value);
+        answer
+            .headers_mut()
+            .insert(HeaderName::from_static(REPLY_HEADER), value);
     }
 }
 
@@ -177,19 +195,19 @@
 ) {
     let shared = &service.shared;
     let mut meter = Meter::new();
-    let handed =
-        relay::hand_over(&service.client, &shared.target, &outbound, &mut cancelled).await;
+    let handed = relay::hand_over(&service.client, &shared.target, &outbound, &mut cancelled).await;
     let end = match handed {
         Handed::Ended(end) => end,
         Handed::Answer(mut response) => {
             let limit = shared.answer_limit;
-            let body =
-                relay::read_whole(&mut response, limit, &mut cancelled, &mut meter).await;
+            let body = relay::read_whole(&mut response, limit, &mut cancelled, &mut meter).await;
             match body {
                 Ok(body) => {
                     let answer = keep(&response, body);
                     kept.send_replace(Some(Kept::Answer(answer.into())));
-                    AttemptEnd::Answered { cost: meter.total() }
+                    AttemptEnd::Answered {
+                        cost: meter.total(),
+                    }
                 }
                 Err(_) => AttemptEnd::Broken,
             }
@@ -200,15 +218,26 @@
         Verdict::NotRun(refusal) => drop(kept.send_replace(Some(Kept::NotRun(refusal)))),
         Verdict::Unknown(refusal) => drop(kept.send_replace(Some(Kept::Lost(refusal)))),
     }
-    shared.reporter.report(Input::Ended { attempt: outbound.attempt, end });
+    shared.reporter.report(Input::Ended {
+        attempt: outbound.attempt,
+        end,
+    });
 }
 
 fn keep(response: &ClientResponse, body: Bytes) -> KeptAnswer {
     let mut headers = actix_http::header::HeaderMap::new();
-    for (name, value) in response.headers().iter().filter(|(name, _)| forwarded(name)) {
+    for (name, value) in response
+        .headers()
+        .iter()
+        .filter(|(name, _)| forwarded(name))
+    {
         headers.append(name.clone(), value.clone());
     }
-    KeptAnswer { status: response.status(), headers, body }
+    KeptAnswer {
+        status: response.status(),
+        headers,
+        body,
+    }
 }
 
 /// What a router is told of an attempt that ended without an answer.
@@ -256,7 +285,10 @@
 impl Drop for EndGuard {
     fn drop(&mut self) {
         if let Some((reporter, attempt)) = self.0.take() {
-            reporter.report(Input::Ended { attempt, end: AttemptEnd::Cancelled });
+            reporter.report(Input::Ended {
+                attempt,
+                end: AttemptEnd::Cancelled,
+            });
         }
     }
 }
--- a/agent/src/target.rs
+++ b/agent/src/target.rs
@@ -57,7 +57,9 @@
 impl Watch {
     fn seen(&mut self, report: LoadReport, reporter: &Reporter) {
         self.failures = 0;
-        let restarted = self.generation.is_some_and(|known| known != report.generation);
+        let restarted = self
+            .generation
+            .is_some_and(|known| known != report.generation);
         if restarted && !self.down {
             reporter.report(Input::TargetDown);
         }
@@ -66,10 +68,18 @@
         }
         self.generation = Some(report.generation);
         self.down = false;
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let age = now.saturating_sub(Duration::from_millis(report.at_millis));
-        let LoadReport { running, queued, .. } = report;
-        reporter.report(Input::Report { running, queued, age });
+        let LoadReport {
+            running, queued, ..
+        } = report;
+        reporter.report(Input::Report {
+            running,
+            queued,
+            age,
+        });
     }
 
     fn failed(&mut self, reporter: &Reporter) {
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -100,7 +100,10 @@
             if Rc::strong_count(&open) > MAX_CONNECTIONS {
                 continue;
             }
-            let server = Server { receiver: receiver.clone(), bytes: bytes.clone() };
+            let server = Server {
+                receiver: receiver.clone(),
+                bytes: bytes.clone(),
+            };
             let held = open.clone();
             actix_rt::spawn(async move {
                 let channel = BaseChannel::with_defaults(transport);
@@ -147,7 +150,10 @@
 impl Links {
     /// Creates an empty set of connections.
     pub fn new(bytes: SharedBytes) -> Self {
-        Self { links: Rc::default(), bytes }
+        Self {
+            links: Rc::default(),
+            bytes,
+        }
     }
 
     /// Sends an envelope and returns the answer.
@@ -205,7 +211,10 @@
         let NewClient { client, dispatch } =
             ControlClient::new(client::Config::default(), transport);
         actix_rt::spawn(dispatch);
-        let link = Link { client: client.clone(), used: Instant::now() };
+        let link = Link {
+            client: client.clone(),
+            used: Instant::now(),
+        };
         self.links.borrow_mut().insert(to, link);
         Ok(client)
     }
--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use entity::{Clock, Decision, DocumentHash, Now, RequestId, Revision, SystemClock};
+use entity::{Clock, Decision, Directory, DocumentHash, Now, RequestId, Revision, SystemClock};
 use eyre::WrapErr;
 use policy::message::Endpoint;
 use rules::Config;
@@ -46,7 +46,10 @@
 impl Outgoing {
     /// One message.
     pub fn one(to: SocketAddr, message: Message) -> Self {
-        Self { to, messages: vec![message] }
+        Self {
+            to,
+            messages: vec![message],
+        }
     }
 }
 
@@ -145,6 +148,14 @@
         self.step(|role, now, out| role.configured(now, config, out));
     }
 
+    /// The names that the process has met.
+    pub fn names(&self) -> Directory {
+        let config = self.snapshot.load();
+        config
+            .as_ref()
+            .map_or_else(Directory::default, |config| (*config.names).clone())
+    }
+
     /// Serves until the role has stopped or is cut.
     ///
     /// # Errors
@@ -237,7 +248,9 @@
 
     fn in_force(&self) -> (Revision, DocumentHash) {
         let config = self.snapshot.load();
-        config.as_ref().map_or_else(Default::default, |config| (config.revision, config.hash))
+        config
+            .as_ref()
+            .map_or_else(Default::default, |config| (config.revision, config.hash))
     }
 
     fn answer(&self, query: Query) {
@@ -285,7 +298,10 @@
 
     fn explain(&self, decisions: Vec<Decision>) -> Explanation {
         let config = self.snapshot.load();
-        let mut rules: Vec<_> = decisions.iter().flat_map(|decision| &decision.rules).collect();
+        let mut rules: Vec<_> = decisions
+            .iter()
+            .flat_map(|decision| &decision.rules)
+            .collect();
         rules.sort_unstable();
         rules.dedup();
         let sources = rules.into_iter().filter_map(|&rule| {
@@ -297,7 +313,11 @@
             })
         });
         let sources = sources.collect();
-        Explanation { process: self.name.clone(), decisions, sources }
+        Explanation {
+            process: self.name.clone(),
+            decisions,
+            sources,
+        }
     }
 }
 
@@ -343,7 +363,10 @@
     fn new() -> eyre::Result<Self> {
         let terminate = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
         let interrupt = signal(SignalKind::interrupt()).wrap_err("cannot handle SIGINT")?;
-        Ok(Self { terminate, interrupt })
+        Ok(Self {
+            terminate,
+            interrupt,
+        })
     }
 
     async fn next(&mut self) {
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_http::header::{HeaderMap, HeaderName};
-use actix_http::{HttpMessage, Payload, Request};
+use actix_http::{Payload, Request};
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use futures::StreamExt;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod settings;
 pub mod start;
 pub mod trace;
+pub mod watch;
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -36,6 +36,8 @@
 
     /// All metrics in the Prometheus text format.
     pub fn text(&self) -> String {
-        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
     }
 }
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -84,7 +84,9 @@
                 let state = state.clone();
                 async move { Ok::<_, actix_http::Error>(state.respond(&request).await) }
             };
-            HttpService::build().h1(actix_service::fn_service(respond).map_err(|error| error)).tcp()
+            HttpService::build()
+                .h1(actix_service::fn_service(respond).map_err(|error| error))
+                .tcp()
         })?
         .run();
     Ok(server)
@@ -93,7 +95,10 @@
 impl Listener {
     async fn respond(&self, request: &Request) -> Response<String> {
         let path = request.path();
-        let json = request.uri().query().is_some_and(|query| query.contains("format=json"));
+        let json = request
+            .uri()
+            .query()
+            .is_some_and(|query| query.contains("format=json"));
         match path {
             "/health" => text(StatusCode::OK, "ok\n".to_owned()),
             "/metrics" => text(StatusCode::OK, self.metrics.text()),
@@ -125,7 +130,8 @@
         match self.ask(Query::Dump).await {
             Some(state) if json => json_body(StatusCode::OK, &state),
             Some(state) => {
-                let yaml = serde_saphyr::to_string(&state).unwrap_or_else(|error| error.to_string());
+                let yaml =
+                    serde_saphyr::to_string(&state).unwrap_or_else(|error| error.to_string());
                 text(StatusCode::OK, yaml)
             }
             None => busy(),
@@ -147,7 +153,10 @@
 }
 
 fn busy() -> Response<String> {
-    text(StatusCode::SERVICE_UNAVAILABLE, "the control thread did not answer\n".to_owned())
+    text(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "the control thread did not answer\n".to_owned(),
+    )
 }
 
 fn text(status: StatusCode, body: String) -> Response<String> {
--- a/node/src/start.rs
+++ b/node/src/start.rs
@@ -39,7 +39,10 @@
         println!("{}: ok", path.display());
         return ExitCode::SUCCESS;
     }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(
+        env_logger::Env::default().default_filter_or("info,actix_server=warn"),
+    )
+    .init();
     match daemon(settings) {
         Ok(Exit::Finished) => ExitCode::SUCCESS,
         Ok(Exit::Cut(_)) => ExitCode::from(WORK_CUT),
@@ -56,8 +59,18 @@
 ///
 /// Returns an error if the listener has no address.
 pub fn endpoint(name: &Name, control: &TcpListener, clock: &impl Clock) -> eyre::Result<Endpoint> {
-    let since = clock.now().wall.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = clock
+        .now()
+        .wall
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let incarnation = Incarnation(since.as_micros() as u64);
-    let control = control.local_addr().wrap_err("the control listener has no address")?;
-    Ok(Endpoint { id: ProcessId(name.tag()), incarnation, control })
+    let control = control
+        .local_addr()
+        .wrap_err("the control listener has no address")?;
+    Ok(Endpoint {
+        id: ProcessId(name.tag()),
+        incarnation,
+        control,
+    })
 }
--- a/node/src/trace.rs
+++ b/node/src/trace.rs
@@ -22,7 +22,11 @@
 impl Trace {
     /// Creates a store for `capacity` requests.
     pub fn new(capacity: usize) -> Self {
-        Self { capacity, order: VecDeque::new(), decisions: FxHashMap::default() }
+        Self {
+            capacity,
+            order: VecDeque::new(),
+            decisions: FxHashMap::default(),
+        }
     }
 
     /// Records a decision.
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -128,12 +128,7 @@
     }
 
     /// Processes one event; direct answers to the event's sender are returned.
-    fn handle(
-        &mut self,
-        now: Now,
-        event: RouterEvent,
-        out: &mut Vec<Outgoing>,
-    ) -> Vec<Message> {
+    fn handle(&mut self, now: Now, event: RouterEvent, out: &mut Vec<Outgoing>) -> Vec<Message> {
         let mut actions = std::mem::take(&mut self.actions);
         self.router.handle(now, event, &mut actions);
         let mut answers = Vec::new();
@@ -188,7 +183,11 @@
     }
 
     fn submitted(&mut self, now: Now, submission: Submission, out: &mut Vec<Outgoing>) {
-        let Submission { arrival, decisions, orders } = submission;
+        let Submission {
+            arrival,
+            decisions,
+            orders,
+        } = submission;
         self.orders.insert(arrival.request, orders);
         for decision in decisions {
             self.trace.record(decision);
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -42,7 +42,13 @@
     pub fn decide(&mut self, at: SystemTime, step: Step, rules: &[RuleRef], detail: String) {
         let request = self.request;
         let rules = rules.to_vec();
-        self.decisions.push(Decision { request, at, step, rules, detail });
+        self.decisions.push(Decision {
+            request,
+            at,
+            step,
+            rules,
+            detail,
+        });
     }
 }
 
@@ -56,6 +62,8 @@
 impl Rejection {
     /// A rejection that a repeat of the same request cannot change.
     pub fn for_good(reason: Reason) -> Self {
-        Self { refusal: Refusal::new(reason, RetryAdvice::Never) }
+        Self {
+            refusal: Refusal::new(reason, RetryAdvice::Never),
+        }
     }
 }
--- a/router/src/filter.rs
+++ b/router/src/filter.rs
@@ -29,7 +29,10 @@
     where
         Self: Sized,
     {
-        Then { first: self, second: next }
+        Then {
+            first: self,
+            second: next,
+        }
     }
 }
 
--- a/router/src/filter/identify.rs
+++ b/router/src/filter/identify.rs
@@ -26,7 +26,12 @@
         let rule = exchange.config.teams[team].as_ref().map(|team| team.rule);
         let name = exchange.config.names.teams.name(team).clone();
         exchange.team = Some(team);
-        exchange.decide(now.wall, Step::Identify, rule.as_slice(), format!("team {name}"));
+        exchange.decide(
+            now.wall,
+            Step::Identify,
+            rule.as_slice(),
+            format!("team {name}"),
+        );
         Ok(())
     }
 }
--- a/router/src/filter/key.rs
+++ b/router/src/filter/key.rs
@@ -8,7 +8,7 @@
 use crate::exchange::{Exchange, Rejection};
 
 /// The header that carries the key.
-pub const KEY_HEADER: &str = "idempotency-key";
+pub(super) const KEY_HEADER: &str = "idempotency-key";
 
 /// Reads `Idempotency-Key` on routes that run at most once.
 ///
@@ -18,7 +18,9 @@
 
 impl Filter for ReadKey {
     fn apply(&self, now: Now, exchange: &mut Exchange) -> Result<(), Rejection> {
-        let route = exchange.route.and_then(|route| exchange.config.routes[route].as_ref());
+        let route = exchange
+            .route
+            .and_then(|route| exchange.config.routes[route].as_ref());
         let once = route.is_some_and(|route| route.repeat == Repeat::Once);
         let text = text(&exchange.headers, KEY_HEADER);
         let key = match text {
--- a/router/src/filter/matching.rs
+++ b/router/src/filter/matching.rs
@@ -15,7 +15,9 @@
         let id = config
             .match_route(exchange.method.as_str(), exchange.uri.path())
             .ok_or_else(|| Rejection::for_good(Reason::NoRoute))?;
-        let route = config.routes[id].as_ref().expect("a matched route is in the table");
+        let route = config.routes[id]
+            .as_ref()
+            .expect("a matched route is in the table");
         let pool = config.names.pools.name(route.pool);
         let detail = format!("route {} to pool {pool}", config.names.routes.name(id));
         exchange.route = Some(id);
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -60,18 +60,17 @@
     forwarded(name) && !["authorization", "host", REQUEST_ID].contains(&name.as_str())
 }
 
-fn judge(
-    order: &DispatchOrder,
-    response: ClientResponse,
-    reporter: &Reporter,
-) -> Relayed {
+fn judge(order: &DispatchOrder, response: ClientResponse, reporter: &Reporter) -> Relayed {
     let attempt = order.offer.attempt;
     let reply = text(response.headers(), REPLY_HEADER).map(read_header::<Reply>);
     let Some(Ok(reply)) = reply else {
         return Relayed::Ended(AttemptResult::Broken { delivered: false });
     };
     if reply.attempt != attempt {
-        reporter.report(Input::Mismatched { expected: attempt, answered: reply.attempt });
+        reporter.report(Input::Mismatched {
+            expected: attempt,
+            answered: reply.attempt,
+        });
         return Relayed::Ended(AttemptResult::Broken { delivered: false });
     }
     reporter.report(Input::Loaded {
@@ -101,7 +100,14 @@
     pub fn new(response: ClientResponse, reporter: Reporter, order: &DispatchOrder) -> Self {
         let attempt = order.offer.attempt;
         let target = order.target;
-        Self { response, reporter, attempt, target, bytes: 0, ended: false }
+        Self {
+            response,
+            reporter,
+            attempt,
+            target,
+            bytes: 0,
+            ended: false,
+        }
     }
 
     /// The target that answers.
@@ -111,7 +117,10 @@
 
     fn end(&mut self, result: AttemptResult) {
         if !std::mem::replace(&mut self.ended, true) {
-            self.reporter.report(Input::Ended { attempt: self.attempt, result });
+            self.reporter.report(Input::Ended {
+                attempt: self.attempt,
+                result,
+            });
         }
     }
 }
@@ -139,8 +148,8 @@
 impl Drop for AnswerStream {
     fn drop(&mut self) {
         if !std::mem::replace(&mut self.ended, true) {
-            self.reporter.report(Input::CallerGone(self.attempt.request));
+            self.reporter
+                .report(Input::CallerGone(self.attempt.request));
         }
     }
 }
-
--- a/router/src/respond.rs
+++ b/router/src/respond.rs
@@ -34,7 +34,13 @@
 /// The response to a rejected request: the filters precede every hand-over.
 pub fn rejected(request: RequestId, rejection: Rejection) -> Answer {
     let proof = HandOver::new().give_up();
-    finished(request, &Outcome::NotRun { refusal: rejection.refusal, proof })
+    finished(
+        request,
+        &Outcome::NotRun {
+            refusal: rejection.refusal,
+            proof,
+        },
+    )
 }
 
 /// The response to a request that ended without an answer.
@@ -74,7 +80,10 @@
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     mark(headers, request, ending.outcome);
     if let Some(seconds) = ending.retry_after {
-        headers.insert(HeaderName::from_static("retry-after"), HeaderValue::from(seconds));
+        headers.insert(
+            HeaderName::from_static("retry-after"),
+            HeaderValue::from(seconds),
+        );
     }
     response
 }
--- a/router/src/run.rs
+++ b/router/src/run.rs
@@ -41,9 +41,14 @@
     let (traffic, traffic_inputs) = mpsc::channel(INPUT_DEPTH);
     let (queries, query_inputs) = mpsc::channel(QUERY_DEPTH);
 
-    let role = RouterRole::new(RouterPolicy { endpoint, seed: endpoint.incarnation.0 });
+    let role = RouterRole::new(RouterPolicy {
+        endpoint,
+        seed: endpoint.incarnation.0,
+    });
     let host = Host::new(settings.name.clone(), endpoint, role, snapshot.clone());
-    let limits = Limits { body: settings.limits.body_bytes };
+    let limits = Limits {
+        body: settings.limits.body_bytes,
+    };
     let reporter = Reporter::new(traffic);
     let server = listen(callers, &settings, move || {
         Service::new(snapshot.clone(), reporter.clone(), limits)
@@ -55,7 +60,11 @@
     let operators_handle = operators.handle();
     actix_rt::spawn(operators);
 
-    let inputs = Inputs { traffic: traffic_inputs, queries: query_inputs };
+    actix_rt::spawn(node::watch::follow(host.clone(), settings.service.clone()));
+    let inputs = Inputs {
+        traffic: traffic_inputs,
+        queries: query_inputs,
+    };
     let exit = host.run(control, inputs, settings.stop_limit).await?;
     handle.stop(exit == Exit::Finished).await;
     operators_handle.stop(false).await;
--- a/router/src/service.rs
+++ b/router/src/service.rs
@@ -67,7 +67,14 @@
     pub fn new(snapshot: Snapshot, reporter: Reporter, limits: Limits) -> Rc<Self> {
         let client = node::http::client();
         let chain = filter::chain();
-        Rc::new(Self { client, chain, snapshot, reporter, limits, clock: SystemClock })
+        Rc::new(Self {
+            client,
+            chain,
+            snapshot,
+            reporter,
+            limits,
+            clock: SystemClock,
+        })
     }
 
     /// Answers one request.
@@ -104,10 +111,17 @@
         let arrival = arrival(now, &exchange);
         let decisions = std::mem::take(&mut exchange.decisions);
         let (sender, mut orders) = mpsc::unbounded_channel();
-        if !self.reporter.submit(Submission { arrival, decisions, orders: sender }) {
+        if !self.reporter.submit(Submission {
+            arrival,
+            decisions,
+            orders: sender,
+        }) {
             return respond::finished(request, &not_run(Reason::QueueFull));
         }
-        let mut guard = CallerGuard { reporter: self.reporter.clone(), request: Some(request) };
+        let mut guard = CallerGuard {
+            reporter: self.reporter.clone(),
+            request: Some(request),
+        };
         while let Some(order) = orders.recv().await {
             let order = match order {
                 Order::Dispatch(order) => order,
@@ -161,7 +175,12 @@
         }
     }
 
-    fn stream(&self, request: RequestId, order: &DispatchOrder, response: ClientResponse) -> Answer {
+    fn stream(
+        &self,
+        request: RequestId,
+        order: &DispatchOrder,
+        response: ClientResponse,
+    ) -> Answer {
         let status = response.status();
         let mut answer: Answer = Response::new(status).set_body(Body::Whole(Bytes::new()));
         respond::copy_headers(response.headers(), answer.head_mut());
@@ -218,15 +237,22 @@
 
 fn not_run(reason: Reason) -> Outcome {
     let refusal = Refusal::new(reason, RetryAdvice::After(OVERLOAD_DELAY));
-    Outcome::NotRun { refusal, proof: HandOver::new().give_up() }
+    Outcome::NotRun {
+        refusal,
+        proof: HandOver::new().give_up(),
+    }
 }
 
 fn arrival(now: Now, exchange: &Exchange) -> Arrival {
     let team = exchange.team.expect("the chain identified the team");
     let id = exchange.route.expect("the chain matched a route");
     let config = &exchange.config;
-    let route = config.routes[id].as_ref().expect("a matched route is in the table");
-    let class = route.class.or_else(|| config.teams[team].as_ref().map(|team| team.class));
+    let route = config.routes[id]
+        .as_ref()
+        .expect("a matched route is in the table");
+    let class = route
+        .class
+        .or_else(|| config.teams[team].as_ref().map(|team| team.class));
     let limit = number(exchange, TIMEOUT_HEADER).map(Duration::from_millis);
     let timeout = limit.map_or(route.timeout, |limit| limit.min(route.timeout));
     Arrival {
