--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod counts;
 pub mod engine;
 pub mod http;
+pub mod service;
