--- a/agent/src/run.rs
+++ b/agent/src/run.rs
@@ -40,6 +40,11 @@
     let control = bind(settings.control).wrap_err("cannot bind the control address")?;
     let operators = bind(settings.operators).wrap_err("cannot bind the operators' address")?;
     let endpoint = endpoint(&Name::new(&settings.name), &control, &SystemClock)?;
+    node::start::announce(&[
+        ("listen", &data),
+        ("control", &control),
+        ("operators", &operators),
+    ]);
     let snapshot = Snapshot::default();
     let answers = Answers::default();
     let (traffic, traffic_inputs) = mpsc::channel(INPUT_DEPTH);
--- /dev/null
+++ b/livetests/src/deployment.rs
@@ -0,0 +1,392 @@
+//! A small fleet on loopback.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use eyre::WrapErr;
+use serde_json::Value;
+
+use crate::caller::hex_digest;
+use crate::process::Process;
+use crate::until;
+
+/// What runs behind an agent.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Behind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// An agent and its target.
+#[derive(Debug)]
+pub struct Pair {
+    /// The target's name.
+    pub name: String,
+    /// The data centre.
+    pub centre: String,
+    /// What the target is.
+    pub behind: Behind,
+    /// The target.
+    pub target: Process,
+    /// The agent.
+    pub agent: Process,
+}
+
+/// The processes of a fleet and the rules that they follow.
+#[derive(Debug)]
+pub struct Deployment {
+    folder: PathBuf,
+    /// The configuration service.
+    pub service: Process,
+    /// The routers.
+    pub routers: Vec<Process>,
+    /// The agents with their targets.
+    pub pairs: Vec<Pair>,
+    /// The revision that was published last.
+    pub revision: u64,
+    /// Further rule lines.
+    pub extra: String,
+    teams: Vec<String>,
+    flags: Vec<String>,
+}
+
+/// The sizes of a deployment.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The number of routers.
+    pub routers: usize,
+    /// The number of engines, spread over two data centres.
+    pub engines: usize,
+    /// The number of plain services, spread over two data centres.
+    pub services: usize,
+    /// The teams, each of weight 1.
+    pub teams: Vec<String>,
+    /// Flags of every engine.
+    pub engine_flags: Vec<String>,
+    /// Flags of every plain service.
+    pub service_flags: Vec<String>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            routers: 2,
+            engines: 2,
+            services: 0,
+            teams: vec!["alpha".to_owned(), "beta".to_owned()],
+            engine_flags: Vec::new(),
+            service_flags: Vec::new(),
+        }
+    }
+}
+
+impl Deployment {
+    /// Starts everything, publishes the rules and waits until all are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not start.
+    pub async fn start(name: &str, plan: Plan) -> eyre::Result<Self> {
+        let folder = std::env::temp_dir().join(format!("kw-{name}-{}", std::process::id()));
+        fs::create_dir_all(&folder).wrap_err("cannot create the folder")?;
+        let listen = ["--listen", "127.0.0.1:0"];
+        let log = folder.join("config.log");
+        let service = Process::start("knapweed-standin-config", &listen, &log)?;
+        let mut fleet = Self {
+            folder,
+            service,
+            routers: Vec::new(),
+            pairs: Vec::new(),
+            revision: 0,
+            extra: String::new(),
+            teams: plan.teams,
+            flags: plan.engine_flags,
+        };
+        for number in 0..plan.engines {
+            let flags = fleet.flags.clone();
+            fleet.add_pair(&format!("llm-{number}"), number, Behind::Engine, &flags)?;
+        }
+        for number in 0..plan.services {
+            fleet.add_pair(
+                &format!("desk-{number}"),
+                number,
+                Behind::Service,
+                &plan.service_flags,
+            )?;
+        }
+        for number in 0..plan.routers {
+            fleet.add_router(number)?;
+        }
+        fleet.publish_vms().await?;
+        fleet.publish().await?;
+        fleet.ready().await;
+        Ok(fleet)
+    }
+
+    /// Starts router `number`, or starts it again at new addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not start.
+    pub fn add_router(&mut self, number: usize) -> eyre::Result<()> {
+        let name = format!("router-{number}");
+        let any = "127.0.0.1:0".to_owned();
+        let process = self.daemon(
+            "knapweed-router",
+            &name,
+            "dc1",
+            &[any.clone(), any.clone(), any],
+            "",
+        )?;
+        match number < self.routers.len() {
+            true => self.routers[number] = process,
+            false => self.routers.push(process),
+        }
+        Ok(())
+    }
+
+    fn add_pair(
+        &mut self,
+        name: &str,
+        number: usize,
+        behind: Behind,
+        flags: &[String],
+    ) -> eyre::Result<()> {
+        let program = match behind {
+            Behind::Engine => "knapweed-standin-engine",
+            Behind::Service => "knapweed-standin-service",
+        };
+        let mut args = vec!["--listen".to_owned(), "127.0.0.1:0".to_owned()];
+        args.extend_from_slice(flags);
+        let log = self.folder.join(format!("{name}-target.log"));
+        let target = Process::start(program, &args, &log)?;
+        let centre = format!("dc{}", number % 2 + 1);
+        let any = "127.0.0.1:0".to_owned();
+        let url = format!("target: http://{}\n", target.address("listen"));
+        let addresses = [any.clone(), any.clone(), any];
+        let agent = self.daemon("knapweed-agent", name, &centre, &addresses, &url)?;
+        self.pairs.push(Pair {
+            name: name.to_owned(),
+            centre,
+            behind,
+            target,
+            agent,
+        });
+        Ok(())
+    }
+
+    /// Kills an agent and starts it again, empty, at the same addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not start.
+    pub fn restart_agent(&mut self, index: usize) -> eyre::Result<()> {
+        self.pairs[index].agent.kill()?;
+        let pair = &self.pairs[index];
+        let names = ["listen", "control", "operators"];
+        let addresses = names.map(|name| pair.agent.address(name).to_string());
+        let url = format!("target: http://{}\n", pair.target.address("listen"));
+        let (name, centre) = (pair.name.clone(), pair.centre.clone());
+        let agent = self.daemon("knapweed-agent", &name, &centre, &addresses, &url)?;
+        self.pairs[index].agent = agent;
+        Ok(())
+    }
+
+    fn daemon(
+        &self,
+        program: &str,
+        name: &str,
+        centre: &str,
+        addresses: &[String; 3],
+        extra: &str,
+    ) -> eyre::Result<Process> {
+        let [listen, control, operators] = addresses;
+        let service = self.service.address("listen");
+        let settings = format!(
+            "name: {name}\ndata_centre: {centre}\nlisten: {listen}\ncontrol: {control}\n\
+             operators: {operators}\nservice: [\"http://{service}\"]\n{extra}"
+        );
+        let path = self.folder.join(format!("{name}.yaml"));
+        fs::write(&path, settings)?;
+        let log = self.folder.join(format!("{name}.log"));
+        let path = path.to_string_lossy().into_owned();
+        Process::start(program, &["--settings".to_owned(), path], &log)
+    }
+
+    /// The rules at the present revision.
+    pub fn rules(&self) -> String {
+        let mut rules = format!("revision {}  # asked by: tests\n", self.revision);
+        let mut line = |text: String| writeln!(rules, "{text}  # asked by: tests");
+        let mut write = |text: String| line(text).expect("writing to a string");
+        write("data-centre dc1".to_owned());
+        write("data-centre dc2".to_owned());
+        let has = |behind| self.pairs.iter().any(|pair| pair.behind == behind);
+        if has(Behind::Engine) {
+            write("pool llm kind model cold 2 max 8".to_owned());
+            write("route chat POST /v1/chat/completions pool llm idempotent cost 50".to_owned());
+        }
+        if has(Behind::Service) {
+            write("pool desk kind service cold 2 max 8".to_owned());
+            write("route bookings POST /v1/bookings pool desk once cost 20".to_owned());
+            write("route stock POST /v1/stock pool desk idempotent cost 5".to_owned());
+        }
+        for pair in &self.pairs {
+            let pool = match pair.behind {
+                Behind::Engine => "llm",
+                Behind::Service => "desk",
+            };
+            let (data, control) = (pair.agent.address("listen"), pair.agent.address("control"));
+            let Pair { name, centre, .. } = pair;
+            write(format!(
+                "target {name} pool {pool} data-centre {centre} data {data} control {control}"
+            ));
+        }
+        for team in &self.teams {
+            write(format!("team {team} weight 1"));
+            write(format!(
+                "key {team} sha256:{}",
+                hex_digest(&format!("kw-demo-{team}"))
+            ));
+        }
+        rules.push_str(&self.extra);
+        rules
+    }
+
+    /// Publishes the rules as a new revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service cannot be reached.
+    pub async fn publish(&mut self) -> eyre::Result<()> {
+        self.revision += 1;
+        let rules = self.rules();
+        self.put("rules", rules).await
+    }
+
+    /// Publishes the VM list with all routers and agents as live.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service cannot be reached.
+    pub async fn publish_vms(&self) -> eyre::Result<()> {
+        let vm = |name: &str, role: &str, centre: &str, control: SocketAddr| {
+            serde_json::json!({
+                "name": name, "role": role, "data_centre": centre,
+                "control": control.to_string(), "state": "live",
+            })
+        };
+        let routers = self.routers.iter().enumerate().map(|(number, router)| {
+            vm(
+                &format!("router-{number}"),
+                "router",
+                "dc1",
+                router.address("control"),
+            )
+        });
+        let agents = self.pairs.iter().map(|pair| {
+            vm(
+                &pair.name,
+                "agent",
+                &pair.centre,
+                pair.agent.address("control"),
+            )
+        });
+        let list: Vec<Value> = routers.chain(agents).collect();
+        self.put("vms", Value::from(list).to_string()).await
+    }
+
+    async fn put(&self, key: &str, value: String) -> eyre::Result<()> {
+        let url = format!(
+            "http://{}/test/values/{key}",
+            self.service.address("listen")
+        );
+        let sent = awc::Client::default().put(url).send_body(value).await;
+        sent.map(|_| ())
+            .map_err(|error| eyre::eyre!("cannot publish {key}: {error}"))
+    }
+
+    /// Waits until every process is ready and has the published revision.
+    pub async fn ready(&self) {
+        let agents = self.pairs.iter().map(|pair| &pair.agent);
+        for process in self.routers.iter().chain(agents) {
+            let operators = process.address("operators");
+            until("the process is ready", || async move {
+                let dump = dump(operators).await?;
+                let (status, _) = get(operators, "/ready").await?;
+                let revision = dump["revision"].as_u64()?;
+                (revision >= self.revision && status == 200).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// The address for callers of router `number`.
+    pub fn callers(&self, number: usize) -> SocketAddr {
+        self.routers[number].address("callers")
+    }
+
+    /// What a target counted.
+    pub async fn counts(&self, index: usize) -> Value {
+        let target = self.pairs[index].target.address("listen");
+        let answer = get(target, "/test/counts").await;
+        answer.map_or(Value::Null, |(_, body)| {
+            serde_json::from_str(&body).unwrap_or(Value::Null)
+        })
+    }
+
+    /// Scripts a fault into a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the target cannot be reached.
+    pub async fn fault(&self, index: usize, fault: Value) -> eyre::Result<()> {
+        let target = self.pairs[index].target.address("listen");
+        fault_at(target, fault).await
+    }
+
+    /// Scripts a fault into the configuration service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service cannot be reached.
+    pub async fn service_fault(&self, fault: Value) -> eyre::Result<()> {
+        fault_at(self.service.address("listen"), fault).await
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            // The folder is temporary; what cannot be removed now is removed by the system.
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+async fn fault_at(address: SocketAddr, fault: Value) -> eyre::Result<()> {
+    let url = format!("http://{address}/test/faults");
+    let sent = awc::Client::default().post(url).send_json(&fault).await;
+    sent.map(|_| ())
+        .map_err(|error| eyre::eyre!("cannot script the fault: {error}"))
+}
+
+/// The state of the process whose operators' address is given.
+pub async fn dump(operators: SocketAddr) -> Option<Value> {
+    let (_, body) = get(operators, "/dump?format=json").await?;
+    serde_json::from_str(&body).ok()
+}
+
+/// A GET request; `None` if there is no answer.
+pub async fn get(address: SocketAddr, path: &str) -> Option<(u16, String)> {
+    let url = format!("http://{address}{path}");
+    let mut response = awc::Client::default().get(url).send().await.ok()?;
+    let body = response.body().limit(16 << 20).await.ok()?;
+    Some((
+        response.status().as_u16(),
+        String::from_utf8_lossy(&body).into_owned(),
+    ))
+}
--- /dev/null
+++ b/livetests/src/lib.rs
@@ -0,0 +1,42 @@
+//! Tests of the daemons as real processes on loopback.
+//!
+//! The crate starts the workspace's programs with settings in a temporary
+//! folder, lets a test break them and reads what the stand-ins counted. It
+//! asserts nothing about time: waits end when a condition holds, and a bound
+//! far above any expected duration only keeps a hung test from blocking CI.
+
+pub mod caller;
+pub mod deployment;
+pub mod process;
+
+use std::future::Future;
+use std::time::Duration;
+
+/// The bound after which a wait is reported as hung.
+const HANG_LIMIT: Duration = Duration::from_secs(60);
+
+/// The interval at which conditions are checked.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Waits until `condition` yields a value.
+///
+/// # Panics
+///
+/// Panics if the condition does not hold within the hang limit.
+pub async fn until<T, F: Future<Output = Option<T>>>(
+    what: &str,
+    mut condition: impl FnMut() -> F,
+) -> T {
+    let wait = async {
+        loop {
+            if let Some(value) = condition().await {
+                return value;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    match tokio::time::timeout(HANG_LIMIT, wait).await {
+        Ok(value) => value,
+        Err(_) => panic!("hung while waiting until {what}"),
+    }
+}
--- /dev/null
+++ b/livetests/src/process.rs
@@ -0,0 +1,143 @@
+//! One process under test.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use eyre::{WrapErr, eyre};
+
+/// A signal that a test sends.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Signal {
+    /// Asks the process to stop.
+    Terminate,
+    /// Suspends the process.
+    Pause,
+    /// Lets a suspended process go on.
+    Resume,
+}
+
+/// A running process; it is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    /// The addresses that it printed on its first line, by name; a single one is named `listen`.
+    pub addresses: BTreeMap<String, SocketAddr>,
+}
+
+impl Process {
+    /// Starts the program `name` of the workspace and waits for its `listening` line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program is missing, or ends before it listens.
+    pub fn start<S: AsRef<str>>(name: &str, args: &[S], log: &Path) -> eyre::Result<Self> {
+        let program = program(name)?;
+        let log = File::create(log).wrap_err("cannot create the log file")?;
+        let mut child = Command::new(&program)
+            .args(args.iter().map(AsRef::as_ref))
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .wrap_err_with(|| format!("cannot start {}", program.display()))?;
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line)?;
+        let addresses = addresses(&line);
+        match addresses.is_empty() {
+            false => Ok(Self { child, addresses }),
+            true => {
+                let status = child.wait()?;
+                Err(eyre!("{name} ended with {status} before it listened"))
+            }
+        }
+    }
+
+    /// The address that the process printed under `name`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it printed none.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.addresses[name]
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal cannot be sent.
+    pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
+        let option = match signal {
+            Signal::Terminate => "-TERM",
+            Signal::Pause => "-STOP",
+            Signal::Resume => "-CONT",
+        };
+        let status = Command::new("kill")
+            .arg(option)
+            .arg(self.child.id().to_string())
+            .status()?;
+        status
+            .success()
+            .then_some(())
+            .ok_or_else(|| eyre!("kill {option} failed"))
+    }
+
+    /// Ends the process at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be killed.
+    pub fn kill(&mut self) -> eyre::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// The exit status, if the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be asked.
+    pub fn ended(&mut self) -> eyre::Result<Option<ExitStatus>> {
+        Ok(self.child.try_wait()?)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // An error means that the process has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn addresses(line: &str) -> BTreeMap<String, SocketAddr> {
+    let fields = line.trim().strip_prefix("listening ").unwrap_or_default();
+    let parse = |field: &str| {
+        let (name, address) = field.split_once('=').unwrap_or(("listen", field));
+        Some((name.to_owned(), address.parse().ok()?))
+    };
+    fields.split(' ').filter_map(parse).collect()
+}
+
+/// The path of a program beside the running test.
+fn program(name: &str) -> eyre::Result<PathBuf> {
+    let test = std::env::current_exe()?;
+    let profile = test
+        .ancestors()
+        .nth(2)
+        .ok_or_else(|| eyre!("no target folder"))?;
+    let program = profile.join(name);
+    match program.is_file() {
+        true => Ok(program),
+        false => Err(eyre!(
+            "{} is not built: run cargo build --workspace",
+            program.display()
+        )),
+    }
+}
--- /dev/null
+++ b/livetests/tests/path.rs
@@ -0,0 +1,65 @@
+//! The whole path, one request at a time.
+
+use knapweed_livetests::caller::{Call, is_whole_stream};
+use knapweed_livetests::deployment::{Deployment, Plan, get};
+use knapweed_livetests::process::Signal;
+use knapweed_livetests::until;
+
+#[actix_rt::test]
+async fn a_streamed_answer_arrives_whole_and_can_be_explained() {
+    let fleet = Deployment::start("path", Plan::default())
+        .await
+        .expect("the fleet starts");
+    let answer = Call::chat("alpha", "how wide is the core", 20)
+        .send(fleet.callers(0))
+        .await
+        .whole();
+    assert_eq!((answer.status, answer.outcome.as_str()), (200, "answered"));
+    assert!(is_whole_stream(&answer.body), "{}", answer.body);
+
+    let path = format!("/why/{}", answer.request);
+    let (status, why) = get(fleet.routers[0].address("operators"), &path)
+        .await
+        .expect("an answer");
+    assert_eq!(status, 200);
+    assert!(
+        why.contains("team alpha") && why.contains("route chat"),
+        "{why}"
+    );
+}
+
+#[actix_rt::test]
+async fn callers_cannot_pass_the_filters() {
+    let fleet = Deployment::start("filters", Plan::default())
+        .await
+        .expect("the fleet starts");
+    let router = fleet.callers(0);
+    let mut seen = Vec::new();
+    for call in [
+        Call::chat("nobody", "x", 1),
+        Call::post("/v1/secret", "alpha", "{}"),
+        Call::chat("alpha", &"x".repeat(3 << 20), 1),
+        Call::chat("alpha", "x", 1).header("kw-offer", "AAAA"),
+    ] {
+        let answer = call.send(router).await.whole();
+        seen.push((answer.status, answer.outcome.clone(), answer.reason()));
+    }
+    insta::assert_debug_snapshot!(seen);
+}
+
+#[actix_rt::test]
+async fn a_planned_stop_of_a_router_ends_with_code_0() {
+    let mut fleet = Deployment::start("stop", Plan::default())
+        .await
+        .expect("the fleet starts");
+    fleet.routers[0]
+        .signal(Signal::Terminate)
+        .expect("the router runs");
+    let mut router = fleet.routers.remove(0);
+    let status = until("the router has ended", || {
+        let ended = router.ended().expect("the router can be asked");
+        async move { ended }
+    })
+    .await;
+    assert_eq!(status.code(), Some(0));
+}
--- a/node/src/start.rs
+++ b/node/src/start.rs
@@ -74,3 +74,14 @@
         control,
     })
 }
+
+/// Prints the addresses that the process listens on, so that port 0 can be used.
+pub fn announce(listeners: &[(&str, &TcpListener)]) {
+    let mut line = "listening".to_owned();
+    for (name, listener) in listeners {
+        if let Ok(address) = listener.local_addr() {
+            line.push_str(&format!(" {name}={address}"));
+        }
+    }
+    println!("{line}");
+}
--- a/router/src/run.rs
+++ b/router/src/run.rs
@@ -37,6 +37,11 @@
     let control = bind(settings.control).wrap_err("cannot bind the control address")?;
     let operators = bind(settings.operators).wrap_err("cannot bind the operators' address")?;
     let endpoint = endpoint(&Name::new(&settings.name), &control, &SystemClock)?;
+    node::start::announce(&[
+        ("callers", &callers),
+        ("control", &control),
+        ("operators", &operators),
+    ]);
     let snapshot = Snapshot::default();
     let (traffic, traffic_inputs) = mpsc::channel(INPUT_DEPTH);
     let (queries, query_inputs) = mpsc::channel(QUERY_DEPTH);
