--- a/standins/src/engine/cache.rs
+++ b/standins/src/engine/cache.rs
@@ -110,7 +110,7 @@
         }
     }
 
-    /// Adds an event at `now`, the time since the engine's start.
+    /// Adds an event at `now`.
     pub fn push(&mut self, now: Duration, kind: CacheEventKind, prefix: u64) {
         self.last += 1;
         let number = self.last;
--- a/standins/src/engine/core.rs
+++ b/standins/src/engine/core.rs
@@ -1,6 +1,6 @@
 //! The engine's whole state without sockets.
 //!
-//! Times are measured from the start of the process and passed in.
+//! Times are measured from the Unix epoch and passed in.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -159,8 +159,8 @@
 }
 
 impl Engine {
-    /// Creates a cold engine.
-    pub fn new(options: EngineOptions) -> Self {
+    /// Creates a cold engine that starts at `now`.
+    pub fn new(now: Duration, options: EngineOptions) -> Self {
         let batch = Batch::new(options.limits);
         let counts = EngineCounts {
             phase: batch.phase(),
@@ -185,7 +185,7 @@
             record_order: VecDeque::new(),
             owners: BTreeMap::new(),
             counts,
-            measured: Duration::ZERO,
+            measured: now,
             options,
         }
     }
--- a/standins/src/engine/front.rs
+++ b/standins/src/engine/front.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::body::BoxBody;
 use actix_http::{Method, Response, StatusCode};
@@ -20,7 +20,7 @@
 use super::fault::Fault;
 use super::order::Order;
 use super::text::Script;
-use crate::http::{Call, Dropped, Handler, drop_connection, json, serve, stream, text};
+use crate::http::{Call, Dropped, EpochClock, Handler, drop_connection, json, serve, stream, text};
 
 /// The longest time between two looks at an idle engine.
 const IDLE_LOOK: Duration = Duration::from_millis(50);
@@ -82,13 +82,14 @@
 struct EngineService {
     state: Arc<Mutex<State>>,
     wake: Arc<Notify>,
-    started: Instant,
+    clock: EpochClock,
 }
 
 impl EngineService {
     fn new(options: EngineOptions) -> Self {
+        let clock = EpochClock::start();
         let state = State {
-            engine: Engine::new(options),
+            engine: Engine::new(clock.now(), options),
             outlets: BTreeMap::new(),
             last_outlet: 0,
             paused: Duration::ZERO,
@@ -97,7 +98,7 @@
         Self {
             state: Arc::new(Mutex::new(state)),
             wake: Arc::new(Notify::new()),
-            started: Instant::now(),
+            clock,
         }
     }
 
@@ -106,7 +107,7 @@
     }
 
     fn now(&self) -> Duration {
-        self.started.elapsed()
+        self.clock.now()
     }
 
     async fn drive(self) {
--- a/standins/src/engine/report.rs
+++ b/standins/src/engine/report.rs
@@ -14,7 +14,7 @@
     pub queued: usize,
     /// The number of the engine's life.
     pub generation: u64,
-    /// The time of the sample since the process's start, in milliseconds.
+    /// The time of the sample since the Unix epoch, in milliseconds.
     pub at_millis: u64,
 }
 
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::io::{self, Write as _};
 use std::net::{SocketAddr, TcpListener};
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use actix_http::body::{BodyStream, BoxBody, SizedStream};
 use actix_http::header::HeaderMap;
@@ -133,6 +133,34 @@
     Ok(server)
 }
 
+/// A clock that counts from the Unix epoch and never goes back.
+#[derive(Clone, Copy, Debug)]
+pub struct EpochClock {
+    started: Instant,
+    epoch: Duration,
+}
+
+impl EpochClock {
+    /// Starts the clock at the system's wall-clock time.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system's clock stands before the epoch.
+    pub fn start() -> Self {
+        Self {
+            started: Instant::now(),
+            epoch: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .expect("the clock stands after the epoch"),
+        }
+    }
+
+    /// The time since the epoch.
+    pub fn now(self) -> Duration {
+        self.epoch + self.started.elapsed()
+    }
+}
+
 /// Starts the log; connections that a fault breaks are not logged unless asked for.
 pub fn start_log() {
     let env = env_logger::Env::default().default_filter_or("warn,actix_http=off");
--- a/standins/src/service/front.rs
+++ b/standins/src/service/front.rs
@@ -2,7 +2,6 @@
 
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
 
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderName, HeaderValue};
@@ -12,7 +11,7 @@
 
 use super::desk::{Begin, Desk, DeskOptions, End, Fault};
 use crate::engine::{LoadReport, digest};
-use crate::http::{Call, Handler, drop_connection, json, serve, text};
+use crate::http::{Call, EpochClock, Handler, drop_connection, json, serve, text};
 
 /// The answer to a request that ran.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
@@ -33,7 +32,7 @@
 struct DeskService {
     name: Arc<str>,
     desk: Arc<Mutex<Desk>>,
-    started: Instant,
+    clock: EpochClock,
 }
 
 impl DeskService {
@@ -89,7 +88,7 @@
             running: self.desk().counts().running,
             queued: 0,
             generation: 1,
-            at_millis: u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX),
+            at_millis: u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX),
         }
     }
 }
@@ -132,7 +131,7 @@
     let service = DeskService {
         name: name.into(),
         desk: Arc::new(Mutex::new(Desk::new(options))),
-        started: Instant::now(),
+        clock: EpochClock::start(),
     };
     serve(listener, service)
 }
