--- a/rules/src/compile.rs
+++ b/rules/src/compile.rs
@@ -1,14 +1,11 @@
 //! Compiles a checked document into the tables of [`Config`].
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use entity::{Cost, Directory, DocumentHash, Name, Revision, RuleRef, Weight};
+use entity::{Directory, DocumentHash, Name, Revision, RuleRef};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::config::{
-    Config, DataCentre, Fencing, Limits, Model, Pool, RateLimit, Route, Target, Team, Window,
-};
+use crate::config::{Config, DataCentre, Model, Pool, Route, Target, Team};
 use crate::document::Document;
 use crate::error::RuleError;
 use crate::statement::{
@@ -17,12 +14,6 @@
 };
 use crate::verify::verify;
 
-/// The time limit of a route whose rule states none.
-pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
-
-/// The assumed cost of a request whose route states none.
-pub const DEFAULT_HINT: Cost = Cost(100);
-
 /// Reads, checks and compiles a document.
 ///
 /// # Errors
@@ -92,16 +83,12 @@
     }
 
     fn add_pool(&mut self, line: u32, statement: &PoolStatement) {
-        let default = Window::default();
         let pool = self.names.pools.intern(&statement.name);
         self.config.pools[pool] = Some(Pool {
             rule: self.rule(line),
             kind: statement.kind,
             targets: Vec::new(),
-            window: Window {
-                cold: statement.cold.unwrap_or(default.cold),
-                max: statement.max.unwrap_or(default.max),
-            },
+            window: statement.window(),
         });
     }
 
@@ -113,7 +100,7 @@
             centre: self.names.centres.intern(&statement.centre),
             data: statement.data,
             control: statement.control,
-            fencing: statement.fencing.unwrap_or(Fencing::Ignored),
+            fencing: statement.fencing(),
             drain: None,
             from: statement.from,
             until: statement.until,
@@ -121,24 +108,12 @@
     }
 
     fn add_team(&mut self, line: u32, statement: &TeamStatement) {
-        let default = Limits::default();
-        let rate = statement.rate.map(|rate| RateLimit {
-            rate,
-            burst: statement.burst.unwrap_or(rate),
-        });
         let team = self.names.teams.intern(&statement.name);
         self.config.teams[team] = Some(Team {
             rule: self.rule(line),
-            weight: statement
-                .weight
-                .and_then(Weight::new)
-                .unwrap_or(Weight::ONE),
+            weight: statement.weight(),
             class: statement.class.unwrap_or_default(),
-            limits: Limits {
-                in_flight: statement.in_flight.unwrap_or(default.in_flight),
-                rate,
-                queue: statement.queue.unwrap_or(default.queue),
-            },
+            limits: statement.limits(),
         });
     }
 
@@ -153,8 +128,8 @@
             pool: self.names.pools.intern(&statement.pool),
             repeat: statement.repeat,
             class: statement.class,
-            hint: statement.cost.unwrap_or(DEFAULT_HINT),
-            timeout: statement.timeout.unwrap_or(DEFAULT_TIMEOUT),
+            hint: statement.hint(),
+            timeout: statement.timeout(),
         });
     }
 
--- a/rules/src/document.rs
+++ b/rules/src/document.rs
@@ -73,6 +73,7 @@
                 .map(|(text, number)| read_line(number, text, &mut errors))
                 .collect()
         };
+        errors.sort();
         match errors.is_empty() {
             true => Ok(Self {
                 lines,
@@ -157,7 +158,11 @@
     }
     let statement = read::statement(number, &scan, errors);
     let (column, found, asker) = match scan.comment {
-        Some(word) => (word.column, quote(word.text), value::asker(word.text)),
+        Some(word) => (
+            word.column,
+            quote(word.text.trim_end()),
+            value::asker(word.text),
+        ),
         None => {
             let found = "the end of the line".to_owned();
             (scan.end, found, value::asker(""))
@@ -167,8 +172,7 @@
         errors.push(RuleError::new(number, column, found, expected));
     });
     let comment_bytes = scan.comment.map_or(0, |comment| comment.text.len());
-    let written = text.trim_end();
-    let written = written[..written.len() - comment_bytes].trim();
+    let written = text[..text.len() - comment_bytes].trim();
     Some(Rule {
         statement: statement?,
         source: RuleSource {
--- a/rules/src/lib.rs
+++ b/rules/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod compile;
 mod config;
+mod diff;
 mod document;
 mod error;
 mod part;
@@ -18,18 +19,21 @@
 mod value;
 mod verify;
 
-pub use compile::{DEFAULT_HINT, DEFAULT_TIMEOUT, compile, load};
+pub use compile::{compile, load};
 pub use config::{
     Config, DataCentre, Fencing, KeyHash, Limits, Model, Pool, PoolKind, RateLimit, Repeat, Route,
     Target, Team, Window,
 };
+pub use diff::{
+    Change, ChangeKind, Diff, FieldChange, PoolEffect, Portion, Subject, TeamEffect, Whom, diff,
+};
 pub use document::{Document, Line, MAX_DOCUMENT_BYTES, MAX_LINE_BYTES, Rule, RuleSource};
 pub use error::RuleError;
 pub use part::{MAX_VALUE_BYTES, assemble, part_hash, parts};
 pub use route::RouteTable;
 pub use statement::{
-    DrainStatement, KeyStatement, ModelStatement, PartStatement, PoolStatement, RouteStatement,
-    Statement, TargetStatement, TeamStatement,
+    DEFAULT_HINT, DEFAULT_TIMEOUT, DrainStatement, KeyStatement, ModelStatement, PartStatement,
+    PoolStatement, RouteStatement, Statement, TargetStatement, TeamStatement,
 };
 pub use value::{MAX_NAME_BYTES, MAX_TIMEOUT};
 pub use verify::{MAX_WINDOW, verify};
--- a/rules/src/scan.rs
+++ b/rules/src/scan.rs
@@ -22,7 +22,7 @@
     pub(crate) words: Vec<Word<'a>>,
     /// The comment with its `#`.
     pub(crate) comment: Option<Word<'a>>,
-    /// The column after the last character.
+    /// The column after the last word.
     pub(crate) end: u32,
 }
 
@@ -30,18 +30,21 @@
 
 /// Splits `line`; any text can be split.
 pub(crate) fn scan(line: &str) -> Scan<'_> {
-    let trimmed = line.trim_end();
     let (words, comment) = parts
-        .parse(LocatingSlice::new(trimmed))
+        .parse(LocatingSlice::new(line))
         .expect("every line splits into words and a comment");
-    let word = |(text, span): (_, core::ops::Range<usize>)| Word {
-        text,
-        column: column(trimmed, span.start),
-    };
+    let end = words.last().map_or(0, |(_, span)| span.end);
     Scan {
-        words: words.into_iter().map(word).collect(),
-        comment: comment.map(word),
-        end: column(trimmed, trimmed.len()),
+        words: words.into_iter().map(|word| place(line, word)).collect(),
+        comment: comment.map(|comment| place(line, comment)),
+        end: column(line, end),
+    }
+}
+
+fn place<'a>(line: &str, (text, span): Place<'a>) -> Word<'a> {
+    Word {
+        text,
+        column: column(line, span.start),
     }
 }
 
@@ -63,6 +66,7 @@
     take_while(0.., char::is_whitespace).parse_next(input)
 }
 
+/// A comment starts where a word could start, so a word may contain `#`.
 fn word<'a>(input: &mut Input<'a>) -> Result<&'a str, ContextError> {
     let first = take_while(1, |c: char| c != '#' && !c.is_whitespace());
     let others = take_while(0.., |c: char| !c.is_whitespace());
--- a/rules/src/statement.rs
+++ b/rules/src/statement.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, SystemTime};
 
 use derive_more::{Display, From};
-use entity::{Class, Cost, Name, Revision};
+use entity::{Class, Cost, Name, Revision, Weight};
 
-use crate::config::{Fencing, KeyHash, PoolKind, Repeat};
+use crate::config::{Fencing, KeyHash, Limits, PoolKind, RateLimit, Repeat, Window};
 use crate::value;
 
 /// One statement, without its comment.
@@ -157,6 +157,63 @@
     pub hash: KeyHash,
 }
 
+/// The time limit of a route whose rule states none.
+pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The assumed cost of a request whose route states none.
+pub const DEFAULT_HINT: Cost = Cost(100);
+
+impl PoolStatement {
+    /// The admission window, with defaults for what is not stated.
+    pub fn window(&self) -> Window {
+        let default = Window::default();
+        Window {
+            cold: self.cold.unwrap_or(default.cold),
+            max: self.max.unwrap_or(default.max),
+        }
+    }
+}
+
+impl TargetStatement {
+    /// How the target treats fencing numbers; it is trusted only if the rule says so.
+    pub fn fencing(&self) -> Fencing {
+        self.fencing.unwrap_or(Fencing::Ignored)
+    }
+}
+
+impl TeamStatement {
+    /// The weight, 1 if none is stated.
+    pub fn weight(&self) -> Weight {
+        self.weight.and_then(Weight::new).unwrap_or_default()
+    }
+
+    /// The limits, with defaults for what is not stated.
+    pub fn limits(&self) -> Limits {
+        let default = Limits::default();
+        let rate = self.rate.map(|rate| RateLimit {
+            rate,
+            burst: self.burst.unwrap_or(rate),
+        });
+        Limits {
+            in_flight: self.in_flight.unwrap_or(default.in_flight),
+            rate,
+            queue: self.queue.unwrap_or(default.queue),
+        }
+    }
+}
+
+impl RouteStatement {
+    /// The assumed cost of a request.
+    pub fn hint(&self) -> Cost {
+        self.cost.unwrap_or(DEFAULT_HINT)
+    }
+
+    /// The time limit where the caller states none.
+    pub fn timeout(&self) -> Duration {
+        self.timeout.unwrap_or(DEFAULT_TIMEOUT)
+    }
+}
+
 /// Writes ` key value` if there is a value.
 fn option<T: fmt::Display>(f: &mut fmt::Formatter<'_>, key: &str, value: Option<T>) -> fmt::Result {
     match value {
--- a/rules/src/verify.rs
+++ b/rules/src/verify.rs
@@ -262,9 +262,7 @@
             let found = format!("pool `{}` without targets", pool.name);
             self.fault(line, Place::Word(1), found, "a target in each pool");
         }
-        let default = Window::default();
-        let cold = pool.cold.unwrap_or(default.cold);
-        let max = pool.max.unwrap_or(default.max);
+        let Window { cold, max } = pool.window();
         if max > MAX_WINDOW {
             let expected = format!("at most {MAX_WINDOW}");
             self.fault(line, Place::Value("max"), max.to_string(), expected);
