--- a/livetests/src/deployment.rs
+++ b/livetests/src/deployment.rs
@@ -52,6 +52,8 @@
     pub extra: String,
     teams: Vec<String>,
     flags: Vec<String>,
+    /// Whether the engines carry hundreds of requests at once.
+    pub wide: bool,
 }
 
 /// The sizes of a deployment.
@@ -105,6 +107,7 @@
             extra: String::new(),
             teams: plan.teams,
             flags: plan.engine_flags,
+            wide: false,
         };
         for number in 0..plan.engines {
             let flags = fleet.flags.clone();
@@ -226,7 +229,12 @@
         write("data-centre dc2".to_owned());
         let has = |behind| self.pairs.iter().any(|pair| pair.behind == behind);
         if has(Behind::Engine) {
-            write("pool llm kind model cold 2 max 8".to_owned());
+            let size = if self.wide {
+                "cold 200 max 200"
+            } else {
+                "cold 2 max 8"
+            };
+            write(format!("pool llm kind model {size}"));
             write("route chat POST /v1/chat/completions pool llm idempotent cost 50".to_owned());
         }
         if has(Behind::Service) {
