--- /dev/null
+++ b/node/src/event.rs
@@ -0,0 +1,167 @@
+//! Numbered log events.
+//!
+//! Every log line of a daemon is one event: `KW1203 config-adopted revision=7`.
+//! `docs/events.md` is the catalogue; a test compares the two. Fields never
+//! hold the content of a request or a key.
+
+use std::fmt::{self, Display, Write as _};
+
+use log::Level;
+
+/// The log target of all events.
+pub const TARGET: &str = "knapweed";
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $variant:ident $number:literal $level:ident $name:literal;)*) => {
+        /// What can be logged; the numbers are stable.
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+        pub enum Event {
+            $($(#[$doc])* $variant,)*
+        }
+
+        impl Event {
+            /// All events, in order of their numbers.
+            pub const ALL: &'static [Self] = &[$(Self::$variant),*];
+
+            /// The number.
+            pub fn number(self) -> u16 {
+                match self {
+                    $(Self::$variant => $number,)*
+                }
+            }
+
+            /// The level.
+            pub fn level(self) -> Level {
+                match self {
+                    $(Self::$variant => Level::$level,)*
+                }
+            }
+
+            /// The name, in kebab case.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $name,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    /// The process started.
+    ProcessStarted 1001 Info "process-started";
+    /// A listener is bound.
+    ListenerBound 1002 Info "listener-bound";
+    /// A listener could not be bound.
+    ListenerFailed 1003 Error "listener-failed";
+    /// The process is ready for work.
+    ProcessReady 1004 Info "process-ready";
+    /// The process is not ready for work.
+    ProcessUnready 1005 Warn "process-unready";
+    /// A planned stop began.
+    StopBegan 1006 Info "stop-began";
+    /// The planned stop ended; every request had ended.
+    StopEnded 1007 Info "stop-ended";
+    /// A second signal or the stop limit ended the process with requests in flight.
+    StopCut 1008 Error "stop-cut";
+    /// A controller or thread ended unexpectedly.
+    ThreadLost 1009 Error "thread-lost";
+    /// A queue between threads was full and an event was dropped.
+    ChannelFull 1010 Warn "channel-full";
+
+    /// The configuration service answered again.
+    ServiceReachable 1201 Info "service-reachable";
+    /// The configuration service did not answer.
+    ServiceUnreachable 1202 Warn "service-unreachable";
+    /// A configuration came into force.
+    ConfigAdopted 1203 Info "config-adopted";
+    /// A document was refused; the configuration in force stays.
+    ConfigRefused 1204 Error "config-refused";
+    /// A document with a revision that is not higher was ignored.
+    ConfigStale 1205 Warn "config-stale";
+    /// Two documents of one revision differ.
+    ConfigConflict 1206 Error "config-conflict";
+    /// A part of the document is missing or has another hash.
+    PartUnavailable 1207 Warn "part-unavailable";
+    /// The VM list was refused.
+    VmListRefused 1208 Warn "vm-list-refused";
+
+    /// A peer was reached for the first time or again.
+    PeerReachable 1301 Info "peer-reachable";
+    /// A peer is suspected of having failed.
+    PeerSuspected 1302 Warn "peer-suspected";
+    /// A peer is regarded as failed.
+    PeerFailed 1303 Warn "peer-failed";
+    /// A control message could not be read.
+    MessageRefused 1304 Warn "message-refused";
+    /// A peer speaks a protocol version that is not supported.
+    VersionRefused 1305 Error "version-refused";
+
+    /// The target accepts connections.
+    TargetUp 1401 Info "target-up";
+    /// The target died or restarted.
+    TargetDown 1402 Error "target-down";
+    /// The target is cold; its window was reduced.
+    TargetCold 1403 Warn "target-cold";
+    /// The target or its data centre is drained by rule.
+    TargetDrained 1404 Info "target-drained";
+    /// A drain was lifted.
+    TargetRestored 1405 Info "target-restored";
+    /// The rules in force do not name the target of this agent.
+    TargetUnknown 1406 Error "target-unknown";
+    /// The target's load report could not be read.
+    ReportUnavailable 1407 Warn "report-unavailable";
+    /// An order to the target was carried out.
+    OrderDone 1408 Info "order-done";
+    /// An order to the target failed or was refused.
+    OrderFailed 1409 Warn "order-failed";
+    /// The agent lost its exclusive hold of the target and gives no orders.
+    HoldLost 1410 Error "hold-lost";
+
+    /// A request is quarantined after crashes of targets.
+    RequestQuarantined 1501 Error "request-quarantined";
+    /// A quarantine ended.
+    QuarantineEnded 1502 Info "quarantine-ended";
+    /// A request ended with an unknown outcome.
+    OutcomeUnknown 1503 Warn "outcome-unknown";
+    /// An answer that belongs to no attempt was dropped.
+    AnswerMismatched 1504 Error "answer-mismatched";
+    /// Requests of a team are refused because of its limits.
+    TeamLimited 1505 Warn "team-limited";
+    /// A limit of the settings refused connections or requests.
+    LimitReached 1506 Warn "limit-reached";
+}
+
+impl Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KW{:04} {}", self.number(), self.name())
+    }
+}
+
+/// A field of a log line: its key and value.
+pub type Field<'a> = (&'a str, &'a dyn Display);
+
+/// Logs an event with its fields.
+pub fn log(event: Event, fields: &[Field<'_>]) {
+    let level = event.level();
+    if log::log_enabled!(target: TARGET, level) {
+        log::log!(target: TARGET, level, "{}", line(event, fields));
+    }
+}
+
+/// The text of a log line.
+///
+/// Values that hold blanks, quotes or control characters are quoted and escaped.
+pub fn line(event: Event, fields: &[Field<'_>]) -> String {
+    let mut line = event.to_string();
+    for (key, value) in fields {
+        let value = value.to_string();
+        let is_plain = |c: char| !c.is_whitespace() && !c.is_control() && !matches!(c, '"' | '=');
+        let written = match !value.is_empty() && value.chars().all(is_plain) {
+            true => write!(line, " {key}={value}"),
+            false => write!(line, " {key}=\"{}\"", value.escape_debug()),
+        };
+        written.expect("writing to a string succeeds");
+    }
+    line
+}
--- /dev/null
+++ b/node/src/settings/tree.rs
@@ -0,0 +1,125 @@
+//! YAML as a tree whose values know their lines.
+
+use std::fmt;
+
+use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
+use serde_saphyr::{DuplicateKeyPolicy, Options, Spanned};
+
+use super::SettingsFault;
+
+/// A value with its place.
+pub(crate) type Tree = Spanned<Node>;
+
+/// A YAML value.
+#[derive(Clone, PartialEq, Debug)]
+pub(crate) enum Node {
+    /// Nothing.
+    Null,
+    /// `true` or `false`.
+    Bool(bool),
+    /// A whole number.
+    Integer(i128),
+    /// Another number.
+    Float(f64),
+    /// Text.
+    Text(String),
+    /// A list.
+    List(Vec<Tree>),
+    /// Keys and values, in the order of the file; keys may repeat.
+    Map(Vec<(String, Tree)>),
+}
+
+impl Node {
+    /// The value for messages.
+    pub(crate) fn describe(&self) -> String {
+        match self {
+            Self::Null => "nothing".to_owned(),
+            Self::Bool(value) => format!("`{value}`"),
+            Self::Integer(value) => format!("`{value}`"),
+            Self::Float(value) => format!("`{value}`"),
+            Self::Text(text) => format!("`{}`", text.escape_debug()),
+            Self::List(_) => "a list".to_owned(),
+            Self::Map(_) => "a section".to_owned(),
+        }
+    }
+}
+
+/// Reads YAML text; a fault of the syntax ends the reading.
+pub(crate) fn parse(text: &str) -> Result<Tree, SettingsFault> {
+    let options = Options {
+        duplicate_keys: DuplicateKeyPolicy::LastWins,
+        strict_booleans: true,
+        with_snippet: false,
+        ..Options::default()
+    };
+    serde_saphyr::from_str_with_options(text, options).map_err(|error| SettingsFault {
+        line: error.location().map_or(1, |location| location.line()),
+        key: "syntax".to_owned(),
+        found: error.to_string(),
+        expected: "YAML".to_owned(),
+    })
+}
+
+impl<'de> Deserialize<'de> for Node {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(NodeVisitor)
+    }
+}
+
+struct NodeVisitor;
+
+impl<'de> Visitor<'de> for NodeVisitor {
+    type Value = Node;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a YAML value")
+    }
+
+    fn visit_unit<E>(self) -> Result<Node, E> {
+        Ok(Node::Null)
+    }
+
+    fn visit_none<E>(self) -> Result<Node, E> {
+        Ok(Node::Null)
+    }
+
+    fn visit_some<D: Deserializer<'de>>(self, deserializer: D) -> Result<Node, D::Error> {
+        Node::deserialize(deserializer)
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<Node, E> {
+        Ok(Node::Bool(value))
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<Node, E> {
+        Ok(Node::Integer(value.into()))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<Node, E> {
+        Ok(Node::Integer(value.into()))
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<Node, E> {
+        Ok(Node::Float(value))
+    }
+
+    fn visit_str<E>(self, text: &str) -> Result<Node, E> {
+        Ok(Node::Text(text.to_owned()))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut access: A) -> Result<Node, A::Error> {
+        let mut items = Vec::new();
+        while let Some(item) = access.next_element()? {
+            items.push(item);
+        }
+        Ok(Node::List(items))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut access: A) -> Result<Node, A::Error> {
+        let mut pairs = Vec::new();
+        while let Some(pair) = access.next_entry()? {
+            pairs.push(pair);
+        }
+        Ok(Node::Map(pairs))
+    }
+}
