--- /dev/null
+++ b/livetests/tests/once.rs
@@ -0,0 +1,223 @@
+//! Requests that may run at most once.
+
+use knapweed_livetests::caller::{Call, Ending};
+use knapweed_livetests::deployment::{Deployment, Plan};
+use knapweed_livetests::until;
+use serde_json::{Value, json};
+use uuid::Uuid;
+
+/// The time of one booking, long enough to act while it runs.
+const SERVICE_MILLIS: &str = "300";
+
+async fn desks(name: &str) -> Deployment {
+    let flags = vec!["--service-millis".to_owned(), SERVICE_MILLIS.to_owned()];
+    let plan = Plan {
+        engines: 0,
+        services: 2,
+        service_flags: flags,
+        ..Plan::default()
+    };
+    let fleet = Deployment::start(name, plan)
+        .await
+        .expect("the fleet starts");
+    covered(&fleet).await;
+    fleet
+}
+
+/// Waits until a key that is issued now is covered by the memory of every agent.
+async fn covered(fleet: &Deployment) {
+    for _ in 0..4 {
+        until("new keys are accepted", || async {
+            let answer = booking(&key(), "warm-up").send(fleet.callers(0)).await;
+            matches!(answer, Ending::Whole(response) if response.status == 200).then_some(())
+        })
+        .await;
+    }
+}
+
+fn key() -> String {
+    Uuid::now_v7().to_string()
+}
+
+fn booking(key: &str, body: &str) -> Call {
+    Call::post(
+        "/v1/bookings",
+        "alpha",
+        &json!({ "pallet": body }).to_string(),
+    )
+    .header("idempotency-key", key)
+}
+
+async fn runs(fleet: &Deployment, key: &str) -> u64 {
+    let mut runs = 0;
+    for index in 0..fleet.pairs.len() {
+        runs += fleet.counts(index).await["runs"]["by_key"][key]
+            .as_u64()
+            .unwrap_or(0);
+    }
+    runs
+}
+
+/// The pair whose target has started a run of `key`.
+async fn home(fleet: &Deployment, key: &str) -> usize {
+    until("the request runs", || async {
+        for index in 0..fleet.pairs.len() {
+            if fleet.counts(index).await["runs"]["by_key"][key].is_u64() {
+                return Some(index);
+            }
+        }
+        None
+    })
+    .await
+}
+
+#[actix_rt::test]
+async fn one_key_through_two_routers_runs_once_and_answers_both() {
+    let fleet = desks("twice").await;
+    let key = key();
+    let call = booking(&key, "core 7");
+    let (left, right) = futures::join!(call.send(fleet.callers(0)), call.send(fleet.callers(1)));
+    let (left, right) = (left.whole(), right.whole());
+    assert_eq!(
+        (left.status, right.status),
+        (200, 200),
+        "{} {}",
+        left.body,
+        right.body
+    );
+    assert_eq!(left.body, right.body);
+    assert_ne!(left.request, right.request);
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
+
+#[actix_rt::test]
+async fn a_repeat_gets_the_kept_answer() {
+    let fleet = desks("repeat").await;
+    let key = key();
+    let first = booking(&key, "core 8").send(fleet.callers(0)).await.whole();
+    let again = booking(&key, "core 8").send(fleet.callers(1)).await.whole();
+    assert_eq!((first.status, again.status), (200, 200));
+    assert_eq!(first.body, again.body);
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
+
+#[actix_rt::test]
+async fn a_key_with_another_body_is_refused() {
+    let fleet = desks("reused").await;
+    let key = key();
+    let first = booking(&key, "core 9").send(fleet.callers(0)).await.whole();
+    let other = booking(&key, "core 10")
+        .send(fleet.callers(1))
+        .await
+        .whole();
+    assert_eq!(first.status, 200);
+    assert_eq!(
+        (other.outcome.as_str(), other.reason().as_str()),
+        ("not-run", "key-reused")
+    );
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
+
+#[actix_rt::test]
+async fn a_request_without_a_key_runs_once() {
+    let fleet = desks("keyless").await;
+    let call = Call::post("/v1/bookings", "alpha", "{}");
+    let before = started(&fleet).await;
+    let answer = call.send(fleet.callers(0)).await.whole();
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(started(&fleet).await - before, 1);
+}
+
+async fn started(fleet: &Deployment) -> u64 {
+    let mut started = 0;
+    for index in 0..fleet.pairs.len() {
+        started += fleet.counts(index).await["runs"]["started"]
+            .as_u64()
+            .unwrap_or(0);
+    }
+    started
+}
+
+#[actix_rt::test]
+async fn a_router_that_dies_after_the_hand_over_causes_no_second_run() {
+    let mut fleet = desks("router-dies").await;
+    let key = key();
+    let call = booking(&key, "core 11");
+    let first = actix_rt::spawn({
+        let (call, router) = (call.clone(), fleet.callers(0));
+        async move { call.send(router).await }
+    });
+    home(&fleet, &key).await;
+    fleet.routers[0].kill().expect("the router can be killed");
+    assert_eq!(first.await.expect("the caller's task ends"), Ending::Lost);
+    let again = call.send(fleet.callers(1)).await.whole();
+    assert_eq!(again.status, 200, "{}", again.body);
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
+
+#[actix_rt::test]
+async fn an_agent_that_restarts_empty_never_runs_an_older_key() {
+    let mut fleet = desks("agent-dies").await;
+    let key = key();
+    let call = booking(&key, "core 12");
+    let first = actix_rt::spawn({
+        let (call, router) = (call.clone(), fleet.callers(0));
+        async move { call.send(router).await }
+    });
+    let home = home(&fleet, &key).await;
+    fleet.restart_agent(home).expect("the agent starts again");
+    let first = first.await.expect("the caller's task ends").whole();
+    assert_eq!(first.outcome, "unknown", "{}", first.body);
+    fleet.ready().await;
+    for _ in 0..3 {
+        let again = call.send(fleet.callers(1)).await.whole();
+        assert_ne!(again.status, 200, "{}", again.body);
+        assert_eq!(
+            again.json()["retry"],
+            Value::from("verify-first"),
+            "{}",
+            again.body
+        );
+    }
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_of_the_target_is_reported_as_unknown_and_not_repeated() {
+    let fleet = desks("answer-lost").await;
+    for index in 0..2 {
+        let fault = json!({"kind": "die-after", "times": 1});
+        fleet
+            .fault(index, fault)
+            .await
+            .expect("the target takes the fault");
+    }
+    let key = key();
+    let mut seen = Vec::new();
+    for router in [0, 1, 0] {
+        let answer = booking(&key, "core 13")
+            .send(fleet.callers(router))
+            .await
+            .whole();
+        seen.push((answer.status, answer.outcome.clone(), answer.reason()));
+    }
+    assert!(
+        seen.iter().all(|(_, outcome, _)| outcome == "unknown"),
+        "{seen:?}"
+    );
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
+
+#[actix_rt::test]
+async fn a_refusal_of_an_unreachable_target_is_true_and_the_key_stays_usable() {
+    let mut fleet = desks("target-gone").await;
+    for pair in &mut fleet.pairs {
+        pair.target.kill().expect("the target can be killed");
+    }
+    let answer = booking(&key(), "core 14")
+        .send(fleet.callers(0))
+        .await
+        .whole();
+    assert_eq!(answer.outcome, "not-run", "{}", answer.body);
+    assert!(answer.json()["retry_after_ms"].is_u64(), "{}", answer.body);
+}
--- a/node/src/start.rs
+++ b/node/src/start.rs
@@ -8,10 +8,9 @@
 use entity::{Clock, Incarnation, Name, ProcessId};
 use eyre::WrapErr;
 use policy::message::Endpoint;
-use serde::de::DeserializeOwned;
 
 use crate::host::Exit;
-use crate::settings::{self, Validate};
+use crate::settings::{self, Settings};
 
 /// The exit code when the program cannot start.
 const CANNOT_START: u8 = 1;
@@ -23,7 +22,7 @@
 const WORK_CUT: u8 = 3;
 
 /// Reads the settings and runs `daemon` with them, or only checks them.
-pub fn main<S: DeserializeOwned + Validate>(
+pub fn main<S: Settings>(
     path: &Path,
     check: bool,
     daemon: impl FnOnce(S) -> eyre::Result<Exit>,
