--- a/standins/src/counts.rs
+++ b/standins/src/counts.rs
@@ -42,3 +42,22 @@
             .map(|(key, _)| key.as_str())
     }
 }
+
+/// A short account of a target, cheap enough to be read often.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Totals {
+    /// Runs started.
+    pub started: u64,
+    /// Runs that ended with a whole answer.
+    pub completed: u64,
+    /// Runs at present.
+    pub running: u64,
+    /// Tokens made.
+    pub tokens: u64,
+    /// How often the target died.
+    pub deaths: u64,
+    /// The time integral of runs, in run milliseconds.
+    pub held_millis: u64,
+    /// The time integral of the limit while up, in run milliseconds.
+    pub limit_millis: u64,
+}
--- a/standins/src/engine/core.rs
+++ b/standins/src/engine/core.rs
@@ -14,7 +14,7 @@
 use super::report::{LoadReport, Reporter, millis};
 use super::request::{ChatRequest, RequestError};
 use super::text::{CRASH_MARKER, Script};
-use crate::counts::Runs;
+use crate::counts::{Runs, Totals};
 
 /// The number of requests whose streams can be resumed.
 const RECORDS_HELD: usize = 4096;
@@ -376,6 +376,20 @@
         self.counts.clone()
     }
 
+    /// A short account of what the engine did until `now`.
+    pub fn totals(&mut self, now: Duration) -> Totals {
+        self.measure(now);
+        Totals {
+            started: self.counts.runs.started,
+            completed: self.counts.runs.completed,
+            running: self.batch.running() as u64,
+            tokens: self.counts.tokens,
+            deaths: self.counts.deaths,
+            held_millis: self.counts.held_millis,
+            limit_millis: self.counts.limit_millis,
+        }
+    }
+
     fn admit(
         &mut self,
         now: Duration,
--- a/standins/src/engine/front.rs
+++ b/standins/src/engine/front.rs
@@ -323,6 +323,9 @@
             (&Method::GET, ["test", "counts"]) => {
                 json(StatusCode::OK, &self.state().engine.counts(now))
             }
+            (&Method::GET, ["test", "totals"]) => {
+                json(StatusCode::OK, &self.state().engine.totals(now))
+            }
             (&Method::GET, ["test", "orders"]) => {
                 json(StatusCode::OK, &self.state().engine.orders().taken())
             }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod counts;
 pub mod engine;
 pub mod http;
+pub mod load;
 pub mod service;
--- /dev/null
+++ b/standins/src/load/mix.rs
@@ -0,0 +1,220 @@
+//! The workloads of both users.
+
+use derive_more::{Display, FromStr};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::engine::{ChatRequest, Message};
+
+/// A user's workload.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, FromStr, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Mix {
+    /// Halvorsen Tube & Core Co.
+    #[display("halvorsen")]
+    Halvorsen,
+    /// Skogsspårbarhetsverket.
+    #[display("skogssparbarhetsverket")]
+    Skogssparbarhetsverket,
+}
+
+/// What a kind of work calls.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Call {
+    /// A chat completion.
+    Chat {
+        /// The size of the prompt, in bytes.
+        prompt: usize,
+        /// The limit on the answer, in tokens.
+        max_tokens: u32,
+        /// Whether the answer is streamed.
+        stream: bool,
+    },
+    /// An action that runs at most once.
+    Action {
+        /// The path.
+        path: &'static str,
+    },
+    /// An idempotent lookup.
+    Lookup {
+        /// The path that the item's number follows.
+        path: &'static str,
+    },
+}
+
+/// A kind of work.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Work {
+    /// Its name.
+    pub name: &'static str,
+    /// What it calls.
+    pub call: Call,
+}
+
+/// A part of a team's work.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Share {
+    /// The kind of work.
+    pub work: Work,
+    /// Its part of all arrivals of the mix, in any unit.
+    pub rate: f64,
+}
+
+/// A team and its work.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Team {
+    /// The team's name.
+    pub name: &'static str,
+    /// Its weight.
+    pub weight: u32,
+    /// Its work.
+    pub shares: Vec<Share>,
+}
+
+impl Team {
+    /// The text of the team's API key in examples.
+    pub fn api_key(&self) -> String {
+        format!("kw-demo-{}", self.name)
+    }
+}
+
+const fn chat(name: &'static str, prompt: usize, max_tokens: u32, stream: bool) -> Work {
+    let call = Call::Chat {
+        prompt,
+        max_tokens,
+        stream,
+    };
+    Work { name, call }
+}
+
+const REVIEW: Work = chat("review", 6000, 160, true);
+const QUOTE: Work = chat("quote", 400, 24, true);
+const NIGHT: Work = chat("night", 2000, 64, false);
+const DOSSIER: Work = chat("dossier", 12_000, 240, true);
+const FIELD: Work = chat("field", 300, 24, true);
+const SCREEN: Work = chat("batch-check", 800, 32, false);
+
+const BOOKING: Work = Work {
+    name: "booking",
+    call: Call::Action {
+        path: "/v1/bookings",
+    },
+};
+const STOCK: Work = Work {
+    name: "stock",
+    call: Call::Lookup { path: "/v1/stock/" },
+};
+const FINDING: Work = Work {
+    name: "finding",
+    call: Call::Action {
+        path: "/v1/findings",
+    },
+};
+const CERTIFICATE: Work = Work {
+    name: "certificate",
+    call: Call::Lookup {
+        path: "/v1/certificates/",
+    },
+};
+
+fn team(name: &'static str, weight: u32, shares: &[(Work, f64)]) -> Team {
+    let shares = shares
+        .iter()
+        .map(|&(work, rate)| Share { work, rate })
+        .collect();
+    Team {
+        name,
+        weight,
+        shares,
+    }
+}
+
+impl Mix {
+    /// The teams of the mix.
+    pub fn teams(self) -> Vec<Team> {
+        match self {
+            Self::Halvorsen => halvorsen(),
+            Self::Skogssparbarhetsverket => skogssparbarhetsverket(),
+        }
+    }
+}
+
+fn halvorsen() -> Vec<Team> {
+    vec![
+        team("carpet-planning", 4, &[(REVIEW, 8.0), (STOCK, 2.0)]),
+        team("textile-planning", 4, &[(REVIEW, 6.0), (STOCK, 2.0)]),
+        team("winder-logs", 1, &[(NIGHT, 16.0)]),
+        team("order-desk", 2, &[(BOOKING, 8.0), (STOCK, 4.0)]),
+        team("dispatch", 2, &[(BOOKING, 4.0), (STOCK, 2.0)]),
+        team("quotes-north", 2, &[(QUOTE, 5.0), (STOCK, 1.0)]),
+        team("quotes-south", 2, &[(QUOTE, 5.0), (STOCK, 1.0)]),
+        team("quotes-export", 2, &[(QUOTE, 3.0)]),
+        team("film-planning", 1, &[(REVIEW, 2.0)]),
+        team("paper-mill", 1, &[(NIGHT, 3.0)]),
+        team("maintenance", 1, &[(NIGHT, 2.0), (QUOTE, 1.0)]),
+        team("quality", 1, &[(REVIEW, 1.0), (QUOTE, 1.0)]),
+        team("purchasing", 1, &[(QUOTE, 2.0), (STOCK, 2.0)]),
+        team("finance", 1, &[(NIGHT, 1.0), (STOCK, 1.0)]),
+        team("head-office", 1, &[(QUOTE, 1.0)]),
+    ]
+}
+
+fn skogssparbarhetsverket() -> Vec<Team> {
+    vec![
+        team("audit-north", 1, &[(DOSSIER, 4.0), (CERTIFICATE, 2.0)]),
+        team("audit-middle", 1, &[(DOSSIER, 3.0), (CERTIFICATE, 2.0)]),
+        team("audit-south", 1, &[(DOSSIER, 2.0), (CERTIFICATE, 1.0)]),
+        team("batch-screening", 1, &[(SCREEN, 24.0)]),
+        team("findings", 1, &[(FINDING, 8.0), (CERTIFICATE, 2.0)]),
+        team("field-norrbotten", 1, &[(FIELD, 3.0), (FINDING, 1.0)]),
+        team("field-dalarna", 1, &[(FIELD, 3.0), (FINDING, 1.0)]),
+        team("field-smaland", 1, &[(FIELD, 3.0), (FINDING, 1.0)]),
+        team("field-skane", 1, &[(FIELD, 2.0)]),
+        team("mill-liaison", 1, &[(FIELD, 2.0), (CERTIFICATE, 2.0)]),
+        team("import-control", 1, &[(SCREEN, 4.0)]),
+        team("appeals", 1, &[(DOSSIER, 1.0), (FINDING, 1.0)]),
+        team("registry", 1, &[(CERTIFICATE, 4.0)]),
+        team("training", 1, &[(FIELD, 1.0)]),
+        team("directorate", 1, &[(FIELD, 1.0)]),
+    ]
+}
+
+/// The body of the request numbered `number` for a team's work.
+///
+/// # Panics
+///
+/// Panics if the body cannot be written as JSON, which no body causes.
+pub fn body(team: &Team, work: &Work, number: u64) -> Vec<u8> {
+    match work.call {
+        Call::Chat {
+            prompt,
+            max_tokens,
+            stream,
+        } => {
+            let request = ChatRequest {
+                model: "demo".to_owned(),
+                messages: messages(team, work, number, prompt),
+                max_tokens,
+                stream,
+            };
+            serde_json::to_vec(&request).expect("requests encode")
+        }
+        Call::Action { .. } => {
+            let action = json!({ "team": team.name, "work": work.name, "number": number });
+            serde_json::to_vec(&action).expect("actions encode")
+        }
+        Call::Lookup { .. } => Vec::new(),
+    }
+}
+
+fn messages(team: &Team, work: &Work, number: u64, prompt: usize) -> Vec<Message> {
+    let instruction = format!("You write a {} for {}. ", work.name, team.name);
+    let system = instruction.repeat((prompt / 2).div_ceil(instruction.len()));
+    let item = format!("Item {number} of {}. ", team.name);
+    let user = item.repeat((prompt / 2).div_ceil(item.len()));
+    let message = |role: &str, content| Message {
+        role: role.to_owned(),
+        content,
+    };
+    vec![message("system", system), message("user", user)]
+}
--- a/standins/src/service/desk.rs
+++ b/standins/src/service/desk.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::counts::Runs;
+use crate::counts::{Runs, Totals};
 
 /// How a service behaves.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -117,6 +117,16 @@
         &self.counts
     }
 
+    /// A short account of what the service did.
+    pub fn totals(&self) -> Totals {
+        Totals {
+            started: self.counts.runs.started,
+            completed: self.counts.runs.completed,
+            running: self.counts.running as u64,
+            ..Totals::default()
+        }
+    }
+
     /// Begins a request.
     pub fn begin(&mut self, request: Option<&str>, key: Option<&str>) -> Begin {
         if let Fault::DieBefore { times } = &mut self.fault
--- a/standins/src/service/front.rs
+++ b/standins/src/service/front.rs
@@ -98,6 +98,7 @@
         match (&call.method, call.path.as_str()) {
             (&Method::POST, "/test/faults") => self.set_fault(&call),
             (&Method::GET, "/test/counts") => json(StatusCode::OK, self.desk().counts()),
+            (&Method::GET, "/test/totals") => json(StatusCode::OK, &self.desk().totals()),
             (&Method::GET, "/load") => json(StatusCode::OK, &self.load()),
             _ => self.work(&call).await,
         }
