--- a/standins/src/bin/knapweed-load.rs
+++ b/standins/src/bin/knapweed-load.rs
@@ -9,7 +9,7 @@
 use knapweed_standins::load::client::client;
 use knapweed_standins::load::compare::Comparison;
 use knapweed_standins::load::driver::{Event, Outcome, Plan, run};
-use knapweed_standins::load::mix::Mix;
+use knapweed_standins::load::mix::{Mix, team_rules};
 use knapweed_standins::load::plot::write_plots;
 use knapweed_standins::load::promise::{Evidence, check, outages};
 use knapweed_standins::load::report::{Report, Setting, report};
@@ -30,6 +30,10 @@
         println!("knapweed-load {}", env!("CARGO_PKG_VERSION"));
         return Ok(ExitCode::SUCCESS);
     }
+    if flags.team_rules {
+        print!("{}", team_rules(flags.mix.unwrap_or(Mix::Halvorsen)));
+        return Ok(ExitCode::SUCCESS);
+    }
     if flags.compare {
         return compare(&flags);
     }
@@ -149,6 +153,8 @@
             repeated file: PathBuf
             /// Compares two JSON reports instead of running a load.
             optional --compare
+            /// Prints the rules that name the teams of the mix and their API keys.
+            optional --team-rules
             /// A router's address for callers; may be repeated.
             repeated --router addr: SocketAddr
             /// Calls the targets themselves, as the baseline.
--- a/standins/src/load/driver.rs
+++ b/standins/src/load/driver.rs
@@ -188,8 +188,8 @@
 
 async fn request(run: Rc<Run>, planned: Planned) {
     let mut attempt = attempt(&run.plan.teams[planned.team], &planned);
-    let is_chat = matches!(planned.work.call, Call::Chat { .. });
-    let mut waiting = Waiting::start(&run, planned.team, is_chat);
+    let is_streamed = matches!(planned.work.call, Call::Chat { stream: true, .. });
+    let mut waiting = Waiting::start(&run, planned.team, is_streamed);
     let due = run.start + planned.due;
     let mut tries = 0;
     let ending = loop {
@@ -222,21 +222,21 @@
 struct Waiting<'a> {
     run: &'a Run,
     team: usize,
-    is_chat: bool,
+    is_streamed: bool,
     heard: bool,
 }
 
 impl<'a> Waiting<'a> {
-    fn start(run: &'a Run, team: usize, is_chat: bool) -> Self {
+    fn start(run: &'a Run, team: usize, is_streamed: bool) -> Self {
         let mut tally = run.tally.borrow_mut();
         let counts = &mut tally.teams[team];
         counts.asked += 1;
         counts.waiting += 1;
-        counts.waiting_chats += u64::from(is_chat);
+        counts.waiting_streams += u64::from(is_streamed);
         Self {
             run,
             team,
-            is_chat,
+            is_streamed,
             heard: false,
         }
     }
@@ -257,7 +257,7 @@
         let mut tally = self.run.tally.borrow_mut();
         let counts = &mut tally.teams[self.team];
         counts.waiting -= 1;
-        counts.waiting_chats -= u64::from(self.is_chat);
+        counts.waiting_streams -= u64::from(self.is_streamed);
     }
 }
 
@@ -342,7 +342,7 @@
             let samples: Vec<Sample> = teams
                 .map(|(team, counts)| Sample {
                     service: counts.tokens as f64 / f64::from(team.weight),
-                    waiting: counts.waiting_chats > 0,
+                    waiting: counts.waiting_streams > 0,
                 })
                 .collect();
             GapPoint {
--- a/standins/src/load/mix.rs
+++ b/standins/src/load/mix.rs
@@ -1,10 +1,13 @@
 //! The workloads of both users.
 
+use std::fmt::Write as _;
+
 use derive_more::{Display, FromStr};
+use entity::Class;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::engine::{ChatRequest, Message};
+use crate::engine::{ChatRequest, Message, digest};
 
 /// A user's workload.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Display, FromStr, Serialize, Deserialize)]
@@ -67,6 +70,8 @@
     pub name: &'static str,
     /// Its weight.
     pub weight: u32,
+    /// The class of its requests.
+    pub class: Class,
     /// Its work.
     pub shares: Vec<Share>,
 }
@@ -89,10 +94,11 @@
 
 const REVIEW: Work = chat("review", 6000, 160, true);
 const QUOTE: Work = chat("quote", 400, 24, true);
-const NIGHT: Work = chat("night", 2000, 64, false);
+const NIGHT: Work = chat("night", 2000, 64, true);
+const SUMMARY: Work = chat("summary", 1500, 48, false);
 const DOSSIER: Work = chat("dossier", 12_000, 240, true);
 const FIELD: Work = chat("field", 300, 24, true);
-const SCREEN: Work = chat("batch-check", 800, 32, false);
+const SCREEN: Work = chat("batch-check", 800, 32, true);
 
 const BOOKING: Work = Work {
     name: "booking",
@@ -125,10 +131,21 @@
     Team {
         name,
         weight,
+        class: class(&shares),
         shares,
     }
 }
 
+/// Interactive if a person waits for any of the work, batch if nobody does for all of it.
+fn class(shares: &[Share]) -> Class {
+    let any = |works: &[Work]| shares.iter().any(|share| works.contains(&share.work));
+    match () {
+        () if any(&[QUOTE, FIELD, BOOKING, FINDING]) => Class::Interactive,
+        () if any(&[NIGHT, SCREEN]) => Class::Batch,
+        () => Class::Standard,
+    }
+}
+
 impl Mix {
     /// The teams of the mix.
     pub fn teams(self) -> Vec<Team> {
@@ -154,7 +171,7 @@
         team("maintenance", 1, &[(NIGHT, 2.0), (QUOTE, 1.0)]),
         team("quality", 1, &[(REVIEW, 1.0), (QUOTE, 1.0)]),
         team("purchasing", 1, &[(QUOTE, 2.0), (STOCK, 2.0)]),
-        team("finance", 1, &[(NIGHT, 1.0), (STOCK, 1.0)]),
+        team("finance", 1, &[(SUMMARY, 1.0), (STOCK, 1.0)]),
         team("head-office", 1, &[(QUOTE, 1.0)]),
     ]
 }
@@ -171,7 +188,7 @@
         team("field-smaland", 1, &[(FIELD, 3.0), (FINDING, 1.0)]),
         team("field-skane", 1, &[(FIELD, 2.0)]),
         team("mill-liaison", 1, &[(FIELD, 2.0), (CERTIFICATE, 2.0)]),
-        team("import-control", 1, &[(SCREEN, 4.0)]),
+        team("import-control", 1, &[(SCREEN, 3.0), (SUMMARY, 1.0)]),
         team("appeals", 1, &[(DOSSIER, 1.0), (FINDING, 1.0)]),
         team("registry", 1, &[(CERTIFICATE, 4.0)]),
         team("training", 1, &[(FIELD, 1.0)]),
@@ -179,6 +196,31 @@
     ]
 }
 
+/// The lines of a rules file that name the teams of a mix and their API keys.
+///
+/// # Panics
+///
+/// Panics if text cannot be written to a string, which does not happen.
+pub fn team_rules(mix: Mix) -> String {
+    let mut rules = String::new();
+    for team in mix.teams() {
+        let hash = digest(team.api_key().as_bytes());
+        let Team {
+            name,
+            weight,
+            class,
+            ..
+        } = team;
+        writeln!(
+            rules,
+            "team {name} weight {weight} class {class}  # asked by: {mix}"
+        )
+        .and_then(|()| writeln!(rules, "key {name} sha256:{hash}  # asked by: {mix}"))
+        .expect("writing to a string succeeds");
+    }
+    rules
+}
+
 /// The body of the request numbered `number` for a team's work.
 ///
 /// # Panics
--- a/standins/src/load/tally.rs
+++ b/standins/src/load/tally.rs
@@ -63,8 +63,8 @@
     pub tokens: u64,
     /// Requests sent that have received nothing yet.
     pub waiting: u64,
-    /// Model requests sent that have received nothing yet.
-    pub waiting_chats: u64,
+    /// Streamed requests that have received nothing yet; whole answers do not show when they start.
+    pub waiting_streams: u64,
     /// From the scheduled time to the end of the answer, in microseconds.
     pub whole: Histogram<u64>,
     /// From the scheduled time to the first token, in microseconds.
@@ -86,7 +86,7 @@
             repeats: 0,
             tokens: 0,
             waiting: 0,
-            waiting_chats: 0,
+            waiting_streams: 0,
             whole: histogram(),
             first: histogram(),
         }
