--- a/standins/src/load/mix.rs
+++ b/standins/src/load/mix.rs
@@ -124,7 +124,7 @@
 };
 
 fn team(name: &'static str, weight: u32, shares: &[(Work, f64)]) -> Team {
-    let shares = shares
+    let shares: Vec<Share> = shares
         .iter()
         .map(|&(work, rate)| Share { work, rate })
         .collect();
