--- /dev/null
+++ b/filetests/src/fleet.rs
@@ -0,0 +1,613 @@
+//! A fleet of routers and agents in simulated time.
+//!
+//! [`Fleet`] carries events between the same [`Router`]s and [`Agent`]s that the
+//! daemons run, each with a delay, in order of time and then of creation. One
+//! seed gives one course of events.
+
+mod engine;
+mod gap;
+mod setup;
+
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::{Duration, Instant, UNIX_EPOCH};
+
+use cranelift_entity::EntityRef;
+use entity::{
+    AttemptId, Class, Cost, Fingerprint, Incarnation, Machine, Now, Outcome, ProcessId, RequestId,
+    TargetId,
+};
+use policy::fair::Share;
+use policy::ledger::Ledger;
+use policy::message::Endpoint;
+use policy::{
+    Agent, AgentAction, AgentEvent, AgentSettings, Arrival, AttemptEnd, AttemptResult, Router,
+    RouterAction, RouterEvent, RouterSettings,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rules::Config;
+use rustc_hash::FxHashMap;
+
+use engine::Engine;
+pub use gap::Gaps;
+pub use setup::{FleetSettings, TeamLoad};
+
+/// The interval at which a process is told that time has passed.
+const TICK: Duration = Duration::from_millis(10);
+
+/// The interval at which streamed tokens are counted and the gap is sampled.
+const STREAM_STEP: Duration = Duration::from_millis(50);
+
+/// Something that happens at a point in time.
+#[derive(Clone, Debug)]
+enum Event {
+    Router(usize, RouterEvent),
+    Agent(usize, u64, AgentEvent),
+    Tick(Process),
+    Stream(usize, u64, AttemptId),
+    Sample,
+}
+
+/// A process of the fleet.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Process {
+    /// A router, by number.
+    Router(usize),
+    /// An agent, by number.
+    Agent(usize),
+}
+
+#[derive(Debug)]
+struct Scheduled {
+    at: Duration,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<core::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> core::cmp::Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+/// A request under way.
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    team: usize,
+    router: usize,
+    cost: Cost,
+    arrived: Duration,
+}
+
+/// What a run has counted.
+#[derive(Clone, Default, PartialEq, Debug)]
+pub struct Counts {
+    /// Requests that arrived.
+    pub arrived: u64,
+    /// Requests that were answered.
+    pub answered: u64,
+    /// Requests that ended as not run.
+    pub not_run: u64,
+    /// Requests that ended as unknown.
+    pub unknown: u64,
+    /// Attempts that agents rejected.
+    pub rejected: u64,
+    /// Messages of control between processes.
+    pub control: u64,
+    /// Pulls among these.
+    pub pulls: u64,
+    /// Bid updates among these.
+    pub bids: u64,
+    /// Ledger deltas among these.
+    pub deltas: u64,
+    /// Slot time in which a slot was idle while work waited.
+    pub idle: Duration,
+    /// Slot time while work waited.
+    pub busy: Duration,
+    /// The most attempts over the true limit of a target.
+    pub overload: u32,
+    /// The longest wait from arrival to start.
+    pub longest: Duration,
+}
+
+/// The fleet.
+pub struct Fleet<S = Ledger> {
+    settings: FleetSettings,
+    config: Arc<Config>,
+    base: Instant,
+    at: Duration,
+    order: u64,
+    queue: BinaryHeap<Scheduled>,
+    rng: ChaCha8Rng,
+    routers: Vec<Router>,
+    agents: Vec<Agent<S>>,
+    lives: Vec<u64>,
+    engines: Vec<Engine>,
+    sides: Vec<u8>,
+    requests: FxHashMap<RequestId, Request>,
+    serial: u128,
+    share: fn(&FleetSettings, Endpoint) -> S,
+    /// What the run has counted.
+    pub counts: Counts,
+    /// The service gaps between teams.
+    pub gaps: Gaps,
+}
+
+impl<S: Share> Fleet<S> {
+    /// Creates a fleet whose agents divide their slots by what `share` makes.
+    pub fn new(settings: FleetSettings, share: fn(&FleetSettings, Endpoint) -> S) -> Self {
+        let config = Arc::new(setup::config(&settings));
+        let base = Instant::now();
+        let mut fleet = Self {
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            base,
+            at: Duration::ZERO,
+            order: 0,
+            queue: BinaryHeap::new(),
+            routers: Vec::new(),
+            agents: Vec::new(),
+            lives: vec![1; settings.agents],
+            engines: vec![Engine::new(settings.limit); settings.agents],
+            sides: vec![0; settings.routers + settings.agents],
+            requests: FxHashMap::default(),
+            serial: 0,
+            share,
+            counts: Counts::default(),
+            gaps: Gaps::new(&settings),
+            config,
+            settings,
+        };
+        fleet.populate();
+        fleet
+    }
+
+    fn populate(&mut self) {
+        for index in 0..self.settings.routers {
+            let router = Router::new(RouterSettings {
+                endpoint: setup::endpoint("router", index, 1),
+                centre: setup::centre(index, self.settings.centres),
+                seed: self.rng.random(),
+            });
+            self.routers.push(router);
+            let config = RouterEvent::Configured(self.config.clone());
+            self.schedule(Duration::ZERO, Event::Router(index, config));
+            self.schedule(self.phase(index), Event::Tick(Process::Router(index)));
+        }
+        for index in 0..self.settings.agents {
+            let agent = self.new_agent(index);
+            self.agents.push(agent);
+            let config = AgentEvent::Configured(self.config.clone());
+            self.schedule(Duration::ZERO, Event::Agent(index, 1, config));
+            self.schedule(self.phase(index), Event::Tick(Process::Agent(index)));
+        }
+        self.schedule(STREAM_STEP, Event::Sample);
+    }
+
+    fn phase(&self, index: usize) -> Duration {
+        TICK + TICK * (index as u32 % 7) / 7
+    }
+
+    fn new_agent(&mut self, index: usize) -> Agent<S> {
+        let endpoint = setup::endpoint("agent", index, self.lives[index]);
+        let settings = AgentSettings {
+            endpoint,
+            seed: self.rng.random(),
+            gossip: self.settings.gossip.unwrap_or(AgentSettings::GOSSIP),
+        };
+        let share = (self.share)(&self.settings, endpoint);
+        Agent::with_share(settings, share)
+    }
+
+    /// The time since the start.
+    pub fn elapsed(&self) -> Duration {
+        self.at
+    }
+
+    /// The number of requests that have not ended.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// The agents.
+    pub fn agents(&self) -> &[Agent<S>] {
+        &self.agents
+    }
+
+    /// The routers.
+    pub fn routers(&self) -> &[Router] {
+        &self.routers
+    }
+
+    /// The greatest true cost that ran at one moment, over all targets.
+    pub fn greatest_in_flight(&self) -> Cost {
+        self.gaps.in_flight
+    }
+
+    /// Puts a process on a side of a partition; only processes of one side reach each other.
+    pub fn set_side(&mut self, process: Process, side: u8) {
+        let index = self.index(process);
+        self.sides[index] = side;
+    }
+
+    /// Adds a request of `team` at `router` after `delay`.
+    pub fn arrive(&mut self, delay: Duration, team: usize, router: usize) {
+        let load = &self.settings.teams[team];
+        let cost = load.draw(&mut self.rng);
+        let hint = load.hint(cost, &mut self.rng);
+        self.serial += 1;
+        let request = RequestId(self.serial);
+        let arrival = Arrival {
+            request,
+            team: entity::TeamId::new(team),
+            route: entity::RouteId::new(0),
+            pool: entity::PoolId::new(0),
+            class: Class::Standard,
+            hint: Some(hint),
+            deadline: self.base + self.at + delay + self.settings.timeout,
+            key: None,
+            fingerprint: Fingerprint(self.serial),
+            prefix: None,
+        };
+        self.counts.arrived += 1;
+        let entry = Request {
+            team,
+            router,
+            cost,
+            arrived: self.at + delay,
+        };
+        self.requests.insert(request, entry);
+        self.schedule(delay, Event::Router(router, RouterEvent::Arrived(arrival)));
+    }
+
+    /// Starts the standing load: each team keeps its number of requests open.
+    pub fn start_load(&mut self) {
+        for team in 0..self.settings.teams.len() {
+            for index in 0..self.settings.teams[team].open {
+                let routers = self.settings.teams[team].routers.clone();
+                let router = routers.start + index % routers.len();
+                let delay = Duration::from_micros(self.rng.random_range(0..50_000));
+                self.arrive(delay, team, router);
+            }
+        }
+    }
+
+    /// Restarts a target and, if `with_agent`, the agent beside it, both empty.
+    pub fn restart(&mut self, index: usize, with_agent: bool) {
+        let lost = self.engines[index].crash();
+        if with_agent {
+            self.lives[index] += 1;
+            self.agents[index] = self.new_agent(index);
+            let config = AgentEvent::Configured(self.config.clone());
+            self.agent_event(Duration::ZERO, index, config);
+        }
+        for attempt in lost {
+            if !with_agent {
+                let end = AttemptEnd::Broken;
+                self.agent_event(Duration::ZERO, index, AgentEvent::Ended { attempt, end });
+            }
+            let result = AttemptResult::Broken { delivered: false };
+            self.answer(index, attempt, result);
+        }
+        if !with_agent {
+            self.agent_event(Duration::ZERO, index, AgentEvent::TargetDown);
+            self.agent_event(Duration::from_millis(200), index, AgentEvent::TargetUp);
+        }
+    }
+
+    /// Runs until `end` after the start.
+    pub fn run_until(&mut self, end: Duration) {
+        while self.queue.peek().is_some_and(|next| next.at <= end) {
+            let next = self.queue.pop().expect("peeked above");
+            self.account_idle(next.at);
+            self.at = next.at;
+            self.perform(next.event);
+        }
+    }
+
+    fn account_idle(&mut self, until: Duration) {
+        let step = until.saturating_sub(self.at);
+        let running: usize = self.engines.iter().map(Engine::len).sum();
+        let slots = self.settings.agents * self.settings.window.max as usize;
+        if !step.is_zero() && self.requests.len() > running.max(slots) {
+            self.counts.busy += step * slots as u32;
+            self.counts.idle += step * slots.saturating_sub(running) as u32;
+        }
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            mono: self.base + self.at,
+            wall: UNIX_EPOCH + Duration::from_secs(1_800_000_000) + self.at,
+        }
+    }
+
+    fn schedule(&mut self, delay: Duration, event: Event) {
+        self.order += 1;
+        self.queue.push(Scheduled {
+            at: self.at + delay,
+            order: self.order,
+            event,
+        });
+    }
+
+    fn agent_event(&mut self, delay: Duration, index: usize, event: AgentEvent) {
+        self.schedule(delay, Event::Agent(index, self.lives[index], event));
+    }
+
+    fn perform(&mut self, event: Event) {
+        match event {
+            Event::Router(index, event) => self.drive_router(index, event),
+            Event::Agent(index, life, event) if life == self.lives[index] => {
+                self.drive_agent(index, event);
+            }
+            Event::Agent(..) => {}
+            Event::Tick(process) => {
+                match process {
+                    Process::Router(index) => self.drive_router(index, RouterEvent::Tick),
+                    Process::Agent(index) => self.drive_agent(index, AgentEvent::Tick),
+                }
+                self.schedule(TICK, Event::Tick(process));
+            }
+            Event::Stream(index, life, attempt) if life == self.engines[index].life() => {
+                self.stream(index, attempt);
+            }
+            Event::Stream(..) => {}
+            Event::Sample => {
+                self.sample();
+                self.schedule(STREAM_STEP, Event::Sample);
+            }
+        }
+    }
+
+    fn sample(&mut self) {
+        let at = self.at;
+        let running = self.engines.iter().flat_map(Engine::running);
+        let running = running.map(|run| (run.team, run.delivered(at), run.cost));
+        self.gaps.sample(running);
+    }
+
+    fn drive_router(&mut self, index: usize, event: RouterEvent) {
+        let mut actions = Vec::new();
+        let now = self.now();
+        self.routers[index].handle(now, event, &mut actions);
+        for action in actions {
+            self.router_action(index, action);
+        }
+    }
+
+    fn router_action(&mut self, index: usize, action: RouterAction) {
+        let from = Process::Router(index);
+        match action {
+            RouterAction::Dispatch(order) => {
+                let target = order.target.index();
+                let attempt = order.offer.attempt;
+                match self.link(from, Process::Agent(target)) {
+                    Some(delay) => {
+                        self.agent_event(delay, target, AgentEvent::Offered(order.offer))
+                    }
+                    None => {
+                        let result = AttemptResult::Unsent;
+                        let event = RouterEvent::Ended { attempt, result };
+                        self.schedule(Duration::from_millis(1), Event::Router(index, event));
+                    }
+                }
+            }
+            RouterAction::Bid { target, update } => {
+                self.counts.bids += 1;
+                self.control(from, target, AgentEvent::Bids(update));
+            }
+            RouterAction::PullReply { agent, pulled } => {
+                let target = self.target(agent.id);
+                self.control(from, target, AgentEvent::Pulled(pulled));
+            }
+            RouterAction::Finish { request, outcome } => self.finish(request, &outcome),
+            RouterAction::Cancel(_) | RouterAction::Decided(_) | RouterAction::Stopped => {}
+        }
+    }
+
+    fn drive_agent(&mut self, index: usize, event: AgentEvent) {
+        let mut actions = Vec::new();
+        let now = self.now();
+        self.agents[index].handle(now, event, &mut actions);
+        for action in actions {
+            self.agent_action(index, action);
+        }
+    }
+
+    fn agent_action(&mut self, index: usize, action: AgentAction) {
+        let from = Process::Agent(index);
+        match action {
+            AgentAction::Start(attempt) => self.start(index, attempt),
+            AgentAction::Reject {
+                attempt, refusal, ..
+            } => {
+                self.counts.rejected += 1;
+                self.answer(index, attempt, AttemptResult::NotRun(refusal));
+            }
+            AgentAction::Pull { router, pull } => {
+                self.counts.pulls += 1;
+                let router = setup::router_index(router.id, self.settings.routers);
+                self.to_router(from, router, RouterEvent::Pull(pull));
+            }
+            AgentAction::Solicit(solicit) => {
+                let router = self.rng.random_range(0..self.settings.routers);
+                self.to_router(from, router, RouterEvent::Solicit(solicit));
+            }
+            AgentAction::Ledger { target, delta } => {
+                self.counts.deltas += 1;
+                self.control(from, target, AgentEvent::Ledger(delta));
+            }
+            AgentAction::Unknown { .. }
+            | AgentAction::Replay { .. }
+            | AgentAction::Follow { .. }
+            | AgentAction::Cancel(_)
+            | AgentAction::Decided(_)
+            | AgentAction::Stopped => {}
+        }
+    }
+
+    fn start(&mut self, index: usize, attempt: AttemptId) {
+        let Some(request) = self.requests.get(&attempt.request).copied() else {
+            let end = AttemptEnd::Cancelled;
+            return self.agent_event(Duration::ZERO, index, AgentEvent::Ended { attempt, end });
+        };
+        let wait = self.at.saturating_sub(request.arrived);
+        self.counts.longest = self.counts.longest.max(wait);
+        let time = self.settings.token_time * request.cost.0 as u32;
+        let over = self.engines[index].start(attempt, request.team, request.cost, self.at, time);
+        self.counts.overload = self.counts.overload.max(over);
+        let life = self.engines[index].life();
+        self.schedule(time.min(STREAM_STEP), Event::Stream(index, life, attempt));
+    }
+
+    fn stream(&mut self, index: usize, attempt: AttemptId) {
+        let at = self.at;
+        let Some(progress) = self.engines[index].advance(attempt, at) else {
+            return;
+        };
+        let streamed = AgentEvent::Streamed {
+            attempt,
+            cost: progress.cost,
+        };
+        self.drive_agent(index, streamed);
+        if !progress.left.is_zero() {
+            let life = self.engines[index].life();
+            let step = progress.left.min(STREAM_STEP);
+            return self.schedule(step, Event::Stream(index, life, attempt));
+        }
+        let run = self.engines[index].end(attempt);
+        self.gaps.ended(run.team, run.cost);
+        let cost = run.cost;
+        let end = AttemptEnd::Answered { cost };
+        self.drive_agent(index, AgentEvent::Ended { attempt, end });
+        self.answer(index, attempt, AttemptResult::Answered { cost });
+    }
+
+    /// Brings the end of an attempt, and the agent's load, to its router.
+    fn answer(&mut self, index: usize, attempt: AttemptId, result: AttemptResult) {
+        let Some(request) = self.requests.get(&attempt.request).copied() else {
+            return;
+        };
+        let load = self.agents[index].load();
+        let target = TargetId::new(index);
+        let is_answered = matches!(result, AttemptResult::Answered { .. });
+        let (to, from) = (Process::Router(request.router), Process::Agent(index));
+        let (delay, result) = match self.link(from, to) {
+            Some(delay) => (delay, result),
+            None => (
+                Duration::from_millis(1),
+                AttemptResult::Broken { delivered: false },
+            ),
+        };
+        let loaded = RouterEvent::Loaded { target, load };
+        self.schedule(delay, Event::Router(request.router, loaded));
+        let ended = RouterEvent::Ended { attempt, result };
+        self.schedule(delay, Event::Router(request.router, ended));
+        if is_answered {
+            self.counts.answered += 1;
+            self.replace(attempt.request);
+        }
+    }
+
+    fn finish(&mut self, request: RequestId, outcome: &Outcome) {
+        match outcome {
+            Outcome::NotRun { .. } => self.counts.not_run += 1,
+            _ => self.counts.unknown += 1,
+        }
+        self.replace(request);
+    }
+
+    /// Ends a request; a standing load sends the next.
+    fn replace(&mut self, request: RequestId) {
+        let Some(ended) = self.requests.remove(&request) else {
+            return;
+        };
+        let load = &self.settings.teams[ended.team];
+        if load.open > 0 {
+            let routers = load.routers.clone();
+            let router = self.rng.random_range(routers);
+            self.arrive(Duration::from_millis(2), ended.team, router);
+        }
+    }
+
+    fn control(&mut self, from: Process, target: TargetId, event: AgentEvent) {
+        self.counts.control += 1;
+        let index = target.index();
+        for delay in self.deliveries(from, Process::Agent(index)) {
+            self.agent_event(delay, index, event.clone());
+        }
+    }
+
+    fn to_router(&mut self, from: Process, index: usize, event: RouterEvent) {
+        self.counts.control += 1;
+        for delay in self.deliveries(from, Process::Router(index)) {
+            self.schedule(delay, Event::Router(index, event.clone()));
+        }
+    }
+
+    /// The delays after which a control message arrives; none if it is lost.
+    fn deliveries(&mut self, from: Process, to: Process) -> Vec<Duration> {
+        let Some(delay) = self.link(from, to) else {
+            return Vec::new();
+        };
+        let draw: f64 = self.rng.random();
+        match draw {
+            _ if draw < self.settings.loss => Vec::new(),
+            _ if draw < self.settings.loss + self.settings.doubling => {
+                vec![
+                    delay,
+                    delay + Duration::from_millis(self.rng.random_range(0..100)),
+                ]
+            }
+            _ => vec![delay],
+        }
+    }
+
+    /// The delay from one process to another; `None` if they are cut off.
+    fn link(&self, from: Process, to: Process) -> Option<Duration> {
+        let (from, to) = (self.index(from), self.index(to));
+        if self.sides[from] != self.sides[to] {
+            return None;
+        }
+        let centre = |index: usize| match index.checked_sub(self.settings.routers) {
+            None => index % self.settings.centres,
+            Some(agent) => agent % self.settings.centres,
+        };
+        Some(match centre(from) == centre(to) {
+            true => self.settings.near,
+            false => self.settings.far,
+        })
+    }
+
+    fn index(&self, process: Process) -> usize {
+        match process {
+            Process::Router(index) => index,
+            Process::Agent(index) => self.settings.routers + index,
+        }
+    }
+
+    fn target(&self, agent: ProcessId) -> TargetId {
+        let target = self.config.names.targets.by_tag(agent.0);
+        target.expect("agents bear the names of targets")
+    }
+}
+
+/// The life of a process that has started `count` times.
+pub(crate) fn incarnation(count: u64) -> Incarnation {
+    Incarnation(count)
+}
--- /dev/null
+++ b/filetests/src/fleet/engine.rs
@@ -0,0 +1,101 @@
+//! A target that streams tokens at a constant rate.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use entity::{AttemptId, Cost};
+
+/// An attempt that runs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Run {
+    pub(super) team: usize,
+    pub(super) cost: Cost,
+    started: Duration,
+    time: Duration,
+    reported: Cost,
+}
+
+impl Run {
+    /// The tokens that were delivered by `at`.
+    pub(super) fn delivered(&self, at: Duration) -> Cost {
+        let passed = at.saturating_sub(self.started).min(self.time);
+        let part = passed.as_secs_f64() / self.time.as_secs_f64();
+        Cost((self.cost.0 as f64 * part) as i64)
+    }
+}
+
+/// What a step of a stream brought.
+pub(super) struct Progress {
+    pub(super) cost: Cost,
+    pub(super) left: Duration,
+}
+
+/// One target.
+#[derive(Clone, Debug)]
+pub(super) struct Engine {
+    limit: u32,
+    life: u64,
+    running: BTreeMap<AttemptId, Run>,
+}
+
+impl Engine {
+    pub(super) fn new(limit: u32) -> Self {
+        Self {
+            limit,
+            life: 1,
+            running: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn life(&self) -> u64 {
+        self.life
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.running.len()
+    }
+
+    pub(super) fn running(&self) -> impl Iterator<Item = &Run> {
+        self.running.values()
+    }
+
+    /// Starts an attempt; returns by how many the target is over its true limit.
+    pub(super) fn start(
+        &mut self,
+        attempt: AttemptId,
+        team: usize,
+        cost: Cost,
+        started: Duration,
+        time: Duration,
+    ) -> u32 {
+        let run = Run {
+            team,
+            cost,
+            started,
+            time,
+            reported: Cost::ZERO,
+        };
+        self.running.insert(attempt, run);
+        (self.running.len() as u32).saturating_sub(self.limit)
+    }
+
+    /// The tokens since the last step; `None` if the attempt no longer runs.
+    pub(super) fn advance(&mut self, attempt: AttemptId, at: Duration) -> Option<Progress> {
+        let run = self.running.get_mut(&attempt)?;
+        let delivered = run.delivered(at);
+        let cost = delivered - run.reported;
+        run.reported = delivered;
+        let left = (run.started + run.time).saturating_sub(at);
+        Some(Progress { cost, left })
+    }
+
+    pub(super) fn end(&mut self, attempt: AttemptId) -> Run {
+        self.running.remove(&attempt).expect("the attempt runs")
+    }
+
+    /// Ends everything; returns what ran.
+    pub(super) fn crash(&mut self) -> Vec<AttemptId> {
+        self.life += 1;
+        core::mem::take(&mut self.running).into_keys().collect()
+    }
+}
--- a/filetests/src/lib.rs
+++ b/filetests/src/lib.rs
@@ -1,1 +1,3 @@
-//! x
+//! Scenarios: routers and agents driven in simulated time.
+
+pub mod fleet;
--- a/policy/src/agent.rs
+++ b/policy/src/agent.rs
@@ -9,20 +9,33 @@
 //! - An offered attempt gets exactly one of `Start`, `Reject`, `Unknown`,
 //!   `Replay` or `Follow`.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use entity::{
-    AttemptId, Cost, Decision, HandOver, HandedOver, Machine, NotHandedOver, Now, Reason, Refusal,
-    RetryAdvice, TargetId,
+    AttemptId, Cost, Decision, Machine, NotHandedOver, Now, Refusal, RouteId, Tag, TargetId,
+    TeamId, Weight,
 };
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use rules::Config;
 use rustc_hash::FxHashMap;
-use std::time::Duration;
 
+use crate::bid::BidTable;
+use crate::cost::CostTable;
+use crate::fair::{Party, Share, Teams};
+use crate::ledger::{Extrapolation, Ledger, LedgerSettings};
 use crate::message::{BidUpdate, Endpoint, LedgerDelta, Load, Offer, Pull, Pulled, Solicit};
+use crate::pull::PullTable;
+use crate::window::{AdmissionWindow, Report};
 
-/// How long a refused router should wait when nothing better is known.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
+mod admit;
+mod fill;
+mod serve;
+
+use admit::Held;
+use fill::{Backoff, Pace};
 
 /// How an attempt on the target ended, as the agent's relay saw it.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -79,14 +92,7 @@
     /// Changes to another agent's row of the ledger.
     Ledger(LedgerDelta),
     /// The target reported its load.
-    Report {
-        /// Requests that the target runs, by its own count.
-        running: u32,
-        /// Requests that wait inside the target.
-        queued: u32,
-        /// How old the report is.
-        age: Duration,
-    },
+    Report(Report),
     /// The target accepted connections after it had not.
     TargetUp,
     /// The target died or restarted.
@@ -163,86 +169,228 @@
     pub endpoint: Endpoint,
     /// The seed of the agent's random choices.
     pub seed: u64,
+    /// The interval between deltas of its ledger row.
+    pub gossip: Duration,
+}
+
+impl AgentSettings {
+    /// The usual interval between deltas of the ledger row.
+    pub const GOSSIP: Duration = Duration::from_millis(250);
+}
+
+/// An attempt that the target runs.
+#[derive(Debug)]
+struct Running {
+    party: Party,
+    route: Option<RouteId>,
+    started: Instant,
+    charged: Cost,
+    expected: Cost,
+    streamed: Cost,
+    cancelled: bool,
 }
 
 /// The decisions of one agent.
 #[derive(Debug)]
-pub struct Agent {
+pub struct Agent<S = Ledger> {
     settings: AgentSettings,
     config: Option<Arc<Config>>,
-    running: FxHashMap<AttemptId, HandedOver>,
+    target: Option<TargetId>,
+    rng: ChaCha8Rng,
+    running: FxHashMap<AttemptId, Running>,
+    held: VecDeque<Held>,
+    bids: BidTable,
+    pulls: PullTable,
+    pace: Pace,
+    window: AdmissionWindow,
+    costs: CostTable,
+    share: S,
+    solicit: Backoff,
+    stopping: bool,
+    stopped: bool,
 }
 
 impl Agent {
     /// Creates an agent that has no configuration yet.
     pub fn new(settings: AgentSettings) -> Self {
+        let ledger = Ledger::new(LedgerSettings {
+            agent: settings.endpoint.id,
+            incarnation: settings.endpoint.incarnation,
+            gossip: Some(settings.gossip),
+            extrapolation: Extrapolation::default(),
+        });
+        Self::with_share(settings, ledger)
+    }
+}
+
+impl<S: Share> Agent<S> {
+    /// Creates an agent that divides its slots by `share`.
+    pub fn with_share(settings: AgentSettings, share: S) -> Self {
         Self {
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
             settings,
             config: None,
+            target: None,
             running: FxHashMap::default(),
+            held: VecDeque::new(),
+            bids: BidTable::default(),
+            pulls: PullTable::default(),
+            pace: Pace::default(),
+            window: AdmissionWindow::new(rules::Window { cold: 0, max: 0 }),
+            costs: CostTable::default(),
+            share,
+            solicit: Backoff::default(),
+            stopping: false,
+            stopped: false,
         }
     }
 
     /// The load that rides on responses.
     pub fn load(&self) -> Load {
-        let window = self.window();
-        let running = self.running.len() as u16;
+        let draining = self.is_draining();
+        let congested = !self.bids.is_empty();
+        let free = match draining || congested {
+            true => 0,
+            false => self.free(),
+        };
         Load {
-            free: window.saturating_sub(running),
-            window,
-            running,
-            congested: false,
-            draining: false,
+            free: count(free),
+            window: count(self.window.limit()),
+            running: count(self.used()),
+            congested,
+            draining,
         }
     }
 
-    fn window(&self) -> u16 {
-        let Some(config) = &self.config else { return 0 };
-        let target = config.names.targets.by_tag(self.settings.endpoint.id.0);
-        let target = target.and_then(|target| config.targets[target].as_ref());
+    /// How the agent divides its slots.
+    pub fn share(&self) -> &S {
+        &self.share
+    }
+
+    /// The slots that run an attempt or are promised to one.
+    pub fn used(&self) -> u32 {
+        let reserved = u32::from(self.pulls.reserved());
+        self.running.len() as u32 + self.held.len() as u32 + reserved
+    }
+
+    fn free(&self) -> u32 {
+        self.window.limit().saturating_sub(self.used())
+    }
+
+    fn is_draining(&self) -> bool {
+        let config = self.config.as_deref();
+        let drained = config
+            .zip(self.target)
+            .and_then(|(config, target)| config.drained(target));
+        self.stopping || drained.is_some()
+    }
+
+    fn configured(&mut self, config: Arc<Config>) {
+        let tag = self.settings.endpoint.id.0;
+        self.target = config.names.targets.by_tag(tag);
+        let target = self
+            .target
+            .and_then(|target| config.targets[target].as_ref());
         let pool = target.and_then(|target| config.pools[target.pool].as_ref());
-        pool.map_or(0, |pool| pool.window.max as u16)
+        let bounds = pool.map_or(rules::Window { cold: 0, max: 0 }, |pool| pool.window);
+        match self.config {
+            None => self.window = AdmissionWindow::new(bounds),
+            Some(_) => self.window.set_bounds(bounds),
+        }
+        self.config = Some(config);
     }
 
-    fn offered(&mut self, offer: &Offer, actions: &mut Vec<AgentAction>) {
-        let attempt = offer.attempt;
-        if self.load().free == 0 {
-            let refusal = Refusal::new(Reason::NoSlot, RetryAdvice::After(RETRY_DELAY));
-            let proof = HandOver::new().give_up();
-            actions.push(AgentAction::Reject {
-                attempt,
-                refusal,
-                proof,
-            });
+    fn tick(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
+        let lost = self.pulls.expire(now.mono);
+        self.release(now, lost);
+        self.bids.expire(now.mono);
+        let Self { share, bids, .. } = self;
+        share.prune(now.mono, |team| bids.is_backlogged(team));
+        self.gossip(now, actions);
+    }
+
+    fn gossip(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let own = self.target;
+        let pool = own
+            .and_then(|own| config.targets[own].as_ref())
+            .map(|rule| rule.pool);
+        let Some(pool) = pool.and_then(|pool| config.pools[pool].as_ref()) else {
             return;
+        };
+        let Some(delta) = self.share.delta(now.mono, &Names(&config)) else {
+            return;
+        };
+        let others = pool.targets.iter().filter(|&&target| Some(target) != own);
+        actions.extend(others.map(|&target| AgentAction::Ledger {
+            target,
+            delta: delta.clone(),
+        }));
+    }
+
+    fn report_stopped(&mut self, actions: &mut Vec<AgentAction>) {
+        let is_idle = self.running.is_empty() && self.held.is_empty();
+        if self.stopping && !self.stopped && is_idle && self.pulls.reserved() == 0 {
+            self.stopped = true;
+            actions.push(AgentAction::Stopped);
         }
-        self.running.insert(attempt, HandOver::new().begin());
-        actions.push(AgentAction::Start(attempt));
     }
 }
 
-impl Machine for Agent {
+impl<S: Share> Machine for Agent<S> {
     type Event = AgentEvent;
     type Action = AgentAction;
 
-    fn handle(&mut self, _now: Now, event: AgentEvent, actions: &mut Vec<AgentAction>) {
+    fn handle(&mut self, now: Now, event: AgentEvent, actions: &mut Vec<AgentAction>) {
         match event {
-            AgentEvent::Configured(config) => self.config = Some(config),
-            AgentEvent::Offered(offer) => self.offered(&offer, actions),
-            AgentEvent::Ended { attempt, .. } => {
-                self.running.remove(&attempt);
+            AgentEvent::Configured(config) => self.configured(config),
+            AgentEvent::Offered(offer) => self.offered(now, offer, actions),
+            AgentEvent::Streamed { attempt, cost } => self.streamed(now, attempt, cost),
+            AgentEvent::Ended { attempt, end } => self.ended(now, attempt, end),
+            AgentEvent::RouterGone(attempt) => self.router_gone(now, attempt, actions),
+            AgentEvent::Bids(update) => self.bids_changed(now, &update),
+            AgentEvent::Pulled(pulled) => self.pulled(now, &pulled),
+            AgentEvent::PullLost { router, sequence } => self.pull_lost(now, router, sequence),
+            AgentEvent::Ledger(delta) => self.merge(now, &delta),
+            AgentEvent::Report(report) => {
+                self.window.reported(now.mono, report);
             }
-            AgentEvent::RouterGone(attempt) => actions.push(AgentAction::Cancel(attempt)),
-            AgentEvent::Stop => actions.push(AgentAction::Stopped),
-            AgentEvent::Streamed { .. }
-            | AgentEvent::Bids(_)
-            | AgentEvent::Pulled(_)
-            | AgentEvent::PullLost { .. }
-            | AgentEvent::Ledger(_)
-            | AgentEvent::Report { .. }
-            | AgentEvent::TargetUp
-            | AgentEvent::TargetDown
-            | AgentEvent::Tick => {}
+            AgentEvent::TargetUp => self.window.up(now.mono),
+            AgentEvent::TargetDown => self.window.down(now.mono),
+            AgentEvent::Tick => self.tick(now, actions),
+            AgentEvent::Stop => self.stopping = true,
         }
+        self.start_held(now, actions);
+        self.fill(now, actions);
+        self.report_stopped(actions);
+    }
+}
+
+/// Names and weights from the configuration in force.
+struct Names<'a>(&'a Config);
+
+impl Teams for Names<'_> {
+    fn by_tag(&self, tag: Tag) -> Option<TeamId> {
+        self.0.names.teams.by_tag(tag)
+    }
+
+    fn tag(&self, team: TeamId) -> Tag {
+        self.0.names.teams.tag(team)
+    }
+
+    fn weight(&self, team: TeamId) -> Weight {
+        weight(self.0, team)
     }
 }
+
+fn weight(config: &Config, team: TeamId) -> Weight {
+    config.teams[team]
+        .as_ref()
+        .map_or(Weight::ONE, |team| team.weight)
+}
+
+fn count(slots: u32) -> u16 {
+    slots.min(u32::from(u16::MAX)) as u16
+}
--- /dev/null
+++ b/policy/src/agent/serve.rs
@@ -0,0 +1,105 @@
+//! Streams, ends and news from peers.
+
+use entity::{AttemptId, Cost, Now, ProcessId};
+
+use super::{Agent, AgentAction, AttemptEnd, Names, weight};
+use crate::fair::Share;
+use crate::message::{BidUpdate, LedgerDelta};
+use crate::window::ColdSign;
+
+impl<S: Share> Agent<S> {
+    pub(super) fn streamed(&mut self, now: Now, attempt: AttemptId, cost: Cost) {
+        let Some(running) = self.running.get_mut(&attempt) else {
+            return;
+        };
+        if running.streamed == Cost::ZERO {
+            let latency = now.mono.saturating_duration_since(running.started);
+            self.window.first_token(now.mono, latency);
+        }
+        running.streamed += cost;
+        let due = running.streamed + rest(running.expected, running.streamed);
+        if due > running.charged {
+            let more = due - running.charged;
+            running.charged = due;
+            self.share.charge(now.mono, running.party, more);
+        }
+    }
+
+    pub(super) fn ended(&mut self, now: Now, attempt: AttemptId, end: AttemptEnd) {
+        let ran = self.running.len() as u32;
+        let Some(running) = self.running.remove(&attempt) else {
+            return;
+        };
+        self.window.record(now.mono, ran - 1);
+        let cost = match end {
+            AttemptEnd::Answered { cost } => cost,
+            AttemptEnd::Refused | AttemptEnd::Unsent => Cost::ZERO,
+            AttemptEnd::Broken | AttemptEnd::Cancelled => running.streamed,
+        };
+        self.share
+            .charge(now.mono, running.party, cost - running.charged);
+        match end {
+            AttemptEnd::Answered { .. } => {
+                self.window.completed(now.mono, ran);
+                self.pace.completed(now.mono);
+                if let Some(route) = running.route {
+                    self.costs.learn(running.party.team, route, cost);
+                }
+            }
+            AttemptEnd::Refused | AttemptEnd::Unsent | AttemptEnd::Broken => {
+                self.window.fall(now.mono, ColdSign::Refused);
+            }
+            AttemptEnd::Cancelled => {}
+        }
+    }
+
+    pub(super) fn router_gone(
+        &mut self,
+        now: Now,
+        attempt: AttemptId,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        if self.drop_held(now, attempt) {
+            return;
+        }
+        match self.running.get_mut(&attempt) {
+            Some(running) if !running.cancelled => {
+                running.cancelled = true;
+                actions.push(AgentAction::Cancel(attempt));
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn bids_changed(&mut self, now: Now, update: &BidUpdate) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let new = self
+            .bids
+            .update(now.mono, update, |tag| config.names.teams.by_tag(tag));
+        for team in new {
+            self.share.backlogged(now.mono, team, weight(&config, team));
+        }
+        if !update.bids.is_empty() {
+            self.solicit.reset();
+        }
+    }
+
+    pub(super) fn merge(&mut self, now: Now, delta: &LedgerDelta) {
+        if let Some(config) = self.config.clone() {
+            self.share.merge(now.mono, delta, &Names(&config));
+        }
+    }
+
+    /// Forgets the bids of a router that cannot be reached.
+    pub(super) fn forget_router(&mut self, router: ProcessId) {
+        self.bids.drop_router(router);
+    }
+}
+
+/// The cost that an attempt is expected to add to what it streamed.
+fn rest(expected: Cost, streamed: Cost) -> Cost {
+    let open = expected - streamed;
+    open.max(Cost(expected.0 / 2))
+}
--- /dev/null
+++ b/policy/src/fair.rs
@@ -0,0 +1,125 @@
+//! Whom a free slot goes to.
+//!
+//! [`Share`] is the interface of the ways to divide a pool between teams;
+//! [`Ledger`](crate::ledger::Ledger) is the one in use, the others are baselines
+//! to compare it with.
+
+use std::time::Instant;
+
+use entity::{Cost, ProcessId, Tag, TeamId, Weight};
+use rustc_hash::FxHashMap;
+
+use crate::message::LedgerDelta;
+
+/// Who is served or waits.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Party {
+    /// The team.
+    pub team: TeamId,
+    /// Its weight.
+    pub weight: Weight,
+    /// The router where the request waits or waited.
+    pub router: ProcessId,
+}
+
+/// A position in the order of service; the least goes first.
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct Rank(pub i64);
+
+/// A way to divide a target's slots between teams.
+pub trait Share {
+    /// Notes that requests of a team wait that had none waiting.
+    fn backlogged(&mut self, now: Instant, team: TeamId, weight: Weight);
+
+    /// The rank of a team among those that wait.
+    fn rank(&self, now: Instant, team: TeamId) -> Rank;
+
+    /// The rank of a router among those where requests of one team wait.
+    fn router_rank(&self, router: ProcessId) -> Rank;
+
+    /// Notes which rank was chosen.
+    fn chosen(&mut self, rank: Rank);
+
+    /// Charges a team; a negative cost corrects an earlier charge.
+    fn charge(&mut self, now: Instant, party: Party, cost: Cost);
+
+    /// Takes in another agent's row.
+    fn merge(&mut self, now: Instant, delta: &LedgerDelta, teams: &impl Teams);
+
+    /// The change of the own row to send, if there is any.
+    fn delta(&mut self, now: Instant, teams: &impl Teams) -> Option<LedgerDelta>;
+
+    /// Forgets what is no longer needed.
+    fn prune(&mut self, now: Instant, is_active: impl Fn(TeamId) -> bool);
+}
+
+/// Names and weights of teams.
+pub trait Teams {
+    /// The team with this tag, if it is known.
+    fn by_tag(&self, tag: Tag) -> Option<TeamId>;
+    /// The tag of a team.
+    fn tag(&self, team: TeamId) -> Tag;
+    /// The weight of a team.
+    fn weight(&self, team: TeamId) -> Weight;
+}
+
+/// Baseline: first come, first served, whatever the team.
+#[derive(Clone, Copy, Default, Debug)]
+pub struct Fifo;
+
+impl Share for Fifo {
+    fn backlogged(&mut self, _now: Instant, _team: TeamId, _weight: Weight) {}
+
+    fn rank(&self, _now: Instant, _team: TeamId) -> Rank {
+        Rank::default()
+    }
+
+    fn router_rank(&self, _router: ProcessId) -> Rank {
+        Rank::default()
+    }
+
+    fn chosen(&mut self, _rank: Rank) {}
+
+    fn charge(&mut self, _now: Instant, _party: Party, _cost: Cost) {}
+
+    fn merge(&mut self, _now: Instant, _delta: &LedgerDelta, _teams: &impl Teams) {}
+
+    fn delta(&mut self, _now: Instant, _teams: &impl Teams) -> Option<LedgerDelta> {
+        None
+    }
+
+    fn prune(&mut self, _now: Instant, _is_active: impl Fn(TeamId) -> bool) {}
+}
+
+/// Baseline: equal service to every router that bids, first come first served there.
+#[derive(Clone, Default, Debug)]
+pub struct RouterQuota {
+    served: FxHashMap<ProcessId, i64>,
+}
+
+impl Share for RouterQuota {
+    fn backlogged(&mut self, _now: Instant, _team: TeamId, _weight: Weight) {}
+
+    fn rank(&self, _now: Instant, _team: TeamId) -> Rank {
+        Rank::default()
+    }
+
+    fn router_rank(&self, router: ProcessId) -> Rank {
+        Rank(self.served.get(&router).copied().unwrap_or(0))
+    }
+
+    fn chosen(&mut self, _rank: Rank) {}
+
+    fn charge(&mut self, _now: Instant, party: Party, cost: Cost) {
+        let least = self.served.values().copied().min().unwrap_or(0);
+        *self.served.entry(party.router).or_insert(least) += cost.0;
+    }
+
+    fn merge(&mut self, _now: Instant, _delta: &LedgerDelta, _teams: &impl Teams) {}
+
+    fn delta(&mut self, _now: Instant, _teams: &impl Teams) -> Option<LedgerDelta> {
+        None
+    }
+
+    fn prune(&mut self, _now: Instant, _is_active: impl Fn(TeamId) -> bool) {}
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,7 +5,17 @@
 //! and seeds are passed in. [`Router`] and [`Agent`] compose the smaller
 //! machines; daemons and the scenario runner drive the same two types.
 
+pub mod bid;
+pub mod choose;
+pub mod cost;
+pub mod fair;
+pub mod ledger;
+pub mod limit;
+pub mod load;
 pub mod message;
+pub mod pull;
+pub mod queue;
+pub mod window;
 
 mod agent;
 mod router;
--- a/policy/src/message.rs
+++ b/policy/src/message.rs
@@ -149,6 +149,17 @@
     pub sequence: u64,
     /// For each pick, the number of requests that are on their way.
     pub counts: Vec<u16>,
+    /// For each pick, what still waits.
+    pub left: Vec<Left>,
+}
+
+/// What still waits of one team and class after a pull.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Left {
+    /// The number of requests.
+    pub waiting: u32,
+    /// The age of the oldest, in milliseconds.
+    pub oldest: u32,
 }
 
 /// An agent's question for work when it has free slots and no bids.
@@ -182,4 +193,8 @@
     pub team: Tag,
     /// The service.
     pub service: Cost,
+    /// The service at the time when the team last became active at the agent.
+    ///
+    /// A receiver that holds no earlier total of the team counts from here.
+    pub base: Cost,
 }
--- /dev/null
+++ b/policy/src/queue.rs
@@ -0,0 +1,172 @@
+//! The waiting requests of a router.
+//!
+//! Invariants:
+//! - A request waits in at most one queue.
+//! - An empty queue has no entry, so memory follows the number of waiting requests.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use entity::{Class, PoolId, RequestId, TargetId, TeamId};
+
+/// The head start of a class over a batch request of the same team.
+///
+/// A batch request that has waited longer by this time goes first, so no class starves.
+pub fn head_start(class: Class) -> Duration {
+    match class {
+        Class::Interactive => Duration::from_secs(30),
+        Class::Standard => Duration::from_secs(10),
+        Class::Batch => Duration::ZERO,
+    }
+}
+
+/// The three classes, first the one that goes first.
+pub const CLASSES: [Class; 3] = [Class::Interactive, Class::Standard, Class::Batch];
+
+/// Identifies a queue.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct QueueKey {
+    /// The pool.
+    pub pool: PoolId,
+    /// The only target that may run the requests, if they are bound to one.
+    pub home: Option<TargetId>,
+    /// The team.
+    pub team: TeamId,
+    /// The class.
+    pub class: Class,
+}
+
+/// One waiting request.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Waiting {
+    /// The request.
+    pub request: RequestId,
+    /// When it arrived at the router.
+    pub arrived: Instant,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// All queues of a router.
+#[derive(Clone, Default, Debug)]
+pub struct Queues {
+    queues: BTreeMap<QueueKey, VecDeque<Waiting>>,
+}
+
+impl Queues {
+    /// Appends a request.
+    pub fn push(&mut self, key: QueueKey, waiting: Waiting) {
+        self.queues.entry(key).or_default().push_back(waiting);
+    }
+
+    /// Puts a request back before all others.
+    pub fn push_front(&mut self, key: QueueKey, waiting: Waiting) {
+        self.queues.entry(key).or_default().push_front(waiting);
+    }
+
+    /// Takes the first request of a queue.
+    pub fn pop(&mut self, key: QueueKey) -> Option<Waiting> {
+        let queue = self.queues.get_mut(&key)?;
+        let waiting = queue.pop_front();
+        if queue.is_empty() {
+            self.queues.remove(&key);
+        }
+        waiting
+    }
+
+    /// Removes a request; returns whether it waited there.
+    pub fn remove(&mut self, key: QueueKey, request: RequestId) -> bool {
+        let Some(queue) = self.queues.get_mut(&key) else {
+            return false;
+        };
+        let before = queue.len();
+        queue.retain(|waiting| waiting.request != request);
+        let removed = queue.len() < before;
+        if queue.is_empty() {
+            self.queues.remove(&key);
+        }
+        removed
+    }
+
+    /// The number of requests in a queue.
+    pub fn len(&self, key: QueueKey) -> usize {
+        self.queues.get(&key).map_or(0, VecDeque::len)
+    }
+
+    /// The first request of a queue.
+    pub fn first(&self, key: QueueKey) -> Option<&Waiting> {
+        self.queues.get(&key)?.front()
+    }
+
+    /// The queue of `team` from which `target` should get the next request.
+    ///
+    /// `wanted` wins when its queue holds anything; else the request with the
+    /// longest wait, head start included.
+    pub fn next(
+        &self,
+        pool: PoolId,
+        target: TargetId,
+        team: TeamId,
+        wanted: Class,
+    ) -> Option<QueueKey> {
+        let key = |home, class| QueueKey {
+            pool,
+            home,
+            team,
+            class,
+        };
+        let age = |key: &QueueKey| {
+            let first = self.first(*key)?;
+            Some(first.arrived.checked_sub(head_start(key.class)))
+        };
+        let homes = [Some(target), None];
+        let oldest = |classes: &[Class]| {
+            let keys = homes
+                .iter()
+                .flat_map(|&home| classes.iter().map(move |&class| key(home, class)));
+            keys.filter_map(|key| age(&key).map(|age| (age, key)))
+                .min()
+                .map(|(_, key)| key)
+        };
+        oldest(&[wanted]).or_else(|| oldest(&CLASSES))
+    }
+
+    /// The queues of a pool that hold anything, in order.
+    pub fn of_pool(&self, pool: PoolId) -> impl Iterator<Item = (QueueKey, &VecDeque<Waiting>)> {
+        let all = self.queues.iter().map(|(&key, queue)| (key, queue));
+        all.filter(move |(key, _)| key.pool == pool)
+    }
+
+    /// The pools in which something waits, in order.
+    pub fn pools(&self) -> Vec<PoolId> {
+        let mut pools: Vec<_> = self.queues.keys().map(|key| key.pool).collect();
+        pools.dedup();
+        pools
+    }
+
+    /// Whether nothing waits for `pool` that `target` could run.
+    pub fn is_idle(&self, pool: PoolId, home: Option<TargetId>) -> bool {
+        !self.of_pool(pool).any(|(key, _)| key.home == home)
+    }
+
+    /// Removes every request whose deadline is not after `now`.
+    pub fn expire(&mut self, now: Instant) -> Vec<RequestId> {
+        self.remove_if(|_, waiting| waiting.deadline <= now)
+    }
+
+    /// Removes every request for which `gone` holds.
+    pub fn remove_if(&mut self, gone: impl Fn(QueueKey, &Waiting) -> bool) -> Vec<RequestId> {
+        let mut removed = Vec::new();
+        for (&key, queue) in &mut self.queues {
+            queue.retain(|waiting| {
+                let keep = !gone(key, waiting);
+                if !keep {
+                    removed.push(waiting.request);
+                }
+                keep
+            });
+        }
+        self.queues.retain(|_, queue| !queue.is_empty());
+        removed
+    }
+}
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -13,23 +13,39 @@
 use std::time::{Duration, Instant};
 
 use entity::{
-    AttemptId, Class, Cost, Decision, Fingerprint, HandOver, HandedOver, IdempotencyKey, Machine,
-    Now, Outcome, PoolId, PrefixHash, Reason, Refusal, RequestId, RetryAdvice, RouteId, Step,
-    TargetId, TeamId,
+    AttemptId, Class, Cost, Decision, Fingerprint, HandedOver, IdempotencyKey, Machine, Name, Now,
+    Outcome, PoolId, PrefixHash, ProcessId, Refusal, RequestId, RouteId, TargetId, TeamId,
 };
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use rules::Config;
 use rustc_hash::FxHashMap;
 
+use crate::bid::Outbox;
+use crate::choose::PrefixTable;
+use crate::limit::Limiter;
+use crate::load::LoadTable;
 use crate::message::{BidUpdate, Endpoint, Load, Offer, Pull, Pulled, Solicit};
+use crate::pull::SequenceWindow;
+use crate::queue::{QueueKey, Queues};
+
+mod bids;
+mod dispatch;
+mod ending;
 
 /// How long a refused caller should wait when nothing better is known.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// The greatest number of attempts without a pull before a request is queued.
+const MAX_UNPULLED: u16 = 3;
+
 /// What a router knows of itself.
 #[derive(Clone, Debug)]
 pub struct RouterSettings {
     /// How agents reach the router.
     pub endpoint: Endpoint,
+    /// The data centre that the router is in.
+    pub centre: Name,
     /// The seed of the router's random choices.
     pub seed: u64,
 }
@@ -94,6 +110,10 @@
         /// Its load.
         load: Load,
     },
+    /// The membership holds an agent for reachable.
+    Reachable(TargetId),
+    /// The membership holds an agent for unreachable.
+    Unreachable(TargetId),
     /// An attempt ended.
     Ended {
         /// The attempt.
@@ -158,11 +178,21 @@
     Stopped,
 }
 
+/// Where a request is.
+#[derive(Debug)]
+enum Place {
+    /// It waits in a queue.
+    Waiting(QueueKey),
+    /// An attempt is in flight.
+    Sent { target: TargetId, sent: HandedOver },
+}
+
 #[derive(Debug)]
 struct Pending {
     arrival: Arrival,
+    arrived: Instant,
     attempts: u16,
-    sent: Option<HandedOver>,
+    place: Place,
 }
 
 /// The decisions of one router.
@@ -170,127 +200,59 @@
 pub struct Router {
     settings: RouterSettings,
     config: Option<Arc<Config>>,
+    rng: ChaCha8Rng,
     pending: FxHashMap<RequestId, Pending>,
+    queues: Queues,
+    loads: LoadTable,
+    prefixes: PrefixTable,
+    limits: Limiter,
+    outbox: Outbox,
+    pulls: FxHashMap<ProcessId, SequenceWindow>,
+    stopping: bool,
+    stopped: bool,
 }
 
 impl Router {
     /// Creates a router that has no configuration yet.
     pub fn new(settings: RouterSettings) -> Self {
         Self {
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
             settings,
             config: None,
             pending: FxHashMap::default(),
+            queues: Queues::default(),
+            loads: LoadTable::default(),
+            prefixes: PrefixTable::default(),
+            limits: Limiter::default(),
+            outbox: Outbox::default(),
+            pulls: FxHashMap::default(),
+            stopping: false,
+            stopped: false,
         }
     }
 
-    fn arrived(&mut self, now: Now, arrival: Arrival, actions: &mut Vec<RouterAction>) {
-        let request = arrival.request;
-        let Some(config) = self.config.clone() else {
-            let refusal = Refusal::new(Reason::NotConfigured, RetryAdvice::After(RETRY_DELAY));
-            let outcome = Outcome::NotRun {
-                refusal,
-                proof: HandOver::new().give_up(),
-            };
-            actions.push(RouterAction::Finish { request, outcome });
-            return;
-        };
-        let target = config.pools[arrival.pool].as_ref().and_then(|pool| {
-            let mut usable = pool
-                .targets
-                .iter()
-                .filter(|&&target| config.drained(target).is_none());
-            usable.next().copied()
-        });
-        let Some(target) = target else {
-            let refusal = Refusal::new(Reason::NoTarget, RetryAdvice::After(RETRY_DELAY));
-            let outcome = Outcome::NotRun {
-                refusal,
-                proof: HandOver::new().give_up(),
-            };
-            actions.push(RouterAction::Finish { request, outcome });
-            return;
-        };
-        let offer = offer(&config, &self.settings, &arrival, now);
-        let sent = Some(HandOver::new().begin());
-        self.pending.insert(
-            request,
-            Pending {
-                arrival,
-                attempts: 1,
-                sent,
-            },
-        );
-        let data = config.targets[target]
-            .as_ref()
-            .expect("pool lists known targets")
-            .data;
-        actions.push(RouterAction::Decided(Decision {
-            request,
-            at: now.wall,
-            step: Step::Dispatch,
-            rules: Vec::new(),
-            detail: format!("sent to {}", config.names.targets.name(target)),
-        }));
-        actions.push(RouterAction::Dispatch(DispatchOrder {
-            target,
-            data,
-            offer,
-        }));
+    /// The number of requests that wait or run.
+    pub fn pending(&self) -> usize {
+        self.pending.len()
     }
 
-    fn ended(
-        &mut self,
-        attempt: AttemptId,
-        result: AttemptResult,
-        actions: &mut Vec<RouterAction>,
-    ) {
-        let request = attempt.request;
-        let Some(pending) = self.pending.remove(&request) else {
+    fn tick(&mut self, now: Now, actions: &mut Vec<RouterAction>) {
+        self.expire(now, actions);
+        self.limits.prune(now.mono);
+        let Some(config) = self.config.clone() else {
             return;
         };
-        debug_assert_eq!(pending.attempts, attempt.number + 1);
-        debug_assert_eq!(pending.arrival.request, request);
-        let sent = pending.sent.expect("an attempt is in flight");
-        let outcome = match result {
-            AttemptResult::Answered { .. } => return,
-            AttemptResult::NotRun(refusal) => Outcome::NotRun {
-                refusal,
-                proof: sent.disclaimed(),
-            },
-            AttemptResult::Unsent => Outcome::NotRun {
-                refusal: Refusal::new(Reason::NoTarget, RetryAdvice::After(RETRY_DELAY)),
-                proof: sent.disclaimed(),
-            },
-            AttemptResult::Unknown(refusal) => Outcome::Unknown { refusal },
-            AttemptResult::Broken { .. } => Outcome::Unknown {
-                refusal: Refusal::new(Reason::ConnectionLost, RetryAdvice::VerifyFirst),
-            },
-        };
-        actions.push(RouterAction::Finish { request, outcome });
+        for pool in self.queues.pools() {
+            self.give_up(now, &config, pool, actions);
+        }
+        self.refresh(now, &config, actions);
     }
-}
 
-fn offer(config: &Config, settings: &RouterSettings, arrival: &Arrival, now: Now) -> Offer {
-    let route = config.routes[arrival.route].as_ref();
-    let hint = arrival
-        .hint
-        .or(route.map(|route| route.hint))
-        .unwrap_or(Cost(1));
-    Offer {
-        attempt: AttemptId {
-            request: arrival.request,
-            number: 0,
-        },
-        router: settings.endpoint.id,
-        team: config.names.teams.tag(arrival.team),
-        route: config.names.routes.tag(arrival.route),
-        class: arrival.class,
-        hint,
-        remaining: Some(arrival.deadline.saturating_duration_since(now.mono)),
-        key: arrival.key,
-        fingerprint: arrival.fingerprint,
-        prefix: arrival.prefix,
-        pulled: false,
+    fn report_stopped(&mut self, actions: &mut Vec<RouterAction>) {
+        if self.stopping && !self.stopped && self.pending.is_empty() {
+            self.stopped = true;
+            actions.push(RouterAction::Stopped);
+        }
     }
 }
 
@@ -300,17 +262,19 @@
 
     fn handle(&mut self, now: Now, event: RouterEvent, actions: &mut Vec<RouterAction>) {
         match event {
-            RouterEvent::Configured(config) => self.config = Some(config),
+            RouterEvent::Configured(config) => self.configured(now, config, actions),
             RouterEvent::Arrived(arrival) => self.arrived(now, arrival, actions),
-            RouterEvent::Ended { attempt, result } => self.ended(attempt, result, actions),
-            RouterEvent::CallerGone(request) => {
-                self.pending.remove(&request);
-            }
-            RouterEvent::Loaded { .. }
-            | RouterEvent::Pull(_)
-            | RouterEvent::Solicit(_)
-            | RouterEvent::Tick => {}
-            RouterEvent::Stop => actions.push(RouterAction::Stopped),
+            RouterEvent::Loaded { target, load } => self.loads.update(now.mono, target, load),
+            RouterEvent::Reachable(target) => self.loads.set_reachable(target, true),
+            RouterEvent::Unreachable(target) => self.unreachable(now, target, actions),
+            RouterEvent::Ended { attempt, result } => self.ended(now, attempt, result, actions),
+            RouterEvent::CallerGone(request) => self.caller_gone(request, actions),
+            RouterEvent::Pull(pull) => self.pulled(now, &pull, actions),
+            RouterEvent::Solicit(solicit) => self.solicited(now, &solicit, actions),
+            RouterEvent::Tick => self.tick(now, actions),
+            RouterEvent::Stop => self.stopping = true,
         }
+        self.send_bids(now, actions);
+        self.report_stopped(actions);
     }
 }
