--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -6,13 +6,23 @@
 //! machines; daemons and the scenario runner drive the same two types.
 
 pub mod attempt;
+pub mod bid;
+pub mod choose;
+pub mod cost;
 pub mod drain;
+pub mod fair;
 pub mod home;
+pub mod ledger;
+pub mod limit;
+pub mod load;
 pub mod message;
 pub mod once;
+pub mod pull;
 pub mod quarantine;
+pub mod queue;
 pub mod retry;
 pub mod status;
+pub mod window;
 
 mod agent;
 mod router;
