--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use entity::{AttemptId, Cost, Decision, Machine, Now, Refusal, RequestId, TargetId};
 use node::host::{Outgoing, Readiness, Role};
 use node::trace::Trace;
 use policy::message::{Endpoint, Load, Offer};
+use policy::window::Report;
 use policy::{Agent, AgentAction, AgentEvent, AgentSettings, AttemptEnd};
 use rules::Config;
 use rustc_hash::FxHashMap;
@@ -44,14 +44,7 @@
         end: AttemptEnd,
     },
     /// The target reported its load.
-    Report {
-        /// Requests that it runs.
-        running: u32,
-        /// Requests that wait inside it.
-        queued: u32,
-        /// How old the report is.
-        age: Duration,
-    },
+    Report(Report),
     /// The target answers after it had not.
     TargetUp,
     /// The target stopped answering or restarted.
@@ -233,15 +226,7 @@
                 self.cancels.remove(&attempt);
                 AgentEvent::Ended { attempt, end }
             }
-            Input::Report {
-                running,
-                queued,
-                age,
-            } => AgentEvent::Report {
-                running,
-                queued,
-                age,
-            },
+            Input::Report(report) => AgentEvent::Report(report),
             Input::TargetUp => AgentEvent::TargetUp,
             Input::TargetDown => AgentEvent::TargetDown,
         };
--- a/agent/src/run.rs
+++ b/agent/src/run.rs
@@ -54,6 +54,7 @@
     let policy = AgentPolicy {
         endpoint,
         seed: endpoint.incarnation.0,
+        gossip: AgentPolicy::GOSSIP,
     };
     let role = AgentRole::new(policy, answers.clone());
     let host = Host::new(settings.name.clone(), endpoint, role, snapshot);
--- a/agent/src/target.rs
+++ b/agent/src/target.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use policy::window::Report;
 use serde::Deserialize;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -73,13 +74,17 @@
             .unwrap_or_default();
         let age = now.saturating_sub(Duration::from_millis(report.at_millis));
         let LoadReport {
-            running, queued, ..
+            running,
+            queued,
+            generation,
+            ..
         } = report;
-        reporter.report(Input::Report {
+        reporter.report(Input::Report(Report {
             running,
             queued,
+            generation,
             age,
-        });
+        }));
     }
 
     fn failed(&mut self, reporter: &Reporter) {
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -177,6 +177,12 @@
         }
     }
 
+    /// The target beside which an agent runs.
+    fn target_of(&self, agent: Endpoint) -> Option<TargetId> {
+        let config = self.config.as_ref()?;
+        config.names.targets.by_tag(agent.id.0)
+    }
+
     fn control_address(&self, target: TargetId) -> Option<std::net::SocketAddr> {
         let config = self.config.as_ref()?;
         config.targets[target].as_ref().map(|target| target.control)
@@ -235,13 +241,18 @@
     fn received(
         &mut self,
         now: Now,
-        _sender: Endpoint,
+        sender: Endpoint,
         message: Message,
         out: &mut Vec<Outgoing>,
     ) -> Vec<Message> {
         match message {
             Message::Pull(pull) => self.handle(now, RouterEvent::Pull(pull), out),
             Message::Solicit(solicit) => self.handle(now, RouterEvent::Solicit(solicit), out),
+            Message::Load(load) => {
+                let target = self.target_of(sender);
+                let event = target.map(|target| RouterEvent::Loaded { target, load });
+                event.map_or_else(Vec::new, |event| self.handle(now, event, out))
+            }
             // Other messages are for agents; a router that gets one ignores it.
             _ => Vec::new(),
         }
--- a/router/src/run.rs
+++ b/router/src/run.rs
@@ -48,6 +48,7 @@
 
     let role = RouterRole::new(RouterPolicy {
         endpoint,
+        centre: Name::new(&settings.data_centre),
         seed: endpoint.incarnation.0,
     });
     let host = Host::new(settings.name.clone(), endpoint, role, snapshot.clone());
