--- /dev/null
+++ b/ctl/src/drain.rs
@@ -0,0 +1,113 @@
+//! `drain`: the lines that operators publish to take something out of service.
+
+use std::path::Path;
+use std::str::FromStr;
+
+use derive_more::{Display, Error};
+use entity::{Directory, Name, Revision};
+use rules::{Document, DrainStatement, Statement};
+use serde::Serialize;
+
+use crate::check::{read, refused};
+use crate::report::{Exit, Report};
+
+/// What is taken out of service.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum DrainKind {
+    /// A data centre.
+    DataCentre,
+    /// A target.
+    Target,
+}
+
+/// The text names nothing that can be drained.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, Error)]
+#[display("expected `data-centre` or `target`")]
+pub struct DrainKindError;
+
+impl FromStr for DrainKind {
+    type Err = DrainKindError;
+
+    fn from_str(text: &str) -> Result<Self, DrainKindError> {
+        match text {
+            "data-centre" => Ok(Self::DataCentre),
+            "target" => Ok(Self::Target),
+            _ => Err(DrainKindError),
+        }
+    }
+}
+
+/// What is asked for.
+#[derive(Clone, Debug)]
+pub struct DrainRequest {
+    /// What is taken out of service.
+    pub kind: DrainKind,
+    /// Its name.
+    pub name: String,
+    /// Who asks for it, with a date if one is to be noted.
+    pub asker: String,
+    /// The revision that the document will have.
+    pub revision: u64,
+}
+
+#[derive(Serialize)]
+struct Lines {
+    lines: Vec<String>,
+}
+
+/// Writes the lines to publish, or the whole document if one is given.
+///
+/// # Errors
+///
+/// Returns an error if the document cannot be read.
+pub fn run(request: &DrainRequest, document: Option<&Path>) -> eyre::Result<Report> {
+    let lines = lines(request);
+    let text = lines.join("\n");
+    if let Err(errors) = Document::parse(&text) {
+        return Ok(refused(Path::new("the lines"), &errors));
+    }
+    match document {
+        None => Ok(Report::new(Exit::Done, text, &Lines { lines })),
+        Some(path) => extend(path, &lines),
+    }
+}
+
+fn lines(request: &DrainRequest) -> Vec<String> {
+    let name = Name::new(&request.name);
+    let drain = match request.kind {
+        DrainKind::DataCentre => DrainStatement::DataCentre(name),
+        DrainKind::Target => DrainStatement::Target(name),
+    };
+    let statements = [Revision(request.revision).into(), Statement::from(drain)];
+    let asker = &request.asker;
+    let line = |statement| format!("{statement}  # asked by: {asker}");
+    statements.iter().map(line).collect()
+}
+
+/// Puts the lines into a document, which has to be valid before and after.
+fn extend(path: &Path, lines: &[String]) -> eyre::Result<Report> {
+    let text = read(path)?;
+    let old = match rules::load(&text, &Directory::default()) {
+        Ok(config) => config,
+        Err(errors) => return Ok(refused(path, &errors)),
+    };
+    let is_revision = |line: &str| line.split_whitespace().next() == Some("revision");
+    let kept = text.lines().map(|line| match is_revision(line) {
+        true => lines[0].as_str(),
+        false => line,
+    });
+    let added = lines[1..].iter().map(String::as_str);
+    let whole: Vec<_> = kept.chain(added).map(str::to_owned).collect();
+    let report = match rules::load(&whole.join("\n"), &Directory::default()) {
+        Err(errors) => refused(path, &errors),
+        Ok(new) if new.revision <= old.revision => {
+            let text = format!(
+                "revision {} is in force; a higher one is needed",
+                old.revision
+            );
+            Report::new(Exit::Refused, text, &Lines { lines: Vec::new() })
+        }
+        Ok(_) => Report::new(Exit::Done, whole.join("\n"), &Lines { lines: whole }),
+    };
+    Ok(report)
+}
--- /dev/null
+++ b/ctl/src/main.rs
@@ -0,0 +1,144 @@
+//! The `knapweedctl` program.
+
+use std::process::ExitCode;
+
+use entity::RequestId;
+use knapweed_ctl::drain::DrainRequest;
+use knapweed_ctl::{Exit, Report, check, diff, drain, dump, status, why};
+
+mod flags {
+    use std::net::SocketAddr;
+    use std::path::PathBuf;
+
+    use knapweed_ctl::check::ProcessKind;
+    use knapweed_ctl::drain::DrainKind;
+
+    xflags::xflags! {
+        /// Checks rules and settings, explains decisions and shows the state of the fleet.
+        /// It writes nothing: operators publish what it prints.
+        ///
+        /// Exit codes: 0 done; 1 a document or settings file is refused; 2 the flags are
+        /// wrong or a file cannot be read; 3 a process did not answer; 4 no process that
+        /// was asked holds the record.
+        cmd knapweedctl {
+            /// Print JSON for programs.
+            optional --json
+            /// Print the version.
+            optional --version
+
+            /// Check a rules document, or a settings file with --settings.
+            cmd check {
+                /// The file.
+                required file: PathBuf
+                /// The folder with the parts of the document, each in a file named by its key;
+                /// by default the folder of the document.
+                optional --parts folder: PathBuf
+                /// The process whose settings the file holds: `router` or `agent`.
+                optional --settings kind: ProcessKind
+            }
+            /// Tell what changes for whom between two rules documents.
+            cmd diff {
+                /// The document in force.
+                required old: PathBuf
+                /// The document to publish.
+                required new: PathBuf
+            }
+            /// Print the lines to publish to take a data centre or target out of service.
+            cmd drain {
+                /// `data-centre` or `target`.
+                required kind: DrainKind
+                /// Its name.
+                required name: String
+                /// Who asks for it: `NAME` or `NAME, DATE`.
+                required --asker asker: String
+                /// The revision that the document will have.
+                required --revision revision: u64
+                /// The document in force; the whole new document is printed.
+                optional --rules file: PathBuf
+            }
+            /// Explain the decisions about a request, with the rules that made them.
+            cmd why {
+                /// The request id, as in the response.
+                required request: String
+                /// The operators' address of a process; repeat it for each process.
+                repeated --addr address: SocketAddr
+            }
+            /// Print the whole state of a process as YAML.
+            cmd dump {
+                /// The operators' address of the process.
+                required address: SocketAddr
+            }
+            /// Show revisions, targets, teams and quarantine of the fleet.
+            cmd status {
+                /// The operators' addresses of processes.
+                repeated address: SocketAddr
+            }
+        }
+    }
+}
+
+use flags::{Knapweedctl, KnapweedctlCmd};
+
+fn main() -> ExitCode {
+    if std::env::args()
+        .skip(1)
+        .any(|argument| argument == "--version")
+    {
+        println!("knapweedctl {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Knapweedctl {
+        json, subcommand, ..
+    } = Knapweedctl::from_env_or_exit();
+    let report = actix_rt::System::new().block_on(run(subcommand, json));
+    match report {
+        Ok(report) => {
+            println!("{}", report.output(json));
+            report.exit.into()
+        }
+        Err(error) => {
+            eprintln!("{error:#}");
+            Exit::Usage.into()
+        }
+    }
+}
+
+async fn run(command: KnapweedctlCmd, json: bool) -> eyre::Result<Report> {
+    match command {
+        KnapweedctlCmd::Check(flags) => match flags.settings {
+            Some(kind) => Ok(check::settings(&flags.file, kind)),
+            None => check::rules(&flags.file, flags.parts.as_deref()),
+        },
+        KnapweedctlCmd::Diff(flags) => diff::run(&flags.old, &flags.new),
+        KnapweedctlCmd::Drain(flags) => drain(flags),
+        KnapweedctlCmd::Why(flags) => {
+            eyre::ensure!(!flags.addr.is_empty(), "at least one --addr is needed");
+            let request = flags.request.parse::<RequestId>();
+            let request =
+                request.map_err(|_| eyre::eyre!("`{}` is no request id", flags.request))?;
+            Ok(why::run(request, &flags.addr).await)
+        }
+        KnapweedctlCmd::Dump(flags) => {
+            let dumped = dump::run(flags.address, json).await;
+            Ok(dumped.unwrap_or_else(|error| unreachable_report(&error.to_string())))
+        }
+        KnapweedctlCmd::Status(flags) => {
+            eyre::ensure!(!flags.address.is_empty(), "at least one address is needed");
+            Ok(status::run(&flags.address).await)
+        }
+    }
+}
+
+fn drain(flags: flags::Drain) -> eyre::Result<Report> {
+    let request = DrainRequest {
+        kind: flags.kind,
+        name: flags.name,
+        asker: flags.asker,
+        revision: flags.revision,
+    };
+    drain::run(&request, flags.rules.as_deref())
+}
+
+fn unreachable_report(failure: &str) -> Report {
+    Report::new(Exit::Unreachable, format!("! {failure}"), &[failure])
+}
--- /dev/null
+++ b/ctl/src/status.rs
@@ -0,0 +1,317 @@
+//! `status`: the state of the fleet, from the dumps of its processes.
+//!
+//! A dump may lack any of the parts below; a table is printed if some process
+//! gave rows for it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::client::{Answer, AskError, ask_all};
+use crate::report::{Exit, Report};
+use crate::table::table;
+
+/// What `status` reads from a dump.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct ProcessState {
+    /// The process.
+    pub process: String,
+    /// The revision in force.
+    pub revision: u64,
+    /// The hash of the document in force.
+    pub hash: String,
+    /// The state of its role.
+    #[serde(default)]
+    pub role: RoleState,
+}
+
+/// The state of a router or an agent.
+#[derive(Clone, Default, PartialEq, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RoleState {
+    /// `router` or `agent`.
+    pub kind: String,
+    /// The data centre.
+    pub data_centre: Option<String>,
+    /// The load of an agent's target.
+    pub load: Option<LoadState>,
+    /// The service that an agent gave to each team, or what waits at a router.
+    pub teams: Vec<TeamState>,
+    /// Requests in quarantine.
+    pub quarantine: Vec<QuarantineState>,
+}
+
+/// The load of a target.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct LoadState {
+    /// Free slots.
+    pub free: u32,
+    /// The admission window in slots.
+    pub window: u32,
+    /// Attempts that run.
+    pub running: u32,
+    /// Whether bids wait.
+    pub congested: bool,
+    /// Whether the target takes no new work.
+    pub draining: bool,
+}
+
+/// One team at one process.
+#[derive(Clone, Default, PartialEq, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct TeamState {
+    /// The team.
+    pub team: String,
+    /// The weight in force.
+    pub weight: u32,
+    /// The service given by this process in cost units.
+    pub service: i64,
+    /// Requests that wait at this process.
+    pub waiting: u64,
+}
+
+/// One quarantined request.
+#[derive(Clone, Default, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct QuarantineState {
+    /// Identifies equal requests.
+    pub fingerprint: String,
+    /// The team that sent it.
+    pub team: String,
+    /// The number of crashes at which it was present.
+    pub crashes: u32,
+}
+
+/// One team over all processes.
+#[derive(Clone, PartialEq, Debug, Serialize)]
+pub struct TeamTotal {
+    /// The team.
+    pub team: String,
+    /// The weight in force.
+    pub weight: u32,
+    /// The service in cost units.
+    pub service: i64,
+    /// The part of all service, in percent.
+    pub portion: f64,
+    /// The service per weight that the team is behind the best served, in cost units.
+    pub gap: f64,
+    /// Requests that wait.
+    pub waiting: u64,
+}
+
+/// The state of the fleet.
+#[derive(Clone, PartialEq, Debug, Serialize)]
+pub struct Fleet {
+    /// Processes, by name.
+    pub processes: Vec<ProcessState>,
+    /// Teams, by name.
+    pub teams: Vec<TeamTotal>,
+    /// Quarantined requests.
+    pub quarantine: Vec<QuarantineState>,
+    /// Processes that gave no answer, and why.
+    pub failures: Vec<String>,
+}
+
+/// Asks the processes at `addresses` for their states.
+pub async fn run(addresses: &[SocketAddr]) -> Report {
+    let answers = ask_all(addresses, "/dump?format=json").await;
+    let mut processes = Vec::new();
+    let mut failures = Vec::new();
+    for (address, answer) in answers {
+        match answer.and_then(|answer| parse(address, answer)) {
+            Ok(state) => processes.push(state),
+            Err(error) => failures.push(error.to_string()),
+        }
+    }
+    report(&fleet(processes, failures))
+}
+
+fn parse(address: SocketAddr, answer: Answer) -> Result<ProcessState, AskError> {
+    let malformed = |cause| AskError::Malformed { address, cause };
+    match answer {
+        Answer::Found(body) => {
+            serde_json::from_str(&body).map_err(|error| malformed(error.to_string()))
+        }
+        Answer::Missing => Err(malformed("no dump".to_owned())),
+    }
+}
+
+/// Sums the states of processes up.
+pub fn fleet(mut processes: Vec<ProcessState>, failures: Vec<String>) -> Fleet {
+    processes.sort_by(|a, b| a.process.cmp(&b.process));
+    let held = processes.iter().flat_map(|state| &state.role.quarantine);
+    let mut quarantine: Vec<_> = held.cloned().collect();
+    quarantine.sort();
+    quarantine.dedup();
+    Fleet {
+        teams: totals(&processes),
+        processes,
+        quarantine,
+        failures,
+    }
+}
+
+fn totals(processes: &[ProcessState]) -> Vec<TeamTotal> {
+    let mut sums: BTreeMap<&str, TeamState> = BTreeMap::new();
+    for state in processes.iter().flat_map(|state| &state.role.teams) {
+        let sum = sums.entry(&state.team).or_default();
+        sum.weight = sum.weight.max(state.weight);
+        sum.service += state.service;
+        sum.waiting += state.waiting;
+    }
+    let per_weight = |sum: &TeamState| sum.service as f64 / f64::from(sum.weight.max(1));
+    let most = sums.values().map(per_weight).fold(0.0, f64::max);
+    let all: i64 = sums.values().map(|sum| sum.service).sum();
+    let totals = sums.iter().map(|(&team, sum)| TeamTotal {
+        team: team.to_owned(),
+        weight: sum.weight,
+        service: sum.service,
+        portion: 100.0 * sum.service as f64 / all.max(1) as f64,
+        gap: most - per_weight(sum),
+        waiting: sum.waiting,
+    });
+    totals.collect()
+}
+
+/// Lays the state of the fleet out.
+pub fn report(fleet: &Fleet) -> Report {
+    let tables = [
+        process_table(&fleet.processes),
+        centre_table(&fleet.processes),
+        target_table(&fleet.processes),
+        team_table(&fleet.teams),
+        quarantine_table(&fleet.quarantine),
+    ];
+    let mut parts: Vec<_> = tables.into_iter().flatten().collect();
+    parts.extend(fleet.failures.iter().map(|failure| format!("! {failure}")));
+    let exit = match fleet.failures.is_empty() {
+        true => Exit::Done,
+        false => Exit::Unreachable,
+    };
+    Report::new(exit, parts.join("\n\n"), fleet)
+}
+
+fn process_table(processes: &[ProcessState]) -> Option<String> {
+    let rows: Vec<_> = processes
+        .iter()
+        .map(|state| {
+            let centre = state.role.data_centre.clone();
+            [
+                state.process.clone(),
+                state.role.kind.clone(),
+                centre.unwrap_or_else(|| "-".to_owned()),
+                state.revision.to_string(),
+                state.hash.clone(),
+            ]
+        })
+        .collect();
+    let head = ["process", "kind", "data centre", "revision", "hash"];
+    (!rows.is_empty()).then(|| table(head, &rows))
+}
+
+/// The sums of one data centre.
+#[derive(Clone, Copy, Default)]
+struct CentreTotal {
+    processes: u32,
+    targets: u32,
+    draining: u32,
+    window: u32,
+    running: u32,
+}
+
+fn centre_table(processes: &[ProcessState]) -> Option<String> {
+    let mut sums: BTreeMap<&str, CentreTotal> = BTreeMap::new();
+    for role in processes.iter().map(|state| &state.role) {
+        let Some(centre) = &role.data_centre else {
+            continue;
+        };
+        let sum = sums.entry(centre).or_default();
+        sum.processes += 1;
+        if let Some(load) = role.load {
+            sum.targets += 1;
+            sum.draining += u32::from(load.draining);
+            sum.window += load.window;
+            sum.running += load.running;
+        }
+    }
+    let rows: Vec<_> = sums
+        .into_iter()
+        .map(|(centre, sum)| {
+            [
+                centre.to_owned(),
+                sum.processes.to_string(),
+                sum.targets.to_string(),
+                sum.draining.to_string(),
+                sum.window.to_string(),
+                sum.running.to_string(),
+            ]
+        })
+        .collect();
+    let head = [
+        "data centre",
+        "processes",
+        "targets",
+        "draining",
+        "window",
+        "running",
+    ];
+    (!rows.is_empty()).then(|| table(head, &rows))
+}
+
+fn target_table(processes: &[ProcessState]) -> Option<String> {
+    let rows: Vec<_> = processes
+        .iter()
+        .filter_map(|state| {
+            let load = state.role.load?;
+            let condition = match (load.draining, load.congested) {
+                (true, _) => "draining",
+                (false, true) => "congested",
+                (false, false) => "-",
+            };
+            Some([
+                state.process.clone(),
+                load.window.to_string(),
+                load.running.to_string(),
+                load.free.to_string(),
+                condition.to_owned(),
+            ])
+        })
+        .collect();
+    let head = ["target", "window", "running", "free", "condition"];
+    (!rows.is_empty()).then(|| table(head, &rows))
+}
+
+fn team_table(teams: &[TeamTotal]) -> Option<String> {
+    let rows: Vec<_> = teams
+        .iter()
+        .map(|total| {
+            [
+                total.team.clone(),
+                total.weight.to_string(),
+                total.service.to_string(),
+                format!("{:.1} %", total.portion),
+                format!("{:.1}", total.gap),
+                total.waiting.to_string(),
+            ]
+        })
+        .collect();
+    let head = ["team", "weight", "service", "portion", "gap", "waiting"];
+    (!rows.is_empty()).then(|| table(head, &rows))
+}
+
+fn quarantine_table(quarantine: &[QuarantineState]) -> Option<String> {
+    let rows: Vec<_> = quarantine
+        .iter()
+        .map(|state| {
+            [
+                state.fingerprint.clone(),
+                state.team.clone(),
+                state.crashes.to_string(),
+            ]
+        })
+        .collect();
+    let head = ["quarantined", "team", "crashes"];
+    (!rows.is_empty()).then(|| table(head, &rows))
+}
--- a/rules/src/lib.rs
+++ b/rules/src/lib.rs
@@ -11,6 +11,7 @@
 mod diff;
 mod document;
 mod error;
+mod history;
 mod part;
 mod read;
 mod route;
@@ -29,11 +30,12 @@
 };
 pub use document::{Document, Line, MAX_DOCUMENT_BYTES, MAX_LINE_BYTES, Rule, RuleSource};
 pub use error::RuleError;
-pub use part::{MAX_VALUE_BYTES, assemble, part_hash, parts};
+pub use history::{History, KEPT_REVISIONS};
+pub use part::{MAX_VALUE_BYTES, Origin, assemble, origin, part_hash, parts};
 pub use route::RouteTable;
 pub use statement::{
     DEFAULT_HINT, DEFAULT_TIMEOUT, DrainStatement, KeyStatement, ModelStatement, PartStatement,
     PoolStatement, RouteStatement, Statement, TargetStatement, TeamStatement,
 };
-pub use value::{MAX_NAME_BYTES, MAX_TIMEOUT};
+pub use value::{MAX_NAME_BYTES, MAX_TIMEOUT, write_time};
 pub use verify::{MAX_WINDOW, verify};
--- a/rules/src/part.rs
+++ b/rules/src/part.rs
@@ -12,6 +12,9 @@
 use crate::error::RuleError;
 use crate::statement::{PartStatement, Statement};
 
+/// Starts the comment line before a part.
+const MARK: &str = "# part ";
+
 /// The greatest size of one value of the configuration service, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
 
@@ -25,6 +28,35 @@
     KeyHash::of(text)
 }
 
+/// The place of a line of a joined document before it was joined.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Origin {
+    /// The key of the part; `None` for the root document.
+    pub part: Option<Name>,
+    /// The line in that value, from 1.
+    pub line: u32,
+}
+
+/// Finds where `line` of the joined `text` came from.
+pub fn origin(text: &str, line: u32) -> Origin {
+    let earlier = text.lines().zip(1..line);
+    let marks = earlier.filter_map(|(text, number)| Some((text.strip_prefix(MARK)?, number)));
+    let marks = marks.filter(|(key, _)| is_named(text, key));
+    match marks.last() {
+        Some((key, number)) => Origin {
+            part: Some(Name::new(key)),
+            line: line - number,
+        },
+        None => Origin { part: None, line },
+    }
+}
+
+/// Whether a rule of `text` names the part `key`.
+fn is_named(text: &str, key: &str) -> bool {
+    let mut named = text.lines().map(str::split_whitespace);
+    named.any(|mut words| words.next() == Some("part") && words.next() == Some(key))
+}
+
 /// Joins a root document with its parts and returns the text of the whole.
 ///
 /// The same root and parts give the same text everywhere.
@@ -69,7 +101,7 @@
     if !text.ends_with('\n') {
         text.push('\n');
     }
-    text.push_str("# part ");
+    text.push_str(MARK);
     text.push_str(key.as_str());
     text.push('\n');
     text.push_str(value);
--- a/rules/src/value.rs
+++ b/rules/src/value.rs
@@ -229,8 +229,8 @@
     years + months + day - 1 - EPOCH_DAYS
 }
 
-/// Writes a time in the format of RFC 3339.
-pub(crate) fn write_time(time: SystemTime) -> String {
+/// Writes a time in the format of RFC 3339, in whole seconds.
+pub fn write_time(time: SystemTime) -> String {
     let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
     let seconds = i64::try_from(since.as_secs()).unwrap_or(i64::MAX);
     let (mut day, rest) = (seconds / SECONDS_PER_DAY, seconds % SECONDS_PER_DAY);
--- a/rules/tests/config.rs
+++ b/rules/tests/config.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 
 use entity::{Directory, Name, Revision, RuleRef};
-use knapweed_rules::{Config, Document, KeyHash, assemble, load, part_hash, parts};
+use knapweed_rules::{
+    Config, Document, History, KEPT_REVISIONS, KeyHash, Origin, assemble, load, origin, part_hash,
+    parts,
+};
 
 const SMALL: &str = include_str!("data/small.kw");
 
@@ -124,10 +127,44 @@
         (Name::new("teams-1"), other.to_owned()),
         (Name::new("teams-2"), part.to_owned()),
     ]);
-    insta::assert_snapshot!(assemble(&root, &values).expect("all parts are there"));
+    let whole = assemble(&root, &values).expect("all parts are there");
+    let places = [3, 4, 5, 7].map(|line| origin(&whole, line));
+    let place = |part: Option<&str>, line| Origin {
+        part: part.map(Name::new),
+        line,
+    };
+    let expected = [
+        place(None, 3),
+        place(None, 4),
+        place(Some("teams-2"), 1),
+        place(Some("teams-1"), 1),
+    ];
+    assert_eq!(places, expected);
+    assert_eq!(origin("# part x\n\n", 2), place(None, 2));
+    insta::assert_snapshot!(whole);
     values.remove(&Name::new("teams-1"));
     values.insert(Name::new("teams-2"), "team c  # asked by: x\n".to_owned());
     let errors = assemble(&root, &values).expect_err("one part is wrong, one missing");
     let errors: Vec<_> = errors.iter().map(ToString::to_string).collect();
     insta::assert_snapshot!(errors.join("\n"));
 }
+
+#[test]
+fn rules_of_recent_revisions_keep_their_sources() {
+    let mut history = History::default();
+    let latest = KEPT_REVISIONS as u64 + 1;
+    for revision in 1..=latest {
+        let text = format!("revision {revision}  # asked by: asker {revision}\n");
+        let config = load(&text, &Directory::default()).expect("the document is valid");
+        history.adopt(&config);
+    }
+    let asker = |revision| {
+        let revision = Revision(revision);
+        let source = history.source(RuleRef { revision, line: 1 });
+        source.map(|source| source.asker.to_string())
+    };
+    assert_eq!(asker(1), None);
+    assert_eq!(asker(2).as_deref(), Some("asker 2"));
+    assert_eq!(asker(latest).as_deref(), Some("asker 5"));
+    assert_eq!(asker(latest + 1), None);
+}
