--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -43,16 +43,16 @@
 }
 
 # http METHOD ADDR PATH [BODY]: prints the response, fails unless the status is 2xx.
-http() {
-    local response
-    exec 3<>"/dev/tcp/${2%:*}/${2##*:}" || return 1
+# A subshell, because a failed redirection of `exec` ends the shell.
+http() (
+    exec 3<>"/dev/tcp/${2%:*}/${2##*:}"
     printf '%s %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\ncontent-length: %d\r\n\r\n%s' \
         "$1" "$3" "$2" "${#4}" "${4-}" >&3
     response=$(tr -d '\0' <&3)
     exec 3>&-
     printf '%s\n' "$response"
     [[ $response == "HTTP/1.1 2"* ]]
-}
+)
 
 start_standins() {
     local name kind centre pool separator=
