--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -45,9 +45,10 @@
 # http METHOD ADDR PATH [BODY]: prints the response, fails unless the status is 2xx.
 # A subshell, because a failed redirection of `exec` ends the shell.
 http() (
+    body=${4-}
     exec 3<>"/dev/tcp/${2%:*}/${2##*:}"
     printf '%s %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\ncontent-length: %d\r\n\r\n%s' \
-        "$1" "$3" "$2" "${#4}" "${4-}" >&3
+        "$1" "$3" "$2" "${#body}" "$body" >&3
     response=$(tr -d '\0' <&3)
     exec 3>&-
     printf '%s\n' "$response"
