knapweed-load reads HTTP/1.1 itself, to tell a cut body from a whole one

awc 3.11 reports the end of the connection at a chunk's boundary as the clean end of a chunked body: its payload stream (client/h1proto.rs, PlStream) maps the codec's end of input to the end of the body. A checker built on it blames the system for cuts that were visible on the wire, and a daemon that relays with it ends a cut body cleanly. The daemons need their own remedy.

--- a/standins/src/bin/knapweed-load.rs
+++ b/standins/src/bin/knapweed-load.rs
@@ -6,7 +6,6 @@
 
 use eyre::WrapErr as _;
 use knapweed_standins::http::start_log;
-use knapweed_standins::load::client::client;
 use knapweed_standins::load::compare::Comparison;
 use knapweed_standins::load::driver::{Event, Outcome, Plan, run};
 use knapweed_standins::load::mix::{Mix, team_rules};
@@ -15,7 +14,7 @@
 use knapweed_standins::load::report::{Report, Setting, report};
 use knapweed_standins::load::schedule::{Bounds, plan};
 use knapweed_standins::load::table::Table;
-use knapweed_standins::load::watch::truth;
+use knapweed_standins::load::watch::{observer, truth};
 use serde::de::DeserializeOwned;
 
 use crate::flags::KnapweedLoad;
@@ -75,7 +74,7 @@
     };
     let plan = prepare(flags, mix, bounds, seed)?;
     let outcome = run(plan.clone()).await;
-    let truth = truth(&client(plan.patience), &plan.targets).await;
+    let truth = truth(&observer(), &plan.targets).await;
     let promises = promises(flags, &plan, &outcome, &truth);
     let setting = Setting {
         mix: mix.to_string(),
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -8,6 +8,7 @@
 pub mod compare;
 pub mod driver;
 pub mod gap;
+pub mod http1;
 pub mod mix;
 pub mod plot;
 pub mod promise;
--- a/standins/src/load/client.rs
+++ b/standins/src/load/client.rs
@@ -4,14 +4,10 @@
 use std::time::Duration;
 
 use actix_http::Method;
-use awc::{Client, ClientResponse, Connector};
 use bytes::Bytes;
-use futures::StreamExt as _;
 
 use super::check::{Expected, Flaw, RefusalBody, StreamReader, check_receipt, check_whole};
-
-/// The time limit for a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+use super::http1::{self, ExchangeError};
 
 /// The greatest answer that is read, in bytes.
 const MAX_ANSWER: usize = 4 << 20;
@@ -69,89 +65,85 @@
     pub request: Option<String>,
 }
 
-/// Makes the client of a run.
-pub fn client(patience: Duration) -> Client {
-    let connector = Connector::new().limit(0).timeout(CONNECT_TIMEOUT);
-    Client::builder()
-        .connector(connector)
-        .timeout(patience)
-        .finish()
-}
-
 /// Sends an attempt; `progress` hears of each group of tokens as it arrives.
 pub async fn send(
-    client: &Client,
     router: SocketAddr,
     attempt: &Attempt,
+    patience: Duration,
     progress: impl FnMut(u64),
 ) -> Reply {
-    let mut request = client
-        .request(
-            attempt.method.clone(),
-            format!("http://{router}{}", attempt.path),
-        )
-        .insert_header(("authorization", format!("Bearer {}", attempt.api_key)))
-        .insert_header(("x-request-id", attempt.request.as_str()))
-        .insert_header(("content-type", "application/json"));
-    if let Some(key) = &attempt.key {
-        request = request.insert_header(("idempotency-key", key.as_str()));
+    let ended = actix_rt::time::timeout(patience, exchange(router, attempt, progress)).await;
+    match ended {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(ExchangeError::Connect(_))) => Ending::Unreachable.into(),
+        Ok(Err(_)) | Err(_) => Ending::Lost.into(),
     }
-    match request.send_body(attempt.body.clone()).await {
-        Ok(response) => read(response, &attempt.expected, progress).await,
-        Err(awc::error::SendRequestError::Connect(_)) => Reply {
-            ending: Ending::Unreachable,
-            request: None,
-        },
-        Err(_) => Reply {
-            ending: Ending::Lost,
-            request: None,
-        },
+}
+
+async fn exchange(
+    router: SocketAddr,
+    attempt: &Attempt,
+    progress: impl FnMut(u64),
+) -> Result<Reply, ExchangeError> {
+    let authorization = format!("Bearer {}", attempt.api_key);
+    let mut headers = vec![
+        ("authorization", authorization.as_str()),
+        ("content-type", "application/json"),
+        ("x-request-id", attempt.request.as_str()),
+    ];
+    if let Some(key) = &attempt.key {
+        headers.push(("idempotency-key", key));
     }
+    let request = http1::Request {
+        method: attempt.method.as_str(),
+        path: &attempt.path,
+        headers,
+        body: &attempt.body,
+    };
+    let response = http1::send(router, &request).await?;
+    let request = response.head.header("x-request-id").map(str::to_owned);
+    let ending = read(response, &attempt.expected, progress).await?;
+    Ok(Reply { ending, request })
 }
 
-async fn read<S>(
-    mut response: ClientResponse<S>,
+async fn read(
+    mut response: http1::Response,
     expected: &Expected,
     mut progress: impl FnMut(u64),
-) -> Reply
-where
-    S: futures::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
-{
-    let header = |name| {
-        response
-            .headers()
-            .get(name)?
-            .to_str()
-            .ok()
-            .map(str::to_owned)
-    };
-    let request = header("x-request-id");
-    let status = response.status().as_u16();
-    let ending = match expected {
-        Expected::Stream(script) if status == 200 => {
-            let mut reader = StreamReader::default();
-            let whole = drain(&mut response, |piece| {
-                let tokens = reader.feed(piece);
-                if tokens > 0 {
-                    progress(tokens);
-                }
-            });
-            match whole.await {
-                false => Ending::Lost,
-                true => reader.finish(*script).into(),
+) -> Result<Ending, ExchangeError> {
+    let status = response.head.status;
+    if let Expected::Stream(script) = expected
+        && status == 200
+    {
+        let mut reader = StreamReader::default();
+        while let Some(piece) = response.next().await? {
+            let tokens = reader.feed(&piece);
+            if tokens > 0 {
+                progress(tokens);
             }
         }
-        _ => {
-            let mut body = Vec::new();
-            let whole = drain(&mut response, |piece| body.extend_from_slice(piece)).await;
-            match status {
-                _ if !whole => Ending::Lost,
-                200 => check(&body, expected, progress).into(),
-                _ => refusal(status, &body),
-            }
+        return Ok(reader.finish(*script).into());
+    }
+    let mut body = Vec::new();
+    while let Some(piece) = response.next().await? {
+        body.extend_from_slice(&piece);
+        if body.len() > MAX_ANSWER {
+            return Ok(Ending::Wrong(Flaw::Malformed));
         }
-    };
-    Reply { ending, request }
+    }
+    Ok(match status {
+        200 => check(&body, expected, progress).into(),
+        _ => refusal(status, &body),
+    })
+}
+
+impl From<Ending> for Reply {
+    fn from(ending: Ending) -> Self {
+        Self {
+            ending,
+            request: None,
+        }
+    }
 }
 
 impl From<Result<(), Flaw>> for Ending {
@@ -183,19 +175,3 @@
         _ => Ending::Failed(status),
     }
 }
-
-async fn drain<S>(response: &mut ClientResponse<S>, mut take: impl FnMut(&[u8])) -> bool
-where
-    S: futures::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
-{
-    let mut size = 0;
-    while let Some(piece) = response.next().await {
-        let Ok(piece) = piece else { return false };
-        size += piece.len();
-        if size > MAX_ANSWER {
-            return false;
-        }
-        take(&piece);
-    }
-    true
-}
--- a/standins/src/load/driver.rs
+++ b/standins/src/load/driver.rs
@@ -11,12 +11,12 @@
 use uuid::Uuid;
 
 use super::check::Expected;
-use super::client::{Attempt, Ending, Reply, client, send};
+use super::client::{Attempt, Ending, Reply, send};
 use super::gap::{Gap, GapTracker, Sample};
 use super::mix::{Call, Team, body};
 use super::schedule::Planned;
 use super::tally::{Final, Tally, record};
-use super::watch::{Observation, TargetKind, TargetSpec, observe};
+use super::watch::{Observation, TargetKind, TargetSpec, observe, observer};
 use crate::engine::{ChatRequest, Script, digest};
 
 /// The interval between samples of the fairness gap.
@@ -120,7 +120,7 @@
 /// Runs a plan to its end.
 pub async fn run(plan: Plan) -> Outcome {
     let run = Rc::new(Run {
-        client: client(plan.patience),
+        client: observer(),
         tally: RefCell::new(Tally::new(plan.teams.len())),
         start: Instant::now(),
         plan,
@@ -198,7 +198,8 @@
         };
         attempt.request = Uuid::now_v7().to_string();
         let hear = |tokens| waiting.hear(tokens, due);
-        let reply = send(&run.client, address, &attempt, hear).await;
+        let patience = run.plan.patience.saturating_sub(due.elapsed());
+        let reply = send(address, &attempt, patience, hear).await;
         note(&run, &attempt, &reply);
         tries += 1;
         match repeat_after(&reply.ending) {
--- a/standins/src/load/watch.rs
+++ b/standins/src/load/watch.rs
@@ -13,6 +13,9 @@
 /// The greatest answer of an observed process, in bytes.
 const MAX_OBSERVED: usize = 64 << 20;
 
+/// The time limit of one look at a process.
+const OBSERVE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The kind of a target.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -77,6 +80,11 @@
     }
 }
 
+/// Makes the client that reads stand-ins and operators' listeners.
+pub fn observer() -> Client {
+    Client::builder().timeout(OBSERVE_TIMEOUT).finish()
+}
+
 /// Reads the whole counts of all targets.
 pub async fn truth(client: &Client, targets: &[TargetSpec]) -> Truth {
     let mut truth = Truth::default();
