--- a/policy/src/home.rs
+++ b/policy/src/home.rs
@@ -230,7 +230,6 @@
         }
         self.roster = roster;
         self.configured = true;
-        self.confirmed = None;
     }
 
     /// Learns a hold from a peer; a hold whose keys have all expired is ignored.
--- a/policy/src/once.rs
+++ b/policy/src/once.rs
@@ -1,8 +1,9 @@
 //! The agent's memory of keys that run at most once.
 //!
-//! The agent calls [`OnceMemory::offered`] for each offer with a key, before it
-//! looks for a slot. On [`OnceVerdict::Start`] it either frees the key with
-//! [`OnceMemory::release`] (it has no slot), or calls
+//! The agent calls [`OnceMemory::offered`] for each offer with a key, before any
+//! other check: a refusal for want of a slot, by a drain or by quarantine is true
+//! only for a key that this memory covers and has not started. On [`OnceVerdict::Start`] it either frees the key with
+//! [`OnceMemory::release`] and refuses, or calls
 //! [`OnceMemory::may_hand_over`] right before the first byte goes to the target
 //! and [`OnceMemory::ended`] or [`OnceMemory::lost`] when the attempt ends. The
 //! driver holds the bytes of answers and drops those that `ended` and
@@ -12,8 +13,7 @@
 //! - A key is handed over at most once in the life of the agent, and only by
 //!   the life that its ticket names or by the confirmed home whose memory covers it.
 //! - A key that was handed over is remembered until it expires.
-//! - `Refuse` is returned only where the key provably has not run anywhere, or
-//!   where the refused body was never that of the key.
+//! - `Refuse` is returned only where the key provably has not run anywhere.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant, SystemTime};
@@ -371,7 +371,8 @@
 
 fn recall(entry: &Entry, attempt: AttemptId, fingerprint: Fingerprint) -> OnceVerdict {
     if entry.fingerprint != fingerprint {
-        return refuse(Reason::KeyReused, RetryAdvice::Never);
+        // A caller may have changed the body of a request that did run.
+        return unknown(Reason::KeyReused, RetryAdvice::VerifyFirst);
     }
     match entry.state {
         // The same attempt delivered twice must not wait for itself.
--- a/policy/src/quarantine.rs
+++ b/policy/src/quarantine.rs
@@ -3,9 +3,11 @@
 //! The agent calls [`Quarantine::admit`] for each offer, [`Quarantine::completed`]
 //! for each whole answer and [`Quarantine::crashed`] when its target died without
 //! being told to. It gossips [`Quarantine::notice`] and merges what peers send.
-//! A router merges notices too, and refuses what [`Quarantine::judge`] calls
-//! quarantined before it queues it. [`Admission::Alone`] means that the composite
-//! runs the request only while nothing else runs on the target.
+//! A router merges notices too, refuses what [`Quarantine::judge`] calls
+//! quarantined before it queues it, and sends a suspect to its trial home only.
+//! [`Admission::Alone`] means that the composite runs the request only while
+//! nothing else runs on the target. [`Quarantine::explain`] gives the detail of
+//! the decision record.
 //!
 //! Evidence is a set of crash notes and of completions, so merging notices is
 //! idempotent and commutative. The judgement of a fingerprint is a function of
@@ -23,6 +25,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime};
 
+use derive_more::Display;
 use entity::{Fingerprint, Incarnation, Now, Reason, Refusal, RetryAdvice, Tag};
 use serde::{Deserialize, Serialize};
 
@@ -96,13 +99,16 @@
 }
 
 /// What the evidence says of a fingerprint.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
 pub enum Judgement {
     /// Nothing speaks against it.
+    #[display("clear")]
     Clear,
     /// It may crash targets.
+    #[display("suspect")]
     Suspect,
     /// It is refused until then.
+    #[display("quarantined")]
     Quarantined(SystemTime),
 }
 
@@ -171,32 +177,47 @@
     /// The evidence for peers: completions only of those that were present at crashes.
     pub fn notice(&self) -> QuarantineNotice {
         let crashes = self.evidence.crashes.clone();
-        let present = |fingerprint: &Fingerprint| {
-            let mut notes = crashes.values();
-            notes.any(|note| note.present.contains(fingerprint))
-        };
-        let completions = self.evidence.completions.iter();
-        let completions = completions.filter(|&(fingerprint, _)| present(fingerprint));
+        let present = crashes.values().flat_map(|note| &note.present);
+        let present: BTreeSet<_> = present.collect();
+        let completions = present.into_iter().filter_map(|fingerprint| {
+            let at = self.evidence.completions.get(fingerprint)?;
+            Some((*fingerprint, *at))
+        });
         QuarantineNotice {
-            completions: completions.map(|(&key, &at)| (key, at)).collect(),
+            completions: completions.collect(),
             crashes,
         }
     }
 
     /// Merges a peer's evidence; returns whether something was new.
     pub fn merge(&mut self, now: Now, notice: &QuarantineNotice) -> bool {
-        let before = self.evidence.clone();
+        let mut news = false;
         for (&id, note) in &notice.crashes {
-            let entry = self.evidence.crashes.entry(id);
-            entry.or_insert_with(|| note.clone());
+            if self.remembers(now, note.at) && !self.evidence.crashes.contains_key(&id) {
+                self.evidence.crashes.insert(id, note.clone());
+                news = true;
+            }
         }
         for (&fingerprint, &at) in &notice.completions {
-            let entry = self.evidence.completions.entry(fingerprint);
-            let latest = entry.or_insert(at);
-            *latest = at.max(*latest);
+            let known = self.evidence.completions.get(&fingerprint);
+            if self.remembers(now, at) && known.is_none_or(|&known| known < at) {
+                self.evidence.completions.insert(fingerprint, at);
+                news = true;
+            }
         }
         self.trim(now);
-        self.evidence != before
+        news
+    }
+
+    /// The evidence against `fingerprint` in words, for a decision record.
+    pub fn explain(&self, now: Now, fingerprint: Fingerprint) -> String {
+        let notes = self.counted(now, fingerprint);
+        let alone = notes.iter().filter(|note| note.present.len() == 1).count();
+        let judgement = self.judge(now, fingerprint);
+        format!(
+            "{fingerprint} is {judgement}: present at {} crashes, alone at {alone}",
+            notes.len()
+        )
     }
 
     /// What the evidence says of `fingerprint`.
--- /dev/null
+++ b/policy/tests/retry.rs
@@ -0,0 +1,206 @@
+//! Attempts, retries, their budget, and the HTTP form of outcomes.
+
+use std::time::{Duration, Instant, UNIX_EPOCH};
+
+use cranelift_entity::EntityRef;
+use entity::{
+    AttemptId, Cost, HandOver, Now, Outcome, Reason, Refusal, RequestId, RetryAdvice, TargetId,
+    TeamId,
+};
+use knapweed_policy::AttemptResult;
+use knapweed_policy::attempt::{Attempts, Delivery, Next, Plan};
+use knapweed_policy::retry::RetrySettings;
+use knapweed_policy::status::Ending;
+
+fn start() -> Now {
+    Now {
+        mono: Instant::now(),
+        wall: UNIX_EPOCH,
+    }
+}
+
+fn plan(now: Now, request: u128, delivery: Delivery) -> Plan {
+    Plan {
+        request: RequestId(request),
+        team: TeamId::new(request as usize % 3),
+        delivery,
+        deadline: now.mono + Duration::from_secs(10),
+    }
+}
+
+/// A router whose budgets are full.
+fn attempts(now: Now) -> Attempts {
+    let mut attempts = Attempts::new(RetrySettings::default(), 1);
+    for request in 1000..1300 {
+        attempts.open(plan(now, request, Delivery::Repeatable));
+        attempts.gone(RequestId(request));
+    }
+    attempts
+}
+
+fn text(next: &Next) -> String {
+    match next {
+        Next::Ignore => "ignore".to_owned(),
+        Next::Requeue => "requeue".to_owned(),
+        Next::Retry { avoid, .. } => format!("retry, avoid {avoid:?}"),
+        Next::Finish(outcome) => ending(outcome),
+    }
+}
+
+fn ending(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Answered { .. } => "answered".to_owned(),
+        Outcome::NotRun { refusal, .. } => format!("not run, {}", refusal.reason),
+        Outcome::Unknown { refusal } => format!("unknown, {}", refusal.reason),
+    }
+}
+
+fn results() -> Vec<AttemptResult> {
+    let refusal = |reason| Refusal::new(reason, RetryAdvice::VerifyFirst);
+    vec![
+        AttemptResult::Answered { cost: Cost(1) },
+        AttemptResult::NotRun(refusal(Reason::NoSlot)),
+        AttemptResult::NotRun(refusal(Reason::Draining)),
+        AttemptResult::NotRun(refusal(Reason::KeyReused)),
+        AttemptResult::Unknown(refusal(Reason::TargetDied)),
+        AttemptResult::Unsent,
+        AttemptResult::Broken { delivered: false },
+        AttemptResult::Broken { delivered: true },
+    ]
+}
+
+#[test]
+fn what_follows_each_end_of_an_attempt() {
+    let now = start();
+    let mut lines = Vec::new();
+    for delivery in [
+        Delivery::Repeatable,
+        Delivery::OnceMinted,
+        Delivery::OnceSupplied,
+    ] {
+        for result in results() {
+            let mut attempts = attempts(now);
+            attempts.open(plan(now, 1, delivery));
+            let attempt = attempts
+                .start(now, RequestId(1), TargetId::new(4))
+                .expect("starts");
+            let next = attempts.ended(now, attempt, result.clone());
+            let refusal = Refusal::new(Reason::QueueFull, RetryAdvice::Never);
+            let refused = attempts.refuse(RequestId(1), refusal);
+            let refused = refused.map_or("ended".to_owned(), |outcome| ending(&outcome));
+            lines.push(format!(
+                "{delivery:?}, {result:?}: {}; then {refused}",
+                text(&next)
+            ));
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn late_and_crossed_replies_are_dropped() {
+    let now = start();
+    let mut attempts = attempts(now);
+    attempts.open(plan(now, 1, Delivery::Repeatable));
+    let first = attempts
+        .start(now, RequestId(1), TargetId::new(0))
+        .expect("starts");
+    let twice = attempts.start(now, RequestId(1), TargetId::new(1));
+    let broken = attempts.ended(now, first, AttemptResult::Broken { delivered: false });
+    let second = attempts
+        .start(now, RequestId(1), TargetId::new(1))
+        .expect("starts");
+    let crossed = AttemptId {
+        request: RequestId(2),
+        number: 0,
+    };
+    let accepted = [first, second, crossed].map(|attempt| attempts.accepts(attempt));
+    let answered = AttemptResult::Answered { cost: Cost(1) };
+    let late = attempts.ended(now, first, answered.clone());
+    let own = attempts.ended(now, second, answered);
+    let nexts = [broken, late, own].map(|next| text(&next));
+    insta::assert_debug_snapshot!((twice, accepted, nexts, attempts.counts()));
+}
+
+#[test]
+fn retries_stay_within_the_budget_under_total_failure() {
+    let now = start();
+    let settings = RetrySettings::default();
+    let mut attempts = Attempts::new(settings, 1);
+    let arrivals = 10_000;
+    for request in 0..arrivals {
+        attempts.open(plan(now, request, Delivery::Repeatable));
+        while let Some(attempt) = attempts.start(now, RequestId(request), TargetId::new(0)) {
+            attempts.ended(now, attempt, AttemptResult::Unsent);
+        }
+    }
+    let counts = attempts.counts();
+    let share = arrivals as u64 * u64::from(settings.total_share) / 1000;
+    assert!(counts.retried <= share + u64::from(settings.burst));
+    insta::assert_debug_snapshot!(counts);
+}
+
+#[test]
+fn a_past_deadline_ends_a_request() {
+    let now = start();
+    let mut attempts = attempts(now);
+    attempts.open(plan(now, 1, Delivery::Repeatable));
+    let attempt = attempts
+        .start(now, RequestId(1), TargetId::new(0))
+        .expect("starts");
+    let late = now.after(Duration::from_secs(10));
+    let next = attempts.ended(late, attempt, AttemptResult::Broken { delivered: false });
+    assert_eq!(text(&next), "unknown, connection lost");
+    assert_eq!(attempts.start(late, RequestId(1), TargetId::new(0)), None);
+}
+
+#[test]
+fn http_form_of_every_reason() {
+    let reasons = [
+        Reason::Unauthorized,
+        Reason::NoRoute,
+        Reason::Malformed,
+        Reason::TooLarge,
+        Reason::QueueFull,
+        Reason::TeamLimit,
+        Reason::DeadlinePassed,
+        Reason::CallerGone,
+        Reason::NoTarget,
+        Reason::NoSlot,
+        Reason::Draining,
+        Reason::Stopping,
+        Reason::NotConfigured,
+        Reason::Quarantined,
+        Reason::KeyRequired,
+        Reason::KeyMalformed,
+        Reason::KeyReused,
+        Reason::KeyExpired,
+        Reason::KeyNotCovered,
+        Reason::HomeUnconfirmed,
+        Reason::HomeUnreachable,
+        Reason::AnswerDropped,
+        Reason::ConnectionLost,
+        Reason::TargetDied,
+        Reason::RetryBudget,
+        Reason::EarlierRunUnknown,
+        Reason::KeyFuture,
+        Reason::KeyMemoryFull,
+        Reason::HandOverLate,
+    ];
+    let proof = HandOver::new().give_up();
+    let lines = reasons.map(|reason| {
+        let refusal = Refusal::new(reason, RetryAdvice::After(Duration::from_millis(1200)));
+        let not_run = Outcome::NotRun { refusal, proof };
+        let refusal = Refusal::new(reason, RetryAdvice::VerifyFirst);
+        let forms = [not_run, Outcome::Unknown { refusal }].map(|it| {
+            let Ending {
+                status,
+                outcome,
+                retry_after,
+            } = Ending::of(&it).expect("not an answer");
+            format!("{status} {outcome} {retry_after:?}")
+        });
+        format!("{reason}: {}", forms.join(", "))
+    });
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- /dev/null
+++ b/policy/tests/schedule/model.rs
@@ -0,0 +1,448 @@
+//! A small model of routers, agents and targets over the at-most-once machines.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant, UNIX_EPOCH};
+
+use entity::{
+    AttemptId, Fingerprint, IdempotencyKey, Incarnation, Now, Reason, RequestId, Revision, Tag,
+};
+use knapweed_policy::home::{Bounds, Roster, Seat, TicketMint, Vouch};
+use knapweed_policy::once::{OnceMemory, OnceSettings, OnceVerdict};
+
+use crate::step::{AGENTS, LEAD, Policy, ROUTERS, SKEW, Step};
+
+const LIFETIME: u64 = 60_000;
+const FOREVER: Duration = Duration::from_secs(1 << 30);
+
+/// Which invariant a schedule broke.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Failure {
+    RanTwice,
+    NotRunButRan,
+    OtherAnswer,
+}
+
+#[derive(Clone, Copy, Default, Debug)]
+pub(crate) struct Tally {
+    runs: u32,
+    follows: u32,
+    replays: u32,
+    not_run: u32,
+    unknown: u32,
+    late_checks: u32,
+}
+
+impl Tally {
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.runs += other.runs;
+        self.follows += other.follows;
+        self.replays += other.replays;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.late_checks += other.late_checks;
+    }
+}
+
+pub(crate) struct Report {
+    pub(crate) result: Result<(), Failure>,
+    pub(crate) tally: Tally,
+}
+
+/// Runs a schedule up to the first broken invariant.
+pub(crate) fn execute(steps: &[Step], policy: Policy) -> Report {
+    let mut world = World::new(policy);
+    let result = steps.iter().try_for_each(|&step| world.step(step));
+    let tally = world.tally;
+    Report { result, tally }
+}
+
+struct Process {
+    offset: i64,
+    incarnation: Incarnation,
+    memory: OnceMemory,
+    vouch: Vouch,
+    cut: bool,
+    decided: BTreeMap<AttemptId, usize>,
+    answers: BTreeMap<AttemptId, u32>,
+}
+
+/// An attempt that passed its last check, and later its run.
+#[derive(Clone, Copy)]
+struct Flight {
+    process: usize,
+    attempt: AttemptId,
+    key: usize,
+    run: u32,
+}
+
+struct World {
+    policy: Policy,
+    base: Instant,
+    millis: u64,
+    processes: Vec<Process>,
+    live: Vec<usize>,
+    rosters: Vec<Roster>,
+    mints: Vec<TicketMint>,
+    seats: Vec<Seat>,
+    revision: u64,
+    keys: Vec<IdempotencyKey>,
+    checked: Vec<Flight>,
+    running: Vec<Flight>,
+    runs: BTreeMap<usize, u32>,
+    answers: BTreeMap<usize, u32>,
+    attempts: u128,
+    tally: Tally,
+}
+
+impl World {
+    fn new(policy: Policy) -> Self {
+        let seat = |agent| Seat {
+            agent: Tag(agent),
+            from: None,
+            until: None,
+        };
+        let mint = |seed| TicketMint::new(Duration::from_millis(LIFETIME), seed);
+        let mut world = Self {
+            policy,
+            base: Instant::now(),
+            millis: 1_800_000_000_000,
+            processes: Vec::new(),
+            live: Vec::new(),
+            rosters: Vec::new(),
+            mints: (0..ROUTERS).map(mint).collect(),
+            seats: (0..AGENTS).map(seat).collect(),
+            revision: 1,
+            keys: Vec::new(),
+            checked: Vec::new(),
+            running: Vec::new(),
+            runs: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            attempts: 0,
+            tally: Tally::default(),
+        };
+        world.rosters = vec![world.roster(); ROUTERS as usize];
+        for agent in 0..AGENTS {
+            let process = world.process(agent, 0);
+            world.live.push(world.processes.len());
+            world.processes.push(process);
+            world.sync(agent);
+        }
+        world.millis += 10 * SKEW;
+        world
+    }
+
+    fn now(&self, offset: i64) -> Now {
+        let wall = self
+            .millis
+            .checked_add_signed(offset)
+            .expect("small offset");
+        Now {
+            mono: self.base + Duration::from_millis(self.millis - 1_800_000_000_000),
+            wall: UNIX_EPOCH + Duration::from_millis(wall),
+        }
+    }
+
+    fn roster(&self) -> Roster {
+        let connected = |seat: &&Seat| {
+            let id = self.live.get(seat.agent.0 as usize);
+            self.policy != Policy::FailOver || id.is_none_or(|&id| !self.processes[id].cut)
+        };
+        let seats = self.seats.iter().filter(connected);
+        Roster::new(Revision(self.revision), seats.copied().collect())
+    }
+
+    fn bounds(&self) -> Bounds {
+        let lead = match self.policy {
+            Policy::FailOver => FOREVER,
+            _ => Duration::from_millis(LEAD),
+        };
+        Bounds {
+            skew: Duration::from_millis(SKEW),
+            lead,
+            lifetime: Duration::from_millis(LIFETIME),
+        }
+    }
+
+    fn process(&self, agent: u64, offset: i64) -> Process {
+        let bounds = self.bounds();
+        let wall = self.now(offset).wall;
+        let forgets = self.policy == Policy::ForgetOnRestart;
+        let started = match self.policy {
+            Policy::ForgetOnRestart => UNIX_EPOCH,
+            Policy::SingleSkew => wall - bounds.skew,
+            _ => wall,
+        };
+        let incarnation = Incarnation(if forgets { 0 } else { self.attempts as u64 });
+        let settings = OnceSettings {
+            agent: Tag(agent),
+            incarnation,
+            started,
+            bounds,
+            max_keys: 16,
+            max_bytes: 20,
+            hand_over: Duration::from_millis(300),
+        };
+        Process {
+            offset,
+            incarnation,
+            memory: OnceMemory::new(settings),
+            vouch: Vouch::new(bounds),
+            cut: false,
+            decided: BTreeMap::new(),
+            answers: BTreeMap::new(),
+        }
+    }
+
+    fn step(&mut self, step: Step) -> Result<(), Failure> {
+        match step {
+            Step::Issue(offset) => {
+                let millis = self
+                    .millis
+                    .checked_add_signed(offset)
+                    .expect("small offset");
+                self.keys.push(caller_key(millis, self.keys.len()));
+            }
+            Step::Mint { router, agent } => {
+                let incarnation = self.processes[self.live[agent as usize]].incarnation;
+                let now = self.now(0);
+                let ticket = self.mints[router as usize].mint(now, Tag(agent), incarnation);
+                self.keys.push(IdempotencyKey::Ticket(ticket));
+            }
+            Step::Offer { key, router, other } if !self.keys.is_empty() => {
+                let back = key as usize % self.keys.len();
+                self.offer(self.keys.len() - 1 - back, router as usize, other)?;
+            }
+            Step::Check(n) => self.check(n as usize)?,
+            Step::Deliver { checked, refused } if !self.checked.is_empty() => {
+                let flight = self.checked.remove(checked as usize % self.checked.len());
+                self.deliver(flight, refused)?;
+            }
+            Step::End { run, lost } if !self.running.is_empty() => {
+                let flight = self.running.remove(run as usize % self.running.len());
+                self.end(flight, lost);
+            }
+            Step::Restart { agent, offset } => self.restart(agent, offset),
+            Step::Cut(agent) => self.cut(agent as usize),
+            Step::Sync(agent) => self.sync(agent),
+            Step::SyncRouter(router) => self.rosters[router as usize] = self.roster(),
+            Step::Publish { agent, enters } => self.publish(agent as usize, enters),
+            Step::Advance(millis) => self.advance(millis),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn sync(&mut self, agent: u64) {
+        let id = self.live[agent as usize];
+        let now = self.now(self.processes[id].offset);
+        let blank = Vouch::new(self.bounds());
+        if std::mem::take(&mut self.processes[id].cut) {
+            self.revision += u64::from(self.policy == Policy::FailOver);
+            return;
+        }
+        let roster = self.roster();
+        let process = &mut self.processes[id];
+        // A new state has no earlier revision to compare with.
+        if matches!(self.policy, Policy::IgnoreHold | Policy::FailOver) {
+            process.vouch = blank;
+        }
+        let revision = roster.revision();
+        process.vouch.configure(now, roster);
+        let asked = match self.policy {
+            Policy::IgnoreLead => now.after(FOREVER),
+            _ => now,
+        };
+        process.vouch.confirm(revision, asked, Duration::ZERO);
+    }
+
+    /// Starts a new life, which learns from its peers before it asks the service.
+    fn restart(&mut self, agent: u64, offset: i64) {
+        let others = (0..AGENTS).filter(|&other| other != agent);
+        let peers = others.map(|other| &self.processes[self.live[other as usize]]);
+        let peers = peers.filter(|peer| !peer.cut);
+        let mut peers: Vec<_> = peers.map(|peer| peer.vouch.clone()).collect();
+        if peers.is_empty() && !self.has_lead() {
+            return;
+        }
+        peers.sort_by_key(|vouch| vouch.roster().revision());
+        self.attempts += 1;
+        let now = self.now(offset);
+        let mut process = self.process(agent, offset);
+        for peer in peers {
+            process.vouch.configure(now, peer.roster().clone());
+            peer.hold()
+                .into_iter()
+                .for_each(|hold| process.vouch.merge_hold(now, hold));
+        }
+        self.live[agent as usize] = self.processes.len();
+        self.processes.push(process);
+        self.sync(agent);
+    }
+
+    fn has_lead(&self) -> bool {
+        !matches!(self.policy, Policy::SoundWithoutLead | Policy::IgnoreHold)
+    }
+
+    fn cut(&mut self, agent: usize) {
+        self.processes[self.live[agent]].cut = true;
+        self.revision += u64::from(self.policy == Policy::FailOver);
+    }
+
+    fn publish(&mut self, agent: usize, enters: bool) {
+        let lawful = self.has_lead();
+        let lead = Duration::from_millis(if lawful { LEAD } else { 0 });
+        // The keys of the seat's earlier term must have expired before it is given up.
+        let expiry = Duration::from_millis(if lawful { LIFETIME } else { 0 });
+        let now = self.now(0).wall;
+        let edge = now + lead;
+        let seat = &mut self.seats[agent];
+        match (seat.until, enters) {
+            (None, false) => seat.until = Some(edge),
+            (Some(until), true) if until + expiry < now => {
+                seat.from = Some(edge);
+                seat.until = None;
+            }
+            _ => return,
+        }
+        self.revision += 1;
+    }
+
+    fn advance(&mut self, millis: u64) {
+        self.millis += millis;
+        for id in self.live.clone() {
+            let now = self.now(self.processes[id].offset);
+            let process = &mut self.processes[id];
+            for attempt in process.memory.tick(now) {
+                process.answers.remove(&attempt);
+            }
+        }
+    }
+
+    fn offer(&mut self, key: usize, router: usize, other: bool) -> Result<(), Failure> {
+        let value = self.keys[key];
+        let Some(home) = self.rosters[router].home(&value) else {
+            return Ok(());
+        };
+        let id = self.live[home.0 as usize];
+        self.attempts += 1;
+        let attempt = AttemptId {
+            request: RequestId(self.attempts),
+            number: 0,
+        };
+        let now = self.now(self.processes[id].offset);
+        let process = &mut self.processes[id];
+        let body = Fingerprint(key as u128 * 2 + u128::from(other));
+        let verdict = process
+            .memory
+            .offered(now, &process.vouch, attempt, value, body);
+        if verdict == OnceVerdict::Start {
+            process.decided.insert(attempt, key);
+        }
+        self.judge(key, id, &verdict)
+    }
+
+    fn judge(&mut self, key: usize, id: usize, verdict: &OnceVerdict) -> Result<(), Failure> {
+        match verdict {
+            OnceVerdict::Start => {}
+            OnceVerdict::Follow(_) => self.tally.follows += 1,
+            OnceVerdict::Unknown(refusal) => {
+                self.tally.unknown += 1;
+                let refuses = self.policy == Policy::RefuseUnconfirmed;
+                if refuses && refusal.reason == Reason::HomeUnconfirmed && self.may_run(key) {
+                    return Err(Failure::NotRunButRan);
+                }
+            }
+            OnceVerdict::Replay(original) => {
+                self.tally.replays += 1;
+                let held = self.processes[id].answers.get(original);
+                if held.is_none() || held != self.answers.get(&key) {
+                    return Err(Failure::OtherAnswer);
+                }
+            }
+            OnceVerdict::Refuse { .. } => {
+                self.tally.not_run += 1;
+                if self.may_run(key) {
+                    return Err(Failure::NotRunButRan);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether the key has run, or an earlier decision to run it is still open.
+    fn may_run(&self, key: usize) -> bool {
+        let decided = self
+            .processes
+            .iter()
+            .flat_map(|process| process.decided.values());
+        let open: BTreeSet<usize> = decided.copied().collect();
+        let checked = self.checked.iter().any(|flight| flight.key == key);
+        self.runs.contains_key(&key) || checked || open.contains(&key)
+    }
+
+    fn check(&mut self, n: usize) -> Result<(), Failure> {
+        let decided = self.processes.iter().enumerate().flat_map(|(process, it)| {
+            let flights = it.decided.iter();
+            flights.map(move |(&attempt, &key)| Flight {
+                process,
+                attempt,
+                key,
+                run: 0,
+            })
+        });
+        let decided: Vec<_> = decided.collect();
+        let Some(&flight) = decided.get(n % decided.len().max(1)) else {
+            return Ok(());
+        };
+        let now = self.now(self.processes[flight.process].offset);
+        let process = &mut self.processes[flight.process];
+        process.decided.remove(&flight.attempt);
+        match process
+            .memory
+            .may_hand_over(now, &process.vouch, flight.attempt)
+        {
+            Ok(()) => self.checked.push(flight),
+            Err(verdict) => {
+                self.tally.late_checks += 1;
+                self.judge(flight.key, flight.process, &verdict)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self, flight: Flight, refused: bool) -> Result<(), Failure> {
+        if refused {
+            self.processes[flight.process]
+                .memory
+                .refused(flight.attempt);
+            return Ok(());
+        }
+        let count = self.runs.entry(flight.key).or_default();
+        *count += 1;
+        if *count > 1 {
+            return Err(Failure::RanTwice);
+        }
+        self.tally.runs += 1;
+        let run = self.tally.runs;
+        self.running.push(Flight { run, ..flight });
+        Ok(())
+    }
+
+    fn end(&mut self, flight: Flight, lost: bool) {
+        let process = &mut self.processes[flight.process];
+        if lost {
+            return process.memory.lost(flight.attempt);
+        }
+        self.answers.entry(flight.key).or_insert(flight.run);
+        process.answers.insert(flight.attempt, flight.run);
+        for attempt in process.memory.ended(flight.attempt, 8) {
+            process.answers.remove(&attempt);
+        }
+    }
+}
+
+fn caller_key(millis: u64, serial: usize) -> IdempotencyKey {
+    let (high, low) = (millis >> 16, millis & 0xffff);
+    let text = format!("{high:08x}-{low:04x}-7000-8000-{serial:012x}");
+    text.parse().expect("a UUID of version 7")
+}
--- /dev/null
+++ b/policy/tests/schedule/step.rs
@@ -0,0 +1,111 @@
+//! The steps of a schedule and the policies that it tries.
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+
+pub(crate) const AGENTS: u64 = 3;
+pub(crate) const ROUTERS: u64 = 2;
+/// The greatest difference of two clocks of the fleet, in milliseconds.
+pub(crate) const SKEW: u64 = 1000;
+/// The lead of a published change, in milliseconds.
+pub(crate) const LEAD: u64 = 20_000;
+
+/// Which policy is under test; all but the first two are broken on purpose.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Policy {
+    Sound,
+    /// Operators publish changes without lead.
+    SoundWithoutLead,
+    /// The home is chosen among the agents that are connected.
+    FailOver,
+    /// Agents vouch for their roster for ever.
+    IgnoreLead,
+    /// A new life claims the memory and the incarnation of the last one.
+    ForgetOnRestart,
+    /// A new life covers keys from one skew bound after its start.
+    SingleSkew,
+    /// Changes without lead are taken as they come.
+    IgnoreHold,
+    /// Keys whose home is in doubt are reported as not run.
+    RefuseUnconfirmed,
+}
+
+/// One step; indices are taken modulo what exists.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Step {
+    /// A caller makes a key, with its clock off by this many milliseconds.
+    Issue(i64),
+    Mint {
+        router: u64,
+        agent: u64,
+    },
+    Offer {
+        key: u64,
+        router: u64,
+        other: bool,
+    },
+    /// A process makes its last check of a decided attempt.
+    Check(u64),
+    /// The bytes of a checked attempt reach the target, which may refuse to run it.
+    Deliver {
+        checked: u64,
+        refused: bool,
+    },
+    End {
+        run: u64,
+        lost: bool,
+    },
+    /// A new life, on a machine whose clock is off by this many milliseconds.
+    Restart {
+        agent: u64,
+        offset: i64,
+    },
+    Cut(u64),
+    Sync(u64),
+    SyncRouter(u64),
+    Publish {
+        agent: u64,
+        enters: bool,
+    },
+    Advance(u64),
+}
+
+/// Draws the steps of a schedule.
+pub(crate) fn schedule(seed: u64, length: usize) -> Vec<Step> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut draw = |limit: u64| random.next_u64() % limit;
+    let step = |_| match draw(22) {
+        0 | 1 => Step::Issue(draw(6 * SKEW) as i64 - 3 * SKEW as i64),
+        2 => Step::Mint {
+            router: draw(ROUTERS),
+            agent: draw(AGENTS),
+        },
+        3..=8 => Step::Offer {
+            key: draw(3),
+            router: draw(ROUTERS),
+            other: draw(12) == 0,
+        },
+        9 | 10 => Step::Check(draw(4)),
+        11 | 12 => Step::Deliver {
+            checked: draw(4),
+            refused: draw(6) == 0,
+        },
+        13 => Step::End {
+            run: draw(4),
+            lost: draw(3) == 0,
+        },
+        14 => Step::Restart {
+            agent: draw(AGENTS),
+            offset: draw(SKEW + 1) as i64 - SKEW as i64 / 2,
+        },
+        15 => Step::Cut(draw(AGENTS)),
+        16 | 17 => Step::Sync(draw(AGENTS)),
+        18 => Step::SyncRouter(draw(ROUTERS)),
+        19 => Step::Publish {
+            agent: draw(AGENTS),
+            enters: draw(2) == 0,
+        },
+        _ => Step::Advance([1, 100, 400, 1500, 5000, LEAD][draw(6) as usize]),
+    };
+    (0..length).map(step).collect()
+}
