--- /dev/null
+++ b/policy/src/fleet.rs
@@ -0,0 +1,364 @@
+//! What the fleet knows together.
+//!
+//! [`Fleet`] is the same machine in routers and in agents. It composes the
+//! configuration in force ([`crate::revision`]), the table of members
+//! ([`crate::member`]), the readers of the configuration service
+//! ([`crate::reader`]) and the broadcasts of other subsystems.
+//!
+//! Invariants:
+//! - [`FleetAction::Adopt`] carries versions in rising order only.
+//! - [`FleetAction::Ready`] is given once, after a document is in force and
+//!   peers were asked for a higher one, if any can be reached.
+//! - A pause of this process never turns into a suspicion of others.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use entity::{Incarnation, Machine, Now, ProcessId, RuleRef, Tag, TargetId};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use rules::Config;
+
+use crate::member::Members;
+use crate::member::probe::Prober;
+use crate::message::Endpoint;
+use crate::reader::{Duty, ReadOrder, Reader, ServiceKey, ServiceResult};
+use crate::revision::{Compile, Document, Revisions};
+
+mod alarm;
+mod broadcast;
+mod dump;
+mod gossip;
+pub mod message;
+mod roster;
+mod service;
+
+pub use alarm::Alarm;
+pub use broadcast::{Broadcasts, MAX_BODY, MAX_ITEMS};
+pub use dump::{FleetDump, MemberDump};
+pub use message::{Broadcast, Claim, FleetMessage, Gossip, Health, Role, Version};
+pub use roster::{ListState, Listed, RosterError, parse_roster};
+
+use service::Gather;
+
+/// The time between two [`FleetEvent::Tick`] that the timeouts assume.
+pub const TICK: Duration = Duration::from_millis(100);
+
+/// A gap between two ticks after which the process counts as paused.
+pub const PAUSE: Duration = Duration::from_millis(1500);
+
+/// How long a starting process waits for answers of peers that are named but silent.
+pub const START_GRACE: Duration = Duration::from_secs(5);
+
+/// The number of peers that a starting process hears before it is ready.
+pub const START_CONTACTS: usize = 3;
+
+/// What a fleet machine knows of its process.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// How peers reach the process.
+    pub endpoint: Endpoint,
+    /// What it does.
+    pub role: Role,
+    /// Its data centre.
+    pub centre: Tag,
+    /// Addresses to ask at the start, beside those of the VM list.
+    pub seeds: Vec<SocketAddr>,
+    /// The seed of its random choices.
+    pub seed: u64,
+}
+
+/// What the machine is told.
+#[derive(Clone, Debug)]
+pub enum FleetEvent {
+    /// An envelope of a peer states the version in force there.
+    Seen {
+        /// The peer.
+        endpoint: Endpoint,
+        /// The version.
+        version: Version,
+    },
+    /// A message of a peer.
+    Received {
+        /// The peer.
+        from: Endpoint,
+        /// The message.
+        message: FleetMessage,
+    },
+    /// A message could not be delivered.
+    SendFailed {
+        /// Where it was to go.
+        to: SocketAddr,
+    },
+    /// A read of the service ended.
+    ServiceAnswer {
+        /// The key.
+        key: ServiceKey,
+        /// How.
+        result: ServiceResult,
+    },
+    /// This process, or its target, takes no new work, or takes it again.
+    Leaving(bool),
+    /// Another subsystem has a fact for every process.
+    Publish(Broadcast),
+    /// [`TICK`] has passed.
+    Tick,
+}
+
+/// What the machine asks its driver to do.
+#[derive(Clone, Debug)]
+pub enum FleetAction {
+    /// Send a message; failures come back as [`FleetEvent::SendFailed`].
+    Send {
+        /// Where.
+        to: SocketAddr,
+        /// The message.
+        message: FleetMessage,
+    },
+    /// Read the service; the result comes back as [`FleetEvent::ServiceAnswer`].
+    ReadService(ReadOrder),
+    /// Put a configuration in force.
+    Adopt(Arc<Config>),
+    /// A fact of another process's subsystem is news here.
+    Deliver(Broadcast),
+    /// Tell the operators.
+    Alarm(Alarm),
+    /// Who lives, or who takes new work, has changed.
+    MembersChanged,
+    /// The process's own incarnation is this one from now on; only before it is ready.
+    Raised(Incarnation),
+    /// The process may take work.
+    Ready,
+}
+
+/// Why no new work goes to a process.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, derive_more::Display)]
+pub enum Leaving {
+    /// By a rule.
+    #[display("rule {_0}")]
+    Rule(RuleRef),
+    /// The VM list calls its VM leaving.
+    #[display("VM list")]
+    Listed,
+    /// It said so itself.
+    #[display("announced")]
+    Announced,
+}
+
+/// Why a process is not ready.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, derive_more::Display)]
+pub enum Waiting {
+    /// No document is in force: neither the service nor a peer gave one.
+    #[display("no rules from the service or a peer")]
+    Document,
+    /// A higher version is being fetched.
+    #[display("fetching rules {_0}")]
+    Fetch(Version),
+    /// Peers that are named have not answered yet.
+    #[display("waiting for peers")]
+    Peers,
+}
+
+/// What one process knows of the fleet.
+#[derive(Debug)]
+pub struct Fleet<C> {
+    compile: C,
+    rng: ChaCha8Rng,
+    seeds: Vec<SocketAddr>,
+    members: Members,
+    prober: Prober,
+    revisions: Revisions,
+    items: Broadcasts,
+    rules: Reader,
+    vms: Reader,
+    gather: Option<Gather>,
+    /// The hash of the root document from which the version in force was assembled.
+    root: Option<(u64, Version)>,
+    vms_index: Option<u64>,
+    confirmed: Option<Now>,
+    started: Instant,
+    ticked: Instant,
+    probe_at: Instant,
+    push_at: Instant,
+    sync_at: Instant,
+    heard: Option<Instant>,
+    contacts: BTreeSet<ProcessId>,
+    duty: Duty,
+    urgent: bool,
+    changed: bool,
+    ready: bool,
+    superseded: Option<Incarnation>,
+}
+
+impl<C: Compile> Fleet<C> {
+    /// Creates the machine of a process that has just started and knows nothing.
+    pub fn new(settings: FleetSettings, compile: C, now: Now) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        let mono = now.mono;
+        let vms = Reader::new(ServiceKey::Vms, mono, &mut rng);
+        // The list comes first, since most processes then need not read the rules.
+        let later = mono + crate::reader::START_SPREAD;
+        let rules = Reader::new(ServiceKey::Rules, later, &mut rng);
+        Self {
+            compile,
+            rng,
+            seeds: settings.seeds,
+            members: Members::new(settings.endpoint, settings.role, settings.centre),
+            prober: Prober::default(),
+            revisions: Revisions::default(),
+            items: Broadcasts::default(),
+            rules,
+            vms,
+            gather: None,
+            root: None,
+            vms_index: None,
+            confirmed: None,
+            started: mono,
+            ticked: mono,
+            probe_at: mono,
+            push_at: mono,
+            sync_at: mono,
+            heard: None,
+            contacts: BTreeSet::new(),
+            duty: Duty::Reader,
+            urgent: false,
+            changed: false,
+            ready: false,
+            superseded: None,
+        }
+    }
+
+    /// The document in force.
+    pub fn document(&self) -> Option<&Document> {
+        self.revisions.current()
+    }
+
+    /// The version in force, for envelopes; the least one if there is none.
+    pub fn version(&self) -> Version {
+        self.revisions.version()
+    }
+
+    /// When the service last had nothing newer than the version in force, as far as is known.
+    ///
+    /// It is the time at which the question was sent, so it errs to the past.
+    pub fn confirmed_at(&self) -> Option<Now> {
+        self.confirmed
+    }
+
+    /// The members.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// The broadcasts held.
+    pub fn items(&self) -> &Broadcasts {
+        &self.items
+    }
+
+    /// How this process is reached, with its incarnation.
+    pub fn endpoint(&self) -> Endpoint {
+        self.members.own().endpoint
+    }
+
+    /// Whether the process may take work.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// The later life that has replaced this one; this one must start nothing any more.
+    pub fn superseded(&self) -> Option<Incarnation> {
+        self.superseded
+    }
+
+    /// Why the process reads the service.
+    pub fn duty(&self) -> Duty {
+        self.duty
+    }
+
+    /// Since when no peer was heard; `None` if one was within [`crate::reader::PEER_SILENCE`].
+    pub fn isolated(&self, now: Now) -> Option<Duration> {
+        let last = self.heard.unwrap_or(self.started);
+        let silence = now.mono.saturating_duration_since(last);
+        (!self.members.is_empty() && silence >= crate::reader::PEER_SILENCE).then_some(silence)
+    }
+
+    /// Why no new work goes to the target, by rule, by the VM list or by its agent's word.
+    pub fn leaving(&self, target: TargetId) -> Option<Leaving> {
+        let config = &self.revisions.current()?.config;
+        let id = ProcessId(config.names.targets.tag(target));
+        let rule = config.drained(target).map(Leaving::Rule);
+        rule.or_else(|| self.process_leaving(id))
+    }
+
+    /// Why no new work goes to a process, by the VM list or by its own word.
+    pub fn process_leaving(&self, id: ProcessId) -> Option<Leaving> {
+        let own = self.members.own();
+        let claim = match self.members.get(id) {
+            Some(member) => member.claim,
+            None if own.endpoint.id == id => own,
+            None => return None,
+        };
+        match claim {
+            Claim { leaving: true, .. } => Some(Leaving::Announced),
+            claim if claim.listing.leaving => Some(Leaving::Listed),
+            _ => None,
+        }
+    }
+
+    /// Why the process is not ready.
+    pub fn waiting(&self, now: Now) -> Option<Waiting> {
+        let silent = now.mono.saturating_duration_since(self.started) < START_GRACE;
+        let named = self.members.iter();
+        let named = named.filter(|member| member.claim.health < Health::Dead);
+        let needed = named.take(START_CONTACTS).count();
+        match self.revisions.wanted() {
+            _ if self.ready => None,
+            _ if self.revisions.current().is_none() => Some(Waiting::Document),
+            Some(version) => Some(Waiting::Fetch(version)),
+            None if self.contacts.len() < needed && silent => Some(Waiting::Peers),
+            None => None,
+        }
+    }
+
+    fn tick(&mut self, now: Now, actions: &mut Vec<FleetAction>) {
+        let gap = now.mono.saturating_duration_since(self.ticked);
+        self.ticked = now.mono;
+        if gap >= PAUSE {
+            self.resume(now, gap, actions);
+        }
+        self.probe(now, actions);
+        self.fetch_again(now, actions);
+        self.read(now, actions);
+        self.push(now, actions);
+    }
+
+    fn settle(&mut self, now: Now, actions: &mut Vec<FleetAction>) {
+        if std::mem::take(&mut self.changed) {
+            actions.push(FleetAction::MembersChanged);
+        }
+        if !self.ready && self.waiting(now).is_none() {
+            self.ready = true;
+            actions.push(FleetAction::Ready);
+        }
+    }
+}
+
+impl<C: Compile> Machine for Fleet<C> {
+    type Event = FleetEvent;
+    type Action = FleetAction;
+
+    fn handle(&mut self, now: Now, event: FleetEvent, actions: &mut Vec<FleetAction>) {
+        match event {
+            FleetEvent::Seen { endpoint, version } => self.seen(now, endpoint, version, actions),
+            FleetEvent::Received { from, message } => self.received(now, from, message, actions),
+            FleetEvent::SendFailed { .. } => {}
+            FleetEvent::ServiceAnswer { key, result } => self.answered(now, key, &result, actions),
+            FleetEvent::Leaving(leaving) => self.urgent |= self.members.announce(leaving),
+            FleetEvent::Publish(item) => self.urgent |= self.items.merge(now.wall, item),
+            FleetEvent::Tick => self.tick(now, actions),
+        }
+        self.settle(now, actions);
+    }
+}
--- /dev/null
+++ b/policy/src/fleet/gossip.rs
@@ -0,0 +1,372 @@
+//! Probes, claims and broadcasts between processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use entity::{Now, ProcessId};
+
+use super::message::{Claim, Confirmation, FleetMessage, Gossip, Health, Version};
+use super::{Alarm, Fleet, FleetAction, START_CONTACTS};
+use crate::member::Merged;
+use crate::member::probe::{self, PERIOD, RELAYS};
+use crate::message::Endpoint;
+use crate::revision::{Compile, Offered, Received, Source};
+
+/// The number of peers to which news goes at once.
+const PUSH_FANOUT: usize = 3;
+
+/// The least time between two such pushes of one process.
+const PUSH_SPACING: Duration = Duration::from_millis(400);
+
+/// The least time between two comparisons of broadcasts by one process.
+const SYNC_SPACING: Duration = Duration::from_secs(5);
+
+/// The greatest number of claims in one answer to a join.
+const STATE_CLAIMS: usize = 512;
+
+/// The number of peers that a starting process asks in each period.
+const JOINS: usize = 2;
+
+impl<C: Compile> Fleet<C> {
+    /// Ends the probe of the last period and starts the next one, once per period.
+    pub(super) fn probe(&mut self, now: Now, actions: &mut Vec<FleetAction>) {
+        if now.mono < self.probe_at {
+            self.relay(now, actions);
+            return;
+        }
+        self.probe_at = now.mono + PERIOD;
+        if let Some(failed) = self.prober.failed() {
+            let Endpoint {
+                id, incarnation, ..
+            } = failed.subject;
+            self.changed |= self.members.suspect(now.mono, id, incarnation);
+        }
+        self.changed |= self.members.tick(now.mono);
+        self.items.expire(now.wall);
+        self.assign(now);
+        self.join(actions);
+        let pending = self.prober.start(now.mono, &self.members, &mut self.rng);
+        if let Some(pending) = pending {
+            let gossip = self.gossip(Some(pending.subject.id));
+            let message = FleetMessage::Ping {
+                sequence: pending.sequence,
+                expect: pending.subject.id,
+                gossip,
+            };
+            let to = pending.subject.control;
+            actions.push(FleetAction::Send { to, message });
+        }
+    }
+
+    /// Forgets what a pause of this process made look like silence of others.
+    pub(super) fn resume(&mut self, now: Now, gap: Duration, actions: &mut Vec<FleetAction>) {
+        self.prober.failed();
+        self.members.resume(now.mono);
+        self.heard = self.heard.map(|_| now.mono);
+        self.probe_at = now.mono;
+        self.urgent = true;
+        actions.push(FleetAction::Alarm(Alarm::Paused { gap }));
+    }
+
+    /// Sends news to a few peers at once.
+    pub(super) fn push(&mut self, now: Now, actions: &mut Vec<FleetAction>) {
+        if !self.urgent || now.mono < self.push_at {
+            return;
+        }
+        self.urgent = false;
+        self.push_at = now.mono + PUSH_SPACING;
+        let peers = probe::choose(&self.members, &mut self.rng, PUSH_FANOUT, None);
+        for peer in peers {
+            let message = FleetMessage::Push(self.gossip(None));
+            let to = peer.control;
+            actions.push(FleetAction::Send { to, message });
+        }
+    }
+
+    /// Notes that a peer was heard.
+    pub(super) fn hear(&mut self, now: Now, from: Endpoint) {
+        if from.id == self.endpoint().id {
+            return;
+        }
+        self.heard = Some(now.mono);
+        if !self.ready {
+            self.contacts.insert(from.id);
+        }
+    }
+
+    /// Takes in a message.
+    pub(super) fn received(
+        &mut self,
+        now: Now,
+        from: Endpoint,
+        message: FleetMessage,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        self.hear(now, from);
+        let to = from.control;
+        match message {
+            FleetMessage::Ping {
+                sequence, gossip, ..
+            } => {
+                self.take(now, from, gossip, actions);
+                let message = FleetMessage::Ack {
+                    sequence,
+                    confirmed: self.confirmation(now),
+                    gossip: self.gossip(Some(from.id)),
+                };
+                actions.push(FleetAction::Send { to, message });
+            }
+            FleetMessage::Ack {
+                sequence,
+                confirmed,
+                gossip,
+            } => {
+                self.acked(now, from, sequence, confirmed);
+                if let Some((to, sequence)) = self.prober.forwarded(now.mono, sequence) {
+                    let claim = gossip.own;
+                    let message = FleetMessage::Relayed { sequence, claim };
+                    actions.push(FleetAction::Send { to, message });
+                }
+                self.take(now, from, gossip, actions);
+            }
+            FleetMessage::Relay { sequence, subject } => {
+                self.relay_for(now, to, sequence, subject, actions);
+            }
+            FleetMessage::Relayed { sequence, claim } => {
+                self.prober.answered(sequence, claim.endpoint.id);
+                self.merge(now, &claim, actions);
+            }
+            FleetMessage::Push(gossip) | FleetMessage::State(gossip) => {
+                self.take(now, from, gossip, actions);
+            }
+            FleetMessage::Join(claim) => {
+                self.merge(now, &claim, actions);
+                self.welcome(from, actions);
+            }
+            FleetMessage::Holding(held) => {
+                let items = self.items.lacking(&held);
+                if !items.is_empty() {
+                    let message = FleetMessage::Push(self.with_items(items));
+                    actions.push(FleetAction::Send { to, message });
+                }
+            }
+            FleetMessage::Fetch { version, offset } => {
+                let chunk = self.revisions.chunk(version, offset);
+                actions.extend(chunk.map(|message| FleetAction::Send { to, message }));
+            }
+            FleetMessage::Chunk {
+                version,
+                total,
+                offset,
+                bytes,
+            } => {
+                let received = self
+                    .revisions
+                    .receive(now.mono, version, total, offset, &bytes);
+                self.transferred(now, to, version, received, actions);
+            }
+        }
+    }
+
+    fn transferred(
+        &mut self,
+        now: Now,
+        from: SocketAddr,
+        version: Version,
+        received: Received,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        match received {
+            Received::Ignored => {}
+            Received::More((to, message)) => actions.push(FleetAction::Send { to, message }),
+            Received::Whole(text) => {
+                let source = Source::Peer(from);
+                let offered = self
+                    .revisions
+                    .offer(&self.compile, &text, source, Some(version));
+                if offered == Offered::Corrupt {
+                    actions.push(FleetAction::Alarm(Alarm::Corrupt { version }));
+                }
+                self.conclude(now, offered, source, actions);
+            }
+        }
+    }
+
+    fn acked(&mut self, now: Now, from: Endpoint, sequence: u64, confirmed: Option<Confirmation>) {
+        let subject = self.prober.pending().map(|pending| pending.subject);
+        let Some(sent) = self.prober.answered(sequence, from.id) else {
+            return;
+        };
+        match subject {
+            // Another process answers at the address: the one that was meant is not there.
+            Some(subject) if subject.id != from.id => {
+                self.prober.failed();
+                let Endpoint {
+                    id, incarnation, ..
+                } = subject;
+                self.changed |= self.members.suspect(now.mono, id, incarnation);
+            }
+            _ => {}
+        }
+        let known = confirmed.filter(|confirmed| confirmed.version <= self.version());
+        // The age counts from before the question was sent, so a late answer errs to the past.
+        let at = known.and_then(|confirmed| sent.checked_sub(confirmed.age));
+        if let Some(at) = at {
+            self.confirm(now, at);
+        }
+    }
+
+    fn take(&mut self, now: Now, from: Endpoint, gossip: Gossip, actions: &mut Vec<FleetAction>) {
+        self.merge(now, &gossip.own, actions);
+        for claim in &gossip.claims {
+            self.merge(now, claim, actions);
+        }
+        for item in gossip.items {
+            if self.items.merge(now.wall, item.clone()) {
+                self.urgent = true;
+                actions.push(FleetAction::Deliver(item));
+            }
+        }
+        let differs = gossip.digest != self.items.digest();
+        if differs && now.mono >= self.sync_at {
+            self.sync_at = now.mono + SYNC_SPACING;
+            let message = FleetMessage::Holding(self.items.held());
+            let to = from.control;
+            actions.push(FleetAction::Send { to, message });
+        }
+    }
+
+    fn merge(&mut self, now: Now, claim: &Claim, actions: &mut Vec<FleetAction>) {
+        match self.members.merge(now.mono, claim) {
+            Merged::Nothing => {}
+            Merged::Changed => self.changed = true,
+            Merged::Leaving => {
+                self.changed = true;
+                self.urgent = true;
+            }
+            Merged::Refute => {
+                self.members.refute(claim);
+                self.urgent = true;
+                if claim.health > Health::Alive {
+                    actions.push(FleetAction::Alarm(Alarm::Suspected));
+                }
+            }
+            Merged::Superseded(incarnation) if self.ready => {
+                if self.superseded < Some(incarnation) {
+                    self.superseded = Some(incarnation);
+                    let alarm = Alarm::Superseded { incarnation };
+                    actions.push(FleetAction::Alarm(alarm));
+                }
+            }
+            Merged::Superseded(incarnation) => {
+                self.members.raise(incarnation);
+                let incarnation = self.endpoint().incarnation;
+                actions.push(FleetAction::Raised(incarnation));
+            }
+        }
+    }
+
+    /// Asks peers for all that they know, until enough of them were heard.
+    fn join(&mut self, actions: &mut Vec<FleetAction>) {
+        if self.ready || self.contacts.len() >= START_CONTACTS {
+            return;
+        }
+        let peers = probe::choose(&self.members, &mut self.rng, JOINS, None);
+        let peers = peers.iter().map(|peer| peer.control);
+        let own = self.members.own();
+        for to in self.seeds.iter().copied().chain(peers) {
+            if to != own.endpoint.control {
+                let message = FleetMessage::Join(own);
+                actions.push(FleetAction::Send { to, message });
+            }
+        }
+    }
+
+    fn welcome(&mut self, from: Endpoint, actions: &mut Vec<FleetAction>) {
+        let known = self.members.iter().map(|member| member.claim);
+        let known = known.filter(|claim| claim.health != Health::Unknown);
+        let claims: Vec<_> = known.collect();
+        let to = from.control;
+        let items = self.items.lacking(&[]);
+        let first = Gossip {
+            claims: claims.iter().take(STATE_CLAIMS).copied().collect(),
+            ..self.with_items(items)
+        };
+        let message = FleetMessage::State(first);
+        actions.push(FleetAction::Send { to, message });
+        for part in claims.chunks(STATE_CLAIMS).skip(1) {
+            let gossip = Gossip {
+                claims: part.to_vec(),
+                ..self.with_items(Vec::new())
+            };
+            let message = FleetMessage::State(gossip);
+            actions.push(FleetAction::Send { to, message });
+        }
+    }
+
+    fn relay(&mut self, now: Now, actions: &mut Vec<FleetAction>) {
+        let Some(pending) = self.prober.overdue(now.mono) else {
+            return;
+        };
+        let subject = pending.subject;
+        let except = Some(subject.id);
+        let relays = probe::choose(&self.members, &mut self.rng, RELAYS, except);
+        for relay in relays {
+            let message = FleetMessage::Relay {
+                sequence: pending.sequence,
+                subject,
+            };
+            let to = relay.control;
+            actions.push(FleetAction::Send { to, message });
+        }
+    }
+
+    fn relay_for(
+        &mut self,
+        now: Now,
+        asker: SocketAddr,
+        sequence: u64,
+        subject: Endpoint,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let forwarded = self.prober.forward(now.mono, asker, sequence);
+        let message = FleetMessage::Ping {
+            sequence: forwarded,
+            expect: subject.id,
+            gossip: self.gossip(Some(subject.id)),
+        };
+        let to = subject.control;
+        actions.push(FleetAction::Send { to, message });
+    }
+
+    fn confirmation(&self, now: Now) -> Option<Confirmation> {
+        let at = self.confirmed?;
+        Some(Confirmation {
+            version: self.version(),
+            age: now.mono.saturating_duration_since(at.mono),
+        })
+    }
+
+    fn gossip(&mut self, peer: Option<ProcessId>) -> Gossip {
+        let limit = 2 * (self.members.len() + 2).ilog2() + 2;
+        let mut claims = self.members.piggyback(limit);
+        let suspicion = peer.and_then(|peer| self.members.get(peer));
+        let suspicion = suspicion.map(|member| member.claim);
+        // Who is thought dead or leaving must learn it in order to refute it.
+        claims.extend(suspicion.filter(|claim| claim.health > Health::Alive));
+        let items = self.items.piggyback(limit);
+        Gossip {
+            claims,
+            ..self.with_items(items)
+        }
+    }
+
+    fn with_items(&self, items: Vec<super::Broadcast>) -> Gossip {
+        Gossip {
+            own: self.members.own(),
+            claims: Vec::new(),
+            items,
+            digest: self.items.digest(),
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/fleet/service.rs
@@ -0,0 +1,327 @@
+//! Reading the configuration service and taking documents in.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use entity::{Incarnation, Name, Now, ProcessId};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::message::{Health, Listing, Version};
+use super::roster::{ListState, Listed, parse_roster};
+use super::{Alarm, Fleet, FleetAction};
+use crate::member::Merged;
+use crate::message::Endpoint;
+use crate::reader::{Duty, OVERDUE, PEER_SILENCE, ReadOrder, ServiceKey, ServiceResult, is_reader};
+use crate::revision::{Compile, Offered, Source};
+
+/// The time after which a gathering of parts is given up.
+const GATHER_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A document whose parts are being read.
+#[derive(Clone, Debug)]
+pub(super) struct Gather {
+    root: Arc<str>,
+    names: Vec<Name>,
+    texts: Vec<Arc<str>>,
+    asked: Instant,
+}
+
+impl<C: Compile> Fleet<C> {
+    /// Computes whether this process is to read.
+    pub(super) fn assign(&mut self, now: Now) {
+        let heard = self.heard.unwrap_or(self.started);
+        let silence = now.mono.saturating_duration_since(heard);
+        let age = now.mono.saturating_duration_since(self.started);
+        let confirmed = self.confirmed.map_or(self.started, |at| at.mono);
+        let unconfirmed = now.mono.saturating_duration_since(confirmed);
+        let empty = self.revisions.current().is_none() && age >= PEER_SILENCE;
+        let alive = |health: Health| health < Health::Dead;
+        let others = self.members.iter().map(|member| member.claim);
+        let others = others.filter(|claim| alive(claim.health));
+        let ids = others.map(|claim| claim.endpoint.id);
+        self.duty = match is_reader(self.endpoint().id, ids) {
+            true => Duty::Reader,
+            false if silence >= PEER_SILENCE || empty => Duty::Alone,
+            false if unconfirmed >= OVERDUE => Duty::Overdue,
+            false => Duty::None,
+        };
+    }
+
+    /// Starts the reads that are due.
+    pub(super) fn read(&mut self, now: Now, actions: &mut Vec<FleetAction>) {
+        let orders = [
+            self.vms.due(now.mono, self.duty),
+            self.rules.due(now.mono, self.duty),
+        ];
+        actions.extend(orders.into_iter().flatten().map(FleetAction::ReadService));
+    }
+
+    /// Takes in the end of a read.
+    pub(super) fn answered(
+        &mut self,
+        now: Now,
+        key: ServiceKey,
+        result: &ServiceResult,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let alarm = match result {
+            ServiceResult::Garbage => Some(Alarm::Garbage { key: key.clone() }),
+            ServiceResult::Missing => Some(Alarm::Missing { key: key.clone() }),
+            _ => None,
+        };
+        actions.extend(alarm.map(FleetAction::Alarm));
+        match key {
+            ServiceKey::Vms => self.vms_answered(now, result, actions),
+            ServiceKey::Rules => self.root_answered(now, result, actions),
+            ServiceKey::Part(name) => self.part_answered(now, &name, result, actions),
+        }
+    }
+
+    fn vms_answered(&mut self, now: Now, result: &ServiceResult, actions: &mut Vec<FleetAction>) {
+        let ended = self.vms.ended(now.mono, result, self.duty, &mut self.rng);
+        let ServiceResult::Value { index, body } = result else {
+            return;
+        };
+        if ended.is_none() || self.vms_index == Some(*index) {
+            return;
+        }
+        match parse_roster(body) {
+            Ok(listed) => {
+                self.vms_index = Some(*index);
+                for vm in &listed {
+                    self.list(now, *index, vm);
+                }
+                self.assign(now);
+            }
+            Err(_) => {
+                self.vms.distrust(now.mono, &mut self.rng);
+                let key = ServiceKey::Vms;
+                actions.push(FleetAction::Alarm(Alarm::Garbage { key }));
+            }
+        }
+    }
+
+    fn list(&mut self, now: Now, index: u64, vm: &Listed) {
+        let id = ProcessId(vm.name.tag());
+        let endpoint = Endpoint {
+            id,
+            incarnation: Incarnation(0),
+            control: vm.control,
+        };
+        let listing = Listing {
+            index,
+            leaving: vm.state == ListState::Leaving,
+        };
+        self.members
+            .name(now.mono, endpoint, vm.role, vm.data_centre.tag());
+        let merged = self.members.list(now.mono, id, listing);
+        self.urgent |= merged == Merged::Leaving;
+        self.changed |= merged != Merged::Nothing;
+    }
+
+    fn root_answered(&mut self, now: Now, result: &ServiceResult, actions: &mut Vec<FleetAction>) {
+        let ended = self.rules.ended(now.mono, result, self.duty, &mut self.rng);
+        let (Some(asked), ServiceResult::Value { body, .. }) = (ended, result) else {
+            return;
+        };
+        let Ok(root) = std::str::from_utf8(body) else {
+            self.garbled(now, actions);
+            return;
+        };
+        if self.root == Some((xxh3_64(body), self.version())) {
+            self.confirm(now, asked);
+            return;
+        }
+        match self.compile.parts(root) {
+            Ok(names) if names.is_empty() => self.assembled(now, root, &[], asked, actions),
+            Ok(names) => self.gather(now, root, names, asked, actions),
+            // A root that cannot be read is refused by the compiler with its complaint.
+            Err(_) => self.assembled(now, root, &[], asked, actions),
+        }
+    }
+
+    fn garbled(&mut self, now: Now, actions: &mut Vec<FleetAction>) {
+        self.rules.distrust(now.mono, &mut self.rng);
+        let key = ServiceKey::Rules;
+        actions.push(FleetAction::Alarm(Alarm::Garbage { key }));
+    }
+
+    fn gather(
+        &mut self,
+        now: Now,
+        root: &str,
+        names: Vec<Name>,
+        asked: Instant,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let busy = self.gather.as_ref().is_some_and(|gather| {
+            *gather.root == *root
+                && now.mono.saturating_duration_since(gather.asked) < GATHER_TIMEOUT
+        });
+        if busy {
+            return;
+        }
+        actions.push(read_part(&names[0]));
+        self.gather = Some(Gather {
+            root: Arc::from(root),
+            names,
+            texts: Vec::new(),
+            asked,
+        });
+    }
+
+    fn part_answered(
+        &mut self,
+        now: Now,
+        name: &Name,
+        result: &ServiceResult,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let Some(mut gather) = self.gather.take() else {
+            return;
+        };
+        if gather.names[gather.texts.len()] != *name {
+            self.gather = Some(gather);
+            return;
+        }
+        let text = match result {
+            ServiceResult::Value { body, .. } => std::str::from_utf8(body).ok(),
+            _ => None,
+        };
+        let Some(text) = text else {
+            self.rules.distrust(now.mono, &mut self.rng);
+            return;
+        };
+        gather.texts.push(Arc::from(text));
+        match gather.names.get(gather.texts.len()) {
+            Some(next) => {
+                actions.push(read_part(next));
+                self.gather = Some(gather);
+            }
+            None => {
+                let Gather {
+                    root, texts, asked, ..
+                } = gather;
+                self.assembled(now, &root, &texts, asked, actions);
+            }
+        }
+    }
+
+    fn assembled(
+        &mut self,
+        now: Now,
+        root: &str,
+        parts: &[Arc<str>],
+        asked: Instant,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let text = self.compile.assemble(root, parts);
+        let offered = self
+            .revisions
+            .offer(&self.compile, &text, Source::Service, None);
+        let good = matches!(offered, Offered::Adopted { .. } | Offered::Current);
+        self.conclude(now, offered, Source::Service, actions);
+        match good {
+            true => {
+                self.root = Some((xxh3_64(root.as_bytes()), self.version()));
+                self.confirm(now, asked);
+            }
+            // Half a document may be whole next time; the next read asks for the value again.
+            false => self.rules.distrust(now.mono, &mut self.rng),
+        }
+    }
+
+    /// Reports what became of an offered document.
+    pub(super) fn conclude(
+        &mut self,
+        now: Now,
+        offered: Offered,
+        source: Source,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let current = self.version();
+        let alarm = match offered {
+            Offered::Adopted { rival } => {
+                self.adopted(now, actions);
+                rival.map(|dropped| Alarm::Conflict {
+                    kept: current,
+                    dropped,
+                })
+            }
+            Offered::Lost(dropped) => Some(Alarm::Conflict {
+                kept: current,
+                dropped,
+            }),
+            Offered::Older(offered) if source == Source::Service => {
+                Some(Alarm::StaleService { offered, current })
+            }
+            Offered::Invalid {
+                hash,
+                error,
+                again: false,
+            } => Some(Alarm::Invalid {
+                hash,
+                source,
+                reason: error.reason,
+            }),
+            _ => None,
+        };
+        actions.extend(alarm.map(FleetAction::Alarm));
+    }
+
+    fn adopted(&mut self, now: Now, actions: &mut Vec<FleetAction>) {
+        let document = self.revisions.current().expect("a document was adopted");
+        let config = document.config.clone();
+        for (id, target) in config.targets.iter() {
+            let Some(target) = target else { continue };
+            let endpoint = Endpoint {
+                id: ProcessId(config.names.targets.tag(id)),
+                incarnation: Incarnation(0),
+                control: target.control,
+            };
+            let centre = config.names.centres.tag(target.centre);
+            self.members
+                .name(now.mono, endpoint, super::Role::Agent, centre);
+        }
+        self.urgent = true;
+        actions.push(FleetAction::Adopt(config));
+    }
+
+    /// Notes that the service had nothing newer when asked at `asked`.
+    pub(super) fn confirm(&mut self, now: Now, asked: Instant) {
+        let age = now.mono.saturating_duration_since(asked);
+        let Some(wall) = now.wall.checked_sub(age) else {
+            return;
+        };
+        if self.confirmed.is_none_or(|at| at.mono < asked) {
+            self.confirmed = Some(Now { mono: asked, wall });
+        }
+    }
+
+    /// Takes in the version in force at a peer.
+    pub(super) fn seen(
+        &mut self,
+        now: Now,
+        endpoint: Endpoint,
+        version: Version,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        self.hear(now, endpoint);
+        let fetch = self.revisions.seen(now.mono, endpoint.control, version);
+        actions.extend(fetch.map(|(to, message)| FleetAction::Send { to, message }));
+    }
+
+    /// Repeats a fetch that was not answered.
+    pub(super) fn fetch_again(&mut self, now: Now, actions: &mut Vec<FleetAction>) {
+        let fetch = self.revisions.tick(now.mono);
+        actions.extend(fetch.map(|(to, message)| FleetAction::Send { to, message }));
+    }
+}
+
+fn read_part(name: &Name) -> FleetAction {
+    FleetAction::ReadService(ReadOrder {
+        key: ServiceKey::Part(name.clone()),
+        after: 0,
+        wait: Duration::ZERO,
+    })
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,7 +5,11 @@
 //! and seeds are passed in. [`Router`] and [`Agent`] compose the smaller
 //! machines; daemons and the scenario runner drive the same two types.
 
+pub mod fleet;
+pub mod member;
 pub mod message;
+pub mod reader;
+pub mod revision;
 
 mod agent;
 mod router;
--- /dev/null
+++ b/policy/src/member/probe.rs
@@ -0,0 +1,200 @@
+//! Whom to probe, and what an unanswered probe means.
+//!
+//! Each period one member is pinged. If it is silent, others are asked to ping
+//! it; if none of them reports an answer by the end of the period, the life
+//! that was pinged is suspected. The number of messages per process and period
+//! does not depend on the size of the fleet.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use entity::ProcessId;
+use rand::RngExt as _;
+use rand::seq::SliceRandom as _;
+use rand_chacha::ChaCha8Rng;
+
+use super::Members;
+use crate::fleet::message::Health;
+use crate::message::Endpoint;
+
+/// The time between two probes of one process.
+pub const PERIOD: Duration = Duration::from_secs(1);
+
+/// The time after which others are asked to probe.
+pub const DIRECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The number of others that are asked.
+pub const RELAYS: usize = 3;
+
+/// One in this many probes goes to a member that is dead or was never heard of.
+pub const RETRY_EVERY: u32 = 8;
+
+/// The greatest number of probes under way for other processes.
+const MAX_FORWARDS: usize = 64;
+
+/// A probe that has not been answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Pending {
+    /// Matches the answer.
+    pub sequence: u64,
+    /// Who was pinged.
+    pub subject: Endpoint,
+    /// When.
+    pub sent: Instant,
+    /// Whether others were asked.
+    pub relayed: bool,
+}
+
+/// A probe sent for another process.
+#[derive(Clone, Copy, Debug)]
+struct Forward {
+    sequence: u64,
+    asker: SocketAddr,
+    asked: u64,
+    until: Instant,
+}
+
+/// The probes of one process.
+#[derive(Clone, Default, Debug)]
+pub struct Prober {
+    forwards: VecDeque<Forward>,
+    order: Vec<ProcessId>,
+    retries: Vec<ProcessId>,
+    pending: Option<Pending>,
+    rounds: u32,
+    sequence: u64,
+}
+
+impl Prober {
+    /// The probe under way.
+    pub fn pending(&self) -> Option<Pending> {
+        self.pending
+    }
+
+    /// Starts a probe of the next member.
+    pub fn start(
+        &mut self,
+        now: Instant,
+        members: &Members,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<Pending> {
+        self.rounds = self.rounds.wrapping_add(1);
+        let retry = self.rounds.is_multiple_of(RETRY_EVERY);
+        let subject = match retry {
+            true => self.next_absent(members, rng),
+            false => self.next_live(members, rng),
+        };
+        let subject = subject.or_else(|| self.next_absent(members, rng))?;
+        self.sequence += 1;
+        let pending = Pending {
+            sequence: self.sequence,
+            subject,
+            sent: now,
+            relayed: false,
+        };
+        self.pending = Some(pending);
+        Some(pending)
+    }
+
+    /// Ends the probe if `id` is whom it was meant for; returns when it was sent.
+    pub fn answered(&mut self, sequence: u64, id: ProcessId) -> Option<Instant> {
+        let pending = self
+            .pending
+            .filter(|pending| pending.sequence == sequence)?;
+        if pending.subject.id == id {
+            self.pending = None;
+        }
+        Some(pending.sent)
+    }
+
+    /// The probe for which others are to be asked now.
+    pub fn overdue(&mut self, now: Instant) -> Option<Pending> {
+        let pending = self.pending.as_mut()?;
+        let late = now.saturating_duration_since(pending.sent) >= DIRECT_TIMEOUT;
+        if !late || pending.relayed {
+            return None;
+        }
+        pending.relayed = true;
+        Some(*pending)
+    }
+
+    /// Takes the probe that nobody answered within its period.
+    pub fn failed(&mut self) -> Option<Pending> {
+        self.pending.take()
+    }
+
+    /// Starts a probe for `asker`; returns its sequence.
+    pub fn forward(&mut self, now: Instant, asker: SocketAddr, asked: u64) -> u64 {
+        self.sequence += 1;
+        if self.forwards.len() >= MAX_FORWARDS {
+            self.forwards.pop_front();
+        }
+        self.forwards.push_back(Forward {
+            sequence: self.sequence,
+            asker,
+            asked,
+            until: now + PERIOD,
+        });
+        self.sequence
+    }
+
+    /// Who asked for the probe with this sequence, and that process's own sequence.
+    pub fn forwarded(&mut self, now: Instant, sequence: u64) -> Option<(SocketAddr, u64)> {
+        self.forwards.retain(|forward| now < forward.until);
+        let found = |forward: &Forward| forward.sequence == sequence;
+        let place = self.forwards.iter().position(found)?;
+        let forward = self.forwards.remove(place)?;
+        Some((forward.asker, forward.asked))
+    }
+
+    fn next_live(&mut self, members: &Members, rng: &mut ChaCha8Rng) -> Option<Endpoint> {
+        if self.order.is_empty() {
+            self.order = ids(members, |health| health < Health::Dead);
+            self.order.shuffle(rng);
+        }
+        while let Some(id) = self.order.pop() {
+            match members.get(id) {
+                Some(member) if member.claim.health < Health::Dead => {
+                    return Some(member.claim.endpoint);
+                }
+                _ => {}
+            }
+        }
+        None
+    }
+
+    fn next_absent(&mut self, members: &Members, rng: &mut ChaCha8Rng) -> Option<Endpoint> {
+        if self.retries.is_empty() {
+            self.retries = ids(members, |health| health == Health::Dead);
+            self.retries.shuffle(rng);
+        }
+        let id = self.retries.pop()?;
+        members.get(id).map(|member| member.claim.endpoint)
+    }
+}
+
+/// Up to `count` live members, without `except`, chosen at random.
+pub fn choose(
+    members: &Members,
+    rng: &mut ChaCha8Rng,
+    count: usize,
+    except: Option<ProcessId>,
+) -> Vec<Endpoint> {
+    let mut live = ids(members, |health| health < Health::Dead);
+    live.retain(|id| Some(*id) != except);
+    let mut chosen = Vec::with_capacity(count);
+    while chosen.len() < count && !live.is_empty() {
+        let id = live.swap_remove(rng.random_range(0..live.len()));
+        chosen.extend(members.get(id).map(|member| member.claim.endpoint));
+    }
+    chosen
+}
+
+fn ids(members: &Members, wanted: impl Fn(Health) -> bool) -> Vec<ProcessId> {
+    members
+        .iter()
+        .filter(|member| wanted(member.claim.health))
+        .map(|member| member.claim.endpoint.id)
+        .collect()
+}
--- /dev/null
+++ b/policy/src/reader.rs
@@ -0,0 +1,218 @@
+//! Who reads the configuration service, and when.
+//!
+//! The service carries about two thousand calls a second for everybody, and a
+//! waiting watch counts as one. Of `n` processes, [`reader_count`] read: the
+//! least by a hash of their ids, so that every process computes the same set.
+//! The others learn from peers and read only while peers are silent, or slowly
+//! while nobody passes on a confirmation.
+//!
+//! Invariant: between two reads of one key by one process lies at least
+//! [`MIN_SPACING`], and after a failure a jittered, growing delay.
+
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use entity::{Name, ProcessId};
+use rand::RngExt as _;
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The least time between two reads of one key by one process.
+pub const MIN_SPACING: Duration = Duration::from_secs(1);
+
+/// How long the service may hold a watch open.
+pub const WATCH: Duration = Duration::from_secs(10);
+
+/// The time between two reads that ask for the value itself, not for changes.
+pub const FULL_READ: Duration = Duration::from_secs(60);
+
+/// The span over which the first reads of processes that start together are spread.
+pub const START_SPREAD: Duration = Duration::from_secs(2);
+
+/// The greatest delay after failures.
+pub const MAX_BACKOFF: Duration = Duration::from_secs(30);
+
+/// The silence of all peers after which a process reads for itself.
+pub const PEER_SILENCE: Duration = Duration::from_secs(10);
+
+/// The age of the last confirmation after which every process reads, slowly.
+pub const OVERDUE: Duration = Duration::from_secs(180);
+
+/// A key of the configuration service.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display, Serialize, Deserialize)]
+pub enum ServiceKey {
+    /// The root document of the rules.
+    #[display("rules")]
+    Rules,
+    /// The VM list.
+    #[display("vms")]
+    Vms,
+    /// A part of the rules that the root names.
+    #[display("{_0}")]
+    Part(Name),
+}
+
+/// How a read of the service ended.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum ServiceResult {
+    /// A value.
+    Value {
+        /// Its index.
+        index: u64,
+        /// Its bytes.
+        body: Vec<u8>,
+    },
+    /// Nothing newer came within the wait.
+    Unchanged,
+    /// The service does not know the key.
+    Missing,
+    /// No answer in time.
+    Unreachable,
+    /// An answer that is no value: a wrong status, no index, too large or cut short.
+    Garbage,
+}
+
+/// A read to carry out.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct ReadOrder {
+    /// The key.
+    pub key: ServiceKey,
+    /// Only a value with a greater index is wanted; 0 asks for any value.
+    pub after: u64,
+    /// How long the service may wait for one.
+    pub wait: Duration,
+}
+
+/// Why a process reads.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
+pub enum Duty {
+    /// It is one of the readers.
+    #[display("reader")]
+    Reader,
+    /// It is cut off from its peers.
+    #[display("alone")]
+    Alone,
+    /// No confirmation has reached it for long.
+    #[display("overdue")]
+    Overdue,
+    /// It does not read.
+    #[display("none")]
+    None,
+}
+
+/// The number of readers among `n` processes: `min(n, 4 + ceil(sqrt(n)))`.
+pub fn reader_count(n: usize) -> usize {
+    let root = n.isqrt();
+    let ceiling = root + usize::from(root * root < n);
+    n.min(4 + ceiling)
+}
+
+/// Whether `own` is among the readers of the fleet `own` and `others`.
+pub fn is_reader(own: ProcessId, others: impl Iterator<Item = ProcessId>) -> bool {
+    let place = rank(own);
+    let mut total = 1;
+    let mut before = 0;
+    for id in others {
+        total += 1;
+        before += usize::from(rank(id) < place);
+    }
+    before < reader_count(total)
+}
+
+fn rank(id: ProcessId) -> (u64, ProcessId) {
+    (xxh3_64(&id.0.0.to_le_bytes()), id)
+}
+
+/// The reads of one key.
+#[derive(Clone, Debug)]
+pub struct Reader {
+    key: ServiceKey,
+    index: u64,
+    started: Option<Instant>,
+    next: Instant,
+    full: Option<Instant>,
+    failures: u32,
+}
+
+impl Reader {
+    /// Creates a reader whose first read falls within [`START_SPREAD`].
+    pub fn new(key: ServiceKey, now: Instant, rng: &mut ChaCha8Rng) -> Self {
+        Self {
+            key,
+            index: 0,
+            started: None,
+            next: now + jitter(START_SPREAD, rng),
+            full: None,
+            failures: 0,
+        }
+    }
+
+    /// The next read, if it is due.
+    pub fn due(&mut self, now: Instant, duty: Duty) -> Option<ReadOrder> {
+        if duty == Duty::None || self.started.is_some() || now < self.next {
+            return None;
+        }
+        let age = self.full.map(|full| now.saturating_duration_since(full));
+        let full = duty == Duty::Overdue || age.is_none_or(|age| age >= FULL_READ);
+        self.started = Some(now);
+        if full {
+            self.full = Some(now);
+        }
+        let (after, wait) = match full {
+            true => (0, Duration::ZERO),
+            false => (self.index, WATCH),
+        };
+        Some(ReadOrder {
+            key: self.key.clone(),
+            after,
+            wait,
+        })
+    }
+
+    /// Takes in how a read ended; returns when it had started.
+    pub fn ended(
+        &mut self,
+        now: Instant,
+        result: &ServiceResult,
+        duty: Duty,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<Instant> {
+        let started = self.started.take()?;
+        match result {
+            ServiceResult::Value { index, .. } => {
+                self.index = *index;
+                self.failures = 0;
+            }
+            ServiceResult::Unchanged => self.failures = 0,
+            _ => {
+                self.failures = self.failures.saturating_add(1);
+                self.full = None;
+            }
+        }
+        self.next = match (self.failures, duty) {
+            (0, Duty::Overdue) => now + MAX_BACKOFF + jitter(MAX_BACKOFF, rng),
+            (0, _) => started + MIN_SPACING,
+            (failures, _) => now + backoff(failures, rng),
+        };
+        Some(started)
+    }
+
+    /// Asks for the value itself next time, after an answer that made no sense.
+    pub fn distrust(&mut self, now: Instant, rng: &mut ChaCha8Rng) {
+        self.failures = self.failures.saturating_add(1);
+        self.full = None;
+        self.next = now + backoff(self.failures, rng);
+    }
+}
+
+/// The delay after `failures` failures: between half and all of a doubling delay.
+fn backoff(failures: u32, rng: &mut ChaCha8Rng) -> Duration {
+    let doubled = MIN_SPACING.saturating_mul(1 << failures.clamp(1, 5));
+    let span = doubled.min(MAX_BACKOFF);
+    span / 2 + jitter(span / 2, rng)
+}
+
+fn jitter(span: Duration, rng: &mut ChaCha8Rng) -> Duration {
+    span.mul_f64(rng.random::<f64>())
+}
--- a/wire/src/envelope.rs
+++ b/wire/src/envelope.rs
@@ -6,6 +6,7 @@
 
 use derive_more::{Display, Error};
 use entity::{DocumentHash, Revision};
+use policy::fleet::FleetMessage;
 use policy::message::{BidUpdate, Endpoint, LedgerDelta, Load, Pull, Pulled, Solicit};
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +31,8 @@
     Load(Load),
     /// Changes to an agent's row of the ledger.
     Ledger(LedgerDelta),
+    /// A message of the fleet machine.
+    Fleet(FleetMessage),
 }
 
 /// A batch of messages from one process to another.
