--- a/policy/src/fleet.rs
+++ b/policy/src/fleet.rs
@@ -16,10 +16,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ::rules::Config;
 use entity::{Incarnation, Machine, Now, ProcessId, RuleRef, Tag, TargetId};
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
-use rules::Config;
 
 use crate::member::Members;
 use crate::member::probe::Prober;
@@ -33,8 +33,10 @@
 mod gossip;
 pub mod message;
 mod roster;
+mod rules;
 mod service;
 
+pub use self::rules::RulesCompile;
 pub use alarm::Alarm;
 pub use broadcast::{Broadcasts, MAX_BODY, MAX_ITEMS};
 pub use dump::{FleetDump, MemberDump};
--- a/policy/src/fleet/service.rs
+++ b/policy/src/fleet/service.rs
@@ -215,10 +215,20 @@
         asked: Instant,
         actions: &mut Vec<FleetAction>,
     ) {
-        let text = self.compile.assemble(root, parts);
-        let offered = self
-            .revisions
-            .offer(&self.compile, &text, Source::Service, None);
+        let text = match parts {
+            [] => Ok(root.to_owned()),
+            _ => self.compile.assemble(root, parts),
+        };
+        let offered = match text {
+            Ok(text) => self
+                .revisions
+                .offer(&self.compile, &text, Source::Service, None),
+            Err(error) => Offered::Invalid {
+                hash: self.compile.hash(root),
+                error,
+                again: false,
+            },
+        };
         let good = matches!(offered, Offered::Adopted { .. } | Offered::Current);
         self.conclude(now, offered, Source::Service, actions);
         match good {
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,11 +5,28 @@
 //! and seeds are passed in. [`Router`] and [`Agent`] compose the smaller
 //! machines; daemons and the scenario runner drive the same two types.
 
+pub mod attempt;
+pub mod bid;
+pub mod choose;
+pub mod cost;
+pub mod drain;
+pub mod fair;
 pub mod fleet;
+pub mod home;
+pub mod ledger;
+pub mod limit;
+pub mod load;
 pub mod member;
 pub mod message;
+pub mod once;
+pub mod pull;
+pub mod quarantine;
+pub mod queue;
 pub mod reader;
+pub mod retry;
 pub mod revision;
+pub mod status;
+pub mod window;
 
 mod agent;
 mod router;
--- a/policy/src/revision.rs
+++ b/policy/src/revision.rs
@@ -54,7 +54,11 @@
     fn parts(&self, root: &str) -> Result<Vec<Name>, CompileError>;
 
     /// Joins the root and its parts, in the order of [`Compile::parts`], to one document.
-    fn assemble(&self, root: &str, parts: &[Arc<str>]) -> String;
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part is not the one that the root names.
+    fn assemble(&self, root: &str, parts: &[Arc<str>]) -> Result<String, CompileError>;
 
     /// Compiles an assembled document; indices of `names` keep their meaning.
     ///
