--- a/node/src/watch.rs
+++ b/node/src/watch.rs
@@ -1,4 +1,8 @@
 //! thin
+mod client;
+
+pub use client::{ANSWER_TIMEOUT, INDEX_HEADER, MAX_VALUE_BYTES, ServiceClient};
+
 use crate::host::{Host, Role};
 use entity::Directory;
 use std::rc::Rc;
