Daemons run the fleet machine: configuration, members, broadcasts

Cause: the interim poll could be taken back by a stale service and knew no peers. Before: a_stale_service_never_takes_a_revision_back hung; after: passes. Red in livetests: at-most-once cases (not wired), crash quarantine (not wired), a router that starts while the service is down (settings name no peers).

--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
-use entity::{AttemptId, Cost, Decision, Machine, Now, Refusal, RequestId, TargetId};
-use node::host::{Outgoing, Readiness, Role};
+use entity::{AttemptId, Cost, Decision, Incarnation, Machine, Now, Refusal, RequestId, TargetId};
+use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
 use node::trace::Trace;
+use policy::fleet::{Broadcast, Role as FleetRole};
 use policy::message::{Endpoint, Load, Offer};
 use policy::window::Report;
 use policy::{Agent, AgentAction, AgentEvent, AgentSettings, AttemptEnd};
@@ -19,6 +21,9 @@
 /// The number of requests whose decisions are kept.
 const TRACE_CAPACITY: usize = 10_000;
 
+/// The agent's incarnation, as traffic threads read it.
+pub type SharedIncarnation = Arc<AtomicU64>;
+
 /// What traffic threads and the watch over the target tell the control thread.
 #[derive(Debug)]
 pub enum Input {
@@ -77,6 +82,7 @@
 pub struct AgentRole {
     agent: Agent,
     answers: Answers,
+    incarnation: SharedIncarnation,
     offers: FxHashMap<AttemptId, oneshot::Sender<Decided>>,
     cancels: FxHashMap<AttemptId, oneshot::Sender<()>>,
     trace: Trace,
@@ -92,10 +98,11 @@
 
 impl AgentRole {
     /// Creates the state of an agent that has no configuration yet.
-    pub fn new(settings: AgentSettings, answers: Answers) -> Self {
+    pub fn new(settings: AgentSettings, answers: Answers, incarnation: SharedIncarnation) -> Self {
         Self {
             agent: Agent::new(settings),
             answers,
+            incarnation,
             offers: FxHashMap::default(),
             cancels: FxHashMap::default(),
             trace: Trace::new(TRACE_CAPACITY),
@@ -109,7 +116,7 @@
         }
     }
 
-    fn handle(&mut self, now: Now, event: AgentEvent, out: &mut Vec<Outgoing>) {
+    fn handle(&mut self, now: Now, event: AgentEvent, out: &mut Outbox) {
         let mut actions = std::mem::take(&mut self.actions);
         self.agent.handle(now, event, &mut actions);
         for action in actions.drain(..) {
@@ -128,7 +135,7 @@
         }
     }
 
-    fn carry_out(&mut self, action: AgentAction, out: &mut Vec<Outgoing>) {
+    fn carry_out(&mut self, action: AgentAction, out: &mut Outbox) {
         match action {
             AgentAction::Start(attempt) => {
                 let (cancel, cancelled) = oneshot::channel();
@@ -152,17 +159,17 @@
             }
             AgentAction::Pull { router, pull } => {
                 self.pulls.insert(pull.sequence, router);
-                out.push(Outgoing::one(router.control, Message::Pull(pull)));
+                out.send(router.control, Message::Pull(pull));
             }
             AgentAction::Solicit(solicit) => {
-                let router = self.next_router();
-                out.extend(
-                    router.map(|router| Outgoing::one(router.control, Message::Solicit(solicit))),
-                );
+                if let Some(router) = self.next_router() {
+                    out.send(router.control, Message::Solicit(solicit));
+                }
             }
             AgentAction::Ledger { target, delta } => {
-                let to = self.control_address(target);
-                out.extend(to.map(|to| Outgoing::one(to, Message::Ledger(delta))));
+                if let Some(to) = self.control_address(target) {
+                    out.send(to, Message::Ledger(delta));
+                }
             }
             AgentAction::Decided(decision) => self.trace.record(decision),
             AgentAction::Stopped => self.readiness = Readiness::Stopped,
@@ -188,13 +195,6 @@
         self.routers.get(self.next_router).copied()
     }
 
-    fn met(&mut self, router: Endpoint) {
-        match self.routers.iter_mut().find(|known| known.id == router.id) {
-            Some(known) => *known = router,
-            None => self.routers.push(router),
-        }
-    }
-
     fn control_address(&self, target: TargetId) -> Option<std::net::SocketAddr> {
         let config = self.config.as_ref()?;
         config.targets[target].as_ref().map(|target| target.control)
@@ -204,7 +204,7 @@
 impl Role for AgentRole {
     type Input = Input;
 
-    fn configured(&mut self, now: Now, config: Arc<Config>, out: &mut Vec<Outgoing>) {
+    fn configured(&mut self, now: Now, config: Arc<Config>, out: &mut Outbox) {
         self.config = Some(config.clone());
         if matches!(
             self.readiness,
@@ -215,7 +215,7 @@
         self.handle(now, AgentEvent::Configured(config), out);
     }
 
-    fn input(&mut self, now: Now, input: Input, out: &mut Vec<Outgoing>) {
+    fn input(&mut self, now: Now, input: Input, out: &mut Outbox) {
         let event = match input {
             Input::Offered { offer, order } => {
                 self.offers.insert(offer.attempt, order);
@@ -236,13 +236,12 @@
     fn received(
         &mut self,
         now: Now,
-        sender: Endpoint,
+        _sender: Endpoint,
         message: Message,
-        out: &mut Vec<Outgoing>,
+        out: &mut Outbox,
     ) -> Vec<Message> {
         match message {
             Message::Bids(update) => {
-                self.met(sender);
                 self.handle(now, AgentEvent::Bids(update), out);
                 vec![Message::Load(self.agent.load())]
             }
@@ -260,7 +259,7 @@
         }
     }
 
-    fn undelivered(&mut self, now: Now, lost: Outgoing, out: &mut Vec<Outgoing>) {
+    fn undelivered(&mut self, now: Now, lost: Outgoing, out: &mut Outbox) {
         for message in lost.messages {
             let Message::Pull(pull) = message else {
                 continue;
@@ -272,11 +271,23 @@
         }
     }
 
-    fn tick(&mut self, now: Now, out: &mut Vec<Outgoing>) {
+    fn surveyed(&mut self, _now: Now, fleet: &FleetMachine, _out: &mut Outbox) {
+        let members = fleet.members().iter().filter(|member| member.is_live());
+        let routers = members.filter(|member| member.claim.role == FleetRole::Router);
+        self.routers = routers.map(|member| member.claim.endpoint).collect();
+    }
+
+    fn delivered(&mut self, _now: Now, _broadcast: Broadcast, _out: &mut Outbox) {}
+
+    fn raised(&mut self, incarnation: Incarnation) {
+        self.incarnation.store(incarnation.0, Ordering::Relaxed);
+    }
+
+    fn tick(&mut self, now: Now, out: &mut Outbox) {
         self.handle(now, AgentEvent::Tick, out);
     }
 
-    fn stop(&mut self, now: Now, out: &mut Vec<Outgoing>) {
+    fn stop(&mut self, now: Now, out: &mut Outbox) {
         self.readiness = Readiness::NotReady("stopping");
         self.handle(now, AgentEvent::Stop, out);
     }
--- a/agent/src/run.rs
+++ b/agent/src/run.rs
@@ -8,17 +8,18 @@
 use actix_service::fn_service;
 use entity::{Name, SystemClock};
 use eyre::WrapErr;
-use node::host::{Exit, Host, INPUT_DEPTH, Inputs, Snapshot};
+use node::host::{Exit, Host, HostSettings, INPUT_DEPTH, Inputs, Snapshot};
 use node::http::{SERVER_KEEP_ALIVE, bind};
 use node::metrics::Metrics;
 use node::ops::{self, QUERY_DEPTH};
 use node::settings::AgentSettings;
 use node::start::endpoint;
 use policy::AgentSettings as AgentPolicy;
+use policy::fleet::Role;
 use tokio::sync::mpsc;
 
 use crate::answers::Answers;
-use crate::control::AgentRole;
+use crate::control::{AgentRole, SharedIncarnation};
 use crate::relay::Reporter;
 use crate::service::{Service, Shared};
 use crate::target;
@@ -51,16 +52,24 @@
     let (queries, query_inputs) = mpsc::channel(QUERY_DEPTH);
     let reporter = Reporter::new(traffic);
 
+    let incarnation = SharedIncarnation::new(endpoint.incarnation.0.into());
     let policy = AgentPolicy {
         endpoint,
         seed: endpoint.incarnation.0,
         gossip: AgentPolicy::GOSSIP,
     };
-    let role = AgentRole::new(policy, answers.clone());
-    let host = Host::new(settings.name.clone(), endpoint, role, snapshot);
+    let role = AgentRole::new(policy, answers.clone(), incarnation.clone());
+    let host_settings = HostSettings {
+        name: settings.name.clone(),
+        endpoint,
+        kind: Role::Agent,
+        centre: Name::new(&settings.data_centre),
+        service: settings.service.clone(),
+    };
+    let host = Host::new(host_settings, role, snapshot);
     let shared = Shared {
         target: settings.target.trim_end_matches('/').to_owned(),
-        incarnation: endpoint.incarnation,
+        incarnation,
         answers,
         reporter: reporter.clone(),
         body_limit: settings.limits.body_bytes,
@@ -78,7 +87,6 @@
     let operators_handle = operators.handle();
     actix_rt::spawn(operators);
 
-    actix_rt::spawn(node::watch::follow(host.clone(), settings.service.clone()));
     let inputs = Inputs {
         traffic: traffic_inputs,
         queries: query_inputs,
--- a/agent/src/service.rs
+++ b/agent/src/service.rs
@@ -1,6 +1,7 @@
 //! The HTTP service of one traffic thread: offers of routers in, answers out.
 
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix_http::header::{HeaderName, HeaderValue};
@@ -16,7 +17,7 @@
 use wire::{OFFER_HEADER, REPLY_HEADER, read_header, write_header};
 
 use crate::answers::{Answers, Kept, KeptAnswer};
-use crate::control::{Decided, Input, Order};
+use crate::control::{Decided, Input, Order, SharedIncarnation};
 use crate::relay::{self, Handed, Meter, Outbound, Reporter, TargetStream};
 
 /// How long a router should wait before it offers to an overloaded agent again.
@@ -31,7 +32,7 @@
     /// The target's address as a URL without a final slash.
     pub target: String,
     /// The agent's life.
-    pub incarnation: Incarnation,
+    pub incarnation: SharedIncarnation,
     /// The kept answers.
     pub answers: Answers,
     /// The channel to the control thread.
@@ -171,9 +172,10 @@
     }
 
     fn mark(&self, answer: &mut Answer, attempt: AttemptId, verdict: Verdict, load: Load) {
+        let incarnation = Incarnation(self.shared.incarnation.load(Ordering::Relaxed));
         let reply = Reply {
             attempt,
-            incarnation: self.shared.incarnation,
+            incarnation,
             verdict,
             load,
         };
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -85,6 +85,8 @@
     PartUnavailable 1207 Warn "part-unavailable";
     /// The VM list was refused.
     VmListRefused 1208 Warn "vm-list-refused";
+    /// The service's answer is no value.
+    ServiceGarbage 1209 Error "service-garbage";
 
     /// A peer was reached for the first time or again.
     PeerReachable 1301 Info "peer-reachable";
@@ -96,6 +98,12 @@
     MessageRefused 1304 Warn "message-refused";
     /// A peer speaks a protocol version that is not supported.
     VersionRefused 1305 Error "version-refused";
+    /// Peers suspected this process; it refuted that.
+    SelfSuspected 1306 Warn "self-suspected";
+    /// A later life of this process exists.
+    SelfSuperseded 1307 Error "self-superseded";
+    /// This process did not run for a while.
+    SelfPaused 1308 Warn "self-paused";
 
     /// The target accepts connections.
     TargetUp 1401 Info "target-up";
--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -10,12 +10,17 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
-use entity::{Clock, Decision, Directory, DocumentHash, Now, RequestId, Revision, SystemClock};
+use entity::{Clock, Decision, Incarnation, Machine, Name, Now, RequestId, SystemClock};
 use eyre::WrapErr;
+use policy::fleet::{
+    Alarm, Broadcast, Fleet, FleetAction, FleetEvent, FleetSettings, Role as FleetRole,
+    RulesCompile, Version,
+};
 use policy::message::Endpoint;
+use policy::reader::ReadOrder;
 use rules::Config;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
@@ -23,7 +28,9 @@
 use wire::{Envelope, EnvelopeError, Message};
 
 use crate::control::{self, Links, SharedBytes};
+use crate::event::{self, Event};
 use crate::ops::{Explanation, Query, Source};
+use crate::watch::ServiceClient;
 
 /// The interval of [`Role::tick`].
 pub const TICK: Duration = Duration::from_millis(20);
@@ -43,14 +50,35 @@
     pub messages: Vec<Message>,
 }
 
-impl Outgoing {
-    /// One message.
-    pub fn one(to: SocketAddr, message: Message) -> Self {
-        Self {
-            to,
-            messages: vec![message],
+/// What a role wants done after an event.
+#[derive(Default, Debug)]
+pub struct Outbox {
+    messages: Vec<Outgoing>,
+    broadcasts: Vec<Broadcast>,
+    leaving: Option<bool>,
+}
+
+impl Outbox {
+    /// Sends a message; messages to one address travel together.
+    pub fn send(&mut self, to: SocketAddr, message: Message) {
+        match self.messages.iter_mut().find(|known| known.to == to) {
+            Some(known) => known.messages.push(message),
+            None => self.messages.push(Outgoing {
+                to,
+                messages: vec![message],
+            }),
         }
     }
+
+    /// Spreads a fact to every process.
+    pub fn publish(&mut self, broadcast: Broadcast) {
+        self.broadcasts.push(broadcast);
+    }
+
+    /// Announces to the fleet whether this process, or its target, takes no new work.
+    pub fn announce(&mut self, leaving: bool) {
+        self.leaving = Some(leaving);
+    }
 }
 
 /// Whether a role can serve.
@@ -70,23 +98,29 @@
     type Input: Send + 'static;
 
     /// A configuration is in force.
-    fn configured(&mut self, now: Now, config: Arc<Config>, out: &mut Vec<Outgoing>);
+    fn configured(&mut self, now: Now, config: Arc<Config>, out: &mut Outbox);
     /// A traffic thread reports.
-    fn input(&mut self, now: Now, input: Self::Input, out: &mut Vec<Outgoing>);
+    fn input(&mut self, now: Now, input: Self::Input, out: &mut Outbox);
     /// A message arrived; what is returned is its direct answer.
     fn received(
         &mut self,
         now: Now,
         sender: Endpoint,
         message: Message,
-        out: &mut Vec<Outgoing>,
+        out: &mut Outbox,
     ) -> Vec<Message>;
     /// Messages could not be delivered or were not answered.
-    fn undelivered(&mut self, now: Now, lost: Outgoing, out: &mut Vec<Outgoing>);
+    fn undelivered(&mut self, now: Now, lost: Outgoing, out: &mut Outbox);
+    /// The fleet's members may have changed, or time has passed there.
+    fn surveyed(&mut self, now: Now, fleet: &FleetMachine, out: &mut Outbox);
+    /// Another process published a fact.
+    fn delivered(&mut self, now: Now, broadcast: Broadcast, out: &mut Outbox);
+    /// The process's own incarnation is this one from now on; only before it is ready.
+    fn raised(&mut self, incarnation: Incarnation);
     /// Time has passed.
-    fn tick(&mut self, now: Now, out: &mut Vec<Outgoing>);
+    fn tick(&mut self, now: Now, out: &mut Outbox);
     /// The process is to stop when its work has ended.
-    fn stop(&mut self, now: Now, out: &mut Vec<Outgoing>);
+    fn stop(&mut self, now: Now, out: &mut Outbox);
     /// Whether the role can serve.
     fn readiness(&self) -> Readiness;
     /// What would be cut if the process ended at once.
@@ -106,16 +140,36 @@
     Cut(usize),
 }
 
+/// The fleet machine of a daemon.
+pub type FleetMachine = Fleet<RulesCompile>;
+
 /// The control thread's state.
 pub struct Host<R> {
     name: String,
-    endpoint: Endpoint,
     clock: SystemClock,
     role: RefCell<R>,
+    fleet: RefCell<FleetMachine>,
+    service: ServiceClient,
     links: Links,
     bytes: SharedBytes,
     snapshot: Snapshot,
     rejected: Cell<u64>,
+    fleet_tick: Cell<Instant>,
+}
+
+/// What a host knows of its process.
+#[derive(Clone, Debug)]
+pub struct HostSettings {
+    /// The process's name.
+    pub name: String,
+    /// How peers reach it.
+    pub endpoint: Endpoint,
+    /// What it does in the fleet.
+    pub kind: FleetRole,
+    /// Its data centre.
+    pub centre: Name,
+    /// The replicas of the configuration service, as URLs.
+    pub service: Vec<String>,
 }
 
 /// The channels into a control thread.
@@ -127,35 +181,50 @@
 }
 
 impl<R: Role> Host<R> {
-    /// Creates the control state of the process `name`.
-    pub fn new(name: String, endpoint: Endpoint, role: R, snapshot: Snapshot) -> Rc<Self> {
+    /// Creates the control state of a process.
+    pub fn new(settings: HostSettings, role: R, snapshot: Snapshot) -> Rc<Self> {
         let bytes = SharedBytes::default();
-        Rc::new(Self {
+        let clock = SystemClock;
+        let now = clock.now();
+        let HostSettings {
             name,
             endpoint,
-            clock: SystemClock,
+            kind,
+            centre,
+            service,
+        } = settings;
+        let seed = endpoint.incarnation.0;
+        let fleet = FleetSettings {
+            endpoint,
+            role: kind,
+            centre: centre.tag(),
+            seeds: Vec::new(),
+            seed,
+        };
+        Rc::new(Self {
+            name,
+            clock,
             role: RefCell::new(role),
+            fleet: RefCell::new(Fleet::new(fleet, RulesCompile, now)),
+            service: ServiceClient::new(service, seed as usize),
             links: Links::new(bytes.clone()),
             bytes,
             snapshot,
             rejected: Cell::new(0),
+            fleet_tick: Cell::new(now.mono),
         })
     }
 
-    /// Puts a configuration in force.
-    pub fn adopt(self: &Rc<Self>, config: Arc<Config>) {
+    fn adopt(self: &Rc<Self>, config: Arc<Config>) {
+        let (revision, hash) = (config.revision, config.hash);
+        event::log(
+            Event::ConfigAdopted,
+            &[("revision", &revision), ("hash", &hash)],
+        );
         self.snapshot.store(Some(config.clone()));
         self.step(|role, now, out| role.configured(now, config, out));
     }
 
-    /// The names that the process has met.
-    pub fn names(&self) -> Directory {
-        let config = self.snapshot.load();
-        config
-            .as_ref()
-            .map_or_else(Directory::default, |config| (*config.names).clone())
-    }
-
     /// Serves until the role has stopped or is cut.
     ///
     /// # Errors
@@ -182,8 +251,7 @@
                 }
                 Some(query) = inputs.queries.recv() => self.answer(query),
                 _ = ticks.tick() => {
-                    self.step(|role, now, out| role.tick(now, out));
-                    self.links.close_idle(self.clock.now().mono);
+                    self.tick();
                 }
                 () = terminate.next() => match limit {
                     Some(_) => return Ok(Exit::Cut(self.role.borrow().unfinished())),
@@ -202,55 +270,161 @@
         }
     }
 
-    fn step(self: &Rc<Self>, event: impl FnOnce(&mut R, Now, &mut Vec<Outgoing>)) {
-        let mut out = Vec::new();
+    fn tick(self: &Rc<Self>) {
+        self.step(R::tick);
+        let now = self.clock.now();
+        self.links.close_idle(now.mono);
+        if now.mono >= self.fleet_tick.get() {
+            self.fleet_tick.set(now.mono + policy::fleet::TICK);
+            self.tell_fleet(FleetEvent::Tick);
+            self.survey();
+        }
+    }
+
+    fn survey(self: &Rc<Self>) {
+        let fleet = self.fleet.borrow();
+        let mut out = Outbox::default();
+        self.role
+            .borrow_mut()
+            .surveyed(self.clock.now(), &fleet, &mut out);
+        drop(fleet);
+        self.carry_out(out);
+    }
+
+    fn step(self: &Rc<Self>, event: impl FnOnce(&mut R, Now, &mut Outbox)) {
+        let mut out = Outbox::default();
         event(&mut self.role.borrow_mut(), self.clock.now(), &mut out);
-        self.send(out);
+        self.carry_out(out);
     }
 
-    fn send(self: &Rc<Self>, out: Vec<Outgoing>) {
-        for outgoing in combine(out) {
+    fn carry_out(self: &Rc<Self>, out: Outbox) {
+        for outgoing in out.messages {
             let host = self.clone();
             actix_rt::spawn(async move { host.deliver(outgoing).await });
         }
+        for broadcast in out.broadcasts {
+            self.tell_fleet(FleetEvent::Publish(broadcast));
+        }
+        if let Some(leaving) = out.leaving {
+            self.tell_fleet(FleetEvent::Leaving(leaving));
+        }
+    }
+
+    /// Processes an event of the fleet machine.
+    fn tell_fleet(self: &Rc<Self>, event: FleetEvent) {
+        for answer in self.ask_fleet(event, None) {
+            debug_assert!(false, "an answer without an asker: {answer:?}");
+        }
+    }
+
+    /// Processes an event of the fleet machine; messages to `asker` are returned.
+    fn ask_fleet(self: &Rc<Self>, event: FleetEvent, asker: Option<SocketAddr>) -> Vec<Message> {
+        let mut actions = Vec::new();
+        self.fleet
+            .borrow_mut()
+            .handle(self.clock.now(), event, &mut actions);
+        let mut answers = Vec::new();
+        for action in actions {
+            match action {
+                FleetAction::Send { to, message } if Some(to) == asker => {
+                    answers.push(Message::Fleet(message));
+                }
+                FleetAction::Send { to, message } => {
+                    let outgoing = Outgoing {
+                        to,
+                        messages: vec![Message::Fleet(message)],
+                    };
+                    let host = self.clone();
+                    actix_rt::spawn(async move { host.deliver(outgoing).await });
+                }
+                FleetAction::ReadService(order) => {
+                    let host = self.clone();
+                    actix_rt::spawn(async move { host.read(order).await });
+                }
+                FleetAction::Adopt(config) => self.adopt(config),
+                FleetAction::Deliver(broadcast) => {
+                    self.step(|role, now, out| role.delivered(now, broadcast, out));
+                }
+                FleetAction::Alarm(alarm) => tell_operators(&alarm),
+                FleetAction::MembersChanged => self.survey(),
+                FleetAction::Raised(incarnation) => self.role.borrow_mut().raised(incarnation),
+                FleetAction::Ready => event::log(Event::ProcessReady, &[("process", &self.name)]),
+            }
+        }
+        answers
+    }
+
+    async fn read(self: Rc<Self>, order: ReadOrder) {
+        let result = self.service.read(&order).await;
+        self.tell_fleet(FleetEvent::ServiceAnswer {
+            key: order.key,
+            result,
+        });
     }
 
     async fn deliver(self: Rc<Self>, outgoing: Outgoing) {
         let envelope = self.envelope(&outgoing.messages);
         match self.links.exchange(outgoing.to, &envelope).await {
-            Ok(answer) => self.process(&answer),
-            Err(_) => self.step(|role, now, out| role.undelivered(now, outgoing, out)),
+            Ok(answer) => {
+                let answers = self.dispatch(&answer);
+                debug_assert!(answers.is_empty(), "answers are not answered");
+            }
+            Err(_) => {
+                self.tell_fleet(FleetEvent::SendFailed { to: outgoing.to });
+                self.step(|role, now, out| role.undelivered(now, outgoing, out));
+            }
         }
     }
 
-    /// Processes the messages of an envelope that answers one of ours.
-    fn process(self: &Rc<Self>, envelope: &Envelope) {
-        let direct = self.dispatch(envelope);
-        debug_assert!(direct.is_empty(), "answers are not answered");
-    }
-
+    /// Processes an envelope; the direct answers are returned.
     fn dispatch(self: &Rc<Self>, envelope: &Envelope) -> Vec<Message> {
         let (messages, skipped) = envelope.messages();
         self.rejected.set(self.rejected.get() + skipped as u64);
+        let sender = envelope.sender;
+        let version = Version {
+            revision: envelope.revision,
+            hash: envelope.hash,
+        };
+        self.tell_fleet(FleetEvent::Seen {
+            endpoint: sender,
+            version,
+        });
         let mut answers = Vec::new();
         for message in messages {
-            self.step(|role, now, out| {
-                answers.extend(role.received(now, envelope.sender, message, out));
-            });
+            match message {
+                Message::Fleet(message) => {
+                    let event = FleetEvent::Received {
+                        from: sender,
+                        message,
+                    };
+                    answers.extend(self.ask_fleet(event, Some(sender.control)));
+                }
+                message => self.step(|role, now, out| {
+                    answers.extend(role.received(now, sender, message, out));
+                }),
+            }
         }
         answers
     }
 
     fn envelope(&self, messages: &[Message]) -> Envelope {
-        let (revision, hash) = self.in_force();
-        Envelope::new(self.endpoint, revision, hash, messages)
+        let fleet = self.fleet.borrow();
+        let Version { revision, hash } = fleet.version();
+        Envelope::new(fleet.endpoint(), revision, hash, messages)
     }
 
-    fn in_force(&self) -> (Revision, DocumentHash) {
-        let config = self.snapshot.load();
-        config
-            .as_ref()
-            .map_or_else(Default::default, |config| (config.revision, config.hash))
+    /// Whether the process takes requests, and why not.
+    fn readiness(&self) -> Result<(), String> {
+        let fleet = self.fleet.borrow();
+        let waiting = fleet.waiting(self.clock.now());
+        match self.role.borrow().readiness() {
+            Readiness::Stopped => Err("stopped".to_owned()),
+            Readiness::NotReady(why) => Err(why.to_owned()),
+            Readiness::Ready if fleet.is_ready() => Ok(()),
+            Readiness::Ready => {
+                Err(waiting.map_or_else(|| "starting".to_owned(), |why| why.to_string()))
+            }
+        }
     }
 
     fn answer(&self, query: Query) {
@@ -259,12 +433,8 @@
         // A failed send means that the asker gave up.
         match query {
             Query::Ready(reply) => {
-                let readiness = match role.readiness() {
-                    Readiness::Ready => Ok(()),
-                    Readiness::NotReady(why) => Err(why.to_owned()),
-                    Readiness::Stopped => Err("stopped".to_owned()),
-                };
-                let _ = reply.send(readiness);
+                drop(role);
+                let _ = reply.send(self.readiness());
             }
             Query::Dump(reply) => {
                 let _ = reply.send(self.dump(&role, now));
@@ -277,14 +447,16 @@
     }
 
     fn dump(&self, role: &R, now: Now) -> serde_json::Value {
-        let (revision, hash) = self.in_force();
+        let fleet = self.fleet.borrow();
+        let endpoint = fleet.endpoint();
+        let version = fleet.version();
         let bytes = *self.bytes.borrow();
         serde_json::json!({
             "process": self.name,
-            "incarnation": self.endpoint.incarnation.0,
-            "control": self.endpoint.control.to_string(),
-            "revision": revision.0,
-            "hash": hash.to_string(),
+            "incarnation": endpoint.incarnation.0,
+            "control": endpoint.control.to_string(),
+            "revision": version.revision.0,
+            "hash": version.hash.to_string(),
             "links": {
                 "open": self.links.len(),
                 "bytes_sent": bytes.sent,
@@ -292,6 +464,7 @@
                 "exchanges": bytes.exchanges,
                 "rejected": self.rejected.get(),
             },
+            "fleet": fleet.dump(now),
             "role": role.dump(now),
         })
     }
@@ -321,18 +494,6 @@
     }
 }
 
-/// Combines the messages to each address, in order of first appearance.
-fn combine(out: Vec<Outgoing>) -> Vec<Outgoing> {
-    let mut combined: Vec<Outgoing> = Vec::new();
-    for outgoing in out {
-        match combined.iter_mut().find(|known| known.to == outgoing.to) {
-            Some(known) => known.messages.extend(outgoing.messages),
-            None => combined.push(outgoing),
-        }
-    }
-    combined
-}
-
 struct HostReceiver<R>(Rc<Host<R>>);
 
 impl<R> Clone for HostReceiver<R> {
@@ -376,3 +537,19 @@
         }
     }
 }
+
+/// Logs an alarm of the fleet machine.
+fn tell_operators(alarm: &Alarm) {
+    let event = match alarm {
+        Alarm::Invalid { .. } => Event::ConfigRefused,
+        Alarm::Conflict { .. } => Event::ConfigConflict,
+        Alarm::StaleService { .. } => Event::ConfigStale,
+        Alarm::Garbage { .. } => Event::ServiceGarbage,
+        Alarm::Missing { .. } => Event::PartUnavailable,
+        Alarm::Corrupt { .. } => Event::MessageRefused,
+        Alarm::Suspected => Event::SelfSuspected,
+        Alarm::Superseded { .. } => Event::SelfSuperseded,
+        Alarm::Paused { .. } => Event::SelfPaused,
+    };
+    event::log(event, &[("detail", alarm)]);
+}
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -5,9 +5,10 @@
 
 use std::sync::Arc;
 
-use entity::{AttemptId, Decision, Incarnation, Machine, Now, RequestId, TargetId};
-use node::host::{Outgoing, Readiness, Role};
+use entity::{AttemptId, Decision, Incarnation, Machine, Now, ProcessId, RequestId, TargetId};
+use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
 use node::trace::Trace;
+use policy::fleet::{Broadcast, Health};
 use policy::message::{Endpoint, Load};
 use policy::{
     Arrival, AttemptResult, DispatchOrder, Router, RouterAction, RouterEvent, RouterSettings,
@@ -108,6 +109,7 @@
     config: Option<Arc<Config>>,
     actions: Vec<RouterAction>,
     readiness: Readiness,
+    reachable: FxHashMap<TargetId, bool>,
     mismatches: u64,
     finished: u64,
 }
@@ -122,13 +124,14 @@
             config: None,
             actions: Vec::new(),
             readiness: Readiness::NotReady("no configuration in force"),
+            reachable: FxHashMap::default(),
             mismatches: 0,
             finished: 0,
         }
     }
 
     /// Processes one event; direct answers to the event's sender are returned.
-    fn handle(&mut self, now: Now, event: RouterEvent, out: &mut Vec<Outgoing>) -> Vec<Message> {
+    fn handle(&mut self, now: Now, event: RouterEvent, out: &mut Outbox) -> Vec<Message> {
         let mut actions = std::mem::take(&mut self.actions);
         self.router.handle(now, event, &mut actions);
         let mut answers = Vec::new();
@@ -139,12 +142,7 @@
         answers
     }
 
-    fn carry_out(
-        &mut self,
-        action: RouterAction,
-        out: &mut Vec<Outgoing>,
-        answers: &mut Vec<Message>,
-    ) {
+    fn carry_out(&mut self, action: RouterAction, out: &mut Outbox, answers: &mut Vec<Message>) {
         match action {
             RouterAction::Dispatch(order) => {
                 let request = order.offer.attempt.request;
@@ -157,8 +155,9 @@
             }
             RouterAction::Cancel(attempt) => self.order(attempt.request, Order::Cancel(attempt)),
             RouterAction::Bid { target, update } => {
-                let to = self.control_address(target);
-                out.extend(to.map(|to| Outgoing::one(to, Message::Bids(update))));
+                if let Some(to) = self.control_address(target) {
+                    out.send(to, Message::Bids(update));
+                }
             }
             RouterAction::PullReply { pulled, .. } => answers.push(Message::Pulled(pulled)),
             RouterAction::Decided(decision) => self.trace.record(decision),
@@ -177,6 +176,25 @@
         }
     }
 
+    /// Whether new work may go to each target, by what the fleet knows of its agent.
+    fn usable(&self, fleet: &FleetMachine) -> Vec<(TargetId, bool)> {
+        let Some(config) = &self.config else {
+            return Vec::new();
+        };
+        let targets = config.targets.iter().filter(|(_, target)| target.is_some());
+        let usable = |target| {
+            let agent = ProcessId(config.names.targets.tag(target));
+            let dead = fleet
+                .members()
+                .get(agent)
+                .is_some_and(|member| member.claim.health == Health::Dead);
+            !dead && fleet.process_leaving(agent).is_none()
+        };
+        targets
+            .map(|(target, _)| (target, usable(target)))
+            .collect()
+    }
+
     /// The target beside which an agent runs.
     fn target_of(&self, agent: Endpoint) -> Option<TargetId> {
         let config = self.config.as_ref()?;
@@ -188,7 +206,7 @@
         config.targets[target].as_ref().map(|target| target.control)
     }
 
-    fn submitted(&mut self, now: Now, submission: Submission, out: &mut Vec<Outgoing>) {
+    fn submitted(&mut self, now: Now, submission: Submission, out: &mut Outbox) {
         let Submission {
             arrival,
             decisions,
@@ -205,7 +223,7 @@
 impl Role for RouterRole {
     type Input = Input;
 
-    fn configured(&mut self, now: Now, config: Arc<Config>, out: &mut Vec<Outgoing>) {
+    fn configured(&mut self, now: Now, config: Arc<Config>, out: &mut Outbox) {
         self.config = Some(config.clone());
         if self.readiness != Readiness::Stopped {
             self.readiness = Readiness::Ready;
@@ -213,7 +231,7 @@
         self.handle(now, RouterEvent::Configured(config), out);
     }
 
-    fn input(&mut self, now: Now, input: Input, out: &mut Vec<Outgoing>) {
+    fn input(&mut self, now: Now, input: Input, out: &mut Outbox) {
         match input {
             Input::Submit(submission) => self.submitted(now, *submission, out),
             Input::Ended { attempt, result } => {
@@ -243,7 +261,7 @@
         now: Now,
         sender: Endpoint,
         message: Message,
-        out: &mut Vec<Outgoing>,
+        out: &mut Outbox,
     ) -> Vec<Message> {
         match message {
             Message::Pull(pull) => self.handle(now, RouterEvent::Pull(pull), out),
@@ -258,13 +276,30 @@
         }
     }
 
-    fn undelivered(&mut self, _now: Now, _lost: Outgoing, _out: &mut Vec<Outgoing>) {}
+    fn undelivered(&mut self, _now: Now, _lost: Outgoing, _out: &mut Outbox) {}
+
+    fn surveyed(&mut self, now: Now, fleet: &FleetMachine, out: &mut Outbox) {
+        for (target, usable) in self.usable(fleet) {
+            let known = self.reachable.insert(target, usable);
+            let event = match usable {
+                true => RouterEvent::Reachable(target),
+                false => RouterEvent::Unreachable(target),
+            };
+            if known.unwrap_or(true) != usable {
+                self.handle(now, event, out);
+            }
+        }
+    }
+
+    fn delivered(&mut self, _now: Now, _broadcast: Broadcast, _out: &mut Outbox) {}
+
+    fn raised(&mut self, _incarnation: Incarnation) {}
 
-    fn tick(&mut self, now: Now, out: &mut Vec<Outgoing>) {
+    fn tick(&mut self, now: Now, out: &mut Outbox) {
         self.handle(now, RouterEvent::Tick, out);
     }
 
-    fn stop(&mut self, now: Now, out: &mut Vec<Outgoing>) {
+    fn stop(&mut self, now: Now, out: &mut Outbox) {
         self.readiness = Readiness::NotReady("stopping");
         self.handle(now, RouterEvent::Stop, out);
     }
--- a/router/src/run.rs
+++ b/router/src/run.rs
@@ -8,13 +8,14 @@
 use actix_service::fn_service;
 use entity::{Name, SystemClock};
 use eyre::WrapErr;
-use node::host::{Exit, Host, INPUT_DEPTH, Inputs, Snapshot};
+use node::host::{Exit, Host, HostSettings, INPUT_DEPTH, Inputs, Snapshot};
 use node::http::{SERVER_KEEP_ALIVE, bind};
 use node::metrics::Metrics;
 use node::ops::{self, QUERY_DEPTH};
 use node::settings::RouterSettings;
 use node::start::endpoint;
 use policy::RouterSettings as RouterPolicy;
+use policy::fleet::Role;
 use tokio::sync::mpsc;
 
 use crate::control::{Reporter, RouterRole};
@@ -51,7 +52,14 @@
         centre: Name::new(&settings.data_centre),
         seed: endpoint.incarnation.0,
     });
-    let host = Host::new(settings.name.clone(), endpoint, role, snapshot.clone());
+    let host_settings = HostSettings {
+        name: settings.name.clone(),
+        endpoint,
+        kind: Role::Router,
+        centre: Name::new(&settings.data_centre),
+        service: settings.service.clone(),
+    };
+    let host = Host::new(host_settings, role, snapshot.clone());
     let limits = Limits {
         body: settings.limits.body_bytes,
     };
@@ -66,7 +74,6 @@
     let operators_handle = operators.handle();
     actix_rt::spawn(operators);
 
-    actix_rt::spawn(node::watch::follow(host.clone(), settings.service.clone()));
     let inputs = Inputs {
         traffic: traffic_inputs,
         queries: query_inputs,
