--- a/rules/src/document.rs
+++ b/rules/src/document.rs
@@ -24,9 +24,8 @@
     has_final_newline: bool,
 }
 
-/// A line of a document.
 #[derive(Clone, PartialEq, Eq, Debug)]
-pub struct Line {
+struct Line {
     text: Name,
     rule: Option<Rule>,
 }
@@ -171,8 +170,9 @@
     let asker = asker.map_err(|expected| {
         errors.push(RuleError::new(number, column, found, expected));
     });
+    let written = text.strip_suffix('\r').unwrap_or(text);
     let comment_bytes = scan.comment.map_or(0, |comment| comment.text.len());
-    let written = text[..text.len() - comment_bytes].trim();
+    let written = written[..written.len() - comment_bytes].trim();
     Some(Rule {
         statement: statement?,
         source: RuleSource {
--- a/rules/src/lib.rs
+++ b/rules/src/lib.rs
@@ -28,7 +28,7 @@
 pub use diff::{
     Change, ChangeKind, Diff, FieldChange, PoolEffect, Portion, Subject, TeamEffect, Whom, diff,
 };
-pub use document::{Document, Line, MAX_DOCUMENT_BYTES, MAX_LINE_BYTES, Rule, RuleSource};
+pub use document::{Document, MAX_DOCUMENT_BYTES, MAX_LINE_BYTES, Rule, RuleSource};
 pub use error::RuleError;
 pub use history::{History, KEPT_REVISIONS};
 pub use part::{MAX_VALUE_BYTES, Origin, assemble, origin, part_hash, parts};
--- a/rules/src/read.rs
+++ b/rules/src/read.rs
@@ -12,7 +12,8 @@
 use crate::value::{self, Expected};
 
 const STATEMENTS: Expected = "`revision`, `data-centre`, `pool`, `target`, `team`, `key`, `route`, `model`, `drain` or `part`";
-const REPEATS: [&str; 2] = ["idempotent", "once"];
+/// The flags of a route.
+pub(crate) const REPEATS: [&str; 2] = ["idempotent", "once"];
 
 /// The words of one line that are still to be read.
 struct Reader<'a, 'e> {
--- a/rules/src/scan.rs
+++ b/rules/src/scan.rs
@@ -29,7 +29,10 @@
 type Input<'a> = LocatingSlice<&'a str>;
 
 /// Splits `line`; any text can be split.
+///
+/// Only blanks and tabs separate words; a final carriage return belongs to the line's end.
 pub(crate) fn scan(line: &str) -> Scan<'_> {
+    let line = line.strip_suffix('\r').unwrap_or(line);
     let (words, comment) = parts
         .parse(LocatingSlice::new(line))
         .expect("every line splits into words and a comment");
@@ -62,14 +65,18 @@
     preceded(blank, (words, opt(comment.with_span()))).parse_next(input)
 }
 
+fn is_blank(c: char) -> bool {
+    matches!(c, ' ' | '\t')
+}
+
 fn blank<'a>(input: &mut Input<'a>) -> Result<&'a str, ContextError> {
-    take_while(0.., char::is_whitespace).parse_next(input)
+    take_while(0.., is_blank).parse_next(input)
 }
 
 /// A comment starts where a word could start, so a word may contain `#`.
 fn word<'a>(input: &mut Input<'a>) -> Result<&'a str, ContextError> {
-    let first = take_while(1, |c: char| c != '#' && !c.is_whitespace());
-    let others = take_while(0.., |c: char| !c.is_whitespace());
+    let first = take_while(1, |c: char| c != '#' && !is_blank(c));
+    let others = take_while(0.., |c: char| !is_blank(c));
     (first, others).take().parse_next(input)
 }
 
--- a/rules/src/verify.rs
+++ b/rules/src/verify.rs
@@ -11,6 +11,8 @@
 use crate::config::{KeyHash, PoolKind, Window};
 use crate::document::Document;
 use crate::error::{RuleError, quote};
+use crate::read;
+use crate::scan::Word;
 use crate::statement::{
     DrainStatement, KeyStatement, ModelStatement, PartStatement, PoolStatement, RouteStatement,
     Statement, TargetStatement, TeamStatement,
@@ -93,6 +95,21 @@
     }
 }
 
+/// The value of `key` among the pairs of a line; a route's pairs follow three fixed
+/// words and have flags between them.
+fn value_of<'w>(words: &'w [Word<'w>], key: &str) -> Option<&'w Word<'w>> {
+    let is_route = words.first()?.text == "route";
+    let pairs = words.get(if is_route { 4 } else { 2 }..)?;
+    let is_flag = |word: &Word<'_>| is_route && read::REPEATS.contains(&word.text);
+    let mut pairs = pairs.iter().filter(|word| !is_flag(word));
+    while let (Some(found), value) = (pairs.next(), pairs.next()) {
+        if found.text == key {
+            return value;
+        }
+    }
+    None
+}
+
 impl<'a> Verifier<'a> {
     fn new(document: &'a Document) -> Self {
         Self {
@@ -125,10 +142,7 @@
         let words = self.document.words(line);
         let word = match place {
             Place::Word(index) => words.get(index),
-            Place::Value(key) => {
-                let key = words.iter().skip(2).position(|word| word.text == key);
-                key.and_then(|key| words.get(key + 3))
-            }
+            Place::Value(key) => value_of(&words, key),
         };
         let column = word.or(words.first()).map_or(1, |word| word.column);
         self.errors
