--- a/rules/src/diff.rs
+++ b/rules/src/diff.rs
@@ -10,7 +10,7 @@
 use entity::{Name, PoolId, Revision, TeamId};
 use serde::Serialize;
 
-use crate::config::{Config, KeyHash};
+use crate::config::Config;
 use crate::document::RuleSource;
 use crate::statement::{
     DrainStatement, ModelStatement, PoolStatement, RouteStatement, Statement, TargetStatement,
@@ -249,7 +249,7 @@
         Statement::Target(target) => describe_target(target),
         Statement::Team(team) => describe_team(team),
         Statement::Key(key) => {
-            let subject = Subject::Key(short_hash(key.hash));
+            let subject = Subject::Key(Name::new(&key.hash.to_string()));
             let team = vec![("team", key.team.to_string())];
             (subject, Whom::Team(key.team.clone()), team)
         }
@@ -352,12 +352,6 @@
     }
 }
 
-/// The start of a hash, enough to tell keys apart.
-fn short_hash(hash: KeyHash) -> Name {
-    const SHOWN: usize = "sha256:".len() + 12;
-    Name::new(&hash.to_string()[..SHOWN])
-}
-
 fn team_effects(old: &Config, new: &Config) -> Vec<TeamEffect> {
     let (before, after) = (portions(old), portions(new));
     let mut teams: Vec<_> = before.keys().chain(after.keys()).collect();
