--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -172,14 +172,17 @@
     done
 }
 
-# Data centre dc2 leaves after a quarter of the load and returns after three quarters.
+# Data centre dc2 leaves after a quarter of the load and returns near its end.
 write_events() {
-    local out=$((seconds * 250)) back=$((seconds * 850)) drained returned
+    local out=$((seconds * 250)) back=$((seconds * 850)) drained returned fault=
     drained=$(document $((revision + 1)) "drain data-centre dc2" | json_text)
     returned=$(document $((revision + 2)) | json_text)
     revision=$((revision + 2))
+    if [[ -n ${crash-} ]]; then
+        fault="{\"at_millis\":$((seconds * 150)),\"note\":\"llm-1 dies\",\"method\":\"POST\",\"address\":\"$standin_llm_1\",\"path\":\"/test/faults\",\"body\":\"{\\\"kind\\\":\\\"crash\\\"}\",\"deaths\":1},"
+    fi
     cat >"$dir/events.json" <<JSON
-[{"at_millis":$out,"note":"dc2 taken out","method":"PUT","address":"$config","path":"/test/values/rules","body":$drained,"drains":"dc2"},
+[$fault{"at_millis":$out,"note":"dc2 taken out","method":"PUT","address":"$config","path":"/test/values/rules","body":$drained,"drains":"dc2"},
  {"at_millis":$back,"note":"dc2 brought back","method":"PUT","address":"$config","path":"/test/values/rules","body":$returned,"returns":"dc2"}]
 JSON
 }
--- a/standins/src/load/compare.rs
+++ b/standins/src/load/compare.rs
@@ -39,7 +39,7 @@
 
 type Measure = fn(&Report) -> Option<f64>;
 
-const MEASURES: [(&str, Measure); 13] = [
+const MEASURES: [(&str, Measure); 14] = [
     ("asked", |r| Some(r.sum(|team| team.asked) as f64)),
     ("answered", |r| Some(r.sum(|team| team.answered) as f64)),
     ("refused", |r| Some(r.sum(|team| team.refused) as f64)),
@@ -49,6 +49,7 @@
     ("p50 ms", |r| Some(r.whole.p50)),
     ("p99 ms", |r| Some(r.whole.p99)),
     ("first token p50 ms", |r| Some(r.first.p50)),
+    ("first token p99 ms", |r| Some(r.first.p99)),
     ("fairness gap, tokens per weight", |r| Some(r.gap)),
     ("utilisation %", |r| r.utilisation.map(|part| part * 100.0)),
     ("utilisation while waiting %", |r| {
