--- a/policy/src/attempt.rs
+++ b/policy/src/attempt.rs
@@ -4,7 +4,8 @@
 //! [`Attempts::start`] right before it sends an attempt, [`Attempts::accepts`]
 //! for each response head, and [`Attempts::ended`] when the relay reports the end
 //! of an attempt. [`Attempts::refuse`] ends a request that has no attempt in
-//! flight; [`Attempts::gone`] drops one whose caller left.
+//! flight, [`Attempts::expire`] one whose deadline passed in any state;
+//! [`Attempts::gone`] drops one whose caller left.
 //!
 //! Invariants:
 //! - A request has at most one attempt in flight.
@@ -72,6 +73,15 @@
     Finish(Outcome),
 }
 
+/// The end of a request whose deadline passed.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Expiry {
+    /// The attempt to cancel, if one is in flight.
+    pub cancel: Option<AttemptId>,
+    /// The ending.
+    pub outcome: Outcome,
+}
+
 /// Counts of what attempts did.
 #[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
 pub struct AttemptCounts {
@@ -211,13 +221,24 @@
             return None;
         }
         let progress = self.requests.remove(&request)?;
-        Some(match progress.may_have_run() {
-            true => Outcome::Unknown { refusal },
-            false => Outcome::NotRun {
-                refusal,
-                proof: HandOver::new().give_up(),
-            },
-        })
+        Some(progress.refused(refusal))
+    }
+
+    /// Ends a request whose deadline passed; `None` if it has ended.
+    pub fn expire(&mut self, request: RequestId) -> Option<Expiry> {
+        let progress = self.requests.remove(&request)?;
+        let flight = progress.flight.as_ref();
+        let cancel = flight.map(|&(number, _)| AttemptId { request, number });
+        let retry = match progress.plan.delivery {
+            Delivery::OnceMinted if cancel.is_some() => RetryAdvice::VerifyFirst,
+            _ => RetryAdvice::After(RETRY_DELAY),
+        };
+        let refusal = Refusal::new(Reason::DeadlinePassed, retry);
+        let outcome = match cancel {
+            Some(_) => Outcome::Unknown { refusal },
+            None => progress.refused(refusal),
+        };
+        Some(Expiry { cancel, outcome })
     }
 
     /// Drops a request whose caller left; returns the attempt to cancel.
@@ -253,6 +274,17 @@
         self.ran || self.plan.delivery == Delivery::OnceSupplied
     }
 
+    /// The outcome of a request that is not sent again and has no attempt in flight.
+    fn refused(&self, refusal: Refusal) -> Outcome {
+        match self.may_have_run() {
+            true => Outcome::Unknown { refusal },
+            false => Outcome::NotRun {
+                refusal,
+                proof: HandOver::new().give_up(),
+            },
+        }
+    }
+
     /// The outcome after the agent stated that the attempt in flight did not run.
     fn disclaim(&self, sent: HandedOver, refusal: Refusal) -> Outcome {
         match self.ran {
--- a/policy/src/home.rs
+++ b/policy/src/home.rs
@@ -107,20 +107,22 @@
     pub fn home(&self, key: &IdempotencyKey) -> Option<Tag> {
         match key {
             IdempotencyKey::Ticket(ticket) => Some(ticket.agent),
-            IdempotencyKey::Caller(uuid) => self.choose(uuid.as_u128(), key.issued()),
+            IdempotencyKey::Caller(uuid) => choose(self.seats.iter(), uuid.as_u128(), key.issued()),
         }
     }
 
     /// The agent that runs `fingerprint` while it is suspected of crashing targets.
-    pub fn trial_home(&self, fingerprint: Fingerprint, now: Now) -> Option<Tag> {
-        self.choose(fingerprint.0, now.wall)
-    }
-
-    fn choose(&self, value: u128, issued: SystemTime) -> Option<Tag> {
-        let seats = self.seats.iter().filter(|seat| seat.covers(issued));
-        let score = |agent: Tag| xxh3_64_with_seed(&value.to_be_bytes(), agent.0);
-        let agents = seats.map(|seat| seat.agent);
-        agents.max_by_key(|&agent| (score(agent), agent))
+    ///
+    /// Agents that are not `usable` are passed over; processes that disagree on
+    /// them may try the request on more than one target.
+    pub fn trial_home(
+        &self,
+        fingerprint: Fingerprint,
+        now: Now,
+        usable: impl Fn(Tag) -> bool,
+    ) -> Option<Tag> {
+        let seats = self.seats.iter().filter(|seat| usable(seat.agent));
+        choose(seats, fingerprint.0, now.wall)
     }
 
     /// The issue times whose home may differ between the two rosters.
@@ -131,6 +133,19 @@
     }
 }
 
+/// The rendezvous choice of `value` among the seats that cover `issued`.
+fn choose<'a>(
+    seats: impl Iterator<Item = &'a Seat>,
+    value: u128,
+    issued: SystemTime,
+) -> Option<Tag> {
+    let agents = seats
+        .filter(|seat| seat.covers(issued))
+        .map(|seat| seat.agent);
+    let score = |agent: Tag| xxh3_64_with_seed(&value.to_be_bytes(), agent.0);
+    agents.max_by_key(|&agent| (score(agent), agent))
+}
+
 fn lone_seats<'a>(seats: &'a [Seat], others: &'a [Seat]) -> impl Iterator<Item = Hold> + 'a {
     let lone = seats.iter().filter(|seat| !others.contains(seat));
     lone.map(|seat| {
--- a/policy/src/once.rs
+++ b/policy/src/once.rs
@@ -7,7 +7,8 @@
 //! [`OnceMemory::may_hand_over`] right before the first byte goes to the target
 //! and [`OnceMemory::ended`] or [`OnceMemory::lost`] when the attempt ends. The
 //! driver holds the bytes of answers and drops those that `ended` and
-//! [`OnceMemory::tick`] return.
+//! [`OnceMemory::tick`] return. An offer that follows an attempt ends as that
+//! attempt ends, at the same moment.
 //!
 //! Invariants:
 //! - A key is handed over at most once in the life of the agent, and only by
@@ -16,7 +17,7 @@
 //! - `Refuse` is returned only where the key provably has not run anywhere.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
 use entity::{
     AttemptId, Fingerprint, HandOver, HandedOver, IdempotencyKey, Incarnation, NotHandedOver, Now,
@@ -69,7 +70,7 @@
 
 #[derive(Debug)]
 enum State {
-    Decided { at: Instant, right: HandOver },
+    Decided { at: Now, right: HandOver },
     Running(HandedOver),
     Held { bytes: u64, order: u64 },
     Dropped,
@@ -182,7 +183,7 @@
         let State::Decided { at, .. } = state else {
             return Err(unknown(Reason::EarlierRunUnknown, RetryAdvice::VerifyFirst));
         };
-        let late = now.mono.saturating_duration_since(*at) > self.settings.hand_over;
+        let late = elapsed(*at, now) > self.settings.hand_over;
         let checked = match self.check(vouch, &key) {
             Ok(()) if late => Err(refuse(
                 Reason::HandOverLate,
@@ -329,7 +330,7 @@
     ) {
         let expires = key.expires(self.settings.bounds.lifetime);
         let state = State::Decided {
-            at: now.mono,
+            at: now,
             right: HandOver::new(),
         };
         self.expiries.insert((expires, key));
@@ -369,6 +370,13 @@
     }
 }
 
+/// The longer of both clocks' intervals: a suspended VM may stop its monotonic clock.
+fn elapsed(from: Now, to: Now) -> Duration {
+    let mono = to.mono.saturating_duration_since(from.mono);
+    let wall = to.wall.duration_since(from.wall).unwrap_or_default();
+    mono.max(wall)
+}
+
 fn recall(entry: &Entry, attempt: AttemptId, fingerprint: Fingerprint) -> OnceVerdict {
     if entry.fingerprint != fingerprint {
         // A caller may have changed the body of a request that did run.
--- a/policy/src/retry.rs
+++ b/policy/src/retry.rs
@@ -4,6 +4,9 @@
 //! retry spends one token of both. Because every router holds its retries to a
 //! share of its own arrivals, the fleet's retries stay within the same share of
 //! the fleet's arrivals plus one burst per router, without coordination.
+//!
+//! [`Attempts`](crate::attempt::Attempts) owns the budget; a composite only
+//! passes the settings and a seed.
 
 use std::time::Duration;
 
--- a/policy/src/status.rs
+++ b/policy/src/status.rs
@@ -1,7 +1,8 @@
 //! The HTTP form of outcomes.
 //!
 //! [`Ending::of`] is the only place that maps an [`Outcome`] to a status, the
-//! `kw-outcome` header and `Retry-After`.
+//! `kw-outcome` header and `Retry-After`. The router's front calls it for each
+//! finished request and sends [`ANSWERED`] with a target's answer.
 
 use std::time::Duration;
 
--- a/policy/tests/once.rs
+++ b/policy/tests/once.rs
@@ -192,11 +192,20 @@
     rig.offer("first", 10_000, 1, key, 1);
     rig.hand_over("woke late", 10_501, 1);
     rig.offer("again", 10_600, 2, key, 1);
-    rig.memory.release(attempt(2));
-    rig.offer("after release", 10_600, 3, key, 1);
-    rig.configure(10_700, 2, vec![seat(1), seat(2)]);
-    rig.confirm(10_700, 2);
-    rig.hand_over("home in doubt", 10_800, 3);
+    let suspended = Now {
+        wall: rig.at(11_200).wall,
+        ..rig.at(10_600)
+    };
+    let result = rig.memory.may_hand_over(suspended, &rig.vouch, attempt(2));
+    let suspended = text(&result.expect_err("the wall clock shows the pause"));
+    rig.log
+        .push(format!("monotonic clock stood still: {suspended}"));
+    rig.offer("without a slot", 11_200, 4, key, 1);
+    rig.memory.release(attempt(4));
+    rig.offer("after release", 11_200, 3, key, 1);
+    rig.configure(11_300, 2, vec![seat(1), seat(2)]);
+    rig.confirm(11_300, 2);
+    rig.hand_over("home in doubt", 11_400, 3);
     insta::assert_snapshot!(rig.text());
 }
 
--- a/policy/tests/quarantine.rs
+++ b/policy/tests/quarantine.rs
@@ -51,7 +51,7 @@
         let now = now(at);
         let mut shared = Vec::new();
         for &it in batch {
-            let home = self.roster.trial_home(it, now) == Some(Tag(agent as u64));
+            let home = self.roster.trial_home(it, now, |_| true) == Some(Tag(agent as u64));
             match self.agents[agent].admit(now, it, home) {
                 Admission::Run => shared.push(it),
                 Admission::Alone => self.run(at, agent, &[it]),
--- a/policy/tests/retry.rs
+++ b/policy/tests/retry.rs
@@ -143,15 +143,32 @@
 #[test]
 fn a_past_deadline_ends_a_request() {
     let now = start();
-    let mut attempts = attempts(now);
-    attempts.open(plan(now, 1, Delivery::Repeatable));
-    let attempt = attempts
-        .start(now, RequestId(1), TargetId::new(0))
-        .expect("starts");
     let late = now.after(Duration::from_secs(10));
-    let next = attempts.ended(late, attempt, AttemptResult::Broken { delivered: false });
-    assert_eq!(text(&next), "unknown, connection lost");
-    assert_eq!(attempts.start(late, RequestId(1), TargetId::new(0)), None);
+    let mut lines = Vec::new();
+    for delivery in [
+        Delivery::Repeatable,
+        Delivery::OnceMinted,
+        Delivery::OnceSupplied,
+    ] {
+        for sent in [false, true] {
+            let mut attempts = attempts(now);
+            attempts.open(plan(now, 1, delivery));
+            if sent {
+                attempts
+                    .start(now, RequestId(1), TargetId::new(0))
+                    .expect("starts");
+            }
+            assert_eq!(attempts.start(late, RequestId(1), TargetId::new(0)), None);
+            let expiry = attempts.expire(RequestId(1)).expect("open");
+            let form = Ending::of(&expiry.outcome).expect("not an answer");
+            lines.push(format!(
+                "{delivery:?}, sent {sent}: cancel {:?}, {form:?}",
+                expiry.cancel
+            ));
+            assert_eq!(attempts.expire(RequestId(1)), None);
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"));
 }
 
 #[test]
