--- a/policy/tests/once.rs
+++ b/policy/tests/once.rs
@@ -300,17 +300,27 @@
     rig.log
         .push(format!("homes of 1000 later keys: {counts:?}"));
     rig.configure(60_000, 3, vec![seat(2), joining]);
-    let hold = rig.vouch.hold().expect("removal has no lead");
-    let until = hold
-        .until
-        .duration_since(rig.base.wall)
-        .expect("later than the start");
+    let removal = hold_text(&rig);
+    rig.log.push(format!("hold after removal: {removal}"));
+    let closing = Seat {
+        until: Some(rig.at(650_000).wall),
+        ..seat(2)
+    };
+    rig.configure(600_000, 4, vec![closing, joining]);
+    let both = hold_text(&rig);
+    rig.log.push(format!("hold after a second change: {both}"));
+    insta::assert_snapshot!(rig.text());
+}
+
+fn hold_text(rig: &Rig) -> String {
+    let hold = rig.vouch.hold().expect("the change has no lead");
     let from = hold
         .from
         .duration_since(UNIX_EPOCH)
         .expect("after the epoch");
-    rig.log.push(format!(
-        "hold after removal: from epoch + {from:?}, until start + {until:?}"
-    ));
-    insta::assert_snapshot!(rig.text());
+    let until = hold
+        .until
+        .duration_since(rig.base.wall)
+        .expect("later than the start");
+    format!("from epoch + {from:?}, until start + {until:?}")
 }
--- a/policy/tests/schedule/model.rs
+++ b/policy/tests/schedule/model.rs
@@ -88,6 +88,7 @@
     keys: Vec<IdempotencyKey>,
     checked: Vec<Flight>,
     running: Vec<Flight>,
+    bodies: BTreeMap<AttemptId, Fingerprint>,
     runs: BTreeMap<usize, u32>,
     answers: BTreeMap<usize, u32>,
     attempts: u128,
@@ -115,6 +116,7 @@
             keys: Vec::new(),
             checked: Vec::new(),
             running: Vec::new(),
+            bodies: BTreeMap::new(),
             runs: BTreeMap::new(),
             answers: BTreeMap::new(),
             attempts: 0,
@@ -338,7 +340,13 @@
         if verdict == OnceVerdict::Start {
             process.decided.insert(attempt, key);
         }
-        self.judge(key, id, &verdict)
+        self.bodies.insert(attempt, body);
+        match verdict {
+            OnceVerdict::Follow(it) | OnceVerdict::Replay(it) if self.bodies[&it] != body => {
+                Err(Failure::OtherAnswer)
+            }
+            _ => self.judge(key, id, &verdict),
+        }
     }
 
     fn judge(&mut self, key: usize, id: usize, verdict: &OnceVerdict) -> Result<(), Failure> {
