--- a/policy/tests/quarantine.rs
+++ b/policy/tests/quarantine.rs
@@ -200,13 +200,34 @@
     insta::assert_debug_snapshot!((both, one));
 }
 
+/// A completion voids earlier crashes, and later ones count only while alone.
+#[test]
+fn completion_voids_earlier_crashes() {
+    let mut quarantine = Quarantine::new(QuarantineSettings::default());
+    let it = Fingerprint(1);
+    let crash = |quarantine: &mut Quarantine, at, others: &[Fingerprint]| {
+        let present = others.iter().copied().chain([it]);
+        quarantine.crashed(now(at), Tag(1), Incarnation(1), present);
+        quarantine.explain(now(at), it)
+    };
+    let mut history = vec![
+        crash(&mut quarantine, 1, &[]),
+        crash(&mut quarantine, 2, &[]),
+    ];
+    quarantine.completed(now(3), it);
+    history.push(crash(&mut quarantine, 4, &[CULPRIT]));
+    history.push(crash(&mut quarantine, 5, &[]));
+    history.push(crash(&mut quarantine, 6, &[]));
+    insta::assert_debug_snapshot!(history);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..Default::default() })]
 
     #[test]
     fn merging_is_idempotent_and_commutative(
-        crashes in prop::collection::vec((0..3u64, 0..5u128, 0..5u128, 0..100u64), 0..8),
-        completions in prop::collection::vec((0..5u128, 0..100u64), 0..8),
+        crashes in prop::collection::vec((0..3u64, 0..2u128, 0..2u128, 0..100u64), 0..12),
+        completions in prop::collection::vec((0..2u128, 0..100u64), 0..8),
     ) {
         let mut sources = vec![Quarantine::new(QuarantineSettings::default()); 3];
         for &(agent, a, b, at) in &crashes {
--- a/policy/tests/retry.rs
+++ b/policy/tests/retry.rs
@@ -140,6 +140,35 @@
     insta::assert_debug_snapshot!(counts);
 }
 
+/// Sends a request until it ends; returns the number of attempts.
+fn exhaust(attempts: &mut Attempts, now: Now, plan: Plan) -> (u16, String) {
+    attempts.open(plan);
+    let mut number = 0;
+    loop {
+        let attempt = attempts
+            .start(now, plan.request, TargetId::new(0))
+            .expect("starts");
+        number += 1;
+        match attempts.ended(now, attempt, AttemptResult::Unsent) {
+            Next::Finish(outcome) => return (number, ending(&outcome)),
+            next => assert!(matches!(next, Next::Retry { .. })),
+        }
+    }
+}
+
+#[test]
+fn retries_are_limited_by_number_deadline_and_saved_tokens() {
+    let now = start();
+    let mut attempts = attempts(now);
+    let urgent = Plan {
+        deadline: now.mono + Duration::from_micros(1),
+        ..plan(now, 1, Delivery::Repeatable)
+    };
+    let urgent = exhaust(&mut attempts, now, urgent);
+    let others = (2..8).map(|it| exhaust(&mut attempts, now, plan(now, it, Delivery::Repeatable)));
+    insta::assert_debug_snapshot!((urgent, others.collect::<Vec<_>>()));
+}
+
 #[test]
 fn a_past_deadline_ends_a_request() {
     let now = start();
