--- a/bench/src/bin/fairness.rs
+++ b/bench/src/bin/fairness.rs
@@ -96,7 +96,7 @@
     measure("fifo", None, |_, _| Fifo);
     measure("router quota", None, |_, _| RouterQuota::default());
     measure("counter per agent", None, ledger::<0>);
-    for gossip in [10, 250, 5000] {
+    for gossip in [10, 250, 1000, 5000] {
         measure(&format!("merged, {gossip} ms"), Some(gossip), ledger::<0>);
         measure(&format!("mirror, {gossip} ms"), Some(gossip), ledger::<1>);
         measure(&format!("fill, {gossip} ms"), Some(gossip), ledger::<3>);
--- a/policy/src/agent/fill.rs
+++ b/policy/src/agent/fill.rs
@@ -8,7 +8,7 @@
 
 use super::{Agent, AgentAction, count, weight};
 use crate::bid::{BidKey, Lot};
-use crate::fair::{Party, Share, draw_team};
+use crate::fair::{Contender, Party, Share, choose_team};
 use crate::message::{Endpoint, Pick, Pull, Pulled, Solicit};
 use crate::pull::Reservation;
 
@@ -132,8 +132,13 @@
             unseen => {
                 let config = self.config.as_deref()?;
                 let teams = self.bids.teams();
-                let ranked = teams.map(|team| (rank(team), team, weight(config, team)));
-                let team = draw_team(&mut self.rng, unseen, ranked)?;
+                let contenders = teams.map(|team| Contender {
+                    rank: rank(team),
+                    team,
+                    weight: weight(config, team),
+                });
+                let recent = |team| self.share.recent(team);
+                let team = choose_team(&mut self.rng, unseen, contenders, recent)?;
                 self.bids.lots(team).min_by_key(order)
             }
         };
--- a/policy/src/fair.rs
+++ b/policy/src/fair.rs
@@ -47,6 +47,11 @@
         0
     }
 
+    /// What this agent gave a team since it heard of the others, in steps.
+    fn recent(&self, _team: TeamId) -> i64 {
+        0
+    }
+
     /// Notes which rank was chosen.
     fn chosen(&mut self, rank: Rank);
 
@@ -63,40 +68,50 @@
     fn prune(&mut self, now: Instant, is_active: impl Fn(TeamId) -> bool);
 }
 
-/// Draws the team for a slot when `unseen` service of others is not yet in the ranks.
+/// A team that waits, as the choice between teams sees it.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct Contender {
+    /// Its rank.
+    pub rank: Rank,
+    /// The team.
+    pub team: TeamId,
+    /// Its weight.
+    pub weight: Weight,
+}
+
+/// Chooses the team for a slot when `unseen` service of others is not yet in the ranks.
 ///
 /// The others are assumed to serve the least ranks first, as this agent would. So
-/// the draw raises the least ranks by a random part of `unseen` and takes, by
-/// weight, one of the teams that are then level. Without unseen service it is the
+/// the least ranks are raised by `unseen`, and of the teams that are then level the
+/// one goes first to which this agent itself gave least since it heard of the
+/// others (`recent`); among equals a random one. Without unseen service it is the
 /// least rank. Agents with the same stale ranks thus choose different teams, and
 /// together they fill the ranks up evenly.
-pub fn draw_team(
+pub fn choose_team(
     rng: &mut ChaCha8Rng,
     unseen: i64,
-    teams: impl Iterator<Item = (Rank, TeamId, Weight)>,
+    contenders: impl Iterator<Item = Contender>,
+    recent: impl Fn(TeamId) -> i64,
 ) -> Option<TeamId> {
-    let mut heap: BinaryHeap<_> = teams.map(Reverse).collect();
+    let mut heap: BinaryHeap<_> = contenders.map(Reverse).collect();
     let mut rest = unseen;
-    let Reverse((mut level, team, weight)) = heap.pop()?;
-    let mut filled = vec![(team, weight)];
-    let mut weights = i64::from(weight.get());
-    while let Some(&Reverse((next, team, weight))) = heap.peek() {
-        let volume = (next.0 - level.0).saturating_mul(weights);
+    let Reverse(least) = heap.pop()?;
+    let mut level = least.rank;
+    let mut weights = i64::from(least.weight.get());
+    let mut filled = vec![least.team];
+    while let Some(&Reverse(next)) = heap.peek() {
+        let volume = (next.rank.0 - level.0).saturating_mul(weights);
         if volume >= rest {
             break;
         }
         rest -= volume;
-        level = next;
-        weights += i64::from(weight.get());
-        filled.push((team, weight));
+        level = next.rank;
+        weights += i64::from(next.weight.get());
+        filled.push(next.team);
         heap.pop();
     }
-    let mut ticket = rng.random_range(0..weights);
-    let mut chosen = filled.into_iter();
-    chosen.find_map(|(team, weight)| {
-        ticket -= i64::from(weight.get());
-        (ticket < 0).then_some(team)
-    })
+    let order = |team: &TeamId| (recent(*team), rng.random::<u32>());
+    filled.into_iter().min_by_key(order)
 }
 
 /// Names and weights of teams.
--- a/policy/src/ledger.rs
+++ b/policy/src/ledger.rs
@@ -293,6 +293,13 @@
         (seconds * self.pace * STEPS as f64) as i64
     }
 
+    fn recent(&self, team: TeamId) -> i64 {
+        let account = self.accounts.get(&team);
+        account.map_or(0, |account| {
+            self.rows.len() as i64 * account.own - account.snaps
+        })
+    }
+
     fn chosen(&mut self, rank: Rank) {
         self.floor = rank.0;
     }
