--- a/filetests/src/lib.rs
+++ b/filetests/src/lib.rs
@@ -1,3 +1,8 @@
 //! Scenarios: routers and agents driven in simulated time.
 
+pub mod case;
 pub mod fleet;
+pub mod record;
+pub mod scenario;
+pub mod sim;
+pub mod verify;
--- /dev/null
+++ b/filetests/src/sim.rs
@@ -0,0 +1,432 @@
+//! The runner: real decision code over a virtual clock and a message queue.
+//!
+//! Each process is a [`policy::fleet::Fleet`] machine beside a [`policy::Router`] or
+//! a [`policy::Agent`], connected as in the daemons. [`run`] plays one scenario.
+//!
+//! Invariant: events happen in order of time and then of creation, and all random
+//! choices come from the scenario's seed, so a scenario has one course.
+
+mod fault;
+mod link;
+mod meter;
+mod plan;
+mod plant;
+mod process;
+mod serve;
+mod service;
+mod share;
+mod step;
+mod target;
+mod traffic;
+
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::path::Path;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use entity::{AttemptId, Name, Now, RequestId, Revision};
+use policy::reader::ServiceKey;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::record::{Entry, Subject, What};
+use crate::scenario::{Change, Scenario};
+use link::Cut;
+use meter::Meter;
+use plan::Plan;
+use process::Process;
+use service::Service;
+use step::{Answer, Scheduled, Step};
+use target::Engine;
+use traffic::{Flow, Key, Request};
+
+pub use meter::{Gap, PoolMeasure, Span, Starvation};
+pub use plan::PlanError;
+
+/// The interval at which a role is told that time has passed.
+const TICK: Duration = Duration::from_millis(20);
+
+/// The interval at which the gap is sampled.
+const SAMPLE: Duration = Duration::from_millis(50);
+
+/// The time before the start of a scenario in which processes become ready.
+const START: Duration = Duration::from_secs(10);
+
+/// The wall-clock time at which a run begins.
+const EPOCH: Duration = Duration::from_secs(1_800_000_000);
+
+/// What a run left behind.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Everything that happened, in order.
+    pub entries: Vec<Entry>,
+    /// What was measured, by pool.
+    pub pools: Vec<PoolRun>,
+    /// How long the scenario lasted.
+    pub length: Duration,
+    /// The data centre of each target, by target name.
+    pub centres: BTreeMap<Name, Name>,
+    /// All teams, in order.
+    pub teams: Vec<Name>,
+    /// The deadlines of requests, since the start of the scenario.
+    pub deadlines: BTreeMap<RequestId, Duration>,
+    /// The calls that the configuration service counted.
+    pub calls: u64,
+    wakes: Vec<(Name, Duration)>,
+}
+
+impl Run {
+    /// A time of the virtual clock, counted from the start of the scenario.
+    pub fn since_start(&self, at: Duration) -> Duration {
+        at.saturating_sub(START)
+    }
+
+    /// When a process woke from its pauses, since the start of the scenario.
+    pub fn wakes(&self, process: &Name) -> impl Iterator<Item = Duration> {
+        let wakes = self.wakes.iter();
+        wakes
+            .filter(move |(name, _)| name == process)
+            .map(|&(_, at)| at)
+    }
+}
+
+/// What was measured of one pool, with what its bounds are made of.
+#[derive(Clone, PartialEq, Debug)]
+pub struct PoolRun {
+    /// Its name.
+    pub name: Name,
+    /// What was measured.
+    pub measure: PoolMeasure,
+    /// The cost that its warm targets deliver in a second.
+    pub rate: f64,
+    /// The weights of all teams.
+    pub weights: Vec<f64>,
+    /// The time in which agents do not see each other's service: gossip and two delays.
+    pub blind: Duration,
+    /// Whether faults made agents lose sight of each other for longer.
+    pub disturbed: bool,
+}
+
+/// Plays a scenario; rules files are looked for below `root`.
+///
+/// # Errors
+///
+/// Returns an error if a name or a rules file cannot be resolved.
+pub fn run(scenario: &Scenario, root: &Path) -> Result<Run, PlanError> {
+    let plan = Plan::new(scenario, root)?;
+    let mut sim = Sim::new(plan);
+    let end = START + sim.plan.run;
+    sim.run_until(end);
+    Ok(sim.finish())
+}
+
+struct Sim {
+    plan: Plan,
+    base: Instant,
+    at: Duration,
+    order: u64,
+    queue: BinaryHeap<Scheduled>,
+    rng: ChaCha8Rng,
+    processes: Vec<Process>,
+    engines: Vec<Engine>,
+    service: Service,
+    cuts: Vec<Cut>,
+    revision: Revision,
+    drains: Vec<Change>,
+    leaving: Vec<usize>,
+    requests: BTreeMap<RequestId, Request>,
+    flows: Vec<Flow>,
+    keys: Vec<Key>,
+    serial: u64,
+    meters: Vec<Meter>,
+    slots: Vec<u32>,
+    entries: Vec<Entry>,
+    disturbed: bool,
+    wakes: Vec<(Name, Duration)>,
+    lost: u64,
+    undone: VecDeque<(usize, AttemptId)>,
+}
+
+impl Sim {
+    fn new(plan: Plan) -> Self {
+        let weights = || plan.teams.iter().map(|team| team.weight);
+        let engine = |target: &plan::TargetPlan| {
+            let pool = &plan.pools[target.pool];
+            Engine::new(pool.slots, pool.cold)
+        };
+        let mut sim = Self {
+            base: Instant::now(),
+            at: Duration::ZERO,
+            order: 0,
+            queue: BinaryHeap::new(),
+            rng: ChaCha8Rng::seed_from_u64(plan.seed),
+            processes: Vec::new(),
+            engines: plan.targets.iter().map(engine).collect(),
+            service: Service::default(),
+            cuts: Vec::new(),
+            revision: Revision(1),
+            drains: Vec::new(),
+            leaving: Vec::new(),
+            requests: BTreeMap::new(),
+            flows: Vec::new(),
+            keys: Vec::new(),
+            serial: 0,
+            meters: plan.pools.iter().map(|_| Meter::new(weights())).collect(),
+            slots: vec![0; plan.targets.len()],
+            entries: Vec::new(),
+            disturbed: false,
+            wakes: Vec::new(),
+            lost: 0,
+            undone: VecDeque::new(),
+            plan,
+        };
+        sim.populate();
+        sim
+    }
+
+    fn populate(&mut self) {
+        self.publish_list();
+        let text = self.plan.text.clone();
+        self.service.publish(&ServiceKey::Rules, text);
+        for index in 0..self.plan.routers as usize + self.plan.targets.len() {
+            let process = self.new_process(index, 1);
+            self.processes.push(process);
+            let phase = TICK * (index as u32 % 7) / 7;
+            self.schedule(
+                phase,
+                Step::Tick {
+                    process: index,
+                    life: 1,
+                },
+            );
+        }
+        for agent in 0..self.plan.targets.len() {
+            self.schedule(Duration::from_millis(agent as u64), Step::Poll { agent });
+        }
+        for (index, (time, _)) in self.plan.events.clone().into_iter().enumerate() {
+            self.schedule(START + time, Step::Fault { index });
+        }
+        for source in self.plan.sources.clone() {
+            self.open(source);
+        }
+        self.schedule(START, Step::Sample);
+    }
+
+    fn run_until(&mut self, end: Duration) {
+        while self.queue.peek().is_some_and(|next| next.at <= end) {
+            let next = self.queue.pop().expect("peeked above");
+            self.account(next.at);
+            self.at = next.at;
+            match self.awake_at(&next.step) {
+                Some(wake) => self.schedule(wake.saturating_sub(self.at), next.step),
+                None => self.perform(next.step),
+            }
+        }
+        self.at = end;
+    }
+
+    /// When the process that a step concerns wakes, if it is paused.
+    fn awake_at(&self, step: &Step) -> Option<Duration> {
+        let process = match step {
+            Step::Tick { process, .. }
+            | Step::Deliver { process, .. }
+            | Step::Undelivered { process, .. }
+            | Step::Read { process, .. } => *process,
+            Step::Offer { agent, .. } | Step::Agent { agent, .. } => self.agent_process(*agent),
+            Step::Router { router, .. } | Step::Answer { router, .. } => *router,
+            Step::Poll { agent } => self.agent_process(*agent),
+            _ => return None,
+        };
+        let paused = self.processes[process].paused;
+        paused.filter(|&until| until > self.at)
+    }
+
+    fn perform(&mut self, step: Step) {
+        match step {
+            Step::Tick { process, life } if self.lives(process, life) => self.tick(process),
+            Step::Deliver { process, packet } => self.deliver(process, *packet),
+            Step::Undelivered {
+                process,
+                life,
+                to,
+                message,
+            } if self.lives(process, life) => self.undelivered(process, to, &message),
+            Step::Offer {
+                agent,
+                router,
+                life,
+                offer,
+            } => self.offered(agent, router, life, *offer),
+            Step::Agent { agent, life, event } if self.lives(self.agent_process(agent), life) => {
+                self.drive_agent(agent, *event);
+            }
+            Step::Router {
+                router,
+                life,
+                event,
+            } if self.lives(router, life) => self.drive_router(router, *event),
+            Step::Answer {
+                router,
+                life,
+                answer,
+            } if self.lives(router, life) => self.relay(router, *answer),
+            Step::Read {
+                process,
+                life,
+                key,
+                result,
+            } if self.lives(process, life) => self.read_ended(process, key, result),
+            Step::Watches => self.end_watches(),
+            Step::Stream {
+                agent,
+                generation,
+                attempt,
+            } => self.stream(agent, generation, attempt),
+            Step::Poll { agent } => self.poll(agent),
+            Step::EngineUp { agent } => self.engine_up(agent),
+            Step::Kill { agent, attempt } => self.kill(agent, attempt),
+            Step::Flow { flow } => self.flow(flow),
+            Step::Send { request } => self.send_request(request),
+            Step::Fault { index } => self.fault(index),
+            Step::Sample => self.sample(),
+            // What concerns an earlier life of a process goes nowhere.
+            _ => {}
+        }
+        while let Some((agent, attempt)) = self.undone.pop_front() {
+            self.unsent(agent, attempt);
+        }
+    }
+
+    fn lives(&self, process: usize, life: u64) -> bool {
+        let process = &self.processes[process];
+        process.life == life && !process.stopped
+    }
+
+    /// The number of the process beside a target.
+    fn agent_process(&self, agent: usize) -> usize {
+        self.plan.routers as usize + agent
+    }
+
+    /// The target of a process; `None` for routers.
+    fn target_of(&self, process: usize) -> Option<usize> {
+        process.checked_sub(self.plan.routers as usize)
+    }
+
+    /// The clocks of a process.
+    fn now(&self, process: usize) -> Now {
+        let wall = self.wall();
+        let wall = match self.processes.get(process).map(|process| process.skew) {
+            Some((true, by)) => wall - by,
+            Some((false, by)) => wall + by,
+            None => wall,
+        };
+        Now {
+            mono: self.base + self.at,
+            wall,
+        }
+    }
+
+    /// The true wall-clock time.
+    fn wall(&self) -> SystemTime {
+        UNIX_EPOCH + EPOCH + self.at
+    }
+
+    fn schedule(&mut self, delay: Duration, step: Step) {
+        self.order += 1;
+        self.queue.push(Scheduled {
+            at: self.at + delay,
+            order: self.order,
+            step,
+        });
+    }
+
+    fn note(&mut self, subject: Subject, what: What) {
+        self.entries.push(Entry {
+            at: self.at.saturating_sub(START),
+            subject,
+            what,
+        });
+    }
+
+    fn account(&mut self, until: Duration) {
+        let step = until.saturating_sub(self.at);
+        if step.is_zero() || until <= START || self.is_parted() {
+            return;
+        }
+        for pool in 0..self.meters.len() {
+            let targets = self.plan.targets.iter().enumerate();
+            let members = targets.filter(|(_, target)| target.pool == pool);
+            let (mut slots, mut running) = (0, 0);
+            for (agent, _) in members {
+                slots += self.slots[agent];
+                running += self.slots[agent].min(self.engines[agent].running.len() as u32);
+            }
+            self.meters[pool].idle(step, slots, running);
+        }
+    }
+
+    fn sample(&mut self) {
+        let at = self.at;
+        self.schedule(SAMPLE, Step::Sample);
+        if self.is_parted() {
+            return;
+        }
+        for pool in 0..self.meters.len() {
+            let mut running = vec![0.0; self.plan.teams.len()];
+            let mut in_flight = vec![0.0; self.plan.teams.len()];
+            let targets = self.plan.targets.iter().zip(&self.engines);
+            for (_, engine) in targets.filter(|(target, _)| target.pool == pool) {
+                for run in engine.running.values() {
+                    running[run.team] += run.delivered(at).0 as f64;
+                    in_flight[run.team] += run.cost.0 as f64;
+                }
+            }
+            self.meters[pool].sample(at, &running, &in_flight);
+        }
+    }
+
+    /// Whether a fault keeps parts of the fleet from each other.
+    fn is_parted(&self) -> bool {
+        let paused = |process: &Process| process.paused.is_some_and(|until| until > self.at);
+        !self.cuts.is_empty() || self.processes.iter().any(paused)
+    }
+
+    fn finish(mut self) -> Run {
+        let at = self.at;
+        for meter in &mut self.meters {
+            meter.finish(at);
+        }
+        let plan = &self.plan;
+        let delays = plan.delays.iter().map(|&(_, _, time)| time);
+        let delay = delays.chain([plan.delay]).max().unwrap_or_default();
+        let pool_run = |(index, pool): (usize, &plan::PoolPlan)| {
+            let targets = plan.targets.iter().filter(|target| target.pool == index);
+            let slots = targets.count() as f64 * f64::from(pool.slots);
+            PoolRun {
+                name: pool.name.clone(),
+                measure: self.meters[index].measure.clone(),
+                rate: slots / plan.token.as_secs_f64(),
+                weights: plan
+                    .teams
+                    .iter()
+                    .map(|team| f64::from(team.weight))
+                    .collect(),
+                blind: plan.gossip + 2 * delay,
+                disturbed: self.disturbed,
+            }
+        };
+        let pools = plan.pools.iter().enumerate().map(pool_run).collect();
+        let centre = |target: &plan::TargetPlan| (target.name.clone(), target.centre.clone());
+        let deadline =
+            |(&id, request): (&RequestId, &Request)| (id, request.deadline.saturating_sub(START));
+        Run {
+            pools,
+            length: plan.run,
+            centres: plan.targets.iter().map(centre).collect(),
+            teams: plan.teams.iter().map(|team| team.name.clone()).collect(),
+            deadlines: self.requests.iter().map(deadline).collect(),
+            calls: self.service.calls,
+            wakes: self.wakes,
+            entries: self.entries,
+        }
+    }
+}
--- /dev/null
+++ b/filetests/src/sim/fault.rs
@@ -0,0 +1,289 @@
+//! What a scenario orders at given times.
+
+use std::time::Duration;
+
+use entity::{RequestId, Revision};
+use policy::reader::ServiceKey;
+use policy::{AgentEvent, AttemptResult, RouterEvent};
+
+use super::link::{Cut, is_at};
+use super::plan::Plan;
+use super::{START, Sim, Step, TICK};
+use crate::record::{Subject, What};
+use crate::scenario::{Change, Event, Place, Plant};
+
+impl Sim {
+    pub(super) fn fault(&mut self, index: usize) {
+        let (_, event) = self.plan.events[index].clone();
+        self.note(Subject::default(), What::Fault(event.to_string()));
+        match event {
+            Event::Cut { place, from } => {
+                self.disturbed = true;
+                self.cuts.push(Cut { place, from });
+                self.forget();
+            }
+            Event::Heal => {
+                self.cuts.clear();
+                self.forget();
+            }
+            Event::Pause { place, time } => {
+                self.disturbed = true;
+                let until = self.at + time;
+                for process in self.at_place(&place) {
+                    self.processes[process].paused = Some(until);
+                    let name = self.processes[process].name.clone();
+                    self.wakes.push((name, until.saturating_sub(START)));
+                }
+                self.forget();
+            }
+            Event::Restart(place) => {
+                self.disturbed = true;
+                for process in self.at_place(&place) {
+                    self.restart(process);
+                }
+            }
+            Event::Stop(place) => {
+                for process in self.at_place(&place) {
+                    self.stop(process);
+                }
+            }
+            Event::Cold(target) => {
+                let agent = self
+                    .plan
+                    .target_index(&target)
+                    .expect("checked by the plan");
+                self.engine_down(agent);
+            }
+            Event::Crash(team) => {
+                let team = self.plan.team(&team).expect("checked by the plan");
+                self.crash_request(team);
+            }
+            Event::Flood { team, rate, time } => {
+                let team = self.plan.team(&team).expect("checked by the plan");
+                self.flood(team, rate, time);
+            }
+            Event::Service(mode) => {
+                self.service.set_mode(mode);
+                self.end_watches();
+            }
+            Event::Publish(change) => self.publish(&change),
+            Event::Leaves(target) => {
+                let agent = self
+                    .plan
+                    .target_index(&target)
+                    .expect("checked by the plan");
+                self.leaving.push(agent);
+                let subject = Subject {
+                    target: Some(target),
+                    ..Subject::default()
+                };
+                self.note(subject, What::Leaves);
+                self.publish_list();
+                self.end_watches();
+            }
+            Event::Skew { place, back, by } => {
+                for process in self.at_place(&place) {
+                    self.processes[process].skew = (back, by);
+                }
+            }
+        }
+    }
+
+    fn forget(&mut self) {
+        let at = self.at;
+        for meter in &mut self.meters {
+            meter.forget(at);
+        }
+    }
+
+    fn at_place(&self, place: &Place) -> Vec<usize> {
+        let processes = self.processes.iter().enumerate();
+        let found = processes.filter(|(_, process)| is_at(place, process));
+        found.map(|(index, _)| index).collect()
+    }
+
+    /// A process dies and starts empty.
+    fn restart(&mut self, index: usize) {
+        let subject = self.process_subject(index);
+        self.note(subject, What::Restarted);
+        match self.target_of(index) {
+            None => {
+                for (request, attempt) in self.held_by(index) {
+                    if let Some((attempt, agent)) = attempt {
+                        self.router_gone(index, agent, attempt);
+                    }
+                    self.lose(request);
+                }
+            }
+            Some(agent) => self.drop_agent(agent),
+        }
+        let life = self.processes[index].life + 1;
+        self.processes[index] = self.new_process(index, life);
+        self.schedule(
+            TICK,
+            Step::Tick {
+                process: index,
+                life,
+            },
+        );
+    }
+
+    /// Breaks the connections of an agent that dies; its target goes on.
+    fn drop_agent(&mut self, agent: usize) {
+        for attempt in self.offered_to(agent) {
+            let result = AttemptResult::Broken { delivered: false };
+            self.break_off(attempt.request, result);
+        }
+        let runs: Vec<_> = self.engines[agent].running.keys().copied().collect();
+        for attempt in runs {
+            let pool = self.plan.targets[agent].pool;
+            let run = self.engines[agent].running.remove(&attempt);
+            let run = run.expect("listed above");
+            let delivered = run.delivered(self.at);
+            self.meters[pool].parties[run.team].service += delivered.0 as f64;
+        }
+    }
+
+    /// Tells the router of a request that its attempt broke off.
+    fn break_off(&mut self, request: RequestId, result: AttemptResult) {
+        let known = &self.requests[&request];
+        let (Some((attempt, _)), Some((router, life))) = (known.attempt, known.sender) else {
+            return;
+        };
+        let event = Box::new(RouterEvent::Ended { attempt, result });
+        let step = Step::Router {
+            router,
+            life,
+            event,
+        };
+        self.schedule(Duration::ZERO, step);
+    }
+
+    /// Tells a process to stop when its work has ended.
+    fn stop(&mut self, process: usize) {
+        let subject = self.process_subject(process);
+        self.note(subject, What::Stopping);
+        self.processes[process].stopping = true;
+        if self.plan.planted(&Plant::CutOnStop) {
+            match self.target_of(process) {
+                None => {
+                    for (request, _) in self.held_by(process) {
+                        self.lose(request);
+                    }
+                }
+                Some(agent) => self.drop_agent(agent),
+            }
+            return self.stopped(process);
+        }
+        match self.target_of(process) {
+            Some(agent) => self.drive_agent(agent, AgentEvent::Stop),
+            None => self.drive_router(process, RouterEvent::Stop),
+        }
+    }
+
+    fn publish(&mut self, change: &Change) {
+        self.revision = Revision(self.revision.0 + 1);
+        let valid = *change != Change::Invalid;
+        let subject = match change {
+            Change::DrainTarget(target) | Change::UndrainTarget(target) => Subject {
+                target: Some(target.clone()),
+                ..Subject::default()
+            },
+            _ => Subject::default(),
+        };
+        let undone = match change {
+            Change::UndrainCentre(centre) => Some(Change::DrainCentre(centre.clone())),
+            Change::UndrainTarget(target) => Some(Change::DrainTarget(target.clone())),
+            _ => None,
+        };
+        match (undone, valid) {
+            (Some(undone), _) => self.drains.retain(|drain| *drain != undone),
+            (None, true) if !self.drains.contains(change) => self.drains.push(change.clone()),
+            _ => {}
+        }
+        self.note_drain(change, subject);
+        let text = self.plan.revised(self.revision, &self.drains, valid);
+        let revision = self.revision;
+        self.note(Subject::default(), What::Published { revision, valid });
+        self.service.publish(&ServiceKey::Rules, text);
+        self.end_watches();
+        if self.plan.planted(&Plant::RevertRules) {
+            self.revert();
+        }
+    }
+
+    /// Notes from when on which targets are to get no new work.
+    fn note_drain(&mut self, change: &Change, subject: Subject) {
+        let targets: Vec<_> = match change {
+            Change::DrainCentre(centre) | Change::UndrainCentre(centre) => {
+                let targets = self.plan.targets.iter();
+                let here = targets.filter(|target| target.centre == *centre);
+                here.map(|target| target.name.clone()).collect()
+            }
+            _ => subject.target.into_iter().collect(),
+        };
+        let what = match change {
+            Change::DrainCentre(_) | Change::DrainTarget(_) => What::Drained,
+            Change::UndrainCentre(_) | Change::UndrainTarget(_) => What::Undrained,
+            Change::Invalid => return,
+        };
+        for target in targets {
+            let subject = Subject {
+                target: Some(target),
+                ..Subject::default()
+            };
+            self.note(subject, what.clone());
+        }
+    }
+
+    /// Puts the first configuration into force at the first router again.
+    fn revert(&mut self) {
+        if let Some(first) = self.processes[0].first.clone() {
+            self.put_in_force(0, first);
+        }
+    }
+
+    /// Publishes the VM list.
+    pub(super) fn publish_list(&mut self) {
+        let routers = (1..=self.plan.routers).map(|number| {
+            let name = Plan::router_name(number);
+            let centre = self.plan.router_centre(number);
+            list_entry(
+                name.as_str(),
+                "router",
+                centre.as_str(),
+                Plan::router_address(number),
+                false,
+            )
+        });
+        let agents = self.plan.targets.iter().enumerate().map(|(index, target)| {
+            let leaving = self.leaving.contains(&index);
+            list_entry(
+                target.name.as_str(),
+                "agent",
+                target.centre.as_str(),
+                target.control,
+                leaving,
+            )
+        });
+        let list: Vec<_> = routers.chain(agents).collect();
+        let text = serde_json::Value::from(list).to_string();
+        self.service.publish(&ServiceKey::Vms, text);
+    }
+}
+
+fn list_entry(
+    name: &str,
+    role: &str,
+    centre: &str,
+    control: std::net::SocketAddr,
+    leaving: bool,
+) -> serde_json::Value {
+    serde_json::json!({
+        "name": name,
+        "role": role,
+        "data_centre": centre,
+        "control": control,
+        "state": if leaving { "leaving" } else { "live" },
+    })
+}
--- /dev/null
+++ b/filetests/src/sim/link.rs
@@ -0,0 +1,257 @@
+//! Messages between processes, and reads of the configuration service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use policy::fleet::{FleetEvent, Version};
+use policy::message::Endpoint;
+use policy::reader::{ReadOrder, ServiceKey, ServiceResult};
+use policy::{AgentEvent, RouterEvent};
+use rand::RngExt;
+use wire::Message;
+
+use super::process::Process;
+use super::service::Watch;
+use super::{Sim, Step};
+use crate::scenario::{Place, ServiceMode};
+
+/// The time after which an exchange without an answer has failed.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The time after which a refused connection has failed.
+pub(super) const REFUSED: Duration = Duration::from_millis(1);
+
+/// The one-way delay to the configuration service.
+const SERVICE_DELAY: Duration = Duration::from_millis(2);
+
+/// The greatest delay of the second copy of a message.
+const LATE: Duration = Duration::from_millis(100);
+
+/// Lost contact between two sets of processes.
+#[derive(Clone, PartialEq, Debug)]
+pub(super) struct Cut {
+    pub(super) place: Place,
+    pub(super) from: Option<Place>,
+}
+
+/// A message on its way.
+#[derive(Clone, Debug)]
+pub(super) struct Packet {
+    sender: Endpoint,
+    version: Version,
+    message: Message,
+}
+
+impl Sim {
+    /// Sends a message to an address.
+    pub(super) fn post(&mut self, from: usize, to: SocketAddr, message: Message) {
+        let receiver = self
+            .processes
+            .iter()
+            .position(|process| process.control == to);
+        let reached = receiver.filter(|&receiver| !self.processes[receiver].stopped);
+        let delay = reached.and_then(|receiver| Some((receiver, self.link(from, receiver)?)));
+        let lost = self.chance(self.plan.loss.0);
+        let life = self.processes[from].life;
+        let Some((process, delay)) = delay.filter(|_| !lost) else {
+            let failed = Step::Undelivered {
+                process: from,
+                life,
+                to,
+                message: Box::new(message),
+            };
+            let after = match receiver.is_some_and(|receiver| self.processes[receiver].stopped) {
+                true => REFUSED,
+                false => EXCHANGE_TIMEOUT,
+            };
+            return self.schedule(after, failed);
+        };
+        let fleet = &self.processes[from].fleet;
+        let packet = Packet {
+            sender: fleet.endpoint(),
+            version: fleet.version(),
+            message,
+        };
+        if self.chance(self.plan.double.0) {
+            let late = delay + LATE.mul_f64(self.rng.random());
+            let packet = Box::new(packet.clone());
+            self.schedule(late, Step::Deliver { process, packet });
+        }
+        let packet = Box::new(packet);
+        self.schedule(delay, Step::Deliver { process, packet });
+    }
+
+    /// Draws whether something that happens in `percent` of all cases happens now.
+    pub(super) fn chance(&mut self, percent: f64) -> bool {
+        percent > 0.0 && self.rng.random::<f64>() * 100.0 < percent
+    }
+
+    /// The delay from one process to another; `None` if they have no contact.
+    pub(super) fn link(&self, from: usize, to: usize) -> Option<Duration> {
+        let (from, to) = (&self.processes[from], &self.processes[to]);
+        let cut = self.cuts.iter().any(|cut| parts(cut, from, to));
+        (!cut).then(|| self.plan.delay_between(&from.centre, &to.centre))
+    }
+
+    pub(super) fn deliver(&mut self, process: usize, packet: Packet) {
+        if self.processes[process].stopped {
+            return;
+        }
+        let Packet {
+            sender,
+            version,
+            message,
+        } = packet;
+        let seen = FleetEvent::Seen {
+            endpoint: sender,
+            version,
+        };
+        self.tell_fleet(process, seen);
+        match (message, self.target_of(process)) {
+            (Message::Fleet(message), _) => {
+                let from = sender;
+                self.tell_fleet(process, FleetEvent::Received { from, message });
+            }
+            (message, Some(agent)) => self.agent_message(agent, sender, message),
+            (message, None) => self.router_message(process, sender, message),
+        }
+    }
+
+    fn agent_message(&mut self, agent: usize, sender: Endpoint, message: Message) {
+        match message {
+            Message::Bids(update) => {
+                self.drive_agent(agent, AgentEvent::Bids(update));
+                let load = self.load_of(agent);
+                let process = self.agent_process(agent);
+                self.post(process, sender.control, Message::Load(load));
+            }
+            Message::Pulled(pulled) => self.drive_agent(agent, AgentEvent::Pulled(pulled)),
+            Message::Ledger(delta) => self.drive_agent(agent, AgentEvent::Ledger(delta)),
+            // Other messages are for routers.
+            _ => {}
+        }
+    }
+
+    fn router_message(&mut self, router: usize, sender: Endpoint, message: Message) {
+        match message {
+            Message::Pull(pull) => self.drive_router(router, RouterEvent::Pull(pull)),
+            Message::Solicit(solicit) => self.drive_router(router, RouterEvent::Solicit(solicit)),
+            Message::Load(load) => {
+                let config = self.processes[router].config.as_ref();
+                let target = config.and_then(|config| config.names.targets.by_tag(sender.id.0));
+                if let Some(target) = target {
+                    self.drive_router(router, RouterEvent::Loaded { target, load });
+                }
+            }
+            // Other messages are for agents.
+            _ => {}
+        }
+    }
+
+    pub(super) fn undelivered(&mut self, process: usize, to: SocketAddr, message: &Message) {
+        self.tell_fleet(process, FleetEvent::SendFailed { to });
+        if let (Message::Pull(pull), Some(agent)) = (message, self.target_of(process)) {
+            let sequence = pull.sequence;
+            let routers = self.processes[process].routers.iter();
+            let router = routers.copied().find(|router| router.control == to);
+            if let Some(router) = router {
+                self.drive_agent(agent, AgentEvent::PullLost { router, sequence });
+            }
+        }
+    }
+
+    /// Carries out a read of the configuration service.
+    pub(super) fn read(&mut self, process: usize, order: ReadOrder) {
+        let life = self.processes[process].life;
+        let known = &self.processes[process];
+        let is_cut = self.cuts.iter().any(|cut| is_cut_off(cut, known));
+        let is_down = self.service.mode() == ServiceMode::Down;
+        if is_cut || is_down {
+            let key = order.key;
+            let result = ServiceResult::Unreachable;
+            let read = Step::Read {
+                process,
+                life,
+                key,
+                result,
+            };
+            return self.schedule(EXCHANGE_TIMEOUT, read);
+        }
+        self.service.calls += 1;
+        match self.service.read(&order) {
+            Some(result) => self.answer_read(process, life, order.key, result),
+            None => {
+                let ends = self.at + order.wait;
+                self.schedule(order.wait, Step::Watches);
+                self.service.watches.push(Watch {
+                    process,
+                    life,
+                    order,
+                    ends,
+                });
+            }
+        }
+    }
+
+    fn answer_read(&mut self, process: usize, life: u64, key: ServiceKey, result: ServiceResult) {
+        let read = Step::Read {
+            process,
+            life,
+            key,
+            result,
+        };
+        self.schedule(2 * SERVICE_DELAY, read);
+    }
+
+    /// Ends the watches that have news or whose time has come.
+    pub(super) fn end_watches(&mut self) {
+        for watch in core::mem::take(&mut self.service.watches) {
+            let known = &self.processes[watch.process];
+            let is_cut = self.cuts.iter().any(|cut| is_cut_off(cut, known));
+            let result = match self.service.read(&watch.order) {
+                _ if is_cut => Some(ServiceResult::Unreachable),
+                None if watch.ends <= self.at => Some(ServiceResult::Unchanged),
+                result => result,
+            };
+            match result {
+                Some(result) => {
+                    self.answer_read(watch.process, watch.life, watch.order.key, result);
+                }
+                None => self.service.watches.push(watch),
+            }
+        }
+    }
+
+    pub(super) fn read_ended(&mut self, process: usize, key: ServiceKey, result: ServiceResult) {
+        self.tell_fleet(process, FleetEvent::ServiceAnswer { key, result });
+    }
+}
+
+/// Whether a process is at a place.
+pub(super) fn is_at(place: &Place, process: &Process) -> bool {
+    match place {
+        Place::Router(number) => process.name == super::plan::Plan::router_name(*number),
+        Place::Agent(target) => process.name == *target,
+        Place::Centre(centre) => process.centre == *centre,
+        Place::Service => false,
+    }
+}
+
+/// Whether a cut lies between two processes.
+fn parts(cut: &Cut, one: &Process, two: &Process) -> bool {
+    let (a, b) = (is_at(&cut.place, one), is_at(&cut.place, two));
+    match &cut.from {
+        None => a != b,
+        Some(from) => (a && is_at(from, two)) || (b && is_at(from, one)),
+    }
+}
+
+/// Whether a cut lies between a process and the configuration service.
+fn is_cut_off(cut: &Cut, process: &Process) -> bool {
+    match (&cut.place, &cut.from) {
+        (Place::Service, None) => true,
+        (Place::Service, Some(place)) | (place, Some(Place::Service)) => is_at(place, process),
+        (place, None) => is_at(place, process),
+        _ => false,
+    }
+}
--- /dev/null
+++ b/filetests/src/sim/meter.rs
@@ -0,0 +1,204 @@
+//! What has to be measured while a run goes on: service, waiting and idle slots.
+
+use std::time::Duration;
+
+/// One team in one pool.
+#[derive(Clone, Default, Debug)]
+pub(super) struct Party {
+    pub(super) weight: f64,
+    /// The cost delivered so far.
+    pub(super) service: f64,
+    /// Requests that wait and may run anywhere in the pool.
+    pub(super) waiting: u32,
+    since: Option<Duration>,
+}
+
+/// An interval of time.
+#[derive(Clone, Copy, Default, PartialEq, Debug)]
+pub struct Span {
+    /// Its start.
+    pub from: Duration,
+    /// Its end.
+    pub until: Duration,
+}
+
+impl Span {
+    /// Its length.
+    pub fn length(&self) -> Duration {
+        self.until.saturating_sub(self.from)
+    }
+}
+
+/// The greatest service gap of two teams.
+#[derive(Clone, Copy, Default, PartialEq, Debug)]
+pub struct Gap {
+    /// The gap, in cost units per weight.
+    pub size: f64,
+    /// When it arose.
+    pub span: Span,
+    /// The teams, by number.
+    pub teams: (usize, usize),
+}
+
+/// The longest wait of a team without a start.
+#[derive(Clone, Copy, Default, PartialEq, Debug)]
+pub struct Starvation {
+    /// When.
+    pub span: Span,
+    /// The team, by number.
+    pub team: usize,
+}
+
+/// What was measured of one pool.
+#[derive(Clone, Default, PartialEq, Debug)]
+pub struct PoolMeasure {
+    /// The greatest gap, if two teams were ever backlogged at once.
+    pub gap: Option<Gap>,
+    /// The longest wait, if a team was ever backlogged.
+    pub starvation: Option<Starvation>,
+    /// The slot time that was idle while work waited, in seconds.
+    pub idle: f64,
+    /// The slot time while work waited, in seconds.
+    pub slots: f64,
+    /// The greatest true cost that ran at one moment.
+    pub in_flight: f64,
+    /// The greatest true cost of each team that ran at one moment.
+    pub team_in_flight: Vec<f64>,
+}
+
+/// A difference of services while two teams are backlogged.
+#[derive(Clone, Copy, Debug)]
+struct Range {
+    least: (f64, Duration),
+    most: (f64, Duration),
+}
+
+/// The meter of one pool.
+#[derive(Clone, Default, Debug)]
+pub(super) struct Meter {
+    pub(super) parties: Vec<Party>,
+    ranges: Vec<Option<Range>>,
+    pub(super) measure: PoolMeasure,
+}
+
+impl Meter {
+    pub(super) fn new(weights: impl Iterator<Item = u32>) -> Self {
+        let party = |weight| Party {
+            weight: f64::from(weight),
+            ..Party::default()
+        };
+        let parties: Vec<_> = weights.map(party).collect();
+        let measure = PoolMeasure {
+            team_in_flight: vec![0.0; parties.len()],
+            ..PoolMeasure::default()
+        };
+        Self {
+            ranges: vec![None; parties.len() * parties.len()],
+            parties,
+            measure,
+        }
+    }
+
+    pub(super) fn waits(&mut self, at: Duration, team: usize) {
+        let party = &mut self.parties[team];
+        party.waiting += 1;
+        party.since.get_or_insert(at);
+    }
+
+    pub(super) fn waits_no_more(&mut self, at: Duration, team: usize, started: bool) {
+        let party = &mut self.parties[team];
+        party.waiting = party.waiting.saturating_sub(1);
+        if started || party.waiting == 0 {
+            self.close(at, team);
+        }
+        let party = &mut self.parties[team];
+        party.since = (party.waiting > 0).then(|| party.since.unwrap_or(at));
+    }
+
+    /// Ends a wait without a start.
+    fn close(&mut self, at: Duration, team: usize) {
+        let Some(from) = self.parties[team].since.take() else {
+            return;
+        };
+        let span = Span { from, until: at };
+        let longest = self.measure.starvation.map(|longest| longest.span.length());
+        if longest.is_none_or(|longest| longest < span.length()) {
+            self.measure.starvation = Some(Starvation { span, team });
+        }
+    }
+
+    /// Ends all waits; a fault that may hold work up is over, or the run is.
+    pub(super) fn finish(&mut self, at: Duration) {
+        for team in 0..self.parties.len() {
+            self.close(at, team);
+        }
+    }
+
+    /// Starts anew, since the fleet is parted.
+    pub(super) fn forget(&mut self, at: Duration) {
+        self.ranges.fill(None);
+        for party in &mut self.parties {
+            party.since = (party.waiting > 0).then_some(at);
+        }
+    }
+
+    pub(super) fn idle(&mut self, step: Duration, slots: u32, running: u32) {
+        let waiting: u32 = self.parties.iter().map(|party| party.waiting).sum();
+        if waiting > 0 {
+            let idle = slots.saturating_sub(running).min(waiting);
+            self.measure.idle += f64::from(idle) * step.as_secs_f64();
+            self.measure.slots += f64::from(slots) * step.as_secs_f64();
+        }
+    }
+
+    /// Takes in the services at one moment.
+    ///
+    /// `running` is what the runs in flight have delivered to each team, `in_flight`
+    /// their whole cost.
+    pub(super) fn sample(&mut self, at: Duration, running: &[f64], in_flight: &[f64]) {
+        self.measure.in_flight = self.measure.in_flight.max(in_flight.iter().sum());
+        for (greatest, cost) in self.measure.team_in_flight.iter_mut().zip(in_flight) {
+            *greatest = greatest.max(*cost);
+        }
+        let count = self.parties.len();
+        for one in 0..count {
+            for two in one + 1..count {
+                let slot = one * count + two;
+                let (a, b) = (&self.parties[one], &self.parties[two]);
+                if a.waiting == 0 || b.waiting == 0 {
+                    self.ranges[slot] = None;
+                    continue;
+                }
+                let portion = |party: &Party, more: f64| (party.service + more) / party.weight;
+                let difference = portion(a, running[one]) - portion(b, running[two]);
+                let new = Range {
+                    least: (difference, at),
+                    most: (difference, at),
+                };
+                let range = self.ranges[slot].get_or_insert(new);
+                if difference < range.least.0 {
+                    range.least = (difference, at);
+                }
+                if difference > range.most.0 {
+                    range.most = (difference, at);
+                }
+                let gap = gap(range, (one, two));
+                if self.measure.gap.is_none_or(|known| known.size < gap.size) {
+                    self.measure.gap = Some(gap);
+                }
+            }
+        }
+    }
+}
+
+fn gap(range: &Range, teams: (usize, usize)) -> Gap {
+    let (one, two) = (range.least.1, range.most.1);
+    Gap {
+        size: range.most.0 - range.least.0,
+        span: Span {
+            from: one.min(two),
+            until: one.max(two),
+        },
+        teams,
+    }
+}
--- /dev/null
+++ b/filetests/src/sim/plant.rs
@@ -0,0 +1,47 @@
+//! Broken parts between the driver and the machines, to prove the checks.
+
+use policy::{AgentAction, AgentEvent, AttemptResult};
+
+use super::plan::Plan;
+use crate::scenario::Plant;
+
+/// What an agent with broken parts is told.
+pub(super) fn agent_event(plan: &Plan, event: AgentEvent) -> AgentEvent {
+    match event {
+        AgentEvent::Offered(mut offer) => {
+            if plan.planted(&Plant::DropKeys) {
+                offer.key = None;
+            }
+            if plan.planted(&Plant::DropFingerprints) {
+                offer.fingerprint = entity::Fingerprint(offer.attempt.request.0);
+            }
+            AgentEvent::Offered(offer)
+        }
+        event => event,
+    }
+}
+
+/// What an agent with broken parts does; `None` if it does nothing.
+pub(super) fn agent_action(plan: &Plan, action: AgentAction) -> Option<AgentAction> {
+    match action {
+        AgentAction::Reject { attempt, .. } if plan.planted(&Plant::Overrun) => {
+            Some(AgentAction::Start(attempt))
+        }
+        AgentAction::Pull { pull, .. }
+            if plan.planted(&Plant::LosePulls) && pull.sequence % 2 == 0 =>
+        {
+            None
+        }
+        action => Some(action),
+    }
+}
+
+/// What a router is told of an attempt.
+pub(super) fn result(plan: &Plan, result: AttemptResult) -> AttemptResult {
+    match result {
+        AttemptResult::Unknown(refusal) if plan.planted(&Plant::FalseRefusal) => {
+            AttemptResult::NotRun(refusal)
+        }
+        result => result,
+    }
+}
--- /dev/null
+++ b/filetests/src/sim/process.rs
@@ -0,0 +1,245 @@
+//! One process: its fleet machine and its role, connected as in the daemons.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use entity::{AttemptId, Cost, Incarnation, Machine, Name, ProcessId, RequestId, TargetId};
+use policy::fleet::{
+    Fleet, FleetAction, FleetEvent, FleetSettings, Health, Role as FleetRole, RulesCompile,
+};
+use policy::message::Endpoint;
+use policy::{Agent, AgentEvent, AgentSettings, Router, RouterEvent, RouterSettings};
+use rand::RngExt;
+use rules::Config;
+use wire::Message;
+
+use super::plan::{self, Plan};
+use super::share::ScenarioShare;
+use super::{EPOCH, Sim, Step, TICK};
+use crate::record::{Subject, What};
+use crate::scenario::Plant;
+
+/// What a process does.
+#[derive(Debug)]
+pub(super) enum Role {
+    Router(Box<Router>),
+    Agent(Box<Agent<ScenarioShare>>),
+}
+
+/// One process.
+#[derive(Debug)]
+pub(super) struct Process {
+    pub(super) name: Name,
+    pub(super) centre: Name,
+    pub(super) control: SocketAddr,
+    pub(super) role: Role,
+    pub(super) fleet: Fleet<RulesCompile>,
+    pub(super) life: u64,
+    pub(super) paused: Option<Duration>,
+    pub(super) stopping: bool,
+    pub(super) stopped: bool,
+    pub(super) skew: (bool, Duration),
+    pub(super) config: Option<Arc<Config>>,
+    pub(super) first: Option<Arc<Config>>,
+    pub(super) routers: Vec<Endpoint>,
+    pub(super) next_router: usize,
+    /// The answers that the agent keeps, with the request that each answers.
+    pub(super) answers: BTreeMap<AttemptId, (Cost, RequestId)>,
+    /// The attempts that wait for the answer of another one.
+    pub(super) followers: BTreeMap<AttemptId, Vec<AttemptId>>,
+    /// The target's generation that the agent saw last.
+    pub(super) generation: Option<u64>,
+    usable: BTreeMap<TargetId, bool>,
+    fleet_tick: Duration,
+}
+
+impl Process {
+    /// Whether the balancer sends it requests.
+    pub(super) fn is_ready(&self) -> bool {
+        self.fleet.is_ready() && self.config.is_some() && !self.stopping && !self.stopped
+    }
+}
+
+impl Sim {
+    /// Makes a process that has just started; `life` counts its starts.
+    pub(super) fn new_process(&mut self, index: usize, life: u64) -> Process {
+        let target = self
+            .target_of(index)
+            .map(|target| self.plan.targets[target].clone());
+        let number = index as u32 + 1;
+        let (name, centre, control) = match &target {
+            Some(target) => (target.name.clone(), target.centre.clone(), target.control),
+            None => (
+                Plan::router_name(number),
+                self.plan.router_centre(number).clone(),
+                Plan::router_address(number),
+            ),
+        };
+        let endpoint = Endpoint {
+            id: ProcessId(plan::tag(&name)),
+            incarnation: Incarnation((EPOCH + self.at).as_micros() as u64),
+            control,
+        };
+        let seed = self.rng.random();
+        let role = match target {
+            Some(_) => {
+                let settings = AgentSettings {
+                    endpoint,
+                    seed,
+                    gossip: self.plan.gossip,
+                };
+                let share = ScenarioShare::new(&self.plan, endpoint);
+                Role::Agent(Box::new(Agent::with_share(settings, share)))
+            }
+            None => Role::Router(Box::new(Router::new(RouterSettings {
+                endpoint,
+                centre: centre.clone(),
+                seed,
+            }))),
+        };
+        let fleet = FleetSettings {
+            endpoint,
+            role: match role {
+                Role::Router(_) => FleetRole::Router,
+                Role::Agent(_) => FleetRole::Agent,
+            },
+            centre: centre.tag(),
+            seeds: Vec::new(),
+            seed: self.rng.random(),
+        };
+        Process {
+            name,
+            centre,
+            control,
+            role,
+            fleet: Fleet::new(fleet, RulesCompile, self.now(index)),
+            life,
+            paused: None,
+            stopping: false,
+            stopped: false,
+            skew: (false, Duration::ZERO),
+            config: None,
+            first: None,
+            routers: Vec::new(),
+            next_router: 0,
+            answers: BTreeMap::new(),
+            followers: BTreeMap::new(),
+            generation: None,
+            usable: BTreeMap::new(),
+            fleet_tick: self.at,
+        }
+    }
+
+    pub(super) fn process_subject(&self, process: usize) -> Subject {
+        Subject {
+            process: Some(self.processes[process].name.clone()),
+            ..Subject::default()
+        }
+    }
+
+    pub(super) fn tick(&mut self, process: usize) {
+        match self.target_of(process) {
+            Some(agent) => self.drive_agent(agent, AgentEvent::Tick),
+            None => self.drive_router(process, RouterEvent::Tick),
+        }
+        if self.at >= self.processes[process].fleet_tick {
+            self.processes[process].fleet_tick = self.at + policy::fleet::TICK;
+            self.tell_fleet(process, FleetEvent::Tick);
+            self.survey(process);
+        }
+        let life = self.processes[process].life;
+        self.schedule(TICK, Step::Tick { process, life });
+    }
+
+    /// Processes an event of a fleet machine.
+    pub(super) fn tell_fleet(&mut self, process: usize, event: FleetEvent) {
+        let now = self.now(process);
+        let mut actions = Vec::new();
+        self.processes[process]
+            .fleet
+            .handle(now, event, &mut actions);
+        for action in actions {
+            self.fleet_action(process, action);
+        }
+    }
+
+    fn fleet_action(&mut self, process: usize, action: FleetAction) {
+        match action {
+            FleetAction::Send { to, message } => self.post(process, to, Message::Fleet(message)),
+            FleetAction::ReadService(order) => self.read(process, order),
+            FleetAction::Adopt(config) => self.adopt(process, config),
+            FleetAction::MembersChanged => self.survey(process),
+            FleetAction::Ready => {
+                let subject = self.process_subject(process);
+                self.note(subject, What::Ready);
+            }
+            FleetAction::Deliver(_) | FleetAction::Alarm(_) | FleetAction::Raised(_) => {}
+        }
+    }
+
+    fn adopt(&mut self, process: usize, config: Arc<Config>) {
+        let known = &mut self.processes[process];
+        if known.first.is_none() {
+            known.first = Some(config.clone());
+        } else if self.plan.planted(&Plant::StaleRules) {
+            return;
+        }
+        self.put_in_force(process, config);
+    }
+
+    pub(super) fn put_in_force(&mut self, process: usize, config: Arc<Config>) {
+        let subject = self.process_subject(process);
+        self.note(subject, What::Adopted(config.revision));
+        self.processes[process].config = Some(config.clone());
+        let known = self.processes[process].first.clone();
+        let config = match self.plan.planted(&Plant::IgnoreDrain) {
+            true => known.unwrap_or(config),
+            false => config,
+        };
+        match self.target_of(process) {
+            Some(agent) => self.drive_agent(agent, AgentEvent::Configured(config)),
+            None => self.drive_router(process, RouterEvent::Configured(config)),
+        }
+    }
+
+    /// Tells a role what the fleet machine knows of others.
+    fn survey(&mut self, process: usize) {
+        let known = &mut self.processes[process];
+        let members = known.fleet.members().iter();
+        let live = members.filter(|member| member.is_live());
+        let routers = live.filter(|member| member.claim.role == FleetRole::Router);
+        known.routers = routers.map(|member| member.claim.endpoint).collect();
+        if self.target_of(process).is_some() {
+            return;
+        }
+        for (target, usable) in self.usable(process) {
+            let before = self.processes[process].usable.insert(target, usable);
+            let event = match usable {
+                true => RouterEvent::Reachable(target),
+                false => RouterEvent::Unreachable(target),
+            };
+            if before.unwrap_or(true) != usable {
+                self.drive_router(process, event);
+            }
+        }
+    }
+
+    fn usable(&self, process: usize) -> Vec<(TargetId, bool)> {
+        let Process { fleet, config, .. } = &self.processes[process];
+        let Some(config) = config else {
+            return Vec::new();
+        };
+        let targets = config.targets.iter().filter(|(_, target)| target.is_some());
+        let usable = |target| {
+            let agent = ProcessId(config.names.targets.tag(target));
+            let member = fleet.members().get(agent);
+            let dead = member.is_some_and(|member| member.claim.health == Health::Dead);
+            !dead && fleet.process_leaving(agent).is_none()
+        };
+        targets
+            .map(|(target, _)| (target, usable(target)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/filetests/src/sim/serve.rs
@@ -0,0 +1,476 @@
+//! Routers, agents and targets: what the machines are told and what they do.
+
+use std::time::Duration;
+
+use entity::{AttemptId, Machine, Reason, Refusal, RequestId, RetryAdvice};
+use policy::message::{Load, Offer};
+use policy::window::Report;
+use policy::{
+    AgentAction, AgentEvent, AttemptEnd, AttemptResult, DispatchOrder, RouterAction, RouterEvent,
+};
+use rand::RngExt;
+use wire::Message;
+
+use super::link::REFUSED;
+use super::process::Role;
+use super::target::Run;
+use super::{Answer, Sim, Step, plant};
+use crate::record::{Subject, What};
+use crate::scenario::Plant;
+
+/// The interval between load reports.
+const POLL: Duration = Duration::from_millis(100);
+
+/// The interval at which a target streams.
+const STREAM_STEP: Duration = Duration::from_millis(50);
+
+/// The time that a target needs to start again.
+const ENGINE_START: Duration = Duration::from_millis(200);
+
+/// How long a crash request runs before its target dies of it.
+const KILL_TIME: Duration = Duration::from_millis(100);
+
+/// When a router that was refused by a dying target should try again.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+impl Sim {
+    pub(super) fn drive_router(&mut self, router: usize, event: RouterEvent) {
+        let now = self.now(router);
+        let mut actions = Vec::new();
+        let Role::Router(machine) = &mut self.processes[router].role else {
+            unreachable!("routers come first");
+        };
+        machine.handle(now, event, &mut actions);
+        for action in actions {
+            self.router_action(router, action);
+        }
+    }
+
+    fn router_action(&mut self, router: usize, action: RouterAction) {
+        match action {
+            RouterAction::Dispatch(order) => self.dispatch(router, order),
+            RouterAction::Finish { request, outcome } => self.finished(request, &outcome),
+            RouterAction::Cancel(attempt) => self.cancel(router, attempt),
+            RouterAction::Bid { target, update } => {
+                let config = self.processes[router].config.as_ref();
+                let target = config.and_then(|config| config.targets[target].as_ref());
+                if let Some(to) = target.map(|target| target.control) {
+                    self.post(router, to, Message::Bids(update));
+                }
+            }
+            RouterAction::PullReply { agent, pulled } => {
+                self.post(router, agent.control, Message::Pulled(pulled));
+            }
+            RouterAction::Stopped => self.stopped(router),
+            _ => {}
+        }
+    }
+
+    fn dispatch(&mut self, router: usize, order: DispatchOrder) {
+        let attempt = order.offer.attempt;
+        let life = self.processes[router].life;
+        let config = self.processes[router].config.as_ref();
+        let config = config.expect("a router dispatches under a configuration");
+        let name = config.names.targets.name(order.target).clone();
+        let agent = self.plan.target_index(&name).expect("targets never change");
+        if let Some(request) = self.requests.get_mut(&attempt.request) {
+            request.attempt = Some((attempt, agent));
+        }
+        let process = self.agent_process(agent);
+        let link = self.link(router, process);
+        match link.filter(|_| !self.processes[process].stopped) {
+            Some(delay) => {
+                let offer = Box::new(order.offer);
+                let step = Step::Offer {
+                    agent,
+                    router,
+                    life,
+                    offer,
+                };
+                self.schedule(delay, step);
+            }
+            None => {
+                let result = AttemptResult::Unsent;
+                let event = Box::new(RouterEvent::Ended { attempt, result });
+                let step = Step::Router {
+                    router,
+                    life,
+                    event,
+                };
+                self.schedule(REFUSED, step);
+            }
+        }
+    }
+
+    /// Closes the connection of an attempt.
+    fn cancel(&mut self, router: usize, attempt: AttemptId) {
+        let request = self.requests.get(&attempt.request);
+        let Some((_, agent)) = request.and_then(|request| request.attempt) else {
+            return;
+        };
+        self.router_gone(router, agent, attempt);
+    }
+
+    pub(super) fn router_gone(&mut self, router: usize, agent: usize, attempt: AttemptId) {
+        let process = self.agent_process(agent);
+        let delay = self.link(router, process).unwrap_or_default();
+        let life = self.processes[process].life;
+        let event = Box::new(AgentEvent::RouterGone(attempt));
+        self.schedule(delay, Step::Agent { agent, life, event });
+    }
+
+    pub(super) fn offered(&mut self, agent: usize, router: usize, life: u64, offer: Offer) {
+        let attempt = offer.attempt;
+        if self.processes[self.agent_process(agent)].stopped {
+            let result = AttemptResult::Unsent;
+            let event = Box::new(RouterEvent::Ended { attempt, result });
+            let step = Step::Router {
+                router,
+                life,
+                event,
+            };
+            return self.schedule(REFUSED, step);
+        }
+        if let Some(request) = self.requests.get_mut(&attempt.request) {
+            request.sender = Some((router, life));
+        }
+        self.drive_agent(agent, AgentEvent::Offered(offer));
+    }
+
+    pub(super) fn drive_agent(&mut self, agent: usize, event: AgentEvent) {
+        let process = self.agent_process(agent);
+        let now = self.now(process);
+        let mut actions = Vec::new();
+        let event = plant::agent_event(&self.plan, event);
+        let Role::Agent(machine) = &mut self.processes[process].role else {
+            unreachable!("agents come after routers");
+        };
+        machine.handle(now, event, &mut actions);
+        for action in actions {
+            if let Some(action) = plant::agent_action(&self.plan, action) {
+                self.agent_action(agent, action);
+            }
+        }
+        let load = self.load_of(agent);
+        let is_open = self.engines[agent].is_up && !load.draining;
+        self.slots[agent] = if is_open { u32::from(load.window) } else { 0 };
+    }
+
+    pub(super) fn load_of(&self, agent: usize) -> Load {
+        match &self.processes[self.agent_process(agent)].role {
+            Role::Agent(machine) => machine.load(),
+            Role::Router(_) => unreachable!("agents come after routers"),
+        }
+    }
+
+    fn agent_action(&mut self, agent: usize, action: AgentAction) {
+        let process = self.agent_process(agent);
+        match action {
+            AgentAction::Start(attempt) => self.start(agent, attempt),
+            AgentAction::Reject {
+                attempt, refusal, ..
+            } => {
+                let what = What::Refused(refusal.reason);
+                self.note(self.attempt_subject(agent, attempt), what);
+                self.answer(
+                    agent,
+                    attempt,
+                    AttemptResult::NotRun(refusal),
+                    attempt.request,
+                );
+            }
+            AgentAction::Unknown { attempt, refusal } => {
+                let result = AttemptResult::Unknown(refusal);
+                self.answer(agent, attempt, result, attempt.request);
+            }
+            AgentAction::Replay { attempt, original }
+            | AgentAction::Follow { attempt, original } => self.follow(agent, attempt, original),
+            AgentAction::Cancel(attempt) => self.cancel_run(agent, attempt),
+            AgentAction::Pull { router, pull } => {
+                self.post(process, router.control, Message::Pull(pull));
+            }
+            AgentAction::Solicit(solicit) => {
+                let known = &mut self.processes[process];
+                known.next_router = (known.next_router + 1) % known.routers.len().max(1);
+                if let Some(router) = known.routers.get(known.next_router).copied() {
+                    self.post(process, router.control, Message::Solicit(solicit));
+                }
+            }
+            AgentAction::Ledger { target, delta } => {
+                let config = self.processes[process].config.as_ref();
+                let target = config.and_then(|config| config.targets[target].as_ref());
+                if let Some(to) = target.map(|target| target.control) {
+                    self.post(process, to, Message::Ledger(delta));
+                }
+            }
+            AgentAction::Stopped => self.stopped(process),
+            AgentAction::Decided(_) => {}
+        }
+    }
+
+    pub(super) fn stopped(&mut self, process: usize) {
+        let subject = self.process_subject(process);
+        self.note(subject, What::Stopped);
+        self.processes[process].stopped = true;
+    }
+
+    fn attempt_subject(&self, agent: usize, attempt: AttemptId) -> Subject {
+        Subject {
+            target: Some(self.plan.targets[agent].name.clone()),
+            ..self.request_subject(attempt.request)
+        }
+    }
+
+    fn start(&mut self, agent: usize, attempt: AttemptId) {
+        let Some(request) = self.requests.get(&attempt.request) else {
+            return self.undone.push_back((agent, attempt));
+        };
+        if !self.engines[agent].is_up {
+            return self.undone.push_back((agent, attempt));
+        }
+        let (team, cost, kills) = (request.team, request.cost, request.kills);
+        let subject = self.attempt_subject(agent, attempt);
+        self.note(subject.clone(), What::Started);
+        self.started(attempt.request);
+        let engine = &mut self.engines[agent];
+        let run = Run::new(team, cost, self.at, self.plan.token);
+        engine.running.insert(attempt, run);
+        let (limit, running) = (engine.limit(), engine.running.len() as u32);
+        let generation = engine.generation;
+        if running > limit {
+            self.note(subject, What::Overrun { running, limit });
+            return self.engine_down(agent);
+        }
+        let step = run.end().saturating_sub(self.at).min(STREAM_STEP);
+        let stream = Step::Stream {
+            agent,
+            generation,
+            attempt,
+        };
+        self.schedule(step, stream);
+        if kills {
+            self.schedule(KILL_TIME, Step::Kill { agent, attempt });
+        }
+    }
+
+    /// An attempt that could not be handed to the target.
+    pub(super) fn unsent(&mut self, agent: usize, attempt: AttemptId) {
+        let end = AttemptEnd::Unsent;
+        self.drive_agent(agent, AgentEvent::Ended { attempt, end });
+        let refusal = Refusal::new(Reason::NoTarget, RetryAdvice::After(RETRY_DELAY));
+        let result = AttemptResult::NotRun(refusal);
+        self.answer(agent, attempt, result.clone(), attempt.request);
+        self.tell_followers(agent, attempt, &result);
+    }
+
+    pub(super) fn stream(&mut self, agent: usize, generation: u64, attempt: AttemptId) {
+        let at = self.at;
+        let engine = &mut self.engines[agent];
+        if engine.generation != generation {
+            return;
+        }
+        let Some(cost) = engine.advance(attempt, at) else {
+            return;
+        };
+        let end = engine.running[&attempt].end();
+        self.tell_agent(agent, AgentEvent::Streamed { attempt, cost });
+        if end > at {
+            let step = (end - at).min(STREAM_STEP);
+            let stream = Step::Stream {
+                agent,
+                generation,
+                attempt,
+            };
+            return self.schedule(step, stream);
+        }
+        let run = self.engines[agent]
+            .complete(attempt)
+            .expect("the attempt runs");
+        let pool = self.plan.targets[agent].pool;
+        self.meters[pool].parties[run.team].service += run.cost.0 as f64;
+        self.note(self.attempt_subject(agent, attempt), What::Completed);
+        let cost = run.cost;
+        let end = AttemptEnd::Answered { cost };
+        self.tell_agent(agent, AgentEvent::Ended { attempt, end });
+        let body = self.body(attempt.request);
+        let result = AttemptResult::Answered { cost };
+        self.answer(agent, attempt, result.clone(), body);
+        self.tell_followers(agent, attempt, &result);
+        let process = self.agent_process(agent);
+        self.processes[process]
+            .answers
+            .insert(attempt, (cost, body));
+    }
+
+    /// The request whose answer a target gives to a request.
+    fn body(&mut self, request: RequestId) -> RequestId {
+        let others = self.requests.keys().next_back().copied();
+        match others {
+            Some(other) if self.plan.planted(&Plant::CrossAnswers) => other,
+            _ => request,
+        }
+    }
+
+    /// Tells an agent now, or when it wakes.
+    fn tell_agent(&mut self, agent: usize, event: AgentEvent) {
+        let process = self.agent_process(agent);
+        let life = self.processes[process].life;
+        let is_paused = self.processes[process]
+            .paused
+            .is_some_and(|until| until > self.at);
+        match is_paused {
+            false if !self.processes[process].stopped => self.drive_agent(agent, event),
+            _ => {
+                let event = Box::new(event);
+                self.schedule(Duration::ZERO, Step::Agent { agent, life, event });
+            }
+        }
+    }
+
+    fn cancel_run(&mut self, agent: usize, attempt: AttemptId) {
+        if let Some(run) = self.engines[agent].running.remove(&attempt) {
+            let delivered = run.delivered(self.at);
+            let pool = self.plan.targets[agent].pool;
+            self.meters[pool].parties[run.team].service += delivered.0 as f64;
+            self.note(self.attempt_subject(agent, attempt), What::Broken);
+        }
+        let life = self.processes[self.agent_process(agent)].life;
+        let end = AttemptEnd::Cancelled;
+        let event = Box::new(AgentEvent::Ended { attempt, end });
+        self.schedule(REFUSED, Step::Agent { agent, life, event });
+    }
+
+    /// Answers an attempt with what another attempt left or leaves behind.
+    fn follow(&mut self, agent: usize, attempt: AttemptId, original: AttemptId) {
+        let process = self.agent_process(agent);
+        let kept = self.processes[process].answers.get(&original).copied();
+        match kept {
+            Some((cost, body)) => {
+                let result = AttemptResult::Answered { cost };
+                self.answer(agent, attempt, result, body);
+            }
+            None if self.engines[agent].running.contains_key(&original) => {
+                let followers = &mut self.processes[process].followers;
+                followers.entry(original).or_default().push(attempt);
+            }
+            None => {
+                let refusal = Refusal::new(Reason::AnswerDropped, RetryAdvice::VerifyFirst);
+                let result = AttemptResult::Unknown(refusal);
+                self.answer(agent, attempt, result, attempt.request);
+            }
+        }
+    }
+
+    fn tell_followers(&mut self, agent: usize, original: AttemptId, result: &AttemptResult) {
+        let process = self.agent_process(agent);
+        let followers = self.processes[process].followers.remove(&original);
+        for attempt in followers.unwrap_or_default() {
+            self.answer(agent, attempt, result.clone(), original.request);
+        }
+    }
+
+    /// Sends the end of an attempt to its router.
+    fn answer(&mut self, agent: usize, attempt: AttemptId, result: AttemptResult, body: RequestId) {
+        let sender = self.requests.get(&attempt.request);
+        let Some((router, life)) = sender.and_then(|request| request.sender) else {
+            return;
+        };
+        let link = self.link(self.agent_process(agent), router);
+        let (delay, result) = match link {
+            Some(delay) => (delay, plant::result(&self.plan, result)),
+            None => (
+                2 * POLL,
+                AttemptResult::Broken {
+                    delivered: matches!(result, AttemptResult::Answered { .. }),
+                },
+            ),
+        };
+        let answer = Box::new(Answer {
+            agent,
+            attempt,
+            load: self.load_of(agent),
+            result,
+            body,
+        });
+        if self.chance(self.plan.double.0) {
+            let late = delay + POLL.mul_f64(self.rng.random());
+            let answer = answer.clone();
+            let step = Step::Answer {
+                router,
+                life,
+                answer,
+            };
+            self.schedule(late, step);
+        }
+        let step = Step::Answer {
+            router,
+            life,
+            answer,
+        };
+        self.schedule(delay, step);
+    }
+
+    /// A target dies, and all that it runs breaks off.
+    pub(super) fn engine_down(&mut self, agent: usize) {
+        let lost = self.engines[agent].die();
+        self.engines[agent].is_up = false;
+        self.slots[agent] = 0;
+        self.schedule(ENGINE_START, Step::EngineUp { agent });
+        let pool = self.plan.targets[agent].pool;
+        let mut results = Vec::new();
+        for (attempt, run) in lost {
+            let delivered = run.delivered(self.at);
+            self.meters[pool].parties[run.team].service += delivered.0 as f64;
+            self.note(self.attempt_subject(agent, attempt), What::Broken);
+            let refusal = Refusal::new(Reason::TargetDied, RetryAdvice::VerifyFirst);
+            let result = match delivered.0 > 0 {
+                true => AttemptResult::Broken { delivered: true },
+                false => AttemptResult::Unknown(refusal),
+            };
+            results.push((attempt, result));
+        }
+        let life = self.processes[self.agent_process(agent)].life;
+        for (attempt, result) in results {
+            self.answer(agent, attempt, result.clone(), attempt.request);
+            self.tell_followers(agent, attempt, &result);
+            let end = AttemptEnd::Broken;
+            let event = Box::new(AgentEvent::Ended { attempt, end });
+            self.schedule(Duration::ZERO, Step::Agent { agent, life, event });
+        }
+    }
+
+    pub(super) fn kill(&mut self, agent: usize, attempt: AttemptId) {
+        if self.engines[agent].running.contains_key(&attempt) {
+            self.note(self.attempt_subject(agent, attempt), What::Died);
+            self.engine_down(agent);
+        }
+    }
+
+    pub(super) fn engine_up(&mut self, agent: usize) {
+        self.engines[agent].is_up = true;
+    }
+
+    /// The agent asks its target for its load, as its watch does.
+    pub(super) fn poll(&mut self, agent: usize) {
+        self.schedule(POLL, Step::Poll { agent });
+        let process = self.agent_process(agent);
+        if self.processes[process].stopped || !self.engines[agent].is_up {
+            return;
+        }
+        let generation = self.engines[agent].generation;
+        let known = self.processes[process].generation.replace(generation);
+        if known.is_some_and(|known| known != generation) {
+            self.drive_agent(agent, AgentEvent::TargetDown);
+        }
+        if known != Some(generation) {
+            self.drive_agent(agent, AgentEvent::TargetUp);
+        }
+        let report = Report {
+            running: self.engines[agent].running.len() as u32,
+            queued: 0,
+            generation,
+            age: REFUSED,
+        };
+        self.drive_agent(agent, AgentEvent::Report(report));
+    }
+}
--- /dev/null
+++ b/filetests/src/sim/service.rs
@@ -0,0 +1,94 @@
+//! The configuration service and its VM list.
+
+use std::time::Duration;
+
+use policy::reader::{ReadOrder, ServiceKey, ServiceResult};
+
+use crate::scenario::ServiceMode;
+
+/// A value and its index.
+#[derive(Clone, Default, Debug)]
+struct Value {
+    index: u64,
+    body: String,
+}
+
+/// The values at one time.
+#[derive(Clone, Default, Debug)]
+struct Values {
+    rules: Value,
+    vms: Value,
+}
+
+/// A read that waits for a newer value.
+#[derive(Clone, Debug)]
+pub(super) struct Watch {
+    pub(super) process: usize,
+    pub(super) life: u64,
+    pub(super) order: ReadOrder,
+    pub(super) ends: Duration,
+}
+
+/// The service.
+#[derive(Clone, Default, Debug)]
+pub(super) struct Service {
+    values: Values,
+    shown: Values,
+    mode: ServiceMode,
+    index: u64,
+    pub(super) watches: Vec<Watch>,
+    /// The calls that it has counted.
+    pub(super) calls: u64,
+}
+
+impl Service {
+    pub(super) fn mode(&self) -> ServiceMode {
+        self.mode
+    }
+
+    pub(super) fn set_mode(&mut self, mode: ServiceMode) {
+        self.mode = mode;
+        self.show();
+    }
+
+    pub(super) fn publish(&mut self, key: &ServiceKey, body: String) {
+        self.index += 1;
+        let value = Value {
+            index: self.index,
+            body,
+        };
+        match key {
+            ServiceKey::Vms => self.values.vms = value,
+            _ => self.values.rules = value,
+        }
+        self.show();
+    }
+
+    fn show(&mut self) {
+        if self.mode != ServiceMode::Stale {
+            self.shown = self.values.clone();
+        }
+    }
+
+    /// Answers a read; `None` if it has to wait.
+    pub(super) fn read(&self, order: &ReadOrder) -> Option<ServiceResult> {
+        let value = match &order.key {
+            ServiceKey::Rules => &self.shown.rules,
+            ServiceKey::Vms => &self.shown.vms,
+            ServiceKey::Part(_) => return Some(ServiceResult::Missing),
+        };
+        match self.mode {
+            ServiceMode::Down => Some(ServiceResult::Unreachable),
+            ServiceMode::Garbage => Some(ServiceResult::Value {
+                index: value.index + 1000,
+                body: b"\xff\x00 garbage".to_vec(),
+            }),
+            _ if value.index > order.after => Some(ServiceResult::Value {
+                index: value.index,
+                body: value.body.clone().into_bytes(),
+            }),
+            _ if order.wait.is_zero() => Some(ServiceResult::Unchanged),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/filetests/src/sim/share.rs
@@ -0,0 +1,110 @@
+//! The ways to divide slots that a scenario can name.
+
+use std::time::Instant;
+
+use cranelift_entity::EntityRef;
+use entity::{Cost, ProcessId, TeamId, Weight};
+use policy::fair::{Fifo, Party, Rank, RouterQuota, Share, Teams};
+use policy::ledger::{Extrapolation, Ledger, LedgerSettings};
+use policy::message::{Endpoint, LedgerDelta};
+
+use super::plan::Plan;
+use crate::scenario::{Plant, PolicyName};
+
+/// A policy by name, perhaps with a favourite.
+#[derive(Debug)]
+pub(super) struct ScenarioShare {
+    kind: Kind,
+    favourite: Option<TeamId>,
+}
+
+#[derive(Debug)]
+enum Kind {
+    Ledger(Box<Ledger>),
+    Fifo(Fifo),
+    Quota(RouterQuota),
+}
+
+/// Calls a method of the policy in use.
+macro_rules! with {
+    ($kind:expr, $share:ident => $call:expr) => {
+        match $kind {
+            Kind::Ledger($share) => $call,
+            Kind::Fifo($share) => $call,
+            Kind::Quota($share) => $call,
+        }
+    };
+}
+
+impl ScenarioShare {
+    pub(super) fn new(plan: &Plan, endpoint: Endpoint) -> Self {
+        let ledger = |gossip, extrapolation| {
+            let settings = LedgerSettings {
+                agent: endpoint.id,
+                incarnation: endpoint.incarnation,
+                gossip,
+                extrapolation,
+            };
+            Kind::Ledger(Box::new(Ledger::new(settings)))
+        };
+        let kind = match plan.policy {
+            PolicyName::Fair => ledger(Some(plan.gossip), Extrapolation::default()),
+            PolicyName::OwnCounter => ledger(None, Extrapolation::Nothing),
+            PolicyName::PushFifo => Kind::Fifo(Fifo),
+            PolicyName::Quota => Kind::Quota(RouterQuota::default()),
+        };
+        let favourite = plan.plants.iter().find_map(|plant| match plant {
+            Plant::Favour(name) => plan.team(name),
+            _ => None,
+        });
+        Self {
+            kind,
+            favourite: favourite.map(TeamId::new),
+        }
+    }
+}
+
+impl Share for ScenarioShare {
+    fn backlogged(&mut self, now: Instant, team: TeamId, weight: Weight) {
+        with!(&mut self.kind, share => share.backlogged(now, team, weight));
+    }
+
+    fn rank(&self, now: Instant, team: TeamId) -> Rank {
+        match self.favourite {
+            Some(favourite) if favourite == team => Rank(i64::MIN / 2),
+            _ => with!(&self.kind, share => share.rank(now, team)),
+        }
+    }
+
+    fn router_rank(&self, router: ProcessId) -> Rank {
+        with!(&self.kind, share => share.router_rank(router))
+    }
+
+    fn unseen(&self, now: Instant) -> i64 {
+        with!(&self.kind, share => share.unseen(now))
+    }
+
+    fn recent(&self, team: TeamId) -> i64 {
+        with!(&self.kind, share => share.recent(team))
+    }
+
+    fn chosen(&mut self, rank: Rank) {
+        with!(&mut self.kind, share => share.chosen(rank));
+    }
+
+    fn charge(&mut self, now: Instant, party: Party, cost: Cost) {
+        with!(&mut self.kind, share => share.charge(now, party, cost));
+    }
+
+    fn merge(&mut self, now: Instant, delta: &LedgerDelta, teams: &impl Teams) {
+        with!(&mut self.kind, share => share.merge(now, delta, teams));
+    }
+
+    fn delta(&mut self, now: Instant, teams: &impl Teams) -> Option<LedgerDelta> {
+        with!(&mut self.kind, share => share.delta(now, teams))
+    }
+
+    fn prune(&mut self, now: Instant, is_active: impl Fn(TeamId) -> bool) {
+        with!(&mut self.kind, share => share.prune(now, is_active));
+    }
+}
--- /dev/null
+++ b/filetests/src/sim/traffic.rs
@@ -0,0 +1,415 @@
+//! Callers: what they send, where it arrives and how it ends.
+
+use std::time::Duration;
+
+use entity::{
+    AttemptId, Cost, Fingerprint, IdempotencyKey, Name, Outcome, Reason, RequestId, RetryAdvice,
+};
+use policy::{Arrival, AttemptResult, RouterEvent};
+use rand::RngExt;
+use uuid::Uuid;
+
+use super::plan::{Source, SourceKind};
+use super::{Answer, START, Sim, Step};
+use crate::record::{Subject, What};
+use crate::scenario::{CostShape, KeyChoice, Load, Plant};
+
+/// How long a caller waits before it sends a crash request, or a standing one, again.
+const AGAIN: Duration = Duration::from_millis(500);
+
+/// The time between an answer and the next request of a standing load.
+const NEXT: Duration = Duration::from_millis(2);
+
+/// How often a crash request is sent.
+const CRASH_SENDS: u32 = 20;
+
+/// The cost of a request whose source states none.
+const COST: u32 = 100;
+
+/// The time that a caller waits where the route states none.
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A source of requests at work.
+#[derive(Clone, Debug)]
+pub(super) struct Flow {
+    source: Source,
+    until: Option<Duration>,
+}
+
+/// An idempotency key.
+#[derive(Clone, Debug)]
+pub(super) struct Key {
+    name: Option<Name>,
+    value: IdempotencyKey,
+}
+
+/// A request.
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    pub(super) team: usize,
+    pool: usize,
+    flow: Option<usize>,
+    router: Option<u32>,
+    pub(super) cost: Cost,
+    hint: Cost,
+    pub(super) deadline: Duration,
+    key: Option<usize>,
+    fingerprint: Fingerprint,
+    /// Whether it kills the targets that run it.
+    pub(super) kills: bool,
+    sends: u32,
+    is_open: bool,
+    waits: bool,
+    /// The router that holds it.
+    holder: Option<usize>,
+    /// The attempt in flight and its agent.
+    pub(super) attempt: Option<(AttemptId, usize)>,
+    /// The router that sent the attempt, and its life.
+    pub(super) sender: Option<(usize, u64)>,
+}
+
+impl Sim {
+    /// Sets a source to work.
+    pub(super) fn open(&mut self, source: Source) {
+        let flow = self.flows.len();
+        let from = START + source.load.from.unwrap_or_default();
+        let until = source.load.until.map(|until| START + until);
+        let kind = source.kind;
+        self.flows.push(Flow { source, until });
+        let delay = from.saturating_sub(self.at);
+        match kind {
+            SourceKind::Every(_) => self.schedule(delay, Step::Flow { flow }),
+            SourceKind::Open(open) => {
+                for index in 0..open {
+                    let delay = delay + Duration::from_micros(u64::from(index) * 100);
+                    self.schedule(delay, Step::Flow { flow });
+                }
+            }
+        }
+    }
+
+    pub(super) fn flood(&mut self, team: usize, rate: u32, time: Duration) {
+        let from = self.at.saturating_sub(START);
+        let load = Load {
+            from: Some(from),
+            until: Some(from + time),
+            ..Load::default()
+        };
+        self.open(Source {
+            team,
+            pool: 0,
+            kind: SourceKind::Every(Duration::from_secs(1) / rate),
+            load,
+        });
+    }
+
+    pub(super) fn flow(&mut self, flow: usize) {
+        let Flow { source, until } = self.flows[flow].clone();
+        if until.is_some_and(|until| self.at >= until) {
+            return;
+        }
+        if let SourceKind::Every(every) = source.kind {
+            self.schedule(every, Step::Flow { flow });
+        }
+        let key = source.load.key.clone().map(|choice| self.key(&choice));
+        let request = self.draw(&source, flow, key);
+        for _ in 0..source.load.repeat.unwrap_or(1) {
+            let id = self.add(request.clone());
+            self.schedule(Duration::ZERO, Step::Send { request: id });
+        }
+    }
+
+    fn key(&mut self, choice: &KeyChoice) -> usize {
+        let name = match choice {
+            KeyChoice::Fresh => None,
+            KeyChoice::Named(name) => Some(name.clone()),
+        };
+        let known = self
+            .keys
+            .iter()
+            .position(|key| name.is_some() && key.name == name);
+        known.unwrap_or_else(|| {
+            let value = self.uuid();
+            self.keys.push(Key { name, value });
+            self.keys.len() - 1
+        })
+    }
+
+    /// A UUID of version 7 that is issued now.
+    fn uuid(&mut self) -> IdempotencyKey {
+        let millis = (super::EPOCH + self.at).as_millis();
+        let random: u64 = self.rng.random();
+        let bits = millis << 80 | 7 << 76 | 2 << 62 | u128::from(random >> 2);
+        IdempotencyKey::Caller(Uuid::from_u128(bits))
+    }
+
+    fn draw(&mut self, source: &Source, flow: usize, key: Option<usize>) -> Request {
+        let shape = source.load.cost.unwrap_or(CostShape {
+            median: COST,
+            lognormal: false,
+        });
+        let deviation = if shape.lognormal { self.normal() } else { 0.0 };
+        let cost = (f64::from(shape.median) * deviation.exp()).round().max(1.0);
+        let factor = f64::from(source.load.hint.unwrap_or(1));
+        let factor = match self.rng.random_range(0..2) {
+            0 => factor,
+            _ => 1.0 / factor,
+        };
+        self.serial += 1;
+        let identity = key.map_or(u128::from(self.serial), |key| 1 << 100 | key as u128);
+        Request {
+            team: source.team,
+            pool: source.pool,
+            flow: Some(flow),
+            router: source.load.router,
+            cost: Cost(cost as i64),
+            hint: Cost((cost * factor).round().max(1.0) as i64),
+            deadline: self.at + TIMEOUT,
+            key,
+            fingerprint: Fingerprint(identity),
+            kills: false,
+            sends: 1,
+            is_open: false,
+            waits: false,
+            holder: None,
+            attempt: None,
+            sender: None,
+        }
+    }
+
+    /// A draw from the normal distribution, by the method of Box and Muller.
+    fn normal(&mut self) -> f64 {
+        let radius: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        let angle: f64 = self.rng.random_range(0.0..core::f64::consts::TAU);
+        (-2.0 * radius.ln()).sqrt() * angle.cos()
+    }
+
+    /// Sends a request that kills its targets, again and again.
+    pub(super) fn crash_request(&mut self, team: usize) {
+        let source = Source {
+            team,
+            pool: 0,
+            kind: SourceKind::Open(1),
+            load: Load::default(),
+        };
+        let mut request = self.draw(&source, 0, None);
+        request.flow = None;
+        request.kills = true;
+        request.sends = CRASH_SENDS;
+        let id = self.add(request);
+        self.schedule(Duration::ZERO, Step::Send { request: id });
+    }
+
+    fn add(&mut self, request: Request) -> RequestId {
+        let id = RequestId(self.requests.len() as u128 + 1);
+        self.requests.insert(id, request);
+        id
+    }
+
+    pub(super) fn request_subject(&self, id: RequestId) -> Subject {
+        let request = self.requests.get(&id);
+        let team = request.map(|request| self.plan.teams[request.team].name.clone());
+        Subject {
+            request: Some(id),
+            key: request
+                .and_then(|request| request.key)
+                .map(|key| key as u32),
+            team,
+            ..Subject::default()
+        }
+    }
+
+    pub(super) fn send_request(&mut self, id: RequestId) {
+        let router = self.choose_router(self.requests[&id].router);
+        let subject = self.request_subject(id);
+        let process = router.map(|router| self.processes[router].name.clone());
+        self.note(Subject { process, ..subject }, What::Arrived);
+        let at = self.at;
+        let request = self
+            .requests
+            .get_mut(&id)
+            .expect("requests are never dropped");
+        request.is_open = true;
+        request.deadline = at + TIMEOUT;
+        request.holder = router;
+        request.waits = request.key.is_none();
+        if request.waits {
+            let (pool, team) = (request.pool, request.team);
+            self.meters[pool].waits(at, team);
+        }
+        let Some(router) = router else {
+            return self.ended(id, What::NotRun(Reason::NotConfigured), None);
+        };
+        if self.plan.planted(&Plant::ForgetRequests) && id.0.is_multiple_of(100) {
+            return;
+        }
+        let life = self.processes[router].life;
+        match self.arrival(id, router) {
+            Some(arrival) => {
+                let event = Box::new(RouterEvent::Arrived(arrival));
+                let step = Step::Router {
+                    router,
+                    life,
+                    event,
+                };
+                self.schedule(Duration::ZERO, step);
+            }
+            None => self.ended(id, What::NotRun(Reason::NoRoute), None),
+        }
+    }
+
+    /// The router at which a request arrives, if the balancer finds one that is ready.
+    fn choose_router(&mut self, wanted: Option<u32>) -> Option<usize> {
+        let ready = |&router: &usize| self.processes[router].is_ready();
+        if let Some(number) = wanted {
+            return Some(number as usize - 1).filter(ready);
+        }
+        let ready: Vec<_> = (0..self.plan.routers as usize).filter(ready).collect();
+        match ready.len() {
+            0 => None,
+            count => Some(ready[self.rng.random_range(0..count)]),
+        }
+    }
+
+    /// The request as the router's filters submit it; `None` if no route leads to its pool.
+    fn arrival(&self, id: RequestId, router: usize) -> Option<Arrival> {
+        let request = &self.requests[&id];
+        let config = self.processes[router].config.as_ref()?;
+        let pool = &self.plan.pools[request.pool];
+        let route = match request.key {
+            Some(_) => pool.once.as_ref()?,
+            None => pool.idempotent.as_ref()?,
+        };
+        let route = config.names.routes.by_name(route.as_str())?;
+        let team = config
+            .names
+            .teams
+            .by_name(self.plan.teams[request.team].name.as_str())?;
+        let rule = config.routes[route].as_ref()?;
+        let class = config.teams[team].as_ref()?.class;
+        Some(Arrival {
+            request: id,
+            team,
+            route,
+            pool: rule.pool,
+            class: rule.class.unwrap_or(class),
+            hint: Some(request.hint),
+            deadline: self.base + request.deadline,
+            key: request.key.map(|key| self.keys[key].value),
+            fingerprint: request.fingerprint,
+            prefix: None,
+        })
+    }
+
+    /// Notes that a request was handed to a target.
+    pub(super) fn started(&mut self, id: RequestId) {
+        self.stop_waiting(id, true);
+    }
+
+    fn stop_waiting(&mut self, id: RequestId, started: bool) {
+        let at = self.at;
+        let request = self
+            .requests
+            .get_mut(&id)
+            .expect("requests are never dropped");
+        if core::mem::take(&mut request.waits) {
+            let (pool, team) = (request.pool, request.team);
+            self.meters[pool].waits_no_more(at, team, started);
+        }
+    }
+
+    /// Relays an answer to the caller and to the router's machine.
+    pub(super) fn relay(&mut self, router: usize, answer: Answer) {
+        let Answer {
+            agent,
+            attempt,
+            load,
+            result,
+            body,
+        } = answer;
+        let request = &self.requests[&attempt.request];
+        let is_current = request.is_open && request.attempt == Some((attempt, agent));
+        if !is_current {
+            self.lost += 1;
+            return;
+        }
+        let config = self.processes[router].config.as_ref();
+        let name = &self.plan.targets[agent].name;
+        let target = config.and_then(|config| config.names.targets.by_name(name.as_str()));
+        if let Some(target) = target {
+            self.drive_router(router, RouterEvent::Loaded { target, load });
+        }
+        let is_answer = matches!(result, AttemptResult::Answered { .. });
+        self.drive_router(router, RouterEvent::Ended { attempt, result });
+        if is_answer {
+            let whole = true;
+            self.ended(attempt.request, What::Answered { body, whole }, None);
+        }
+    }
+
+    /// A router ended a request without an answer.
+    pub(super) fn finished(&mut self, id: RequestId, outcome: &Outcome) {
+        let (what, retry) = match outcome {
+            Outcome::Answered { .. } => unreachable!("routers finish what was not answered"),
+            Outcome::NotRun { refusal, .. } => (What::NotRun(refusal.reason), refusal.retry),
+            Outcome::Unknown { refusal } => (What::Unknown(refusal.reason), refusal.retry),
+        };
+        let delay = match retry {
+            RetryAdvice::After(delay) => Some(delay),
+            _ => None,
+        };
+        self.ended(id, what, delay);
+    }
+
+    fn ended(&mut self, id: RequestId, what: What, retry: Option<Duration>) {
+        let subject = self.request_subject(id);
+        let is_answer = matches!(what, What::Answered { .. });
+        self.note(subject, what);
+        self.stop_waiting(id, false);
+        let request = self
+            .requests
+            .get_mut(&id)
+            .expect("requests are never dropped");
+        request.is_open = false;
+        request.holder = None;
+        request.attempt = None;
+        request.sends -= 1;
+        let (sends, flow) = (request.sends, request.flow);
+        if sends > 0 && !is_answer {
+            let request = request.clone();
+            let again = self.add(request);
+            let delay = retry.unwrap_or_default().max(AGAIN);
+            return self.schedule(delay, Step::Send { request: again });
+        }
+        let flow = flow.filter(|&flow| matches!(self.flows[flow].source.kind, SourceKind::Open(_)));
+        if let Some(flow) = flow {
+            let delay = if is_answer {
+                NEXT
+            } else {
+                retry.unwrap_or_default().max(AGAIN)
+            };
+            self.schedule(delay, Step::Flow { flow });
+        }
+    }
+
+    /// The requests that a router holds, with the agents that have their attempts.
+    pub(super) fn held_by(&self, router: usize) -> Vec<(RequestId, Option<(AttemptId, usize)>)> {
+        let requests = self.requests.iter();
+        let held =
+            requests.filter(|(_, request)| request.is_open && request.holder == Some(router));
+        held.map(|(&id, request)| (id, request.attempt)).collect()
+    }
+
+    /// The attempts that wait for an answer of an agent.
+    pub(super) fn offered_to(&self, agent: usize) -> Vec<AttemptId> {
+        let requests = self.requests.values().filter(|request| request.is_open);
+        let attempts = requests.filter_map(|request| request.attempt);
+        let here = attempts.filter(|&(_, at)| at == agent);
+        here.map(|(attempt, _)| attempt).collect()
+    }
+
+    /// A caller lost its router.
+    pub(super) fn lose(&mut self, id: RequestId) {
+        self.ended(id, What::Lost, None);
+    }
+}
--- /dev/null
+++ b/filetests/src/verify.rs
@@ -0,0 +1,168 @@
+//! Whether a run kept its promises.
+//!
+//! [`verify`] checks one promise and returns each violation with the shortest
+//! trace that shows it: the entries of the request, key, team, target or process
+//! concerned.
+
+mod delivery;
+mod portions;
+mod rules;
+
+use core::fmt;
+use std::time::Duration;
+
+pub use portions::figures;
+
+use derive_more::Display;
+
+use crate::record::{Entry, Subject, What};
+use crate::scenario::Promise;
+use crate::sim::Run;
+
+/// The greatest number of entries in a trace.
+const MAX_TRACE: usize = 12;
+
+/// The greatest number of violations of one promise that are kept.
+const MAX_VIOLATIONS: usize = 5;
+
+/// A broken promise.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Violation {
+    /// Which.
+    pub promise: Promise,
+    /// When it broke, since the start of the scenario.
+    pub at: Duration,
+    /// How.
+    pub detail: String,
+    /// The entries that show it.
+    pub trace: Vec<Entry>,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let at = self.at.as_secs_f64();
+        writeln!(f, "{} broken at {at:.4}s: {}", self.promise, self.detail)?;
+        self.trace
+            .iter()
+            .try_for_each(|entry| writeln!(f, "  {entry}"))
+    }
+}
+
+/// The result of a check.
+#[derive(Clone, PartialEq, Debug, Display)]
+pub enum Verdict {
+    /// The promise was kept.
+    #[display("kept")]
+    Kept,
+    /// Nothing happened to which the promise applies.
+    #[display("not exercised")]
+    NotExercised,
+    /// It was broken.
+    #[display("broken")]
+    Broken(Vec<Violation>),
+}
+
+/// What a check has seen.
+#[derive(Clone, Default, Debug)]
+struct Findings {
+    /// How often the promise applied.
+    cases: usize,
+    violations: Vec<Violation>,
+}
+
+impl Findings {
+    fn violation(&mut self, promise: Promise, at: Duration, detail: String, trace: Vec<Entry>) {
+        if self.violations.len() < MAX_VIOLATIONS {
+            self.violations.push(Violation {
+                promise,
+                at,
+                detail,
+                trace,
+            });
+        }
+    }
+}
+
+/// Checks one promise.
+pub fn verify(promise: Promise, run: &Run) -> Verdict {
+    let findings = match promise {
+        Promise::Gap => portions::gap(run),
+        Promise::NoStarvation => portions::starvation(run),
+        Promise::Utilisation => portions::utilisation(run),
+        Promise::ColdLimit => portions::cold_limit(run),
+        Promise::Drain => rules::drain(run),
+        Promise::Leaving => rules::leaving(run),
+        Promise::Configuration => rules::configuration(run),
+        Promise::PlannedStop => rules::planned_stop(run),
+        Promise::WholeAnswers => delivery::whole_answers(run),
+        Promise::NotRun => delivery::not_run(run),
+        Promise::Once => delivery::once(run),
+        Promise::Endings => delivery::endings(run),
+        Promise::Quarantine => delivery::quarantine(run),
+    };
+    match findings.violations.is_empty() {
+        false => Verdict::Broken(findings.violations),
+        true if findings.cases == 0 => Verdict::NotExercised,
+        true => Verdict::Kept,
+    }
+}
+
+/// The last entries about a subject up to a time, or up to the greatest number.
+fn trace(run: &Run, subject: &Subject, until: Duration) -> Vec<Entry> {
+    let entries = run.entries.iter();
+    let about = entries.filter(|entry| entry.at <= until && subject.covers(&entry.subject));
+    let about: Vec<_> = about.cloned().collect();
+    let skip = about.len().saturating_sub(MAX_TRACE);
+    about[skip..].to_vec()
+}
+
+/// A time in which a fault keeps news from spreading.
+#[derive(Clone, Copy, Debug)]
+struct Block {
+    from: Duration,
+    until: Duration,
+}
+
+/// The times in which the service or whole parts of the fleet cannot be reached.
+fn blocks(run: &Run) -> Vec<Block> {
+    let mut blocks = Vec::new();
+    let (mut service, mut cut) = (None, None);
+    for entry in &run.entries {
+        let What::Fault(text) = &entry.what else {
+            continue;
+        };
+        match text.as_str() {
+            "service up" => blocks.extend(service.take().map(|from| Block {
+                from,
+                until: entry.at,
+            })),
+            "heal" => blocks.extend(cut.take().map(|from| Block {
+                from,
+                until: entry.at,
+            })),
+            text if text.starts_with("service ") => service = service.or(Some(entry.at)),
+            text if text.starts_with("cut ") && !text.contains(" from ") => {
+                cut = cut.or(Some(entry.at));
+            }
+            _ => {}
+        }
+    }
+    let open = [service, cut].into_iter().flatten();
+    blocks.extend(open.map(|from| Block {
+        from,
+        until: Duration::MAX,
+    }));
+    blocks.sort_by_key(|block| block.from);
+    blocks
+}
+
+/// The first time from `at` on from which `limit` passes without a block; `None` if there is none.
+fn settled(blocks: &[Block], at: Duration, limit: Duration) -> Option<Duration> {
+    let mut start = at;
+    for block in blocks {
+        if block.from <= start + limit && block.until > start {
+            start = block.until;
+        }
+    }
+    (start < Duration::MAX).then_some(start)
+}
--- /dev/null
+++ b/filetests/src/verify/portions.rs
@@ -0,0 +1,195 @@
+//! Fair portions, full use, and what targets can carry.
+
+use std::time::Duration;
+
+use policy::ledger::CLAMP_TIME;
+
+use super::{Findings, MAX_TRACE, trace};
+use crate::record::{Entry, Subject, What};
+use crate::scenario::Promise;
+use crate::sim::{PoolMeasure, PoolRun, Run};
+
+/// The part of slot time that may be idle while work waits.
+const MAX_IDLE: f64 = 0.01;
+
+/// The bound on the gap between two teams, in cost units per weight.
+///
+/// It is the work of both in flight, plus what the pool gives while agents do not
+/// see each other's service, plus the clamp of the ledger.
+fn gap_bound(pool: &PoolRun, teams: (usize, usize)) -> f64 {
+    let (one, two) = (pool.weights[teams.0], pool.weights[teams.1]);
+    let in_flight = &pool.measure.team_in_flight;
+    let in_flight = in_flight[teams.0] / one + in_flight[teams.1] / two;
+    let blind = pool.rate * pool.blind.as_secs_f64() / one.min(two);
+    in_flight + blind + clamp(pool, one + two)
+}
+
+/// What the ledger's clamp lets counters move, in cost units per weight.
+///
+/// It applies only after faults that keep agents from each other's news.
+fn clamp(pool: &PoolRun, weights: f64) -> f64 {
+    match pool.disturbed {
+        true => pool.rate * CLAMP_TIME.as_secs_f64() / weights,
+        false => 0.0,
+    }
+}
+
+/// The bound on the wait of a team without a start, in seconds.
+///
+/// It is the time that the whole pool needs to bring all teams level with what the
+/// team has in flight and with what agents do not see, plus the time until a slot
+/// is free: the least rest in flight is at most the mean one.
+fn wait_bound(pool: &PoolRun, team: usize) -> f64 {
+    let total: f64 = pool.weights.iter().sum();
+    let blind = pool.blind.as_secs_f64();
+    let ahead = pool.measure.team_in_flight[team] / pool.weights[team];
+    let ahead = ahead + clamp(pool, total);
+    ahead * total / pool.rate + pool.measure.in_flight / pool.rate + 2.0 * blind
+}
+
+pub(super) fn gap(run: &Run) -> Findings {
+    let mut findings = Findings::default();
+    for pool in &run.pools {
+        let Some(gap) = pool.measure.gap else {
+            continue;
+        };
+        findings.cases += 1;
+        let bound = gap_bound(pool, gap.teams);
+        if gap.size <= bound {
+            continue;
+        }
+        let at = run.since_start(gap.span.until);
+        let detail = format!(
+            "pool {}: teams {} and {} drew {:.0} cost units per weight apart within {:.3}s, bound {bound:.0}",
+            pool.name,
+            run.teams[gap.teams.0],
+            run.teams[gap.teams.1],
+            gap.size,
+            gap.span.length().as_secs_f64(),
+        );
+        let trace = starts(run, gap.teams, at);
+        findings.violation(Promise::Gap, at, detail, trace);
+    }
+    findings
+}
+
+/// The last starts of two teams up to a time.
+fn starts(run: &Run, teams: (usize, usize), until: Duration) -> Vec<Entry> {
+    let (one, two) = (&run.teams[teams.0], &run.teams[teams.1]);
+    let entries = run.entries.iter().filter(|entry| {
+        let team = entry.subject.team.as_ref();
+        let is_theirs = team == Some(one) || team == Some(two);
+        is_theirs && entry.at <= until && entry.what == What::Started
+    });
+    let starts: Vec<_> = entries.cloned().collect();
+    starts[starts.len().saturating_sub(MAX_TRACE)..].to_vec()
+}
+
+/// What was measured of each pool, beside its bounds.
+pub fn figures(run: &Run) -> String {
+    let mut text = String::new();
+    for pool in &run.pools {
+        let PoolMeasure {
+            gap,
+            starvation,
+            idle,
+            slots,
+            ..
+        } = &pool.measure;
+        text += &format!("pool {}:", pool.name);
+        if let Some(gap) = gap {
+            text += &format!(" gap {:.0} of {:.0}", gap.size, gap_bound(pool, gap.teams));
+        }
+        if let Some(longest) = starvation {
+            let wait = longest.span.length().as_secs_f64();
+            text += &format!(
+                ", wait {wait:.3}s of {:.3}s",
+                wait_bound(pool, longest.team)
+            );
+        }
+        if *slots > 0.0 {
+            text += &format!(", idle {:.3}% of 1%", idle / slots * 100.0);
+        }
+        text += "\n";
+    }
+    let count = |is: fn(&What) -> bool| {
+        let entries = run.entries.iter();
+        entries.filter(|entry| is(&entry.what)).count()
+    };
+    text += &format!(
+        "requests: arrived {}, answered {}, not run {}, unknown {}, lost {}; service calls {}\n",
+        count(|what| matches!(what, What::Arrived)),
+        count(|what| matches!(what, What::Answered { .. })),
+        count(|what| matches!(what, What::NotRun(_))),
+        count(|what| matches!(what, What::Unknown(_))),
+        count(|what| matches!(what, What::Lost)),
+        run.calls,
+    );
+    text
+}
+
+pub(super) fn starvation(run: &Run) -> Findings {
+    let mut findings = Findings::default();
+    for pool in &run.pools {
+        let Some(longest) = pool.measure.starvation else {
+            continue;
+        };
+        findings.cases += 1;
+        let bound = wait_bound(pool, longest.team);
+        let length = longest.span.length().as_secs_f64();
+        if length <= bound {
+            continue;
+        }
+        let at = run.since_start(longest.span.until);
+        let team = run.teams[longest.team].clone();
+        let detail = format!(
+            "pool {}: team {team} waited {length:.3}s without a start, bound {bound:.3}s",
+            pool.name
+        );
+        let subject = Subject {
+            team: Some(team),
+            ..Subject::default()
+        };
+        findings.violation(Promise::NoStarvation, at, detail, trace(run, &subject, at));
+    }
+    findings
+}
+
+pub(super) fn utilisation(run: &Run) -> Findings {
+    let mut findings = Findings::default();
+    for pool in run.pools.iter().filter(|pool| pool.measure.slots > 0.0) {
+        findings.cases += 1;
+        let idle = pool.measure.idle / pool.measure.slots;
+        if idle < MAX_IDLE {
+            continue;
+        }
+        let detail = format!(
+            "pool {}: {:.2}% of slot time was idle while work waited, bound {:.0}%",
+            pool.name,
+            idle * 100.0,
+            MAX_IDLE * 100.0
+        );
+        findings.violation(Promise::Utilisation, run.length, detail, Vec::new());
+    }
+    findings
+}
+
+pub(super) fn cold_limit(run: &Run) -> Findings {
+    let mut findings = Findings::default();
+    for entry in &run.entries {
+        match entry.what {
+            What::Started => findings.cases += 1,
+            What::Overrun { running, limit } => {
+                let subject = Subject {
+                    target: entry.subject.target.clone(),
+                    ..Subject::default()
+                };
+                let detail = format!("{}: {running} run, {limit} can", entry.subject);
+                let trace = trace(run, &subject, entry.at);
+                findings.violation(Promise::ColdLimit, entry.at, detail, trace);
+            }
+            _ => {}
+        }
+    }
+    findings
+}
