--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -174,19 +174,27 @@
 
 # Data centre dc2 leaves after a quarter of the load and returns near its end.
 write_events() {
-    local out=$((seconds * 250)) back=$((seconds * 850)) drained returned fault=
+    local out=$((seconds * 250)) back=$((seconds * 850)) drained returned faults=
     drained=$(document $((revision + 1)) "drain data-centre dc2" | json_text)
     returned=$(document $((revision + 2)) | json_text)
     revision=$((revision + 2))
     if [[ -n ${crash-} ]]; then
-        fault="{\"at_millis\":$((seconds * 150)),\"note\":\"llm-1 dies\",\"method\":\"POST\",\"address\":\"$standin_llm_1\",\"path\":\"/test/faults\",\"body\":\"{\\\"kind\\\":\\\"crash\\\"}\",\"deaths\":1},"
+        faults=$(fault $((seconds * 150)) "llm-1 dies" "$standin_llm_1" '{"kind":"crash"}' 1)
+        faults+=$(fault $((seconds * 200)) "desk-1 loses three answers" "$standin_desk_1" \
+            '{"kind":"die-after","times":3}' 0)
     fi
     cat >"$dir/events.json" <<JSON
-[$fault{"at_millis":$out,"note":"dc2 taken out","method":"PUT","address":"$config","path":"/test/values/rules","body":$drained,"drains":"dc2"},
+[$faults{"at_millis":$out,"note":"dc2 taken out","method":"PUT","address":"$config","path":"/test/values/rules","body":$drained,"drains":"dc2"},
  {"at_millis":$back,"note":"dc2 brought back","method":"PUT","address":"$config","path":"/test/values/rules","body":$returned,"returns":"dc2"}]
 JSON
 }
 
+# fault AT-MILLIS NOTE ADDR BODY DEATHS: prints an event that breaks a stand-in, and a comma.
+fault() {
+    printf '{"at_millis":%d,"note":"%s","method":"POST","address":"%s","path":"/test/faults","body":%s,"deaths":%d},' \
+        "$1" "$2" "$3" "$(json_text <<<"$4")" "$5"
+}
+
 # Quotes standard input as a JSON text.
 json_text() {
     awk 'BEGIN { printf "\"" } { gsub(/\\/, "\\\\"); gsub(/"/, "\\\""); printf "%s\\n", $0 } END { printf "\"" }'
