--- a/bench/src/bin/fairness.rs
+++ b/bench/src/bin/fairness.rs
@@ -58,7 +58,6 @@
         extrapolation: match KIND {
             0 => Extrapolation::Nothing,
             1 => Extrapolation::Mirror,
-            2 => Extrapolation::Rate,
             _ => Extrapolation::Fill,
         },
     })
@@ -100,6 +99,5 @@
         measure(&format!("merged, {gossip} ms"), Some(gossip), ledger::<0>);
         measure(&format!("mirror, {gossip} ms"), Some(gossip), ledger::<1>);
         measure(&format!("fill, {gossip} ms"), Some(gossip), ledger::<3>);
-        measure(&format!("rate, {gossip} ms"), Some(gossip), ledger::<2>);
     }
 }
--- a/filetests/src/fleet.rs
+++ b/filetests/src/fleet.rs
@@ -6,16 +6,16 @@
 
 mod engine;
 mod gap;
+mod network;
 mod setup;
 
-use std::collections::BinaryHeap;
+use std::collections::{BTreeSet, BinaryHeap};
 use std::sync::Arc;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use cranelift_entity::EntityRef;
 use entity::{
-    AttemptId, Class, Cost, Fingerprint, Incarnation, Machine, Now, Outcome, ProcessId, RequestId,
-    TargetId,
+    AttemptId, Class, Cost, Fingerprint, Machine, Now, Outcome, ProcessId, RequestId, TargetId,
 };
 use policy::fair::Share;
 use policy::ledger::Ledger;
@@ -139,6 +139,8 @@
     lives: Vec<u64>,
     engines: Vec<Engine>,
     sides: Vec<u8>,
+    /// For each agent, the attempts that it has received and not answered.
+    offered: Vec<BTreeSet<AttemptId>>,
     requests: FxHashMap<RequestId, Request>,
     serial: u128,
     share: fn(&FleetSettings, Endpoint) -> S,
@@ -162,8 +164,9 @@
             routers: Vec::new(),
             agents: Vec::new(),
             lives: vec![1; settings.agents],
-            engines: vec![Engine::new(settings.limit); settings.agents],
+            engines: vec![Engine::new(settings.window.cold, settings.limit); settings.agents],
             sides: vec![0; settings.routers + settings.agents],
+            offered: vec![BTreeSet::new(); settings.agents],
             requests: FxHashMap::default(),
             serial: 0,
             share,
@@ -288,8 +291,11 @@
 
     /// Restarts a target and, if `with_agent`, the agent beside it, both empty.
     pub fn restart(&mut self, index: usize, with_agent: bool) {
-        let lost = self.engines[index].crash();
+        let mut lost = self.engines[index].crash();
         if with_agent {
+            lost = core::mem::take(&mut self.offered[index])
+                .into_iter()
+                .collect();
             self.lives[index] += 1;
             self.agents[index] = self.new_agent(index);
             let config = AgentEvent::Configured(self.config.clone());
@@ -353,8 +359,14 @@
         match event {
             Event::Router(index, event) => self.drive_router(index, event),
             Event::Agent(index, life, event) if life == self.lives[index] => {
+                if let AgentEvent::Offered(offer) = &event {
+                    self.offered[index].insert(offer.attempt);
+                }
                 self.drive_agent(index, event);
             }
+            Event::Agent(index, _, AgentEvent::Offered(offer)) => {
+                self.answer(index, offer.attempt, AttemptResult::Unsent);
+            }
             Event::Agent(..) => {}
             Event::Tick(process) => {
                 match process {
@@ -398,7 +410,7 @@
                 let attempt = order.offer.attempt;
                 match self.link(from, Process::Agent(target)) {
                     Some(delay) => {
-                        self.agent_event(delay, target, AgentEvent::Offered(order.offer))
+                        self.agent_event(delay, target, AgentEvent::Offered(order.offer));
                     }
                     None => {
                         let result = AttemptResult::Unsent;
@@ -409,14 +421,15 @@
             }
             RouterAction::Bid { target, update } => {
                 self.counts.bids += 1;
-                self.control(from, target, AgentEvent::Bids(update));
+                self.control(from, target, &AgentEvent::Bids(update));
             }
             RouterAction::PullReply { agent, pulled } => {
                 let target = self.target(agent.id);
-                self.control(from, target, AgentEvent::Pulled(pulled));
+                self.control(from, target, &AgentEvent::Pulled(pulled));
             }
             RouterAction::Finish { request, outcome } => self.finish(request, &outcome),
-            RouterAction::Cancel(_) | RouterAction::Decided(_) | RouterAction::Stopped => {}
+            RouterAction::Cancel(attempt) => self.router_gone(attempt),
+            RouterAction::Decided(_) | RouterAction::Stopped => {}
         }
     }
 
@@ -442,20 +455,20 @@
             AgentAction::Pull { router, pull } => {
                 self.counts.pulls += 1;
                 let router = setup::router_index(router.id, self.settings.routers);
-                self.to_router(from, router, RouterEvent::Pull(pull));
+                self.control_router(from, router, &RouterEvent::Pull(pull));
             }
             AgentAction::Solicit(solicit) => {
                 let router = self.rng.random_range(0..self.settings.routers);
-                self.to_router(from, router, RouterEvent::Solicit(solicit));
+                self.control_router(from, router, &RouterEvent::Solicit(solicit));
             }
             AgentAction::Ledger { target, delta } => {
                 self.counts.deltas += 1;
-                self.control(from, target, AgentEvent::Ledger(delta));
+                self.control(from, target, &AgentEvent::Ledger(delta));
             }
+            AgentAction::Cancel(attempt) => self.cancel(index, attempt),
             AgentAction::Unknown { .. }
             | AgentAction::Replay { .. }
             | AgentAction::Follow { .. }
-            | AgentAction::Cancel(_)
             | AgentAction::Decided(_)
             | AgentAction::Stopped => {}
         }
@@ -463,8 +476,7 @@
 
     fn start(&mut self, index: usize, attempt: AttemptId) {
         let Some(request) = self.requests.get(&attempt.request).copied() else {
-            let end = AttemptEnd::Cancelled;
-            return self.agent_event(Duration::ZERO, index, AgentEvent::Ended { attempt, end });
+            return self.cancel(index, attempt);
         };
         let wait = self.at.saturating_sub(request.arrived);
         self.counts.longest = self.counts.longest.max(wait);
@@ -498,8 +510,27 @@
         self.answer(index, attempt, AttemptResult::Answered { cost });
     }
 
+    /// Tells the agent that received an attempt that its router has gone.
+    fn router_gone(&mut self, attempt: AttemptId) {
+        let receivers = self.offered.iter().enumerate();
+        let receivers = receivers.filter(|(_, offered)| offered.contains(&attempt));
+        let receivers: Vec<_> = receivers.map(|(index, _)| index).collect();
+        for index in receivers {
+            self.offered[index].remove(&attempt);
+            self.agent_event(self.settings.near, index, AgentEvent::RouterGone(attempt));
+        }
+    }
+
+    fn cancel(&mut self, index: usize, attempt: AttemptId) {
+        self.engines[index].cancel(attempt);
+        self.offered[index].remove(&attempt);
+        let end = AttemptEnd::Cancelled;
+        self.agent_event(Duration::ZERO, index, AgentEvent::Ended { attempt, end });
+    }
+
     /// Brings the end of an attempt, and the agent's load, to its router.
     fn answer(&mut self, index: usize, attempt: AttemptId, result: AttemptResult) {
+        self.offered[index].remove(&attempt);
         let Some(request) = self.requests.get(&attempt.request).copied() else {
             return;
         };
@@ -544,70 +575,4 @@
             self.arrive(Duration::from_millis(2), ended.team, router);
         }
     }
-
-    fn control(&mut self, from: Process, target: TargetId, event: AgentEvent) {
-        self.counts.control += 1;
-        let index = target.index();
-        for delay in self.deliveries(from, Process::Agent(index)) {
-            self.agent_event(delay, index, event.clone());
-        }
-    }
-
-    fn to_router(&mut self, from: Process, index: usize, event: RouterEvent) {
-        self.counts.control += 1;
-        for delay in self.deliveries(from, Process::Router(index)) {
-            self.schedule(delay, Event::Router(index, event.clone()));
-        }
-    }
-
-    /// The delays after which a control message arrives; none if it is lost.
-    fn deliveries(&mut self, from: Process, to: Process) -> Vec<Duration> {
-        let Some(delay) = self.link(from, to) else {
-            return Vec::new();
-        };
-        let draw: f64 = self.rng.random();
-        match draw {
-            _ if draw < self.settings.loss => Vec::new(),
-            _ if draw < self.settings.loss + self.settings.doubling => {
-                vec![
-                    delay,
-                    delay + Duration::from_millis(self.rng.random_range(0..100)),
-                ]
-            }
-            _ => vec![delay],
-        }
-    }
-
-    /// The delay from one process to another; `None` if they are cut off.
-    fn link(&self, from: Process, to: Process) -> Option<Duration> {
-        let (from, to) = (self.index(from), self.index(to));
-        if self.sides[from] != self.sides[to] {
-            return None;
-        }
-        let centre = |index: usize| match index.checked_sub(self.settings.routers) {
-            None => index % self.settings.centres,
-            Some(agent) => agent % self.settings.centres,
-        };
-        Some(match centre(from) == centre(to) {
-            true => self.settings.near,
-            false => self.settings.far,
-        })
-    }
-
-    fn index(&self, process: Process) -> usize {
-        match process {
-            Process::Router(index) => index,
-            Process::Agent(index) => self.settings.routers + index,
-        }
-    }
-
-    fn target(&self, agent: ProcessId) -> TargetId {
-        let target = self.config.names.targets.by_tag(agent.0);
-        target.expect("agents bear the names of targets")
-    }
-}
-
-/// The life of a process that has started `count` times.
-pub(crate) fn incarnation(count: u64) -> Incarnation {
-    Incarnation(count)
 }
--- a/filetests/src/fleet/engine.rs
+++ b/filetests/src/fleet/engine.rs
@@ -33,15 +33,19 @@
 /// One target.
 #[derive(Clone, Debug)]
 pub(super) struct Engine {
-    limit: u32,
+    cold: u32,
+    max: u32,
+    completions: u32,
     life: u64,
     running: BTreeMap<AttemptId, Run>,
 }
 
 impl Engine {
-    pub(super) fn new(limit: u32) -> Self {
+    pub(super) fn new(cold: u32, max: u32) -> Self {
         Self {
-            limit,
+            cold,
+            max,
+            completions: 0,
             life: 1,
             running: BTreeMap::new(),
         }
@@ -76,7 +80,7 @@
             reported: Cost::ZERO,
         };
         self.running.insert(attempt, run);
-        (self.running.len() as u32).saturating_sub(self.limit)
+        (self.running.len() as u32).saturating_sub(self.limit())
     }
 
     /// The tokens since the last step; `None` if the attempt no longer runs.
@@ -90,12 +94,23 @@
     }
 
     pub(super) fn end(&mut self, attempt: AttemptId) -> Run {
+        self.completions += 1;
         self.running.remove(&attempt).expect("the attempt runs")
     }
 
+    pub(super) fn cancel(&mut self, attempt: AttemptId) {
+        self.running.remove(&attempt);
+    }
+
+    /// What the target truly can run now.
+    fn limit(&self) -> u32 {
+        (self.cold + self.completions).min(self.max)
+    }
+
     /// Ends everything; returns what ran.
     pub(super) fn crash(&mut self) -> Vec<AttemptId> {
         self.life += 1;
+        self.completions = 0;
         core::mem::take(&mut self.running).into_keys().collect()
     }
 }
--- /dev/null
+++ b/filetests/src/fleet/network.rs
@@ -0,0 +1,74 @@
+//! Delays, losses and partitions between processes.
+
+use std::time::Duration;
+
+use cranelift_entity::EntityRef;
+use entity::{ProcessId, TargetId};
+use policy::fair::Share;
+use policy::{AgentEvent, RouterEvent};
+use rand::RngExt;
+
+use super::{Event, Fleet, Process};
+
+impl<S: Share> Fleet<S> {
+    pub(super) fn control(&mut self, from: Process, target: TargetId, event: &AgentEvent) {
+        self.counts.control += 1;
+        let index = target.index();
+        for delay in self.deliveries(from, Process::Agent(index)) {
+            self.agent_event(delay, index, event.clone());
+        }
+    }
+
+    pub(super) fn control_router(&mut self, from: Process, index: usize, event: &RouterEvent) {
+        self.counts.control += 1;
+        for delay in self.deliveries(from, Process::Router(index)) {
+            self.schedule(delay, Event::Router(index, event.clone()));
+        }
+    }
+
+    /// The delays after which a control message arrives; none if it is lost.
+    fn deliveries(&mut self, from: Process, to: Process) -> Vec<Duration> {
+        let Some(delay) = self.link(from, to) else {
+            return Vec::new();
+        };
+        let draw: f64 = self.rng.random();
+        match draw {
+            _ if draw < self.settings.loss => Vec::new(),
+            _ if draw < self.settings.loss + self.settings.doubling => {
+                vec![
+                    delay,
+                    delay + Duration::from_millis(self.rng.random_range(0..100)),
+                ]
+            }
+            _ => vec![delay],
+        }
+    }
+
+    /// The delay from one process to another; `None` if they are cut off.
+    pub(super) fn link(&self, from: Process, to: Process) -> Option<Duration> {
+        let (from, to) = (self.index(from), self.index(to));
+        if self.sides[from] != self.sides[to] {
+            return None;
+        }
+        let centre = |index: usize| match index.checked_sub(self.settings.routers) {
+            None => index % self.settings.centres,
+            Some(agent) => agent % self.settings.centres,
+        };
+        Some(match centre(from) == centre(to) {
+            true => self.settings.near,
+            false => self.settings.far,
+        })
+    }
+
+    pub(super) fn index(&self, process: Process) -> usize {
+        match process {
+            Process::Router(index) => index,
+            Process::Agent(index) => self.settings.routers + index,
+        }
+    }
+
+    pub(super) fn target(&self, agent: ProcessId) -> TargetId {
+        let target = self.config.names.targets.by_tag(agent.0);
+        target.expect("agents bear the names of targets")
+    }
+}
--- a/filetests/src/fleet/setup.rs
+++ b/filetests/src/fleet/setup.rs
@@ -7,8 +7,8 @@
 
 use cranelift_entity::EntityRef;
 use entity::{
-    Class, Cost, DataCentreId, Directory, Name, PoolId, ProcessId, Revision, RouteId, RuleRef,
-    TargetId, TeamId, Weight,
+    Class, Cost, DataCentreId, Directory, Incarnation, Name, PoolId, ProcessId, Revision, RouteId,
+    RuleRef, TargetId, TeamId, Weight,
 };
 use policy::message::Endpoint;
 use rand::RngExt;
@@ -47,7 +47,9 @@
     pub centres: usize,
     /// The admission window of each target.
     pub window: Window,
-    /// The number of attempts that a target truly can run.
+    /// The number of attempts that a warm target truly can run.
+    ///
+    /// A target starts with the cold size and gains one with each completion.
     pub limit: u32,
     /// One-way delay within a data centre.
     pub near: Duration,
@@ -96,7 +98,7 @@
 pub(super) fn endpoint(kind: &str, index: usize, life: u64) -> Endpoint {
     Endpoint {
         id: process(kind, index),
-        incarnation: super::incarnation(life),
+        incarnation: Incarnation(life),
         control: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
     }
 }
--- a/policy/src/agent.rs
+++ b/policy/src/agent.rs
@@ -346,7 +346,7 @@
     fn handle(&mut self, now: Now, event: AgentEvent, actions: &mut Vec<AgentAction>) {
         match event {
             AgentEvent::Configured(config) => self.configured(config),
-            AgentEvent::Offered(offer) => self.offered(now, offer, actions),
+            AgentEvent::Offered(offer) => self.offered(now, &offer, actions),
             AgentEvent::Streamed { attempt, cost } => self.streamed(now, attempt, cost),
             AgentEvent::Ended { attempt, end } => self.ended(now, attempt, end),
             AgentEvent::RouterGone(attempt) => self.router_gone(now, attempt, actions),
--- a/policy/src/agent/admit.rs
+++ b/policy/src/agent/admit.rs
@@ -22,7 +22,7 @@
 }
 
 impl<S: Share> Agent<S> {
-    pub(super) fn offered(&mut self, now: Now, offer: Offer, actions: &mut Vec<AgentAction>) {
+    pub(super) fn offered(&mut self, now: Now, offer: &Offer, actions: &mut Vec<AgentAction>) {
         let attempt = offer.attempt;
         let Some(config) = self.config.clone() else {
             return reject(attempt, Reason::NotConfigured, actions);
--- a/policy/src/ledger.rs
+++ b/policy/src/ledger.rs
@@ -49,14 +49,45 @@
     /// They serve nobody.
     Nothing,
     /// They serve each team as this agent does.
-    #[default]
     Mirror,
-    /// They go on at the rate seen last.
-    Rate,
     /// They serve the teams that have had least.
+    #[default]
     Fill,
 }
 
+/// What bounds the service gap between two teams that wait all the time.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct GapBound {
+    /// The greatest total cost that runs in the pool at one moment.
+    pub in_flight: Cost,
+    /// The service of the pool in cost units per second.
+    pub pace: f64,
+    /// The gossip interval and the greatest delay of a delta.
+    pub delay: Duration,
+    /// The sum of the weights of the teams that wait.
+    pub weights: f64,
+    /// The least weight of the two teams.
+    pub least: Weight,
+    /// Whether some row was silent for longer than the clamp ignores.
+    pub silence: bool,
+}
+
+impl GapBound {
+    /// The bound in cost units per weight:
+    ///
+    /// `(in_flight + pace × delay) / least + clamp`, where the clamp is
+    /// `pace × CLAMP_TIME / weights` on either side if a row was silent, else 0.
+    pub fn cost(&self) -> f64 {
+        let unseen = self.pace * self.delay.as_secs_f64();
+        let lag = (self.in_flight.0 as f64 + unseen) / f64::from(self.least.get());
+        let clamp = match self.silence {
+            true => 2.0 * self.pace * CLAMP_TIME.as_secs_f64() / self.weights,
+            false => 0.0,
+        };
+        lag + clamp
+    }
+}
+
 /// How a ledger works.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct LedgerSettings {
@@ -86,10 +117,6 @@
     own: i64,
     /// The sum over rows of `own` at their last delta.
     snaps: i64,
-    /// The sum over rows of their rates, in steps per second.
-    rate: f64,
-    /// The sum over rows of rate times the time of the last delta.
-    anchor: f64,
     touched: Instant,
 }
 
@@ -98,8 +125,8 @@
 pub struct Ledger {
     settings: LedgerSettings,
     sequence: u64,
-    sent: Option<Instant>,
-    start: Option<Instant>,
+    /// When the next delta is due; the first is offset so that agents take turns.
+    due: Option<Instant>,
     own: FxHashMap<TeamId, OwnTotal>,
     rows: BTreeMap<ProcessId, Row>,
     accounts: FxHashMap<TeamId, Account>,
@@ -116,8 +143,7 @@
         Self {
             settings,
             sequence: 0,
-            sent: None,
-            start: None,
+            due: None,
             own: FxHashMap::default(),
             rows: BTreeMap::new(),
             accounts: FxHashMap::default(),
@@ -157,31 +183,22 @@
         (portion * STEPS as f64) as i64
     }
 
-    fn seconds(&self, now: Instant) -> f64 {
-        let start = self.start.unwrap_or(now);
-        now.saturating_duration_since(start).as_secs_f64()
-    }
-
     fn account(&mut self, now: Instant, team: TeamId, weight: Weight) -> &mut Account {
-        self.start.get_or_insert(now);
         let floor = self.floor;
         self.accounts.entry(team).or_insert_with(|| Account {
             counter: floor,
             per_weight: 1.0 / f64::from(weight.get()),
             own: 0,
             snaps: 0,
-            rate: 0.0,
-            anchor: 0.0,
             touched: now,
         })
     }
 
     /// Service that others are assumed to have given since their last deltas, in steps.
-    fn assumed(&self, now: Instant, account: &Account) -> i64 {
+    fn assumed(&self, account: &Account) -> i64 {
         match self.settings.extrapolation {
             Extrapolation::Nothing | Extrapolation::Fill => 0,
             Extrapolation::Mirror => self.rows.len() as i64 * account.own - account.snaps,
-            Extrapolation::Rate => (account.rate * self.seconds(now) - account.anchor) as i64,
         }
     }
 
@@ -193,12 +210,11 @@
         let old = self.rows.iter().filter(|(_, row)| is_old(row));
         let old: Vec<_> = old.map(|(&agent, _)| agent).collect();
         for agent in old {
-            self.drop_row(now, agent);
+            self.drop_row(agent);
         }
     }
 
-    fn drop_row(&mut self, now: Instant, agent: ProcessId) {
-        let seconds = self.seconds(now);
+    fn drop_row(&mut self, agent: ProcessId) {
         let extrapolation = self.settings.extrapolation;
         let Some(row) = self.rows.remove(&agent) else {
             return;
@@ -208,17 +224,21 @@
             let assumed = match extrapolation {
                 Extrapolation::Nothing | Extrapolation::Fill => 0,
                 Extrapolation::Mirror => account.own - known.snap,
-                Extrapolation::Rate => (known.rate * (seconds - row.at)) as i64,
             };
             account.counter += assumed;
             account.snaps -= known.snap;
-            account.rate -= known.rate;
-            account.anchor -= known.rate * row.at;
         }
     }
 
     /// Moves a counter by what a row newly says of a team.
-    fn learn(&mut self, now: Instant, row: &mut Row, step: RowStep, team: TeamId, gained: Cost) {
+    fn learn(
+        &mut self,
+        now: Instant,
+        row: &mut Row,
+        clamp: Option<i64>,
+        team: TeamId,
+        gained: Cost,
+    ) {
         let extrapolation = self.settings.extrapolation;
         let Some(account) = self.accounts.get_mut(&team) else {
             return;
@@ -228,41 +248,25 @@
         let assumed = match extrapolation {
             Extrapolation::Nothing | Extrapolation::Fill => 0,
             Extrapolation::Mirror => account.own - known.snap,
-            Extrapolation::Rate => (known.rate * step.elapsed) as i64,
         };
         let net = gained - assumed;
-        account.counter += match step.clamp {
+        account.counter += match clamp {
             Some(clamp) => assumed + net.clamp(-clamp, clamp),
             None => gained,
         };
         account.snaps += account.own - known.snap;
         known.snap = account.own;
-        let rate = known.next_rate(gained, step.elapsed);
-        account.rate += rate - known.rate;
-        account.anchor += rate * step.at - known.rate * row.at;
-        known.rate = rate;
         known.touched = Some(now);
     }
 }
 
-/// The step in time that a delta makes.
-#[derive(Clone, Copy, Debug)]
-struct RowStep {
-    /// Seconds since the ledger's start.
-    at: f64,
-    /// Seconds since the row's last delta.
-    elapsed: f64,
-    /// The clamp, if the row was silent.
-    clamp: Option<i64>,
-}
-
 impl Share for Ledger {
     fn backlogged(&mut self, now: Instant, team: TeamId, weight: Weight) {
         let floor = self.floor;
         let assumed = self
             .accounts
             .get(&team)
-            .map(|account| self.assumed(now, account));
+            .map(|account| self.assumed(account));
         let account = self.account(now, team, weight);
         account.per_weight = 1.0 / f64::from(weight.get());
         let counter = account.counter + assumed.unwrap_or(0);
@@ -270,10 +274,10 @@
         account.touched = now;
     }
 
-    fn rank(&self, now: Instant, team: TeamId) -> Rank {
+    fn rank(&self, _now: Instant, team: TeamId) -> Rank {
         let account = self.accounts.get(&team);
         Rank(account.map_or(self.floor, |account| {
-            account.counter + self.assumed(now, account)
+            account.counter + self.assumed(account)
         }))
     }
 
@@ -330,26 +334,18 @@
         if delta.agent == self.settings.agent || self.settings.gossip.is_none() {
             return;
         }
-        self.start.get_or_insert(now);
-        let at = self.seconds(now);
         let known = self.rows.get(&delta.agent);
-        let is_first = known.is_none();
         match known {
             Some(row) if row.is_stale(delta) => return,
-            Some(row) if row.incarnation < delta.incarnation => self.drop_row(now, delta.agent),
+            Some(row) if row.incarnation < delta.incarnation => self.drop_row(delta.agent),
             _ => {}
         }
-        let clamp = self.clamp();
         let mut row = self
             .rows
             .remove(&delta.agent)
-            .unwrap_or_else(|| Row::new(now, at, delta.incarnation));
+            .unwrap_or_else(|| Row::new(now, delta.incarnation));
         let silence = now.saturating_duration_since(row.heard);
-        let step = RowStep {
-            at,
-            elapsed: at - row.at,
-            clamp: (silence > SILENCE).then_some(clamp),
-        };
+        let clamp = (silence > SILENCE).then(|| self.clamp());
         for total in &delta.totals {
             let Some(team) = teams.by_tag(total.team) else {
                 continue;
@@ -359,31 +355,32 @@
             let before = known.total.replace(total.service);
             let gained = match before {
                 Some(before) => total.service - before,
-                None if is_first => Cost::ZERO,
+                None if now <= row.met + TEAM_TTL => Cost::ZERO,
                 None => total.service - total.base,
             };
-            self.learn(now, &mut row, step, team, gained);
+            self.learn(now, &mut row, clamp, team, gained);
         }
         let active: Vec<_> = self.accounts.keys().copied().collect();
         for team in active {
             let known = row.totals.get(&team);
             if known.is_none_or(|known| known.touched != Some(now)) {
-                self.learn(now, &mut row, step, team, Cost::ZERO);
+                self.learn(now, &mut row, clamp, team, Cost::ZERO);
             }
         }
         row.heard = now;
-        row.at = at;
         row.sequence = delta.sequence;
         self.rows.insert(delta.agent, row);
     }
 
     fn delta(&mut self, now: Instant, teams: &impl Teams) -> Option<LedgerDelta> {
         let gossip = self.settings.gossip?;
-        if self.sent.is_some_and(|sent| now < sent + gossip) {
+        let phase = gossip.mul_f64(self.settings.agent.0.0 as f64 / u64::MAX as f64);
+        let due = *self.due.get_or_insert(now + phase);
+        if now < due {
             return None;
         }
         self.sequence += 1;
-        self.sent = Some(now);
+        self.due = Some(now.max(due + gossip));
         let recent = self.sequence.saturating_sub(REPEATS);
         let changed = self.own.iter().filter(|(_, own)| own.changed > recent);
         let mut totals: Vec<_> = changed
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -262,7 +262,7 @@
 
     fn handle(&mut self, now: Now, event: RouterEvent, actions: &mut Vec<RouterAction>) {
         match event {
-            RouterEvent::Configured(config) => self.configured(now, config, actions),
+            RouterEvent::Configured(config) => self.configured(now, &config, actions),
             RouterEvent::Arrived(arrival) => self.arrived(now, arrival, actions),
             RouterEvent::Loaded { target, load } => self.loads.update(now.mono, target, load),
             RouterEvent::Reachable(target) => self.loads.set_reachable(target, true),
--- a/policy/src/router/ending.rs
+++ b/policy/src/router/ending.rs
@@ -153,12 +153,12 @@
     pub(super) fn configured(
         &mut self,
         now: Now,
-        config: Arc<Config>,
+        config: &Arc<Config>,
         actions: &mut Vec<RouterAction>,
     ) {
         self.config = Some(config.clone());
         for pool in self.queues.pools() {
-            self.give_up(now, &config, pool, actions);
+            self.give_up(now, config, pool, actions);
         }
     }
 
