--- a/filetests/src/fleet.rs
+++ b/filetests/src/fleet.rs
@@ -4,6 +4,7 @@
 //! daemons run, each with a delay, in order of time and then of creation. One
 //! seed gives one course of events.
 
+mod attempt;
 mod engine;
 mod gap;
 mod network;
@@ -14,9 +15,7 @@
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use cranelift_entity::EntityRef;
-use entity::{
-    AttemptId, Class, Cost, Fingerprint, Machine, Now, Outcome, ProcessId, RequestId, TargetId,
-};
+use entity::{AttemptId, Class, Cost, Fingerprint, Machine, Now, RequestId};
 use policy::fair::Share;
 use policy::ledger::Ledger;
 use policy::message::Endpoint;
@@ -473,106 +472,4 @@
             | AgentAction::Stopped => {}
         }
     }
-
-    fn start(&mut self, index: usize, attempt: AttemptId) {
-        let Some(request) = self.requests.get(&attempt.request).copied() else {
-            return self.cancel(index, attempt);
-        };
-        let wait = self.at.saturating_sub(request.arrived);
-        self.counts.longest = self.counts.longest.max(wait);
-        let time = self.settings.token_time * request.cost.0 as u32;
-        let over = self.engines[index].start(attempt, request.team, request.cost, self.at, time);
-        self.counts.overload = self.counts.overload.max(over);
-        let life = self.engines[index].life();
-        self.schedule(time.min(STREAM_STEP), Event::Stream(index, life, attempt));
-    }
-
-    fn stream(&mut self, index: usize, attempt: AttemptId) {
-        let at = self.at;
-        let Some(progress) = self.engines[index].advance(attempt, at) else {
-            return;
-        };
-        let streamed = AgentEvent::Streamed {
-            attempt,
-            cost: progress.cost,
-        };
-        self.drive_agent(index, streamed);
-        if !progress.left.is_zero() {
-            let life = self.engines[index].life();
-            let step = progress.left.min(STREAM_STEP);
-            return self.schedule(step, Event::Stream(index, life, attempt));
-        }
-        let run = self.engines[index].end(attempt);
-        self.gaps.ended(run.team, run.cost);
-        let cost = run.cost;
-        let end = AttemptEnd::Answered { cost };
-        self.drive_agent(index, AgentEvent::Ended { attempt, end });
-        self.answer(index, attempt, AttemptResult::Answered { cost });
-    }
-
-    /// Tells the agent that received an attempt that its router has gone.
-    fn router_gone(&mut self, attempt: AttemptId) {
-        let receivers = self.offered.iter().enumerate();
-        let receivers = receivers.filter(|(_, offered)| offered.contains(&attempt));
-        let receivers: Vec<_> = receivers.map(|(index, _)| index).collect();
-        for index in receivers {
-            self.offered[index].remove(&attempt);
-            self.agent_event(self.settings.near, index, AgentEvent::RouterGone(attempt));
-        }
-    }
-
-    fn cancel(&mut self, index: usize, attempt: AttemptId) {
-        self.engines[index].cancel(attempt);
-        self.offered[index].remove(&attempt);
-        let end = AttemptEnd::Cancelled;
-        self.agent_event(Duration::ZERO, index, AgentEvent::Ended { attempt, end });
-    }
-
-    /// Brings the end of an attempt, and the agent's load, to its router.
-    fn answer(&mut self, index: usize, attempt: AttemptId, result: AttemptResult) {
-        self.offered[index].remove(&attempt);
-        let Some(request) = self.requests.get(&attempt.request).copied() else {
-            return;
-        };
-        let load = self.agents[index].load();
-        let target = TargetId::new(index);
-        let is_answered = matches!(result, AttemptResult::Answered { .. });
-        let (to, from) = (Process::Router(request.router), Process::Agent(index));
-        let (delay, result) = match self.link(from, to) {
-            Some(delay) => (delay, result),
-            None => (
-                Duration::from_millis(1),
-                AttemptResult::Broken { delivered: false },
-            ),
-        };
-        let loaded = RouterEvent::Loaded { target, load };
-        self.schedule(delay, Event::Router(request.router, loaded));
-        let ended = RouterEvent::Ended { attempt, result };
-        self.schedule(delay, Event::Router(request.router, ended));
-        if is_answered {
-            self.counts.answered += 1;
-            self.replace(attempt.request);
-        }
-    }
-
-    fn finish(&mut self, request: RequestId, outcome: &Outcome) {
-        match outcome {
-            Outcome::NotRun { .. } => self.counts.not_run += 1,
-            _ => self.counts.unknown += 1,
-        }
-        self.replace(request);
-    }
-
-    /// Ends a request; a standing load sends the next.
-    fn replace(&mut self, request: RequestId) {
-        let Some(ended) = self.requests.remove(&request) else {
-            return;
-        };
-        let load = &self.settings.teams[ended.team];
-        if load.open > 0 {
-            let routers = load.routers.clone();
-            let router = self.rng.random_range(routers);
-            self.arrive(Duration::from_millis(2), ended.team, router);
-        }
-    }
 }
--- a/filetests/tests/fair_fleet.rs
+++ b/filetests/tests/fair_fleet.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use entity::{Cost, Weight};
-use filetests::fleet::{Fleet, FleetSettings, Process, TeamLoad};
+use knapweed_filetests::fleet::{Fleet, FleetSettings, Process, TeamLoad};
 use policy::ledger::{GapBound, Ledger, LedgerSettings};
 use policy::message::Endpoint;
 use proptest::prelude::*;
