--- a/policy/src/bid/outbox.rs
+++ b/policy/src/bid/outbox.rs
@@ -70,12 +70,16 @@
     }
 
     /// The changes to tell `target`, which counts as told by them.
+    ///
+    /// The first update of an agent starts the interval of its full updates.
     pub fn take(
         &mut self,
+        now: Instant,
         target: TargetId,
         waiting: impl Fn(BidKey) -> u32,
     ) -> Vec<(BidKey, u32)> {
         let told = self.agents.entry(target).or_default();
+        told.refreshed.get_or_insert(now);
         let dirty = core::mem::take(&mut told.dirty);
         let bids: Vec<_> = dirty.into_iter().map(|key| (key, waiting(key))).collect();
         for &(key, count) in &bids {
--- a/policy/src/limit.rs
+++ b/policy/src/limit.rs
@@ -12,6 +12,9 @@
 /// The least and the greatest time that a refused caller is told to wait.
 const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(60));
 
+/// How long a refused caller should wait before a drain rate was seen.
+const RETRY_UNKNOWN: Duration = Duration::from_secs(1);
+
 /// The time over which the drain rate is averaged.
 const DRAIN_WINDOW: Duration = Duration::from_secs(5);
 
@@ -190,7 +193,11 @@
     }
 
     fn drain_time(&self, now: Instant, requests: u32) -> Duration {
-        let elapsed = now.saturating_duration_since(self.since).as_secs_f64();
+        let age = now.saturating_duration_since(self.since);
+        if self.rate == 0.0 && self.drained == 0 && age < DRAIN_WINDOW {
+            return RETRY_UNKNOWN;
+        }
+        let elapsed = age.as_secs_f64();
         let current = f64::from(self.drained) / elapsed.max(1.0);
         let rate = self.rate.max(current);
         let seconds = f64::from(requests) / rate.max(1.0 / RETRY_BOUNDS.1.as_secs_f64());
--- a/policy/src/router/bids.rs
+++ b/policy/src/router/bids.rs
@@ -67,7 +67,7 @@
                 .expect("open targets are in force");
             let pool = rule.pool;
             let mut outbox = core::mem::take(&mut self.outbox);
-            let bids = outbox.take(target, |key| self.waiting_for(pool, target, key));
+            let bids = outbox.take(now.mono, target, |key| self.waiting_for(pool, target, key));
             self.outbox = outbox;
             self.push_update(now, &config, target, false, &bids, actions);
         }
--- /dev/null
+++ b/policy/tests/fair_router.rs
@@ -0,0 +1,279 @@
+//! Admission, queues, bids and pulls of a router.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use cranelift_entity::EntityRef;
+use entity::{
+    AttemptId, Class, Cost, Directory, Fingerprint, Incarnation, Machine, Name, Now, PoolId,
+    ProcessId, Reason, Refusal, RequestId, RetryAdvice, Revision, RouteId, RuleRef, TargetId,
+    TeamId, Weight,
+};
+use knapweed_policy::message::{Endpoint, Load, Pick, Pull};
+use knapweed_policy::{Arrival, AttemptResult, Router, RouterAction, RouterEvent, RouterSettings};
+use rules::{Config, DataCentre, Fencing, Limits, Pool, PoolKind, RateLimit, Target, Team, Window};
+
+const RULE: RuleRef = RuleRef {
+    revision: Revision(1),
+    line: 1,
+};
+
+struct Bench {
+    router: Router,
+    start: Now,
+    log: String,
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn endpoint(name: &str) -> Endpoint {
+    Endpoint {
+        id: ProcessId(Name::new(name).tag()),
+        incarnation: Incarnation(1),
+        control: address(),
+    }
+}
+
+/// Two data centres with one target each, and one team.
+fn config(limits: Limits) -> Config {
+    let mut names = Directory::default();
+    names.pools.intern(&Name::new("pool"));
+    names.routes.intern(&Name::new("route"));
+    names.teams.intern(&Name::new("team"));
+    let mut config = Config::default();
+    for name in ["near", "far"] {
+        let centre = names.centres.intern(&Name::new(name));
+        let target = names.targets.intern(&Name::new(&format!("target-{name}")));
+        config.centres[centre] = Some(DataCentre {
+            rule: RULE,
+            drain: None,
+        });
+        config.targets[target] = Some(Target {
+            rule: RULE,
+            pool: PoolId::new(0),
+            centre,
+            data: address(),
+            control: address(),
+            fencing: Fencing::Checked,
+            drain: None,
+            from: None,
+            until: None,
+        });
+    }
+    config.teams[TeamId::new(0)] = Some(Team {
+        rule: RULE,
+        weight: Weight::ONE,
+        class: Class::Standard,
+        limits,
+    });
+    config.pools[PoolId::new(0)] = Some(Pool {
+        rule: RULE,
+        kind: PoolKind::Model,
+        targets: vec![TargetId::new(0), TargetId::new(1)],
+        window: Window::default(),
+    });
+    config.names = Arc::new(names);
+    config
+}
+
+impl Bench {
+    fn new() -> Self {
+        let settings = RouterSettings {
+            endpoint: endpoint("router"),
+            centre: Name::new("near"),
+            seed: 1,
+        };
+        Self {
+            router: Router::new(settings),
+            start: Now {
+                mono: Instant::now(),
+                wall: SystemTime::UNIX_EPOCH,
+            },
+            log: String::new(),
+        }
+    }
+
+    fn configured(limits: Limits) -> Self {
+        let mut bench = Self::new();
+        bench.tell(0, RouterEvent::Configured(Arc::new(config(limits))));
+        bench
+    }
+
+    fn tell(&mut self, millis: u64, event: RouterEvent) {
+        let now = self.start.after(Duration::from_millis(millis));
+        let mut actions = Vec::new();
+        self.router.handle(now, event, &mut actions);
+        for action in actions {
+            self.write(millis, &action);
+        }
+    }
+
+    fn write(&mut self, millis: u64, action: &RouterAction) {
+        let line = match action {
+            RouterAction::Dispatch(order) => {
+                format!(
+                    "dispatch {} to {}",
+                    order.offer.attempt.request.0, order.target
+                )
+            }
+            RouterAction::Finish { request, outcome } => format!("finish {request:?}: {outcome:?}"),
+            RouterAction::Cancel(attempt) => format!("cancel {attempt:?}"),
+            RouterAction::Bid { target, update } => {
+                let bids = update.bids.iter();
+                let bids = bids.map(|bid| format!("{} {}", bid.class, bid.waiting));
+                format!("bid to {target}: {}", bids.collect::<Vec<_>>().join(", "))
+            }
+            RouterAction::PullReply { pulled, .. } => {
+                format!("pulled {:?} left {:?}", pulled.counts, pulled.left)
+            }
+            RouterAction::Decided(_) => return,
+            RouterAction::Stopped => "stopped".to_owned(),
+        };
+        self.log.push_str(&format!("{millis} {line}\n"));
+    }
+
+    fn arrive(&mut self, millis: u64, request: u128, class: Class, deadline: u64) {
+        let arrival = Arrival {
+            request: RequestId(request),
+            team: TeamId::new(0),
+            route: RouteId::new(0),
+            pool: PoolId::new(0),
+            class,
+            hint: Some(Cost(10)),
+            deadline: self.start.mono + Duration::from_millis(deadline),
+            key: None,
+            fingerprint: Fingerprint(request),
+            prefix: None,
+        };
+        self.tell(millis, RouterEvent::Arrived(arrival));
+    }
+
+    fn loaded(&mut self, millis: u64, target: usize, free: u16) {
+        let load = Load {
+            free,
+            window: 4,
+            ..Load::default()
+        };
+        let target = TargetId::new(target);
+        self.tell(millis, RouterEvent::Loaded { target, load });
+    }
+
+    fn full(&mut self, millis: u64) {
+        self.loaded(millis, 0, 0);
+        self.loaded(millis, 1, 0);
+    }
+
+    fn pull(&mut self, millis: u64, sequence: u64, class: Class, count: u16) {
+        let pick = Pick {
+            team: Name::new("team").tag(),
+            class,
+            count,
+        };
+        let pull = Pull {
+            agent: endpoint("target-near"),
+            sequence,
+            picks: vec![pick],
+        };
+        self.tell(millis, RouterEvent::Pull(pull));
+    }
+
+    fn ended(&mut self, millis: u64, request: u128, number: u16, result: AttemptResult) {
+        let request = RequestId(request);
+        let attempt = AttemptId { request, number };
+        self.tell(millis, RouterEvent::Ended { attempt, result });
+    }
+}
+
+#[test]
+fn refuses_without_configuration() {
+    let mut bench = Bench::new();
+    bench.arrive(0, 1, Class::Standard, 1_000);
+    insta::assert_snapshot!(bench.log);
+}
+
+#[test]
+fn sends_at_once_to_free_slots_own_data_centre_first() {
+    let mut bench = Bench::configured(Limits::default());
+    bench.loaded(0, 0, 1);
+    bench.loaded(0, 1, 1);
+    for request in 1..=3 {
+        bench.arrive(1, request, Class::Standard, 10_000);
+    }
+    insta::assert_snapshot!(bench.log);
+}
+
+#[test]
+fn a_rejected_attempt_is_pulled_before_the_others_and_a_repeated_pull_is_ignored() {
+    let mut bench = Bench::configured(Limits::default());
+    bench.full(0);
+    bench.arrive(1, 1, Class::Standard, 10_000);
+    bench.arrive(2, 2, Class::Standard, 10_000);
+    bench.pull(3, 1, Class::Standard, 1);
+    let refusal = Refusal::new(Reason::NoSlot, RetryAdvice::After(Duration::from_secs(1)));
+    bench.ended(4, 1, 0, AttemptResult::NotRun(refusal));
+    bench.pull(5, 2, Class::Standard, 5);
+    bench.pull(5, 2, Class::Standard, 5);
+    insta::assert_snapshot!(bench.log);
+}
+
+#[test]
+fn an_old_batch_request_goes_before_a_new_interactive_one() {
+    let mut bench = Bench::configured(Limits::default());
+    bench.full(0);
+    bench.arrive(0, 1, Class::Batch, 600_000);
+    bench.arrive(10_000, 2, Class::Interactive, 600_000);
+    bench.arrive(31_000, 3, Class::Interactive, 600_000);
+    bench.full(31_500);
+    bench.pull(32_000, 1, Class::Standard, 3);
+    insta::assert_snapshot!(bench.log);
+}
+
+#[test]
+fn a_passed_deadline_is_refused_as_not_run() {
+    let mut bench = Bench::configured(Limits::default());
+    bench.full(0);
+    bench.arrive(1, 1, Class::Standard, 500);
+    bench.tell(499, RouterEvent::Tick);
+    bench.tell(500, RouterEvent::Tick);
+    insta::assert_snapshot!(bench.log);
+}
+
+#[test]
+fn limits_refuse_early_and_say_when_to_come_back() {
+    let mut bench = Bench::configured(Limits {
+        in_flight: 10,
+        rate: Some(RateLimit { rate: 2, burst: 3 }),
+        queue: 2,
+    });
+    bench.full(0);
+    for request in 1..=4 {
+        bench.arrive(1, request, Class::Standard, 10_000);
+    }
+    insta::assert_snapshot!(bench.log);
+}
+
+#[test]
+fn refuses_at_once_what_waits_when_no_agent_can_be_reached() {
+    let mut bench = Bench::configured(Limits::default());
+    bench.full(0);
+    bench.arrive(1, 1, Class::Standard, 10_000);
+    bench.tell(2, RouterEvent::Unreachable(TargetId::new(0)));
+    bench.tell(3, RouterEvent::Unreachable(TargetId::new(1)));
+    bench.arrive(4, 2, Class::Standard, 10_000);
+    insta::assert_snapshot!(bench.log);
+}
+
+#[test]
+fn stops_when_its_requests_have_ended() {
+    let mut bench = Bench::configured(Limits::default());
+    bench.loaded(0, 0, 1);
+    bench.arrive(1, 1, Class::Standard, 10_000);
+    bench.tell(2, RouterEvent::Stop);
+    bench.arrive(3, 2, Class::Standard, 10_000);
+    bench.ended(4, 1, 0, AttemptResult::Answered { cost: Cost(5) });
+    bench.tell(5, RouterEvent::Tick);
+    insta::assert_snapshot!(bench.log);
+}
