HTTP client of the data path on actix-http's codec

Cause: awc ends a chunked body cleanly when its connection ends at a chunk's boundary, and reports a connection lost between request and head as not connected; a cut answer was relayed as whole and a false 'not run' was possible. Ruled out: the stand-in (its framing was right), the relays (they saw no error). A target's first bytes are awaited before its head is relayed, so a target that dies before them leads to a refusal or a retry and not to a cut.

--- a/agent/src/relay.rs
+++ b/agent/src/relay.rs
@@ -3,19 +3,16 @@
 //! Invariant: an attempt that was started reports exactly one
 //! [`Input::Ended`], also when its stream is dropped.
 
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use actix_http::header::HeaderMap;
-use actix_http::{Method, Uri};
-use awc::ClientResponse;
-use awc::error::SendRequestError;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use entity::{AttemptId, Cost};
 use futures::{FutureExt, Stream, StreamExt};
 use node::body::{Chunks, CutBody};
-use node::http::forwarded;
+use node::client::{Client, Incoming, IncomingBody, Outbound, SendError};
 use policy::AttemptEnd;
 use tokio::sync::{mpsc, oneshot};
 
@@ -51,50 +48,36 @@
     }
 }
 
-/// A request as the target receives it.
-#[derive(Clone, Debug)]
-pub struct Outbound {
-    /// The attempt.
-    pub attempt: AttemptId,
-    /// The method.
-    pub method: Method,
-    /// The path and query.
-    pub uri: Uri,
-    /// The headers that are forwarded.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-}
-
 /// What came of handing an attempt to the target.
 pub enum Handed {
     /// The target answers: the response follows.
-    Answer(ClientResponse),
+    Answer(Box<Incoming>),
     /// The attempt ended without an answer.
     Ended(AttemptEnd),
 }
 
-/// Hands an attempt to the target and waits for the head of its answer.
+/// Hands an attempt to the target and waits for the first bytes of its answer.
 pub async fn hand_over(
-    client: &awc::Client,
-    target: &str,
-    outbound: &Outbound,
+    client: &Client,
+    target: SocketAddr,
+    outbound: Outbound,
     cancelled: &mut oneshot::Receiver<()>,
 ) -> Handed {
-    let url = format!("{target}{}", outbound.uri);
-    let mut request = client.request(outbound.method.clone(), url).no_decompress();
-    for (name, value) in outbound.headers.iter().filter(|(name, _)| forwarded(name)) {
-        request.headers_mut().append(name.clone(), value.clone());
-    }
-    let sending = request.send_body(outbound.body.clone());
     tokio::select! {
         biased;
         _ = cancelled => Handed::Ended(AttemptEnd::Cancelled),
-        sent = sending => match sent {
-            Ok(response) => Handed::Answer(response),
-            Err(SendRequestError::Connect(_)) => Handed::Ended(AttemptEnd::Unsent),
-            Err(_) => Handed::Ended(AttemptEnd::Broken),
+        handed = exchange(client, target, outbound) => handed,
+    }
+}
+
+async fn exchange(client: &Client, target: SocketAddr, outbound: Outbound) -> Handed {
+    match client.send(target, outbound).await {
+        Ok(mut response) => match response.body.prime().await {
+            Ok(()) => Handed::Answer(Box::new(response)),
+            Err(CutBody) => Handed::Ended(AttemptEnd::Broken),
         },
+        Err(SendError::Unsent) => Handed::Ended(AttemptEnd::Unsent),
+        Err(SendError::Broken) => Handed::Ended(AttemptEnd::Broken),
     }
 }
 
@@ -154,23 +137,23 @@
 ///
 /// Returns an error if the body breaks, is over `limit` bytes or is cancelled.
 pub async fn read_whole(
-    response: &mut ClientResponse,
+    body: &mut IncomingBody,
     limit: usize,
     cancelled: &mut oneshot::Receiver<()>,
     meter: &mut Meter,
 ) -> Result<Bytes, CutBody> {
-    let mut body = bytes::BytesMut::new();
+    let mut whole = BytesMut::new();
     loop {
         let chunk = tokio::select! {
             biased;
             _ = &mut *cancelled => return Err(CutBody),
-            chunk = response.next() => chunk,
+            chunk = body.next() => chunk,
         };
         match chunk {
-            None => return Ok(body.freeze()),
-            Some(Ok(chunk)) if body.len() + chunk.len() <= limit => {
+            None => return Ok(whole.freeze()),
+            Some(Ok(chunk)) if whole.len() + chunk.len() <= limit => {
                 meter.count(&chunk);
-                body.extend_from_slice(&chunk);
+                whole.extend_from_slice(&chunk);
             }
             Some(_) => return Err(CutBody),
         }
@@ -179,7 +162,7 @@
 
 /// The body of an answer on its way from the target to a router.
 pub struct TargetStream {
-    response: ClientResponse,
+    body: IncomingBody,
     cancelled: oneshot::Receiver<()>,
     reporter: Reporter,
     attempt: AttemptId,
@@ -190,14 +173,14 @@
 impl TargetStream {
     /// Creates the stream of the answer to `attempt`.
     pub fn new(
-        response: ClientResponse,
+        body: IncomingBody,
         cancelled: oneshot::Receiver<()>,
         reporter: Reporter,
         attempt: AttemptId,
         meter: Meter,
     ) -> Self {
         Self {
-            response,
+            body,
             cancelled,
             reporter,
             attempt,
@@ -222,7 +205,7 @@
             self.end(AttemptEnd::Cancelled);
             return Poll::Ready(Some(Err(CutBody)));
         }
-        match Pin::new(&mut self.response).poll_next(cx) {
+        match Pin::new(&mut self.body).poll_next(cx) {
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(chunk))) => {
                 if let Some(cost) = self.meter.count(&chunk) {
--- a/agent/src/service.rs
+++ b/agent/src/service.rs
@@ -1,15 +1,16 @@
 //! The HTTP service of one traffic thread: offers of routers in, answers out.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{HttpMessage, Request, Response, StatusCode};
-use awc::ClientResponse;
 use bytes::Bytes;
 use entity::{AttemptId, Incarnation, Reason, Refusal, RetryAdvice};
 use node::body::Body;
+use node::client::{Client, Incoming, Outbound};
 use node::http::{forwarded, read_body, text};
 use policy::AttemptEnd;
 use policy::message::{Load, Offer, Reply, Verdict};
@@ -18,7 +19,7 @@
 
 use crate::answers::{Answers, Kept, KeptAnswer};
 use crate::control::{Decided, Input, Order, SharedIncarnation};
-use crate::relay::{self, Handed, Meter, Outbound, Reporter, TargetStream};
+use crate::relay::{self, Handed, Meter, Reporter, TargetStream};
 
 /// How long a router should wait before it offers to an overloaded agent again.
 const OVERLOAD_DELAY: Duration = Duration::from_millis(200);
@@ -29,8 +30,8 @@
 /// What all traffic threads of an agent share.
 #[derive(Clone, Debug)]
 pub struct Shared {
-    /// The target's address as a URL without a final slash.
-    pub target: String,
+    /// The target's address.
+    pub target: SocketAddr,
     /// The agent's life.
     pub incarnation: SharedIncarnation,
     /// The kept answers.
@@ -46,7 +47,7 @@
 /// The state of one traffic thread.
 pub struct Service {
     shared: Shared,
-    client: awc::Client,
+    client: Client,
 }
 
 impl Service {
@@ -54,7 +55,7 @@
     pub fn new(shared: Shared) -> Rc<Self> {
         Rc::new(Self {
             shared,
-            client: node::http::client(),
+            client: Client::new(),
         })
     }
 
@@ -79,14 +80,20 @@
         let Ok(Decided { order, load }) = decision.await else {
             return self.refuse(attempt, Reason::Stopping);
         };
-        let outbound = outbound(attempt, &request, body);
+        let outbound = outbound(&request, body);
         match order {
             Order::Start(cancelled) if keyed => {
                 let kept = self.shared.answers.open(attempt);
-                actix_rt::spawn(run_detached(self.clone(), outbound, cancelled, kept));
+                actix_rt::spawn(run_detached(
+                    self.clone(),
+                    attempt,
+                    outbound,
+                    cancelled,
+                    kept,
+                ));
                 self.follow(attempt, attempt, load).await
             }
-            Order::Start(cancelled) => self.run(outbound, cancelled, load).await,
+            Order::Start(cancelled) => self.run(attempt, outbound, cancelled, load).await,
             Order::Follow(original) => self.follow(attempt, original, load).await,
             Order::Reject(refusal) => self.reply(attempt, Verdict::NotRun(refusal), load),
             Order::Unknown(refusal) => self.reply(attempt, Verdict::Unknown(refusal), load),
@@ -96,18 +103,18 @@
     /// Runs an attempt whose answer is streamed and not kept.
     async fn run(
         &self,
+        attempt: AttemptId,
         outbound: Outbound,
         mut cancelled: oneshot::Receiver<()>,
         load: Load,
     ) -> Answer {
-        let attempt = outbound.attempt;
         let guard = EndGuard::new(self.shared.reporter.clone(), attempt);
         let handed =
-            relay::hand_over(&self.client, &self.shared.target, &outbound, &mut cancelled).await;
+            relay::hand_over(&self.client, self.shared.target, outbound, &mut cancelled).await;
         match handed {
             Handed::Answer(response) => {
                 guard.disarm();
-                self.stream(attempt, response, cancelled, load)
+                self.stream(attempt, *response, cancelled, load)
             }
             Handed::Ended(end) => {
                 guard.end(end);
@@ -119,22 +126,17 @@
     fn stream(
         &self,
         attempt: AttemptId,
-        response: ClientResponse,
+        response: Incoming,
         cancelled: oneshot::Receiver<()>,
         load: Load,
     ) -> Answer {
-        let mut answer: Answer =
-            Response::new(response.status()).set_body(Body::Whole(Bytes::new()));
-        for (name, value) in response
-            .headers()
-            .iter()
-            .filter(|(name, _)| forwarded(name))
-        {
+        let mut answer: Answer = Response::new(response.status).set_body(Body::Whole(Bytes::new()));
+        for (name, value) in response.headers.iter().filter(|(name, _)| forwarded(name)) {
             answer.headers_mut().append(name.clone(), value.clone());
         }
         self.mark(&mut answer, attempt, Verdict::Answered, load);
         let reporter = self.shared.reporter.clone();
-        let stream = TargetStream::new(response, cancelled, reporter, attempt, Meter::new());
+        let stream = TargetStream::new(response.body, cancelled, reporter, attempt, Meter::new());
         answer.set_body(Body::Stream(stream))
     }
 
@@ -191,18 +193,20 @@
 /// It is a task of its own, so neither a router nor a caller that leaves cuts it.
 async fn run_detached(
     service: Rc<Service>,
+    attempt: AttemptId,
     outbound: Outbound,
     mut cancelled: oneshot::Receiver<()>,
     kept: watch::Sender<Option<Kept>>,
 ) {
     let shared = &service.shared;
     let mut meter = Meter::new();
-    let handed = relay::hand_over(&service.client, &shared.target, &outbound, &mut cancelled).await;
+    let handed = relay::hand_over(&service.client, shared.target, outbound, &mut cancelled).await;
     let end = match handed {
         Handed::Ended(end) => end,
         Handed::Answer(mut response) => {
             let limit = shared.answer_limit;
-            let body = relay::read_whole(&mut response, limit, &mut cancelled, &mut meter).await;
+            let body =
+                relay::read_whole(&mut response.body, limit, &mut cancelled, &mut meter).await;
             match body {
                 Ok(body) => {
                     let answer = keep(&response, body);
@@ -220,23 +224,16 @@
         Verdict::NotRun(refusal) => drop(kept.send_replace(Some(Kept::NotRun(refusal)))),
         Verdict::Unknown(refusal) => drop(kept.send_replace(Some(Kept::Lost(refusal)))),
     }
-    shared.reporter.report(Input::Ended {
-        attempt: outbound.attempt,
-        end,
-    });
+    shared.reporter.report(Input::Ended { attempt, end });
 }
 
-fn keep(response: &ClientResponse, body: Bytes) -> KeptAnswer {
-    let mut headers = actix_http::header::HeaderMap::new();
-    for (name, value) in response
-        .headers()
-        .iter()
-        .filter(|(name, _)| forwarded(name))
-    {
+fn keep(response: &Incoming, body: Bytes) -> KeptAnswer {
+    let mut headers = HeaderMap::new();
+    for (name, value) in response.headers.iter().filter(|(name, _)| forwarded(name)) {
         headers.append(name.clone(), value.clone());
     }
     KeptAnswer {
-        status: response.status(),
+        status: response.status,
         headers,
         body,
     }
@@ -255,12 +252,15 @@
     }
 }
 
-fn outbound(attempt: AttemptId, request: &Request, body: Bytes) -> Outbound {
+fn outbound(request: &Request, body: Bytes) -> Outbound {
+    let mut headers = HeaderMap::new();
+    for (name, value) in request.headers().iter().filter(|(name, _)| forwarded(name)) {
+        headers.append(name.clone(), value.clone());
+    }
     Outbound {
-        attempt,
         method: request.method().clone(),
         uri: request.uri().clone(),
-        headers: request.headers().clone(),
+        headers,
         body,
     }
 }
--- a/agent/src/target.rs
+++ b/agent/src/target.rs
@@ -1,10 +1,15 @@
 //! The watch over the target: whether it lives and what load it reports.
 
+use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use actix_http::header::HeaderMap;
+use actix_http::{Method, Uri};
+use bytes::Bytes;
+use node::client::{Client, Outbound};
 use policy::window::Report;
 use serde::Deserialize;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use crate::control::Input;
 use crate::relay::Reporter;
@@ -15,6 +20,9 @@
 /// The time limit of one question.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The greatest size of a load report, in bytes.
+const MAX_REPORT_BYTES: usize = 4096;
+
 /// The number of consecutive failures after which the target counts as down.
 const FAILURES: u32 = 3;
 
@@ -36,23 +44,32 @@
 }
 
 /// Watches the target until the process ends.
-pub async fn watch(client: awc::Client, target: String, reporter: Reporter) {
-    let url = format!("{target}/load");
+pub async fn watch(client: Client, target: SocketAddr, reporter: Reporter) {
     let mut ticks = interval(INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut state = Watch::default();
     loop {
         ticks.tick().await;
-        match ask(&client, &url).await {
+        match ask(&client, target).await {
             Some(report) => state.seen(report, &reporter),
             None => state.failed(&reporter),
         }
     }
 }
 
-async fn ask(client: &awc::Client, url: &str) -> Option<LoadReport> {
-    let mut response = client.get(url).timeout(TIMEOUT).send().await.ok()?;
-    response.json().await.ok()
+async fn ask(client: &Client, target: SocketAddr) -> Option<LoadReport> {
+    let question = Outbound {
+        method: Method::GET,
+        uri: Uri::from_static("/load"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let answer = async {
+        let response = client.send(target, question).await.ok()?;
+        response.body.whole(MAX_REPORT_BYTES).await.ok()
+    };
+    let body = timeout(TIMEOUT, answer).await.ok()??;
+    serde_json::from_slice(&body).ok()
 }
 
 impl Watch {
