knapweed-load sends some answered actions again

A caller that lost the answer does the same; the fleet must not run them again. The engine's records of resumable streams are a module of their own.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -12,6 +12,7 @@
 mod fault;
 mod front;
 mod order;
+mod record;
 mod report;
 mod request;
 mod text;
--- a/standins/src/engine/core.rs
+++ b/standins/src/engine/core.rs
@@ -2,7 +2,6 @@
 //!
 //! Times are measured from the Unix epoch and passed in.
 
-use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,14 +10,12 @@
 use super::batch::{Batch, Limits, Phase, SequenceId, Step};
 use super::cache::{CacheEvent, CacheEventKind, EventLog, PrefixCache};
 use super::order::{Fencing, Order, OrderError, Orders};
+use super::record::Records;
 use super::report::{LoadReport, Reporter, millis};
 use super::request::{ChatRequest, RequestError};
 use super::text::{CRASH_MARKER, Script};
 use crate::counts::{Runs, Totals};
 
-/// The number of requests whose streams can be resumed.
-const RECORDS_HELD: usize = 4096;
-
 /// How an engine behaves.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct EngineOptions {
@@ -134,14 +131,6 @@
     pub limit_millis: u64,
 }
 
-#[derive(Clone, Debug)]
-struct Record {
-    script: Script,
-    prefill: u32,
-    sequence: Option<SequenceId>,
-    made: u32,
-}
-
 /// The engine.
 #[derive(Debug)]
 pub struct Engine {
@@ -151,9 +140,7 @@
     events: EventLog,
     reporter: Reporter,
     orders: Orders,
-    records: BTreeMap<String, Record>,
-    record_order: VecDeque<String>,
-    owners: BTreeMap<SequenceId, String>,
+    records: Records,
     counts: EngineCounts,
     measured: Duration,
 }
@@ -181,9 +168,7 @@
             events: EventLog::new(options.event_lag, options.event_gap),
             reporter: Reporter::new(options.report_lag),
             orders: Orders::new(options.fencing),
-            records: BTreeMap::new(),
-            record_order: VecDeque::new(),
-            owners: BTreeMap::new(),
+            records: Records::default(),
             counts,
             measured: now,
             options,
@@ -229,7 +214,8 @@
         let sequence = self
             .admit(now, script, 0, prefill, fatal)
             .map_err(Rejection::Died)?;
-        self.remember(&arrival.request, script, prefill, sequence);
+        self.records
+            .start(&arrival.request, script, prefill, sequence);
         Ok(Admitted {
             sequence,
             script,
@@ -242,7 +228,7 @@
         if self.phase() == Phase::Down {
             return Resumed::Down;
         }
-        let Some(record) = self.records.get(request).cloned() else {
+        let Some(record) = self.records.get(request) else {
             return Resumed::Unknown;
         };
         self.counts.resumes += 1;
@@ -258,7 +244,8 @@
             }
             None => match self.admit(now, script, offset, record.prefill, false) {
                 Ok(sequence) => {
-                    self.remember(request, script, record.prefill, sequence);
+                    self.records
+                        .start(request, script, record.prefill, sequence);
                     Resumed::Running {
                         sequence,
                         script,
@@ -276,16 +263,10 @@
         let step = self.batch.step();
         self.counts.tokens += step.tokens.len() as u64;
         for token in &step.tokens {
-            let Some(request) = self.owners.get(&token.sequence) else {
-                continue;
-            };
-            let record = self.records.get_mut(request);
-            if let Some(record) = record {
-                record.made = token.index + 1;
-            }
+            self.records.made(token.sequence, token.index + 1);
             if token.last {
                 self.counts.runs.completed += 1;
-                self.release(token.sequence);
+                self.records.release(token.sequence);
             }
         }
         if !step.crashed.is_empty() {
@@ -301,7 +282,7 @@
         let found = self.batch.cancel(sequence);
         if found {
             self.counts.runs.cancelled += 1;
-            self.release(sequence);
+            self.records.release(sequence);
             self.sample(now);
         }
         found
@@ -438,41 +419,10 @@
         self.events.push(now, CacheEventKind::Cleared, 0);
     }
 
-    fn remember(&mut self, request: &str, script: Script, prefill: u32, sequence: SequenceId) {
-        let record = Record {
-            script,
-            prefill,
-            sequence: Some(sequence),
-            made: 0,
-        };
-        self.owners.insert(sequence, request.to_owned());
-        if self.records.insert(request.to_owned(), record).is_none() {
-            self.record_order.push_back(request.to_owned());
-        }
-        if self.record_order.len() > RECORDS_HELD {
-            let oldest = self.record_order.pop_front().expect("records are held");
-            self.records.remove(&oldest);
-        }
-    }
-
-    fn release(&mut self, sequence: SequenceId) {
-        let Some(request) = self.owners.remove(&sequence) else {
-            return;
-        };
-        match self.records.get_mut(&request) {
-            Some(record) if record.sequence == Some(sequence) => record.sequence = None,
-            _ => {}
-        }
-    }
-
     fn bury(&mut self, now: Duration, died: &[SequenceId]) {
         self.counts.deaths += 1;
         self.counts.runs.crashed += died.len() as u64;
-        for sequence in died {
-            self.release(*sequence);
-        }
-        self.records.clear();
-        self.record_order.clear();
+        self.records = Records::default();
         self.clear_cache(now);
     }
 
--- a/standins/src/load/driver.rs
+++ b/standins/src/load/driver.rs
@@ -31,6 +31,9 @@
 /// The greatest number of attempts of one request.
 const MAX_ATTEMPTS: usize = 4;
 
+/// Every how many-th request, by number, is sent again if it is an action that was answered.
+const DUPLICATE_EVERY: u64 = 5;
+
 /// The wait before a repeat when the refusal names none.
 const DEFAULT_RETRY: Duration = Duration::from_millis(250);
 
@@ -211,11 +214,40 @@
         }
     };
     drop(waiting);
+    let latency = due.elapsed();
+    let is_routed = !run.plan.routers.is_empty();
+    let ending = match &attempt.key {
+        Some(_)
+            if is_routed
+                && ending == Ending::Answered
+                && planned.number.is_multiple_of(DUPLICATE_EVERY) =>
+        {
+            duplicate(&run, &planned, &mut attempt, tries).await
+        }
+        _ => ending,
+    };
     let mut tally = run.tally.borrow_mut();
     let team = &mut tally.teams[planned.team];
     team.end(Final::from(&ending));
     if ending == Ending::Answered {
-        record(&mut team.whole, due.elapsed());
+        record(&mut team.whole, latency);
+    }
+}
+
+/// Sends an answered action once more, as a caller does that lost the answer.
+///
+/// Any ending but a wrong answer is right: the action itself was answered before.
+async fn duplicate(run: &Run, planned: &Planned, attempt: &mut Attempt, tries: usize) -> Ending {
+    let Some(address) = run.address(planned, tries) else {
+        return Ending::Answered;
+    };
+    attempt.request = Uuid::now_v7().to_string();
+    run.tally.borrow_mut().teams[planned.team].repeats += 1;
+    let reply = send(address, attempt, run.plan.patience, |_| ()).await;
+    note(run, attempt, &reply);
+    match reply.ending {
+        Ending::Wrong(flaw) => Ending::Wrong(flaw),
+        _ => Ending::Answered,
     }
 }
 
--- a/standins/tests/sockets.rs
+++ b/standins/tests/sockets.rs
@@ -10,6 +10,7 @@
 use knapweed_standins::load::driver::{Plan, run};
 use knapweed_standins::load::http1::{ExchangeError, Request, send};
 use knapweed_standins::load::mix::Mix;
+use knapweed_standins::load::promise::doubled_keys;
 use knapweed_standins::load::schedule::{Bounds, plan};
 use knapweed_standins::load::watch::{TargetKind, TargetSpec, observer, truth};
 use knapweed_standins::service::{self, DeskOptions, Receipt};
@@ -197,3 +198,45 @@
         assert!(truth.by_key.values().all(|runs| *runs == 1));
     });
 }
+
+/// A service alone runs a repeated key again; the generator must find that.
+#[test]
+fn a_doubled_run_is_found() {
+    System::new().block_on(async {
+        let (listener, address) = listener();
+        let desk = DeskOptions {
+            limit: 64,
+            ..DeskOptions::default()
+        };
+        actix_rt::spawn(service::run(listener, "desk", desk).expect("it serves"));
+        let target = TargetSpec {
+            name: "desk".to_owned(),
+            data_centre: "dc1".to_owned(),
+            kind: TargetKind::Service,
+            address,
+        };
+        let teams = Mix::Halvorsen.teams();
+        let bounds = Bounds {
+            rate: 100.0,
+            time: Duration::from_secs(2),
+            requests: 60,
+        };
+        let mut planned = plan(&teams, bounds, 3);
+        planned.retain(|planned| planned.work.name == "booking");
+        let outcome = run(Plan {
+            teams,
+            planned,
+            routers: vec![address],
+            targets: vec![target.clone()],
+            operators: Vec::new(),
+            events: Vec::new(),
+            patience: Duration::from_secs(60),
+        })
+        .await;
+        let truth = truth(&observer(), &[target]).await;
+        let wrong: u64 = outcome.tally.teams.iter().map(|team| team.wrong).sum();
+        let doubled = doubled_keys(&outcome.tally, &truth).len() as u64;
+        assert!(doubled > 0);
+        assert_eq!(doubled, wrong);
+    });
+}
