--- a/standins/src/load/driver.rs
+++ b/standins/src/load/driver.rs
@@ -203,7 +203,7 @@
         let hear = |tokens| waiting.hear(tokens, due);
         let patience = run.plan.patience.saturating_sub(due.elapsed());
         let reply = send(address, &attempt, patience, hear).await;
-        note(&run, &attempt, &reply);
+        note(&run, planned.team, &attempt, &reply);
         tries += 1;
         match repeat_after(&reply.ending) {
             Some(wait) if tries < MAX_ATTEMPTS && due.elapsed() + wait < run.plan.patience => {
@@ -244,7 +244,7 @@
     attempt.request = Uuid::now_v7().to_string();
     run.tally.borrow_mut().teams[planned.team].repeats += 1;
     let reply = send(address, attempt, run.plan.patience, |_| ()).await;
-    note(run, attempt, &reply);
+    note(run, planned.team, attempt, &reply);
     match reply.ending {
         Ending::Wrong(flaw) => Ending::Wrong(flaw),
         _ => Ending::Answered,
@@ -345,9 +345,10 @@
     }
 }
 
-fn note(run: &Run, attempt: &Attempt, reply: &Reply) {
+fn note(run: &Run, team: usize, attempt: &Attempt, reply: &Reply) {
     let mut tally = run.tally.borrow_mut();
     tally.claim(
+        team,
         attempt.key.as_deref(),
         reply.request.as_deref(),
         &reply.ending,
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -65,6 +65,8 @@
     pub lost: u64,
     /// Wrong answers that ended cleanly.
     pub wrong: u64,
+    /// Keys that ran more than once.
+    pub doubled: u64,
     /// Attempts after the first.
     pub repeats: u64,
     /// Tokens received.
@@ -194,10 +196,13 @@
     let tally = &outcome.tally;
     let all: u64 = tally.teams.iter().map(|team| team.tokens).sum();
     let rows = setting.teams.iter().zip(&tally.teams);
-    let teams: Vec<TeamReport> = rows
+    let mut teams: Vec<TeamReport> = rows
         .zip(&outcome.greatest)
         .map(|((team, counts), gap)| team_report(team, counts, *gap, all))
         .collect();
+    for (_, claim) in doubled_keys(tally, truth) {
+        teams[claim.team].doubled += 1;
+    }
     let observations = &outcome.observations;
     let changes = changes(observations);
     let waits = |at: Duration| is_backlogged(&outcome.gaps, at);
@@ -210,7 +215,7 @@
         whole: merged(tally.teams.iter().map(|team| &team.whole)),
         first: merged(tally.teams.iter().map(|team| &team.first)),
         teams,
-        doubled: doubled_keys(tally, truth).len() as u64,
+        doubled: doubled_keys(tally, truth).count() as u64,
         reasons: tally.claims.reasons.clone(),
         gap: outcome.greatest.iter().copied().fold(0.0, f64::max),
         utilisation: utilisation(changes.iter()),
@@ -382,6 +387,7 @@
         failed: counts.failed,
         lost: counts.lost,
         wrong: counts.wrong,
+        doubled: 0,
         repeats: counts.repeats,
         tokens: counts.tokens,
         portion: counts.tokens as f64 / all.max(1) as f64,
