--- a/node/src/watch/client.rs
+++ b/node/src/watch/client.rs
@@ -6,12 +6,15 @@
 //! Invariants:
 //! - One read is one call; another replica is asked by the next read only.
 //! - A body over [`MAX_VALUE_BYTES`] is dropped as soon as that is known.
+//! - A value is whole: its length is the one that the head states. An answer
+//!   without a length is garbage, since a cut one could not be told from it.
 
 use std::cell::Cell;
 use std::time::Duration;
 
 use awc::error::{PayloadError, SendRequestError};
 use awc::http::StatusCode;
+use awc::http::header::CONTENT_LENGTH;
 use policy::reader::{ReadOrder, ServiceResult};
 
 /// The greatest size of a value in bytes.
@@ -87,12 +90,14 @@
         let Some(index) = index else {
             return ServiceResult::Garbage;
         };
-        let body = response.body().limit(MAX_VALUE_BYTES);
-        match body.await {
-            Ok(body) => ServiceResult::Value {
+        let length = response.headers().get(CONTENT_LENGTH);
+        let length = length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
+        match response.body().limit(MAX_VALUE_BYTES).await {
+            Ok(body) if length == Some(body.len()) => ServiceResult::Value {
                 index,
                 body: body.to_vec(),
             },
+            Ok(_) => ServiceResult::Garbage,
             Err(error) => unread(&error),
         }
     }
--- a/policy/src/fleet/gossip.rs
+++ b/policy/src/fleet/gossip.rs
@@ -21,6 +21,18 @@
 /// The least time between two comparisons of broadcasts by one process.
 const SYNC_SPACING: Duration = Duration::from_secs(5);
 
+/// How long tables of members may differ before a whole one is asked for.
+const ROSTER_PATIENCE: Duration = Duration::from_secs(5);
+
+/// The least time between two such questions of one process.
+const ROSTER_SPACING: Duration = Duration::from_secs(5);
+
+/// The least time between two answers to such questions by one process.
+const PAGE_SPACING: Duration = Duration::from_secs(8);
+
+/// The number of claims in such an answer, of about 40 bytes each.
+const PAGE_CLAIMS: usize = 60;
+
 /// The greatest number of claims in one answer to a join.
 const STATE_CLAIMS: usize = 512;
 
@@ -39,7 +51,13 @@
             let Endpoint {
                 id, incarnation, ..
             } = failed.subject;
-            self.changed |= self.members.suspect(now.mono, id, incarnation);
+            if self.members.suspect(now.mono, id, incarnation) {
+                self.changed = true;
+                // A suspect that lives refutes sooner when it is told at once.
+                let message = FleetMessage::Push(self.gossip(Some(id)));
+                let to = failed.subject.control;
+                actions.push(FleetAction::Send { to, message });
+            }
         }
         self.changed |= self.members.tick(now.mono);
         self.items.expire(now.wall);
@@ -136,13 +154,34 @@
                 self.prober.answered(sequence, claim.endpoint.id);
                 self.merge(now, &claim, actions);
             }
-            FleetMessage::Push(gossip) | FleetMessage::State(gossip) => {
+            FleetMessage::Push(gossip) => self.take(now, from, gossip, actions),
+            FleetMessage::State(mut gossip) => {
+                // Pages are asked for one after the other, whoever answers.
+                self.page = gossip
+                    .claims
+                    .last()
+                    .map_or(self.page, |claim| claim.endpoint.id);
+                for claim in std::mem::take(&mut gossip.claims) {
+                    let merged = self.members.absorb(now.mono, &claim);
+                    self.merged(&claim, merged, actions);
+                }
                 self.take(now, from, gossip, actions);
             }
             FleetMessage::Join(claim) => {
                 self.merge(now, &claim, actions);
                 self.welcome(from, actions);
             }
+            FleetMessage::Page { after } => {
+                if now.mono >= self.page_at {
+                    self.page_at = now.mono + PAGE_SPACING;
+                    let gossip = Gossip {
+                        claims: self.members.page(after, PAGE_CLAIMS),
+                        ..self.with_items(Vec::new())
+                    };
+                    let message = FleetMessage::State(gossip);
+                    actions.push(FleetAction::Send { to, message });
+                }
+            }
             FleetMessage::Holding(held) => {
                 let items = self.items.lacking(&held);
                 if !items.is_empty() {
@@ -227,6 +266,7 @@
                 actions.push(FleetAction::Deliver(item));
             }
         }
+        self.compare(now, from, gossip.roster, actions);
         let differs = gossip.digest != self.items.digest();
         if differs && now.mono >= self.sync_at {
             self.sync_at = now.mono + SYNC_SPACING;
@@ -236,8 +276,30 @@
         }
     }
 
+    /// Asks for members, page by page, once piggybacked claims alone have not made the tables equal.
+    fn compare(&mut self, now: Now, from: Endpoint, roster: u64, actions: &mut Vec<FleetAction>) {
+        if roster == self.members.digest() {
+            self.differs = None;
+            return;
+        }
+        let since = *self.differs.get_or_insert(now.mono);
+        let patient = now.mono.saturating_duration_since(since) < ROSTER_PATIENCE;
+        if patient || now.mono < self.roster_at {
+            return;
+        }
+        self.roster_at = now.mono + ROSTER_SPACING;
+        let message = FleetMessage::Page { after: self.page };
+        let to = from.control;
+        actions.push(FleetAction::Send { to, message });
+    }
+
     fn merge(&mut self, now: Now, claim: &Claim, actions: &mut Vec<FleetAction>) {
-        match self.members.merge(now.mono, claim) {
+        let merged = self.members.merge(now.mono, claim);
+        self.merged(claim, merged, actions);
+    }
+
+    fn merged(&mut self, claim: &Claim, merged: Merged, actions: &mut Vec<FleetAction>) {
+        match merged {
             Merged::Nothing => {}
             Merged::Changed => self.changed = true,
             Merged::Leaving => {
@@ -246,7 +308,8 @@
             }
             Merged::Refute => {
                 self.members.refute(claim);
-                self.urgent = true;
+                // Who is held dead already gains nothing by haste.
+                self.urgent |= claim.health != Health::Dead;
                 if claim.health > Health::Alive {
                     actions.push(FleetAction::Alarm(Alarm::Suspected));
                 }
@@ -348,7 +411,7 @@
     }
 
     fn gossip(&mut self, peer: Option<ProcessId>) -> Gossip {
-        let limit = 2 * (self.members.len() + 2).ilog2() + 2;
+        let limit = (self.members.len() + 2).ilog2() + 3;
         let mut claims = self.members.piggyback(limit);
         let suspicion = peer.and_then(|peer| self.members.get(peer));
         let suspicion = suspicion.map(|member| member.claim);
@@ -367,6 +430,7 @@
             claims: Vec::new(),
             items,
             digest: self.items.digest(),
+            roster: self.members.digest(),
         }
     }
 }
--- a/policy/src/fleet/message.rs
+++ b/policy/src/fleet/message.rs
@@ -138,6 +138,8 @@
     pub items: Vec<Broadcast>,
     /// The digest of all broadcasts that the sender holds.
     pub digest: u64,
+    /// The digest of all members that the sender knows.
+    pub roster: u64,
 }
 
 /// A message between fleet machines.
@@ -179,7 +181,12 @@
     Push(Gossip),
     /// Asks a peer for all that it knows; sent by a process that starts empty.
     Join(Claim),
-    /// Answers a join; a large fleet takes several.
+    /// Asks for the members that follow one, in circular order of their ids.
+    Page {
+        /// The one.
+        after: ProcessId,
+    },
+    /// Answers a join or a page; a large fleet takes several.
     State(Gossip),
     /// Lists the broadcasts that the sender holds; answered by those it lacks.
     Holding(Vec<Held>),
--- a/wire/src/envelope.rs
+++ b/wire/src/envelope.rs
@@ -3,6 +3,13 @@
 //! Every envelope states the protocol version, its sender and the revision in
 //! force there. Each message inside is packed on its own, so a receiver skips
 //! kinds of a newer version and still reads the rest.
+//!
+//! Rules for changes of the protocol:
+//! - The fields of [`Envelope`] never change.
+//! - Kinds of messages are only appended. A kind whose fields change becomes a
+//!   new kind, and the old one is still read and written for one version.
+//! - [`VERSION`] rises by one with each release that appends a kind. A process
+//!   reads its own version, the one before and the one after.
 
 use derive_more::{Display, Error};
 use entity::{DocumentHash, Revision};
