--- a/policy/src/fleet/gossip.rs
+++ b/policy/src/fleet/gossip.rs
@@ -22,17 +22,22 @@
 const SYNC_SPACING: Duration = Duration::from_secs(5);
 
 /// How long tables of members may differ before a whole one is asked for.
-const ROSTER_PATIENCE: Duration = Duration::from_secs(5);
+const ROSTER_PATIENCE: Duration = Duration::from_secs(10);
 
 /// The least time between two such questions of one process.
 const ROSTER_SPACING: Duration = Duration::from_secs(5);
 
 /// The least time between two answers to such questions by one process.
-const PAGE_SPACING: Duration = Duration::from_secs(8);
+const PAGE_SPACING: Duration = Duration::from_secs(4);
 
 /// The number of claims in such an answer, of about 40 bytes each.
 const PAGE_CLAIMS: usize = 60;
 
+/// The number of answers to probes in one period that carry claims.
+///
+/// Some processes are probed several times in a period; this bounds what they send.
+const FULL_ACKS: u32 = 2;
+
 /// The greatest number of claims in one answer to a join.
 const STATE_CLAIMS: usize = 512;
 
@@ -47,6 +52,7 @@
             return;
         }
         self.probe_at = now.mono + PERIOD;
+        self.acks = 0;
         if let Some(failed) = self.prober.failed() {
             let Endpoint {
                 id, incarnation, ..
@@ -127,10 +133,15 @@
                 sequence, gossip, ..
             } => {
                 self.take(now, from, gossip, actions);
+                self.acks += 1;
+                let gossip = match self.acks <= FULL_ACKS {
+                    true => self.gossip(Some(from.id)),
+                    false => self.terse(from.id),
+                };
                 let message = FleetMessage::Ack {
                     sequence,
                     confirmed: self.confirmation(now),
-                    gossip: self.gossip(Some(from.id)),
+                    gossip,
                 };
                 actions.push(FleetAction::Send { to, message });
             }
@@ -413,10 +424,7 @@
     fn gossip(&mut self, peer: Option<ProcessId>) -> Gossip {
         let limit = (self.members.len() + 2).ilog2() + 3;
         let mut claims = self.members.piggyback(limit);
-        let suspicion = peer.and_then(|peer| self.members.get(peer));
-        let suspicion = suspicion.map(|member| member.claim);
-        // Who is thought dead or leaving must learn it in order to refute it.
-        claims.extend(suspicion.filter(|claim| claim.health > Health::Alive));
+        claims.extend(peer.and_then(|peer| self.suspicion(peer)));
         let items = self.items.piggyback(limit);
         Gossip {
             claims,
@@ -424,6 +432,20 @@
         }
     }
 
+    /// Gossip without news of others.
+    fn terse(&self, peer: ProcessId) -> Gossip {
+        Gossip {
+            claims: self.suspicion(peer).into_iter().collect(),
+            ..self.with_items(Vec::new())
+        }
+    }
+
+    /// The claim that the peer must learn in order to refute it.
+    fn suspicion(&self, peer: ProcessId) -> Option<Claim> {
+        let claim = self.members.get(peer)?.claim;
+        (claim.health > Health::Alive).then_some(claim)
+    }
+
     fn with_items(&self, items: Vec<super::Broadcast>) -> Gossip {
         Gossip {
             own: self.members.own(),
--- a/policy/src/member.rs
+++ b/policy/src/member.rs
@@ -12,10 +12,13 @@
 //! - Only the process itself raises its round, so a suspicion ends by
 //!   refutation or by time.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 use std::time::{Duration, Instant};
 
 use entity::{Incarnation, ProcessId, Tag};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::message::{Claim, Health, Listing, Role};
 use crate::message::Endpoint;
@@ -32,7 +35,7 @@
 pub const MAX_MEMBERS: usize = 4096;
 
 /// The greatest number of claims on one probe or answer.
-pub const PIGGYBACK_CLAIMS: usize = 8;
+pub const PIGGYBACK_CLAIMS: usize = 6;
 
 /// What is known of one process.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -41,10 +44,13 @@
     pub claim: Claim,
     /// Since when its health is what it is.
     pub since: Instant,
-    /// How often the claim was passed on since it changed; `None` when often enough.
-    sent: Option<u32>,
+    /// Its place in the queue; `None` when the claim was passed on often enough.
+    place: Option<Place>,
 }
 
+/// The place of a claim in the queue: trouble first, then what was sent least, then the newest.
+type Place = (bool, u32, Reverse<u64>, ProcessId);
+
 impl Member {
     /// Whether the process is thought to run.
     pub fn is_live(&self) -> bool {
@@ -77,7 +83,9 @@
 pub struct Members {
     own: Claim,
     others: BTreeMap<ProcessId, Member>,
-    queue: BTreeSet<(u32, ProcessId)>,
+    queue: BTreeSet<Place>,
+    changes: u64,
+    digest: u64,
 }
 
 impl Members {
@@ -96,6 +104,8 @@
             own,
             others: BTreeMap::new(),
             queue: BTreeSet::new(),
+            changes: 0,
+            digest: 0,
         }
     }
 
@@ -124,6 +134,11 @@
         self.others.is_empty()
     }
 
+    /// A value that differs, but for accident, between tables that differ.
+    pub fn digest(&self) -> u64 {
+        self.digest ^ mark(&self.own)
+    }
+
     /// Raises this process's incarnation above one that a peer remembers.
     pub fn raise(&mut self, above: Incarnation) {
         self.own.endpoint.incarnation = Incarnation(above.0 + 1);
@@ -149,26 +164,38 @@
             return self.insert(now, *claim);
         };
         let before = *member;
-        let after = merged(&before.claim, claim);
-        if after == before.claim {
-            return Merged::Nothing;
-        }
-        let same = after.health == before.claim.health;
-        let same = same && after.endpoint.incarnation == before.claim.endpoint.incarnation;
+        let claim = merged(&before.claim, claim);
+        let listed = before.claim.listing.leaving == claim.listing.leaving;
+        let listing = before.claim.listing;
+        let equal = listed && before.claim == Claim { listing, ..claim };
+        let life = |claim: &Claim| (claim.endpoint.incarnation, claim.health);
+        let same = life(&claim) == life(&before.claim);
         let since = if same { before.since } else { now };
         let member = Member {
-            claim: after,
+            claim,
             since,
-            sent: before.sent,
+            ..before
         };
-        self.others.insert(after.endpoint.id, member);
-        self.enqueue(after.endpoint.id);
+        self.put(member);
+        if equal {
+            return Merged::Nothing;
+        }
+        self.enqueue(claim.endpoint.id);
         match before.is_leaving() == member.is_leaving() {
             true => Merged::Changed,
             false => Merged::Leaving,
         }
     }
 
+    /// Merges a claim that came with all others, and need not be passed on.
+    pub fn absorb(&mut self, now: Instant, claim: &Claim) -> Merged {
+        let merged = self.merge(now, claim);
+        if merged == Merged::Changed {
+            self.dequeue(claim.endpoint.id);
+        }
+        merged
+    }
+
     /// Names a process that the VM list or the rules mention and nobody has heard of.
     pub fn name(&mut self, now: Instant, endpoint: Endpoint, role: Role, centre: Tag) {
         if let Some(member) = self.others.get_mut(&endpoint.id) {
@@ -190,12 +217,11 @@
             leaving: false,
             listing: Listing::default(),
         };
-        let member = Member {
+        self.put(Member {
             claim,
             since: now,
-            sent: None,
-        };
-        self.others.insert(endpoint.id, member);
+            place: None,
+        });
     }
 
     /// Notes what the VM list says of a process.
@@ -204,18 +230,12 @@
             self.own.listing = self.own.listing.max(listing);
             return Merged::Nothing;
         }
-        let Some(member) = self.others.get_mut(&id) else {
+        let Some(member) = self.others.get(&id) else {
             return Merged::Nothing;
         };
-        let differs = member.claim.listing.leaving != listing.leaving;
         if listing.index <= member.claim.listing.index {
             return Merged::Nothing;
         }
-        if !differs {
-            // An index that changes nothing need not spread.
-            member.claim.listing = listing;
-            return Merged::Nothing;
-        }
         let claim = Claim {
             listing,
             ..member.claim
@@ -268,20 +288,31 @@
     pub fn piggyback(&mut self, limit: u32) -> Vec<Claim> {
         let chosen: Vec<_> = self.queue.iter().take(PIGGYBACK_CLAIMS).copied().collect();
         let mut claims = Vec::with_capacity(chosen.len());
-        for (sent, id) in chosen {
-            self.queue.remove(&(sent, id));
+        for place in chosen {
+            let (plain, sent, stamp, id) = place;
+            self.dequeue(id);
             let Some(member) = self.others.get_mut(&id) else {
                 continue;
             };
             claims.push(member.claim);
-            member.sent = (sent + 1 < limit).then_some(sent + 1);
-            if let Some(sent) = member.sent {
-                self.queue.insert((sent, id));
+            if sent + 1 < limit {
+                let place = (plain, sent + 1, stamp, id);
+                member.place = Some(place);
+                self.queue.insert(place);
             }
         }
         claims
     }
 
+    /// Up to `count` claims about members heard of, after `after` in circular order.
+    pub fn page(&self, after: ProcessId, count: usize) -> Vec<Claim> {
+        let next = (Bound::Excluded(after), Bound::Unbounded);
+        let members = self.others.range(next).chain(self.others.range(..=after));
+        let claims = members.map(|(_, member)| member.claim);
+        let known = claims.filter(|claim| claim.health != Health::Unknown);
+        known.take(count).collect()
+    }
+
     /// Raises this process's round above a claim that must be refuted.
     pub fn refute(&mut self, claim: &Claim) {
         self.own.round = self.own.round.max(claim.round) + 1;
@@ -311,9 +342,9 @@
         let member = Member {
             claim,
             since: now,
-            sent: None,
+            place: None,
         };
-        self.others.insert(claim.endpoint.id, member);
+        self.put(member);
         match claim.health {
             // Who names a process without having heard of it has no news.
             Health::Unknown => {}
@@ -346,20 +377,52 @@
     }
 
     fn enqueue(&mut self, id: ProcessId) {
+        self.dequeue(id);
+        self.changes += 1;
         let member = self.others.get_mut(&id).expect("queued members are known");
-        if let Some(sent) = member.sent.replace(0) {
-            self.queue.remove(&(sent, id));
+        let claim = &member.claim;
+        let plain = claim.health == Health::Alive && claim.round == 0 && !member.is_leaving();
+        let place = (plain, 0, Reverse(self.changes), id);
+        member.place = Some(place);
+        self.queue.insert(place);
+    }
+
+    fn dequeue(&mut self, id: ProcessId) {
+        let member = self.others.get_mut(&id);
+        if let Some(place) = member.and_then(|member| member.place.take()) {
+            self.queue.remove(&place);
+        }
+    }
+
+    fn put(&mut self, member: Member) {
+        self.digest ^= mark(&member.claim);
+        if let Some(before) = self.others.insert(member.claim.endpoint.id, member) {
+            self.digest ^= mark(&before.claim);
         }
-        self.queue.insert((0, id));
     }
 
     fn remove(&mut self, id: ProcessId) {
-        if let Some(sent) = self.others.remove(&id).and_then(|member| member.sent) {
-            self.queue.remove(&(sent, id));
+        self.dequeue(id);
+        if let Some(member) = self.others.remove(&id) {
+            self.digest ^= mark(&member.claim);
         }
     }
 }
 
+/// The contribution of a claim to the digest; of members unheard of, none.
+fn mark(claim: &Claim) -> u64 {
+    if claim.endpoint.incarnation == Incarnation(0) {
+        return 0;
+    }
+    let health = claim.health as u64;
+    let state = u64::from(claim.round) << 8 | health << 1 | u64::from(claim.leaving);
+    let mut bytes = [0; 24];
+    bytes[..8].copy_from_slice(&claim.endpoint.id.0.0.to_le_bytes());
+    bytes[8..16].copy_from_slice(&claim.endpoint.incarnation.0.to_le_bytes());
+    bytes[16..].copy_from_slice(&state.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
 /// The join of two claims about one process.
 fn merged(a: &Claim, b: &Claim) -> Claim {
     let rank = |claim: &Claim| (claim.endpoint.incarnation, claim.round, claim.health);
--- /dev/null
+++ b/policy/tests/fleet.rs
@@ -0,0 +1,168 @@
+//! The fleet machines together: configuration, members, broadcasts, service calls, traffic.
+
+#[path = "fleet/configuration.rs"]
+mod configuration;
+#[path = "fleet/fake.rs"]
+mod fake;
+#[path = "fleet/members.rs"]
+mod members;
+#[path = "fleet/net.rs"]
+mod net;
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use fake::document;
+use knapweed_policy::reader::{ServiceKey, reader_count};
+use net::Net;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// From publication to in force at the last process.
+const ADOPTION_LIMIT: Duration = Duration::from_secs(17);
+
+/// From a drain's publication to its knowledge at the last process.
+const DRAIN_LIMIT: Duration = Duration::from_secs(5);
+
+/// A fleet that runs revision 1 and is ready.
+fn running(n: usize, seed: u64) -> Net {
+    let mut net = Net::new(n, seed);
+    net.replicas[0].put(ServiceKey::Rules, 1, &document(1, ""));
+    let ready = |net: &Net| net.fleets().all(knapweed_policy::fleet::Fleet::is_ready);
+    let time = net.until(60 * SECOND, ready);
+    assert!(time.is_some(), "not ready: {n} processes, seed {seed}");
+    net.run(15 * SECOND);
+    net
+}
+
+/// Times from `start` to revision `revision` at each process: median and greatest.
+fn adoption(net: &Net, start: Duration, revision: u64) -> (Duration, Duration) {
+    let first = |process: &net::Process| {
+        let mut adopted = process.adopted.iter();
+        let at = adopted.find(|(_, version)| version.revision.0 == revision);
+        at.map_or(Duration::MAX, |(at, _)| *at - start)
+    };
+    let mut times: Vec<_> = net.processes.iter().map(first).collect();
+    times.sort();
+    (times[times.len() / 2], times[times.len() - 1])
+}
+
+#[test]
+fn publication_with_the_service_up_stale_and_down() {
+    let mut table = String::new();
+    for n in [10, 50, 150, 950] {
+        for service in ["up", "stale for all but one", "down after one read it"] {
+            if n == 950 && service.starts_with("stale") {
+                continue;
+            }
+            let mut net = running(n, 1);
+            if service != "up" {
+                let stale = net.replicas[0].clone();
+                net.replicas.push(stale);
+                let readers =
+                    |i: &usize| net.fleet(*i).duty() == knapweed_policy::reader::Duty::Reader;
+                let lucky = (0..n).find(readers).expect("somebody reads");
+                for (i, process) in net.processes.iter_mut().enumerate() {
+                    process.replica = Some(usize::from(i != lucky));
+                }
+                net.run(25 * SECOND);
+            }
+            if service.starts_with("down") {
+                for process in &mut net.processes {
+                    process.replica = process.replica.filter(|replica| *replica == 0);
+                }
+            }
+            let start = net.clock;
+            net.publish(0, &ServiceKey::Rules, 2, &document(2, "drain dc1\n"));
+            net.until(60 * SECOND, |net| net.all_at(2));
+            let (median, most) = adoption(&net, start, 2);
+            writeln!(
+                table,
+                "{n} processes, service {service}: p50 {median:.1?}, max {most:.1?}"
+            )
+            .expect("strings take writes");
+            assert!(most <= ADOPTION_LIMIT.min(DRAIN_LIMIT), "{table}");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn service_calls_a_second() {
+    let mut table = String::new();
+    for n in [10, 100, 1000] {
+        let mut net = Net::new(n, 1);
+        net.replicas[0].put(ServiceKey::Rules, 1, &document(1, ""));
+        net.run(90 * SECOND);
+        assert!(net.fleets().all(knapweed_policy::fleet::Fleet::is_ready));
+        let most = |net: &Net, from, to| net.calls.range(from..to).map(|(_, n)| *n).max();
+        let (start, steady) = (most(&net, 0, 30), most(&net, 30, 90));
+        let from = net.clock.as_secs();
+        net.processes
+            .iter_mut()
+            .for_each(|process| process.replica = None);
+        net.run(120 * SECOND);
+        net.processes
+            .iter_mut()
+            .for_each(|process| process.replica = Some(0));
+        net.run(60 * SECOND);
+        let back = most(&net, from, from + 180);
+        let mut down = Net::new(n, 1);
+        down.replicas[0].fault = Some(knapweed_policy::reader::ServiceResult::Unreachable);
+        down.run(60 * SECOND);
+        let dark = most(&down, 0, 60);
+        writeln!(
+            table,
+            "{n} processes, {} readers: cold start {start:?}, steady {steady:?}, \
+             back after an outage {back:?}, cold start without answers {dark:?}",
+            reader_count(n)
+        )
+        .expect("strings take writes");
+        assert!(
+            [start, steady, back, dark]
+                .iter()
+                .all(|calls| *calls < Some(2000)),
+            "{table}"
+        );
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// The greatest share of the 3 KB/s that this part may take.
+const TRAFFIC_LIMIT: usize = 3000;
+
+#[test]
+fn bytes_a_second_idle_and_while_healing() {
+    let mut table = String::new();
+    for n in [10, 50, 150, 950] {
+        let mut net = running(n, 1);
+        net.run(30 * SECOND);
+        net.traffic(SECOND);
+        net.run(20 * SECOND);
+        let idle = net.traffic(20 * SECOND);
+        for (i, process) in net.processes.iter_mut().enumerate() {
+            process.group = u32::from(i >= n / 2);
+        }
+        net.run(60 * SECOND);
+        net.traffic(SECOND);
+        net.processes
+            .iter_mut()
+            .for_each(|process| process.group = 0);
+        net.run(5 * SECOND);
+        let first = net.traffic(5 * SECOND);
+        let whole = net.until(900 * SECOND, members::all_alive);
+        net.traffic(SECOND);
+        net.run(20 * SECOND);
+        let after = net.traffic(20 * SECOND);
+        writeln!(
+            table,
+            "{n} processes, mean and greatest bytes a second: idle {idle:?}, \
+             first 5 s of healing {first:?}, 20 s after it {after:?}; \
+             all alive again after {whole:.0?}"
+        )
+        .expect("strings take writes");
+        assert!(idle.1.max(first.1).max(after.1) < TRAFFIC_LIMIT, "{table}");
+        assert!(whole.is_some(), "{table}");
+    }
+    insta::assert_snapshot!(table);
+}
--- /dev/null
+++ b/policy/tests/fleet/configuration.rs
@@ -0,0 +1,219 @@
+//! Faults of the service and of the network, and what they do to the rules in force.
+
+use std::time::Duration;
+
+use knapweed_policy::fleet::{Fleet, Waiting};
+use knapweed_policy::reader::{Duty, OVERDUE, ServiceKey, ServiceResult};
+
+use crate::fake::document;
+use crate::net::{Net, Process};
+use crate::{ADOPTION_LIMIT, SECOND, running};
+
+/// Whether every life of the process adopted rising versions only, and the last one is `revision`.
+fn rises_to(process: &Process, from: usize, revision: u64) -> bool {
+    let adopted = &process.adopted[from..];
+    let rises = adopted.windows(2).all(|pair| pair[0].1 < pair[1].1);
+    rises
+        && adopted
+            .last()
+            .is_some_and(|last| last.1.revision.0 == revision)
+}
+
+fn alarms(net: &Net) -> String {
+    let alarms = net.processes.iter().flat_map(|process| &process.alarms);
+    let mut texts: Vec<_> = alarms.map(ToString::to_string).collect();
+    texts.sort();
+    texts.dedup();
+    texts.join("\n")
+}
+
+/// Replica 1 is stuck at revision 1, while the fleet knows revision 2.
+fn stale_service(n: usize) -> Net {
+    let mut net = running(n, 2);
+    let stale = net.replicas[0].clone();
+    net.replicas.push(stale);
+    net.publish(0, &ServiceKey::Rules, 9, &document(2, ""));
+    assert!(net.until(ADOPTION_LIMIT, |net| net.all_at(2)).is_some());
+    net.processes
+        .iter_mut()
+        .for_each(|process| process.replica = Some(1));
+    net
+}
+
+/// The revision at which a process that restarts empty becomes ready.
+fn ready_at(net: &mut Net, index: usize) -> Option<u64> {
+    net.restart(index);
+    let ready = |net: &Net| net.fleet(index).is_ready();
+    net.until(60 * SECOND, ready)?;
+    Some(net.fleet(index).version().revision.0)
+}
+
+#[test]
+fn a_stale_service_takes_no_restarted_process_back() {
+    let mut net = stale_service(12);
+    for index in 0..12 {
+        assert_eq!(ready_at(&mut net, index), Some(2));
+    }
+    net.run(60 * SECOND);
+    assert!(net.all_at(2));
+    // Cut off from all peers there is nobody to ask: the risk that remains.
+    net.processes[3].group = 1;
+    assert_eq!(ready_at(&mut net, 3), Some(1));
+    net.processes[3].group = 0;
+    assert!(net.until(ADOPTION_LIMIT, |net| net.all_at(2)).is_some());
+}
+
+#[test]
+fn flapping_replicas_turn_nothing_back() {
+    let mut net = stale_service(12);
+    for turn in 0..60 {
+        for (i, process) in net.processes.iter_mut().enumerate() {
+            process.replica = Some((i + turn) % 2);
+        }
+        net.run(SECOND);
+    }
+    assert!(net.processes.iter().all(|process| rises_to(process, 0, 2)));
+    assert!(alarms(&net).contains("stale"));
+}
+
+#[test]
+fn answers_that_are_no_document_change_nothing() {
+    let half = document(2, "drain dc1\n").replace("end\n", "");
+    let cases = [
+        ("half a document", Ok(half.as_str())),
+        ("nonsense", Ok("revision 2\nfrobnicate\nend\n")),
+        ("empty", Ok("")),
+        ("over a megabyte or cut short", Err(ServiceResult::Garbage)),
+        ("key unknown", Err(ServiceResult::Missing)),
+        ("no answer", Err(ServiceResult::Unreachable)),
+    ];
+    let mut table = String::new();
+    for (case, answer) in cases {
+        let mut net = running(8, 3);
+        match answer {
+            Ok(text) => net.publish(0, &ServiceKey::Rules, 2, text),
+            Err(fault) => net.replicas[0].fault = Some(fault),
+        }
+        net.run(70 * SECOND);
+        assert!(net.all_at(1), "{case}");
+        table += &format!("{case}:\n{}\n", alarms(&net));
+        net.replicas[0].fault = None;
+        net.publish(0, &ServiceKey::Rules, 3, &document(3, ""));
+        assert!(
+            net.until(ADOPTION_LIMIT * 2, |net| net.all_at(3)).is_some(),
+            "{case}"
+        );
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn two_documents_under_one_revision_end_in_one() {
+    let mut net = running(16, 4);
+    let other = net.replicas[0].clone();
+    net.replicas.push(other);
+    for (i, process) in net.processes.iter_mut().enumerate() {
+        process.replica = Some(i % 2);
+    }
+    net.publish(0, &ServiceKey::Rules, 2, &document(2, "drain dc1\n"));
+    net.publish(1, &ServiceKey::Rules, 2, &document(2, "drain dc2\n"));
+    net.run(90 * SECOND);
+    let mut versions: Vec<_> = net.fleets().map(Fleet::version).collect();
+    versions.dedup();
+    assert_eq!(versions.len(), 1);
+    assert!(alarms(&net).contains("two documents under one revision"));
+    assert!(net.processes.iter().all(|process| rises_to(process, 0, 2)));
+}
+
+#[test]
+fn a_partition_heals_forwards() {
+    let mut net = running(20, 5);
+    let other = net.replicas[0].clone();
+    net.replicas.push(other);
+    for (i, process) in net.processes.iter_mut().enumerate() {
+        process.group = u32::from(i >= 8);
+        process.replica = Some(usize::from(i >= 8));
+    }
+    // Watches that wait at the other replica end first.
+    net.run(15 * SECOND);
+    net.publish(0, &ServiceKey::Rules, 3, &document(3, ""));
+    net.publish(1, &ServiceKey::Rules, 2, &document(2, ""));
+    net.run(60 * SECOND);
+    let revisions: Vec<_> = net
+        .fleets()
+        .map(|fleet| fleet.version().revision.0)
+        .collect();
+    assert_eq!(revisions, [[3; 8].as_slice(), [2; 12].as_slice()].concat());
+    net.processes
+        .iter_mut()
+        .for_each(|process| process.group = 0);
+    assert!(net.until(ADOPTION_LIMIT, |net| net.all_at(3)).is_some());
+    net.run(30 * SECOND);
+    assert!(net.processes.iter().all(|process| rises_to(process, 0, 3)));
+    assert!(crate::members::all_alive(&net));
+}
+
+#[test]
+fn a_large_document_travels_in_parts() {
+    let mut net = running(30, 6);
+    let line = format!("# {}\n", "x".repeat(997));
+    let (one, two) = (line.repeat(700), line.repeat(800) + "end\n");
+    net.publish(0, &ServiceKey::Part("one".into()), 2, &one);
+    net.publish(0, &ServiceKey::Part("two".into()), 2, &two);
+    let root = "revision 2\npart one\npart two\n";
+    net.publish(0, &ServiceKey::Rules, 2, root);
+    assert!(net.until(ADOPTION_LIMIT, |net| net.all_at(2)).is_some());
+    let texts = net
+        .fleets()
+        .map(|fleet| fleet.document().expect("in force").text.len());
+    assert!(
+        texts
+            .into_iter()
+            .all(|size| size == root.len() + one.len() + two.len())
+    );
+    // A part that the root names but the service lacks keeps the last good document.
+    net.publish(
+        0,
+        &ServiceKey::Rules,
+        3,
+        "revision 3\npart one\npart gone\n",
+    );
+    net.run(20 * SECOND);
+    assert!(net.all_at(2));
+}
+
+#[test]
+fn without_service_and_peers_a_process_is_not_ready() {
+    let mut net = Net::new(1, 7);
+    net.replicas[0].fault = Some(ServiceResult::Unreachable);
+    net.run(86_400 * SECOND);
+    assert_eq!(net.fleet(0).waiting(net.now()), Some(Waiting::Document));
+    net.replicas[0].fault = None;
+    net.publish(0, &ServiceKey::Rules, 1, &document(1, ""));
+    assert!(
+        net.until(60 * SECOND, |net| net.fleet(0).is_ready())
+            .is_some()
+    );
+}
+
+#[test]
+fn only_the_service_confirms() {
+    let mut net = running(50, 8);
+    net.run(300 * SECOND);
+    let age = |net: &Net| {
+        let at = |at: entity::Now| net.now().mono.saturating_duration_since(at.mono);
+        let ages = net
+            .fleets()
+            .map(|fleet| fleet.confirmed_at().map_or(Duration::MAX, at));
+        ages.max().expect("there are processes")
+    };
+    let fresh = age(&net);
+    assert!(fresh < 90 * SECOND, "{fresh:?}");
+    // Replicas that are older than the fleet confirm nothing, and in the end everybody asks.
+    let mut stale = stale_service(50);
+    let start = stale.clock;
+    stale.run(OVERDUE + 60 * SECOND);
+    assert!(age(&stale) >= stale.clock - start - SECOND);
+    let overdue = stale.fleets().filter(|fleet| fleet.duty() == Duty::Overdue);
+    assert!(overdue.count() > 30);
+}
--- /dev/null
+++ b/policy/tests/fleet/net.rs
@@ -0,0 +1,427 @@
+//! Fleet machines joined by a deterministic network with virtual time.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use entity::{Incarnation, Machine as _, Name, Now, ProcessId};
+use knapweed_policy::fleet::{
+    Alarm, Fleet, FleetAction, FleetEvent, FleetMessage, FleetSettings, Role, TICK, Version,
+};
+use knapweed_policy::message::Endpoint;
+use knapweed_policy::reader::{ReadOrder, ServiceKey, ServiceResult};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use crate::fake::{FakeCompile, Replica, epoch};
+
+/// TCP/IP and RPC framing of one message, half of the 257 bytes measured for an exchange.
+const FRAME_BYTES: usize = 129;
+
+/// The envelope's own fields.
+const ENVELOPE_BYTES: usize = 48;
+
+pub(crate) struct Process {
+    pub(crate) fleet: Option<Fleet<FakeCompile>>,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) group: u32,
+    pub(crate) replica: Option<usize>,
+    pub(crate) paused: bool,
+    pub(crate) backlog: VecDeque<Delivery>,
+    pub(crate) alarms: Vec<Alarm>,
+    pub(crate) adopted: Vec<(Duration, Version)>,
+    pub(crate) ready: Option<Duration>,
+    pub(crate) delivered: Vec<u64>,
+    pub(crate) bytes: usize,
+    life: u64,
+}
+
+pub(crate) enum Delivery {
+    Tick {
+        life: u64,
+    },
+    Message {
+        from: Endpoint,
+        version: Version,
+        message: FleetMessage,
+    },
+    Answer {
+        life: u64,
+        key: ServiceKey,
+        result: ServiceResult,
+    },
+    Timeout {
+        life: u64,
+        order: ReadOrder,
+        replica: usize,
+    },
+}
+
+pub(crate) struct Net {
+    pub(crate) processes: Vec<Process>,
+    pub(crate) replicas: Vec<Replica>,
+    pub(crate) calls: BTreeMap<u64, usize>,
+    pub(crate) loss: f64,
+    /// Two processes whose direct messages are lost.
+    pub(crate) blocked: Option<(usize, usize)>,
+    pub(crate) clock: Duration,
+    start: Instant,
+    queue: BTreeMap<(Duration, u64), (usize, Delivery)>,
+    watches: Vec<(usize, u64, ReadOrder, usize)>,
+    places: BTreeMap<SocketAddr, usize>,
+    rng: ChaCha8Rng,
+    sequence: u64,
+}
+
+pub(crate) fn name(index: usize) -> Name {
+    Name::new(&format!("p{index}"))
+}
+
+pub(crate) fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7000))
+}
+
+/// The VM list of `n` processes, those in `leaving` leaving.
+pub(crate) fn vms(n: usize, leaving: &[usize]) -> String {
+    let vm = |i: usize| {
+        let state = if leaving.contains(&i) {
+            "leaving"
+        } else {
+            "live"
+        };
+        let role = if i.is_multiple_of(3) {
+            "agent"
+        } else {
+            "router"
+        };
+        let (name, control, centre) = (name(i), address(i), i % 4);
+        format!(
+            r#"{{"name":"{name}","role":"{role}","data_centre":"dc{centre}","control":"{control}","state":"{state}"}}"#
+        )
+    };
+    format!("[{}]", (0..n).map(vm).collect::<Vec<_>>().join(","))
+}
+
+impl Net {
+    pub(crate) fn new(n: usize, seed: u64) -> Self {
+        let mut net = Self {
+            processes: Vec::new(),
+            replicas: vec![Replica::default()],
+            calls: BTreeMap::new(),
+            loss: 0.0,
+            blocked: None,
+            clock: Duration::ZERO,
+            start: Instant::now() + Duration::from_secs(86_400),
+            queue: BTreeMap::new(),
+            watches: Vec::new(),
+            places: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            sequence: 0,
+        };
+        net.replicas[0].put(ServiceKey::Vms, 1, &vms(n, &[]));
+        for i in 0..n {
+            net.add(&name(i), address(i));
+        }
+        net
+    }
+
+    pub(crate) fn add(&mut self, name: &Name, control: SocketAddr) -> usize {
+        let index = self.processes.len();
+        let endpoint = Endpoint {
+            id: ProcessId(name.tag()),
+            incarnation: Incarnation(0),
+            control,
+        };
+        self.processes.push(Process {
+            fleet: None,
+            endpoint,
+            group: 0,
+            replica: Some(0),
+            paused: false,
+            backlog: VecDeque::new(),
+            alarms: Vec::new(),
+            adopted: Vec::new(),
+            ready: None,
+            delivered: Vec::new(),
+            bytes: 0,
+            life: 0,
+        });
+        self.places.insert(control, index);
+        self.restart(index);
+        index
+    }
+
+    /// Starts or restarts a process empty.
+    pub(crate) fn restart(&mut self, index: usize) {
+        let now = self.now();
+        let micros = now
+            .wall
+            .duration_since(std::time::UNIX_EPOCH)
+            .expect("after the epoch");
+        let seed = self.rng.random();
+        let process = &mut self.processes[index];
+        process.life += 1;
+        process.endpoint.incarnation = Incarnation(micros.as_micros() as u64);
+        process.ready = None;
+        process.paused = false;
+        process.backlog.clear();
+        let settings = FleetSettings {
+            endpoint: process.endpoint,
+            role: if index.is_multiple_of(3) {
+                Role::Agent
+            } else {
+                Role::Router
+            },
+            centre: Name::new(&format!("dc{}", index % 4)).tag(),
+            seeds: Vec::new(),
+            seed,
+        };
+        process.fleet = Some(Fleet::new(settings, FakeCompile, now));
+        let life = process.life;
+        self.watches.retain(|watch| watch.0 != index);
+        let phase = TICK.mul_f64(self.rng.random());
+        self.schedule(phase, index, Delivery::Tick { life });
+    }
+
+    pub(crate) fn stop(&mut self, index: usize) {
+        self.processes[index].fleet = None;
+        self.processes[index].life += 1;
+    }
+
+    pub(crate) fn resume(&mut self, index: usize) {
+        self.processes[index].paused = false;
+        let backlog = std::mem::take(&mut self.processes[index].backlog);
+        for delivery in backlog {
+            self.schedule(Duration::ZERO, index, delivery);
+        }
+    }
+
+    /// Publishes at one replica and wakes its watches.
+    pub(crate) fn publish(&mut self, replica: usize, key: &ServiceKey, index: u64, body: &str) {
+        self.replicas[replica].put(key.clone(), index, body);
+        let (woken, rest) = std::mem::take(&mut self.watches)
+            .into_iter()
+            .partition(|(_, _, order, at)| order.key == *key && *at == replica);
+        self.watches = rest;
+        let woken: Vec<(usize, u64, ReadOrder, usize)> = woken;
+        for (process, life, order, _) in woken {
+            if let Some(result) = self.replicas[replica].read(&order.key, order.after) {
+                let key = order.key;
+                self.schedule(LATENCY, process, Delivery::Answer { life, key, result });
+            }
+        }
+    }
+
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.clock + time;
+        while let Some(entry) = self
+            .queue
+            .first_entry()
+            .filter(|entry| entry.key().0 <= end)
+        {
+            let ((at, _), (index, delivery)) = entry.remove_entry();
+            self.clock = at;
+            self.deliver(index, delivery);
+        }
+        self.clock = end;
+    }
+
+    /// Runs until the condition holds; returns the time that took, at most `limit`.
+    pub(crate) fn until(
+        &mut self,
+        limit: Duration,
+        done: impl Fn(&Self) -> bool,
+    ) -> Option<Duration> {
+        let start = self.clock;
+        while self.clock < start + limit {
+            if done(self) {
+                return Some(self.clock - start);
+            }
+            self.run(TICK);
+        }
+        None
+    }
+
+    pub(crate) fn fleet(&self, index: usize) -> &Fleet<FakeCompile> {
+        self.processes[index]
+            .fleet
+            .as_ref()
+            .expect("the process runs")
+    }
+
+    pub(crate) fn fleets(&self) -> impl Iterator<Item = &Fleet<FakeCompile>> {
+        self.processes
+            .iter()
+            .filter_map(|process| process.fleet.as_ref())
+    }
+
+    pub(crate) fn all_at(&self, revision: u64) -> bool {
+        self.fleets()
+            .all(|fleet| fleet.version().revision.0 == revision)
+    }
+
+    pub(crate) fn event(&mut self, index: usize, event: FleetEvent) {
+        let now = self.now();
+        let mut actions = Vec::new();
+        if let Some(fleet) = &mut self.processes[index].fleet {
+            fleet.handle(now, event, &mut actions);
+        }
+        for action in actions {
+            self.carry_out(index, action);
+        }
+    }
+
+    pub(crate) fn now(&self) -> Now {
+        Now {
+            mono: self.start + self.clock,
+            wall: epoch() + self.clock,
+        }
+    }
+
+    /// Sent bytes per process and second since the last call: mean and greatest.
+    pub(crate) fn traffic(&mut self, span: Duration) -> (usize, usize) {
+        let seconds = span.as_secs_f64();
+        let rate = |process: &mut Process| std::mem::take(&mut process.bytes) as f64 / seconds;
+        let rates: Vec<_> = self.processes.iter_mut().map(rate).collect();
+        let mean = rates.iter().sum::<f64>() / rates.len() as f64;
+        let most = rates.iter().copied().fold(0.0, f64::max);
+        (mean.round() as usize, most.round() as usize)
+    }
+
+    fn schedule(&mut self, delay: Duration, index: usize, delivery: Delivery) {
+        self.sequence += 1;
+        self.queue
+            .insert((self.clock + delay, self.sequence), (index, delivery));
+    }
+
+    fn deliver(&mut self, index: usize, delivery: Delivery) {
+        let life = self.processes[index].life;
+        let stale = match &delivery {
+            Delivery::Tick { life: of } => *of != life,
+            Delivery::Answer { life: of, .. } | Delivery::Timeout { life: of, .. } => *of != life,
+            Delivery::Message { .. } => self.processes[index].fleet.is_none(),
+        };
+        if stale {
+            return;
+        }
+        if self.processes[index].paused {
+            self.processes[index].backlog.push_back(delivery);
+            return;
+        }
+        match delivery {
+            Delivery::Tick { life } => {
+                self.event(index, FleetEvent::Tick);
+                self.schedule(TICK, index, Delivery::Tick { life });
+            }
+            Delivery::Message {
+                from,
+                version,
+                message,
+            } => {
+                let endpoint = from;
+                self.event(index, FleetEvent::Seen { endpoint, version });
+                self.event(index, FleetEvent::Received { from, message });
+            }
+            Delivery::Answer { key, result, .. } => {
+                self.event(index, FleetEvent::ServiceAnswer { key, result });
+            }
+            Delivery::Timeout {
+                life,
+                order,
+                replica,
+            } => {
+                let found = |watch: &(usize, u64, ReadOrder, usize)| {
+                    *watch == (index, life, order.clone(), replica)
+                };
+                if let Some(place) = self.watches.iter().position(found) {
+                    self.watches.remove(place);
+                    let result = ServiceResult::Unchanged;
+                    let key = order.key;
+                    self.event(index, FleetEvent::ServiceAnswer { key, result });
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, action: FleetAction) {
+        let clock = self.clock;
+        match action {
+            FleetAction::Send { to, message } => self.send(index, to, message),
+            FleetAction::ReadService(order) => self.read(index, order),
+            FleetAction::Adopt(config) => {
+                let version = Version {
+                    revision: config.revision,
+                    hash: config.hash,
+                };
+                self.processes[index].adopted.push((clock, version));
+            }
+            FleetAction::Alarm(alarm) => self.processes[index].alarms.push(alarm),
+            FleetAction::Ready => self.processes[index].ready = Some(clock),
+            FleetAction::Deliver(item) => self.processes[index].delivered.push(item.key),
+            FleetAction::Raised(incarnation) => {
+                self.processes[index].endpoint.incarnation = incarnation;
+            }
+            FleetAction::MembersChanged => {}
+        }
+    }
+
+    fn send(&mut self, index: usize, to: SocketAddr, message: FleetMessage) {
+        let sender = &mut self.processes[index];
+        let size = postcard::to_stdvec(&message)
+            .expect("messages encode")
+            .len();
+        sender.bytes += FRAME_BYTES + ENVELOPE_BYTES + size;
+        let (from, group) = (sender.endpoint, sender.group);
+        let version = sender.fleet.as_ref().expect("the sender runs").version();
+        let Some(&receiver) = self.places.get(&to) else {
+            return;
+        };
+        let pair = Some((index.min(receiver), index.max(receiver)));
+        let lost = self.rng.random::<f64>() < self.loss || pair == self.blocked;
+        if lost || self.processes[receiver].group != group {
+            return;
+        }
+        let delay = LATENCY.mul_f64(0.5 + self.rng.random::<f64>());
+        self.schedule(
+            delay,
+            receiver,
+            Delivery::Message {
+                from,
+                version,
+                message,
+            },
+        );
+    }
+
+    fn read(&mut self, index: usize, order: ReadOrder) {
+        let life = self.processes[index].life;
+        let Some(replica) = self.processes[index].replica else {
+            let (key, result) = (order.key, ServiceResult::Unreachable);
+            let answer = Delivery::Answer { life, key, result };
+            self.schedule(Duration::from_secs(1), index, answer);
+            return;
+        };
+        *self.calls.entry(self.clock.as_secs()).or_default() += 1;
+        match self.replicas[replica].read(&order.key, order.after) {
+            Some(result) => {
+                let key = order.key;
+                self.schedule(LATENCY * 3, index, Delivery::Answer { life, key, result });
+            }
+            None => {
+                self.watches.push((index, life, order.clone(), replica));
+                self.schedule(
+                    order.wait,
+                    index,
+                    Delivery::Timeout {
+                        life,
+                        order,
+                        replica,
+                    },
+                );
+            }
+        }
+    }
+}
+
+/// The mean time of a message on its way.
+const LATENCY: Duration = Duration::from_millis(1);
