A starting process waits for peers from when it knows of them

It used to count from its start, and the VM list may come 2 s later. Two tests published while watches still waited at the other replica, and so could not fail; they wait now.

--- a/policy/src/fleet.rs
+++ b/policy/src/fleet.rs
@@ -192,6 +192,7 @@
     /// Since when the table of members differs from each peer's that was heard.
     differs: Option<Instant>,
     heard: Option<Instant>,
+    named_at: Option<Instant>,
     contacts: BTreeSet<ProcessId>,
     duty: Duty,
     urgent: bool,
@@ -234,6 +235,7 @@
             page: settings.endpoint.id,
             differs: None,
             heard: None,
+            named_at: None,
             contacts: BTreeSet::new(),
             duty: Duty::Reader,
             urgent: false,
@@ -322,7 +324,8 @@
 
     /// Why the process is not ready.
     pub fn waiting(&self, now: Now) -> Option<Waiting> {
-        let silent = now.mono.saturating_duration_since(self.started) < START_GRACE;
+        let named_at = self.named_at.unwrap_or(now.mono);
+        let patient = now.mono.saturating_duration_since(named_at) < START_GRACE;
         let named = self.members.iter();
         let named = named.filter(|member| member.claim.health < Health::Dead);
         let needed = named.take(START_CONTACTS).count();
@@ -330,7 +333,7 @@
             _ if self.ready => None,
             _ if self.revisions.current().is_none() => Some(Waiting::Document),
             Some(version) => Some(Waiting::Fetch(version)),
-            None if self.contacts.len() < needed && silent => Some(Waiting::Peers),
+            None if self.contacts.len() < needed && patient => Some(Waiting::Peers),
             None => None,
         }
     }
@@ -351,6 +354,9 @@
         if std::mem::take(&mut self.changed) {
             actions.push(FleetAction::MembersChanged);
         }
+        if !self.members.is_empty() {
+            self.named_at.get_or_insert(now.mono);
+        }
         if !self.ready && self.waiting(now).is_none() {
             self.ready = true;
             actions.push(FleetAction::Ready);
--- a/policy/tests/fleet/configuration.rs
+++ b/policy/tests/fleet/configuration.rs
@@ -54,6 +54,11 @@
     for index in 0..12 {
         assert_eq!(ready_at(&mut net, index), Some(2));
     }
+    net.loss = 0.3;
+    for index in 0..60 {
+        assert_eq!(ready_at(&mut net, index % 12), Some(2), "restart {index}");
+    }
+    net.loss = 0.0;
     net.run(60 * SECOND);
     assert!(net.all_at(2));
     // Cut off from all peers there is nobody to ask: the risk that remains.
@@ -115,6 +120,8 @@
     for (i, process) in net.processes.iter_mut().enumerate() {
         process.replica = Some(i % 2);
     }
+    // Watches that wait at the other replica end first.
+    net.run(15 * SECOND);
     net.publish(0, &ServiceKey::Rules, 2, &document(2, "drain dc1\n"));
     net.publish(1, &ServiceKey::Rules, 2, &document(2, "drain dc2\n"));
     net.run(90 * SECOND);
