--- a/policy/tests/fleet/configuration.rs
+++ b/policy/tests/fleet/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use knapweed_policy::fleet::{Fleet, Waiting};
+use knapweed_policy::fleet::{Fleet, START_GRACE, Waiting};
 use knapweed_policy::reader::{Duty, OVERDUE, ServiceKey, ServiceResult};
 
 use crate::fake::document;
@@ -61,9 +61,11 @@
     net.loss = 0.0;
     net.run(60 * SECOND);
     assert!(net.all_at(2));
-    // Cut off from all peers there is nobody to ask: the risk that remains.
+    // Cut off from all peers it asks them in vain for a while: the risk that remains.
     net.processes[3].group = 1;
+    let start = net.clock;
     assert_eq!(ready_at(&mut net, 3), Some(1));
+    assert!(net.clock - start >= START_GRACE);
     net.processes[3].group = 0;
     assert!(net.until(ADOPTION_LIMIT, |net| net.all_at(2)).is_some());
 }
