--- a/policy/src/fair.rs
+++ b/policy/src/fair.rs
@@ -4,9 +4,13 @@
 //! [`Ledger`](crate::ledger::Ledger) is the one in use, the others are baselines
 //! to compare it with.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::time::Instant;
 
 use entity::{Cost, ProcessId, Tag, TeamId, Weight};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
 
 use crate::message::LedgerDelta;
@@ -37,6 +41,17 @@
     /// The rank of a router among those where requests of one team wait.
     fn router_rank(&self, router: ProcessId) -> Rank;
 
+    /// The service that others are expected to have given since they were last
+    /// heard, in steps of rank at weight 1.
+    fn unseen(&self, _now: Instant) -> i64 {
+        0
+    }
+
+    /// What this agent gave a team since it heard of the others, in steps.
+    fn recent(&self, _team: TeamId) -> i64 {
+        0
+    }
+
     /// Notes which rank was chosen.
     fn chosen(&mut self, rank: Rank);
 
@@ -53,6 +68,52 @@
     fn prune(&mut self, now: Instant, is_active: impl Fn(TeamId) -> bool);
 }
 
+/// A team that waits, as the choice between teams sees it.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct Contender {
+    /// Its rank.
+    pub rank: Rank,
+    /// The team.
+    pub team: TeamId,
+    /// Its weight.
+    pub weight: Weight,
+}
+
+/// Chooses the team for a slot when `unseen` service of others is not yet in the ranks.
+///
+/// The others are assumed to serve the least ranks first, as this agent would. So
+/// the least ranks are raised by `unseen`, and of the teams that are then level the
+/// one goes first to which this agent itself gave least since it heard of the
+/// others (`recent`); among equals a random one. Without unseen service it is the
+/// least rank. Agents with the same stale ranks thus choose different teams, and
+/// together they fill the ranks up evenly.
+pub fn choose_team(
+    rng: &mut ChaCha8Rng,
+    unseen: i64,
+    contenders: impl Iterator<Item = Contender>,
+    recent: impl Fn(TeamId) -> i64,
+) -> Option<TeamId> {
+    let mut heap: BinaryHeap<_> = contenders.map(Reverse).collect();
+    let mut rest = unseen;
+    let Reverse(least) = heap.pop()?;
+    let mut level = least.rank;
+    let mut weights = i64::from(least.weight.get());
+    let mut filled = vec![least.team];
+    while let Some(&Reverse(next)) = heap.peek() {
+        let volume = (next.rank.0 - level.0).saturating_mul(weights);
+        if volume >= rest {
+            break;
+        }
+        rest -= volume;
+        level = next.rank;
+        weights += i64::from(next.weight.get());
+        filled.push(next.team);
+        heap.pop();
+    }
+    let order = |team: &TeamId| (recent(*team), rng.random::<u32>());
+    filled.into_iter().min_by_key(order)
+}
+
 /// Names and weights of teams.
 pub trait Teams {
     /// The team with this tag, if it is known.
