--- a/policy/src/bid.rs
+++ b/policy/src/bid.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// The interval at which a router repeats all of its bids.
-pub const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
+pub const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
 
 /// The age from which an agent drops bids that were not refreshed.
-pub const BID_TTL: Duration = Duration::from_secs(4);
+pub const BID_TTL: Duration = Duration::from_secs(16);
--- a/policy/src/pull.rs
+++ b/policy/src/pull.rs
@@ -30,6 +30,14 @@
     sent: Instant,
     asked: Vec<Reservation>,
     arrived: Vec<u16>,
+    answered: bool,
+}
+
+impl Open {
+    /// Whether it was answered and every request has arrived.
+    fn is_done(&self) -> bool {
+        self.answered && self.asked.iter().all(|pick| pick.count == 0)
+    }
 }
 
 /// The pulls of an agent that are under way.
@@ -51,6 +59,7 @@
             sent: now,
             asked,
             arrived,
+            answered: false,
         };
         self.open.insert(self.sequence, open);
         self.sequence
@@ -82,6 +91,9 @@
         };
         let age = now.saturating_duration_since(open.sent);
         self.reserved -= 1;
+        if open.is_done() {
+            self.open.remove(&sequence);
+        }
         Some((pick, age))
     }
 
@@ -110,6 +122,10 @@
                 ..*pick
             });
         }
+        open.answered = true;
+        if open.is_done() {
+            self.open.remove(&sequence);
+        }
         returned
     }
 
