--- /dev/null
+++ b/node/tests/client.rs
@@ -0,0 +1,85 @@
+//! The HTTP client of the data path against a listener that breaks.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+
+use actix_http::header::HeaderMap;
+use actix_http::{Method, Uri};
+use bytes::Bytes;
+use knapweed_node::client::{Client, Outbound};
+
+/// Serves each connection one of these answers, then closes it.
+fn serve(answers: &'static [&'static str]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    thread::spawn(move || {
+        for answer in answers {
+            let Ok((mut stream, _)) = listener.accept() else {
+                return;
+            };
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request);
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    address
+}
+
+fn request() -> Outbound {
+    Outbound {
+        method: Method::POST,
+        uri: Uri::from_static("/x"),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"hello"),
+    }
+}
+
+async fn read(address: SocketAddr) -> String {
+    match Client::new().send(address, request()).await {
+        Ok(response) => {
+            let status = response.status.as_u16();
+            format!("{status} {:?}", response.body.whole(1 << 20).await)
+        }
+        Err(error) => format!("{error:?}"),
+    }
+}
+
+#[actix_rt::test]
+async fn only_framing_ends_a_body() {
+    let cases: [&'static [&'static str]; 7] = [
+        &["HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"],
+        &["HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ncut"],
+        &["HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"],
+        &["HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n"],
+        &["HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nno framing"],
+        &["HTTP/1.1 204 No Content\r\n\r\n"],
+        &[""],
+    ];
+    let mut seen = Vec::new();
+    for case in cases {
+        seen.push(read(serve(case)).await);
+    }
+    insta::assert_debug_snapshot!(seen);
+}
+
+#[actix_rt::test]
+async fn a_refused_connection_is_unsent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    drop(listener);
+    assert_eq!(read(address).await, "Unsent");
+}
+
+#[actix_rt::test]
+async fn a_connection_that_the_server_closed_is_not_reused() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    let address = serve(Box::leak(Box::new([answer, answer])));
+    let client = Client::new();
+    for _ in 0..2 {
+        let response = client.send(address, request()).await.expect("a response");
+        assert_eq!(response.body.whole(10).await.expect("a whole body"), "ok");
+        // The server closes after each answer; wait until that is seen here.
+        actix_rt::task::yield_now().await;
+    }
+}
--- a/router/src/service.rs
+++ b/router/src/service.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 
 use actix_http::{HttpMessage, Request, Response};
-use awc::ClientResponse;
 use bytes::Bytes;
 use entity::{
     Class, Clock, Cost, Fingerprint, HandOver, Now, Outcome, PrefixHash, Reason, Refusal,
     RequestId, RetryAdvice, SystemClock,
 };
 use node::body::Body;
+use node::client::{Client, Incoming};
 use node::host::Snapshot;
 use node::http::{read_body, text};
 use policy::status::ANSWERED;
@@ -54,7 +54,7 @@
 
 /// The state of one traffic thread.
 pub struct Service {
-    client: awc::Client,
+    client: Client,
     chain: Chain,
     snapshot: Snapshot,
     reporter: Reporter,
@@ -65,7 +65,7 @@
 impl Service {
     /// Creates the service of the current thread.
     pub fn new(snapshot: Snapshot, reporter: Reporter, limits: Limits) -> Rc<Self> {
-        let client = node::http::client();
+        let client = Client::new();
         let chain = filter::chain();
         Rc::new(Self {
             client,
@@ -135,7 +135,7 @@
             match self.attempt(&exchange, &order, &mut orders).await {
                 Attempted::Answer(response) => {
                     guard.disarm();
-                    return self.stream(request, &order, response);
+                    return self.stream(request, &order, *response);
                 }
                 Attempted::Ended(result) => {
                     let attempt = order.offer.attempt;
@@ -175,24 +175,19 @@
         }
     }
 
-    fn stream(
-        &self,
-        request: RequestId,
-        order: &DispatchOrder,
-        response: ClientResponse,
-    ) -> Answer {
-        let status = response.status();
+    fn stream(&self, request: RequestId, order: &DispatchOrder, response: Incoming) -> Answer {
+        let status = response.status;
         let mut answer: Answer = Response::new(status).set_body(Body::Whole(Bytes::new()));
-        respond::copy_headers(response.headers(), answer.head_mut());
+        respond::copy_headers(&response.headers, answer.head_mut());
         respond::mark(answer.headers_mut(), request, ANSWERED);
-        let stream = AnswerStream::new(response, self.reporter.clone(), order);
+        let stream = AnswerStream::new(response.body, self.reporter.clone(), order);
         answer.set_body(Body::Stream(stream))
     }
 }
 
 /// What came of one attempt.
 enum Attempted {
-    Answer(ClientResponse),
+    Answer(Box<Incoming>),
     Ended(AttemptResult),
     Finished(Outcome),
     Abandoned,
