--- a/filetests/src/scenario.rs
+++ b/filetests/src/scenario.rs
@@ -195,6 +195,9 @@
     /// Agents and routers never see a drain.
     #[display("ignore-drain")]
     IgnoreDrain,
+    /// Fleet machines never see that the VM list calls a VM leaving.
+    #[display("ignore-list")]
+    IgnoreList,
     /// Agents answer `not run` for what a target may have run.
     #[display("false-refusal")]
     FalseRefusal,
--- a/filetests/src/scenario/parse.rs
+++ b/filetests/src/scenario/parse.rs
@@ -279,6 +279,7 @@
     let all = [
         Plant::Overrun,
         Plant::IgnoreDrain,
+        Plant::IgnoreList,
         Plant::FalseRefusal,
         Plant::DropKeys,
         Plant::CutOnStop,
--- a/filetests/src/sim/fault.rs
+++ b/filetests/src/sim/fault.rs
@@ -257,7 +257,8 @@
             )
         });
         let agents = self.plan.targets.iter().enumerate().map(|(index, target)| {
-            let leaving = self.leaving.contains(&index);
+            let is_hidden = self.plan.planted(&Plant::IgnoreList);
+            let leaving = self.leaving.contains(&index) && !is_hidden;
             list_entry(
                 target.name.as_str(),
                 "agent",
--- a/filetests/src/sim/plan.rs
+++ b/filetests/src/sim/plan.rs
@@ -6,7 +6,7 @@
 
 use cranelift_entity::EntityRef;
 use derive_more::{Display, Error, From};
-use entity::{Directory, Name, PoolId, Revision, Tag};
+use entity::{Directory, Name, PoolId, Revision};
 use rules::{Config, Repeat};
 
 use crate::scenario::{
@@ -393,9 +393,11 @@
                     "pool {name} kind {} cold {} max {}",
                     pool.kind, pool.cold, pool.slots
                 ));
-                lines.push(format!("route {name} POST /{name} pool {name} idempotent"));
                 lines.push(format!(
-                    "route {name}-once POST /{name}-once pool {name} once"
+                    "route {name} POST /{name} pool {name} idempotent timeout 30s"
+                ));
+                lines.push(format!(
+                    "route {name}-once POST /{name}-once pool {name} once timeout 30s"
                 ));
                 lines.extend((1..=pool.targets).map(|number| {
                     let centre = (number - 1) % centres + 1;
@@ -418,8 +420,3 @@
         .collect();
     lines.concat()
 }
-
-/// The id of a process by its name.
-pub(super) fn tag(name: &Name) -> Tag {
-    name.tag()
-}
--- a/filetests/src/sim/plant.rs
+++ b/filetests/src/sim/plant.rs
@@ -1,5 +1,6 @@
 //! Broken parts between the driver and the machines, to prove the checks.
 
+use entity::{Reason, Refusal, RetryAdvice};
 use policy::{AgentAction, AgentEvent, AttemptResult};
 
 use super::plan::Plan;
@@ -39,8 +40,11 @@
 /// What a router is told of an attempt.
 pub(super) fn result(plan: &Plan, result: AttemptResult) -> AttemptResult {
     match result {
-        AttemptResult::Unknown(refusal) if plan.planted(&Plant::FalseRefusal) => {
-            AttemptResult::NotRun(refusal)
+        AttemptResult::Unknown(_) | AttemptResult::Broken { .. }
+            if plan.planted(&Plant::FalseRefusal) =>
+        {
+            let advice = RetryAdvice::Never;
+            AttemptResult::NotRun(Refusal::new(Reason::TargetDied, advice))
         }
         result => result,
     }
--- a/filetests/src/sim/process.rs
+++ b/filetests/src/sim/process.rs
@@ -15,7 +15,7 @@
 use rules::Config;
 use wire::Message;
 
-use super::plan::{self, Plan};
+use super::plan::Plan;
 use super::share::ScenarioShare;
 use super::{EPOCH, Sim, Step, TICK};
 use crate::record::{Subject, What};
@@ -78,7 +78,7 @@
             ),
         };
         let endpoint = Endpoint {
-            id: ProcessId(plan::tag(&name)),
+            id: ProcessId(name.tag()),
             incarnation: Incarnation((EPOCH + self.at).as_micros() as u64),
             control,
         };
--- a/filetests/src/sim/traffic.rs
+++ b/filetests/src/sim/traffic.rs
@@ -4,9 +4,11 @@
 
 use entity::{
     AttemptId, Cost, Fingerprint, IdempotencyKey, Name, Outcome, Reason, RequestId, RetryAdvice,
+    RouteId,
 };
 use policy::{Arrival, AttemptResult, RouterEvent};
 use rand::RngExt;
+use rules::Config;
 use uuid::Uuid;
 
 use super::plan::{Source, SourceKind};
@@ -26,7 +28,7 @@
 /// The cost of a request whose source states none.
 const COST: u32 = 100;
 
-/// The time that a caller waits where the route states none.
+/// The time that a caller waits if it finds no router that knows its route.
 const TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A source of requests at work.
@@ -240,6 +242,13 @@
         let Some(router) = router else {
             return self.ended(id, What::NotRun(Reason::NotConfigured), None);
         };
+        if let Some(timeout) = self.timeout(id, router) {
+            let request = self
+                .requests
+                .get_mut(&id)
+                .expect("requests are never dropped");
+            request.deadline = at + timeout;
+        }
         if self.plan.planted(&Plant::ForgetRequests) && id.0.is_multiple_of(100) {
             return;
         }
@@ -271,16 +280,28 @@
         }
     }
 
-    /// The request as the router's filters submit it; `None` if no route leads to its pool.
-    fn arrival(&self, id: RequestId, router: usize) -> Option<Arrival> {
+    /// The route of a request by the rules in force at a router.
+    fn route(&self, id: RequestId, config: &Config) -> Option<RouteId> {
         let request = &self.requests[&id];
-        let config = self.processes[router].config.as_ref()?;
         let pool = &self.plan.pools[request.pool];
         let route = match request.key {
             Some(_) => pool.once.as_ref()?,
             None => pool.idempotent.as_ref()?,
         };
-        let route = config.names.routes.by_name(route.as_str())?;
+        config.names.routes.by_name(route.as_str())
+    }
+
+    fn timeout(&self, id: RequestId, router: usize) -> Option<Duration> {
+        let config = self.processes[router].config.as_ref()?;
+        let route = self.route(id, config)?;
+        config.routes[route].as_ref().map(|route| route.timeout)
+    }
+
+    /// The request as the router's filters submit it; `None` if no route leads to its pool.
+    fn arrival(&self, id: RequestId, router: usize) -> Option<Arrival> {
+        let request = &self.requests[&id];
+        let config = self.processes[router].config.as_ref()?;
+        let route = self.route(id, config)?;
         let team = config
             .names
             .teams
--- a/filetests/tests/scenario.rs
+++ b/filetests/tests/scenario.rs
@@ -129,6 +129,7 @@
     let simple = vec![
         Plant::Overrun,
         Plant::IgnoreDrain,
+        Plant::IgnoreList,
         Plant::FalseRefusal,
         Plant::DropKeys,
         Plant::CutOnStop,
