--- a/filetests/src/scenario.rs
+++ b/filetests/src/scenario.rs
@@ -219,6 +219,9 @@
     /// Routers relay an answer without a look at its ids, and targets mix answers up.
     #[display("cross-answers")]
     CrossAnswers,
+    /// Agents pass the answer of a target that died for a whole one.
+    #[display("cut-answers")]
+    CutAnswers,
     /// Agents do not see fingerprints.
     #[display("drop-fingerprints")]
     DropFingerprints,
--- a/filetests/src/scenario/parse.rs
+++ b/filetests/src/scenario/parse.rs
@@ -287,6 +287,7 @@
         Plant::RevertRules,
         Plant::LosePulls,
         Plant::CrossAnswers,
+        Plant::CutAnswers,
         Plant::DropFingerprints,
         Plant::ForgetRequests,
     ];
--- a/filetests/src/sim/traffic.rs
+++ b/filetests/src/sim/traffic.rs
@@ -360,10 +360,13 @@
         if let Some(target) = target {
             self.drive_router(router, RouterEvent::Loaded { target, load });
         }
-        let is_answer = matches!(result, AttemptResult::Answered { .. });
+        let answered = match result {
+            AttemptResult::Answered { cost } => Some(cost),
+            _ => None,
+        };
         self.drive_router(router, RouterEvent::Ended { attempt, result });
-        if is_answer {
-            let whole = true;
+        if let Some(cost) = answered {
+            let whole = cost == self.requests[&body].cost;
             self.ended(attempt.request, What::Answered { body, whole }, None);
         }
     }
--- a/filetests/src/verify/delivery.rs
+++ b/filetests/src/verify/delivery.rs
@@ -37,7 +37,8 @@
                 if whole && (body == request || is_same) {
                     continue;
                 }
-                let detail = format!("{request:?} was answered with the answer to {body:?}");
+                let part = if whole { "the" } else { "part of the" };
+                let detail = format!("{request:?} was answered with {part} answer to {body:?}");
                 let trace = trace(run, &of_request(request), entry.at);
                 findings.violation(Promise::WholeAnswers, entry.at, detail, trace);
             }
--- a/filetests/src/verify/rules.rs
+++ b/filetests/src/verify/rules.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use entity::{Name, Revision};
+use entity::{Name, Reason, Revision};
 
 use super::{Findings, blocks, settled, trace};
 use crate::record::{Entry, Subject, What};
@@ -214,6 +214,8 @@
             What::Arrived if by_router && entry.at <= since => drop(here.insert(request)),
             What::Started if by_agent => drop(here.insert(request)),
             What::Completed => drop(here.remove(&request)),
+            // A request that has outlived its deadline ends with or without a stop.
+            What::Unknown(Reason::DeadlinePassed) if entry.at >= run.deadlines[&request] => {}
             What::Lost | What::Unknown(_) if entry.at >= since && here.contains(&request) => {
                 let detail = format!("{} was cut by the stop of {process}", entry.subject);
                 let subject = Subject {
--- a/filetests/tests/scenario.rs
+++ b/filetests/tests/scenario.rs
@@ -137,6 +137,7 @@
         Plant::RevertRules,
         Plant::LosePulls,
         Plant::CrossAnswers,
+        Plant::CutAnswers,
         Plant::DropFingerprints,
         Plant::ForgetRequests,
     ];
