--- a/filetests/src/bin/knapweed-cases.rs
+++ b/filetests/src/bin/knapweed-cases.rs
@@ -49,6 +49,10 @@
 
 /// Runs all cases; returns the number that failed.
 fn run(flags: &flags::KnapweedCases) -> eyre::Result<usize> {
+    eyre::ensure!(
+        !flags.update || flags.seeds.is_none(),
+        "--update takes the seed of each case"
+    );
     let root = repository();
     let paths = match flags.paths.is_empty() {
         true => vec![root.join("filetests/cases")],
--- a/filetests/src/scenario.rs
+++ b/filetests/src/scenario.rs
@@ -225,6 +225,9 @@
     /// Agents do not see fingerprints.
     #[display("drop-fingerprints")]
     DropFingerprints,
+    /// Agents see one fingerprint for all requests.
+    #[display("blur-fingerprints")]
+    BlurFingerprints,
     /// Routers lose every hundredth request.
     #[display("forget-requests")]
     ForgetRequests,
--- a/filetests/src/sim.rs
+++ b/filetests/src/sim.rs
@@ -19,7 +19,7 @@
 mod target;
 mod traffic;
 
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::path::Path;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -69,6 +69,10 @@
     pub teams: Vec<Name>,
     /// The deadlines of requests, since the start of the scenario.
     pub deadlines: BTreeMap<RequestId, Duration>,
+    /// The requests that kill their targets.
+    pub killers: BTreeSet<RequestId>,
+    /// The answers that came too late or a second time.
+    pub dropped: u64,
     /// The calls that the configuration service counted.
     pub calls: u64,
     wakes: Vec<(Name, Duration)>,
@@ -142,7 +146,7 @@
     entries: Vec<Entry>,
     disturbed: bool,
     wakes: Vec<(Name, Duration)>,
-    lost: u64,
+    dropped: u64,
     undone: VecDeque<(usize, AttemptId)>,
 }
 
@@ -175,7 +179,7 @@
             entries: Vec::new(),
             disturbed: false,
             wakes: Vec::new(),
-            lost: 0,
+            dropped: 0,
             undone: VecDeque::new(),
             plan,
         };
@@ -418,12 +422,15 @@
         let centre = |target: &plan::TargetPlan| (target.name.clone(), target.centre.clone());
         let deadline =
             |(&id, request): (&RequestId, &Request)| (id, request.deadline.saturating_sub(START));
+        let killers = self.requests.iter().filter(|(_, request)| request.kills);
         Run {
             pools,
             length: plan.run,
             centres: plan.targets.iter().map(centre).collect(),
             teams: plan.teams.iter().map(|team| team.name.clone()).collect(),
             deadlines: self.requests.iter().map(deadline).collect(),
+            killers: killers.map(|(&id, _)| id).collect(),
+            dropped: self.dropped,
             calls: self.service.calls,
             wakes: self.wakes,
             entries: self.entries,
--- a/filetests/src/sim/plant.rs
+++ b/filetests/src/sim/plant.rs
@@ -1,6 +1,6 @@
 //! Broken parts between the driver and the machines, to prove the checks.
 
-use entity::{Reason, Refusal, RetryAdvice};
+use entity::{Fingerprint, Reason, Refusal, RetryAdvice};
 use policy::{AgentAction, AgentEvent, AttemptResult};
 
 use super::plan::Plan;
@@ -14,7 +14,10 @@
                 offer.key = None;
             }
             if plan.planted(&Plant::DropFingerprints) {
-                offer.fingerprint = entity::Fingerprint(offer.attempt.request.0);
+                offer.fingerprint = Fingerprint(offer.attempt.request.0);
+            }
+            if plan.planted(&Plant::BlurFingerprints) {
+                offer.fingerprint = Fingerprint(0);
             }
             AgentEvent::Offered(offer)
         }
--- a/filetests/src/sim/traffic.rs
+++ b/filetests/src/sim/traffic.rs
@@ -351,7 +351,7 @@
         let request = &self.requests[&attempt.request];
         let is_current = request.is_open && request.attempt == Some((attempt, agent));
         if !is_current {
-            self.lost += 1;
+            self.dropped += 1;
             return;
         }
         let config = self.processes[router].config.as_ref();
--- a/filetests/src/verify/delivery.rs
+++ b/filetests/src/verify/delivery.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use entity::RequestId;
+use entity::{Reason, RequestId};
 use policy::quarantine::TARGET_LOSS;
 
 use super::{Findings, trace};
@@ -137,16 +137,25 @@
     };
     let requests = run.entries.iter().filter(|entry| ordered(&entry.what));
     let bound = requests.count() * TARGET_LOSS;
-    let mut trace = Vec::new();
+    let mut deaths = Vec::new();
     for entry in &run.entries {
-        if entry.what != What::Died {
-            continue;
-        }
-        findings.cases += 1;
-        trace.push(entry.clone());
-        if findings.cases == bound + 1 {
-            let detail = format!("more than {bound} targets died of crash requests");
-            findings.violation(Promise::Quarantine, entry.at, detail, trace.clone());
+        match (&entry.what, entry.subject.request) {
+            (What::Died, _) => {
+                findings.cases += 1;
+                deaths.push(entry.clone());
+                if findings.cases == bound + 1 {
+                    let detail = format!("more than {bound} targets died of crash requests");
+                    findings.violation(Promise::Quarantine, entry.at, detail, deaths.clone());
+                }
+            }
+            (What::NotRun(Reason::Quarantined), Some(request))
+                if !run.killers.contains(&request) =>
+            {
+                let detail = format!("{request:?} was quarantined and kills nothing");
+                let trace = trace(run, &of_request(request), entry.at);
+                findings.violation(Promise::Quarantine, entry.at, detail, trace);
+            }
+            _ => {}
         }
     }
     findings
--- a/filetests/src/verify/portions.rs
+++ b/filetests/src/verify/portions.rs
@@ -117,12 +117,13 @@
         entries.filter(|entry| is(&entry.what)).count()
     };
     text += &format!(
-        "requests: arrived {}, answered {}, not run {}, unknown {}, lost {}; service calls {}\n",
+        "requests: arrived {}, answered {}, not run {}, unknown {}, lost {}; answers dropped {}, service calls {}\n",
         count(|what| matches!(what, What::Arrived)),
         count(|what| matches!(what, What::Answered { .. })),
         count(|what| matches!(what, What::NotRun(_))),
         count(|what| matches!(what, What::Unknown(_))),
         count(|what| matches!(what, What::Lost)),
+        run.dropped,
         run.calls,
     );
     text
--- a/filetests/tests/scenario.rs
+++ b/filetests/tests/scenario.rs
@@ -139,6 +139,7 @@
         Plant::CrossAnswers,
         Plant::CutAnswers,
         Plant::DropFingerprints,
+        Plant::BlurFingerprints,
         Plant::ForgetRequests,
     ];
     prop_oneof![name().prop_map(Plant::Favour), select(simple)]
