--- a/livetests/src/caller.rs
+++ b/livetests/src/caller.rs
@@ -2,12 +2,16 @@
 
 use std::net::SocketAddr;
 
-use awc::error::{PayloadError, SendRequestError};
-use bytes::BytesMut;
-use futures::StreamExt;
+use actix_http::Method;
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use bytes::Bytes;
+use node::client::{Client, Incoming, Outbound};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
+/// The greatest size of a response body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// How a caller's request ended.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Ending {
@@ -107,48 +111,59 @@
     }
 
     /// Sends the request to a router and reads the response.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the path or a header is malformed.
     pub async fn send(&self, router: SocketAddr) -> Ending {
-        let client = awc::Client::builder().disable_timeout().finish();
-        let url = format!("http://{router}{}", self.path);
+        let mut headers = HeaderMap::new();
         let bearer = format!("Bearer kw-demo-{}", self.team);
-        let mut request = client.post(url).insert_header(("authorization", bearer));
-        for (name, value) in &self.headers {
-            request = request.insert_header((name.as_str(), value.as_str()));
+        for (name, value) in [("authorization".to_owned(), bearer)]
+            .iter()
+            .chain(&self.headers)
+        {
+            let name = HeaderName::try_from(name.as_str()).expect("the header's name is valid");
+            headers.insert(
+                name,
+                HeaderValue::from_str(value).expect("the value is plain text"),
+            );
         }
-        match request.send_body(self.body.clone()).await {
+        let request = Outbound {
+            method: Method::POST,
+            uri: self.path.parse().expect("the path is valid"),
+            headers,
+            body: Bytes::from(self.body.clone()),
+        };
+        // A fresh client, since every caller has connections of its own.
+        match Client::new().send(router, request).await {
             Ok(response) => read(response).await,
-            Err(SendRequestError::Url(error)) => panic!("{error}"),
             Err(_) => Ending::Lost,
         }
     }
 }
 
-async fn read(mut response: awc::ClientResponse) -> Ending {
+async fn read(response: Incoming) -> Ending {
     let header = |name: &str| {
         let value = response
-            .headers()
+            .headers
             .get(name)
             .and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
-    let status = response.status().as_u16();
+    let status = response.status.as_u16();
     let (outcome, request) = (header("kw-outcome"), header("x-request-id"));
-    let mut body = BytesMut::new();
-    loop {
-        let chunk: Option<Result<_, PayloadError>> = response.next().await;
-        match chunk {
-            Some(Ok(chunk)) => body.extend_from_slice(&chunk),
-            Some(Err(_)) => return Ending::Cut,
-            None => break,
+    match response.body.whole(MAX_BODY_BYTES).await {
+        Ok(body) => {
+            let body = String::from_utf8_lossy(&body).into_owned();
+            Ending::Whole(Response {
+                status,
+                outcome,
+                request,
+                body,
+            })
         }
+        Err(_) => Ending::Cut,
     }
-    let body = String::from_utf8_lossy(&body).into_owned();
-    Ending::Whole(Response {
-        status,
-        outcome,
-        request,
-        body,
-    })
 }
 
 /// Whether a streamed completion is whole by the digest in its last chunk.
