--- a/bench/src/bin/fairness.rs
+++ b/bench/src/bin/fairness.rs
@@ -45,6 +45,9 @@
     }
 }
 
+/// Makes the way in which one agent divides its slots.
+type MakeShare<S> = fn(&FleetSettings, Endpoint) -> S;
+
 /// The mean cost of a request of an ordinary team.
 fn mean() -> f64 {
     60.0 * (0.5f64).exp()
@@ -63,7 +66,7 @@
     })
 }
 
-fn measure<S: Share>(name: &str, gossip: Option<u64>, share: fn(&FleetSettings, Endpoint) -> S) {
+fn measure<S: Share>(name: &str, gossip: Option<u64>, share: MakeShare<S>) {
     let mut gaps = Vec::new();
     let mut last = None;
     for seed in SEEDS {
@@ -106,7 +109,7 @@
         measure("counter per agent", None, ledger::<0>);
     }
     for gossip in [10, 50, 250, 1000, 5000] {
-        let modes: [(&str, fn(&FleetSettings, Endpoint) -> Ledger); 3] = [
+        let modes: [(&str, MakeShare<Ledger>); 3] = [
             ("merged", ledger::<0>),
             ("mirror", ledger::<1>),
             ("fill", ledger::<2>),
