--- /dev/null
+++ b/bench/src/bin/binding.rs
@@ -0,0 +1,170 @@
+//! Measures idle slots, cold targets and control messages on a simulated fleet.
+
+use std::time::Duration;
+
+use entity::{Class, Cost, DocumentHash, Name, Revision};
+use filetests::fleet::{Fleet, FleetSettings, TeamLoad};
+use policy::fair::{Fifo, RouterQuota, Share};
+use policy::ledger::{Extrapolation, Ledger, LedgerSettings};
+use policy::message::{Bid, BidUpdate, Endpoint, LedgerDelta, Left, Pick, Pull, Pulled, TeamTotal};
+use rules::Window;
+use wire::{Envelope, Message};
+
+const SEEDS: core::ops::RangeInclusive<u64> = 1..=4;
+
+fn team(routers: core::ops::Range<usize>, open: usize) -> TeamLoad {
+    TeamLoad {
+        weight: 1,
+        median: 60.0,
+        sigma: 1.0,
+        error: 10.0,
+        routers,
+        open,
+    }
+}
+
+fn settings(seed: u64, routers: usize, far: Duration) -> FleetSettings {
+    FleetSettings {
+        seed,
+        routers,
+        agents: 10,
+        centres: 4,
+        window: Window { cold: 4, max: 4 },
+        limit: 4,
+        near: Duration::from_micros(200),
+        far,
+        token_time: Duration::from_millis(10),
+        gossip: Some(Duration::from_millis(250)),
+        loss: 0.0,
+        doubling: 0.0,
+        timeout: Duration::from_secs(600),
+        teams: vec![team(0..1, 40); 5],
+    }
+}
+
+fn ledger(settings: &FleetSettings, endpoint: Endpoint) -> Ledger {
+    Ledger::new(LedgerSettings {
+        agent: endpoint.id,
+        incarnation: endpoint.incarnation,
+        gossip: settings.gossip,
+        extrapolation: Extrapolation::default(),
+    })
+}
+
+fn idle<S: Share>(name: &str, far: Duration, share: fn(&FleetSettings, Endpoint) -> S) {
+    let mut parts = Vec::new();
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(settings(seed, 4, far), share);
+        fleet.start_load();
+        fleet.run_until(Duration::from_secs(10));
+        let before = fleet.counts.clone();
+        fleet.run_until(Duration::from_secs(70));
+        let idle = fleet.counts.idle - before.idle;
+        let busy = fleet.counts.busy - before.busy;
+        parts.push(100.0 * idle.as_secs_f64() / busy.as_secs_f64());
+    }
+    println!("idle, {name}, {far:?} between data centres: {parts:.3?} %");
+}
+
+fn cold() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(
+            FleetSettings {
+                window: Window { cold: 1, max: 4 },
+                teams: vec![team(0..350, 350); 3],
+                ..settings(seed, 350, Duration::from_micros(500))
+            },
+            ledger,
+        );
+        fleet.start_load();
+        fleet.run_until(Duration::from_secs(10));
+        fleet.restart(2, false);
+        fleet.restart(5, true);
+        fleet.run_until(Duration::from_secs(40));
+        let counts = &fleet.counts;
+        println!(
+            "cold, 350 routers, seed {seed}: most over the limit {}, rejected {}, answered {}",
+            counts.overload, counts.rejected, counts.answered
+        );
+    }
+}
+
+fn sizes() {
+    let endpoint = |name: &str| Endpoint {
+        id: Name::new(name).tag().into(),
+        incarnation: entity::Incarnation(1_800_000_000_000_000),
+        control: ([10, 0, 0, 1], 7001).into(),
+    };
+    let (agent, router) = (endpoint("agent"), endpoint("router"));
+    let tag = Name::new("team").tag();
+    let bid = Bid {
+        team: tag,
+        class: Class::Standard,
+        waiting: 12,
+        oldest: Duration::from_millis(700),
+        hint: Cost(100),
+    };
+    let total = TeamTotal {
+        team: tag,
+        service: Cost(1_000_000),
+        pending: Cost(300),
+        base: Cost(500_000),
+    };
+    let messages = [
+        Message::Bids(BidUpdate {
+            router,
+            sequence: 1_000,
+            pool: tag,
+            full: false,
+            bids: vec![bid],
+        }),
+        Message::Pull(Pull {
+            agent,
+            sequence: 1_000,
+            picks: vec![Pick {
+                team: tag,
+                class: Class::Standard,
+                count: 1,
+            }],
+        }),
+        Message::Pulled(Pulled {
+            router: router.id,
+            sequence: 1_000,
+            counts: vec![1],
+            left: vec![Left {
+                waiting: 11,
+                oldest: 700,
+            }],
+        }),
+        Message::Ledger(LedgerDelta {
+            agent: agent.id,
+            incarnation: agent.incarnation,
+            sequence: 1_000,
+            totals: vec![total; 15],
+        }),
+    ];
+    for message in messages {
+        let envelope = Envelope::new(
+            agent,
+            Revision(9),
+            DocumentHash(u64::MAX),
+            &[message.clone()],
+        );
+        let text = format!("{message:?}");
+        let kind = text.split('(').next().unwrap_or_default();
+        println!(
+            "size, {kind}: envelope with one message {} bytes",
+            envelope.encode().len()
+        );
+    }
+}
+
+fn main() {
+    for far in [500, 1_000, 30_000].map(Duration::from_micros) {
+        idle("ledger", far, ledger);
+        idle("fifo", far, |_, _| Fifo);
+        idle("router quota", far, |_, _| RouterQuota::default());
+    }
+    cold();
+    sizes();
+}
