--- a/bench/src/bin/binding.rs
+++ b/bench/src/bin/binding.rs
@@ -148,7 +148,7 @@
             agent,
             Revision(9),
             DocumentHash(u64::MAX),
-            &[message.clone()],
+            core::slice::from_ref(&message),
         );
         let text = format!("{message:?}");
         let kind = text.split('(').next().unwrap_or_default();
