--- a/filetests/src/sim.rs
+++ b/filetests/src/sim.rs
@@ -106,6 +106,8 @@
     pub weights: Vec<f64>,
     /// The time in which agents do not see each other's service: gossip and two delays.
     pub blind: Duration,
+    /// The time that a target takes for one cost unit.
+    pub token: Duration,
     /// Whether faults made agents lose sight of each other for longer.
     pub disturbed: bool,
 }
@@ -415,6 +417,7 @@
                     .map(|team| f64::from(team.weight))
                     .collect(),
                 blind: plan.gossip + 2 * delay,
+                token: plan.token,
                 disturbed: self.disturbed,
             }
         };
--- a/filetests/src/sim/share.rs
+++ b/filetests/src/sim/share.rs
@@ -3,8 +3,8 @@
 use std::time::Instant;
 
 use cranelift_entity::EntityRef;
-use entity::{Cost, ProcessId, TeamId, Weight};
-use policy::fair::{Fifo, Party, Rank, RouterQuota, Share, Teams};
+use entity::{ProcessId, TeamId, Weight};
+use policy::fair::{Charge, Fifo, Party, Rank, RouterQuota, Share, Teams};
 use policy::ledger::{Extrapolation, Ledger, LedgerSettings};
 use policy::message::{Endpoint, LedgerDelta};
 
@@ -92,8 +92,8 @@
         with!(&mut self.kind, share => share.chosen(rank));
     }
 
-    fn charge(&mut self, now: Instant, party: Party, cost: Cost) {
-        with!(&mut self.kind, share => share.charge(now, party, cost));
+    fn charge(&mut self, now: Instant, party: Party, charge: Charge) {
+        with!(&mut self.kind, share => share.charge(now, party, charge));
     }
 
     fn merge(&mut self, now: Instant, delta: &LedgerDelta, teams: &impl Teams) {
