--- a/filetests/src/fleet.rs
+++ b/filetests/src/fleet.rs
@@ -453,6 +453,8 @@
                 self.control(from, target, AgentEvent::Ledger(delta));
             }
             AgentAction::Unknown { .. }
+            | AgentAction::Evict(_)
+            | AgentAction::Spread(_)
             | AgentAction::Replay { .. }
             | AgentAction::Follow { .. }
             | AgentAction::Cancel(_)
--- a/policy/src/agent.rs
+++ b/policy/src/agent.rs
@@ -14,8 +14,8 @@
 use std::time::{Duration, Instant};
 
 use entity::{
-    AttemptId, Cost, Decision, Machine, NotHandedOver, Now, Refusal, RouteId, Tag, TargetId,
-    TeamId, Weight,
+    AttemptId, Cost, Decision, Fingerprint, Incarnation, Machine, NotHandedOver, Now, Refusal,
+    RequestId, Revision, RouteId, Step, Tag, TargetId, TeamId, Weight,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -24,6 +24,7 @@
 
 use crate::bid::BidTable;
 use crate::cost::CostTable;
+use crate::fact::Fact;
 use crate::fair::{Party, Share, Teams};
 use crate::ledger::{Extrapolation, Ledger, LedgerSettings};
 use crate::message::{BidUpdate, Endpoint, LedgerDelta, Load, Offer, Pull, Pulled, Solicit};
@@ -31,11 +32,15 @@
 use crate::window::{AdmissionWindow, Report};
 
 mod admit;
+mod crashes;
 mod fill;
+mod keys;
 mod serve;
 
 use admit::Held;
+use crashes::Crashes;
 use fill::{Backoff, Pace};
+use keys::Keys;
 
 /// How an attempt on the target ended, as the agent's relay saw it.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -49,6 +54,8 @@
     Refused,
     /// No connection to the target could be opened; nothing was sent.
     Unsent,
+    /// Nothing was sent: the process was paused or the router left before the hand-over.
+    Withheld,
     /// The connection to the target broke after bytes were sent.
     Broken,
     /// The attempt was cancelled on request.
@@ -69,6 +76,15 @@
         /// The cost of what was streamed since the last such event.
         cost: Cost,
     },
+    /// The whole answer to an attempt with a key is held by the driver.
+    ///
+    /// It comes before the attempt's end.
+    Kept {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The size of the answer.
+        bytes: u64,
+    },
     /// An attempt on the target ended.
     Ended {
         /// The attempt.
@@ -76,6 +92,17 @@
         /// How.
         end: AttemptEnd,
     },
+    /// The configuration service named the revision in force the latest.
+    Confirmed {
+        /// The revision.
+        revision: Revision,
+        /// When the question was sent.
+        at: Now,
+    },
+    /// Another process spread a fact.
+    Learned(Fact),
+    /// The agent's incarnation is this one from now on; only before the first offer.
+    Raised(Incarnation),
     /// The router of an attempt closed its connection.
     RouterGone(AttemptId),
     /// A router's bids.
@@ -138,6 +165,10 @@
         /// The attempt that runs.
         original: AttemptId,
     },
+    /// Drop what is held of an attempt's answer; nobody will be answered with it any more.
+    Evict(AttemptId),
+    /// Tell every process of the fleet.
+    Spread(Fact),
     /// Cancel a running attempt on the target.
     Cancel(AttemptId),
     /// Send a pull to a router.
@@ -188,6 +219,8 @@
     expected: Cost,
     streamed: Cost,
     cancelled: bool,
+    fingerprint: Fingerprint,
+    once: bool,
 }
 
 /// The decisions of one agent.
@@ -206,6 +239,8 @@
     costs: CostTable,
     share: S,
     solicit: Backoff,
+    keys: Keys,
+    crashes: Crashes,
     stopping: bool,
     stopped: bool,
 }
@@ -240,6 +275,8 @@
             costs: CostTable::default(),
             share,
             solicit: Backoff::default(),
+            keys: Keys::default(),
+            crashes: Crashes::default(),
             stopping: false,
             stopped: false,
         }
@@ -270,11 +307,15 @@
     /// The slots that run an attempt or are promised to one.
     pub fn used(&self) -> u32 {
         let reserved = u32::from(self.pulls.reserved());
-        self.running.len() as u32 + self.held.len() as u32 + reserved
+        let suspects = u32::from(self.crashes.suspect.is_some());
+        self.running.len() as u32 + self.held.len() as u32 + suspects + reserved
     }
 
     fn free(&self) -> u32 {
-        self.window.limit().saturating_sub(self.used())
+        match self.crashes.is_reserved() {
+            true => 0,
+            false => self.window.limit().saturating_sub(self.used()),
+        }
     }
 
     fn is_draining(&self) -> bool {
@@ -285,7 +326,7 @@
         self.stopping || drained.is_some()
     }
 
-    fn configured(&mut self, config: Arc<Config>) {
+    fn configured(&mut self, now: Now, config: Arc<Config>, actions: &mut Vec<AgentAction>) {
         let tag = self.settings.endpoint.id.0;
         self.target = config.names.targets.by_tag(tag);
         let target = self
@@ -297,13 +338,36 @@
             None => self.window = AdmissionWindow::new(bounds),
             Some(_) => self.window.set_bounds(bounds),
         }
+        self.seat(now, &config, actions);
         self.config = Some(config);
     }
 
+    /// Records a decision, attributed to the rule of the agent's target.
+    fn decide(
+        &self,
+        now: Now,
+        request: RequestId,
+        step: Step,
+        detail: &str,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let config = self.config.as_deref();
+        let own = config.zip(self.target);
+        let rule = own.and_then(|(config, own)| Some(config.targets[own].as_ref()?.rule));
+        actions.push(AgentAction::Decided(Decision {
+            request,
+            at: now.wall,
+            step,
+            rules: rule.into_iter().collect(),
+            detail: detail.to_owned(),
+        }));
+    }
+
     fn tick(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
         let lost = self.pulls.expire(now.mono);
         self.release(now, lost);
         self.bids.expire(now.mono);
+        self.expire_keys(now, actions);
         let Self { share, bids, .. } = self;
         share.prune(now.mono, |team| bids.is_backlogged(team));
         self.gossip(now, actions);
@@ -331,7 +395,8 @@
     }
 
     fn report_stopped(&mut self, actions: &mut Vec<AgentAction>) {
-        let is_idle = self.running.is_empty() && self.held.is_empty();
+        let waits = self.crashes.suspect.is_some() || !self.held.is_empty();
+        let is_idle = self.running.is_empty() && !waits;
         if self.stopping && !self.stopped && is_idle && self.pulls.reserved() == 0 {
             self.stopped = true;
             actions.push(AgentAction::Stopped);
@@ -344,11 +409,16 @@
     type Action = AgentAction;
 
     fn handle(&mut self, now: Now, event: AgentEvent, actions: &mut Vec<AgentAction>) {
+        self.keys.begin(now, self.settings.endpoint);
         match event {
-            AgentEvent::Configured(config) => self.configured(config),
+            AgentEvent::Configured(config) => self.configured(now, config, actions),
             AgentEvent::Offered(offer) => self.offered(now, offer, actions),
             AgentEvent::Streamed { attempt, cost } => self.streamed(now, attempt, cost),
-            AgentEvent::Ended { attempt, end } => self.ended(now, attempt, end),
+            AgentEvent::Kept { attempt, bytes } => self.kept(attempt, bytes, actions),
+            AgentEvent::Ended { attempt, end } => self.ended(now, attempt, end, actions),
+            AgentEvent::Confirmed { revision, at } => self.confirmed(revision, at),
+            AgentEvent::Learned(fact) => self.learned(now, &fact),
+            AgentEvent::Raised(incarnation) => self.raised(incarnation),
             AgentEvent::RouterGone(attempt) => self.router_gone(now, attempt, actions),
             AgentEvent::Bids(update) => self.bids_changed(now, &update),
             AgentEvent::Pulled(pulled) => self.pulled(now, &pulled),
@@ -357,8 +427,8 @@
             AgentEvent::Report(report) => {
                 self.window.reported(now.mono, report);
             }
-            AgentEvent::TargetUp => self.window.up(now.mono),
-            AgentEvent::TargetDown => self.window.down(now.mono),
+            AgentEvent::TargetUp => self.target_up(now),
+            AgentEvent::TargetDown => self.target_down(now, actions),
             AgentEvent::Tick => self.tick(now, actions),
             AgentEvent::Stop => self.stopping = true,
         }
--- a/policy/src/agent/admit.rs
+++ b/policy/src/agent/admit.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
-use entity::{AttemptId, Cost, HandOver, Now, Reason, Refusal, RetryAdvice, RouteId, TeamId};
+use entity::{
+    AttemptId, Cost, Fingerprint, Now, Reason, Refusal, RetryAdvice, RouteId, Step, TeamId,
+};
 
+use super::keys::rejection;
 use super::{Agent, AgentAction, Running, weight};
 use crate::bid::BidKey;
 use crate::fair::{Party, Share};
 use crate::message::Offer;
+use crate::quarantine::Admission;
 
 /// How long a refused router should wait when nothing better is known.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -15,21 +19,32 @@
 /// A pulled request that arrived before its slot was free.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Held {
-    attempt: AttemptId,
-    party: Party,
-    route: Option<RouteId>,
-    expected: Cost,
+    pub(super) attempt: AttemptId,
+    pub(super) party: Party,
+    pub(super) route: Option<RouteId>,
+    pub(super) expected: Cost,
+    pub(super) fingerprint: Fingerprint,
+    /// Whether the request may run at most once.
+    pub(super) once: bool,
 }
 
 impl<S: Share> Agent<S> {
     pub(super) fn offered(&mut self, now: Now, offer: Offer, actions: &mut Vec<AgentAction>) {
         let attempt = offer.attempt;
+        if !self.admit_key(now, &offer, actions) {
+            return;
+        }
         let Some(config) = self.config.clone() else {
-            return reject(attempt, Reason::NotConfigured, actions);
+            return self.turn_down(now, attempt, Reason::NotConfigured, actions);
         };
         let Some(team) = config.names.teams.by_tag(offer.team) else {
-            return reject(attempt, Reason::NotConfigured, actions);
+            return self.turn_down(now, attempt, Reason::NotConfigured, actions);
         };
+        let admission = self.examine(now, &config, &offer, actions);
+        if let Admission::Refuse(refusal) = admission {
+            self.waive(now, &offer);
+            return self.refuse(now, attempt, refusal, actions);
+        }
         let route = config.names.routes.by_tag(offer.route);
         let party = Party {
             team,
@@ -45,29 +60,42 @@
             false => None,
         };
         let expected = self.costs.expect(team, route, offer.hint);
+        let held = Held {
+            attempt,
+            party,
+            route,
+            expected,
+            fingerprint: offer.fingerprint,
+            once: offer.key.is_some(),
+        };
+        let is_suspect = admission == Admission::Alone;
         match reserved {
             Some((pick, age)) => {
                 self.pace.round_trip(age);
                 self.share.charge(now.mono, party, expected - pick.charge);
-                self.held.push_back(Held {
-                    attempt,
-                    party,
-                    route,
-                    expected,
-                });
+                match is_suspect {
+                    true => self.hold_suspect(now, held, actions),
+                    false => self.held.push_back(held),
+                }
             }
-            None if self.is_draining() => reject(attempt, Reason::Draining, actions),
+            None if self.is_draining() => self.turn_down(now, attempt, Reason::Draining, actions),
+            None if self.crashes.down => self.turn_down(now, attempt, Reason::NoTarget, actions),
             None if self.free() > 0 && self.may_overtake(now, party) => {
                 self.share.charge(now.mono, party, expected);
-                let held = Held {
-                    attempt,
-                    party,
-                    route,
-                    expected,
-                };
-                self.start(now, held, actions);
+                match is_suspect {
+                    true => self.hold_suspect(now, held, actions),
+                    false => self.start(now, held, actions),
+                }
             }
-            None => reject(attempt, Reason::NoSlot, actions),
+            None => self.turn_down(now, attempt, Reason::NoSlot, actions),
+        }
+    }
+
+    /// Keeps the target for a suspect, if it is not kept for another one.
+    fn hold_suspect(&mut self, now: Now, held: Held, actions: &mut Vec<AgentAction>) {
+        match self.crashes.is_reserved() {
+            true => self.hand_back(now, held, Reason::NoSlot, actions),
+            false => self.crashes.suspect = Some(held),
         }
     }
 
@@ -84,8 +112,9 @@
 
     /// Starts what is held while slots are free; hands the rest back when the window fell.
     pub(super) fn start_held(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
+        self.start_suspect(now, actions);
         let limit = self.window.limit() as usize;
-        while self.running.len() < limit {
+        while self.running.len() < limit && !self.crashes.is_reserved() {
             let Some(held) = self.held.pop_front() else {
                 return;
             };
@@ -94,9 +123,11 @@
         let keep = self.pace.ahead() as usize;
         while self.held.len() > keep || limit == 0 && !self.held.is_empty() {
             let held = self.held.pop_back().expect("checked by the condition");
-            self.share
-                .charge(now.mono, held.party, Cost::ZERO - held.expected);
-            reject(held.attempt, Reason::NoSlot, actions);
+            let reason = match self.crashes.down {
+                true => Reason::NoTarget,
+                false => Reason::NoSlot,
+            };
+            self.hand_back(now, held, reason, actions);
         }
     }
 
@@ -106,12 +137,56 @@
             return false;
         };
         let held = self.held.remove(index).expect("the index was found");
+        self.keys.release(attempt);
         self.share
             .charge(now.mono, held.party, Cost::ZERO - held.expected);
         true
     }
 
-    fn start(&mut self, now: Now, held: Held, actions: &mut Vec<AgentAction>) {
+    /// Refuses a held attempt and takes its charge back.
+    pub(super) fn hand_back(
+        &mut self,
+        now: Now,
+        held: Held,
+        reason: Reason,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        self.share
+            .charge(now.mono, held.party, Cost::ZERO - held.expected);
+        self.turn_down(now, held.attempt, reason, actions);
+    }
+
+    /// Refuses an attempt that was not started.
+    pub(super) fn turn_down(
+        &mut self,
+        now: Now,
+        attempt: AttemptId,
+        reason: Reason,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let retry = RetryAdvice::After(RETRY_DELAY);
+        self.refuse(now, attempt, Refusal::new(reason, retry), actions);
+    }
+
+    fn refuse(
+        &mut self,
+        now: Now,
+        attempt: AttemptId,
+        refusal: Refusal,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        self.keys.release(attempt);
+        let detail = format!("rejected: {}", refusal.reason);
+        self.decide(now, attempt.request, Step::Accept, &detail, actions);
+        actions.push(rejection(attempt, refusal));
+    }
+
+    pub(super) fn start(&mut self, now: Now, held: Held, actions: &mut Vec<AgentAction>) {
+        if !self.may_hand_over(now, &held, actions) {
+            return;
+        }
+        let request = held.attempt.request;
+        self.decide(now, request, Step::Accept, "started", actions);
         let running = Running {
             party: held.party,
             route: held.route,
@@ -120,19 +195,11 @@
             expected: held.expected,
             streamed: Cost::ZERO,
             cancelled: false,
+            fingerprint: held.fingerprint,
+            once: held.once,
         };
         self.running.insert(held.attempt, running);
         self.window.record(now.mono, self.running.len() as u32);
         actions.push(AgentAction::Start(held.attempt));
     }
 }
-
-fn reject(attempt: AttemptId, reason: Reason, actions: &mut Vec<AgentAction>) {
-    let refusal = Refusal::new(reason, RetryAdvice::After(RETRY_DELAY));
-    let proof = HandOver::new().give_up();
-    actions.push(AgentAction::Reject {
-        attempt,
-        refusal,
-        proof,
-    });
-}
--- a/policy/src/agent/fill.rs
+++ b/policy/src/agent/fill.rs
@@ -92,7 +92,7 @@
     /// Pulls for every slot that is free or about to be.
     pub(super) fn fill(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
         let limit = self.window.limit();
-        if limit == 0 || self.is_draining() {
+        if limit == 0 || self.is_draining() || self.crashes.is_reserved() {
             return;
         }
         let mut open = (limit + self.pace.ahead()).saturating_sub(self.used());
--- /dev/null
+++ b/policy/src/agent/keys.rs
@@ -0,0 +1,268 @@
+//! Keys that run at most once, and the homes that the agent vouches for.
+
+use std::time::Duration;
+
+use entity::{AttemptId, Cost, HandOver, Incarnation, Now, Refusal, Revision, Step};
+use rules::Config;
+
+use super::admit::Held;
+use super::{Agent, AgentAction};
+use crate::bid::BidKey;
+use crate::fact::Fact;
+use crate::fair::Share;
+use crate::home::{Bounds, Hold, Roster, Vouch};
+use crate::message::{Endpoint, Offer};
+use crate::once::{OnceMemory, OnceSettings, OnceVerdict};
+use crate::pull::Reservation;
+
+/// The longest time between the decision to start an attempt and its hand-over.
+pub(super) const HAND_OVER: Duration = Duration::from_secs(5);
+
+/// The greatest number of remembered keys.
+const MAX_KEYS: usize = 1_000_000;
+
+/// The greatest size of all kept answers in bytes, unless it is set.
+const MAX_ANSWERS: u64 = 128 << 20;
+
+/// The agent's memory of keys, which begins with the agent's first event.
+#[derive(Debug)]
+pub(super) struct Keys {
+    memory: Option<OnceMemory>,
+    vouch: Vouch,
+    limit: u64,
+    told: Option<Hold>,
+}
+
+impl Default for Keys {
+    fn default() -> Self {
+        Self {
+            memory: None,
+            vouch: Vouch::new(Bounds::default()),
+            limit: MAX_ANSWERS,
+            told: None,
+        }
+    }
+}
+
+impl Keys {
+    /// Begins the memory at the first event of the agent's life.
+    ///
+    /// A begin that errs to the future only leaves fewer keys covered.
+    pub(super) fn begin(&mut self, now: Now, endpoint: Endpoint) {
+        let max_bytes = self.limit;
+        self.memory.get_or_insert_with(|| {
+            OnceMemory::new(OnceSettings {
+                agent: endpoint.id.0,
+                incarnation: endpoint.incarnation,
+                started: now.wall,
+                bounds: Bounds::default(),
+                max_keys: MAX_KEYS,
+                max_bytes,
+                hand_over: HAND_OVER,
+            })
+        });
+    }
+
+    /// The roster in force.
+    pub(super) fn roster(&self) -> &Roster {
+        self.vouch.roster()
+    }
+
+    /// Frees the key of an attempt that was not started.
+    pub(super) fn release(&mut self, attempt: AttemptId) {
+        self.parts().0.release(attempt);
+    }
+
+    fn parts(&mut self) -> (&mut OnceMemory, &Vouch) {
+        let memory = self.memory.as_mut();
+        let memory = memory.expect("the memory begins before the first event");
+        (memory, &self.vouch)
+    }
+}
+
+impl<S: Share> Agent<S> {
+    /// Sets the greatest size of all kept answers in bytes; only before the first event.
+    #[must_use]
+    pub fn with_answers(mut self, bytes: u64) -> Self {
+        self.keys.limit = bytes;
+        self
+    }
+
+    /// The number of remembered keys and the size of the kept answers in bytes.
+    pub fn remembered(&self) -> (usize, u64) {
+        let memory = self.keys.memory.as_ref();
+        memory.map_or((0, 0), |memory| (memory.len(), memory.held_bytes()))
+    }
+
+    pub(super) fn raised(&mut self, incarnation: Incarnation) {
+        self.settings.endpoint.incarnation = incarnation;
+        self.keys.parts().0.raise(incarnation);
+    }
+
+    pub(super) fn confirmed(&mut self, revision: Revision, at: Now) {
+        self.keys.vouch.confirm(revision, at, Duration::ZERO);
+    }
+
+    /// Takes the roster of the agent's pool into force.
+    pub(super) fn seat(&mut self, now: Now, config: &Config, actions: &mut Vec<AgentAction>) {
+        let rule = self.target.and_then(|own| config.targets[own].as_ref());
+        let roster = match rule {
+            Some(rule) => Roster::of_pool(config, rule.pool),
+            None => Roster::new(config.revision, Vec::new()),
+        };
+        self.keys.vouch.configure(now, roster);
+        self.tell_hold(now, config, actions);
+    }
+
+    /// Spreads the agent's hold if it has changed.
+    fn tell_hold(&mut self, now: Now, config: &Config, actions: &mut Vec<AgentAction>) {
+        let hold = self.keys.vouch.hold();
+        let rule = self.target.and_then(|own| config.targets[own].as_ref());
+        let (Some(hold), Some(rule)) = (hold, rule) else {
+            return;
+        };
+        if self.keys.told.replace(hold) != Some(hold) {
+            actions.push(AgentAction::Spread(Fact::Held {
+                agent: self.settings.endpoint.id,
+                pool: config.names.pools.tag(rule.pool),
+                at: now.wall,
+                hold,
+            }));
+        }
+    }
+
+    pub(super) fn learned(&mut self, now: Now, fact: &Fact) {
+        if let Some(notice) = fact.evidence() {
+            self.crashes.merge(now, &notice);
+        }
+        let own = self.target.zip(self.config.as_deref());
+        let pool = own.and_then(|(own, config)| {
+            let rule = config.targets[own].as_ref()?;
+            Some(config.names.pools.tag(rule.pool))
+        });
+        match fact {
+            // An agent without a configuration does not know its pool and keeps every hold.
+            Fact::Held { pool: of, hold, .. } if pool.is_none_or(|pool| pool == *of) => {
+                self.keys.vouch.merge_hold(now, *hold);
+            }
+            _ => {}
+        }
+    }
+
+    /// Examines the key of an offer; `false` if the offer has been answered.
+    pub(super) fn admit_key(
+        &mut self,
+        now: Now,
+        offer: &Offer,
+        actions: &mut Vec<AgentAction>,
+    ) -> bool {
+        let (attempt, fingerprint) = (offer.attempt, offer.fingerprint);
+        let Some(key) = offer.key else {
+            return true;
+        };
+        let (memory, vouch) = self.keys.parts();
+        let verdict = memory.offered(now, vouch, attempt, key, fingerprint);
+        let detail = describe(&verdict);
+        self.decide(now, attempt.request, Step::Once, &detail, actions);
+        if verdict == OnceVerdict::Start {
+            return true;
+        }
+        self.waive(now, offer);
+        actions.push(answer(attempt, verdict));
+        false
+    }
+
+    /// Decides on the hand-over of an attempt; `false` if the offer has been answered.
+    pub(super) fn may_hand_over(
+        &mut self,
+        now: Now,
+        held: &Held,
+        actions: &mut Vec<AgentAction>,
+    ) -> bool {
+        if !held.once {
+            return true;
+        }
+        let (memory, vouch) = self.keys.parts();
+        let Err(verdict) = memory.may_hand_over(now, vouch, held.attempt) else {
+            return true;
+        };
+        let detail = describe(&verdict);
+        self.decide(now, held.attempt.request, Step::Once, &detail, actions);
+        self.share
+            .charge(now.mono, held.party, Cost::ZERO - held.expected);
+        actions.push(answer(held.attempt, verdict));
+        false
+    }
+
+    /// Takes in that a whole answer is held.
+    pub(super) fn kept(&mut self, attempt: AttemptId, bytes: u64, actions: &mut Vec<AgentAction>) {
+        let dropped = self.keys.parts().0.ended(attempt, bytes);
+        actions.extend(dropped.into_iter().map(AgentAction::Evict));
+    }
+
+    /// Takes in that an attempt ended without an answer and that nothing ran.
+    pub(super) fn disclaim(&mut self, attempt: AttemptId, actions: &mut Vec<AgentAction>) {
+        self.keys.parts().0.refused(attempt);
+        actions.push(AgentAction::Evict(attempt));
+    }
+
+    /// Takes in that an attempt ended without a whole answer and may have run.
+    pub(super) fn lose(&mut self, attempt: AttemptId, actions: &mut Vec<AgentAction>) {
+        self.keys.parts().0.lost(attempt);
+        actions.push(AgentAction::Evict(attempt));
+    }
+
+    pub(super) fn expire_keys(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
+        let dropped = self.keys.parts().0.tick(now);
+        actions.extend(dropped.into_iter().map(AgentAction::Evict));
+    }
+
+    /// Gives the slot back that was promised to an offer which does not run.
+    pub(super) fn waive(&mut self, now: Now, offer: &Offer) {
+        let config = self.config.as_deref();
+        let team = config.and_then(|config| config.names.teams.by_tag(offer.team));
+        let Some(team) = team.filter(|_| offer.pulled) else {
+            return;
+        };
+        let class = offer.class;
+        let key = BidKey { team, class };
+        if let Some((pick, _)) = self.pulls.arrive(now.mono, offer.router, key) {
+            let pick = Reservation { count: 1, ..pick };
+            self.release(now, vec![(offer.router, pick)]);
+        }
+    }
+}
+
+/// The action that answers an offer which does not start.
+fn answer(attempt: AttemptId, verdict: OnceVerdict) -> AgentAction {
+    match verdict {
+        OnceVerdict::Start => AgentAction::Start(attempt),
+        OnceVerdict::Follow(original) => AgentAction::Follow { attempt, original },
+        OnceVerdict::Replay(original) => AgentAction::Replay { attempt, original },
+        OnceVerdict::Refuse { refusal, proof } => AgentAction::Reject {
+            attempt,
+            refusal,
+            proof,
+        },
+        OnceVerdict::Unknown(refusal) => AgentAction::Unknown { attempt, refusal },
+    }
+}
+
+fn describe(verdict: &OnceVerdict) -> String {
+    match verdict {
+        OnceVerdict::Start => "new key".to_owned(),
+        OnceVerdict::Follow(original) => format!("follows {original}, which runs"),
+        OnceVerdict::Replay(original) => format!("answered as {original} was"),
+        OnceVerdict::Refuse { refusal, .. } => format!("not run: {}", refusal.reason),
+        OnceVerdict::Unknown(refusal) => format!("unknown: {}", refusal.reason),
+    }
+}
+
+/// The action that refuses an attempt that was not started.
+pub(super) fn rejection(attempt: AttemptId, refusal: Refusal) -> AgentAction {
+    AgentAction::Reject {
+        attempt,
+        refusal,
+        proof: HandOver::new().give_up(),
+    }
+}
--- a/policy/src/agent/serve.rs
+++ b/policy/src/agent/serve.rs
@@ -1,8 +1,8 @@
 //! Streams, ends and news from peers.
 
-use entity::{AttemptId, Cost, Now, ProcessId};
+use entity::{AttemptId, Cost, Now, ProcessId, Step};
 
-use super::{Agent, AgentAction, AttemptEnd, Names, weight};
+use super::{Agent, AgentAction, AttemptEnd, Names, Running, weight};
 use crate::fair::Share;
 use crate::message::{BidUpdate, LedgerDelta};
 use crate::window::ColdSign;
@@ -25,15 +25,22 @@
         }
     }
 
-    pub(super) fn ended(&mut self, now: Now, attempt: AttemptId, end: AttemptEnd) {
+    pub(super) fn ended(
+        &mut self,
+        now: Now,
+        attempt: AttemptId,
+        end: AttemptEnd,
+        actions: &mut Vec<AgentAction>,
+    ) {
         let ran = self.running.len() as u32;
         let Some(running) = self.running.remove(&attempt) else {
             return;
         };
         self.window.record(now.mono, ran - 1);
+        self.conclude(now, attempt, &running, end, actions);
         let cost = match end {
             AttemptEnd::Answered { cost } => cost,
-            AttemptEnd::Refused | AttemptEnd::Unsent => Cost::ZERO,
+            AttemptEnd::Refused | AttemptEnd::Unsent | AttemptEnd::Withheld => Cost::ZERO,
             AttemptEnd::Broken | AttemptEnd::Cancelled => running.streamed,
         };
         self.share
@@ -49,8 +56,37 @@
             AttemptEnd::Refused | AttemptEnd::Unsent | AttemptEnd::Broken => {
                 self.window.fall(now.mono, ColdSign::Refused);
             }
-            AttemptEnd::Cancelled => {}
+            AttemptEnd::Cancelled | AttemptEnd::Withheld => {}
+        }
+    }
+
+    /// Tells the memories of keys and crashes how a run ended.
+    fn conclude(
+        &mut self,
+        now: Now,
+        attempt: AttemptId,
+        running: &Running,
+        end: AttemptEnd,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        if self.crashes.alone == Some(attempt) {
+            self.crashes.alone = None;
+        }
+        let fingerprint = running.fingerprint;
+        match end {
+            AttemptEnd::Answered { .. } => self.completed(now, fingerprint, actions),
+            AttemptEnd::Broken => self.crashes.broke(now, fingerprint),
+            _ => {}
+        }
+        match end {
+            _ if !running.once => {}
+            AttemptEnd::Answered { .. } => self.kept(attempt, 0, actions),
+            AttemptEnd::Refused | AttemptEnd::Unsent | AttemptEnd::Withheld => {
+                self.disclaim(attempt, actions);
+            }
+            AttemptEnd::Broken | AttemptEnd::Cancelled => self.lose(attempt, actions),
         }
+        self.decide(now, attempt.request, Step::End, describe(end), actions);
     }
 
     pub(super) fn router_gone(
@@ -63,7 +99,7 @@
             return;
         }
         match self.running.get_mut(&attempt) {
-            Some(running) if !running.cancelled => {
+            Some(running) if !running.cancelled && !running.once => {
                 running.cancelled = true;
                 actions.push(AgentAction::Cancel(attempt));
             }
@@ -103,3 +139,14 @@
     let open = expected - streamed;
     open.max(Cost(expected.0 / 2))
 }
+
+fn describe(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Answered { .. } => "answered whole",
+        AttemptEnd::Refused => "refused by the target",
+        AttemptEnd::Unsent => "the target could not be reached",
+        AttemptEnd::Withheld => "not handed over",
+        AttemptEnd::Broken => "the target broke off",
+        AttemptEnd::Cancelled => "cancelled",
+    }
+}
--- a/policy/src/attempt.rs
+++ b/policy/src/attempt.rs
@@ -178,7 +178,18 @@
         let repeatable = progress.plan.delivery == Delivery::Repeatable;
         let next = match result {
             AttemptResult::Answered { cost } => Next::Finish(Outcome::Answered { cost }),
-            AttemptResult::NotRun(refusal) if !late && requeues(&refusal, repeatable) => {
+            AttemptResult::NotRun(refusal)
+                if !late && requeues(&refusal, progress.plan.delivery) =>
+            {
+                Next::Requeue
+            }
+            // The ticket was minted for this request and named a life that has ended:
+            // that life never received it, and this one did not start it.
+            AttemptResult::Unknown(refusal)
+                if !late
+                    && progress.plan.delivery == Delivery::OnceMinted
+                    && refusal.reason == Reason::KeyNotCovered =>
+            {
                 Next::Requeue
             }
             AttemptResult::NotRun(refusal) => Next::Finish(progress.disclaim(sent, refusal)),
@@ -307,10 +318,16 @@
 }
 
 /// Whether a request that did not run waits for another slot instead of ending.
-fn requeues(refusal: &Refusal, repeatable: bool) -> bool {
+///
+/// A key that was supplied cannot go to another target; a ticket that was
+/// minted for the request and that its agent did not start is minted anew.
+fn requeues(refusal: &Refusal, delivery: Delivery) -> bool {
     match refusal.reason {
         Reason::NoSlot => true,
-        Reason::Draining | Reason::Stopping => repeatable,
+        Reason::Draining | Reason::Stopping | Reason::NotConfigured | Reason::NoTarget => {
+            delivery != Delivery::OnceSupplied
+        }
+        Reason::HandOverLate => true,
         _ => false,
     }
 }
--- a/policy/src/once.rs
+++ b/policy/src/once.rs
@@ -113,6 +113,12 @@
         }
     }
 
+    /// Takes a later incarnation; only before the first offer.
+    pub fn raise(&mut self, incarnation: Incarnation) {
+        debug_assert!(self.entries.is_empty(), "a life keeps its incarnation");
+        self.settings.incarnation = incarnation;
+    }
+
     /// The number of remembered keys.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -371,7 +377,7 @@
 }
 
 /// The longer of both clocks' intervals: a suspended VM may stop its monotonic clock.
-fn elapsed(from: Now, to: Now) -> Duration {
+pub fn elapsed(from: Now, to: Now) -> Duration {
     let mono = to.mono.saturating_duration_since(from.mono);
     let wall = to.wall.duration_since(from.wall).unwrap_or_default();
     mono.max(wall)
--- a/policy/src/quarantine.rs
+++ b/policy/src/quarantine.rs
@@ -143,16 +143,18 @@
     }
 
     /// Notes that the target of this agent crashed while `present` ran on it.
+    ///
+    /// Returns what peers should learn, unless nothing ran.
     pub fn crashed(
         &mut self,
         now: Now,
         agent: Tag,
         incarnation: Incarnation,
         present: impl IntoIterator<Item = Fingerprint>,
-    ) {
+    ) -> Option<(CrashId, CrashNote)> {
         let present: BTreeSet<_> = present.into_iter().collect();
         if present.is_empty() {
-            return;
+            return None;
         }
         let sequence = self.sequence;
         self.sequence += 1;
@@ -161,9 +163,19 @@
             incarnation,
             sequence,
         };
-        let at = now.wall;
-        self.evidence.crashes.insert(id, CrashNote { at, present });
+        let note = CrashNote {
+            at: now.wall,
+            present,
+        };
+        self.evidence.crashes.insert(id, note.clone());
         self.trim(now);
+        Some((id, note))
+    }
+
+    /// Whether `fingerprint` was present at a remembered crash.
+    pub fn is_present(&self, fingerprint: Fingerprint) -> bool {
+        let mut notes = self.evidence.crashes.values();
+        notes.any(|note| note.present.contains(&fingerprint))
     }
 
     /// Notes that a run of `fingerprint` gave a whole answer.
@@ -193,10 +205,18 @@
     pub fn merge(&mut self, now: Now, notice: &QuarantineNotice) -> bool {
         let mut news = false;
         for (&id, note) in &notice.crashes {
-            if self.remembers(now, note.at) && !self.evidence.crashes.contains_key(&id) {
-                self.evidence.crashes.insert(id, note.clone());
-                news = true;
+            if !self.remembers(now, note.at) {
+                continue;
             }
+            // A crash of many requests arrives in parts.
+            let known = self.evidence.crashes.entry(id);
+            let known = known.or_insert_with(|| CrashNote {
+                at: note.at,
+                present: BTreeSet::new(),
+            });
+            let before = known.present.len();
+            known.present.extend(&note.present);
+            news |= known.present.len() > before;
         }
         for (&fingerprint, &at) in &notice.completions {
             let known = self.evidence.completions.get(&fingerprint);
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -12,26 +12,35 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use cranelift_entity::SecondaryMap;
 use entity::{
-    AttemptId, Class, Cost, Decision, Fingerprint, HandedOver, IdempotencyKey, Machine, Name, Now,
+    AttemptId, Class, Cost, Decision, Fingerprint, IdempotencyKey, Incarnation, Machine, Name, Now,
     Outcome, PoolId, PrefixHash, ProcessId, Refusal, RequestId, RouteId, TargetId, TeamId,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rules::Config;
 use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
 
+use crate::attempt::{AttemptCounts, Attempts};
 use crate::bid::Outbox;
 use crate::choose::PrefixTable;
+use crate::fact::Fact;
+use crate::home::{Bounds, TicketMint};
 use crate::limit::Limiter;
 use crate::load::LoadTable;
 use crate::message::{BidUpdate, Endpoint, Load, Offer, Pull, Pulled, Solicit};
 use crate::pull::SequenceWindow;
+use crate::quarantine::{Quarantine, QuarantineSettings};
 use crate::queue::{QueueKey, Queues};
+use crate::retry::RetrySettings;
 
 mod bids;
 mod dispatch;
 mod ending;
+mod once;
+mod retry;
 
 /// How long a refused caller should wait when nothing better is known.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -110,6 +119,15 @@
         /// Its load.
         load: Load,
     },
+    /// An agent's life became known.
+    Alive {
+        /// The agent's target.
+        target: TargetId,
+        /// The life.
+        incarnation: Incarnation,
+    },
+    /// Another process spread a fact.
+    Learned(Fact),
     /// The membership holds an agent for reachable.
     Reachable(TargetId),
     /// The membership holds an agent for unreachable.
@@ -183,8 +201,13 @@
 enum Place {
     /// It waits in a queue.
     Waiting(QueueKey),
+    /// It waits until it may be sent again.
+    Backoff {
+        after: Instant,
+        avoid: SmallVec<[TargetId; 4]>,
+    },
     /// An attempt is in flight.
-    Sent { target: TargetId, sent: HandedOver },
+    Sent(TargetId),
 }
 
 #[derive(Debug)]
@@ -208,6 +231,11 @@
     limits: Limiter,
     outbox: Outbox,
     pulls: FxHashMap<ProcessId, SequenceWindow>,
+    attempts: Attempts,
+    quarantine: Quarantine,
+    mint: TicketMint,
+    minted: usize,
+    lives: SecondaryMap<TargetId, Option<Incarnation>>,
     stopping: bool,
     stopped: bool,
 }
@@ -217,6 +245,11 @@
     pub fn new(settings: RouterSettings) -> Self {
         Self {
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            attempts: Attempts::new(RetrySettings::default(), settings.seed),
+            quarantine: Quarantine::new(QuarantineSettings::default()),
+            mint: TicketMint::new(Bounds::default().lifetime, settings.seed),
+            minted: 0,
+            lives: SecondaryMap::new(),
             settings,
             config: None,
             pending: FxHashMap::default(),
@@ -236,8 +269,14 @@
         self.pending.len()
     }
 
+    /// What attempts did so far.
+    pub fn counts(&self) -> AttemptCounts {
+        self.attempts.counts()
+    }
+
     fn tick(&mut self, now: Now, actions: &mut Vec<RouterAction>) {
         self.expire(now, actions);
+        self.retry_due(now, actions);
         self.limits.prune(now.mono);
         let Some(config) = self.config.clone() else {
             return;
@@ -265,10 +304,15 @@
             RouterEvent::Configured(config) => self.configured(now, config, actions),
             RouterEvent::Arrived(arrival) => self.arrived(now, arrival, actions),
             RouterEvent::Loaded { target, load } => self.loads.update(now.mono, target, load),
+            RouterEvent::Alive {
+                target,
+                incarnation,
+            } => self.alive(target, incarnation),
+            RouterEvent::Learned(fact) => self.learned(now, &fact),
             RouterEvent::Reachable(target) => self.loads.set_reachable(target, true),
             RouterEvent::Unreachable(target) => self.unreachable(now, target, actions),
             RouterEvent::Ended { attempt, result } => self.ended(now, attempt, result, actions),
-            RouterEvent::CallerGone(request) => self.caller_gone(request, actions),
+            RouterEvent::CallerGone(request) => self.caller_gone(now, request, actions),
             RouterEvent::Pull(pull) => self.pulled(now, &pull, actions),
             RouterEvent::Solicit(solicit) => self.solicited(now, &solicit, actions),
             RouterEvent::Tick => self.tick(now, actions),
--- a/policy/src/router/bids.rs
+++ b/policy/src/router/bids.rs
@@ -101,6 +101,7 @@
         let Some(target) = config.names.targets.by_tag(solicit.agent.id.0) else {
             return;
         };
+        self.alive(target, solicit.agent.incarnation);
         self.loads.update(now.mono, target, solicit.load);
         let pool = config.targets[target].as_ref().map(|rule| rule.pool);
         let waits = pool.is_some_and(|pool| self.queues.of_pool(pool).next().is_some());
--- a/policy/src/router/dispatch.rs
+++ b/policy/src/router/dispatch.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 
 use entity::{
-    AttemptId, Cost, Decision, HandOver, IdempotencyKey, Now, PoolId, ProcessId, Reason, Refusal,
-    RequestId, RetryAdvice, RuleRef, Step, TargetId,
+    AttemptId, Cost, Decision, Now, PoolId, ProcessId, Reason, Refusal, RequestId, RetryAdvice,
+    RuleRef, Step, TargetId,
 };
 use rules::Config;
 
 use super::{Arrival, DispatchOrder, MAX_UNPULLED, Pending, Place, Router, RouterAction};
+use crate::attempt::Plan;
 use crate::bid::BidKey;
 use crate::choose::Chooser;
 use crate::message::{Left, Offer, Pick, Pull, Pulled};
@@ -17,16 +18,22 @@
 impl Router {
     pub(super) fn arrived(&mut self, now: Now, arrival: Arrival, actions: &mut Vec<RouterAction>) {
         let request = arrival.request;
-        let admitted = self.admit(now, &arrival);
-        let config = match admitted {
-            Ok(config) => config,
-            Err(refusal) => return self.refuse(request, refusal, actions),
+        self.attempts.open(Plan {
+            request,
+            team: arrival.team,
+            delivery: Self::delivery(self.config.as_deref(), &arrival),
+            deadline: arrival.deadline,
+        });
+        let (config, key) = match self.admit(now, &arrival, actions) {
+            Ok(admitted) => admitted,
+            Err(refusal) => return self.refuse(now, request, refusal, actions),
         };
-        let key = queue_key(&config, &arrival);
         let team = arrival.team;
+        let rule = config.teams[team].as_ref().map(|rule| rule.rule);
+        self.decide(now, request, Step::Admit, rule, "admitted", actions);
         let is_idle = self.queues.is_idle(key.pool, key.home);
         match is_idle
-            .then(|| self.choose(now, &config, &arrival, key))
+            .then(|| self.choose(now, &config, &arrival, key.home, &[]))
             .flatten()
         {
             Some(target) => {
@@ -39,37 +46,37 @@
                 let rule = config.teams[team].as_ref();
                 let queued = rule.map_or(Ok(()), |rule| self.limits.enqueue(now.mono, team, rule));
                 if let Err(refusal) = queued {
-                    return self.refuse(request, refusal, actions);
+                    return self.refuse(now, request, refusal, actions);
                 }
                 let pending = Pending::new(now, arrival, key);
                 self.queues.push(key, waiting(&pending));
                 self.pending.insert(request, pending);
-                self.decide(
-                    now,
-                    request,
-                    Step::Queue,
-                    rule.map(|rule| rule.rule),
-                    "queued",
-                    actions,
-                );
+                let detail = describe(&config, key);
+                let rule = rule.map(|rule| rule.rule);
+                self.decide(now, request, Step::Queue, rule, &detail, actions);
                 self.note(&config, key);
             }
         }
     }
 
     /// Checks what can be refused at once; returns the configuration to decide by.
-    fn admit(&mut self, now: Now, arrival: &Arrival) -> Result<Arc<Config>, Refusal> {
+    fn admit(
+        &mut self,
+        now: Now,
+        arrival: &Arrival,
+        actions: &mut Vec<RouterAction>,
+    ) -> Result<(Arc<Config>, QueueKey), Refusal> {
         let later = RetryAdvice::After(super::RETRY_DELAY);
         let config = match &self.config {
             _ if self.stopping => return Err(Refusal::new(Reason::Stopping, later)),
             None => return Err(Refusal::new(Reason::NotConfigured, later)),
             Some(config) => config.clone(),
         };
-        let key = queue_key(&config, arrival);
+        if arrival.deadline <= now.mono {
+            return Err(Refusal::new(Reason::DeadlinePassed, RetryAdvice::Never));
+        }
+        let key = self.examine(now, &config, arrival, actions)?;
         match key.home {
-            _ if arrival.deadline <= now.mono => {
-                return Err(Refusal::new(Reason::DeadlinePassed, RetryAdvice::Never));
-            }
             Some(home) if !self.is_open(now, &config, home) => {
                 return Err(Refusal::new(Reason::HomeUnreachable, later));
             }
@@ -81,7 +88,7 @@
         if let Some(team) = &config.teams[arrival.team] {
             self.limits.admit(now.mono, arrival.team, team)?;
         }
-        Ok(config)
+        Ok((config, key))
     }
 
     /// Whether `target` may get new work, as far as the router knows.
@@ -100,29 +107,27 @@
         })
     }
 
-    fn choose(
+    /// The target to send a request to at once, if one has room.
+    pub(super) fn choose(
         &mut self,
         now: Now,
         config: &Config,
         arrival: &Arrival,
-        key: QueueKey,
+        home: Option<TargetId>,
+        avoid: &[TargetId],
     ) -> Option<TargetId> {
+        let targets = self.candidates(config, arrival, home, avoid);
         let chooser = Chooser {
             config,
             loads: &self.loads,
             prefixes: &self.prefixes,
             centre: config.names.centres.by_tag(self.settings.centre.tag()),
         };
-        let pool = config.pools[key.pool].as_ref()?;
-        let targets = match &key.home {
-            Some(home) => core::slice::from_ref(home),
-            None => &pool.targets,
-        };
-        chooser.choose(now.mono, &mut self.rng, arrival.prefix, targets)
+        chooser.choose(now.mono, &mut self.rng, arrival.prefix, &targets)
     }
 
-    /// Sends a pending request that is in no queue.
-    fn send(
+    /// Sends a pending request that is in no queue; returns whether it was sent.
+    pub(super) fn send(
         &mut self,
         now: Now,
         config: &Config,
@@ -130,26 +135,24 @@
         target: TargetId,
         pulled: bool,
         actions: &mut Vec<RouterAction>,
-    ) {
+    ) -> bool {
         let rule = config.targets[target]
             .as_ref()
             .expect("only targets in force are chosen");
-        let pending = self
-            .pending
-            .get_mut(&request)
-            .expect("the request is pending");
-        let attempt = AttemptId {
-            request,
-            number: pending.attempts,
+        let arrival = self.pending[&request].arrival.clone();
+        let Some(attempt) = self.attempts.start(now, request, target) else {
+            self.rest(request);
+            return false;
         };
+        let key = self.key_for(now, config, &arrival, target);
         let router = self.settings.endpoint.id;
-        let offer = offer(config, router, attempt, &pending.arrival, pulled, now);
+        let mut offer = offer(config, router, attempt, &arrival, pulled, now);
+        offer.key = key;
+        let pending = self.pending.get_mut(&request);
+        let pending = pending.expect("the request is pending");
         pending.attempts += 1;
-        pending.place = Place::Sent {
-            target,
-            sent: HandOver::new().begin(),
-        };
-        if let Some(prefix) = pending.arrival.prefix {
+        pending.place = Place::Sent(target);
+        if let Some(prefix) = arrival.prefix {
             self.prefixes.record(prefix, target);
         }
         let name = config.names.targets.name(target);
@@ -165,11 +168,16 @@
             &detail,
             actions,
         );
+        if let (None, Some(key)) = (arrival.key, key) {
+            let detail = format!("minted {key}");
+            self.decide(now, request, Step::Once, None, &detail, actions);
+        }
         actions.push(RouterAction::Dispatch(DispatchOrder {
             target,
             data: rule.data,
             offer,
         }));
+        true
     }
 
     /// Takes back an attempt that the agent did not start.
@@ -184,30 +192,52 @@
         actions: &mut Vec<RouterAction>,
     ) {
         let pending = &self.pending[&request];
-        let key = queue_key(config, &pending.arrival);
+        let is_direct = pending.attempts < MAX_UNPULLED;
         let arrival = pending.arrival.clone();
-        let is_direct = pending.attempts < MAX_UNPULLED && self.queues.is_idle(key.pool, key.home);
+        let key = match self.examine(now, config, &arrival, actions) {
+            Ok(key) => key,
+            Err(refusal) => {
+                self.close(request);
+                return self.refuse(now, request, refusal, actions);
+            }
+        };
+        let is_direct = is_direct && self.queues.is_idle(key.pool, key.home);
         match is_direct
-            .then(|| self.choose(now, config, &arrival, key))
+            .then(|| self.choose(now, config, &arrival, key.home, &[]))
             .flatten()
         {
             Some(target) => {
                 self.loads.sent(now.mono, target);
                 self.send(now, config, request, target, false, actions);
             }
-            None => {
-                self.limits.requeue(arrival.team);
-                let pending = self.pending.get_mut(&request).expect("checked above");
-                pending.place = Place::Waiting(key);
-                self.queues.push_front(key, waiting(pending));
-                self.decide(now, request, Step::Queue, None, "queued again", actions);
-                self.note(config, key);
-                self.give_up(now, config, key.pool, actions);
-            }
+            None => self.queue_again(now, config, request, key, actions),
         }
     }
 
+    /// Lets a request that was in flight wait before all others of its queue.
+    pub(super) fn queue_again(
+        &mut self,
+        now: Now,
+        config: &Config,
+        request: RequestId,
+        key: QueueKey,
+        actions: &mut Vec<RouterAction>,
+    ) {
+        let pending = self.pending.get_mut(&request);
+        let pending = pending.expect("the request is pending");
+        pending.place = Place::Waiting(key);
+        self.limits.requeue(pending.arrival.team);
+        self.queues.push_front(key, waiting(pending));
+        self.decide(now, request, Step::Queue, None, "queued again", actions);
+        self.note(config, key);
+        self.give_up(now, config, key.pool, actions);
+    }
+
     pub(super) fn pulled(&mut self, now: Now, pull: &Pull, actions: &mut Vec<RouterAction>) {
+        let config = self.config.as_deref();
+        if let Some(target) = config.and_then(|it| it.names.targets.by_tag(pull.agent.id.0)) {
+            self.alive(target, pull.agent.incarnation);
+        }
         let window = self.pulls.entry(pull.agent.id).or_default();
         if !window.accept(pull.agent.incarnation, pull.sequence) {
             return;
@@ -260,9 +290,9 @@
             };
             let next = self.queues.pop(key).expect("the queue holds a request");
             self.limits.dequeue(now.mono, team);
-            self.send(now, &config, next.request, target, true, actions);
+            let sent = self.send(now, &config, next.request, target, true, actions);
             self.note(&config, key);
-            count += 1;
+            count += u16::from(sent);
         }
         let key = BidKey {
             team,
@@ -313,17 +343,11 @@
     }
 }
 
-/// The queue that a request belongs to; a ticket binds it to the target it names.
-fn queue_key(config: &Config, arrival: &Arrival) -> QueueKey {
-    let home = match arrival.key {
-        Some(IdempotencyKey::Ticket(ticket)) => config.names.targets.by_tag(ticket.agent),
-        _ => None,
-    };
-    QueueKey {
-        pool: arrival.pool,
-        home,
-        team: arrival.team,
-        class: arrival.class,
+/// The reason why a request waits, in words.
+fn describe(config: &Config, key: QueueKey) -> String {
+    match key.home {
+        Some(home) => format!("queued for {}", config.names.targets.name(home)),
+        None => "queued".to_owned(),
     }
 }
 
--- a/policy/src/router/ending.rs
+++ b/policy/src/router/ending.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use entity::{
-    AttemptId, HandOver, HandedOver, NotHandedOver, Now, Outcome, PoolId, Reason, Refusal,
-    RequestId, RetryAdvice, TargetId,
+    AttemptId, Now, Outcome, PoolId, Reason, Refusal, RequestId, RetryAdvice, Step, TargetId,
 };
 use rules::Config;
 
 use super::{AttemptResult, Pending, Place, RETRY_DELAY, Router, RouterAction};
+use crate::attempt::Next;
 
 impl Router {
     pub(super) fn ended(
@@ -20,37 +20,37 @@
     ) {
         let request = attempt.request;
         let Some(target) = self.flight(attempt) else {
+            self.attempts.accepts(attempt);
             return;
         };
-        match result {
-            AttemptResult::Answered { .. } => {
+        self.note_load(now, target, &result);
+        match self.attempts.ended(now, attempt, result) {
+            Next::Ignore => {}
+            Next::Requeue => self.handed_back(now, request, actions),
+            Next::Retry { after, avoid } => self.back_off(now, request, after, avoid, actions),
+            Next::Finish(outcome) => {
                 self.close(request);
+                self.finish(now, request, outcome, actions);
             }
-            AttemptResult::NotRun(refusal) if may_go_elsewhere(refusal.reason) => {
-                match refusal.reason {
-                    Reason::NoSlot => self.loads.rejected(now.mono, target),
-                    _ => self.loads.draining(now.mono, target),
+        }
+    }
+
+    /// Learns from the end of an attempt what its target can take.
+    fn note_load(&mut self, now: Now, target: TargetId, result: &AttemptResult) {
+        match result {
+            AttemptResult::NotRun(refusal) => match refusal.reason {
+                Reason::NoSlot => self.loads.rejected(now.mono, target),
+                Reason::Draining | Reason::Stopping | Reason::NotConfigured => {
+                    self.loads.draining(now.mono, target);
                 }
-                self.handed_back(now, request, actions);
-            }
+                Reason::NoTarget => self.loads.failed(now.mono, target),
+                _ => {}
+            },
             AttemptResult::Unsent => {
                 self.loads.failed(now.mono, target);
                 self.outbox.forget(target);
-                self.handed_back(now, request, actions);
-            }
-            AttemptResult::NotRun(refusal) => {
-                let sent = self.close(request).expect("an attempt is in flight");
-                self.finish_not_run(request, refusal, sent.disclaimed(), actions);
-            }
-            AttemptResult::Unknown(refusal) => {
-                self.close(request);
-                self.finish(request, Outcome::Unknown { refusal }, actions);
-            }
-            AttemptResult::Broken { .. } => {
-                self.close(request);
-                let refusal = Refusal::new(Reason::ConnectionLost, RetryAdvice::VerifyFirst);
-                self.finish(request, Outcome::Unknown { refusal }, actions);
             }
+            _ => {}
         }
     }
 
@@ -58,7 +58,7 @@
     fn flight(&self, attempt: AttemptId) -> Option<TargetId> {
         let pending = self.pending.get(&attempt.request)?;
         match pending.place {
-            Place::Sent { target, .. } if pending.attempts == attempt.number + 1 => Some(target),
+            Place::Sent(target) if pending.attempts == attempt.number + 1 => Some(target),
             _ => None,
         }
     }
@@ -71,9 +71,11 @@
         self.send_again(now, &config, request, actions);
     }
 
-    /// Forgets a request; returns the hand-over of its attempt in flight.
-    fn close(&mut self, request: RequestId) -> Option<HandedOver> {
-        let pending = self.pending.remove(&request)?;
+    /// Forgets where a request is.
+    pub(super) fn close(&mut self, request: RequestId) {
+        let Some(pending) = self.pending.remove(&request) else {
+            return;
+        };
         let team = pending.arrival.team;
         match pending.place {
             Place::Waiting(key) => {
@@ -82,17 +84,21 @@
                 if let Some(config) = self.config.clone() {
                     self.note(&config, key);
                 }
-                None
-            }
-            Place::Sent { sent, .. } => {
-                self.limits.leave(team);
-                Some(sent)
             }
+            Place::Backoff { .. } | Place::Sent(_) => self.limits.leave(team),
         }
     }
 
-    pub(super) fn caller_gone(&mut self, request: RequestId, actions: &mut Vec<RouterAction>) {
-        if let Some(attempt) = self.pending.get(&request).and_then(Pending::attempt) {
+    pub(super) fn caller_gone(
+        &mut self,
+        now: Now,
+        request: RequestId,
+        actions: &mut Vec<RouterAction>,
+    ) {
+        if self.pending.contains_key(&request) {
+            self.decide(now, request, Step::End, None, "the caller left", actions);
+        }
+        if let Some(attempt) = self.attempts.gone(request) {
             actions.push(RouterAction::Cancel(attempt));
         }
         self.close(request);
@@ -105,23 +111,20 @@
         let mut due: Vec<_> = due.collect();
         due.sort();
         for request in due {
-            let attempt = self.pending[&request].attempt();
-            let retry = match attempt {
-                Some(_) => RetryAdvice::VerifyFirst,
-                None => RetryAdvice::After(
-                    self.limits
-                        .drain_time(now.mono, self.pending[&request].arrival.team),
-                ),
-            };
-            let refusal = Refusal::new(Reason::DeadlinePassed, retry);
+            let team = self.pending[&request].arrival.team;
+            let wait = self.limits.drain_time(now.mono, team);
             self.close(request);
-            match attempt {
-                Some(attempt) => {
-                    actions.push(RouterAction::Cancel(attempt));
-                    self.finish(request, Outcome::Unknown { refusal }, actions);
+            let Some(mut expiry) = self.attempts.expire(request) else {
+                continue;
+            };
+            match (&expiry.cancel, &mut expiry.outcome) {
+                (Some(attempt), _) => actions.push(RouterAction::Cancel(*attempt)),
+                (None, Outcome::NotRun { refusal, .. }) => {
+                    refusal.retry = RetryAdvice::After(wait);
                 }
-                None => self.refuse(request, refusal, actions),
+                _ => {}
             }
+            self.finish(now, request, expiry.outcome, actions);
         }
     }
 
@@ -146,7 +149,7 @@
         for (request, reason) in stranded {
             self.close(request);
             let refusal = Refusal::new(reason, RetryAdvice::After(RETRY_DELAY));
-            self.refuse(request, refusal, actions);
+            self.refuse(now, request, refusal, actions);
         }
     }
 
@@ -178,49 +181,37 @@
         }
     }
 
-    /// Refuses a request of which nothing was sent.
+    /// Ends a request that has no attempt in flight.
     pub(super) fn refuse(
         &mut self,
+        now: Now,
         request: RequestId,
         refusal: Refusal,
         actions: &mut Vec<RouterAction>,
     ) {
-        let proof = HandOver::new().give_up();
-        self.finish_not_run(request, refusal, proof, actions);
+        let outcome = self.attempts.refuse(request, refusal);
+        let outcome = outcome.expect("the request has no attempt in flight");
+        self.finish(now, request, outcome, actions);
     }
 
-    fn finish_not_run(
+    /// Records the end of a request and tells its caller, unless the answer was relayed.
+    fn finish(
         &self,
+        now: Now,
         request: RequestId,
-        refusal: Refusal,
-        proof: NotHandedOver,
+        outcome: Outcome,
         actions: &mut Vec<RouterAction>,
     ) {
-        self.finish(request, Outcome::NotRun { refusal, proof }, actions);
-    }
-
-    fn finish(&self, request: RequestId, outcome: Outcome, actions: &mut Vec<RouterAction>) {
-        actions.push(RouterAction::Finish { request, outcome });
-    }
-}
-
-impl Pending {
-    /// The attempt in flight, if there is one.
-    fn attempt(&self) -> Option<AttemptId> {
-        match self.place {
-            Place::Waiting(_) => None,
-            Place::Sent { .. } => Some(AttemptId {
-                request: self.arrival.request,
-                number: self.attempts - 1,
-            }),
+        let (rule, detail) = match &outcome {
+            Outcome::Answered { .. } => (None, "answered whole".to_owned()),
+            Outcome::NotRun { refusal, .. } => {
+                (refusal.rule, format!("not run: {}", refusal.reason))
+            }
+            Outcome::Unknown { refusal } => (refusal.rule, format!("unknown: {}", refusal.reason)),
+        };
+        self.decide(now, request, Step::End, rule, &detail, actions);
+        if !matches!(outcome, Outcome::Answered { .. }) {
+            actions.push(RouterAction::Finish { request, outcome });
         }
     }
 }
-
-/// Whether another target may run what this one refused.
-fn may_go_elsewhere(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::NoSlot | Reason::Draining | Reason::Stopping | Reason::NotConfigured
-    )
-}
