--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -3,10 +3,16 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
-use entity::{AttemptId, Cost, Decision, Incarnation, Machine, Now, Refusal, RequestId, TargetId};
+use entity::{
+    AttemptId, Cost, Decision, Incarnation, Machine, Now, Reason, Refusal, RequestId, RetryAdvice,
+    TargetId,
+};
+use node::event::{self, Event, Field};
 use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
 use node::trace::Trace;
+use policy::fact::Fact;
 use policy::fleet::{Broadcast, Role as FleetRole};
 use policy::message::{Endpoint, Load, Offer};
 use policy::window::Report;
@@ -16,7 +22,7 @@
 use tokio::sync::oneshot;
 use wire::Message;
 
-use crate::answers::Answers;
+use crate::answers::{Answers, Entry, Follower, Kept};
 
 /// The number of requests whose decisions are kept.
 const TRACE_CAPACITY: usize = 10_000;
@@ -41,6 +47,13 @@
         /// The cost of the part.
         cost: Cost,
     },
+    /// The whole answer to an attempt that runs at most once is held.
+    Kept {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The size of the answer.
+        bytes: u64,
+    },
     /// An attempt on the target ended.
     Ended {
         /// The attempt.
@@ -70,12 +83,27 @@
 pub enum Order {
     /// Hand it to the target, until the channel closes.
     Start(oneshot::Receiver<()>),
+    /// Hand it to the target unless that is late, and keep its answer.
+    StartOnce {
+        /// Closes when the attempt is cancelled.
+        cancelled: oneshot::Receiver<()>,
+        /// When it was decided.
+        decided: Now,
+        /// Where the answer goes.
+        entry: Entry,
+    },
     /// Refuse it: nothing was handed over.
     Reject(Refusal),
     /// Answer that the target may have run it.
     Unknown(Refusal),
     /// Answer with what this attempt left or leaves behind.
-    Follow(AttemptId),
+    Follow(Follower),
+}
+
+/// An offer that waits for its decision.
+struct Offered {
+    order: oneshot::Sender<Decided>,
+    once: bool,
 }
 
 /// The control state of an agent.
@@ -83,7 +111,7 @@
     agent: Agent,
     answers: Answers,
     incarnation: SharedIncarnation,
-    offers: FxHashMap<AttemptId, oneshot::Sender<Decided>>,
+    offers: FxHashMap<AttemptId, Offered>,
     cancels: FxHashMap<AttemptId, oneshot::Sender<()>>,
     trace: Trace,
     config: Option<Arc<Config>>,
@@ -93,15 +121,20 @@
     lost: Vec<AttemptId>,
     pulls: BTreeMap<u64, Endpoint>,
     routers: Vec<Endpoint>,
+    members: Vec<Endpoint>,
     next_router: usize,
+    /// A later incarnation that the agent has not been told.
+    raise: Option<Incarnation>,
 }
 
 impl AgentRole {
     /// Creates the state of an agent that has no configuration yet.
-    pub fn new(settings: AgentSettings, answers: Answers, incarnation: SharedIncarnation) -> Self {
+    ///
+    /// `answers` is the greatest size of all kept answers in bytes.
+    pub fn new(settings: AgentSettings, answers: u64, incarnation: SharedIncarnation) -> Self {
         Self {
-            agent: Agent::new(settings),
-            answers,
+            agent: Agent::new(settings).with_answers(answers),
+            answers: Answers::default(),
             incarnation,
             offers: FxHashMap::default(),
             cancels: FxHashMap::default(),
@@ -112,15 +145,21 @@
             lost: Vec::new(),
             pulls: BTreeMap::new(),
             routers: Vec::new(),
+            members: Vec::new(),
             next_router: 0,
+            raise: None,
         }
     }
 
     fn handle(&mut self, now: Now, event: AgentEvent, out: &mut Outbox) {
         let mut actions = std::mem::take(&mut self.actions);
+        if let Some(incarnation) = self.raise.take() {
+            self.agent
+                .handle(now, AgentEvent::Raised(incarnation), &mut actions);
+        }
         self.agent.handle(now, event, &mut actions);
         for action in actions.drain(..) {
-            self.carry_out(action, out);
+            self.carry_out(now, action, out);
         }
         self.actions = actions;
         for attempt in std::mem::take(&mut self.lost) {
@@ -128,32 +167,38 @@
                 now,
                 AgentEvent::Ended {
                     attempt,
-                    end: AttemptEnd::Unsent,
+                    end: AttemptEnd::Withheld,
                 },
                 out,
             );
         }
     }
 
-    fn carry_out(&mut self, action: AgentAction, out: &mut Outbox) {
+    fn carry_out(&mut self, now: Now, action: AgentAction, out: &mut Outbox) {
         match action {
-            AgentAction::Start(attempt) => {
-                let (cancel, cancelled) = oneshot::channel();
-                self.cancels.insert(attempt, cancel);
-                self.decide(attempt, Order::Start(cancelled));
-            }
+            AgentAction::Start(attempt) => self.start(now, attempt),
             AgentAction::Reject {
                 attempt, refusal, ..
             } => {
+                if refusal.reason == Reason::Quarantined {
+                    event::log(Event::RequestQuarantined, &[("request", &attempt.request)]);
+                }
+                self.answers.close(attempt, Kept::NotRun(refusal.clone()));
                 self.decide(attempt, Order::Reject(refusal));
             }
             AgentAction::Unknown { attempt, refusal } => {
+                let fields: &[Field<'_>] =
+                    &[("request", &attempt.request), ("reason", &refusal.reason)];
+                event::log(Event::OutcomeUnknown, fields);
                 self.decide(attempt, Order::Unknown(refusal));
             }
             AgentAction::Replay { attempt, original }
             | AgentAction::Follow { attempt, original } => {
-                self.decide(attempt, Order::Follow(original));
+                let follower = self.answers.entry(original).follow();
+                self.decide(attempt, Order::Follow(follower));
             }
+            AgentAction::Evict(attempt) => self.answers.evict(attempt),
+            AgentAction::Spread(fact) => self.spread(&fact, out),
             AgentAction::Cancel(attempt) => {
                 self.cancels.remove(&attempt);
             }
@@ -176,19 +221,45 @@
         }
     }
 
+    fn start(&mut self, now: Now, attempt: AttemptId) {
+        let (cancel, cancelled) = oneshot::channel();
+        self.cancels.insert(attempt, cancel);
+        let once = self.offers.get(&attempt).is_some_and(|offer| offer.once);
+        let order = match once {
+            true => Order::StartOnce {
+                cancelled,
+                decided: now,
+                entry: self.answers.entry(attempt),
+            },
+            false => Order::Start(cancelled),
+        };
+        self.decide(attempt, order);
+    }
+
     fn decide(&mut self, attempt: AttemptId, order: Order) {
-        let Some(reply) = self.offers.remove(&attempt) else {
+        let Some(Offered { order: reply, .. }) = self.offers.remove(&attempt) else {
             debug_assert!(false, "a decision without an offer");
             return;
         };
-        let starts = matches!(order, Order::Start(_));
+        let starts = matches!(order, Order::Start(_) | Order::StartOnce { .. });
         let load = self.agent.load();
         if reply.send(Decided { order, load }).is_err() && starts {
             // The router left between offer and decision: nothing was handed over.
+            self.cancels.remove(&attempt);
+            let refusal = Refusal::new(Reason::CallerGone, RetryAdvice::After(Duration::ZERO));
+            self.answers.close(attempt, Kept::NotRun(refusal));
             self.lost.push(attempt);
         }
     }
 
+    /// Tells the fleet a fact: the members that are known to live at once, all others in time.
+    fn spread(&self, fact: &Fact, out: &mut Outbox) {
+        out.publish(wire::broadcast(fact));
+        for &member in &self.members {
+            out.send(member.control, Message::Fact(fact.clone()));
+        }
+    }
+
     /// The known routers in turn.
     fn next_router(&mut self) -> Option<Endpoint> {
         self.next_router = (self.next_router + 1) % self.routers.len().max(1);
@@ -218,17 +289,25 @@
     fn input(&mut self, now: Now, input: Input, out: &mut Outbox) {
         let event = match input {
             Input::Offered { offer, order } => {
-                self.offers.insert(offer.attempt, order);
+                let once = offer.key.is_some();
+                self.offers.insert(offer.attempt, Offered { order, once });
                 AgentEvent::Offered(*offer)
             }
             Input::Streamed { attempt, cost } => AgentEvent::Streamed { attempt, cost },
+            Input::Kept { attempt, bytes } => AgentEvent::Kept { attempt, bytes },
             Input::Ended { attempt, end } => {
                 self.cancels.remove(&attempt);
                 AgentEvent::Ended { attempt, end }
             }
             Input::Report(report) => AgentEvent::Report(report),
-            Input::TargetUp => AgentEvent::TargetUp,
-            Input::TargetDown => AgentEvent::TargetDown,
+            Input::TargetUp => {
+                event::log(Event::TargetUp, &[]);
+                AgentEvent::TargetUp
+            }
+            Input::TargetDown => {
+                event::log(Event::TargetDown, &[]);
+                AgentEvent::TargetDown
+            }
         };
         self.handle(now, event, out);
     }
@@ -254,6 +333,10 @@
                 self.handle(now, AgentEvent::Ledger(delta), out);
                 Vec::new()
             }
+            Message::Fact(fact) => {
+                self.handle(now, AgentEvent::Learned(fact), out);
+                Vec::new()
+            }
             // Other messages are for routers; an agent that gets one ignores it.
             _ => Vec::new(),
         }
@@ -271,16 +354,27 @@
         }
     }
 
-    fn surveyed(&mut self, _now: Now, fleet: &FleetMachine, _out: &mut Outbox) {
+    fn surveyed(&mut self, now: Now, fleet: &FleetMachine, out: &mut Outbox) {
+        let members = fleet.members().iter().filter(|member| member.is_live());
+        self.members = members.map(|member| member.claim.endpoint).collect();
         let members = fleet.members().iter().filter(|member| member.is_live());
         let routers = members.filter(|member| member.claim.role == FleetRole::Router);
         self.routers = routers.map(|member| member.claim.endpoint).collect();
+        if let Some(at) = fleet.confirmed_at() {
+            let revision = fleet.version().revision;
+            self.handle(now, AgentEvent::Confirmed { revision, at }, out);
+        }
     }
 
-    fn delivered(&mut self, _now: Now, _broadcast: Broadcast, _out: &mut Outbox) {}
+    fn delivered(&mut self, now: Now, broadcast: Broadcast, out: &mut Outbox) {
+        if let Some(fact) = wire::fact(&broadcast) {
+            self.handle(now, AgentEvent::Learned(fact), out);
+        }
+    }
 
     fn raised(&mut self, incarnation: Incarnation) {
         self.incarnation.store(incarnation.0, Ordering::Relaxed);
+        self.raise = Some(incarnation);
     }
 
     fn tick(&mut self, now: Now, out: &mut Outbox) {
@@ -289,6 +383,7 @@
 
     fn stop(&mut self, now: Now, out: &mut Outbox) {
         self.readiness = Readiness::NotReady("stopping");
+        out.announce(true);
         self.handle(now, AgentEvent::Stop, out);
     }
 
@@ -306,6 +401,8 @@
             "kind": "agent",
             "load": load,
             "answers": self.answers.len(),
+            "keys": self.agent.remembered().0,
+            "answer_bytes": self.agent.remembered().1,
             "traces": self.trace.len(),
         })
     }
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -14,4 +14,6 @@
 pub mod relay;
 pub mod run;
 pub mod service;
+pub mod stream;
 pub mod target;
+pub mod whole;
--- a/agent/src/relay.rs
+++ b/agent/src/relay.rs
@@ -1,25 +1,23 @@
-//! Sends attempts to the target and reads its answers.
-//!
-//! Invariant: an attempt that was started reports exactly one
-//! [`Input::Ended`], also when its stream is dropped.
+//! Sends attempts to the target and reads the beginning of its answers.
 
-use std::pin::Pin;
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Uri};
 use awc::ClientResponse;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use bytes::Bytes;
 use entity::{AttemptId, Cost};
-use futures::{FutureExt, Stream, StreamExt};
-use node::body::{Chunks, CutBody};
-use node::http::forwarded;
+use futures::StreamExt;
+use node::http::{forwarded, text};
 use policy::AttemptEnd;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control::Input;
+use crate::whole::Progress;
+
+/// Carries the request id to the target and back.
+pub const REQUEST_ID: &str = "x-request-id";
 
 /// The number of streamed tokens after which their cost is reported.
 const REPORT_TOKENS: i64 = 16;
@@ -66,15 +64,25 @@
     pub body: Bytes,
 }
 
+/// The beginning of an answer.
+pub struct Head {
+    /// The response whose body goes on.
+    pub response: ClientResponse,
+    /// The first part of the body; empty if the body is.
+    pub first: Bytes,
+    /// How far the body has come.
+    pub progress: Progress,
+}
+
 /// What came of handing an attempt to the target.
 pub enum Handed {
-    /// The target answers: the response follows.
-    Answer(ClientResponse),
+    /// The target answers.
+    Answer(Head),
     /// The attempt ended without an answer.
     Ended(AttemptEnd),
 }
 
-/// Hands an attempt to the target and waits for the head of its answer.
+/// Hands an attempt to the target and waits for the first part of its answer.
 pub async fn hand_over(
     client: &awc::Client,
     target: &str,
@@ -87,14 +95,54 @@
         request.headers_mut().append(name.clone(), value.clone());
     }
     let sending = request.send_body(outbound.body.clone());
+    let beginning = async {
+        match sending.await {
+            Ok(response) => begin(outbound, response).await,
+            Err(error) => Handed::Ended(failure(&error)),
+        }
+    };
     tokio::select! {
         biased;
         _ = cancelled => Handed::Ended(AttemptEnd::Cancelled),
-        sent = sending => match sent {
-            Ok(response) => Handed::Answer(response),
-            Err(SendRequestError::Connect(_)) => Handed::Ended(AttemptEnd::Unsent),
-            Err(_) => Handed::Ended(AttemptEnd::Broken),
-        },
+        handed = beginning => handed,
+    }
+}
+
+/// How an attempt ended that got no response.
+///
+/// The client reports a connection that closed before the response as one that
+/// was never opened, although the request had been sent.
+fn failure(error: &SendRequestError) -> AttemptEnd {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => AttemptEnd::Broken,
+        SendRequestError::Connect(_) => AttemptEnd::Unsent,
+        _ => AttemptEnd::Broken,
+    }
+}
+
+/// Waits for the first part of a response that belongs to the request.
+async fn begin(outbound: &Outbound, mut response: ClientResponse) -> Handed {
+    let echo = text(response.headers(), REQUEST_ID);
+    let own = outbound.attempt.request.to_string();
+    if echo.is_some_and(|echo| echo != own) {
+        return Handed::Ended(AttemptEnd::Broken);
+    }
+    let path = outbound.uri.path();
+    let status = response.status();
+    let mut progress = Progress::new(&outbound.method, path, status, response.headers());
+    loop {
+        let first = match response.next().await {
+            Some(Ok(chunk)) => progress.pass(chunk),
+            None if progress.is_whole() => Bytes::new(),
+            _ => return Handed::Ended(AttemptEnd::Broken),
+        };
+        if !first.is_empty() || progress.is_whole() {
+            return Handed::Answer(Head {
+                response,
+                first,
+                progress,
+            });
+        }
     }
 }
 
@@ -148,106 +196,43 @@
     lines.filter(|line| line.starts_with(FIELD)).count() as i64
 }
 
+/// Why a whole answer could not be read.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ReadError {
+    /// The body broke or was cancelled.
+    Cut,
+    /// The body is over the limit.
+    TooLarge,
+}
+
 /// Reads a whole answer body.
 ///
 /// # Errors
 ///
 /// Returns an error if the body breaks, is over `limit` bytes or is cancelled.
 pub async fn read_whole(
-    response: &mut ClientResponse,
+    head: &mut Head,
     limit: usize,
     cancelled: &mut oneshot::Receiver<()>,
     meter: &mut Meter,
-) -> Result<Bytes, CutBody> {
+) -> Result<Bytes, ReadError> {
     let mut body = bytes::BytesMut::new();
+    let mut part = std::mem::take(&mut head.first);
     loop {
+        meter.count(&part);
+        body.extend_from_slice(&part);
+        if body.len() > limit {
+            return Err(ReadError::TooLarge);
+        }
         let chunk = tokio::select! {
             biased;
-            _ = &mut *cancelled => return Err(CutBody),
-            chunk = response.next() => chunk,
+            _ = &mut *cancelled => return Err(ReadError::Cut),
+            chunk = head.response.next() => chunk,
+        };
+        part = match chunk {
+            None if head.progress.is_whole() => return Ok(body.freeze()),
+            Some(Ok(chunk)) => head.progress.pass(chunk),
+            _ => return Err(ReadError::Cut),
         };
-        match chunk {
-            None => return Ok(body.freeze()),
-            Some(Ok(chunk)) if body.len() + chunk.len() <= limit => {
-                meter.count(&chunk);
-                body.extend_from_slice(&chunk);
-            }
-            Some(_) => return Err(CutBody),
-        }
-    }
-}
-
-/// The body of an answer on its way from the target to a router.
-pub struct TargetStream {
-    response: ClientResponse,
-    cancelled: oneshot::Receiver<()>,
-    reporter: Reporter,
-    attempt: AttemptId,
-    meter: Meter,
-    ended: bool,
-}
-
-impl TargetStream {
-    /// Creates the stream of the answer to `attempt`.
-    pub fn new(
-        response: ClientResponse,
-        cancelled: oneshot::Receiver<()>,
-        reporter: Reporter,
-        attempt: AttemptId,
-        meter: Meter,
-    ) -> Self {
-        Self {
-            response,
-            cancelled,
-            reporter,
-            attempt,
-            meter,
-            ended: false,
-        }
-    }
-
-    fn end(&mut self, end: AttemptEnd) {
-        if !std::mem::replace(&mut self.ended, true) {
-            self.reporter.report(Input::Ended {
-                attempt: self.attempt,
-                end,
-            });
-        }
-    }
-}
-
-impl Chunks for TargetStream {
-    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, CutBody>>> {
-        if self.cancelled.poll_unpin(cx).is_ready() && !self.ended {
-            self.end(AttemptEnd::Cancelled);
-            return Poll::Ready(Some(Err(CutBody)));
-        }
-        match Pin::new(&mut self.response).poll_next(cx) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Ok(chunk))) => {
-                if let Some(cost) = self.meter.count(&chunk) {
-                    self.reporter.report(Input::Streamed {
-                        attempt: self.attempt,
-                        cost,
-                    });
-                }
-                Poll::Ready(Some(Ok(chunk)))
-            }
-            Poll::Ready(Some(Err(_))) => {
-                self.end(AttemptEnd::Broken);
-                Poll::Ready(Some(Err(CutBody)))
-            }
-            Poll::Ready(None) => {
-                let cost = self.meter.total();
-                self.end(AttemptEnd::Answered { cost });
-                Poll::Ready(None)
-            }
-        }
-    }
-}
-
-impl Drop for TargetStream {
-    fn drop(&mut self) {
-        self.end(AttemptEnd::Cancelled);
     }
 }
--- a/agent/src/run.rs
+++ b/agent/src/run.rs
@@ -18,11 +18,10 @@
 use policy::fleet::Role;
 use tokio::sync::mpsc;
 
-use crate::answers::Answers;
 use crate::control::{AgentRole, SharedIncarnation};
 use crate::relay::Reporter;
 use crate::service::{Service, Shared};
-use crate::target;
+use crate::target::{self, Probe};
 
 /// How long idle connections of routers may delay the end of the process.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(2);
@@ -47,7 +46,6 @@
         ("operators", &operators),
     ]);
     let snapshot = Snapshot::default();
-    let answers = Answers::default();
     let (traffic, traffic_inputs) = mpsc::channel(INPUT_DEPTH);
     let (queries, query_inputs) = mpsc::channel(QUERY_DEPTH);
     let reporter = Reporter::new(traffic);
@@ -58,7 +56,11 @@
         seed: endpoint.incarnation.0,
         gossip: AgentPolicy::GOSSIP,
     };
-    let role = AgentRole::new(policy, answers.clone(), incarnation.clone());
+    let role = AgentRole::new(
+        policy,
+        settings.limits.answers_bytes as u64,
+        incarnation.clone(),
+    );
     let host_settings = HostSettings {
         name: settings.name.clone(),
         endpoint,
@@ -67,10 +69,11 @@
         service: settings.service.clone(),
     };
     let host = Host::new(host_settings, role, snapshot);
+    let (probe, asks) = Probe::new();
     let shared = Shared {
         target: settings.target.trim_end_matches('/').to_owned(),
         incarnation,
-        answers,
+        probe,
         reporter: reporter.clone(),
         body_limit: settings.limits.body_bytes,
         answer_limit: settings.limits.answer_bytes,
@@ -79,6 +82,7 @@
         node::http::client(),
         shared.target.clone(),
         reporter,
+        asks,
     ));
     let server = listen(data, &settings, shared)?;
     let handle = server.handle();
--- a/agent/src/service.rs
+++ b/agent/src/service.rs
@@ -6,19 +6,23 @@
 
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{HttpMessage, Request, Response, StatusCode};
-use awc::ClientResponse;
 use bytes::Bytes;
-use entity::{AttemptId, Incarnation, Reason, Refusal, RetryAdvice};
+use entity::{AttemptId, Clock, Incarnation, Now, Reason, Refusal, RetryAdvice, SystemClock};
 use node::body::Body;
+use node::frame;
 use node::http::{forwarded, read_body, text};
 use policy::AttemptEnd;
 use policy::message::{Load, Offer, Reply, Verdict};
-use tokio::sync::{oneshot, watch};
+use policy::once::is_late;
+use tokio::sync::oneshot;
 use wire::{OFFER_HEADER, REPLY_HEADER, read_header, write_header};
 
-use crate::answers::{Answers, Kept, KeptAnswer};
+use crate::answers::{Entry, Follower, Kept, KeptAnswer};
 use crate::control::{Decided, Input, Order, SharedIncarnation};
-use crate::relay::{self, Handed, Meter, Outbound, Reporter, TargetStream};
+use crate::relay::{self, Handed, Head, Meter, Outbound, ReadError, Reporter};
+use crate::stream::{Source, TargetStream};
+use crate::target::Probe;
+use crate::whole::is_completion;
 
 /// How long a router should wait before it offers to an overloaded agent again.
 const OVERLOAD_DELAY: Duration = Duration::from_millis(200);
@@ -33,8 +37,8 @@
     pub target: String,
     /// The agent's life.
     pub incarnation: SharedIncarnation,
-    /// The kept answers.
-    pub answers: Answers,
+    /// The watch over the target.
+    pub probe: Probe,
     /// The channel to the control thread.
     pub reporter: Reporter,
     /// The greatest size of a request body, in bytes.
@@ -68,7 +72,6 @@
         let Ok(body) = read_body(&mut request, self.shared.body_limit).await else {
             return self.refuse(attempt, Reason::Malformed);
         };
-        let keyed = offer.key.is_some();
         let (order, decision) = oneshot::channel();
         if !self.shared.reporter.try_report(Input::Offered {
             offer: Box::new(offer),
@@ -81,13 +84,18 @@
         };
         let outbound = outbound(attempt, &request, body);
         match order {
-            Order::Start(cancelled) if keyed => {
-                let kept = self.shared.answers.open(attempt);
-                actix_rt::spawn(run_detached(self.clone(), outbound, cancelled, kept));
-                self.follow(attempt, attempt, load).await
-            }
             Order::Start(cancelled) => self.run(outbound, cancelled, load).await,
-            Order::Follow(original) => self.follow(attempt, original, load).await,
+            Order::StartOnce {
+                cancelled,
+                decided,
+                entry,
+            } => {
+                let follower = entry.follow();
+                let run = run_detached(self.clone(), outbound, cancelled, decided, entry);
+                actix_rt::spawn(run);
+                self.follow(attempt, follower, load).await
+            }
+            Order::Follow(follower) => self.follow(attempt, follower, load).await,
             Order::Reject(refusal) => self.reply(attempt, Verdict::NotRun(refusal), load),
             Order::Unknown(refusal) => self.reply(attempt, Verdict::Unknown(refusal), load),
         }
@@ -101,28 +109,44 @@
         load: Load,
     ) -> Answer {
         let attempt = outbound.attempt;
-        let guard = EndGuard::new(self.shared.reporter.clone(), attempt);
+        let source = self.source(&outbound);
+        let guard = EndGuard::new(self.shared.reporter.clone(), attempt, source.clone());
         let handed =
             relay::hand_over(&self.client, &self.shared.target, &outbound, &mut cancelled).await;
         match handed {
-            Handed::Answer(response) => {
+            Handed::Answer(head) => {
                 guard.disarm();
-                self.stream(attempt, response, cancelled, load)
+                self.stream(attempt, source, head, cancelled, load)
             }
             Handed::Ended(end) => {
+                if end == AttemptEnd::Broken {
+                    // What ran when a target died must be known before its caller tries again.
+                    self.shared.probe.looked().await;
+                }
                 guard.end(end);
                 self.reply(attempt, verdict(end), load)
             }
         }
     }
 
+    fn source(&self, outbound: &Outbound) -> Source {
+        Source {
+            client: self.client.clone(),
+            target: self.shared.target.clone(),
+            probe: self.shared.probe.clone(),
+            is_completion: is_completion(outbound.uri.path()),
+        }
+    }
+
     fn stream(
         &self,
         attempt: AttemptId,
-        response: ClientResponse,
+        source: Source,
+        head: Head,
         cancelled: oneshot::Receiver<()>,
         load: Load,
     ) -> Answer {
+        let response = &head.response;
         let mut answer: Answer =
             Response::new(response.status()).set_body(Body::Whole(Bytes::new()));
         for (name, value) in response
@@ -134,13 +158,13 @@
         }
         self.mark(&mut answer, attempt, Verdict::Answered, load);
         let reporter = self.shared.reporter.clone();
-        let stream = TargetStream::new(response, cancelled, reporter, attempt, Meter::new());
+        let stream = TargetStream::new(source, head, cancelled, reporter, attempt);
         answer.set_body(Body::Stream(stream))
     }
 
-    /// Answers with what `original` left or leaves behind.
-    async fn follow(&self, attempt: AttemptId, original: AttemptId, load: Load) -> Answer {
-        match self.shared.answers.wait(original).await {
+    /// Answers with what another attempt left or leaves behind.
+    async fn follow(&self, attempt: AttemptId, follower: Follower, load: Load) -> Answer {
+        match follower.wait().await {
             Some(Kept::Answer(kept)) => {
                 let body = Body::Whole(kept.body.clone());
                 let mut answer = Response::with_body(kept.status, body);
@@ -193,40 +217,58 @@
     service: Rc<Service>,
     outbound: Outbound,
     mut cancelled: oneshot::Receiver<()>,
-    kept: watch::Sender<Option<Kept>>,
+    decided: Now,
+    entry: Entry,
 ) {
     let shared = &service.shared;
+    let attempt = outbound.attempt;
     let mut meter = Meter::new();
-    let handed = relay::hand_over(&service.client, &shared.target, &outbound, &mut cancelled).await;
-    let end = match handed {
-        Handed::Ended(end) => end,
-        Handed::Answer(mut response) => {
+    let handed = match is_late(decided, SystemClock.now()) {
+        true => Handed::Ended(AttemptEnd::Withheld),
+        false => relay::hand_over(&service.client, &shared.target, &outbound, &mut cancelled).await,
+    };
+    let (end, kept) = match handed {
+        Handed::Ended(end) => (end, left_by(end)),
+        Handed::Answer(mut head) => {
             let limit = shared.answer_limit;
-            let body = relay::read_whole(&mut response, limit, &mut cancelled, &mut meter).await;
-            match body {
+            match relay::read_whole(&mut head, limit, &mut cancelled, &mut meter).await {
                 Ok(body) => {
-                    let answer = keep(&response, body);
-                    kept.send_replace(Some(Kept::Answer(answer.into())));
-                    AttemptEnd::Answered {
-                        cost: meter.total(),
-                    }
+                    let answer = keep(&head, &body);
+                    let bytes = answer.size();
+                    shared.reporter.report(Input::Kept { attempt, bytes });
+                    let cost = meter.total();
+                    let kept = Kept::Answer(answer.into());
+                    (AttemptEnd::Answered { cost }, Some(kept))
+                }
+                Err(ReadError::Cut) => (AttemptEnd::Broken, left_by(AttemptEnd::Broken)),
+                Err(ReadError::TooLarge) => {
+                    let reason = Reason::AnswerDropped;
+                    let refusal = Refusal::new(reason, RetryAdvice::VerifyFirst);
+                    (AttemptEnd::Cancelled, Some(Kept::Lost(refusal)))
                 }
-                Err(_) => AttemptEnd::Broken,
             }
         }
     };
+    if end == AttemptEnd::Broken {
+        shared.probe.looked().await;
+    }
+    if let Some(kept) = kept {
+        entry.settle(kept);
+    }
+    shared.reporter.report(Input::Ended { attempt, end });
+}
+
+/// What is kept of an attempt without an answer.
+fn left_by(end: AttemptEnd) -> Option<Kept> {
     match verdict(end) {
-        Verdict::Answered => {}
-        Verdict::NotRun(refusal) => drop(kept.send_replace(Some(Kept::NotRun(refusal)))),
-        Verdict::Unknown(refusal) => drop(kept.send_replace(Some(Kept::Lost(refusal)))),
+        Verdict::Answered => None,
+        Verdict::NotRun(refusal) => Some(Kept::NotRun(refusal)),
+        Verdict::Unknown(refusal) => Some(Kept::Lost(refusal)),
     }
-    shared.reporter.report(Input::Ended {
-        attempt: outbound.attempt,
-        end,
-    });
 }
 
-fn keep(response: &ClientResponse, body: Bytes) -> KeptAnswer {
+fn keep(head: &Head, body: &[u8]) -> KeptAnswer {
+    let response = &head.response;
     let mut headers = actix_http::header::HeaderMap::new();
     for (name, value) in response
         .headers()
@@ -238,7 +280,7 @@
     KeptAnswer {
         status: response.status(),
         headers,
-        body,
+        body: frame::whole(body),
     }
 }
 
@@ -250,6 +292,7 @@
     match end {
         AttemptEnd::Answered { .. } => Verdict::Answered,
         AttemptEnd::Refused | AttemptEnd::Unsent => not_run(Reason::NoTarget),
+        AttemptEnd::Withheld => not_run(Reason::HandOverLate),
         AttemptEnd::Broken => unknown(Reason::TargetDied),
         AttemptEnd::Cancelled => unknown(Reason::DeadlinePassed),
     }
@@ -266,11 +309,11 @@
 }
 
 /// Reports a cancelled attempt if it is dropped before the attempt ended.
-struct EndGuard(Option<(Reporter, AttemptId)>);
+struct EndGuard(Option<(Reporter, AttemptId, Source)>);
 
 impl EndGuard {
-    fn new(reporter: Reporter, attempt: AttemptId) -> Self {
-        Self(Some((reporter, attempt)))
+    fn new(reporter: Reporter, attempt: AttemptId, source: Source) -> Self {
+        Self(Some((reporter, attempt, source)))
     }
 
     fn disarm(mut self) {
@@ -278,7 +321,7 @@
     }
 
     fn end(mut self, end: AttemptEnd) {
-        if let Some((reporter, attempt)) = self.0.take() {
+        if let Some((reporter, attempt, _)) = self.0.take() {
             reporter.report(Input::Ended { attempt, end });
         }
     }
@@ -286,11 +329,12 @@
 
 impl Drop for EndGuard {
     fn drop(&mut self) {
-        if let Some((reporter, attempt)) = self.0.take() {
-            reporter.report(Input::Ended {
-                attempt,
-                end: AttemptEnd::Cancelled,
-            });
+        if let Some((reporter, attempt, source)) = self.0.take() {
+            let end = AttemptEnd::Cancelled;
+            reporter.report(Input::Ended { attempt, end });
+            if source.is_completion {
+                source.probe.cancel(attempt.request);
+            }
         }
     }
 }
--- a/agent/src/target.rs
+++ b/agent/src/target.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use entity::RequestId;
 use policy::window::Report;
 use serde::Deserialize;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::control::Input;
@@ -18,6 +20,50 @@
 /// The number of consecutive failures after which the target counts as down.
 const FAILURES: u32 = 3;
 
+/// The number of questions of traffic threads that may wait.
+const PROBE_DEPTH: usize = 1024;
+
+/// What traffic threads ask of the watch.
+#[derive(Debug)]
+pub enum Ask {
+    /// Look at the target now, and then answer.
+    Look(Option<oneshot::Sender<()>>),
+    /// Cancel a request on the target.
+    Cancel(RequestId),
+}
+
+/// The channel from traffic threads to the watch.
+#[derive(Clone, Debug)]
+pub struct Probe(mpsc::Sender<Ask>);
+
+impl Probe {
+    /// Creates a probe and what the watch reads from.
+    pub fn new() -> (Self, mpsc::Receiver<Ask>) {
+        let (sender, receiver) = mpsc::channel(PROBE_DEPTH);
+        (Self(sender), receiver)
+    }
+
+    /// Has the target looked at soon.
+    pub fn look(&self) {
+        // A full channel means that it is being looked at.
+        let _ = self.0.try_send(Ask::Look(None));
+    }
+
+    /// Has the target looked at, and waits until the control thread was told of the result.
+    pub async fn looked(&self) {
+        let (done, wait) = oneshot::channel();
+        if self.0.send(Ask::Look(Some(done))).await.is_ok() {
+            // The watch lives as long as the process.
+            let _ = wait.await;
+        }
+    }
+
+    /// Cancels a request on the target; its connection was closed besides.
+    pub fn cancel(&self, request: RequestId) {
+        let _ = self.0.try_send(Ask::Cancel(request));
+    }
+}
+
 /// A target's load report.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
 struct LoadReport {
@@ -36,20 +82,46 @@
 }
 
 /// Watches the target until the process ends.
-pub async fn watch(client: awc::Client, target: String, reporter: Reporter) {
+pub async fn watch(
+    client: awc::Client,
+    target: String,
+    reporter: Reporter,
+    mut asks: mpsc::Receiver<Ask>,
+) {
     let url = format!("{target}/load");
     let mut ticks = interval(INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut state = Watch::default();
     loop {
-        ticks.tick().await;
+        let asked = tokio::select! {
+            _ = ticks.tick() => None,
+            Some(asked) = asks.recv() => Some(asked),
+        };
+        let (is_doubted, done) = match asked {
+            None => (false, None),
+            Some(Ask::Look(done)) => (true, done),
+            Some(Ask::Cancel(request)) => {
+                actix_rt::spawn(cancel(client.clone(), target.clone(), request));
+                continue;
+            }
+        };
         match ask(&client, &url).await {
             Some(report) => state.seen(report, &reporter),
-            None => state.failed(&reporter),
+            None => state.failed(is_doubted, &reporter),
+        }
+        if let Some(done) = done {
+            // The asker may have left.
+            let _ = done.send(());
         }
     }
 }
 
+async fn cancel(client: awc::Client, target: String, request: RequestId) {
+    let url = format!("{target}/v1/cancel/{request}");
+    // A target that does not know the request has nothing to cancel.
+    let _ = client.post(url).timeout(TIMEOUT).send().await;
+}
+
 async fn ask(client: &awc::Client, url: &str) -> Option<LoadReport> {
     let mut response = client.get(url).timeout(TIMEOUT).send().await.ok()?;
     response.json().await.ok()
@@ -87,9 +159,13 @@
         }));
     }
 
-    fn failed(&mut self, reporter: &Reporter) {
+    /// Takes in that the target did not answer.
+    ///
+    /// If a connection to it broke just before, one failure is enough.
+    fn failed(&mut self, is_doubted: bool, reporter: &Reporter) {
         self.failures += 1;
-        if self.failures == FAILURES && !self.down {
+        let is_over = is_doubted || self.failures >= FAILURES;
+        if is_over && !self.down {
             self.down = true;
             reporter.report(Input::TargetDown);
         }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod body;
 pub mod control;
 pub mod event;
+pub mod frame;
 pub mod host;
 pub mod http;
 pub mod metrics;
--- a/policy/src/agent/keys.rs
+++ b/policy/src/agent/keys.rs
@@ -12,12 +12,9 @@
 use crate::fair::Share;
 use crate::home::{Bounds, Hold, Roster, Vouch};
 use crate::message::{Endpoint, Offer};
-use crate::once::{OnceMemory, OnceSettings, OnceVerdict};
+use crate::once::{HAND_OVER, OnceMemory, OnceSettings, OnceVerdict};
 use crate::pull::Reservation;
 
-/// The longest time between the decision to start an attempt and its hand-over.
-pub(super) const HAND_OVER: Duration = Duration::from_secs(5);
-
 /// The greatest number of remembered keys.
 const MAX_KEYS: usize = 1_000_000;
 
--- a/policy/src/once.rs
+++ b/policy/src/once.rs
@@ -26,6 +26,9 @@
 
 use crate::home::{Bounds, Vouch};
 
+/// The longest time between the decision to start an attempt and its hand-over.
+pub const HAND_OVER: Duration = Duration::from_secs(5);
+
 /// How long a caller waits before it repeats a key whose home is in doubt.
 const RETRY_DELAY: Duration = Duration::from_secs(5);
 
@@ -113,9 +116,8 @@
         }
     }
 
-    /// Takes a later incarnation; only before the first offer.
+    /// Takes a later incarnation; tickets of the earlier one are refused from now on.
     pub fn raise(&mut self, incarnation: Incarnation) {
-        debug_assert!(self.entries.is_empty(), "a life keeps its incarnation");
         self.settings.incarnation = incarnation;
     }
 
@@ -318,11 +320,14 @@
         // clock, which may itself be one skew ahead of this one.
         let covered = issued > self.settings.started + 2 * self.settings.bounds.skew;
         match () {
+            // No later confirmation of the home lets this life start the key.
+            () if home && !covered => {
+                Err(unknown(Reason::KeyNotCovered, RetryAdvice::VerifyFirst))
+            }
             () if !home || !vouch.vouches(issued) => Err(unknown(
                 Reason::HomeUnconfirmed,
                 RetryAdvice::After(RETRY_DELAY),
             )),
-            () if !covered => Err(unknown(Reason::KeyNotCovered, RetryAdvice::VerifyFirst)),
             () => Ok(()),
         }
     }
@@ -376,8 +381,15 @@
     }
 }
 
+/// Whether an attempt that was decided on may not be handed over any more.
+///
+/// The traffic thread asks right before its send, by its own reading of the clocks.
+pub fn is_late(decided: Now, now: Now) -> bool {
+    elapsed(decided, now) > HAND_OVER
+}
+
 /// The longer of both clocks' intervals: a suspended VM may stop its monotonic clock.
-pub fn elapsed(from: Now, to: Now) -> Duration {
+fn elapsed(from: Now, to: Now) -> Duration {
     let mono = to.mono.saturating_duration_since(from.mono);
     let wall = to.wall.duration_since(from.wall).unwrap_or_default();
     mono.max(wall)
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -5,7 +5,11 @@
 
 use std::sync::Arc;
 
-use entity::{AttemptId, Decision, Incarnation, Machine, Now, ProcessId, RequestId, TargetId};
+use entity::{
+    AttemptId, Decision, Incarnation, Machine, Now, Outcome, ProcessId, Reason, Refusal, RequestId,
+    TargetId, Ticket,
+};
+use node::event::{self, Event, Field};
 use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
 use node::trace::Trace;
 use policy::fleet::{Broadcast, Health};
@@ -15,7 +19,7 @@
 };
 use rules::Config;
 use rustc_hash::FxHashMap;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use wire::Message;
 
 /// The number of requests whose decisions are kept.
@@ -53,6 +57,13 @@
     },
     /// A filter rejected a request after these decisions.
     Rejected(Vec<Decision>),
+    /// A caller asks for a ticket.
+    Ticket {
+        /// The request that the ticket is for.
+        arrival: Box<Arrival>,
+        /// Where the ticket goes.
+        reply: oneshot::Sender<Result<Ticket, Refusal>>,
+    },
 }
 
 /// A request handed to the control thread.
@@ -72,7 +83,7 @@
     /// Send an attempt.
     Dispatch(Box<DispatchOrder>),
     /// End the request without an answer.
-    Finish(entity::Outcome),
+    Finish(Outcome),
     /// Abandon the attempt in flight.
     Cancel(AttemptId),
 }
@@ -150,6 +161,7 @@
             }
             RouterAction::Finish { request, outcome } => {
                 self.finished += 1;
+                log_ending(request, &outcome);
                 self.order(request, Order::Finish(outcome));
                 self.orders.remove(&request);
             }
@@ -195,6 +207,15 @@
             .collect()
     }
 
+    /// The lives of the agents that the fleet knows.
+    fn lives(&self, fleet: &FleetMachine) -> Vec<(TargetId, Incarnation)> {
+        let members = fleet.members().iter().filter(|member| member.is_live());
+        let life = |endpoint: Endpoint| Some((self.target_of(endpoint)?, endpoint.incarnation));
+        members
+            .filter_map(|member| life(member.claim.endpoint))
+            .collect()
+    }
+
     /// The target beside which an agent runs.
     fn target_of(&self, agent: Endpoint) -> Option<TargetId> {
         let config = self.config.as_ref()?;
@@ -240,14 +261,32 @@
                 }
                 self.handle(now, RouterEvent::Ended { attempt, result }, out);
             }
-            Input::Loaded { target, load, .. } => {
+            Input::Loaded {
+                target,
+                incarnation,
+                load,
+            } => {
+                let alive = RouterEvent::Alive {
+                    target,
+                    incarnation,
+                };
+                self.handle(now, alive, out);
                 self.handle(now, RouterEvent::Loaded { target, load }, out);
             }
             Input::CallerGone(request) => {
                 self.orders.remove(&request);
                 self.handle(now, RouterEvent::CallerGone(request), out);
             }
-            Input::Mismatched { .. } => self.mismatches += 1,
+            Input::Mismatched { expected, answered } => {
+                self.mismatches += 1;
+                let fields: &[Field<'_>] = &[("expected", &expected), ("answered", &answered)];
+                event::log(Event::AnswerMismatched, fields);
+            }
+            Input::Ticket { arrival, reply } => {
+                let ticket = self.router.ticket(now, &arrival);
+                // A caller that has left needs no ticket.
+                let _ = reply.send(ticket);
+            }
             Input::Rejected(decisions) => {
                 for decision in decisions {
                     self.trace.record(decision);
@@ -271,6 +310,7 @@
                 let event = target.map(|target| RouterEvent::Loaded { target, load });
                 event.map_or_else(Vec::new, |event| self.handle(now, event, out))
             }
+            Message::Fact(fact) => self.handle(now, RouterEvent::Learned(fact), out),
             // Other messages are for agents; a router that gets one ignores it.
             _ => Vec::new(),
         }
@@ -279,6 +319,13 @@
     fn undelivered(&mut self, _now: Now, _lost: Outgoing, _out: &mut Outbox) {}
 
     fn surveyed(&mut self, now: Now, fleet: &FleetMachine, out: &mut Outbox) {
+        for (target, incarnation) in self.lives(fleet) {
+            let event = RouterEvent::Alive {
+                target,
+                incarnation,
+            };
+            self.handle(now, event, out);
+        }
         for (target, usable) in self.usable(fleet) {
             let known = self.reachable.insert(target, usable);
             let event = match usable {
@@ -291,7 +338,11 @@
         }
     }
 
-    fn delivered(&mut self, _now: Now, _broadcast: Broadcast, _out: &mut Outbox) {}
+    fn delivered(&mut self, now: Now, broadcast: Broadcast, out: &mut Outbox) {
+        if let Some(fact) = wire::fact(&broadcast) {
+            self.handle(now, RouterEvent::Learned(fact), out);
+        }
+    }
 
     fn raised(&mut self, _incarnation: Incarnation) {}
 
@@ -317,7 +368,9 @@
             "kind": "router",
             "requests": self.orders.len(),
             "finished": self.finished,
-            "mismatches": self.mismatches,
+            "mismatches": self.mismatches + self.router.counts().mismatched,
+            "attempts": self.router.counts().started,
+            "retries": self.router.counts().retried,
             "traces": self.trace.len(),
         })
     }
@@ -326,3 +379,15 @@
         self.trace.why(request).map(<[Decision]>::to_vec)
     }
 }
+
+/// Logs the endings that operators look into.
+fn log_ending(request: RequestId, outcome: &Outcome) {
+    let (event, refusal) = match outcome {
+        Outcome::Unknown { refusal } => (Event::OutcomeUnknown, refusal),
+        Outcome::NotRun { refusal, .. } if refusal.reason == Reason::Quarantined => {
+            (Event::RequestQuarantined, refusal)
+        }
+        _ => return,
+    };
+    event::log(event, &[("request", &request), ("reason", &refusal.reason)]);
+}
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -33,6 +33,8 @@
     pub route: Option<RouteId>,
     /// The key, if the request has one.
     pub key: Option<IdempotencyKey>,
+    /// Whether the caller asks for a ticket instead of a run.
+    pub is_ticket: bool,
     /// The decisions so far.
     pub decisions: Vec<Decision>,
 }
--- a/router/src/filter.rs
+++ b/router/src/filter.rs
@@ -12,7 +12,7 @@
 use crate::exchange::{Exchange, Rejection};
 
 pub use identify::Identify;
-pub use key::ReadKey;
+pub use key::{KEY_HEADER, ReadKey};
 pub use matching::MatchRoute;
 
 /// One step of the examination of a request.
--- a/router/src/filter/key.rs
+++ b/router/src/filter/key.rs
@@ -8,7 +8,7 @@
 use crate::exchange::{Exchange, Rejection};
 
 /// The header that carries the key.
-pub(super) const KEY_HEADER: &str = "idempotency-key";
+pub const KEY_HEADER: &str = "idempotency-key";
 
 /// Reads `Idempotency-Key` on routes that run at most once.
 ///
--- a/router/src/respond.rs
+++ b/router/src/respond.rs
@@ -3,12 +3,13 @@
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Response, ResponseHead, StatusCode};
 use bytes::Bytes;
-use entity::{HandOver, Outcome, Reason, Refusal, RequestId, RetryAdvice};
+use entity::{HandOver, IdempotencyKey, Outcome, Reason, Refusal, RequestId, RetryAdvice, Ticket};
 use node::body::Body;
-use policy::status::{Ending, OUTCOME_HEADER};
+use policy::status::{ANSWERED, Ending, OUTCOME_HEADER};
 use serde::Serialize;
 
 use crate::exchange::Rejection;
+use crate::filter::KEY_HEADER;
 use crate::relay::AnswerStream;
 
 /// Carries the request id on every response.
@@ -88,6 +89,33 @@
     response
 }
 
+/// What a caller reads that asked for a ticket.
+#[derive(Serialize)]
+struct TicketBody {
+    key: String,
+    expires_ms: u64,
+}
+
+/// The response that carries a ticket.
+pub fn ticket(request: RequestId, ticket: &Ticket) -> Answer {
+    let body = TicketBody {
+        key: ticket.to_string(),
+        expires_ms: ticket.expires,
+    };
+    let body = serde_json::to_vec(&body).expect("the body has string keys");
+    let mut response = Response::with_body(StatusCode::OK, Body::Whole(Bytes::from(body)));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    mark(headers, request, ANSWERED);
+    response
+}
+
+/// Adds the key that was minted for a request to its response's headers.
+pub fn mark_key(headers: &mut HeaderMap, key: &IdempotencyKey) {
+    let key = HeaderValue::from_str(&key.to_string()).expect("a key is plain text");
+    headers.insert(HeaderName::from_static(KEY_HEADER), key);
+}
+
 /// Adds the request id and the outcome to a response's headers.
 pub fn mark(headers: &mut HeaderMap, request: RequestId, outcome: &str) {
     let id = HeaderValue::from_str(&request.to_string()).expect("an id is plain text");
--- a/router/src/service.rs
+++ b/router/src/service.rs
@@ -8,11 +8,10 @@
 use std::time::Duration;
 
 use actix_http::{HttpMessage, Request, Response};
-use awc::ClientResponse;
 use bytes::Bytes;
 use entity::{
-    Class, Clock, Cost, Fingerprint, HandOver, Now, Outcome, PrefixHash, Reason, Refusal,
-    RequestId, RetryAdvice, SystemClock,
+    Class, Clock, Cost, Fingerprint, HandOver, IdempotencyKey, Now, Outcome, PrefixHash, Reason,
+    Refusal, RequestId, RetryAdvice, SystemClock,
 };
 use node::body::Body;
 use node::host::Snapshot;
@@ -20,14 +19,14 @@
 use policy::status::ANSWERED;
 use policy::{Arrival, AttemptResult, DispatchOrder};
 use rules::Config;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use uuid::Uuid;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::control::{Input, Order, Reporter, Submission};
 use crate::exchange::{Exchange, Rejection};
 use crate::filter::{self, Chain, Filter};
-use crate::relay::{self, AnswerStream, Relayed};
+use crate::relay::{self, AnswerStream, Head, Relayed};
 use crate::respond::{self, Answer};
 
 /// Carries the caller's hint of a request's cost, in cost units.
@@ -108,6 +107,9 @@
 
     async fn run(&self, now: Now, mut exchange: Exchange) -> Answer {
         let request = exchange.request;
+        if exchange.is_ticket {
+            return self.ticket(now, exchange).await;
+        }
         let arrival = arrival(now, &exchange);
         let decisions = std::mem::take(&mut exchange.decisions);
         let (sender, mut orders) = mpsc::unbounded_channel();
@@ -122,36 +124,69 @@
             reporter: self.reporter.clone(),
             request: Some(request),
         };
+        let mut answer = self.carry(&exchange, &mut orders).await;
+        guard.disarm();
+        if let Some(minted) = answer.minted {
+            respond::mark_key(answer.response.headers_mut(), &minted);
+        }
+        answer.response
+    }
+
+    /// Carries out the orders about a request until it has ended.
+    async fn carry(
+        &self,
+        exchange: &Exchange,
+        orders: &mut mpsc::UnboundedReceiver<Order>,
+    ) -> Carried {
+        let request = exchange.request;
+        let mut minted = None;
         while let Some(order) = orders.recv().await {
             let order = match order {
                 Order::Dispatch(order) => order,
                 Order::Finish(outcome) => {
-                    guard.disarm();
-                    return respond::finished(request, &outcome);
+                    let response = respond::finished(request, &outcome);
+                    return Carried { response, minted };
                 }
                 // The attempt that this order names has ended already.
                 Order::Cancel(_) => continue,
             };
-            match self.attempt(&exchange, &order, &mut orders).await {
-                Attempted::Answer(response) => {
-                    guard.disarm();
-                    return self.stream(request, &order, response);
+            minted = order.offer.key.filter(|_| exchange.key.is_none());
+            match self.attempt(exchange, &order, orders).await {
+                Attempted::Answer(head) => {
+                    let response = self.stream(request, &order, head);
+                    return Carried { response, minted };
                 }
                 Attempted::Ended(result) => {
                     let attempt = order.offer.attempt;
                     self.reporter.report(Input::Ended { attempt, result });
                 }
                 Attempted::Finished(outcome) => {
-                    guard.disarm();
-                    return respond::finished(request, &outcome);
+                    let response = respond::finished(request, &outcome);
+                    return Carried { response, minted };
                 }
                 Attempted::Abandoned => {}
             }
         }
         // The control thread dropped the request: the process is ending.
-        guard.disarm();
         let refusal = Refusal::new(Reason::Stopping, RetryAdvice::VerifyFirst);
-        respond::finished(request, &Outcome::Unknown { refusal })
+        let response = respond::finished(request, &Outcome::Unknown { refusal });
+        Carried { response, minted }
+    }
+
+    /// Answers with a ticket that the caller may use as its key.
+    async fn ticket(&self, now: Now, mut exchange: Exchange) -> Answer {
+        let request = exchange.request;
+        let arrival = arrival(now, &exchange);
+        let decisions = std::mem::take(&mut exchange.decisions);
+        self.reporter.report(Input::Rejected(decisions));
+        let (reply, ticket) = oneshot::channel();
+        let arrival = Box::new(arrival);
+        self.reporter.report(Input::Ticket { arrival, reply });
+        match ticket.await {
+            Ok(Ok(ticket)) => respond::ticket(request, &ticket),
+            Ok(Err(refusal)) => respond::rejected(request, Rejection { refusal }),
+            Err(_) => respond::finished(request, &not_run(Reason::Stopping)),
+        }
     }
 
     /// Sends an attempt; an order that arrives meanwhile abandons it, which
@@ -165,7 +200,7 @@
         let sending = relay::send(&self.client, exchange, order, &self.reporter);
         tokio::select! {
             relayed = sending => match relayed {
-                Relayed::Answer(response) => Attempted::Answer(response),
+                Relayed::Answer(head) => Attempted::Answer(head),
                 Relayed::Ended(result) => Attempted::Ended(result),
             },
             order = orders.recv() => match order {
@@ -175,24 +210,25 @@
         }
     }
 
-    fn stream(
-        &self,
-        request: RequestId,
-        order: &DispatchOrder,
-        response: ClientResponse,
-    ) -> Answer {
-        let status = response.status();
+    fn stream(&self, request: RequestId, order: &DispatchOrder, head: Head) -> Answer {
+        let status = head.response.status();
         let mut answer: Answer = Response::new(status).set_body(Body::Whole(Bytes::new()));
-        respond::copy_headers(response.headers(), answer.head_mut());
+        respond::copy_headers(head.response.headers(), answer.head_mut());
         respond::mark(answer.headers_mut(), request, ANSWERED);
-        let stream = AnswerStream::new(response, self.reporter.clone(), order);
+        let stream = AnswerStream::new(head, self.reporter.clone(), order);
         answer.set_body(Body::Stream(stream))
     }
 }
 
+/// The response to a request, and the key that was minted for it.
+struct Carried {
+    response: Answer,
+    minted: Option<IdempotencyKey>,
+}
+
 /// What came of one attempt.
 enum Attempted {
-    Answer(ClientResponse),
+    Answer(Head),
     Ended(AttemptResult),
     Finished(Outcome),
     Abandoned,
@@ -231,6 +267,7 @@
         team: None,
         route: None,
         key: None,
+        is_ticket: false,
         decisions: Vec::new(),
     }
 }
--- a/wire/src/envelope.rs
+++ b/wire/src/envelope.rs
@@ -6,6 +6,7 @@
 
 use derive_more::{Display, Error};
 use entity::{DocumentHash, Revision};
+use policy::fact::Fact;
 use policy::fleet::FleetMessage;
 use policy::message::{BidUpdate, Endpoint, LedgerDelta, Load, Pull, Pulled, Solicit};
 use serde::{Deserialize, Serialize};
@@ -33,6 +34,8 @@
     Ledger(LedgerDelta),
     /// A message of the fleet machine.
     Fleet(FleetMessage),
+    /// A fact that cannot wait for its broadcast.
+    Fact(Fact),
 }
 
 /// A batch of messages from one process to another.
--- /dev/null
+++ b/wire/src/fact.rs
@@ -0,0 +1,23 @@
+//! Facts as broadcasts of the fleet machine.
+
+use policy::fact::Fact;
+use policy::fleet::Broadcast;
+
+/// The broadcast that spreads a fact.
+///
+/// # Panics
+///
+/// Panics if the fact cannot be encoded, which no value causes.
+pub fn broadcast(fact: &Fact) -> Broadcast {
+    Broadcast {
+        key: fact.key(),
+        version: fact.version(),
+        body: postcard::to_stdvec(fact).expect("facts encode"),
+        expires: fact.expires(),
+    }
+}
+
+/// The fact that a broadcast spreads, if it is one.
+pub fn fact(broadcast: &Broadcast) -> Option<Fact> {
+    postcard::from_bytes(&broadcast.body).ok()
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -7,10 +7,12 @@
 //! stops the process that received it.
 
 mod envelope;
+mod fact;
 mod header;
 mod service;
 
 pub use envelope::{Envelope, EnvelopeError, MAX_ENVELOPE_BYTES, Message, VERSION};
+pub use fact::{broadcast, fact};
 pub use header::{
     HeaderError, INTERNAL_PREFIX, OFFER_HEADER, REPLY_HEADER, read_header, write_header,
 };
