--- a/agent/src/answers.rs
+++ b/agent/src/answers.rs
@@ -33,7 +33,7 @@
     pub status: StatusCode,
     /// The headers that may be forwarded.
     pub headers: HeaderMap,
-    /// The body, framed for routers.
+    /// The body.
     pub body: Bytes,
 }
 
--- a/agent/src/relay.rs
+++ b/agent/src/relay.rs
@@ -1,23 +1,22 @@
-//! Sends attempts to the target and reads the beginning of its answers.
+//! Sends attempts to the target and reads its answers.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use actix_http::header::HeaderMap;
-use actix_http::{Method, Uri};
-use awc::ClientResponse;
-use awc::error::{ConnectError, SendRequestError};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use entity::{AttemptId, Cost};
 use futures::StreamExt;
-use node::http::{forwarded, text};
+use node::body::CutBody;
+use node::client::{Client, Incoming, IncomingBody, Outbound, SendError};
+use node::http::text;
 use policy::AttemptEnd;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control::Input;
-use crate::whole::Progress;
 
 /// Carries the request id to the target and back.
-pub const REQUEST_ID: &str = "x-request-id";
+const REQUEST_ID: &str = "x-request-id";
 
 /// The number of streamed tokens after which their cost is reported.
 const REPORT_TOKENS: i64 = 16;
@@ -49,101 +48,51 @@
     }
 }
 
-/// A request as the target receives it.
-#[derive(Clone, Debug)]
-pub struct Outbound {
-    /// The attempt.
-    pub attempt: AttemptId,
-    /// The method.
-    pub method: Method,
-    /// The path and query.
-    pub uri: Uri,
-    /// The headers that are forwarded.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-}
-
-/// The beginning of an answer.
-pub struct Head {
-    /// The response whose body goes on.
-    pub response: ClientResponse,
-    /// The first part of the body; empty if the body is.
-    pub first: Bytes,
-    /// How far the body has come.
-    pub progress: Progress,
-}
-
 /// What came of handing an attempt to the target.
 pub enum Handed {
-    /// The target answers.
-    Answer(Head),
+    /// The target answers: the response follows.
+    Answer(Box<Incoming>),
     /// The attempt ended without an answer.
     Ended(AttemptEnd),
 }
 
-/// Hands an attempt to the target and waits for the first part of its answer.
+/// Hands an attempt to the target and waits for the first bytes of its answer.
 pub async fn hand_over(
-    client: &awc::Client,
-    target: &str,
-    outbound: &Outbound,
+    client: &Client,
+    target: SocketAddr,
+    attempt: AttemptId,
+    outbound: Outbound,
     cancelled: &mut oneshot::Receiver<()>,
 ) -> Handed {
-    let url = format!("{target}{}", outbound.uri);
-    let mut request = client.request(outbound.method.clone(), url).no_decompress();
-    for (name, value) in outbound.headers.iter().filter(|(name, _)| forwarded(name)) {
-        request.headers_mut().append(name.clone(), value.clone());
-    }
-    let sending = request.send_body(outbound.body.clone());
-    let beginning = async {
-        match sending.await {
-            Ok(response) => begin(outbound, response).await,
-            Err(error) => Handed::Ended(failure(&error)),
-        }
-    };
     tokio::select! {
         biased;
         _ = cancelled => Handed::Ended(AttemptEnd::Cancelled),
-        handed = beginning => handed,
+        handed = exchange(client, target, attempt, outbound) => handed,
     }
 }
 
-/// How an attempt ended that got no response.
-///
-/// The client reports a connection that closed before the response as one that
-/// was never opened, although the request had been sent.
-fn failure(error: &SendRequestError) -> AttemptEnd {
-    match error {
-        SendRequestError::Connect(ConnectError::Disconnected) => AttemptEnd::Broken,
-        SendRequestError::Connect(_) => AttemptEnd::Unsent,
-        _ => AttemptEnd::Broken,
+async fn exchange(
+    client: &Client,
+    target: SocketAddr,
+    attempt: AttemptId,
+    outbound: Outbound,
+) -> Handed {
+    match client.send(target, outbound).await {
+        // The answer to another request is never handed on.
+        Ok(response) if !is_own(attempt, &response.headers) => Handed::Ended(AttemptEnd::Broken),
+        Ok(mut response) => match response.body.prime().await {
+            Ok(()) => Handed::Answer(Box::new(response)),
+            Err(CutBody) => Handed::Ended(AttemptEnd::Broken),
+        },
+        Err(SendError::Unsent) => Handed::Ended(AttemptEnd::Unsent),
+        Err(SendError::Broken) => Handed::Ended(AttemptEnd::Broken),
     }
 }
 
-/// Waits for the first part of a response that belongs to the request.
-async fn begin(outbound: &Outbound, mut response: ClientResponse) -> Handed {
-    let echo = text(response.headers(), REQUEST_ID);
-    let own = outbound.attempt.request.to_string();
-    if echo.is_some_and(|echo| echo != own) {
-        return Handed::Ended(AttemptEnd::Broken);
-    }
-    let path = outbound.uri.path();
-    let status = response.status();
-    let mut progress = Progress::new(&outbound.method, path, status, response.headers());
-    loop {
-        let first = match response.next().await {
-            Some(Ok(chunk)) => progress.pass(chunk),
-            None if progress.is_whole() => Bytes::new(),
-            _ => return Handed::Ended(AttemptEnd::Broken),
-        };
-        if !first.is_empty() || progress.is_whole() {
-            return Handed::Answer(Head {
-                response,
-                first,
-                progress,
-            });
-        }
-    }
+/// Whether a response is that to the attempt's request; one without an id is taken for it.
+pub fn is_own(attempt: AttemptId, headers: &HeaderMap) -> bool {
+    let echo = text(headers, REQUEST_ID);
+    echo.is_none_or(|echo| echo == attempt.request.to_string())
 }
 
 /// Counts the cost of an answer as its parts pass.
@@ -211,28 +160,26 @@
 ///
 /// Returns an error if the body breaks, is over `limit` bytes or is cancelled.
 pub async fn read_whole(
-    head: &mut Head,
+    body: &mut IncomingBody,
     limit: usize,
     cancelled: &mut oneshot::Receiver<()>,
     meter: &mut Meter,
 ) -> Result<Bytes, ReadError> {
-    let mut body = bytes::BytesMut::new();
-    let mut part = std::mem::take(&mut head.first);
+    let mut whole = BytesMut::new();
     loop {
-        meter.count(&part);
-        body.extend_from_slice(&part);
-        if body.len() > limit {
-            return Err(ReadError::TooLarge);
-        }
         let chunk = tokio::select! {
             biased;
             _ = &mut *cancelled => return Err(ReadError::Cut),
-            chunk = head.response.next() => chunk,
-        };
-        part = match chunk {
-            None if head.progress.is_whole() => return Ok(body.freeze()),
-            Some(Ok(chunk)) => head.progress.pass(chunk),
-            _ => return Err(ReadError::Cut),
+            chunk = body.next() => chunk,
         };
+        match chunk {
+            None => return Ok(whole.freeze()),
+            Some(Ok(chunk)) if whole.len() + chunk.len() <= limit => {
+                meter.count(&chunk);
+                whole.extend_from_slice(&chunk);
+            }
+            Some(Ok(_)) => return Err(ReadError::TooLarge),
+            Some(Err(CutBody)) => return Err(ReadError::Cut),
+        }
     }
 }
--- a/agent/src/service.rs
+++ b/agent/src/service.rs
@@ -1,15 +1,16 @@
 //! The HTTP service of one traffic thread: offers of routers in, answers out.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{HttpMessage, Request, Response, StatusCode};
 use bytes::Bytes;
 use entity::{AttemptId, Clock, Incarnation, Now, Reason, Refusal, RetryAdvice, SystemClock};
 use node::body::Body;
-use node::frame;
+use node::client::{Client, Incoming, Outbound};
 use node::http::{forwarded, read_body, text};
 use policy::AttemptEnd;
 use policy::message::{Load, Offer, Reply, Verdict};
@@ -19,10 +20,10 @@
 
 use crate::answers::{Entry, Follower, Kept, KeptAnswer};
 use crate::control::{Decided, Input, Order, SharedIncarnation};
-use crate::relay::{self, Handed, Head, Meter, Outbound, ReadError, Reporter};
+use crate::events::is_completion;
+use crate::relay::{self, Handed, Meter, ReadError, Reporter};
 use crate::stream::{Source, TargetStream};
 use crate::target::Probe;
-use crate::whole::is_completion;
 
 /// How long a router should wait before it offers to an overloaded agent again.
 const OVERLOAD_DELAY: Duration = Duration::from_millis(200);
@@ -33,8 +34,8 @@
 /// What all traffic threads of an agent share.
 #[derive(Clone, Debug)]
 pub struct Shared {
-    /// The target's address as a URL without a final slash.
-    pub target: String,
+    /// The target's address.
+    pub target: SocketAddr,
     /// The agent's life.
     pub incarnation: SharedIncarnation,
     /// The watch over the target.
@@ -50,7 +51,7 @@
 /// The state of one traffic thread.
 pub struct Service {
     shared: Shared,
-    client: awc::Client,
+    client: Client,
 }
 
 impl Service {
@@ -58,7 +59,7 @@
     pub fn new(shared: Shared) -> Rc<Self> {
         Rc::new(Self {
             shared,
-            client: node::http::client(),
+            client: Client::new(),
         })
     }
 
@@ -82,17 +83,22 @@
         let Ok(Decided { order, load }) = decision.await else {
             return self.refuse(attempt, Reason::Stopping);
         };
-        let outbound = outbound(attempt, &request, body);
+        let outbound = outbound(&request, body);
         match order {
-            Order::Start(cancelled) => self.run(outbound, cancelled, load).await,
+            Order::Start(cancelled) => self.run(attempt, outbound, cancelled, load).await,
             Order::StartOnce {
                 cancelled,
                 decided,
                 entry,
             } => {
                 let follower = entry.follow();
-                let run = run_detached(self.clone(), outbound, cancelled, decided, entry);
-                actix_rt::spawn(run);
+                let run = OnceRun {
+                    attempt,
+                    outbound,
+                    decided,
+                    entry,
+                };
+                actix_rt::spawn(run_detached(self.clone(), run, cancelled));
                 self.follow(attempt, follower, load).await
             }
             Order::Follow(follower) => self.follow(attempt, follower, load).await,
@@ -104,19 +110,20 @@
     /// Runs an attempt whose answer is streamed and not kept.
     async fn run(
         &self,
+        attempt: AttemptId,
         outbound: Outbound,
         mut cancelled: oneshot::Receiver<()>,
         load: Load,
     ) -> Answer {
-        let attempt = outbound.attempt;
         let source = self.source(&outbound);
         let guard = EndGuard::new(self.shared.reporter.clone(), attempt, source.clone());
+        let target = self.shared.target;
         let handed =
-            relay::hand_over(&self.client, &self.shared.target, &outbound, &mut cancelled).await;
+            relay::hand_over(&self.client, target, attempt, outbound, &mut cancelled).await;
         match handed {
-            Handed::Answer(head) => {
+            Handed::Answer(response) => {
                 guard.disarm();
-                self.stream(attempt, source, head, cancelled, load)
+                self.stream(attempt, source, *response, cancelled, load)
             }
             Handed::Ended(end) => {
                 if end == AttemptEnd::Broken {
@@ -132,7 +139,7 @@
     fn source(&self, outbound: &Outbound) -> Source {
         Source {
             client: self.client.clone(),
-            target: self.shared.target.clone(),
+            target: self.shared.target,
             probe: self.shared.probe.clone(),
             is_completion: is_completion(outbound.uri.path()),
         }
@@ -142,23 +149,17 @@
         &self,
         attempt: AttemptId,
         source: Source,
-        head: Head,
+        response: Incoming,
         cancelled: oneshot::Receiver<()>,
         load: Load,
     ) -> Answer {
-        let response = &head.response;
-        let mut answer: Answer =
-            Response::new(response.status()).set_body(Body::Whole(Bytes::new()));
-        for (name, value) in response
-            .headers()
-            .iter()
-            .filter(|(name, _)| forwarded(name))
-        {
+        let mut answer: Answer = Response::new(response.status).set_body(Body::Whole(Bytes::new()));
+        for (name, value) in response.headers.iter().filter(|(name, _)| forwarded(name)) {
             answer.headers_mut().append(name.clone(), value.clone());
         }
         self.mark(&mut answer, attempt, Verdict::Answered, load);
         let reporter = self.shared.reporter.clone();
-        let stream = TargetStream::new(source, head, cancelled, reporter, attempt);
+        let stream = TargetStream::new(source, response, cancelled, reporter, attempt);
         answer.set_body(Body::Stream(stream))
     }
 
@@ -210,77 +211,90 @@
     }
 }
 
-/// Runs an attempt that may run at most once and keeps its answer.
-///
-/// It is a task of its own, so neither a router nor a caller that leaves cuts it.
-async fn run_detached(
-    service: Rc<Service>,
+/// An attempt that may run at most once.
+struct OnceRun {
+    attempt: AttemptId,
     outbound: Outbound,
-    mut cancelled: oneshot::Receiver<()>,
     decided: Now,
     entry: Entry,
-) {
+}
+
+/// Runs an attempt that may run at most once and keeps its answer.
+///
+/// It is a task of its own, so neither a router nor a caller that leaves cuts it.
+async fn run_detached(service: Rc<Service>, run: OnceRun, mut cancelled: oneshot::Receiver<()>) {
     let shared = &service.shared;
-    let attempt = outbound.attempt;
-    let mut meter = Meter::new();
-    let handed = match is_late(decided, SystemClock.now()) {
-        true => Handed::Ended(AttemptEnd::Withheld),
-        false => relay::hand_over(&service.client, &shared.target, &outbound, &mut cancelled).await,
-    };
-    let (end, kept) = match handed {
-        Handed::Ended(end) => (end, left_by(end)),
-        Handed::Answer(mut head) => {
-            let limit = shared.answer_limit;
-            match relay::read_whole(&mut head, limit, &mut cancelled, &mut meter).await {
-                Ok(body) => {
-                    let answer = keep(&head, &body);
-                    let bytes = answer.size();
-                    shared.reporter.report(Input::Kept { attempt, bytes });
-                    let cost = meter.total();
-                    let kept = Kept::Answer(answer.into());
-                    (AttemptEnd::Answered { cost }, Some(kept))
-                }
-                Err(ReadError::Cut) => (AttemptEnd::Broken, left_by(AttemptEnd::Broken)),
-                Err(ReadError::TooLarge) => {
-                    let reason = Reason::AnswerDropped;
-                    let refusal = Refusal::new(reason, RetryAdvice::VerifyFirst);
-                    (AttemptEnd::Cancelled, Some(Kept::Lost(refusal)))
-                }
-            }
-        }
+    let OnceRun {
+        attempt,
+        outbound,
+        decided,
+        entry,
+    } = run;
+    let (end, kept) = match is_late(decided, SystemClock.now()) {
+        true => left_by(AttemptEnd::Withheld),
+        false => service.run_once(attempt, outbound, &mut cancelled).await,
     };
     if end == AttemptEnd::Broken {
         shared.probe.looked().await;
     }
-    if let Some(kept) = kept {
-        entry.settle(kept);
+    if let Kept::Answer(answer) = &kept {
+        let bytes = answer.size();
+        shared.reporter.report(Input::Kept { attempt, bytes });
     }
+    entry.settle(kept);
     shared.reporter.report(Input::Ended { attempt, end });
 }
 
-/// What is kept of an attempt without an answer.
-fn left_by(end: AttemptEnd) -> Option<Kept> {
-    match verdict(end) {
-        Verdict::Answered => None,
-        Verdict::NotRun(refusal) => Some(Kept::NotRun(refusal)),
-        Verdict::Unknown(refusal) => Some(Kept::Lost(refusal)),
+impl Service {
+    /// Hands an attempt over and reads its whole answer.
+    async fn run_once(
+        &self,
+        attempt: AttemptId,
+        outbound: Outbound,
+        cancelled: &mut oneshot::Receiver<()>,
+    ) -> (AttemptEnd, Kept) {
+        let mut meter = Meter::new();
+        let target = self.shared.target;
+        let handed = relay::hand_over(&self.client, target, attempt, outbound, cancelled).await;
+        let mut response = match handed {
+            Handed::Ended(end) => return left_by(end),
+            Handed::Answer(response) => response,
+        };
+        let limit = self.shared.answer_limit;
+        match relay::read_whole(&mut response.body, limit, cancelled, &mut meter).await {
+            Ok(body) => {
+                let cost = meter.total();
+                let kept = Kept::Answer(keep(&response, body).into());
+                (AttemptEnd::Answered { cost }, kept)
+            }
+            Err(ReadError::Cut) => left_by(AttemptEnd::Broken),
+            Err(ReadError::TooLarge) => {
+                let refusal = Refusal::new(Reason::AnswerDropped, RetryAdvice::VerifyFirst);
+                (AttemptEnd::Cancelled, Kept::Lost(refusal))
+            }
+        }
     }
 }
 
-fn keep(head: &Head, body: &[u8]) -> KeptAnswer {
-    let response = &head.response;
-    let mut headers = actix_http::header::HeaderMap::new();
-    for (name, value) in response
-        .headers()
-        .iter()
-        .filter(|(name, _)| forwarded(name))
-    {
+/// How an attempt without an answer ended, and what is kept of it.
+fn left_by(end: AttemptEnd) -> (AttemptEnd, Kept) {
+    let kept = match verdict(end) {
+        Verdict::NotRun(refusal) => Kept::NotRun(refusal),
+        Verdict::Unknown(refusal) => Kept::Lost(refusal),
+        Verdict::Answered => unreachable!("an answer is read whole"),
+    };
+    (end, kept)
+}
+
+fn keep(response: &Incoming, body: Bytes) -> KeptAnswer {
+    let mut headers = HeaderMap::new();
+    for (name, value) in response.headers.iter().filter(|(name, _)| forwarded(name)) {
         headers.append(name.clone(), value.clone());
     }
     KeptAnswer {
-        status: response.status(),
+        status: response.status,
         headers,
-        body: frame::whole(body),
+        body,
     }
 }
 
@@ -298,12 +312,15 @@
     }
 }
 
-fn outbound(attempt: AttemptId, request: &Request, body: Bytes) -> Outbound {
+fn outbound(request: &Request, body: Bytes) -> Outbound {
+    let mut headers = HeaderMap::new();
+    for (name, value) in request.headers().iter().filter(|(name, _)| forwarded(name)) {
+        headers.append(name.clone(), value.clone());
+    }
     Outbound {
-        attempt,
         method: request.method().clone(),
         uri: request.uri().clone(),
-        headers: request.headers().clone(),
+        headers,
         body,
     }
 }
--- a/agent/src/stream.rs
+++ b/agent/src/stream.rs
@@ -2,27 +2,28 @@
 //!
 //! Invariants:
 //! - A stream reports exactly one [`Input::Ended`], also when it is dropped.
-//! - The end frame is sent only after a whole answer.
 //! - A token stream that breaks goes on where it broke or is cut; nothing is
 //!   repeated and nothing is left out.
 
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
+use actix_http::header::HeaderMap;
+use actix_http::{Method, Uri};
 use actix_rt::task::JoinHandle;
-use awc::ClientResponse;
 use bytes::Bytes;
 use entity::AttemptId;
 use futures::{FutureExt, Stream};
 use node::body::{Chunks, CutBody};
-use node::frame;
+use node::client::{Client, Incoming, IncomingBody, Outbound};
 use policy::AttemptEnd;
 use tokio::sync::oneshot;
 
 use crate::control::Input;
-use crate::relay::{Head, Meter, Reporter};
+use crate::events::{Events, is_token_stream};
+use crate::relay::{Meter, Reporter, is_own};
 use crate::target::Probe;
-use crate::whole::Progress;
 
 /// The greatest number of times that one answer is resumed.
 const MAX_RESUMES: u32 = 3;
@@ -31,9 +32,9 @@
 #[derive(Clone)]
 pub struct Source {
     /// The client of the traffic thread.
-    pub client: awc::Client,
-    /// The target's address as a URL without a final slash.
-    pub target: String,
+    pub client: Client,
+    /// The target's address.
+    pub target: SocketAddr,
     /// The watch over the target.
     pub probe: Probe,
     /// Whether the target can resume and cancel the answer.
@@ -42,16 +43,16 @@
 
 /// Where the bytes come from.
 enum Feed {
-    Body(ClientResponse),
-    Resuming(JoinHandle<Option<ClientResponse>>),
+    Body(IncomingBody),
+    Resuming(JoinHandle<Option<IncomingBody>>),
 }
 
-/// The stream of an answer, framed for the router.
+/// The stream of an answer.
 pub struct TargetStream {
     source: Source,
     feed: Feed,
-    first: Bytes,
-    progress: Progress,
+    /// What is known of a token stream.
+    events: Option<Events>,
     resumes: u32,
     cancelled: oneshot::Receiver<()>,
     reporter: Reporter,
@@ -64,23 +65,21 @@
     /// Creates the stream of the answer to `attempt`.
     pub fn new(
         source: Source,
-        head: Head,
+        response: Incoming,
         cancelled: oneshot::Receiver<()>,
         reporter: Reporter,
         attempt: AttemptId,
     ) -> Self {
-        let mut meter = Meter::new();
-        meter.count(&head.first);
+        let is_stream = source.is_completion && is_token_stream(response.status, &response.headers);
         Self {
             source,
-            feed: Feed::Body(head.response),
-            first: head.first,
-            progress: head.progress,
+            feed: Feed::Body(response.body),
+            events: is_stream.then(Events::default),
             resumes: 0,
             cancelled,
             reporter,
             attempt,
-            meter,
+            meter: Meter::new(),
             ended: false,
         }
     }
@@ -100,30 +99,37 @@
         self.reporter.report(Input::Ended { attempt, end });
     }
 
-    /// Takes in a part; returns the frame to send, if there is one.
+    /// Takes in a part; returns what may be handed on, if there is anything.
     fn pass(&mut self, chunk: Bytes) -> Option<Bytes> {
-        let part = self.progress.pass(chunk);
+        let part = match &mut self.events {
+            Some(events) => events.pass(&chunk),
+            None => chunk,
+        };
         if let Some(cost) = self.meter.count(&part) {
             let attempt = self.attempt;
             self.reporter.report(Input::Streamed { attempt, cost });
         }
-        (!part.is_empty()).then(|| frame::data(&part))
+        (!part.is_empty()).then_some(part)
+    }
+
+    /// Whether a body that ends here is whole.
+    fn is_whole(&self) -> bool {
+        self.events.as_ref().is_none_or(Events::is_whole)
     }
 
     /// Asks the target for the rest of a stream; `false` if that is no use.
     fn resume(&mut self) -> bool {
-        let can_resume = self.progress.is_stream() && self.resumes < MAX_RESUMES;
-        if can_resume {
-            self.resumes += 1;
-            self.progress.rewind();
-            let asking = ask_rest(
-                self.source.clone(),
-                self.attempt.request.to_string(),
-                self.progress.events(),
-            );
-            self.feed = Feed::Resuming(actix_rt::spawn(asking));
+        let Some(events) = &mut self.events else {
+            return false;
+        };
+        if self.resumes >= MAX_RESUMES {
+            return false;
         }
-        can_resume
+        self.resumes += 1;
+        events.rewind();
+        let asking = ask_rest(self.source.clone(), self.attempt, events.count());
+        self.feed = Feed::Resuming(actix_rt::spawn(asking));
+        true
     }
 
     fn cut(&mut self, end: AttemptEnd) -> Poll<Option<Result<Bytes, CutBody>>> {
@@ -133,47 +139,46 @@
 }
 
 /// Asks for the rest of a stream; the target must still hold it under this name.
-async fn ask_rest(source: Source, request: String, offset: u32) -> Option<ClientResponse> {
-    let url = format!("{}/v1/streams/{request}?offset={offset}", source.target);
-    let response = source.client.get(url).no_decompress().send().await.ok()?;
-    let echo = node::http::text(response.headers(), crate::relay::REQUEST_ID);
-    let is_rest = response.status().is_success() && echo == Some(request.as_str());
-    is_rest.then_some(response)
+async fn ask_rest(source: Source, attempt: AttemptId, offset: u32) -> Option<IncomingBody> {
+    let request = attempt.request;
+    let path = format!("/v1/streams/{request}?offset={offset}");
+    let question = Outbound {
+        method: Method::GET,
+        uri: Uri::try_from(path).expect("an id and a number make a path"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let response = source.client.send(source.target, question).await.ok()?;
+    let is_rest = response.status.is_success() && is_own(attempt, &response.headers);
+    is_rest.then_some(response.body)
 }
 
 impl Chunks for TargetStream {
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, CutBody>>> {
-        if !self.first.is_empty() {
-            let first = std::mem::take(&mut self.first);
-            return Poll::Ready(Some(Ok(frame::data(&first))));
-        }
         loop {
-            if self.ended {
-                return Poll::Ready(None);
-            }
             if self.cancelled.poll_unpin(cx).is_ready() {
                 return self.cut(AttemptEnd::Cancelled);
             }
             let next = match &mut self.feed {
                 Feed::Resuming(asking) => match ready!(asking.poll_unpin(cx)) {
-                    Ok(Some(response)) => {
-                        self.feed = Feed::Body(response);
+                    Ok(Some(body)) => {
+                        self.feed = Feed::Body(body);
                         continue;
                     }
                     _ => return self.cut(AttemptEnd::Broken),
                 },
-                Feed::Body(response) => ready!(Pin::new(response).poll_next(cx)),
+                Feed::Body(body) => ready!(Pin::new(body).poll_next(cx)),
             };
             match next {
                 Some(Ok(chunk)) => {
-                    if let Some(frame) = self.pass(chunk) {
-                        return Poll::Ready(Some(Ok(frame)));
+                    if let Some(part) = self.pass(chunk) {
+                        return Poll::Ready(Some(Ok(part)));
                     }
                 }
-                None if self.progress.is_whole() => {
+                None if self.is_whole() => {
                     let cost = self.meter.total();
                     self.end(AttemptEnd::Answered { cost });
-                    return Poll::Ready(Some(Ok(frame::end())));
+                    return Poll::Ready(None);
                 }
                 _ if self.resume() => {}
                 _ => return self.cut(AttemptEnd::Broken),
--- a/agent/src/target.rs
+++ b/agent/src/target.rs
@@ -1,12 +1,17 @@
 //! The watch over the target: whether it lives and what load it reports.
 
+use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use actix_http::header::HeaderMap;
+use actix_http::{Method, Uri};
+use bytes::Bytes;
 use entity::RequestId;
+use node::client::{Client, Outbound};
 use policy::window::Report;
 use serde::Deserialize;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use crate::control::Input;
 use crate::relay::Reporter;
@@ -17,6 +22,9 @@
 /// The time limit of one question.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The greatest size of a load report, in bytes.
+const MAX_REPORT_BYTES: usize = 4096;
+
 /// The number of consecutive failures after which the target counts as down.
 const FAILURES: u32 = 3;
 
@@ -83,12 +91,11 @@
 
 /// Watches the target until the process ends.
 pub async fn watch(
-    client: awc::Client,
-    target: String,
+    client: Client,
+    target: SocketAddr,
     reporter: Reporter,
     mut asks: mpsc::Receiver<Ask>,
 ) {
-    let url = format!("{target}/load");
     let mut ticks = interval(INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut state = Watch::default();
@@ -101,11 +108,11 @@
             None => (false, None),
             Some(Ask::Look(done)) => (true, done),
             Some(Ask::Cancel(request)) => {
-                actix_rt::spawn(cancel(client.clone(), target.clone(), request));
+                actix_rt::spawn(cancel(client.clone(), target, request));
                 continue;
             }
         };
-        match ask(&client, &url).await {
+        match ask(&client, target).await {
             Some(report) => state.seen(report, &reporter),
             None => state.failed(is_doubted, &reporter),
         }
@@ -116,15 +123,30 @@
     }
 }
 
-async fn cancel(client: awc::Client, target: String, request: RequestId) {
-    let url = format!("{target}/v1/cancel/{request}");
+async fn cancel(client: Client, target: SocketAddr, request: RequestId) {
+    let question = Outbound {
+        method: Method::POST,
+        uri: Uri::try_from(format!("/v1/cancel/{request}")).expect("an id makes a path"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
     // A target that does not know the request has nothing to cancel.
-    let _ = client.post(url).timeout(TIMEOUT).send().await;
+    let _ = timeout(TIMEOUT, client.send(target, question)).await;
 }
 
-async fn ask(client: &awc::Client, url: &str) -> Option<LoadReport> {
-    let mut response = client.get(url).timeout(TIMEOUT).send().await.ok()?;
-    response.json().await.ok()
+async fn ask(client: &Client, target: SocketAddr) -> Option<LoadReport> {
+    let question = Outbound {
+        method: Method::GET,
+        uri: Uri::from_static("/load"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let answer = async {
+        let response = client.send(target, question).await.ok()?;
+        response.body.whole(MAX_REPORT_BYTES).await.ok()
+    };
+    let body = timeout(TIMEOUT, answer).await.ok()??;
+    serde_json::from_slice(&body).ok()
 }
 
 impl Watch {
--- a/livetests/src/caller.rs
+++ b/livetests/src/caller.rs
@@ -28,6 +28,8 @@
     pub outcome: String,
     /// The `x-request-id` header.
     pub request: String,
+    /// The `idempotency-key` header, which names a key that the router minted.
+    pub key: String,
     /// The body.
     pub body: String,
 }
@@ -133,6 +135,7 @@
     };
     let status = response.status().as_u16();
     let (outcome, request) = (header("kw-outcome"), header("x-request-id"));
+    let key = header("idempotency-key");
     let mut body = BytesMut::new();
     loop {
         let chunk: Option<Result<_, PayloadError>> = response.next().await;
@@ -147,6 +150,7 @@
         status,
         outcome,
         request,
+        key,
         body,
     })
 }
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -20,12 +20,6 @@
 /// The time an idle connection is kept by a server.
 pub const SERVER_KEEP_ALIVE: Duration = Duration::from_secs(75);
 
-/// The time limit for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// The greatest number of connections of one traffic thread to others.
-const MAX_CLIENT_CONNECTIONS: usize = 4096;
-
 /// Headers that describe one connection and are never forwarded.
 const HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -50,22 +44,6 @@
     Ok(listener)
 }
 
-/// Creates the HTTP client of one traffic thread; it follows no redirects and
-/// sets no time limit on answers.
-pub fn client() -> awc::Client {
-    let connector = awc::Connector::new()
-        .timeout(CONNECT_TIMEOUT)
-        .conn_keep_alive(CLIENT_KEEP_ALIVE)
-        .conn_lifetime(Duration::from_secs(3600))
-        .limit(MAX_CLIENT_CONNECTIONS);
-    awc::Client::builder()
-        .connector(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .no_default_headers()
-        .finish()
-}
-
 /// Why a request body was not read.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Display, Error)]
 pub enum BodyError {
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -8,9 +8,9 @@
 //! bounded channels and read it through snapshots.
 
 pub mod body;
+pub mod client;
 pub mod control;
 pub mod event;
-pub mod frame;
 pub mod host;
 pub mod http;
 pub mod metrics;
--- a/policy/src/agent.rs
+++ b/policy/src/agent.rs
@@ -412,7 +412,7 @@
         self.keys.begin(now, self.settings.endpoint);
         match event {
             AgentEvent::Configured(config) => self.configured(now, config, actions),
-            AgentEvent::Offered(offer) => self.offered(now, offer, actions),
+            AgentEvent::Offered(offer) => self.offered(now, &offer, actions),
             AgentEvent::Streamed { attempt, cost } => self.streamed(now, attempt, cost),
             AgentEvent::Kept { attempt, bytes } => self.kept(attempt, bytes, actions),
             AgentEvent::Ended { attempt, end } => self.ended(now, attempt, end, actions),
--- a/policy/src/agent/admit.rs
+++ b/policy/src/agent/admit.rs
@@ -29,7 +29,7 @@
 }
 
 impl<S: Share> Agent<S> {
-    pub(super) fn offered(&mut self, now: Now, offer: Offer, actions: &mut Vec<AgentAction>) {
+    pub(super) fn offered(&mut self, now: Now, offer: &Offer, actions: &mut Vec<AgentAction>) {
         let attempt = offer.attempt;
         if !self.admit_key(now, &offer, actions) {
             return;
--- a/policy/src/once.rs
+++ b/policy/src/once.rs
@@ -321,9 +321,7 @@
         let covered = issued > self.settings.started + 2 * self.settings.bounds.skew;
         match () {
             // No later confirmation of the home lets this life start the key.
-            () if home && !covered => {
-                Err(unknown(Reason::KeyNotCovered, RetryAdvice::VerifyFirst))
-            }
+            () if home && !covered => Err(unknown(Reason::KeyNotCovered, RetryAdvice::VerifyFirst)),
             () if !home || !vouch.vouches(issued) => Err(unknown(
                 Reason::HomeUnconfirmed,
                 RetryAdvice::After(RETRY_DELAY),
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -7,15 +7,12 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use actix_http::Method;
-use actix_http::header::HeaderName;
-use awc::ClientResponse;
-use awc::error::{ConnectError, SendRequestError};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use bytes::Bytes;
 use entity::{AttemptId, Cost, TargetId};
-use futures::{Stream, StreamExt};
+use futures::Stream;
 use node::body::{Chunks, CutBody};
-use node::frame::{Deframer, Frame};
+use node::client::{Client, Incoming, IncomingBody, Outbound, SendError};
 use node::http::{forwarded, text};
 use policy::message::{Reply, Verdict};
 use policy::{AttemptResult, DispatchOrder};
@@ -26,60 +23,47 @@
 use crate::filter::KEY_HEADER;
 use crate::respond::REQUEST_ID;
 
-/// The end of an attempt that may have run and of whose answer nothing was handed on.
-const BROKEN: AttemptResult = AttemptResult::Broken { delivered: false };
-
-/// The beginning of an answer.
-pub struct Head {
-    /// The response whose body goes on.
-    pub response: ClientResponse,
-    first: Frame,
-    frames: Deframer,
-}
-
 /// What came of sending an attempt.
 pub enum Relayed {
-    /// The agent answers.
-    Answer(Head),
+    /// The agent answers: the response follows.
+    Answer(Box<Incoming>),
     /// The attempt ended without an answer.
     Ended(AttemptResult),
 }
 
-/// Sends an attempt and waits for the first part of the agent's answer.
+/// Sends an attempt and waits for the first bytes of the agent's answer.
 pub async fn send(
-    client: &awc::Client,
+    client: &Client,
     exchange: &Exchange,
     order: &DispatchOrder,
     reporter: &Reporter,
 ) -> Relayed {
-    let url = format!("http://{}{}", order.data, exchange.uri);
-    let method: Method = exchange.method.clone();
-    let mut request = client.request(method, url).no_decompress();
-    for (name, value) in exchange.headers.iter().filter(|(name, _)| passes(name)) {
-        request.headers_mut().append(name.clone(), value.clone());
-    }
-    let request = request
-        .insert_header((OFFER_HEADER, write_header(&order.offer)))
-        .insert_header((REQUEST_ID, exchange.request.to_string()));
-    let request = match (exchange.key, order.offer.key) {
-        (None, Some(minted)) => request.insert_header((KEY_HEADER, minted.to_string())),
-        _ => request,
-    };
-    match request.send_body(exchange.body.clone()).await {
+    match client.send(order.data, outbound(exchange, order)).await {
         Ok(response) => judge(order, response, reporter).await,
-        Err(error) => Relayed::Ended(failure(&error)),
+        Err(SendError::Unsent) => Relayed::Ended(AttemptResult::Unsent),
+        Err(SendError::Broken) => Relayed::Ended(AttemptResult::Broken { delivered: false }),
     }
 }
 
-/// How an attempt ended that got no response.
-///
-/// The client reports a connection that closed before the response as one that
-/// was never opened, although the request had been sent.
-fn failure(error: &SendRequestError) -> AttemptResult {
-    match error {
-        SendRequestError::Connect(ConnectError::Disconnected) => BROKEN,
-        SendRequestError::Connect(_) => AttemptResult::Unsent,
-        _ => BROKEN,
+fn outbound(exchange: &Exchange, order: &DispatchOrder) -> Outbound {
+    let mut headers = HeaderMap::new();
+    for (name, value) in exchange.headers.iter().filter(|(name, _)| passes(name)) {
+        headers.append(name.clone(), value.clone());
+    }
+    let mut insert = |name: &'static str, value: String| {
+        let value = HeaderValue::from_str(&value).expect("internal headers are plain text");
+        headers.insert(HeaderName::from_static(name), value);
+    };
+    insert(OFFER_HEADER, write_header(&order.offer));
+    insert(REQUEST_ID, exchange.request.to_string());
+    if let (None, Some(minted)) = (exchange.key, order.offer.key) {
+        insert(KEY_HEADER, minted.to_string());
+    }
+    Outbound {
+        method: exchange.method.clone(),
+        uri: exchange.uri.clone(),
+        headers,
+        body: exchange.body.clone(),
     }
 }
 
@@ -88,22 +72,18 @@
     forwarded(name) && !["authorization", "host", REQUEST_ID].contains(&name.as_str())
 }
 
-async fn judge(
-    order: &DispatchOrder,
-    mut response: ClientResponse,
-    reporter: &Reporter,
-) -> Relayed {
+async fn judge(order: &DispatchOrder, mut response: Incoming, reporter: &Reporter) -> Relayed {
     let attempt = order.offer.attempt;
-    let reply = text(response.headers(), REPLY_HEADER).map(read_header::<Reply>);
+    let reply = text(&response.headers, REPLY_HEADER).map(read_header::<Reply>);
     let Some(Ok(reply)) = reply else {
-        return Relayed::Ended(BROKEN);
+        return Relayed::Ended(AttemptResult::Broken { delivered: false });
     };
     if reply.attempt != attempt {
         reporter.report(Input::Mismatched {
             expected: attempt,
             answered: reply.attempt,
         });
-        return Relayed::Ended(BROKEN);
+        return Relayed::Ended(AttemptResult::Broken { delivered: false });
     }
     reporter.report(Input::Loaded {
         target: order.target,
@@ -111,20 +91,11 @@
         load: reply.load,
     });
     match reply.verdict {
-        Verdict::Answered => {
-            let mut frames = Deframer::default();
-            while let Some(Ok(chunk)) = response.next().await {
-                frames.push(&chunk);
-                if let Some(first) = frames.next_frame() {
-                    return Relayed::Answer(Head {
-                        response,
-                        first,
-                        frames,
-                    });
-                }
-            }
-            Relayed::Ended(BROKEN)
-        }
+        // A target that dies before its first byte has delivered nothing.
+        Verdict::Answered => match response.body.prime().await {
+            Ok(()) => Relayed::Answer(Box::new(response)),
+            Err(CutBody) => Relayed::Ended(AttemptResult::Broken { delivered: false }),
+        },
         Verdict::NotRun(refusal) => Relayed::Ended(AttemptResult::NotRun(refusal)),
         Verdict::Unknown(refusal) => Relayed::Ended(AttemptResult::Unknown(refusal)),
     }
@@ -132,27 +103,25 @@
 
 /// The body of an answer on its way from an agent to the caller.
 pub struct AnswerStream {
-    response: ClientResponse,
-    first: Option<Frame>,
-    frames: Deframer,
+    body: IncomingBody,
     reporter: Reporter,
     attempt: AttemptId,
     target: TargetId,
-    is_whole: bool,
+    bytes: u64,
     ended: bool,
 }
 
 impl AnswerStream {
     /// Creates the stream of the answer to `order`.
-    pub fn new(head: Head, reporter: Reporter, order: &DispatchOrder) -> Self {
+    pub fn new(body: IncomingBody, reporter: Reporter, order: &DispatchOrder) -> Self {
+        let attempt = order.offer.attempt;
+        let target = order.target;
         Self {
-            response: head.response,
-            first: Some(head.first),
-            frames: head.frames,
+            body,
             reporter,
-            attempt: order.offer.attempt,
-            target: order.target,
-            is_whole: false,
+            attempt,
+            target,
+            bytes: 0,
             ended: false,
         }
     }
@@ -174,29 +143,20 @@
 
 impl Chunks for AnswerStream {
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, CutBody>>> {
-        loop {
-            let frame = self.first.take().or_else(|| self.frames.next_frame());
-            match frame {
-                Some(Frame::Data(chunk)) => return Poll::Ready(Some(Ok(chunk))),
-                Some(Frame::End) => self.is_whole = true,
-                None => {}
+        match Pin::new(&mut self.body).poll_next(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Ok(chunk))) => {
+                self.bytes += chunk.len() as u64;
+                Poll::Ready(Some(Ok(chunk)))
+            }
+            Poll::Ready(Some(Err(_))) => {
+                self.end(AttemptResult::Broken { delivered: true });
+                Poll::Ready(Some(Err(CutBody)))
             }
-            // The connection is read to its end, so that it can be used again.
-            match Pin::new(&mut self.response).poll_next(cx) {
-                Poll::Pending if self.is_whole => {}
-                Poll::Pending => return Poll::Pending,
-                Poll::Ready(Some(Ok(chunk))) if !self.is_whole => {
-                    self.frames.push(&chunk);
-                    continue;
-                }
-                Poll::Ready(_) if self.is_whole => {}
-                Poll::Ready(_) => {
-                    self.end(AttemptResult::Broken { delivered: true });
-                    return Poll::Ready(Some(Err(CutBody)));
-                }
+            Poll::Ready(None) => {
+                self.end(AttemptResult::Answered { cost: Cost::ZERO });
+                Poll::Ready(None)
             }
-            self.end(AttemptResult::Answered { cost: Cost::ZERO });
-            return Poll::Ready(None);
         }
     }
 }
--- a/router/src/service.rs
+++ b/router/src/service.rs
@@ -14,6 +14,7 @@
     Refusal, RequestId, RetryAdvice, SystemClock,
 };
 use node::body::Body;
+use node::client::{Client, Incoming};
 use node::host::Snapshot;
 use node::http::{read_body, text};
 use policy::status::ANSWERED;
@@ -26,7 +27,7 @@
 use crate::control::{Input, Order, Reporter, Submission};
 use crate::exchange::{Exchange, Rejection};
 use crate::filter::{self, Chain, Filter};
-use crate::relay::{self, AnswerStream, Head, Relayed};
+use crate::relay::{self, AnswerStream, Relayed};
 use crate::respond::{self, Answer};
 
 /// Carries the caller's hint of a request's cost, in cost units.
@@ -53,7 +54,7 @@
 
 /// The state of one traffic thread.
 pub struct Service {
-    client: awc::Client,
+    client: Client,
     chain: Chain,
     snapshot: Snapshot,
     reporter: Reporter,
@@ -64,7 +65,7 @@
 impl Service {
     /// Creates the service of the current thread.
     pub fn new(snapshot: Snapshot, reporter: Reporter, limits: Limits) -> Rc<Self> {
-        let client = node::http::client();
+        let client = Client::new();
         let chain = filter::chain();
         Rc::new(Self {
             client,
@@ -81,7 +82,10 @@
         let id = RequestId(Uuid::now_v7().as_u128());
         let now = self.clock.now();
         let Some(config) = self.snapshot.load_full() else {
-            return respond::finished(id, &not_run(Reason::NotConfigured));
+            let retry = RetryAdvice::After(OVERLOAD_DELAY);
+            let refusal = Refusal::new(Reason::NotConfigured, retry);
+            let key = text(request.headers(), filter::KEY_HEADER);
+            return respond::finished(id, &refused(key, refusal));
         };
         let mut exchange = open(id, config, &request);
         if let Err(rejection) = self.chain.apply(now, &mut exchange) {
@@ -102,7 +106,8 @@
 
     fn reject(&self, exchange: Exchange, rejection: Rejection) -> Answer {
         self.reporter.report(Input::Rejected(exchange.decisions));
-        respond::rejected(exchange.request, rejection)
+        let outcome = refused(exchange.key, rejection.refusal);
+        respond::finished(exchange.request, &outcome)
     }
 
     async fn run(&self, now: Now, mut exchange: Exchange) -> Answer {
@@ -118,18 +123,20 @@
             decisions,
             orders: sender,
         }) {
-            return respond::finished(request, &not_run(Reason::QueueFull));
+            let retry = RetryAdvice::After(OVERLOAD_DELAY);
+            let refusal = Refusal::new(Reason::QueueFull, retry);
+            return respond::finished(request, &refused(exchange.key, refusal));
         }
         let mut guard = CallerGuard {
             reporter: self.reporter.clone(),
             request: Some(request),
         };
-        let mut answer = self.carry(&exchange, &mut orders).await;
+        let mut carried = self.carry(&exchange, &mut orders).await;
         guard.disarm();
-        if let Some(minted) = answer.minted {
-            respond::mark_key(answer.response.headers_mut(), &minted);
+        if let Some(minted) = carried.minted {
+            respond::mark_key(carried.response.headers_mut(), &minted);
         }
-        answer.response
+        carried.response
     }
 
     /// Carries out the orders about a request until it has ended.
@@ -152,8 +159,8 @@
             };
             minted = order.offer.key.filter(|_| exchange.key.is_none());
             match self.attempt(exchange, &order, orders).await {
-                Attempted::Answer(head) => {
-                    let response = self.stream(request, &order, head);
+                Attempted::Answer(answer) => {
+                    let response = self.stream(request, &order, *answer);
                     return Carried { response, minted };
                 }
                 Attempted::Ended(result) => {
@@ -200,7 +207,7 @@
         let sending = relay::send(&self.client, exchange, order, &self.reporter);
         tokio::select! {
             relayed = sending => match relayed {
-                Relayed::Answer(head) => Attempted::Answer(head),
+                Relayed::Answer(response) => Attempted::Answer(response),
                 Relayed::Ended(result) => Attempted::Ended(result),
             },
             order = orders.recv() => match order {
@@ -210,12 +217,12 @@
         }
     }
 
-    fn stream(&self, request: RequestId, order: &DispatchOrder, head: Head) -> Answer {
-        let status = head.response.status();
+    fn stream(&self, request: RequestId, order: &DispatchOrder, response: Incoming) -> Answer {
+        let status = response.status;
         let mut answer: Answer = Response::new(status).set_body(Body::Whole(Bytes::new()));
-        respond::copy_headers(head.response.headers(), answer.head_mut());
+        respond::copy_headers(&response.headers, answer.head_mut());
         respond::mark(answer.headers_mut(), request, ANSWERED);
-        let stream = AnswerStream::new(head, self.reporter.clone(), order);
+        let stream = AnswerStream::new(response.body, self.reporter.clone(), order);
         answer.set_body(Body::Stream(stream))
     }
 }
@@ -228,7 +235,7 @@
 
 /// What came of one attempt.
 enum Attempted {
-    Answer(Head),
+    Answer(Box<Incoming>),
     Ended(AttemptResult),
     Finished(Outcome),
     Abandoned,
@@ -272,6 +279,19 @@
     }
 }
 
+/// The outcome of a request that this router refuses without word from an agent.
+///
+/// An earlier request may have run under the same key.
+fn refused<K>(key: Option<K>, refusal: Refusal) -> Outcome {
+    match key {
+        Some(_) => Outcome::Unknown { refusal },
+        None => Outcome::NotRun {
+            refusal,
+            proof: HandOver::new().give_up(),
+        },
+    }
+}
+
 fn not_run(reason: Reason) -> Outcome {
     let refusal = Refusal::new(reason, RetryAdvice::After(OVERLOAD_DELAY));
     Outcome::NotRun {
