--- a/agent/src/relay.rs
+++ b/agent/src/relay.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::header::HeaderMap;
+use actix_http::{Method, Uri};
 use bytes::{Bytes, BytesMut};
 use entity::{AttemptId, Cost};
 use futures::StreamExt;
@@ -14,6 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control::Input;
+use crate::events::{is_completion, is_token_stream};
 
 /// Carries the request id to the target and back.
 const REQUEST_ID: &str = "x-request-id";
@@ -77,11 +79,17 @@
     attempt: AttemptId,
     outbound: Outbound,
 ) -> Handed {
+    let is_completion = is_completion(outbound.uri.path());
     match client.send(target, outbound).await {
         // The answer to another request is never handed on.
         Ok(response) if !is_own(attempt, &response.headers) => Handed::Ended(AttemptEnd::Broken),
         Ok(mut response) => match response.body.prime().await {
             Ok(()) => Handed::Answer(Box::new(response)),
+            Err(CutBody)
+                if is_completion && is_token_stream(response.status, &response.headers) =>
+            {
+                begin_again(client, target, attempt).await
+            }
             Err(CutBody) => Handed::Ended(AttemptEnd::Broken),
         },
         Err(SendError::Unsent) => Handed::Ended(AttemptEnd::Unsent),
@@ -89,6 +97,37 @@
     }
 }
 
+/// Asks for a token stream that broke before its first token.
+async fn begin_again(client: &Client, target: SocketAddr, attempt: AttemptId) -> Handed {
+    let Some(mut response) = ask_rest(client, target, attempt, 0).await else {
+        return Handed::Ended(AttemptEnd::Broken);
+    };
+    match response.body.prime().await {
+        Ok(()) => Handed::Answer(Box::new(response)),
+        Err(CutBody) => Handed::Ended(AttemptEnd::Broken),
+    }
+}
+
+/// Asks for a stream from an offset; the target must still hold it under this name.
+pub async fn ask_rest(
+    client: &Client,
+    target: SocketAddr,
+    attempt: AttemptId,
+    offset: u32,
+) -> Option<Incoming> {
+    let request = attempt.request;
+    let path = format!("/v1/streams/{request}?offset={offset}");
+    let question = Outbound {
+        method: Method::GET,
+        uri: Uri::try_from(path).expect("an id and a number make a path"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let response = client.send(target, question).await.ok()?;
+    let is_rest = response.status.is_success() && is_own(attempt, &response.headers);
+    is_rest.then_some(response)
+}
+
 /// Whether a response is that to the attempt's request; one without an id is taken for it.
 pub fn is_own(attempt: AttemptId, headers: &HeaderMap) -> bool {
     let echo = text(headers, REQUEST_ID);
--- a/agent/src/stream.rs
+++ b/agent/src/stream.rs
@@ -9,20 +9,18 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
-use actix_http::header::HeaderMap;
-use actix_http::{Method, Uri};
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use entity::AttemptId;
 use futures::{FutureExt, Stream};
 use node::body::{Chunks, CutBody};
-use node::client::{Client, Incoming, IncomingBody, Outbound};
+use node::client::{Client, Incoming, IncomingBody};
 use policy::AttemptEnd;
 use tokio::sync::oneshot;
 
 use crate::control::Input;
 use crate::events::{Events, is_token_stream};
-use crate::relay::{Meter, Reporter, is_own};
+use crate::relay::{Meter, Reporter, ask_rest};
 use crate::target::Probe;
 
 /// The greatest number of times that one answer is resumed.
@@ -44,7 +42,7 @@
 /// Where the bytes come from.
 enum Feed {
     Body(IncomingBody),
-    Resuming(JoinHandle<Option<IncomingBody>>),
+    Resuming(JoinHandle<Option<Incoming>>),
 }
 
 /// The stream of an answer.
@@ -127,7 +125,8 @@
         }
         self.resumes += 1;
         events.rewind();
-        let asking = ask_rest(self.source.clone(), self.attempt, events.count());
+        let (source, attempt, offset) = (self.source.clone(), self.attempt, events.count());
+        let asking = async move { ask_rest(&source.client, source.target, attempt, offset).await };
         self.feed = Feed::Resuming(actix_rt::spawn(asking));
         true
     }
@@ -138,21 +137,6 @@
     }
 }
 
-/// Asks for the rest of a stream; the target must still hold it under this name.
-async fn ask_rest(source: Source, attempt: AttemptId, offset: u32) -> Option<IncomingBody> {
-    let request = attempt.request;
-    let path = format!("/v1/streams/{request}?offset={offset}");
-    let question = Outbound {
-        method: Method::GET,
-        uri: Uri::try_from(path).expect("an id and a number make a path"),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-    };
-    let response = source.client.send(source.target, question).await.ok()?;
-    let is_rest = response.status.is_success() && is_own(attempt, &response.headers);
-    is_rest.then_some(response.body)
-}
-
 impl Chunks for TargetStream {
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, CutBody>>> {
         loop {
@@ -161,8 +145,8 @@
             }
             let next = match &mut self.feed {
                 Feed::Resuming(asking) => match ready!(asking.poll_unpin(cx)) {
-                    Ok(Some(body)) => {
-                        self.feed = Feed::Body(body);
+                    Ok(Some(response)) => {
+                        self.feed = Feed::Body(response.body);
                         continue;
                     }
                     _ => return self.cut(AttemptEnd::Broken),
--- a/livetests/src/caller.rs
+++ b/livetests/src/caller.rs
@@ -2,9 +2,12 @@
 
 use std::net::SocketAddr;
 
-use awc::error::{PayloadError, SendRequestError};
-use bytes::BytesMut;
+use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, Uri};
+use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
+use node::client::{Client, Incoming, Outbound};
+use node::http::text;
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
@@ -110,39 +113,41 @@
 
     /// Sends the request to a router and reads the response.
     pub async fn send(&self, router: SocketAddr) -> Ending {
-        let client = awc::Client::builder().disable_timeout().finish();
-        let url = format!("http://{router}{}", self.path);
+        let value = |text: &str| HeaderValue::from_str(text).expect("headers are plain text");
+        let mut headers = HeaderMap::new();
         let bearer = format!("Bearer kw-demo-{}", self.team);
-        let mut request = client.post(url).insert_header(("authorization", bearer));
-        for (name, value) in &self.headers {
-            request = request.insert_header((name.as_str(), value.as_str()));
+        headers.insert(AUTHORIZATION, value(&bearer));
+        for (name, text) in &self.headers {
+            let name = HeaderName::try_from(name.as_str()).expect("headers have valid names");
+            headers.append(name, value(text));
         }
-        match request.send_body(self.body.clone()).await {
+        let request = Outbound {
+            method: Method::POST,
+            uri: Uri::try_from(self.path.as_str()).expect("paths are valid"),
+            headers,
+            body: Bytes::from(self.body.clone()),
+        };
+        match Client::new().send(router, request).await {
             Ok(response) => read(response).await,
-            Err(SendRequestError::Url(error)) => panic!("{error}"),
             Err(_) => Ending::Lost,
         }
     }
 }
 
-async fn read(mut response: awc::ClientResponse) -> Ending {
-    let header = |name: &str| {
-        let value = response
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok());
+async fn read(response: Incoming) -> Ending {
+    let header = |name| {
+        let value = text(&response.headers, name);
         value.unwrap_or_default().to_owned()
     };
-    let status = response.status().as_u16();
+    let status = response.status.as_u16();
     let (outcome, request) = (header("kw-outcome"), header("x-request-id"));
     let key = header("idempotency-key");
+    let mut stream = response.body;
     let mut body = BytesMut::new();
-    loop {
-        let chunk: Option<Result<_, PayloadError>> = response.next().await;
+    while let Some(chunk) = stream.next().await {
         match chunk {
-            Some(Ok(chunk)) => body.extend_from_slice(&chunk),
-            Some(Err(_)) => return Ending::Cut,
-            None => break,
+            Ok(chunk) => body.extend_from_slice(&chunk),
+            Err(_) => return Ending::Cut,
         }
     }
     let body = String::from_utf8_lossy(&body).into_owned();
--- a/livetests/tests/retries.rs
+++ b/livetests/tests/retries.rs
@@ -105,6 +105,13 @@
     })
     .await;
     for index in 0..fleet.pairs.len() {
+        let before = fleet.counts(index).await["tokens"].as_u64().unwrap_or(0);
+        until("each stream of the engine has a token", || async {
+            let counts = fleet.counts(index).await;
+            let is_idle = counts["runs"]["started"] == 0;
+            (is_idle || counts["tokens"].as_u64()? >= before + 8).then_some(())
+        })
+        .await;
         let fault = json!({"kind": "cut-streams"});
         fleet
             .fault(index, fault)
