--- a/filetests/src/fleet.rs
+++ b/filetests/src/fleet.rs
@@ -466,6 +466,8 @@
             }
             AgentAction::Cancel(attempt) => self.cancel(index, attempt),
             AgentAction::Unknown { .. }
+            | AgentAction::Evict(_)
+            | AgentAction::Spread(_)
             | AgentAction::Replay { .. }
             | AgentAction::Follow { .. }
             | AgentAction::Decided(_)
