--- a/agent/src/relay.rs
+++ b/agent/src/relay.rs
@@ -1,22 +1,24 @@
 //! Sends attempts to the target and reads its answers.
-//!
-//! Invariant: an attempt that was started reports exactly one
-//! [`Input::Ended`], also when its stream is dropped.
 
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+use actix_http::header::HeaderMap;
+use actix_http::{Method, Uri};
 use bytes::{Bytes, BytesMut};
 use entity::{AttemptId, Cost};
-use futures::{FutureExt, Stream, StreamExt};
-use node::body::{Chunks, CutBody};
+use futures::StreamExt;
+use node::body::CutBody;
 use node::client::{Client, Incoming, IncomingBody, Outbound, SendError};
+use node::http::text;
 use policy::AttemptEnd;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control::Input;
+use crate::events::{is_completion, is_token_stream};
+
+/// Carries the request id to the target and back.
+const REQUEST_ID: &str = "x-request-id";
 
 /// The number of streamed tokens after which their cost is reported.
 const REPORT_TOKENS: i64 = 16;
@@ -60,20 +62,34 @@
 pub async fn hand_over(
     client: &Client,
     target: SocketAddr,
+    attempt: AttemptId,
     outbound: Outbound,
     cancelled: &mut oneshot::Receiver<()>,
 ) -> Handed {
     tokio::select! {
         biased;
         _ = cancelled => Handed::Ended(AttemptEnd::Cancelled),
-        handed = exchange(client, target, outbound) => handed,
+        handed = exchange(client, target, attempt, outbound) => handed,
     }
 }
 
-async fn exchange(client: &Client, target: SocketAddr, outbound: Outbound) -> Handed {
+async fn exchange(
+    client: &Client,
+    target: SocketAddr,
+    attempt: AttemptId,
+    outbound: Outbound,
+) -> Handed {
+    let is_completion = is_completion(outbound.uri.path());
     match client.send(target, outbound).await {
+        // The answer to another request is never handed on.
+        Ok(response) if !is_own(attempt, &response.headers) => Handed::Ended(AttemptEnd::Broken),
         Ok(mut response) => match response.body.prime().await {
             Ok(()) => Handed::Answer(Box::new(response)),
+            Err(CutBody)
+                if is_completion && is_token_stream(response.status, &response.headers) =>
+            {
+                begin_again(client, target, attempt).await
+            }
             Err(CutBody) => Handed::Ended(AttemptEnd::Broken),
         },
         Err(SendError::Unsent) => Handed::Ended(AttemptEnd::Unsent),
@@ -81,6 +97,43 @@
     }
 }
 
+/// Asks for a token stream that broke before its first token.
+async fn begin_again(client: &Client, target: SocketAddr, attempt: AttemptId) -> Handed {
+    let Some(mut response) = ask_rest(client, target, attempt, 0).await else {
+        return Handed::Ended(AttemptEnd::Broken);
+    };
+    match response.body.prime().await {
+        Ok(()) => Handed::Answer(Box::new(response)),
+        Err(CutBody) => Handed::Ended(AttemptEnd::Broken),
+    }
+}
+
+/// Asks for a stream from an offset; the target must still hold it under this name.
+pub async fn ask_rest(
+    client: &Client,
+    target: SocketAddr,
+    attempt: AttemptId,
+    offset: u32,
+) -> Option<Incoming> {
+    let request = attempt.request;
+    let path = format!("/v1/streams/{request}?offset={offset}");
+    let question = Outbound {
+        method: Method::GET,
+        uri: Uri::try_from(path).expect("an id and a number make a path"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let response = client.send(target, question).await.ok()?;
+    let is_rest = response.status.is_success() && is_own(attempt, &response.headers);
+    is_rest.then_some(response)
+}
+
+/// Whether a response is that to the attempt's request; one without an id is taken for it.
+pub fn is_own(attempt: AttemptId, headers: &HeaderMap) -> bool {
+    let echo = text(headers, REQUEST_ID);
+    echo.is_none_or(|echo| echo == attempt.request.to_string())
+}
+
 /// Counts the cost of an answer as its parts pass.
 #[derive(Debug)]
 pub struct Meter {
@@ -131,6 +184,15 @@
     lines.filter(|line| line.starts_with(FIELD)).count() as i64
 }
 
+/// Why a whole answer could not be read.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ReadError {
+    /// The body broke or was cancelled.
+    Cut,
+    /// The body is over the limit.
+    TooLarge,
+}
+
 /// Reads a whole answer body.
 ///
 /// # Errors
@@ -141,12 +203,12 @@
     limit: usize,
     cancelled: &mut oneshot::Receiver<()>,
     meter: &mut Meter,
-) -> Result<Bytes, CutBody> {
+) -> Result<Bytes, ReadError> {
     let mut whole = BytesMut::new();
     loop {
         let chunk = tokio::select! {
             biased;
-            _ = &mut *cancelled => return Err(CutBody),
+            _ = &mut *cancelled => return Err(ReadError::Cut),
             chunk = body.next() => chunk,
         };
         match chunk {
@@ -155,82 +217,8 @@
                 meter.count(&chunk);
                 whole.extend_from_slice(&chunk);
             }
-            Some(_) => return Err(CutBody),
-        }
-    }
-}
-
-/// The body of an answer on its way from the target to a router.
-pub struct TargetStream {
-    body: IncomingBody,
-    cancelled: oneshot::Receiver<()>,
-    reporter: Reporter,
-    attempt: AttemptId,
-    meter: Meter,
-    ended: bool,
-}
-
-impl TargetStream {
-    /// Creates the stream of the answer to `attempt`.
-    pub fn new(
-        body: IncomingBody,
-        cancelled: oneshot::Receiver<()>,
-        reporter: Reporter,
-        attempt: AttemptId,
-        meter: Meter,
-    ) -> Self {
-        Self {
-            body,
-            cancelled,
-            reporter,
-            attempt,
-            meter,
-            ended: false,
-        }
-    }
-
-    fn end(&mut self, end: AttemptEnd) {
-        if !std::mem::replace(&mut self.ended, true) {
-            self.reporter.report(Input::Ended {
-                attempt: self.attempt,
-                end,
-            });
-        }
-    }
-}
-
-impl Chunks for TargetStream {
-    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, CutBody>>> {
-        if self.cancelled.poll_unpin(cx).is_ready() && !self.ended {
-            self.end(AttemptEnd::Cancelled);
-            return Poll::Ready(Some(Err(CutBody)));
-        }
-        match Pin::new(&mut self.body).poll_next(cx) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Ok(chunk))) => {
-                if let Some(cost) = self.meter.count(&chunk) {
-                    self.reporter.report(Input::Streamed {
-                        attempt: self.attempt,
-                        cost,
-                    });
-                }
-                Poll::Ready(Some(Ok(chunk)))
-            }
-            Poll::Ready(Some(Err(_))) => {
-                self.end(AttemptEnd::Broken);
-                Poll::Ready(Some(Err(CutBody)))
-            }
-            Poll::Ready(None) => {
-                let cost = self.meter.total();
-                self.end(AttemptEnd::Answered { cost });
-                Poll::Ready(None)
-            }
+            Some(Ok(_)) => return Err(ReadError::TooLarge),
+            Some(Err(CutBody)) => return Err(ReadError::Cut),
         }
     }
 }
-
-impl Drop for TargetStream {
-    fn drop(&mut self) {
-        self.end(AttemptEnd::Cancelled);
-    }
-}
--- a/agent/src/run.rs
+++ b/agent/src/run.rs
@@ -19,11 +19,10 @@
 use policy::fleet::Role;
 use tokio::sync::mpsc;
 
-use crate::answers::Answers;
 use crate::control::{AgentRole, SharedIncarnation};
 use crate::relay::Reporter;
 use crate::service::{Service, Shared};
-use crate::target;
+use crate::target::{self, Probe};
 
 /// How long idle connections of routers may delay the end of the process.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(2);
@@ -48,7 +47,6 @@
         ("operators", &operators),
     ]);
     let snapshot = Snapshot::default();
-    let answers = Answers::default();
     let (traffic, traffic_inputs) = mpsc::channel(INPUT_DEPTH);
     let (queries, query_inputs) = mpsc::channel(QUERY_DEPTH);
     let reporter = Reporter::new(traffic);
@@ -59,7 +57,8 @@
         seed: endpoint.incarnation.0,
         gossip: AgentPolicy::GOSSIP,
     };
-    let role = AgentRole::new(policy, answers.clone(), incarnation.clone());
+    let answers = settings.limits.answers_bytes as u64;
+    let role = AgentRole::new(policy, answers, incarnation.clone());
     let metrics = Metrics::new()?;
     let host_settings = HostSettings {
         name: settings.name.clone(),
@@ -72,15 +71,16 @@
     };
     let host = Host::new(host_settings, role, snapshot);
     let target = target_address(&settings.target)?;
+    let (probe, asks) = Probe::new();
     let shared = Shared {
         target,
         incarnation,
-        answers,
+        probe,
         reporter: reporter.clone(),
         body_limit: settings.limits.body_bytes,
         answer_limit: settings.limits.answer_bytes,
     };
-    actix_rt::spawn(target::watch(Client::new(), target, reporter));
+    actix_rt::spawn(target::watch(Client::new(), target, reporter, asks));
     let server = listen(data, &settings, shared)?;
     let handle = server.handle();
     actix_rt::spawn(server);
--- a/agent/src/target.rs
+++ b/agent/src/target.rs
@@ -6,9 +6,11 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Uri};
 use bytes::Bytes;
+use entity::RequestId;
 use node::client::{Client, Outbound};
 use policy::window::Report;
 use serde::Deserialize;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use crate::control::Input;
@@ -26,6 +28,50 @@
 /// The number of consecutive failures after which the target counts as down.
 const FAILURES: u32 = 3;
 
+/// The number of questions of traffic threads that may wait.
+const PROBE_DEPTH: usize = 1024;
+
+/// What traffic threads ask of the watch.
+#[derive(Debug)]
+pub enum Ask {
+    /// Look at the target now, and then answer.
+    Look(Option<oneshot::Sender<()>>),
+    /// Cancel a request on the target.
+    Cancel(RequestId),
+}
+
+/// The channel from traffic threads to the watch.
+#[derive(Clone, Debug)]
+pub struct Probe(mpsc::Sender<Ask>);
+
+impl Probe {
+    /// Creates a probe and what the watch reads from.
+    pub fn new() -> (Self, mpsc::Receiver<Ask>) {
+        let (sender, receiver) = mpsc::channel(PROBE_DEPTH);
+        (Self(sender), receiver)
+    }
+
+    /// Has the target looked at soon.
+    pub fn look(&self) {
+        // A full channel means that it is being looked at.
+        let _ = self.0.try_send(Ask::Look(None));
+    }
+
+    /// Has the target looked at, and waits until the control thread was told of the result.
+    pub async fn looked(&self) {
+        let (done, wait) = oneshot::channel();
+        if self.0.send(Ask::Look(Some(done))).await.is_ok() {
+            // The watch lives as long as the process.
+            let _ = wait.await;
+        }
+    }
+
+    /// Cancels a request on the target; its connection was closed besides.
+    pub fn cancel(&self, request: RequestId) {
+        let _ = self.0.try_send(Ask::Cancel(request));
+    }
+}
+
 /// A target's load report.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
 struct LoadReport {
@@ -44,19 +90,50 @@
 }
 
 /// Watches the target until the process ends.
-pub async fn watch(client: Client, target: SocketAddr, reporter: Reporter) {
+pub async fn watch(
+    client: Client,
+    target: SocketAddr,
+    reporter: Reporter,
+    mut asks: mpsc::Receiver<Ask>,
+) {
     let mut ticks = interval(INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut state = Watch::default();
     loop {
-        ticks.tick().await;
+        let asked = tokio::select! {
+            _ = ticks.tick() => None,
+            Some(asked) = asks.recv() => Some(asked),
+        };
+        let (is_doubted, done) = match asked {
+            None => (false, None),
+            Some(Ask::Look(done)) => (true, done),
+            Some(Ask::Cancel(request)) => {
+                actix_rt::spawn(cancel(client.clone(), target, request));
+                continue;
+            }
+        };
         match ask(&client, target).await {
             Some(report) => state.seen(report, &reporter),
-            None => state.failed(&reporter),
+            None => state.failed(is_doubted, &reporter),
+        }
+        if let Some(done) = done {
+            // The asker may have left.
+            let _ = done.send(());
         }
     }
 }
 
+async fn cancel(client: Client, target: SocketAddr, request: RequestId) {
+    let question = Outbound {
+        method: Method::POST,
+        uri: Uri::try_from(format!("/v1/cancel/{request}")).expect("an id makes a path"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    // A target that does not know the request has nothing to cancel.
+    let _ = timeout(TIMEOUT, client.send(target, question)).await;
+}
+
 async fn ask(client: &Client, target: SocketAddr) -> Option<LoadReport> {
     let question = Outbound {
         method: Method::GET,
@@ -104,9 +181,13 @@
         }));
     }
 
-    fn failed(&mut self, reporter: &Reporter) {
+    /// Takes in that the target did not answer.
+    ///
+    /// If a connection to it broke just before, one failure is enough.
+    fn failed(&mut self, is_doubted: bool, reporter: &Reporter) {
         self.failures += 1;
-        if self.failures == FAILURES && !self.down {
+        let is_over = is_doubted || self.failures >= FAILURES;
+        if is_over && !self.down {
             self.down = true;
             reporter.report(Input::TargetDown);
         }
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -20,6 +20,7 @@
 
 use crate::control::{Input, Reporter};
 use crate::exchange::Exchange;
+use crate::filter::KEY_HEADER;
 use crate::respond::REQUEST_ID;
 
 /// What came of sending an attempt.
@@ -55,6 +56,9 @@
     };
     insert(OFFER_HEADER, write_header(&order.offer));
     insert(REQUEST_ID, exchange.request.to_string());
+    if let (None, Some(minted)) = (exchange.key, order.offer.key) {
+        insert(KEY_HEADER, minted.to_string());
+    }
     Outbound {
         method: exchange.method.clone(),
         uri: exchange.uri.clone(),
--- a/router/src/service.rs
+++ b/router/src/service.rs
@@ -10,8 +10,8 @@
 use actix_http::{HttpMessage, Request, Response};
 use bytes::Bytes;
 use entity::{
-    Class, Clock, Cost, Fingerprint, HandOver, Now, Outcome, PrefixHash, Reason, Refusal,
-    RequestId, RetryAdvice, SystemClock,
+    Class, Clock, Cost, Fingerprint, HandOver, IdempotencyKey, Now, Outcome, PrefixHash, Reason,
+    Refusal, RequestId, RetryAdvice, SystemClock,
 };
 use node::body::Body;
 use node::client::{Client, Incoming};
@@ -20,7 +20,7 @@
 use policy::status::ANSWERED;
 use policy::{Arrival, AttemptResult, DispatchOrder};
 use rules::Config;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use uuid::Uuid;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -82,7 +82,10 @@
         let id = RequestId(Uuid::now_v7().as_u128());
         let now = self.clock.now();
         let Some(config) = self.snapshot.load_full() else {
-            return respond::finished(id, &not_run(Reason::NotConfigured));
+            let retry = RetryAdvice::After(OVERLOAD_DELAY);
+            let refusal = Refusal::new(Reason::NotConfigured, retry);
+            let key = text(request.headers(), filter::KEY_HEADER);
+            return respond::finished(id, &refused(key, refusal));
         };
         let mut exchange = open(id, config, &request);
         if let Err(rejection) = self.chain.apply(now, &mut exchange) {
@@ -103,11 +106,15 @@
 
     fn reject(&self, exchange: Exchange, rejection: Rejection) -> Answer {
         self.reporter.report(Input::Rejected(exchange.decisions));
-        respond::rejected(exchange.request, rejection)
+        let outcome = refused(exchange.key, rejection.refusal);
+        respond::finished(exchange.request, &outcome)
     }
 
     async fn run(&self, now: Now, mut exchange: Exchange) -> Answer {
         let request = exchange.request;
+        if exchange.is_ticket {
+            return self.ticket(now, exchange).await;
+        }
         let arrival = arrival(now, &exchange);
         let decisions = std::mem::take(&mut exchange.decisions);
         let (sender, mut orders) = mpsc::unbounded_channel();
@@ -116,42 +123,77 @@
             decisions,
             orders: sender,
         }) {
-            return respond::finished(request, &not_run(Reason::QueueFull));
+            let retry = RetryAdvice::After(OVERLOAD_DELAY);
+            let refusal = Refusal::new(Reason::QueueFull, retry);
+            return respond::finished(request, &refused(exchange.key, refusal));
         }
         let mut guard = CallerGuard {
             reporter: self.reporter.clone(),
             request: Some(request),
         };
+        let mut carried = self.carry(&exchange, &mut orders).await;
+        guard.disarm();
+        if let Some(minted) = carried.minted {
+            respond::mark_key(carried.response.headers_mut(), &minted);
+        }
+        carried.response
+    }
+
+    /// Carries out the orders about a request until it has ended.
+    async fn carry(
+        &self,
+        exchange: &Exchange,
+        orders: &mut mpsc::UnboundedReceiver<Order>,
+    ) -> Carried {
+        let request = exchange.request;
+        let mut minted = None;
         while let Some(order) = orders.recv().await {
             let order = match order {
                 Order::Dispatch(order) => order,
                 Order::Finish(outcome) => {
-                    guard.disarm();
-                    return respond::finished(request, &outcome);
+                    let response = respond::finished(request, &outcome);
+                    return Carried { response, minted };
                 }
                 // The attempt that this order names has ended already.
                 Order::Cancel(_) => continue,
             };
-            match self.attempt(&exchange, &order, &mut orders).await {
-                Attempted::Answer(response) => {
-                    guard.disarm();
-                    return self.stream(request, &order, *response);
+            minted = order.offer.key.filter(|_| exchange.key.is_none());
+            match self.attempt(exchange, &order, orders).await {
+                Attempted::Answer(answer) => {
+                    let response = self.stream(request, &order, *answer);
+                    return Carried { response, minted };
                 }
                 Attempted::Ended(result) => {
                     let attempt = order.offer.attempt;
                     self.reporter.report(Input::Ended { attempt, result });
                 }
                 Attempted::Finished(outcome) => {
-                    guard.disarm();
-                    return respond::finished(request, &outcome);
+                    let response = respond::finished(request, &outcome);
+                    return Carried { response, minted };
                 }
                 Attempted::Abandoned => {}
             }
         }
         // The control thread dropped the request: the process is ending.
-        guard.disarm();
         let refusal = Refusal::new(Reason::Stopping, RetryAdvice::VerifyFirst);
-        respond::finished(request, &Outcome::Unknown { refusal })
+        let response = respond::finished(request, &Outcome::Unknown { refusal });
+        Carried { response, minted }
+    }
+
+    /// Answers with a ticket that the caller may use as its key.
+    async fn ticket(&self, now: Now, mut exchange: Exchange) -> Answer {
+        let request = exchange.request;
+        let arrival = arrival(now, &exchange);
+        let decisions = std::mem::take(&mut exchange.decisions);
+        self.reporter.report(Input::Rejected(decisions));
+        let (reply, ticket) = oneshot::channel();
+        let arrival = Box::new(arrival);
+        self.reporter.report(Input::Ticket { arrival, reply });
+        match ticket.await {
+            Ok(Ok(ticket)) => respond::ticket(request, &ticket),
+            Ok(Err(refusal)) => respond::rejected(request, Rejection { refusal }),
+            Err(_) => respond::finished(request, &not_run(Reason::Stopping)),
+        }
     }
 
     /// Sends an attempt; an order that arrives meanwhile abandons it, which
@@ -185,6 +227,12 @@
     }
 }
 
+/// The response to a request, and the key that was minted for it.
+struct Carried {
+    response: Answer,
+    minted: Option<IdempotencyKey>,
+}
+
 /// What came of one attempt.
 enum Attempted {
     Answer(Box<Incoming>),
@@ -226,10 +274,24 @@
         team: None,
         route: None,
         key: None,
+        is_ticket: false,
         decisions: Vec::new(),
     }
 }
 
+/// The outcome of a request that this router refuses without word from an agent.
+///
+/// An earlier request may have run under the same key.
+fn refused<K>(key: Option<K>, refusal: Refusal) -> Outcome {
+    match key {
+        Some(_) => Outcome::Unknown { refusal },
+        None => Outcome::NotRun {
+            refusal,
+            proof: HandOver::new().give_up(),
+        },
+    }
+}
+
 fn not_run(reason: Reason) -> Outcome {
     let refusal = Refusal::new(reason, RetryAdvice::After(OVERLOAD_DELAY));
     Outcome::NotRun {
--- a/wire/src/envelope.rs
+++ b/wire/src/envelope.rs
@@ -13,6 +13,7 @@
 
 use derive_more::{Display, Error};
 use entity::{DocumentHash, Revision};
+use policy::fact::Fact;
 use policy::fleet::FleetMessage;
 use policy::message::{BidUpdate, Endpoint, LedgerDelta, Load, Pull, Pulled, Solicit};
 use serde::{Deserialize, Serialize};
@@ -40,6 +41,8 @@
     Ledger(LedgerDelta),
     /// A message of the fleet machine.
     Fleet(FleetMessage),
+    /// A fact that cannot wait for its broadcast.
+    Fact(Fact),
 }
 
 /// A batch of messages from one process to another.
