Scenarios drive keys, quarantine, facts and retries as the daemons do

Cases of single execution and of crash requests run against the composites into which delivery is wired. A planted fault proves the check of innocent requests; the crash cases run below the pool's capacity, so that the caller comes back often enough.

--- a/filetests/src/scenario.rs
+++ b/filetests/src/scenario.rs
@@ -225,9 +225,9 @@
     /// Agents do not see fingerprints.
     #[display("drop-fingerprints")]
     DropFingerprints,
-    /// Agents see one fingerprint for all requests.
-    #[display("blur-fingerprints")]
-    BlurFingerprints,
+    /// Agents call every refusal a quarantine.
+    #[display("blame-all")]
+    BlameAll,
     /// Routers lose every hundredth request.
     #[display("forget-requests")]
     ForgetRequests,
--- a/filetests/src/scenario/parse.rs
+++ b/filetests/src/scenario/parse.rs
@@ -289,7 +289,7 @@
         Plant::CrossAnswers,
         Plant::CutAnswers,
         Plant::DropFingerprints,
-        Plant::BlurFingerprints,
+        Plant::BlameAll,
         Plant::ForgetRequests,
     ];
     one(input, &all, "a broken part")
--- a/filetests/src/sim/fault.rs
+++ b/filetests/src/sim/fault.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use entity::{RequestId, Revision};
+use policy::fleet::FleetEvent;
 use policy::reader::ServiceKey;
 use policy::{AgentEvent, AttemptResult, RouterEvent};
 
@@ -176,7 +177,10 @@
             return self.stopped(process);
         }
         match self.target_of(process) {
-            Some(agent) => self.drive_agent(agent, AgentEvent::Stop),
+            Some(agent) => {
+                self.tell_fleet(process, FleetEvent::Leaving(true));
+                self.drive_agent(agent, AgentEvent::Stop);
+            }
             None => self.drive_router(process, RouterEvent::Stop),
         }
     }
--- a/filetests/src/sim/link.rs
+++ b/filetests/src/sim/link.rs
@@ -112,6 +112,7 @@
                 let from = sender;
                 self.tell_fleet(process, FleetEvent::Received { from, message });
             }
+            (Message::Fact(fact), _) => self.learn(process, fact),
             (message, Some(agent)) => self.agent_message(agent, sender, message),
             (message, None) => self.router_message(process, sender, message),
         }
--- a/filetests/src/sim/process.rs
+++ b/filetests/src/sim/process.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use entity::{AttemptId, Cost, Incarnation, Machine, Name, ProcessId, RequestId, TargetId};
+use policy::fact::Fact;
 use policy::fleet::{
     Fleet, FleetAction, FleetEvent, FleetSettings, Health, Role as FleetRole, RulesCompile,
 };
@@ -21,6 +22,9 @@
 use crate::record::{Subject, What};
 use crate::scenario::Plant;
 
+/// The greatest size of all answers that an agent keeps, in bytes.
+const ANSWER_BYTES: u64 = 256 * 1024 * 1024;
+
 /// What a process does.
 #[derive(Debug)]
 pub(super) enum Role {
@@ -43,6 +47,7 @@
     pub(super) skew: (bool, Duration),
     pub(super) config: Option<Arc<Config>>,
     pub(super) first: Option<Arc<Config>>,
+    pub(super) members: Vec<Endpoint>,
     pub(super) routers: Vec<Endpoint>,
     pub(super) next_router: usize,
     /// The answers that the agent keeps, with the request that each answers.
@@ -91,7 +96,8 @@
                     gossip: self.plan.gossip,
                 };
                 let share = ScenarioShare::new(&self.plan, endpoint);
-                Role::Agent(Box::new(Agent::with_share(settings, share)))
+                let agent = Agent::with_share(settings, share);
+                Role::Agent(Box::new(agent.with_answers(ANSWER_BYTES)))
             }
             None => Role::Router(Box::new(Router::new(RouterSettings {
                 endpoint,
@@ -122,6 +128,7 @@
             skew: (false, Duration::ZERO),
             config: None,
             first: None,
+            members: Vec::new(),
             routers: Vec::new(),
             next_router: 0,
             answers: BTreeMap::new(),
@@ -175,7 +182,25 @@
                 let subject = self.process_subject(process);
                 self.note(subject, What::Ready);
             }
-            FleetAction::Deliver(_) | FleetAction::Alarm(_) | FleetAction::Raised(_) => {}
+            FleetAction::Deliver(broadcast) => {
+                if let Some(fact) = wire::fact(&broadcast) {
+                    self.learn(process, fact);
+                }
+            }
+            FleetAction::Raised(incarnation) => {
+                if let Some(agent) = self.target_of(process) {
+                    self.drive_agent(agent, AgentEvent::Raised(incarnation));
+                }
+            }
+            FleetAction::Alarm(_) => {}
+        }
+    }
+
+    /// Tells a role a fact of another process.
+    pub(super) fn learn(&mut self, process: usize, fact: Fact) {
+        match self.target_of(process) {
+            Some(agent) => self.drive_agent(agent, AgentEvent::Learned(fact)),
+            None => self.drive_router(process, RouterEvent::Learned(fact)),
         }
     }
 
@@ -208,11 +233,40 @@
     fn survey(&mut self, process: usize) {
         let known = &mut self.processes[process];
         let members = known.fleet.members().iter();
-        let live = members.filter(|member| member.is_live());
-        let routers = live.filter(|member| member.claim.role == FleetRole::Router);
+        let live: Vec<_> = members.filter(|member| member.is_live()).collect();
+        let routers = live.iter();
+        let routers = routers.filter(|member| member.claim.role == FleetRole::Router);
         known.routers = routers.map(|member| member.claim.endpoint).collect();
-        if self.target_of(process).is_some() {
-            return;
+        known.members = live.iter().map(|member| member.claim.endpoint).collect();
+        match self.target_of(process) {
+            Some(agent) => self.confirm(process, agent),
+            None => self.survey_agents(process),
+        }
+    }
+
+    /// Tells an agent when the service last named the revision in force the latest.
+    fn confirm(&mut self, process: usize, agent: usize) {
+        let fleet = &self.processes[process].fleet;
+        let revision = fleet.version().revision;
+        if let Some(at) = fleet.confirmed_at() {
+            self.drive_agent(agent, AgentEvent::Confirmed { revision, at });
+        }
+    }
+
+    /// Tells a router which agents live and which targets may get new work.
+    fn survey_agents(&mut self, process: usize) {
+        let config = self.processes[process].config.clone();
+        for member in self.processes[process].members.clone() {
+            let config = config.as_ref();
+            let target = config.and_then(|config| config.names.targets.by_tag(member.id.0));
+            if let Some(target) = target {
+                let incarnation = member.incarnation;
+                let alive = RouterEvent::Alive {
+                    target,
+                    incarnation,
+                };
+                self.drive_router(process, alive);
+            }
         }
         for (target, usable) in self.usable(process) {
             let before = self.processes[process].usable.insert(target, usable);
--- a/filetests/src/sim/step.rs
+++ b/filetests/src/sim/step.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use entity::{AttemptId, RequestId};
+use entity::{AttemptId, Incarnation, RequestId};
 use policy::message::{Load, Offer};
 use policy::reader::{ServiceKey, ServiceResult};
 use policy::{AgentEvent, AttemptResult, RouterEvent};
@@ -86,6 +86,7 @@
     pub(super) agent: usize,
     pub(super) attempt: AttemptId,
     pub(super) load: Load,
+    pub(super) incarnation: Incarnation,
     pub(super) result: AttemptResult,
     /// The request whose answer it is.
     pub(super) body: RequestId,
--- a/filetests/src/sim/traffic.rs
+++ b/filetests/src/sim/traffic.rs
@@ -322,6 +322,13 @@
         })
     }
 
+    /// Whether a request may run at most once.
+    pub(super) fn has_key(&self, id: RequestId) -> bool {
+        self.requests
+            .get(&id)
+            .is_some_and(|request| request.key.is_some())
+    }
+
     /// Notes that a request was handed to a target.
     pub(super) fn started(&mut self, id: RequestId) {
         self.stop_waiting(id, true);
@@ -345,6 +352,7 @@
             agent,
             attempt,
             load,
+            incarnation,
             result,
             body,
         } = answer;
@@ -358,6 +366,11 @@
         let name = &self.plan.targets[agent].name;
         let target = config.and_then(|config| config.names.targets.by_name(name.as_str()));
         if let Some(target) = target {
+            let alive = RouterEvent::Alive {
+                target,
+                incarnation,
+            };
+            self.drive_router(router, alive);
             self.drive_router(router, RouterEvent::Loaded { target, load });
         }
         let answered = match result {
