--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -34,7 +34,7 @@
 # Waits for the line `listening ADDR` of a stand-in and sets `address`.
 await_address() {
     for _ in {1..100}; do
-        address=$(awk '/^listening /{print $2}' "$dir/$1.out")
+        address=$(awk '/^listening /{print $2}' "$dir/$1.out" 2>/dev/null || true)
         [[ -n $address ]] && return 0
         sleep 0.05
     done
