--- a/policy/src/window.rs
+++ b/policy/src/window.rs
@@ -4,7 +4,9 @@
 //! as it has slots, counted only while it is full and first tokens arrive in
 //! time. It falls to the cold size at once on any sign that the target is cold,
 //! and holds there before it grows again. Growth from the cold size is also the
-//! probe by which a window that fell without cause recovers.
+//! probe by which a window that fell without cause recovers. A target that fails
+//! soon after growth was still cold, so the hold doubles; it halves with each fall
+//! that no growth preceded.
 //!
 //! Invariants:
 //! - The window is between the cold size and the greatest size of the pool, or 0
@@ -16,8 +18,11 @@
 
 use rules::Window as Bounds;
 
-/// How long the window holds after a fall.
-const HOLD_TIME: Duration = Duration::from_secs(1);
+/// The least and the greatest time for which the window holds after a fall.
+const HOLD_TIMES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
+
+/// The time after growth in which a fall shows that the target was still cold.
+const GROWTH_TRIAL: Duration = Duration::from_secs(10);
 
 /// The factor over the usual first-token latency from which a latency is a jump.
 const JUMP_FACTOR: u32 = 4;
@@ -58,6 +63,8 @@
     up: bool,
     credit: u32,
     held: Option<Instant>,
+    hold: Duration,
+    grown: Option<Instant>,
     latency: Option<Duration>,
     jumps: u32,
     generation: Option<u64>,
@@ -74,6 +81,8 @@
             up: true,
             credit: 0,
             held: None,
+            hold: HOLD_TIMES.0,
+            grown: None,
             latency: None,
             jumps: 0,
             generation: None,
@@ -98,6 +107,7 @@
 
     /// Notes that `running` attempts run now.
     pub fn record(&mut self, now: Instant, running: u32) {
+        self.held.get_or_insert(now + self.hold);
         self.history.push_back((now, running));
         while self.history.len() > 2 && self.history[1].0 + HISTORY_TIME < now {
             self.history.pop_front();
@@ -113,7 +123,14 @@
         self.credit += 1;
         if self.credit >= self.size {
             self.credit = 0;
-            self.size = (self.size + 1).min(self.bounds.max);
+            self.grow(now);
+        }
+    }
+
+    fn grow(&mut self, now: Instant) {
+        if self.size < self.bounds.max {
+            self.size += 1;
+            self.grown = Some(now);
         }
     }
 
@@ -147,7 +164,14 @@
         self.size = self.bounds.cold.min(self.bounds.max);
         self.credit = 0;
         self.jumps = 0;
-        self.held = Some(now + HOLD_TIME);
+        let is_trial = self.grown.take().is_some_and(|at| now < at + GROWTH_TRIAL);
+        let is_new = self.held.is_none_or(|until| now >= until);
+        self.hold = match is_trial {
+            true => (self.hold * 2).min(HOLD_TIMES.1),
+            false if is_new => (self.hold / 2).max(HOLD_TIMES.0),
+            false => self.hold,
+        };
+        self.held = Some(now + self.hold);
     }
 
     /// Notes that the target is down.
