--- a/policy/src/agent.rs
+++ b/policy/src/agent.rs
@@ -302,6 +302,11 @@
 
     fn tick(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
         let lost = self.pulls.expire(now.mono);
+        for &(router, pick) in &lost {
+            if pick.count > 0 {
+                self.forget_router(router);
+            }
+        }
         self.release(now, lost);
         self.bids.expire(now.mono);
         let Self { share, bids, .. } = self;
--- a/policy/src/agent/serve.rs
+++ b/policy/src/agent/serve.rs
@@ -98,7 +98,7 @@
         }
     }
 
-    /// Forgets the bids of a router that cannot be reached.
+    /// Forgets the bids of a router that does not answer; its next update restores them.
     pub(super) fn forget_router(&mut self, router: ProcessId) {
         self.bids.drop_router(router);
     }
