--- a/policy/src/fleet.rs
+++ b/policy/src/fleet.rs
@@ -161,6 +161,9 @@
     /// Peers that are named have not answered yet.
     #[display("waiting for peers")]
     Peers,
+    /// A later life of the process exists.
+    #[display("replaced by a later life {_0}")]
+    Superseded(Incarnation),
 }
 
 /// What one process knows of the fleet.
@@ -279,7 +282,7 @@
 
     /// Whether the process may take work.
     pub fn is_ready(&self) -> bool {
-        self.ready
+        self.ready && self.superseded.is_none()
     }
 
     /// The later life that has replaced this one; this one must start nothing any more.
@@ -307,6 +310,12 @@
         rule.or_else(|| self.process_leaving(id))
     }
 
+    /// Whether messages may be expected to reach a process; unknown ones may be tried.
+    pub fn is_reachable(&self, now: Now, id: ProcessId) -> bool {
+        let member = self.members.get(id);
+        member.is_none_or(|member| member.is_reachable(now.mono))
+    }
+
     /// Why no new work goes to a process, by the VM list or by its own word.
     pub fn process_leaving(&self, id: ProcessId) -> Option<Leaving> {
         let own = self.members.own();
@@ -329,6 +338,9 @@
         let named = self.members.iter();
         let named = named.filter(|member| member.claim.health < Health::Dead);
         let needed = named.take(START_CONTACTS).count();
+        if let Some(incarnation) = self.superseded {
+            return Some(Waiting::Superseded(incarnation));
+        }
         match self.revisions.wanted() {
             _ if self.ready => None,
             _ if self.revisions.current().is_none() => Some(Waiting::Document),
--- a/policy/src/fleet/gossip.rs
+++ b/policy/src/fleet/gossip.rs
@@ -22,16 +22,16 @@
 const SYNC_SPACING: Duration = Duration::from_secs(5);
 
 /// How long tables of members may differ before a whole one is asked for.
-const ROSTER_PATIENCE: Duration = Duration::from_secs(10);
+const ROSTER_PATIENCE: Duration = Duration::from_secs(6);
 
 /// The least time between two such questions of one process.
-const ROSTER_SPACING: Duration = Duration::from_secs(5);
+const ROSTER_SPACING: Duration = Duration::from_millis(2500);
 
 /// The least time between two answers to such questions by one process.
-const PAGE_SPACING: Duration = Duration::from_secs(4);
+const PAGE_SPACING: Duration = Duration::from_secs(3);
 
 /// The number of claims in such an answer, of about 40 bytes each.
-const PAGE_CLAIMS: usize = 60;
+const PAGE_CLAIMS: usize = 30;
 
 /// The number of answers to probes in one period that carry claims.
 ///
@@ -113,6 +113,7 @@
             return;
         }
         self.heard = Some(now.mono);
+        self.members.hear(now.mono, from);
         if !self.ready {
             self.contacts.insert(from.id);
         }
@@ -183,7 +184,8 @@
                 self.welcome(from, actions);
             }
             FleetMessage::Page { after } => {
-                if now.mono >= self.page_at {
+                // Who is probed often has sent enough in this period.
+                if now.mono >= self.page_at && self.acks <= FULL_ACKS {
                     self.page_at = now.mono + PAGE_SPACING;
                     let gossip = Gossip {
                         claims: self.members.page(after, PAGE_CLAIMS),
--- a/policy/src/member.rs
+++ b/policy/src/member.rs
@@ -31,6 +31,9 @@
 /// How long a dead member that nothing names is remembered.
 pub const FORGET_DEAD: Duration = Duration::from_secs(6 * 3600);
 
+/// How long a process that was heard directly counts as reachable.
+pub const HEARD_AGE: Duration = Duration::from_secs(10);
+
 /// The greatest number of members; claims about more are dropped.
 pub const MAX_MEMBERS: usize = 4096;
 
@@ -44,6 +47,8 @@
     pub claim: Claim,
     /// Since when its health is what it is.
     pub since: Instant,
+    /// When this life of it was last heard directly.
+    heard: Option<Instant>,
     /// Its place in the queue; `None` when the claim was passed on often enough.
     place: Option<Place>,
 }
@@ -57,6 +62,14 @@
         matches!(self.claim.health, Health::Alive | Health::Suspect)
     }
 
+    /// Whether messages may be expected to reach the process.
+    ///
+    /// Who was heard a moment ago can be reached, even if others still hold it dead.
+    pub fn is_reachable(&self, now: Instant) -> bool {
+        let recent = |heard| now.saturating_duration_since(heard) < HEARD_AGE;
+        self.claim.health != Health::Dead || self.heard.is_some_and(recent)
+    }
+
     /// Whether the process or the VM list says that it leaves.
     pub fn is_leaving(&self) -> bool {
         self.claim.leaving || self.claim.listing.leaving
@@ -155,6 +168,15 @@
         true
     }
 
+    /// Notes that a life was heard directly.
+    pub fn hear(&mut self, now: Instant, from: Endpoint) {
+        let member = self.others.get_mut(&from.id);
+        let member = member.filter(|m| m.claim.endpoint.incarnation == from.incarnation);
+        if let Some(member) = member {
+            member.heard = Some(now);
+        }
+    }
+
     /// Merges a claim.
     pub fn merge(&mut self, now: Instant, claim: &Claim) -> Merged {
         if claim.endpoint.id == self.own.endpoint.id {
@@ -171,9 +193,11 @@
         let life = |claim: &Claim| (claim.endpoint.incarnation, claim.health);
         let same = life(&claim) == life(&before.claim);
         let since = if same { before.since } else { now };
+        let heard = before.heard.filter(|_| same_life(&before.claim, &claim));
         let member = Member {
             claim,
             since,
+            heard,
             ..before
         };
         self.put(member);
@@ -220,6 +244,7 @@
         self.put(Member {
             claim,
             since: now,
+            heard: None,
             place: None,
         });
     }
@@ -342,6 +367,7 @@
         let member = Member {
             claim,
             since: now,
+            heard: None,
             place: None,
         };
         self.put(member);
@@ -423,6 +449,10 @@
     xxh3_64(&bytes)
 }
 
+fn same_life(a: &Claim, b: &Claim) -> bool {
+    a.endpoint.incarnation == b.endpoint.incarnation
+}
+
 /// The join of two claims about one process.
 fn merged(a: &Claim, b: &Claim) -> Claim {
     let rank = |claim: &Claim| (claim.endpoint.incarnation, claim.round, claim.health);
--- a/policy/tests/fleet/members.rs
+++ b/policy/tests/fleet/members.rs
@@ -4,6 +4,7 @@
 
 use entity::{Incarnation, ProcessId};
 use knapweed_policy::fleet::{Alarm, Broadcast, FleetEvent, Health, Leaving, MAX_ITEMS};
+use knapweed_policy::member::HEARD_AGE;
 use knapweed_policy::reader::ServiceKey;
 
 use crate::fake::{document, epoch};
@@ -79,6 +80,15 @@
     );
     net.publish(0, &ServiceKey::Rules, 2, &document(2, ""));
     net.run(30 * SECOND);
+    assert!(!net.fleet(0).is_reachable(net.now(), id(4)));
+    // Who is heard can be reached, before any refutation.
+    let endpoint = net.processes[4].endpoint;
+    let version = net.fleet(4).version();
+    net.event(0, FleetEvent::Seen { endpoint, version });
+    assert!(net.fleet(0).is_reachable(net.now(), id(4)));
+    assert_eq!(health(&net, 0, id(4)), Some(Health::Dead));
+    net.run(HEARD_AGE);
+    assert!(!net.fleet(0).is_reachable(net.now(), id(4)));
     net.resume(4);
     assert!(net.until(30 * SECOND, all_alive).is_some());
     assert!(net.all_at(2));
