--- a/agent/src/stream.rs
+++ b/agent/src/stream.rs
@@ -41,7 +41,7 @@
 
 /// Where the bytes come from.
 enum Feed {
-    Body(IncomingBody),
+    Body(Box<IncomingBody>),
     Resuming(JoinHandle<Option<Incoming>>),
 }
 
@@ -71,7 +71,7 @@
         let is_stream = source.is_completion && is_token_stream(response.status, &response.headers);
         Self {
             source,
-            feed: Feed::Body(response.body),
+            feed: Feed::Body(Box::new(response.body)),
             events: is_stream.then(Events::default),
             resumes: 0,
             cancelled,
@@ -146,12 +146,12 @@
             let next = match &mut self.feed {
                 Feed::Resuming(asking) => match ready!(asking.poll_unpin(cx)) {
                     Ok(Some(response)) => {
-                        self.feed = Feed::Body(response.body);
+                        self.feed = Feed::Body(Box::new(response.body));
                         continue;
                     }
                     _ => return self.cut(AttemptEnd::Broken),
                 },
-                Feed::Body(body) => ready!(Pin::new(body).poll_next(cx)),
+                Feed::Body(body) => ready!(Pin::new(body.as_mut()).poll_next(cx)),
             };
             match next {
                 Some(Ok(chunk)) => {
--- a/policy/src/agent/admit.rs
+++ b/policy/src/agent/admit.rs
@@ -31,7 +31,7 @@
 impl<S: Share> Agent<S> {
     pub(super) fn offered(&mut self, now: Now, offer: &Offer, actions: &mut Vec<AgentAction>) {
         let attempt = offer.attempt;
-        if !self.admit_key(now, &offer, actions) {
+        if !self.admit_key(now, offer, actions) {
             return;
         }
         let Some(config) = self.config.clone() else {
@@ -40,9 +40,9 @@
         let Some(team) = config.names.teams.by_tag(offer.team) else {
             return self.turn_down(now, attempt, Reason::NotConfigured, actions);
         };
-        let admission = self.examine(now, &config, &offer, actions);
+        let admission = self.examine(now, &config, offer, actions);
         if let Admission::Refuse(refusal) = admission {
-            self.waive(now, &offer);
+            self.waive(now, offer);
             return self.refuse(now, attempt, refusal, actions);
         }
         let route = config.names.routes.by_tag(offer.route);
