--- a/policy/src/agent/admit.rs
+++ b/policy/src/agent/admit.rs
@@ -9,7 +9,7 @@
 use super::keys::rejection;
 use super::{Agent, AgentAction, Running, weight};
 use crate::bid::BidKey;
-use crate::fair::{Party, Share};
+use crate::fair::{Charge, Party, Share};
 use crate::message::Offer;
 use crate::quarantine::Admission;
 
@@ -72,7 +72,8 @@
         match reserved {
             Some((pick, age)) => {
                 self.pace.round_trip(age);
-                self.share.charge(now.mono, party, expected - pick.charge);
+                let more = Charge::pending(expected - pick.charge);
+                self.share.charge(now.mono, party, more);
                 match is_suspect {
                     true => self.hold_suspect(now, held, actions),
                     false => self.held.push_back(held),
@@ -81,7 +82,8 @@
             None if self.is_draining() => self.turn_down(now, attempt, Reason::Draining, actions),
             None if self.crashes.down => self.turn_down(now, attempt, Reason::NoTarget, actions),
             None if self.free() > 0 && self.may_overtake(now, party) => {
-                self.share.charge(now.mono, party, expected);
+                self.share
+                    .charge(now.mono, party, Charge::pending(expected));
                 match is_suspect {
                     true => self.hold_suspect(now, held, actions),
                     false => self.start(now, held, actions),
@@ -138,8 +140,8 @@
         };
         let held = self.held.remove(index).expect("the index was found");
         self.keys.release(attempt);
-        self.share
-            .charge(now.mono, held.party, Cost::ZERO - held.expected);
+        let less = Charge::pending(Cost::ZERO - held.expected);
+        self.share.charge(now.mono, held.party, less);
         true
     }
 
@@ -151,8 +153,8 @@
         reason: Reason,
         actions: &mut Vec<AgentAction>,
     ) {
-        self.share
-            .charge(now.mono, held.party, Cost::ZERO - held.expected);
+        let less = Charge::pending(Cost::ZERO - held.expected);
+        self.share.charge(now.mono, held.party, less);
         self.turn_down(now, held.attempt, reason, actions);
     }
 
--- a/policy/src/agent/keys.rs
+++ b/policy/src/agent/keys.rs
@@ -9,7 +9,7 @@
 use super::{Agent, AgentAction};
 use crate::bid::BidKey;
 use crate::fact::Fact;
-use crate::fair::Share;
+use crate::fair::{Charge, Share};
 use crate::home::{Bounds, Hold, Roster, Vouch};
 use crate::message::{Endpoint, Offer};
 use crate::once::{HAND_OVER, OnceMemory, OnceSettings, OnceVerdict};
@@ -185,8 +185,11 @@
         };
         let detail = describe(&verdict);
         self.decide(now, held.attempt.request, Step::Once, &detail, actions);
-        self.share
-            .charge(now.mono, held.party, Cost::ZERO - held.expected);
+        self.share.charge(
+            now.mono,
+            held.party,
+            Charge::pending(Cost::ZERO - held.expected),
+        );
         actions.push(answer(held.attempt, verdict));
         false
     }
