--- a/filetests/src/sim.rs
+++ b/filetests/src/sim.rs
@@ -6,6 +6,7 @@
 //! Invariant: events happen in order of time and then of creation, and all random
 //! choices come from the scenario's seed, so a scenario has one course.
 
+mod engine;
 mod fault;
 mod link;
 mod meter;
--- /dev/null
+++ b/filetests/src/sim/engine.rs
@@ -0,0 +1,180 @@
+//! What targets do: streams, ends, deaths and load reports.
+
+use std::time::Duration;
+
+use entity::{AttemptId, Reason, Refusal, RequestId, RetryAdvice};
+use policy::window::Report;
+use policy::{AgentEvent, AttemptEnd, AttemptResult};
+
+use super::link::REFUSED;
+use super::serve::STREAM_STEP;
+use super::{Sim, Step};
+use crate::record::What;
+use crate::scenario::Plant;
+
+/// The interval between load reports.
+const POLL: Duration = Duration::from_millis(100);
+
+/// The time that a target needs to start again.
+const ENGINE_START: Duration = Duration::from_millis(200);
+
+impl Sim {
+    pub(super) fn stream(&mut self, agent: usize, generation: u64, attempt: AttemptId) {
+        let at = self.at;
+        let engine = &mut self.engines[agent];
+        if engine.generation != generation {
+            return;
+        }
+        let Some(cost) = engine.advance(attempt, at) else {
+            return;
+        };
+        let end = engine.running[&attempt].end();
+        self.tell_agent(agent, AgentEvent::Streamed { attempt, cost });
+        if end > at {
+            let step = (end - at).min(STREAM_STEP);
+            let stream = Step::Stream {
+                agent,
+                generation,
+                attempt,
+            };
+            return self.schedule(step, stream);
+        }
+        let run = self.engines[agent]
+            .complete(attempt)
+            .expect("the attempt runs");
+        let pool = self.plan.targets[agent].pool;
+        self.meters[pool].parties[run.team].service += run.cost.0 as f64;
+        self.note(self.attempt_subject(agent, attempt), What::Completed);
+        let cost = run.cost;
+        let body = self.body(attempt.request);
+        if self.has_key(attempt.request) {
+            let process = self.agent_process(agent);
+            let answers = &mut self.processes[process].answers;
+            answers.insert(attempt, (cost, body));
+            let bytes = cost.0 as u64;
+            self.tell_agent(agent, AgentEvent::Kept { attempt, bytes });
+        }
+        let end = AttemptEnd::Answered { cost };
+        self.tell_agent(agent, AgentEvent::Ended { attempt, end });
+        let result = AttemptResult::Answered { cost };
+        self.answer(agent, attempt, result.clone(), body);
+        self.tell_followers(agent, attempt, &result);
+    }
+
+    /// The request whose answer a target gives to a request.
+    fn body(&mut self, request: RequestId) -> RequestId {
+        let others = self.requests.keys().next_back().copied();
+        match others {
+            Some(other) if self.plan.planted(&Plant::CrossAnswers) => other,
+            _ => request,
+        }
+    }
+
+    /// Tells an agent now, or when it wakes.
+    fn tell_agent(&mut self, agent: usize, event: AgentEvent) {
+        let process = self.agent_process(agent);
+        let life = self.processes[process].life;
+        let is_paused = self.processes[process]
+            .paused
+            .is_some_and(|until| until > self.at);
+        match is_paused {
+            false if !self.processes[process].stopped => self.drive_agent(agent, event),
+            _ => {
+                let event = Box::new(event);
+                self.schedule(Duration::ZERO, Step::Agent { agent, life, event });
+            }
+        }
+    }
+
+    pub(super) fn cancel_run(&mut self, agent: usize, attempt: AttemptId) {
+        if let Some(cost) = self.engines[agent].advance(attempt, self.at) {
+            let life = self.processes[self.agent_process(agent)].life;
+            let event = Box::new(AgentEvent::Streamed { attempt, cost });
+            self.schedule(Duration::ZERO, Step::Agent { agent, life, event });
+        }
+        if let Some(run) = self.engines[agent].running.remove(&attempt) {
+            let delivered = run.delivered(self.at);
+            let pool = self.plan.targets[agent].pool;
+            self.meters[pool].parties[run.team].service += delivered.0 as f64;
+            self.note(self.attempt_subject(agent, attempt), What::Broken);
+        }
+        let life = self.processes[self.agent_process(agent)].life;
+        let end = AttemptEnd::Cancelled;
+        let event = Box::new(AgentEvent::Ended { attempt, end });
+        self.schedule(REFUSED, Step::Agent { agent, life, event });
+    }
+
+    /// A target dies, and all that it runs breaks off.
+    pub(super) fn engine_down(&mut self, agent: usize) {
+        let life = self.processes[self.agent_process(agent)].life;
+        let running: Vec<_> = self.engines[agent].running.keys().copied().collect();
+        for attempt in running {
+            let cost = self.engines[agent].advance(attempt, self.at);
+            let cost = cost.expect("listed above");
+            let event = Box::new(AgentEvent::Streamed { attempt, cost });
+            self.schedule(Duration::ZERO, Step::Agent { agent, life, event });
+        }
+        let lost = self.engines[agent].die();
+        self.engines[agent].is_up = false;
+        self.slots[agent] = 0;
+        self.schedule(ENGINE_START, Step::EngineUp { agent });
+        let pool = self.plan.targets[agent].pool;
+        let mut results = Vec::new();
+        for (attempt, run) in lost {
+            let delivered = run.delivered(self.at);
+            self.meters[pool].parties[run.team].service += delivered.0 as f64;
+            self.note(self.attempt_subject(agent, attempt), What::Broken);
+            let refusal = Refusal::new(Reason::TargetDied, RetryAdvice::VerifyFirst);
+            let result = match delivered.0 > 0 {
+                true if self.plan.planted(&Plant::CutAnswers) => {
+                    AttemptResult::Answered { cost: delivered }
+                }
+                true => AttemptResult::Broken { delivered: true },
+                false => AttemptResult::Unknown(refusal),
+            };
+            results.push((attempt, result));
+        }
+        for (attempt, result) in results {
+            self.answer(agent, attempt, result.clone(), attempt.request);
+            self.tell_followers(agent, attempt, &result);
+            let end = AttemptEnd::Broken;
+            let event = Box::new(AgentEvent::Ended { attempt, end });
+            self.schedule(Duration::ZERO, Step::Agent { agent, life, event });
+        }
+    }
+
+    pub(super) fn kill(&mut self, agent: usize, attempt: AttemptId) {
+        if self.engines[agent].running.contains_key(&attempt) {
+            self.note(self.attempt_subject(agent, attempt), What::Died);
+            self.engine_down(agent);
+        }
+    }
+
+    pub(super) fn engine_up(&mut self, agent: usize) {
+        self.engines[agent].is_up = true;
+    }
+
+    /// The agent asks its target for its load, as its watch does.
+    pub(super) fn poll(&mut self, agent: usize) {
+        self.schedule(POLL, Step::Poll { agent });
+        let process = self.agent_process(agent);
+        if self.processes[process].stopped || !self.engines[agent].is_up {
+            return;
+        }
+        let generation = self.engines[agent].generation;
+        let known = self.processes[process].generation.replace(generation);
+        if known.is_some_and(|known| known != generation) {
+            self.drive_agent(agent, AgentEvent::TargetDown);
+        }
+        if known != Some(generation) {
+            self.drive_agent(agent, AgentEvent::TargetUp);
+        }
+        let report = Report {
+            running: self.engines[agent].running.len() as u32,
+            queued: 0,
+            generation,
+            age: REFUSED,
+        };
+        self.drive_agent(agent, AgentEvent::Report(report));
+    }
+}
