--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use entity::{
-    AttemptId, Cost, Decision, Incarnation, Machine, Now, Reason, Refusal, RequestId, RetryAdvice,
-    TargetId,
+    AttemptId, Cost, Decision, Incarnation, Machine, Name, Now, Reason, Refusal, RequestId,
+    RetryAdvice, Tag, TargetId,
 };
 use node::event::{self, Event, Field};
 use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
@@ -109,6 +109,7 @@
 /// The control state of an agent.
 pub struct AgentRole {
     agent: Agent,
+    target: Tag,
     answers: Answers,
     incarnation: SharedIncarnation,
     offers: FxHashMap<AttemptId, Offered>,
@@ -133,6 +134,7 @@
     /// `answers` is the greatest size of all kept answers in bytes.
     pub fn new(settings: AgentSettings, answers: u64, incarnation: SharedIncarnation) -> Self {
         Self {
+            target: settings.endpoint.id.0,
             agent: Agent::new(settings).with_answers(answers),
             answers: Answers::default(),
             incarnation,
@@ -266,6 +268,14 @@
         self.routers.get(self.next_router).copied()
     }
 
+    /// The data centre of the target, by the rules in force.
+    fn centre(&self) -> Option<&Name> {
+        let config = self.config.as_ref()?;
+        let target = config.names.targets.by_tag(self.target)?;
+        let target = config.targets[target].as_ref()?;
+        Some(config.names.centres.name(target.centre))
+    }
+
     fn control_address(&self, target: TargetId) -> Option<std::net::SocketAddr> {
         let config = self.config.as_ref()?;
         config.targets[target].as_ref().map(|target| target.control)
@@ -397,8 +407,14 @@
 
     fn dump(&self, _now: Now) -> serde_json::Value {
         let load = self.agent.load();
+        let state = self.agent.dump();
         serde_json::json!({
             "kind": "agent",
+            "data_centre": self.centre(),
+            "running": state.running,
+            "reserved": state.reserved,
+            "bids": state.bids,
+            "teams": state.teams,
             "load": load,
             "answers": self.answers.len(),
             "keys": self.agent.remembered().0,
--- a/policy/src/agent.rs
+++ b/policy/src/agent.rs
@@ -33,6 +33,7 @@
 
 mod admit;
 mod crashes;
+mod dump;
 mod fill;
 mod keys;
 mod serve;
--- a/policy/src/ledger.rs
+++ b/policy/src/ledger.rs
@@ -172,6 +172,11 @@
         self.own.get(&team).map_or(Cost::ZERO, |own| own.served)
     }
 
+    /// The service of this agent to each team in this life, in no order.
+    pub fn own_totals(&self) -> impl Iterator<Item = (TeamId, Cost)> {
+        self.own.iter().map(|(&team, own)| (team, own.served))
+    }
+
     /// The greatest movement of a counter by the news of a row that was silent, in steps.
     fn clamp(&self) -> i64 {
         let pool = self.pace * (1 + self.rows.len()) as f64;
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod choose;
 pub mod cost;
 pub mod drain;
+pub mod dump;
 pub mod fact;
 pub mod fair;
 pub mod fence;
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -38,6 +38,7 @@
 
 mod bids;
 mod dispatch;
+mod dump;
 mod ending;
 mod once;
 mod retry;
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use entity::{
-    AttemptId, Decision, Incarnation, Machine, Now, Outcome, ProcessId, Reason, Refusal, RequestId,
-    TargetId, Ticket,
+    AttemptId, Decision, Incarnation, Machine, Name, Now, Outcome, ProcessId, Reason, Refusal,
+    RequestId, TargetId, Ticket,
 };
 use node::event::{self, Event, Field};
 use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
@@ -25,6 +25,9 @@
 /// The number of requests whose decisions are kept.
 const TRACE_CAPACITY: usize = 10_000;
 
+/// Why a router without rules is not ready.
+const NO_CONFIG: &str = "no configuration in force";
+
 /// What traffic threads tell the control thread.
 #[derive(Debug)]
 pub enum Input {
@@ -115,6 +118,7 @@
 /// The control state of a router.
 pub struct RouterRole {
     router: Router,
+    centre: Name,
     orders: FxHashMap<RequestId, mpsc::UnboundedSender<Order>>,
     trace: Trace,
     config: Option<Arc<Config>>,
@@ -129,12 +133,13 @@
     /// Creates the state of a router that has no configuration yet.
     pub fn new(settings: RouterSettings) -> Self {
         Self {
+            centre: settings.centre.clone(),
             router: Router::new(settings),
             orders: FxHashMap::default(),
             trace: Trace::new(TRACE_CAPACITY),
             config: None,
             actions: Vec::new(),
-            readiness: Readiness::NotReady("no configuration in force"),
+            readiness: Readiness::NotReady(NO_CONFIG),
             reachable: FxHashMap::default(),
             mismatches: 0,
             finished: 0,
@@ -246,7 +251,7 @@
 
     fn configured(&mut self, now: Now, config: Arc<Config>, out: &mut Outbox) {
         self.config = Some(config.clone());
-        if self.readiness != Readiness::Stopped {
+        if self.readiness == Readiness::NotReady(NO_CONFIG) {
             self.readiness = Readiness::Ready;
         }
         self.handle(now, RouterEvent::Configured(config), out);
@@ -363,9 +368,14 @@
         self.orders.len()
     }
 
-    fn dump(&self, _now: Now) -> serde_json::Value {
+    fn dump(&self, now: Now) -> serde_json::Value {
+        let state = self.router.dump(now);
         serde_json::json!({
             "kind": "router",
+            "data_centre": self.centre,
+            "pending": state.pending,
+            "teams": state.teams,
+            "targets": state.targets,
             "requests": self.orders.len(),
             "finished": self.finished,
             "mismatches": self.mismatches + self.router.counts().mismatched,
