--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -11,7 +11,9 @@
 
 pub mod answers;
 pub mod control;
+pub mod events;
 pub mod relay;
 pub mod run;
 pub mod service;
+pub mod stream;
 pub mod target;
--- a/agent/src/relay.rs
+++ b/agent/src/relay.rs
@@ -1,25 +1,24 @@
 //! Sends attempts to the target and reads its answers.
-//!
-//! Invariant: an attempt that was started reports exactly one
-//! [`Input::Ended`], also when its stream is dropped.
 
-use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Uri};
-use awc::ClientResponse;
-use awc::error::SendRequestError;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use entity::{AttemptId, Cost};
-use futures::{FutureExt, Stream, StreamExt};
-use node::body::{Chunks, CutBody};
-use node::http::forwarded;
+use futures::StreamExt;
+use node::body::CutBody;
+use node::client::{Client, Incoming, IncomingBody, Outbound, SendError};
+use node::http::text;
 use policy::AttemptEnd;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control::Input;
+use crate::events::{is_completion, is_token_stream};
+
+/// Carries the request id to the target and back.
+const REQUEST_ID: &str = "x-request-id";
 
 /// The number of streamed tokens after which their cost is reported.
 const REPORT_TOKENS: i64 = 16;
@@ -51,53 +50,90 @@
     }
 }
 
-/// A request as the target receives it.
-#[derive(Clone, Debug)]
-pub struct Outbound {
-    /// The attempt.
-    pub attempt: AttemptId,
-    /// The method.
-    pub method: Method,
-    /// The path and query.
-    pub uri: Uri,
-    /// The headers that are forwarded.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-}
-
 /// What came of handing an attempt to the target.
 pub enum Handed {
     /// The target answers: the response follows.
-    Answer(ClientResponse),
+    Answer(Box<Incoming>),
     /// The attempt ended without an answer.
     Ended(AttemptEnd),
 }
 
-/// Hands an attempt to the target and waits for the head of its answer.
+/// Hands an attempt to the target and waits for the first bytes of its answer.
 pub async fn hand_over(
-    client: &awc::Client,
-    target: &str,
-    outbound: &Outbound,
+    client: &Client,
+    target: SocketAddr,
+    attempt: AttemptId,
+    outbound: Outbound,
     cancelled: &mut oneshot::Receiver<()>,
 ) -> Handed {
-    let url = format!("{target}{}", outbound.uri);
-    let mut request = client.request(outbound.method.clone(), url).no_decompress();
-    for (name, value) in outbound.headers.iter().filter(|(name, _)| forwarded(name)) {
-        request.headers_mut().append(name.clone(), value.clone());
-    }
-    let sending = request.send_body(outbound.body.clone());
     tokio::select! {
         biased;
         _ = cancelled => Handed::Ended(AttemptEnd::Cancelled),
-        sent = sending => match sent {
-            Ok(response) => Handed::Answer(response),
-            Err(SendRequestError::Connect(_)) => Handed::Ended(AttemptEnd::Unsent),
-            Err(_) => Handed::Ended(AttemptEnd::Broken),
+        handed = exchange(client, target, attempt, outbound) => handed,
+    }
+}
+
+async fn exchange(
+    client: &Client,
+    target: SocketAddr,
+    attempt: AttemptId,
+    outbound: Outbound,
+) -> Handed {
+    let is_completion = is_completion(outbound.uri.path());
+    match client.send(target, outbound).await {
+        // The answer to another request is never handed on.
+        Ok(response) if !is_own(attempt, &response.headers) => Handed::Ended(AttemptEnd::Broken),
+        Ok(mut response) => match response.body.prime().await {
+            Ok(()) => Handed::Answer(Box::new(response)),
+            Err(CutBody)
+                if is_completion && is_token_stream(response.status, &response.headers) =>
+            {
+                begin_again(client, target, attempt).await
+            }
+            Err(CutBody) => Handed::Ended(AttemptEnd::Broken),
         },
+        Err(SendError::Unsent) => Handed::Ended(AttemptEnd::Unsent),
+        Err(SendError::Broken) => Handed::Ended(AttemptEnd::Broken),
+    }
+}
+
+/// Asks for a token stream that broke before its first token.
+async fn begin_again(client: &Client, target: SocketAddr, attempt: AttemptId) -> Handed {
+    let Some(mut response) = ask_rest(client, target, attempt, 0).await else {
+        return Handed::Ended(AttemptEnd::Broken);
+    };
+    match response.body.prime().await {
+        Ok(()) => Handed::Answer(Box::new(response)),
+        Err(CutBody) => Handed::Ended(AttemptEnd::Broken),
     }
 }
 
+/// Asks for a stream from an offset; the target must still hold it under this name.
+pub async fn ask_rest(
+    client: &Client,
+    target: SocketAddr,
+    attempt: AttemptId,
+    offset: u32,
+) -> Option<Incoming> {
+    let request = attempt.request;
+    let path = format!("/v1/streams/{request}?offset={offset}");
+    let question = Outbound {
+        method: Method::GET,
+        uri: Uri::try_from(path).expect("an id and a number make a path"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let response = client.send(target, question).await.ok()?;
+    let is_rest = response.status.is_success() && is_own(attempt, &response.headers);
+    is_rest.then_some(response)
+}
+
+/// Whether a response is that to the attempt's request; one without an id is taken for it.
+pub fn is_own(attempt: AttemptId, headers: &HeaderMap) -> bool {
+    let echo = text(headers, REQUEST_ID);
+    echo.is_none_or(|echo| echo == attempt.request.to_string())
+}
+
 /// Counts the cost of an answer as its parts pass.
 #[derive(Debug)]
 pub struct Meter {
@@ -148,106 +184,41 @@
     lines.filter(|line| line.starts_with(FIELD)).count() as i64
 }
 
+/// Why a whole answer could not be read.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ReadError {
+    /// The body broke or was cancelled.
+    Cut,
+    /// The body is over the limit.
+    TooLarge,
+}
+
 /// Reads a whole answer body.
 ///
 /// # Errors
 ///
 /// Returns an error if the body breaks, is over `limit` bytes or is cancelled.
 pub async fn read_whole(
-    response: &mut ClientResponse,
+    body: &mut IncomingBody,
     limit: usize,
     cancelled: &mut oneshot::Receiver<()>,
     meter: &mut Meter,
-) -> Result<Bytes, CutBody> {
-    let mut body = bytes::BytesMut::new();
+) -> Result<Bytes, ReadError> {
+    let mut whole = BytesMut::new();
     loop {
         let chunk = tokio::select! {
             biased;
-            _ = &mut *cancelled => return Err(CutBody),
-            chunk = response.next() => chunk,
+            _ = &mut *cancelled => return Err(ReadError::Cut),
+            chunk = body.next() => chunk,
         };
         match chunk {
-            None => return Ok(body.freeze()),
-            Some(Ok(chunk)) if body.len() + chunk.len() <= limit => {
+            None => return Ok(whole.freeze()),
+            Some(Ok(chunk)) if whole.len() + chunk.len() <= limit => {
                 meter.count(&chunk);
-                body.extend_from_slice(&chunk);
+                whole.extend_from_slice(&chunk);
             }
-            Some(_) => return Err(CutBody),
+            Some(Ok(_)) => return Err(ReadError::TooLarge),
+            Some(Err(CutBody)) => return Err(ReadError::Cut),
         }
     }
 }
-
-/// The body of an answer on its way from the target to a router.
-pub struct TargetStream {
-    response: ClientResponse,
-    cancelled: oneshot::Receiver<()>,
-    reporter: Reporter,
-    attempt: AttemptId,
-    meter: Meter,
-    ended: bool,
-}
-
-impl TargetStream {
-    /// Creates the stream of the answer to `attempt`.
-    pub fn new(
-        response: ClientResponse,
-        cancelled: oneshot::Receiver<()>,
-        reporter: Reporter,
-        attempt: AttemptId,
-        meter: Meter,
-    ) -> Self {
-        Self {
-            response,
-            cancelled,
-            reporter,
-            attempt,
-            meter,
-            ended: false,
-        }
-    }
-
-    fn end(&mut self, end: AttemptEnd) {
-        if !std::mem::replace(&mut self.ended, true) {
-            self.reporter.report(Input::Ended {
-                attempt: self.attempt,
-                end,
-            });
-        }
-    }
-}
-
-impl Chunks for TargetStream {
-    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, CutBody>>> {
-        if self.cancelled.poll_unpin(cx).is_ready() && !self.ended {
-            self.end(AttemptEnd::Cancelled);
-            return Poll::Ready(Some(Err(CutBody)));
-        }
-        match Pin::new(&mut self.response).poll_next(cx) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Ok(chunk))) => {
-                if let Some(cost) = self.meter.count(&chunk) {
-                    self.reporter.report(Input::Streamed {
-                        attempt: self.attempt,
-                        cost,
-                    });
-                }
-                Poll::Ready(Some(Ok(chunk)))
-            }
-            Poll::Ready(Some(Err(_))) => {
-                self.end(AttemptEnd::Broken);
-                Poll::Ready(Some(Err(CutBody)))
-            }
-            Poll::Ready(None) => {
-                let cost = self.meter.total();
-                self.end(AttemptEnd::Answered { cost });
-                Poll::Ready(None)
-            }
-        }
-    }
-}
-
-impl Drop for TargetStream {
-    fn drop(&mut self) {
-        self.end(AttemptEnd::Cancelled);
-    }
-}
--- a/agent/src/run.rs
+++ b/agent/src/run.rs
@@ -1,6 +1,6 @@
 //! Puts the parts of the daemon together.
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 use actix_http::{HttpService, Request};
@@ -8,6 +8,7 @@
 use actix_service::fn_service;
 use entity::{Name, SystemClock};
 use eyre::WrapErr;
+use node::client::Client;
 use node::host::{Exit, Host, HostSettings, INPUT_DEPTH, Inputs, Snapshot};
 use node::http::{SERVER_KEEP_ALIVE, bind};
 use node::metrics::Metrics;
@@ -18,11 +19,10 @@
 use policy::fleet::Role;
 use tokio::sync::mpsc;
 
-use crate::answers::Answers;
 use crate::control::{AgentRole, SharedIncarnation};
 use crate::relay::Reporter;
 use crate::service::{Service, Shared};
-use crate::target;
+use crate::target::{self, Probe};
 
 /// How long idle connections of routers may delay the end of the process.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(2);
@@ -47,7 +47,6 @@
         ("operators", &operators),
     ]);
     let snapshot = Snapshot::default();
-    let answers = Answers::default();
     let (traffic, traffic_inputs) = mpsc::channel(INPUT_DEPTH);
     let (queries, query_inputs) = mpsc::channel(QUERY_DEPTH);
     let reporter = Reporter::new(traffic);
@@ -58,7 +57,8 @@
         seed: endpoint.incarnation.0,
         gossip: AgentPolicy::GOSSIP,
     };
-    let role = AgentRole::new(policy, answers.clone(), incarnation.clone());
+    let answers = settings.limits.answers_bytes as u64;
+    let role = AgentRole::new(policy, answers, incarnation.clone());
     let metrics = Metrics::new()?;
     let host_settings = HostSettings {
         name: settings.name.clone(),
@@ -70,19 +70,17 @@
         metrics: metrics.clone(),
     };
     let host = Host::new(host_settings, role, snapshot);
+    let target = target_address(&settings.target)?;
+    let (probe, asks) = Probe::new();
     let shared = Shared {
-        target: settings.target.trim_end_matches('/').to_owned(),
+        target,
         incarnation,
-        answers,
+        probe,
         reporter: reporter.clone(),
         body_limit: settings.limits.body_bytes,
         answer_limit: settings.limits.answer_bytes,
     };
-    actix_rt::spawn(target::watch(
-        node::http::client(),
-        shared.target.clone(),
-        reporter,
-    ));
+    actix_rt::spawn(target::watch(Client::new(), target, reporter, asks));
     let server = listen(data, &settings, shared)?;
     let handle = server.handle();
     actix_rt::spawn(server);
@@ -100,6 +98,14 @@
     Ok(exit)
 }
 
+/// The address in the target's URL.
+fn target_address(url: &str) -> eyre::Result<SocketAddr> {
+    let authority = url.trim_start_matches("http://").trim_end_matches('/');
+    authority
+        .parse()
+        .wrap_err("the target's URL names no IP number and port")
+}
+
 fn listen(listener: TcpListener, settings: &AgentSettings, shared: Shared) -> eyre::Result<Server> {
     let head_timeout = settings.limits.head_timeout;
     let server = Server::build()
--- a/agent/src/service.rs
+++ b/agent/src/service.rs
@@ -1,24 +1,29 @@
 //! The HTTP service of one traffic thread: offers of routers in, answers out.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{HttpMessage, Request, Response, StatusCode};
-use awc::ClientResponse;
 use bytes::Bytes;
-use entity::{AttemptId, Incarnation, Reason, Refusal, RetryAdvice};
+use entity::{AttemptId, Clock, Incarnation, Now, Reason, Refusal, RetryAdvice, SystemClock};
 use node::body::Body;
+use node::client::{Client, Incoming, Outbound};
 use node::http::{forwarded, read_body, text};
 use policy::AttemptEnd;
 use policy::message::{Load, Offer, Reply, Verdict};
-use tokio::sync::{oneshot, watch};
+use policy::once::is_late;
+use tokio::sync::oneshot;
 use wire::{OFFER_HEADER, REPLY_HEADER, read_header, write_header};
 
-use crate::answers::{Answers, Kept, KeptAnswer};
+use crate::answers::{Entry, Follower, Kept, KeptAnswer};
 use crate::control::{Decided, Input, Order, SharedIncarnation};
-use crate::relay::{self, Handed, Meter, Outbound, Reporter, TargetStream};
+use crate::events::is_completion;
+use crate::relay::{self, Handed, Meter, ReadError, Reporter};
+use crate::stream::{Source, TargetStream};
+use crate::target::Probe;
 
 /// How long a router should wait before it offers to an overloaded agent again.
 const OVERLOAD_DELAY: Duration = Duration::from_millis(200);
@@ -29,12 +34,12 @@
 /// What all traffic threads of an agent share.
 #[derive(Clone, Debug)]
 pub struct Shared {
-    /// The target's address as a URL without a final slash.
-    pub target: String,
+    /// The target's address.
+    pub target: SocketAddr,
     /// The agent's life.
     pub incarnation: SharedIncarnation,
-    /// The kept answers.
-    pub answers: Answers,
+    /// The watch over the target.
+    pub probe: Probe,
     /// The channel to the control thread.
     pub reporter: Reporter,
     /// The greatest size of a request body, in bytes.
@@ -46,7 +51,7 @@
 /// The state of one traffic thread.
 pub struct Service {
     shared: Shared,
-    client: awc::Client,
+    client: Client,
 }
 
 impl Service {
@@ -54,7 +59,7 @@
     pub fn new(shared: Shared) -> Rc<Self> {
         Rc::new(Self {
             shared,
-            client: node::http::client(),
+            client: Client::new(),
         })
     }
 
@@ -68,7 +73,6 @@
         let Ok(body) = read_body(&mut request, self.shared.body_limit).await else {
             return self.refuse(attempt, Reason::Malformed);
         };
-        let keyed = offer.key.is_some();
         let (order, decision) = oneshot::channel();
         if !self.shared.reporter.try_report(Input::Offered {
             offer: Box::new(offer),
@@ -79,15 +83,25 @@
         let Ok(Decided { order, load }) = decision.await else {
             return self.refuse(attempt, Reason::Stopping);
         };
-        let outbound = outbound(attempt, &request, body);
+        let outbound = outbound(&request, body);
         match order {
-            Order::Start(cancelled) if keyed => {
-                let kept = self.shared.answers.open(attempt);
-                actix_rt::spawn(run_detached(self.clone(), outbound, cancelled, kept));
-                self.follow(attempt, attempt, load).await
+            Order::Start(cancelled) => self.run(attempt, outbound, cancelled, load).await,
+            Order::StartOnce {
+                cancelled,
+                decided,
+                entry,
+            } => {
+                let follower = entry.follow();
+                let run = OnceRun {
+                    attempt,
+                    outbound,
+                    decided,
+                    entry,
+                };
+                actix_rt::spawn(run_detached(self.clone(), run, cancelled));
+                self.follow(attempt, follower, load).await
             }
-            Order::Start(cancelled) => self.run(outbound, cancelled, load).await,
-            Order::Follow(original) => self.follow(attempt, original, load).await,
+            Order::Follow(follower) => self.follow(attempt, follower, load).await,
             Order::Reject(refusal) => self.reply(attempt, Verdict::NotRun(refusal), load),
             Order::Unknown(refusal) => self.reply(attempt, Verdict::Unknown(refusal), load),
         }
@@ -96,51 +110,62 @@
     /// Runs an attempt whose answer is streamed and not kept.
     async fn run(
         &self,
+        attempt: AttemptId,
         outbound: Outbound,
         mut cancelled: oneshot::Receiver<()>,
         load: Load,
     ) -> Answer {
-        let attempt = outbound.attempt;
-        let guard = EndGuard::new(self.shared.reporter.clone(), attempt);
+        let source = self.source(&outbound);
+        let guard = EndGuard::new(self.shared.reporter.clone(), attempt, source.clone());
+        let target = self.shared.target;
         let handed =
-            relay::hand_over(&self.client, &self.shared.target, &outbound, &mut cancelled).await;
+            relay::hand_over(&self.client, target, attempt, outbound, &mut cancelled).await;
         match handed {
             Handed::Answer(response) => {
                 guard.disarm();
-                self.stream(attempt, response, cancelled, load)
+                self.stream(attempt, source, *response, cancelled, load)
             }
             Handed::Ended(end) => {
+                if end == AttemptEnd::Broken {
+                    // What ran when a target died must be known before its caller tries again.
+                    self.shared.probe.looked().await;
+                }
                 guard.end(end);
                 self.reply(attempt, verdict(end), load)
             }
         }
     }
 
+    fn source(&self, outbound: &Outbound) -> Source {
+        Source {
+            client: self.client.clone(),
+            target: self.shared.target,
+            probe: self.shared.probe.clone(),
+            is_completion: is_completion(outbound.uri.path()),
+        }
+    }
+
     fn stream(
         &self,
         attempt: AttemptId,
-        response: ClientResponse,
+        source: Source,
+        response: Incoming,
         cancelled: oneshot::Receiver<()>,
         load: Load,
     ) -> Answer {
-        let mut answer: Answer =
-            Response::new(response.status()).set_body(Body::Whole(Bytes::new()));
-        for (name, value) in response
-            .headers()
-            .iter()
-            .filter(|(name, _)| forwarded(name))
-        {
+        let mut answer: Answer = Response::new(response.status).set_body(Body::Whole(Bytes::new()));
+        for (name, value) in response.headers.iter().filter(|(name, _)| forwarded(name)) {
             answer.headers_mut().append(name.clone(), value.clone());
         }
         self.mark(&mut answer, attempt, Verdict::Answered, load);
         let reporter = self.shared.reporter.clone();
-        let stream = TargetStream::new(response, cancelled, reporter, attempt, Meter::new());
+        let stream = TargetStream::new(source, response, cancelled, reporter, attempt);
         answer.set_body(Body::Stream(stream))
     }
 
-    /// Answers with what `original` left or leaves behind.
-    async fn follow(&self, attempt: AttemptId, original: AttemptId, load: Load) -> Answer {
-        match self.shared.answers.wait(original).await {
+    /// Answers with what another attempt left or leaves behind.
+    async fn follow(&self, attempt: AttemptId, follower: Follower, load: Load) -> Answer {
+        match follower.wait().await {
             Some(Kept::Answer(kept)) => {
                 let body = Body::Whole(kept.body.clone());
                 let mut answer = Response::with_body(kept.status, body);
@@ -186,57 +211,88 @@
     }
 }
 
+/// An attempt that may run at most once.
+struct OnceRun {
+    attempt: AttemptId,
+    outbound: Outbound,
+    decided: Now,
+    entry: Entry,
+}
+
 /// Runs an attempt that may run at most once and keeps its answer.
 ///
 /// It is a task of its own, so neither a router nor a caller that leaves cuts it.
-async fn run_detached(
-    service: Rc<Service>,
-    outbound: Outbound,
-    mut cancelled: oneshot::Receiver<()>,
-    kept: watch::Sender<Option<Kept>>,
-) {
+async fn run_detached(service: Rc<Service>, run: OnceRun, mut cancelled: oneshot::Receiver<()>) {
     let shared = &service.shared;
-    let mut meter = Meter::new();
-    let handed = relay::hand_over(&service.client, &shared.target, &outbound, &mut cancelled).await;
-    let end = match handed {
-        Handed::Ended(end) => end,
-        Handed::Answer(mut response) => {
-            let limit = shared.answer_limit;
-            let body = relay::read_whole(&mut response, limit, &mut cancelled, &mut meter).await;
-            match body {
-                Ok(body) => {
-                    let answer = keep(&response, body);
-                    kept.send_replace(Some(Kept::Answer(answer.into())));
-                    AttemptEnd::Answered {
-                        cost: meter.total(),
-                    }
-                }
-                Err(_) => AttemptEnd::Broken,
+    let OnceRun {
+        attempt,
+        outbound,
+        decided,
+        entry,
+    } = run;
+    let (end, kept) = match is_late(decided, SystemClock.now()) {
+        true => left_by(AttemptEnd::Withheld),
+        false => service.run_once(attempt, outbound, &mut cancelled).await,
+    };
+    if end == AttemptEnd::Broken {
+        shared.probe.looked().await;
+    }
+    if let Kept::Answer(answer) = &kept {
+        let bytes = answer.size();
+        shared.reporter.report(Input::Kept { attempt, bytes });
+    }
+    entry.settle(kept);
+    shared.reporter.report(Input::Ended { attempt, end });
+}
+
+impl Service {
+    /// Hands an attempt over and reads its whole answer.
+    async fn run_once(
+        &self,
+        attempt: AttemptId,
+        outbound: Outbound,
+        cancelled: &mut oneshot::Receiver<()>,
+    ) -> (AttemptEnd, Kept) {
+        let mut meter = Meter::new();
+        let target = self.shared.target;
+        let handed = relay::hand_over(&self.client, target, attempt, outbound, cancelled).await;
+        let mut response = match handed {
+            Handed::Ended(end) => return left_by(end),
+            Handed::Answer(response) => response,
+        };
+        let limit = self.shared.answer_limit;
+        match relay::read_whole(&mut response.body, limit, cancelled, &mut meter).await {
+            Ok(body) => {
+                let cost = meter.total();
+                let kept = Kept::Answer(keep(&response, body).into());
+                (AttemptEnd::Answered { cost }, kept)
+            }
+            Err(ReadError::Cut) => left_by(AttemptEnd::Broken),
+            Err(ReadError::TooLarge) => {
+                let refusal = Refusal::new(Reason::AnswerDropped, RetryAdvice::VerifyFirst);
+                (AttemptEnd::Cancelled, Kept::Lost(refusal))
             }
         }
-    };
-    match verdict(end) {
-        Verdict::Answered => {}
-        Verdict::NotRun(refusal) => drop(kept.send_replace(Some(Kept::NotRun(refusal)))),
-        Verdict::Unknown(refusal) => drop(kept.send_replace(Some(Kept::Lost(refusal)))),
     }
-    shared.reporter.report(Input::Ended {
-        attempt: outbound.attempt,
-        end,
-    });
 }
 
-fn keep(response: &ClientResponse, body: Bytes) -> KeptAnswer {
-    let mut headers = actix_http::header::HeaderMap::new();
-    for (name, value) in response
-        .headers()
-        .iter()
-        .filter(|(name, _)| forwarded(name))
-    {
+/// How an attempt without an answer ended, and what is kept of it.
+fn left_by(end: AttemptEnd) -> (AttemptEnd, Kept) {
+    let kept = match verdict(end) {
+        Verdict::NotRun(refusal) => Kept::NotRun(refusal),
+        Verdict::Unknown(refusal) => Kept::Lost(refusal),
+        Verdict::Answered => unreachable!("an answer is read whole"),
+    };
+    (end, kept)
+}
+
+fn keep(response: &Incoming, body: Bytes) -> KeptAnswer {
+    let mut headers = HeaderMap::new();
+    for (name, value) in response.headers.iter().filter(|(name, _)| forwarded(name)) {
         headers.append(name.clone(), value.clone());
     }
     KeptAnswer {
-        status: response.status(),
+        status: response.status,
         headers,
         body,
     }
@@ -250,27 +306,31 @@
     match end {
         AttemptEnd::Answered { .. } => Verdict::Answered,
         AttemptEnd::Refused | AttemptEnd::Unsent => not_run(Reason::NoTarget),
+        AttemptEnd::Withheld => not_run(Reason::HandOverLate),
         AttemptEnd::Broken => unknown(Reason::TargetDied),
         AttemptEnd::Cancelled => unknown(Reason::DeadlinePassed),
     }
 }
 
-fn outbound(attempt: AttemptId, request: &Request, body: Bytes) -> Outbound {
+fn outbound(request: &Request, body: Bytes) -> Outbound {
+    let mut headers = HeaderMap::new();
+    for (name, value) in request.headers().iter().filter(|(name, _)| forwarded(name)) {
+        headers.append(name.clone(), value.clone());
+    }
     Outbound {
-        attempt,
         method: request.method().clone(),
         uri: request.uri().clone(),
-        headers: request.headers().clone(),
+        headers,
         body,
     }
 }
 
 /// Reports a cancelled attempt if it is dropped before the attempt ended.
-struct EndGuard(Option<(Reporter, AttemptId)>);
+struct EndGuard(Option<(Reporter, AttemptId, Source)>);
 
 impl EndGuard {
-    fn new(reporter: Reporter, attempt: AttemptId) -> Self {
-        Self(Some((reporter, attempt)))
+    fn new(reporter: Reporter, attempt: AttemptId, source: Source) -> Self {
+        Self(Some((reporter, attempt, source)))
     }
 
     fn disarm(mut self) {
@@ -278,7 +338,7 @@
     }
 
     fn end(mut self, end: AttemptEnd) {
-        if let Some((reporter, attempt)) = self.0.take() {
+        if let Some((reporter, attempt, _)) = self.0.take() {
             reporter.report(Input::Ended { attempt, end });
         }
     }
@@ -286,11 +346,12 @@
 
 impl Drop for EndGuard {
     fn drop(&mut self) {
-        if let Some((reporter, attempt)) = self.0.take() {
-            reporter.report(Input::Ended {
-                attempt,
-                end: AttemptEnd::Cancelled,
-            });
+        if let Some((reporter, attempt, source)) = self.0.take() {
+            let end = AttemptEnd::Cancelled;
+            reporter.report(Input::Ended { attempt, end });
+            if source.is_completion {
+                source.probe.cancel(attempt.request);
+            }
         }
     }
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -8,6 +8,7 @@
 //! bounded channels and read it through snapshots.
 
 pub mod body;
+pub mod client;
 pub mod control;
 pub mod event;
 pub mod host;
--- a/policy/src/agent/fill.rs
+++ b/policy/src/agent/fill.rs
@@ -8,7 +8,7 @@
 
 use super::{Agent, AgentAction, count, weight};
 use crate::bid::{BidKey, Lot};
-use crate::fair::{Contender, Party, Share, choose_team};
+use crate::fair::{Charge, Contender, Party, Share, choose_team};
 use crate::message::{Endpoint, Pick, Pull, Pulled, Solicit};
 use crate::pull::Reservation;
 
@@ -92,7 +92,7 @@
     /// Pulls for every slot that is free or about to be.
     pub(super) fn fill(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
         let limit = self.window.limit();
-        if limit == 0 || self.is_draining() {
+        if limit == 0 || self.is_draining() || self.crashes.is_reserved() {
             return;
         }
         let mut open = (limit + self.pace.ahead()).saturating_sub(self.used());
@@ -235,7 +235,7 @@
             weight,
             router,
         };
-        self.share.charge(now.mono, party, cost);
+        self.share.charge(now.mono, party, Charge::pending(cost));
     }
 }
 
--- a/policy/src/agent/serve.rs
+++ b/policy/src/agent/serve.rs
@@ -1,9 +1,9 @@
 //! Streams, ends and news from peers.
 
-use entity::{AttemptId, Cost, Now, ProcessId};
+use entity::{AttemptId, Cost, Now, ProcessId, Step};
 
-use super::{Agent, AgentAction, AttemptEnd, Names, weight};
-use crate::fair::Share;
+use super::{Agent, AgentAction, AttemptEnd, Names, Running, weight};
+use crate::fair::{Charge, Share};
 use crate::message::{BidUpdate, LedgerDelta};
 use crate::window::ColdSign;
 
@@ -16,28 +16,41 @@
             let latency = now.mono.saturating_duration_since(running.started);
             self.window.first_token(now.mono, latency);
         }
+        let before = running.charged - running.streamed;
         running.streamed += cost;
         let due = running.streamed + rest(running.expected, running.streamed);
-        if due > running.charged {
-            let more = due - running.charged;
-            running.charged = due;
-            self.share.charge(now.mono, running.party, more);
-        }
+        running.charged = running.charged.max(due);
+        let after = running.charged - running.streamed;
+        let charge = Charge {
+            served: cost,
+            pending: after - before,
+        };
+        self.share.charge(now.mono, running.party, charge);
     }
 
-    pub(super) fn ended(&mut self, now: Now, attempt: AttemptId, end: AttemptEnd) {
+    pub(super) fn ended(
+        &mut self,
+        now: Now,
+        attempt: AttemptId,
+        end: AttemptEnd,
+        actions: &mut Vec<AgentAction>,
+    ) {
         let ran = self.running.len() as u32;
         let Some(running) = self.running.remove(&attempt) else {
             return;
         };
         self.window.record(now.mono, ran - 1);
+        self.conclude(now, attempt, &running, end, actions);
         let cost = match end {
             AttemptEnd::Answered { cost } => cost,
-            AttemptEnd::Refused | AttemptEnd::Unsent => Cost::ZERO,
+            AttemptEnd::Refused | AttemptEnd::Unsent | AttemptEnd::Withheld => Cost::ZERO,
             AttemptEnd::Broken | AttemptEnd::Cancelled => running.streamed,
         };
-        self.share
-            .charge(now.mono, running.party, cost - running.charged);
+        let charge = Charge {
+            served: (cost - running.streamed).max(Cost::ZERO),
+            pending: running.streamed - running.charged,
+        };
+        self.share.charge(now.mono, running.party, charge);
         match end {
             AttemptEnd::Answered { .. } => {
                 self.window.completed(now.mono, ran);
@@ -49,10 +62,39 @@
             AttemptEnd::Refused | AttemptEnd::Unsent | AttemptEnd::Broken => {
                 self.window.fall(now.mono, ColdSign::Refused);
             }
-            AttemptEnd::Cancelled => {}
+            AttemptEnd::Cancelled | AttemptEnd::Withheld => {}
         }
     }
 
+    /// Tells the memories of keys and crashes how a run ended.
+    fn conclude(
+        &mut self,
+        now: Now,
+        attempt: AttemptId,
+        running: &Running,
+        end: AttemptEnd,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        if self.crashes.alone == Some(attempt) {
+            self.crashes.alone = None;
+        }
+        let fingerprint = running.fingerprint;
+        match end {
+            AttemptEnd::Answered { .. } => self.completed(now, fingerprint, actions),
+            AttemptEnd::Broken => self.crashes.broke(now, fingerprint),
+            _ => {}
+        }
+        match end {
+            _ if !running.once => {}
+            AttemptEnd::Answered { .. } => self.kept(attempt, 0, actions),
+            AttemptEnd::Refused | AttemptEnd::Unsent | AttemptEnd::Withheld => {
+                self.disclaim(attempt, actions);
+            }
+            AttemptEnd::Broken | AttemptEnd::Cancelled => self.lose(attempt, actions),
+        }
+        self.decide(now, attempt.request, Step::End, describe(end), actions);
+    }
+
     pub(super) fn router_gone(
         &mut self,
         now: Now,
@@ -63,7 +105,7 @@
             return;
         }
         match self.running.get_mut(&attempt) {
-            Some(running) if !running.cancelled => {
+            Some(running) if !running.cancelled && !running.once => {
                 running.cancelled = true;
                 actions.push(AgentAction::Cancel(attempt));
             }
@@ -92,7 +134,7 @@
         }
     }
 
-    /// Forgets the bids of a router that cannot be reached.
+    /// Forgets the bids of a router that does not answer; its next update restores them.
     pub(super) fn forget_router(&mut self, router: ProcessId) {
         self.bids.drop_router(router);
     }
@@ -103,3 +145,14 @@
     let open = expected - streamed;
     open.max(Cost(expected.0 / 2))
 }
+
+fn describe(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Answered { .. } => "answered whole",
+        AttemptEnd::Refused => "refused by the target",
+        AttemptEnd::Unsent => "the target could not be reached",
+        AttemptEnd::Withheld => "not handed over",
+        AttemptEnd::Broken => "the target broke off",
+        AttemptEnd::Cancelled => "cancelled",
+    }
+}
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -7,14 +7,12 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use actix_http::Method;
-use actix_http::header::HeaderName;
-use awc::ClientResponse;
-use awc::error::SendRequestError;
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use bytes::Bytes;
 use entity::{AttemptId, Cost, TargetId};
 use futures::Stream;
 use node::body::{Chunks, CutBody};
+use node::client::{Client, Incoming, IncomingBody, Outbound, SendError};
 use node::http::{forwarded, text};
 use policy::message::{Reply, Verdict};
 use policy::{AttemptResult, DispatchOrder};
@@ -22,36 +20,50 @@
 
 use crate::control::{Input, Reporter};
 use crate::exchange::Exchange;
+use crate::filter::KEY_HEADER;
 use crate::respond::REQUEST_ID;
 
 /// What came of sending an attempt.
 pub enum Relayed {
     /// The agent answers: the response follows.
-    Answer(ClientResponse),
+    Answer(Box<Incoming>),
     /// The attempt ended without an answer.
     Ended(AttemptResult),
 }
 
-/// Sends an attempt and waits for the head of the agent's response.
+/// Sends an attempt and waits for the first bytes of the agent's answer.
 pub async fn send(
-    client: &awc::Client,
+    client: &Client,
     exchange: &Exchange,
     order: &DispatchOrder,
     reporter: &Reporter,
 ) -> Relayed {
-    let url = format!("http://{}{}", order.data, exchange.uri);
-    let method: Method = exchange.method.clone();
-    let mut request = client.request(method, url).no_decompress();
+    match client.send(order.data, outbound(exchange, order)).await {
+        Ok(response) => judge(order, response, reporter).await,
+        Err(SendError::Unsent) => Relayed::Ended(AttemptResult::Unsent),
+        Err(SendError::Broken) => Relayed::Ended(AttemptResult::Broken { delivered: false }),
+    }
+}
+
+fn outbound(exchange: &Exchange, order: &DispatchOrder) -> Outbound {
+    let mut headers = HeaderMap::new();
     for (name, value) in exchange.headers.iter().filter(|(name, _)| passes(name)) {
-        request.headers_mut().append(name.clone(), value.clone());
+        headers.append(name.clone(), value.clone());
+    }
+    let mut insert = |name: &'static str, value: String| {
+        let value = HeaderValue::from_str(&value).expect("internal headers are plain text");
+        headers.insert(HeaderName::from_static(name), value);
+    };
+    insert(OFFER_HEADER, write_header(&order.offer));
+    insert(REQUEST_ID, exchange.request.to_string());
+    if let (None, Some(minted)) = (exchange.key, order.offer.key) {
+        insert(KEY_HEADER, minted.to_string());
     }
-    let request = request
-        .insert_header((OFFER_HEADER, write_header(&order.offer)))
-        .insert_header((REQUEST_ID, exchange.request.to_string()));
-    match request.send_body(exchange.body.clone()).await {
-        Ok(response) => judge(order, response, reporter),
-        Err(SendRequestError::Connect(_)) => Relayed::Ended(AttemptResult::Unsent),
-        Err(_) => Relayed::Ended(AttemptResult::Broken { delivered: false }),
+    Outbound {
+        method: exchange.method.clone(),
+        uri: exchange.uri.clone(),
+        headers,
+        body: exchange.body.clone(),
     }
 }
 
@@ -60,9 +72,9 @@
     forwarded(name) && !["authorization", "host", REQUEST_ID].contains(&name.as_str())
 }
 
-fn judge(order: &DispatchOrder, response: ClientResponse, reporter: &Reporter) -> Relayed {
+async fn judge(order: &DispatchOrder, mut response: Incoming, reporter: &Reporter) -> Relayed {
     let attempt = order.offer.attempt;
-    let reply = text(response.headers(), REPLY_HEADER).map(read_header::<Reply>);
+    let reply = text(&response.headers, REPLY_HEADER).map(read_header::<Reply>);
     let Some(Ok(reply)) = reply else {
         return Relayed::Ended(AttemptResult::Broken { delivered: false });
     };
@@ -79,7 +91,11 @@
         load: reply.load,
     });
     match reply.verdict {
-        Verdict::Answered => Relayed::Answer(response),
+        // A target that dies before its first byte has delivered nothing.
+        Verdict::Answered => match response.body.prime().await {
+            Ok(()) => Relayed::Answer(Box::new(response)),
+            Err(CutBody) => Relayed::Ended(AttemptResult::Broken { delivered: false }),
+        },
         Verdict::NotRun(refusal) => Relayed::Ended(AttemptResult::NotRun(refusal)),
         Verdict::Unknown(refusal) => Relayed::Ended(AttemptResult::Unknown(refusal)),
     }
@@ -87,7 +103,7 @@
 
 /// The body of an answer on its way from an agent to the caller.
 pub struct AnswerStream {
-    response: ClientResponse,
+    body: IncomingBody,
     reporter: Reporter,
     attempt: AttemptId,
     target: TargetId,
@@ -97,11 +113,11 @@
 
 impl AnswerStream {
     /// Creates the stream of the answer to `order`.
-    pub fn new(response: ClientResponse, reporter: Reporter, order: &DispatchOrder) -> Self {
+    pub fn new(body: IncomingBody, reporter: Reporter, order: &DispatchOrder) -> Self {
         let attempt = order.offer.attempt;
         let target = order.target;
         Self {
-            response,
+            body,
             reporter,
             attempt,
             target,
@@ -127,7 +143,7 @@
 
 impl Chunks for AnswerStream {
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, CutBody>>> {
-        match Pin::new(&mut self.response).poll_next(cx) {
+        match Pin::new(&mut self.body).poll_next(cx) {
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(chunk))) => {
                 self.bytes += chunk.len() as u64;
