Planned stops name what they cut and refuse late waiters; records of attempts' ends

A router that stops finishes what waits for half of its stop limit and then refuses it as not run, where it was cut without a word before. The log names the requests that a second signal or the limit cuts.

--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -391,8 +391,10 @@
         self.readiness.clone()
     }
 
-    fn unfinished(&self) -> usize {
-        self.cancels.len()
+    fn unfinished(&self) -> Vec<RequestId> {
+        let mut requests: Vec<_> = self.cancels.keys().map(|it| it.request).collect();
+        requests.sort_unstable();
+        requests
     }
 
     fn dump(&self, _now: Now) -> serde_json::Value {
--- a/livetests/tests/faults.rs
+++ b/livetests/tests/faults.rs
@@ -1,7 +1,7 @@
 //! Faults of targets, callers and the configuration service.
 
 use knapweed_livetests::caller::{Call, Ending, is_whole_stream};
-use knapweed_livetests::deployment::{Deployment, Plan, dump};
+use knapweed_livetests::deployment::{Deployment, Plan, dump, get};
 use knapweed_livetests::until;
 use serde_json::json;
 
@@ -199,6 +199,7 @@
         .expect("the fleet starts");
     let crasher = Call::chat("beta", "crash-the-engine dossier", 30);
     let mut reasons = Vec::new();
+    let mut refused = String::new();
     for repeat in 0..12 {
         let answer = match crasher.send(fleet.callers(repeat % 2)).await {
             Ending::Whole(answer) => answer,
@@ -206,6 +207,7 @@
         };
         assert_ne!(answer.status, 200, "{}", answer.body);
         reasons.push(answer.reason());
+        refused = answer.request;
         until("a bystander is served", || async {
             let ending = Call::chat("alpha", "bystander", 3)
                 .send(fleet.callers(0))
@@ -214,6 +216,12 @@
         })
         .await;
     }
+    // The last repeat went through router 1.
+    let operators = fleet.routers[1].address("operators");
+    let (_, why) = get(operators, &format!("/why/{refused}"))
+        .await
+        .expect("the router answers");
+    assert!(why.contains("is quarantined"), "{why}");
     let mut deaths = 0;
     for index in 0..fleet.pairs.len() {
         deaths += fleet.counts(index).await["deaths"].as_u64().unwrap_or(0);
--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -28,7 +28,7 @@
 use wire::{Envelope, EnvelopeError, Message};
 
 use crate::control::{self, Links, SharedBytes};
-use crate::event::{self, Event};
+use crate::event::{self, Event, Field};
 use crate::metrics::{HostMetrics, HostSample, Metrics};
 use crate::ops::{Explanation, Query, Source};
 use crate::watch::ServiceClient;
@@ -36,6 +36,9 @@
 /// The interval of [`Role::tick`].
 pub const TICK: Duration = Duration::from_millis(20);
 
+/// The greatest number of cut requests that are named in the log.
+const MAX_NAMED: usize = 100;
+
 /// The number of inputs of traffic threads that may wait for the control thread.
 pub const INPUT_DEPTH: usize = 16_384;
 
@@ -124,8 +127,8 @@
     fn stop(&mut self, now: Now, out: &mut Outbox);
     /// Whether the role can serve.
     fn readiness(&self) -> Readiness;
-    /// What would be cut if the process ended at once.
-    fn unfinished(&self) -> usize;
+    /// The requests that would be cut if the process ended at once, in order.
+    fn unfinished(&self) -> Vec<RequestId>;
     /// The whole state.
     fn dump(&self, now: Now) -> serde_json::Value;
     /// The decisions about a request.
@@ -266,22 +269,34 @@
                     self.tick();
                 }
                 () = terminate.next() => match limit {
-                    Some(_) => return Ok(Exit::Cut(self.role.borrow().unfinished())),
+                    Some(_) => return Ok(self.cut()),
                     None => {
+                        event::log(Event::StopBegan, &[("process", &self.name)]);
                         limit = Some(self.clock.now().mono + stop_limit);
                         self.step(R::stop);
                     }
                 },
             }
             if self.role.borrow().readiness() == Readiness::Stopped {
+                event::log(Event::StopEnded, &[("process", &self.name)]);
                 return Ok(Exit::Finished);
             }
             if limit.is_some_and(|limit| self.clock.now().mono >= limit) {
-                return Ok(Exit::Cut(self.role.borrow().unfinished()));
+                return Ok(self.cut());
             }
         }
     }
 
+    /// Names the requests that are cut.
+    fn cut(&self) -> Exit {
+        let cut = self.role.borrow().unfinished();
+        let named = cut.iter().take(MAX_NAMED).map(ToString::to_string);
+        let named: Vec<_> = named.collect();
+        let fields: &[Field<'_>] = &[("count", &cut.len()), ("requests", &named.join(","))];
+        event::log(Event::StopCut, fields);
+        Exit::Cut(cut.len())
+    }
+
     fn tick(self: &Rc<Self>) {
         self.step(R::tick);
         let now = self.clock.now();
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -149,6 +149,8 @@
     Tick,
     /// The router is to stop when its requests have ended.
     Stop,
+    /// The time of a planned stop runs out: refuse what waits.
+    HandBack,
 }
 
 /// An attempt that the driver is to send.
@@ -317,6 +319,7 @@
             RouterEvent::Solicit(solicit) => self.solicited(now, &solicit, actions),
             RouterEvent::Tick => self.tick(now, actions),
             RouterEvent::Stop => self.stopping = true,
+            RouterEvent::HandBack => self.hand_back(now, actions),
         }
         self.send_bids(now, actions);
         self.report_stopped(actions);
--- a/policy/src/router/ending.rs
+++ b/policy/src/router/ending.rs
@@ -24,6 +24,7 @@
             return;
         };
         self.note_load(now, target, &result);
+        self.record_end(now, attempt, target, &result, actions);
         match self.attempts.ended(now, attempt, result) {
             Next::Ignore => {}
             Next::Requeue => self.handed_back(now, request, actions),
@@ -35,6 +36,30 @@
         }
     }
 
+    /// Records how an attempt ended, unless its answer went to the caller.
+    fn record_end(
+        &self,
+        now: Now,
+        attempt: AttemptId,
+        target: TargetId,
+        result: &AttemptResult,
+        actions: &mut Vec<RouterAction>,
+    ) {
+        let what = match result {
+            AttemptResult::Answered { .. } => return,
+            AttemptResult::NotRun(refusal) => format!("did not run it: {}", refusal.reason),
+            AttemptResult::Unknown(refusal) => format!("may have run it: {}", refusal.reason),
+            AttemptResult::Unsent => "could not be reached".to_owned(),
+            AttemptResult::Broken { .. } => "broke off".to_owned(),
+        };
+        let config = self.config.as_deref();
+        let rule = config.and_then(|config| config.targets[target].as_ref());
+        let name = config.map(|config| config.names.targets.name(target).to_string());
+        let detail = format!("{} {what}", name.unwrap_or_default());
+        let rule = rule.map(|rule| rule.rule);
+        self.decide(now, attempt.request, Step::Accept, rule, &detail, actions);
+    }
+
     /// Learns from the end of an attempt what its target can take.
     fn note_load(&mut self, now: Now, target: TargetId, result: &AttemptResult) {
         match result {
@@ -181,6 +206,18 @@
         }
     }
 
+    /// Refuses every request that has no attempt in flight.
+    pub(super) fn hand_back(&mut self, now: Now, actions: &mut Vec<RouterAction>) {
+        let waits = self.pending.iter().filter(|(_, pending)| pending.waits());
+        let mut waits: Vec<_> = waits.map(|(&request, _)| request).collect();
+        waits.sort();
+        for request in waits {
+            self.close(request);
+            let refusal = Refusal::new(Reason::Stopping, RetryAdvice::After(RETRY_DELAY));
+            self.refuse(now, request, refusal, actions);
+        }
+    }
+
     /// Ends a request that has no attempt in flight.
     pub(super) fn refuse(
         &mut self,
@@ -215,3 +252,10 @@
         }
     }
 }
+
+impl Pending {
+    /// Whether no attempt is in flight.
+    fn waits(&self) -> bool {
+        !matches!(self.place, Place::Sent(_))
+    }
+}
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -4,6 +4,7 @@
 //! its last order; traffic threads whose entry is gone get no further orders.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use entity::{
     AttemptId, Decision, Incarnation, Machine, Now, Outcome, ProcessId, Reason, Refusal, RequestId,
@@ -114,6 +115,9 @@
 
 /// The control state of a router.
 pub struct RouterRole {
+    stop_limit: Duration,
+    /// When a planned stop refuses what waits.
+    hand_back: Option<Instant>,
     router: Router,
     orders: FxHashMap<RequestId, mpsc::UnboundedSender<Order>>,
     trace: Trace,
@@ -127,8 +131,12 @@
 
 impl RouterRole {
     /// Creates the state of a router that has no configuration yet.
-    pub fn new(settings: RouterSettings) -> Self {
+    ///
+    /// A planned stop refuses what still waits after half of `stop_limit`.
+    pub fn new(settings: RouterSettings, stop_limit: Duration) -> Self {
         Self {
+            stop_limit,
+            hand_back: None,
             router: Router::new(settings),
             orders: FxHashMap::default(),
             trace: Trace::new(TRACE_CAPACITY),
@@ -348,10 +356,15 @@
 
     fn tick(&mut self, now: Now, out: &mut Outbox) {
         self.handle(now, RouterEvent::Tick, out);
+        if self.hand_back.take_if(|at| *at <= now.mono).is_some() {
+            self.handle(now, RouterEvent::HandBack, out);
+        }
     }
 
     fn stop(&mut self, now: Now, out: &mut Outbox) {
         self.readiness = Readiness::NotReady("stopping");
+        self.hand_back = Some(now.mono + self.stop_limit / 2);
+        out.announce(true);
         self.handle(now, RouterEvent::Stop, out);
     }
 
@@ -359,8 +372,10 @@
         self.readiness.clone()
     }
 
-    fn unfinished(&self) -> usize {
-        self.orders.len()
+    fn unfinished(&self) -> Vec<RequestId> {
+        let mut requests: Vec<_> = self.orders.keys().copied().collect();
+        requests.sort_unstable();
+        requests
     }
 
     fn dump(&self, _now: Now) -> serde_json::Value {
--- a/router/src/run.rs
+++ b/router/src/run.rs
@@ -47,11 +47,12 @@
     let (traffic, traffic_inputs) = mpsc::channel(INPUT_DEPTH);
     let (queries, query_inputs) = mpsc::channel(QUERY_DEPTH);
 
-    let role = RouterRole::new(RouterPolicy {
+    let policy = RouterPolicy {
         endpoint,
         centre: Name::new(&settings.data_centre),
         seed: endpoint.incarnation.0,
-    });
+    };
+    let role = RouterRole::new(policy, settings.stop_limit);
     let metrics = Metrics::new()?;
     let host_settings = HostSettings {
         name: settings.name.clone(),
