--- a/policy/src/agent.rs
+++ b/policy/src/agent.rs
@@ -33,6 +33,7 @@
 
 mod admit;
 mod crashes;
+mod dump;
 mod fill;
 mod keys;
 mod serve;
@@ -365,6 +366,11 @@
 
     fn tick(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
         let lost = self.pulls.expire(now.mono);
+        for &(router, pick) in &lost {
+            if pick.count > 0 {
+                self.forget_router(router);
+            }
+        }
         self.release(now, lost);
         self.bids.expire(now.mono);
         self.expire_keys(now, actions);
