--- a/agent/src/service.rs
+++ b/agent/src/service.rs
@@ -1,5 +1,6 @@
 //! The HTTP service of one traffic thread: offers of routers in, answers out.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -11,6 +12,7 @@
 use entity::{AttemptId, Clock, Incarnation, Now, Reason, Refusal, RetryAdvice, SystemClock};
 use node::body::Body;
 use node::client::{Client, Incoming, Outbound};
+use node::daemon::Respond;
 use node::http::{forwarded, read_body, text};
 use policy::AttemptEnd;
 use policy::message::{Load, Offer, Reply, Verdict};
@@ -48,6 +50,14 @@
     pub answer_limit: usize,
 }
 
+impl Respond for Service {
+    type Body = Body<TargetStream>;
+
+    fn respond(self: Rc<Self>, request: Request) -> impl Future<Output = Answer> {
+        self.answer(request)
+    }
+}
+
 /// The state of one traffic thread.
 pub struct Service {
     shared: Shared,
@@ -64,7 +74,7 @@
     }
 
     /// Answers one offer.
-    pub async fn respond(self: Rc<Self>, mut request: Request) -> Answer {
+    async fn answer(self: Rc<Self>, mut request: Request) -> Answer {
         let offer = text(request.headers(), OFFER_HEADER).map(read_header::<Offer>);
         let Some(Ok(offer)) = offer else {
             return Response::with_body(StatusCode::BAD_REQUEST, Body::Whole(Bytes::new()));
--- a/livetests/tests/path.rs
+++ b/livetests/tests/path.rs
@@ -39,6 +39,7 @@
         Call::chat("nobody", "x", 1),
         Call::post("/v1/secret", "alpha", "{}"),
         Call::chat("alpha", &"x".repeat(3 << 20), 1),
+        Call::chat("alpha", "x", 1).header("x-long", &"x".repeat(20 << 10)),
         Call::chat("alpha", "x", 1).header("kw-offer", "AAAA"),
     ] {
         let answer = call.send(router).await.whole();
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod body;
 pub mod client;
 pub mod control;
+pub mod daemon;
 pub mod event;
 pub mod host;
 pub mod http;
--- a/router/src/service.rs
+++ b/router/src/service.rs
@@ -3,6 +3,7 @@
 //! Every traffic thread has its own client and its own filter chain; it shares
 //! the configuration snapshot and the channel to the control thread.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 };
 use node::body::Body;
 use node::client::{Client, Incoming};
+use node::daemon::Respond;
 use node::host::Snapshot;
 use node::http::{read_body, text};
 use policy::status::ANSWERED;
@@ -48,10 +50,20 @@
 /// The limits of what callers may send.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    /// The greatest size of a request's line and headers, in bytes.
+    pub head: usize,
     /// The greatest size of a request body, in bytes.
     pub body: usize,
 }
 
+impl Respond for Service {
+    type Body = Body<AnswerStream>;
+
+    fn respond(self: Rc<Self>, request: Request) -> impl Future<Output = Answer> {
+        self.answer(request)
+    }
+}
+
 /// The state of one traffic thread.
 pub struct Service {
     client: Client,
@@ -78,7 +90,7 @@
     }
 
     /// Answers one request.
-    pub async fn respond(self: Rc<Self>, mut request: Request) -> Answer {
+    async fn answer(self: Rc<Self>, mut request: Request) -> Answer {
         let id = RequestId(Uuid::now_v7().as_u128());
         let now = self.clock.now();
         let Some(config) = self.snapshot.load_full() else {
@@ -88,6 +100,9 @@
             return respond::finished(id, &refused(key, refusal));
         };
         let mut exchange = open(id, config, &request);
+        if head_size(&request) > self.limits.head {
+            return self.reject(exchange, Rejection::for_good(Reason::TooLarge));
+        }
         if let Err(rejection) = self.chain.apply(now, &mut exchange) {
             return self.reject(exchange, rejection);
         }
@@ -263,6 +278,15 @@
     }
 }
 
+/// The size of a request's line and headers as they were sent, in bytes.
+fn head_size(request: &Request) -> usize {
+    let line = request.method().as_str().len() + request.uri().to_string().len();
+    let headers = request.headers().iter();
+    line + headers
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum::<usize>()
+}
+
 fn open(request: RequestId, config: Arc<Config>, http: &Request) -> Exchange {
     Exchange {
         request,
