--- a/filetests/src/sim/serve.rs
+++ b/filetests/src/sim/serve.rs
@@ -152,7 +152,8 @@
             }
         }
         let load = self.load_of(agent);
-        let is_open = self.engines[agent].is_up && !load.draining;
+        let leaves = self.leaving.contains(&agent);
+        let is_open = self.engines[agent].is_up && !load.draining && !leaves;
         self.slots[agent] = if is_open { u32::from(load.window) } else { 0 };
     }
 
