Dumps tell what slots are used for and what waits

Cause: the demo printed a utilisation of 60 to 90 % while work waits, and no dump told whether agents left slots idle. Agents now tell window, running, held, reserved and pulled ahead; routers what waits for each pool.

Ruled out: ticks, late bids, pull round trips and pull-ahead (one request is held or reserved at each agent in every sample while work waits); reports and latency (the window never fell, it stayed at 8 from 2 s on).

--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -400,6 +400,7 @@
         serde_json::json!({
             "kind": "agent",
             "load": load,
+            "slots": self.agent.slots(),
             "answers": self.answers.len(),
             "keys": self.agent.remembered().0,
             "answer_bytes": self.agent.remembered().1,
--- a/policy/src/agent.rs
+++ b/policy/src/agent.rs
@@ -21,6 +21,7 @@
 use rand_chacha::ChaCha8Rng;
 use rules::Config;
 use rustc_hash::FxHashMap;
+use serde::Serialize;
 
 use crate::bid::BidTable;
 use crate::cost::CostTable;
@@ -209,6 +210,21 @@
     pub const GOSSIP: Duration = Duration::from_millis(250);
 }
 
+/// What an agent's slots are used for.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize)]
+pub struct Slots {
+    /// Attempts that may run.
+    pub window: u32,
+    /// Attempts that run.
+    pub running: u32,
+    /// Pulled requests that wait at the agent for a slot.
+    pub held: u32,
+    /// Slots that are promised to waiting requests.
+    pub reserved: u32,
+    /// Requests to pull before a slot is free.
+    pub ahead: u32,
+}
+
 /// An attempt that the target runs.
 #[derive(Debug)]
 struct Running {
@@ -299,6 +315,17 @@
         }
     }
 
+    /// What the agent's slots are used for.
+    pub fn slots(&self) -> Slots {
+        Slots {
+            window: self.window.limit(),
+            running: self.running.len() as u32,
+            held: self.held.len() as u32,
+            reserved: u32::from(self.pulls.reserved()),
+            ahead: self.pace.ahead(),
+        }
+    }
+
     /// How the agent divides its slots.
     pub fn share(&self) -> &S {
         &self.share
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -269,6 +269,14 @@
         self.pending.len()
     }
 
+    /// The number of requests that wait in queues for `pool`.
+    pub fn waiting(&self, pool: PoolId) -> usize {
+        self.queues
+            .of_pool(pool)
+            .map(|(_, queue)| queue.len())
+            .sum()
+    }
+
     /// What attempts did so far.
     pub fn counts(&self) -> AttemptCounts {
         self.attempts.counts()
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -3,6 +3,7 @@
 //! Invariant: a request's entry in the order table lives from its submission to
 //! its last order; traffic threads whose entry is gone get no further orders.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use entity::{
@@ -227,6 +228,18 @@
         config.targets[target].as_ref().map(|target| target.control)
     }
 
+    /// The number of requests that wait for each pool, by name.
+    fn waiting(&self) -> BTreeMap<String, usize> {
+        let config = self.config.iter();
+        let pools = config.flat_map(|config| {
+            let pools = config.pools.iter().filter(|(_, pool)| pool.is_some());
+            pools.map(|(pool, _)| (config.names.pools.name(pool).to_string(), pool))
+        });
+        pools
+            .map(|(name, pool)| (name, self.router.waiting(pool)))
+            .collect()
+    }
+
     fn submitted(&mut self, now: Now, submission: Submission, out: &mut Outbox) {
         let Submission {
             arrival,
@@ -366,6 +379,7 @@
     fn dump(&self, _now: Now) -> serde_json::Value {
         serde_json::json!({
             "kind": "router",
+            "waiting": self.waiting(),
             "requests": self.orders.len(),
             "finished": self.finished,
             "mismatches": self.mismatches + self.router.counts().mismatched,
