--- a/livetests/tests/once.rs
+++ b/livetests/tests/once.rs
@@ -332,3 +332,38 @@
         assert_eq!(runs(&fleet, key).await, 1, "{key}");
     }
 }
+
+#[actix_rt::test]
+async fn a_drained_home_answers_repeats_and_says_of_new_keys_that_they_have_not_run() {
+    let mut fleet = desks("drained-home").await;
+    let ran = key();
+    let first = booking(&ran, "core 19")
+        .send(fleet.callers(0))
+        .await
+        .whole();
+    assert_eq!(first.status, 200, "{}", first.body);
+    fleet.extra = "drain data-centre dc1  # asked by: tests\n\
+                   drain data-centre dc2  # asked by: tests\n"
+        .to_owned();
+    fleet.publish().await.expect("the rules are published");
+    fleet.ready().await;
+    let again = booking(&ran, "core 19")
+        .send(fleet.callers(1))
+        .await
+        .whole();
+    assert_eq!((again.status, &again.body), (200, &first.body));
+    let new = key();
+    let refused = until("a new key is confirmed and refused", || async {
+        let answer = booking(&new, "core 20")
+            .send(fleet.callers(1))
+            .await
+            .whole();
+        (answer.reason() != "home-unconfirmed").then_some(answer)
+    })
+    .await;
+    assert_eq!(
+        (refused.outcome.as_str(), refused.reason().as_str()),
+        ("not-run", "draining")
+    );
+    assert_eq!(runs(&fleet, &new).await, 0);
+}
--- a/policy/src/load.rs
+++ b/policy/src/load.rs
@@ -41,6 +41,7 @@
     probed: Option<Instant>,
     avoided: Option<Instant>,
     absent: bool,
+    leaving: bool,
 }
 
 /// The hints of all targets.
@@ -58,6 +59,7 @@
             probed: None,
             avoided: None,
             absent: self.hints[target].absent,
+            leaving: self.hints[target].leaving,
         };
     }
 
@@ -90,6 +92,7 @@
         self.hints[target] = Hint {
             avoided: Some(now + AVOID_TIME),
             absent: self.hints[target].absent,
+            leaving: self.hints[target].leaving,
             ..Hint::default()
         };
     }
@@ -101,6 +104,19 @@
         hint.avoided = None;
     }
 
+    /// Takes in whether the target is about to leave and gets no new work.
+    pub fn set_leaving(&mut self, target: TargetId, leaving: bool) {
+        self.hints[target].leaving = leaving;
+    }
+
+    /// Whether the agent beside `target` can be asked, as far as is known, also if
+    /// it takes no new work.
+    pub fn is_reachable(&self, now: Instant, target: TargetId) -> bool {
+        let hint = &self.hints[target];
+        let avoided = hint.avoided.is_some_and(|until| now < until);
+        !(hint.absent || avoided)
+    }
+
     /// Whether `target` may get an attempt without a pull.
     pub fn room(&self, now: Instant, target: TargetId) -> Room {
         let hint = &self.hints[target];
@@ -118,7 +134,7 @@
     pub fn is_usable(&self, now: Instant, target: TargetId) -> bool {
         let hint = &self.hints[target];
         let fresh = hint.seen.is_some_and(|seen| now < seen + HINT_TTL);
-        let avoided = hint.avoided.is_some_and(|until| now < until);
-        !(hint.absent || avoided || fresh && hint.load.draining)
+        let is_closed = hint.leaving || fresh && hint.load.draining;
+        self.is_reachable(now, target) && !is_closed
     }
 }
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -133,6 +133,13 @@
     Reachable(TargetId),
     /// The membership holds an agent for unreachable.
     Unreachable(TargetId),
+    /// An agent or its target is about to leave and gets no new work, or stays after all.
+    Leaving {
+        /// The agent's target.
+        target: TargetId,
+        /// Whether it leaves.
+        leaving: bool,
+    },
     /// An attempt ended.
     Ended {
         /// The attempt.
@@ -313,6 +320,9 @@
             } => self.alive(target, incarnation),
             RouterEvent::Learned(fact) => self.learned(now, &fact),
             RouterEvent::Reachable(target) => self.loads.set_reachable(target, true),
+            RouterEvent::Leaving { target, leaving } => {
+                self.leaving(now, target, leaving, actions);
+            }
             RouterEvent::Unreachable(target) => self.unreachable(now, target, actions),
             RouterEvent::Ended { attempt, result } => self.ended(now, attempt, result, actions),
             RouterEvent::CallerGone(request) => self.caller_gone(now, request, actions),
--- a/policy/src/router/dispatch.rs
+++ b/policy/src/router/dispatch.rs
@@ -31,6 +31,12 @@
         let team = arrival.team;
         let rule = config.teams[team].as_ref().map(|rule| rule.rule);
         self.decide(now, request, Step::Admit, rule, "admitted", actions);
+        if let Some(home) = self.home_to_ask(now, &config, &arrival, key) {
+            self.pending
+                .insert(request, Pending::new(now, arrival, key));
+            self.send(now, &config, request, home, false, actions);
+            return;
+        }
         let is_idle = self.queues.is_idle(key.pool, key.home);
         match is_idle
             .then(|| self.choose(now, &config, &arrival, key.home, &[]))
@@ -77,6 +83,7 @@
         }
         let key = self.examine(now, &config, arrival, actions)?;
         match key.home {
+            Some(home) if self.may_ask(now, &config, arrival, home) => {}
             Some(home) if !self.is_open(now, &config, home) => {
                 return Err(Refusal::new(Reason::HomeUnreachable, later));
             }
--- a/policy/src/router/ending.rs
+++ b/policy/src/router/ending.rs
@@ -172,6 +172,9 @@
             stranded.extend(queue.iter().map(|waiting| (waiting.request, reason)));
         }
         for (request, reason) in stranded {
+            if self.ask_waiting(now, config, request, actions) {
+                continue;
+            }
             self.close(request);
             let refusal = Refusal::new(reason, RetryAdvice::After(RETRY_DELAY));
             self.refuse(now, request, refusal, actions);
@@ -206,6 +209,21 @@
         }
     }
 
+    pub(super) fn leaving(
+        &mut self,
+        now: Now,
+        target: TargetId,
+        leaving: bool,
+        actions: &mut Vec<RouterAction>,
+    ) {
+        self.loads.set_leaving(target, leaving);
+        let config = self.config.clone();
+        let rule = config.as_ref().and_then(|it| it.targets[target].as_ref());
+        if let (Some(config), Some(rule)) = (&config, rule) {
+            self.give_up(now, config, rule.pool, actions);
+        }
+    }
+
     /// Refuses every request that has no attempt in flight.
     pub(super) fn hand_back(&mut self, now: Now, actions: &mut Vec<RouterAction>) {
         let waits = self.pending.iter().filter(|(_, pending)| pending.waits());
--- a/policy/src/router/once.rs
+++ b/policy/src/router/once.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use entity::{
-    IdempotencyKey, Incarnation, Now, Reason, Refusal, RetryAdvice, Step, TargetId, Ticket,
+    IdempotencyKey, Incarnation, Now, Reason, Refusal, RequestId, RetryAdvice, Step, TargetId,
+    Ticket,
 };
 use rules::{Config, Repeat};
 
-use super::{Arrival, RETRY_DELAY, Router, RouterAction};
+use super::{Arrival, Place, RETRY_DELAY, Router, RouterAction};
 use crate::attempt::Delivery;
 use crate::fact::Fact;
 use crate::home::Roster;
@@ -82,6 +83,56 @@
         })
     }
 
+    /// Whether the home of a supplied key may be asked although it gets no new work.
+    ///
+    /// It answers repeats of keys that it has run, and only it can say of others
+    /// that they have not run.
+    pub(super) fn may_ask(
+        &self,
+        now: Now,
+        config: &Config,
+        arrival: &Arrival,
+        home: TargetId,
+    ) -> bool {
+        let is_named = arrival.key.is_some() && config.targets[home].is_some();
+        is_named && self.loads.is_reachable(now.mono, home)
+    }
+
+    /// The home to ask at once, because it gets no new work from a queue.
+    pub(super) fn home_to_ask(
+        &self,
+        now: Now,
+        config: &Config,
+        arrival: &Arrival,
+        key: QueueKey,
+    ) -> Option<TargetId> {
+        let home = key.home.filter(|&home| !self.is_open(now, config, home))?;
+        self.may_ask(now, config, arrival, home).then_some(home)
+    }
+
+    /// Asks the home of a request that waits for it; returns whether it was asked.
+    pub(super) fn ask_waiting(
+        &mut self,
+        now: Now,
+        config: &Config,
+        request: RequestId,
+        actions: &mut Vec<RouterAction>,
+    ) -> bool {
+        let Some(pending) = self.pending.get(&request) else {
+            return false;
+        };
+        let Place::Waiting(key) = pending.place else {
+            return false;
+        };
+        let arrival = pending.arrival.clone();
+        let Some(home) = self.home_to_ask(now, config, &arrival, key) else {
+            return false;
+        };
+        self.queues.remove(key, request);
+        self.limits.dequeue(now.mono, arrival.team);
+        self.send(now, config, request, home, false, actions)
+    }
+
     /// The target that tries a suspect.
     fn trial(&self, now: Now, config: &Config, arrival: &Arrival) -> Option<TargetId> {
         let usable = |tag| {
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -116,6 +116,15 @@
     }
 }
 
+/// What the fleet knows of an agent.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
+struct Standing {
+    /// Its members hold it for failed.
+    dead: bool,
+    /// It gets no new work, by the VM list or by its own word.
+    leaving: bool,
+}
+
 /// The control state of a router.
 pub struct RouterRole {
     stop_limit: Duration,
@@ -128,7 +137,7 @@
     config: Option<Arc<Config>>,
     actions: Vec<RouterAction>,
     readiness: Readiness,
-    reachable: FxHashMap<TargetId, bool>,
+    standings: FxHashMap<TargetId, Standing>,
     mismatches: u64,
     finished: u64,
 }
@@ -148,7 +157,7 @@
             config: None,
             actions: Vec::new(),
             readiness: Readiness::NotReady(NO_CONFIG),
-            reachable: FxHashMap::default(),
+            standings: FxHashMap::default(),
             mismatches: 0,
             finished: 0,
         }
@@ -201,22 +210,22 @@
         }
     }
 
-    /// Whether new work may go to each target, by what the fleet knows of its agent.
-    fn usable(&self, fleet: &FleetMachine) -> Vec<(TargetId, bool)> {
+    /// What the fleet knows of the agent beside each target.
+    fn standings(&self, fleet: &FleetMachine) -> Vec<(TargetId, Standing)> {
         let Some(config) = &self.config else {
             return Vec::new();
         };
         let targets = config.targets.iter().filter(|(_, target)| target.is_some());
-        let usable = |target| {
+        let standing = |target| {
             let agent = ProcessId(config.names.targets.tag(target));
-            let dead = fleet
-                .members()
-                .get(agent)
-                .is_some_and(|member| member.claim.health == Health::Dead);
-            !dead && fleet.process_leaving(agent).is_none()
+            let member = fleet.members().get(agent);
+            Standing {
+                dead: member.is_some_and(|member| member.claim.health == Health::Dead),
+                leaving: fleet.process_leaving(agent).is_some(),
+            }
         };
         targets
-            .map(|(target, _)| (target, usable(target)))
+            .map(|(target, _)| (target, standing(target)))
             .collect()
     }
 
@@ -339,15 +348,20 @@
             };
             self.handle(now, event, out);
         }
-        for (target, usable) in self.usable(fleet) {
-            let known = self.reachable.insert(target, usable);
-            let event = match usable {
-                true => RouterEvent::Reachable(target),
-                false => RouterEvent::Unreachable(target),
-            };
-            if known.unwrap_or(true) != usable {
+        for (target, standing) in self.standings(fleet) {
+            let known = self.standings.insert(target, standing);
+            let known = known.unwrap_or_default();
+            if known.dead != standing.dead {
+                let event = match standing.dead {
+                    false => RouterEvent::Reachable(target),
+                    true => RouterEvent::Unreachable(target),
+                };
                 self.handle(now, event, out);
             }
+            if known.leaving != standing.leaving {
+                let leaving = standing.leaving;
+                self.handle(now, RouterEvent::Leaving { target, leaving }, out);
+            }
         }
     }
 
