--- a/livetests/tests/once.rs
+++ b/livetests/tests/once.rs
@@ -367,3 +367,19 @@
     );
     assert_eq!(runs(&fleet, &new).await, 0);
 }
+
+#[actix_rt::test]
+async fn a_route_that_needs_no_key_gives_no_ticket() {
+    let fleet = desks("no-ticket").await;
+    let path = "/v1/tickets?method=POST&path=/v1/stock";
+    let answer = Call::post(path, "alpha", "")
+        .send(fleet.callers(0))
+        .await
+        .whole();
+    assert_eq!(
+        (answer.status, answer.reason().as_str()),
+        (404, "no-route"),
+        "{}",
+        answer.body
+    );
+}
--- a/wire/src/fact.rs
+++ b/wire/src/fact.rs
@@ -18,6 +18,9 @@
 }
 
 /// The fact that a broadcast spreads, if it is one.
+///
+/// The key tells facts from the bodies of other subsystems that decode by chance.
 pub fn fact(broadcast: &Broadcast) -> Option<Fact> {
-    postcard::from_bytes(&broadcast.body).ok()
+    let fact: Fact = postcard::from_bytes(&broadcast.body).ok()?;
+    (fact.key() == broadcast.key && fact.version() == broadcast.version).then_some(fact)
 }
