The last rule of a root document is `end`

Cause: a document that was cut between two lines compiled when its first lines were whole (14 cuts of the small example did). The root document now ends with the rule `end`; without it, or with rules after it outside its parts, every process refuses it. Parts are known by their hashes.

The test of cuts between lines passes. The malformed documents are 13 instead of 10; three are new, for `end`. The whole-document cases among the old ones, and the document builders of the tests, got the new line. The part of the split example in policy/tests/revision.rs is the line before `end` now, since `end` stands in the root.

Conclusion: half a document changes nothing, wherever it is cut.

--- a/ctl/src/drain.rs
+++ b/ctl/src/drain.rs
@@ -96,8 +96,10 @@
         true => lines[0].as_str(),
         false => line,
     });
-    let added = lines[1..].iter().map(String::as_str);
-    let whole: Vec<_> = kept.chain(added).map(str::to_owned).collect();
+    let mut whole: Vec<_> = kept.map(str::to_owned).collect();
+    let is_end = |line: &String| line.split_whitespace().next() == Some("end");
+    let end = whole.iter().position(is_end).unwrap_or(whole.len());
+    whole.splice(end..end, lines[1..].iter().cloned());
     let report = match rules::load(&whole.join("\n"), &Directory::default()) {
         Err(errors) => refused(path, &errors),
         Ok(new) if new.revision <= old.revision => {
--- a/ctl/tests/files.rs
+++ b/ctl/tests/files.rs
@@ -30,7 +30,7 @@
         format!("{:?}, {faults} faults\n    {first}", report.exit)
     });
     let reports: Vec<_> = reports.collect();
-    assert_eq!(reports.len(), 10);
+    assert_eq!(reports.len(), 13);
     insta::assert_snapshot!(reports.join("\n"));
 }
 
--- a/filetests/src/sim/plan.rs
+++ b/filetests/src/sim/plan.rs
@@ -322,18 +322,18 @@
 
     /// The document under a later revision, with `drains`.
     pub(super) fn revised(&self, revision: Revision, drains: &[Change], valid: bool) -> String {
-        let lines = self
-            .text
-            .lines()
-            .map(|line| match line.starts_with("revision ") {
-                true => format!("revision {revision}  # asked by: scenario"),
-                false => line.to_owned(),
-            });
+        let is_end = |line: &&str| line.split_whitespace().next() == Some("end");
+        let lines = self.text.lines().filter(|line| !is_end(line));
+        let lines = lines.map(|line| match line.starts_with("revision ") {
+            true => format!("revision {revision}  # asked by: scenario"),
+            false => line.to_owned(),
+        });
         let drains = drains
             .iter()
             .map(|drain| format!("{drain}  # asked by: scenario"));
         let extra = (!valid).then(|| "nonsense  # asked by: scenario".to_owned());
-        let lines: Vec<_> = lines.chain(drains).chain(extra).collect();
+        let end = "end  # asked by: scenario".to_owned();
+        let lines: Vec<_> = lines.chain(drains).chain(extra).chain([end]).collect();
         lines.join("\n") + "\n"
     }
 }
@@ -414,6 +414,7 @@
         }
     }
     lines.extend((1..=centres).map(|number| format!("data-centre dc{number}")));
+    lines.push("end".to_owned());
     let lines: Vec<_> = lines
         .iter()
         .map(|line| format!("{line}  # asked by: scenario\n"))
--- a/livetests/src/deployment.rs
+++ b/livetests/src/deployment.rs
@@ -268,6 +268,7 @@
             ));
         }
         rules.push_str(&self.extra);
+        rules.push_str("end  # asked by: tests\n");
         rules
     }
 
--- a/policy/tests/revision.rs
+++ b/policy/tests/revision.rs
@@ -8,12 +8,14 @@
 
 const SMALL: &str = include_str!("../../rules/tests/data/small.kw");
 
-/// The small example, its last lines moved to a part.
+/// The small example, its last line before the end moved to a part.
 fn split() -> (String, Arc<str>) {
-    let cut = SMALL.trim_end().rfind('\n').expect("it has lines") + 1;
-    let part = &SMALL[cut..];
+    let end = SMALL.rfind("\nend ").expect("it has an end") + 1;
+    let cut = SMALL[..end].trim_end().rfind('\n').expect("it has lines") + 1;
+    let part = &SMALL[cut..end];
     let hash = rules::part_hash(part);
-    let root = format!("{}part rules.2 {hash}  # asked by: tests\n", &SMALL[..cut]);
+    let (head, tail) = (&SMALL[..cut], &SMALL[end..]);
+    let root = format!("{head}part rules.2 {hash}  # asked by: tests\n{tail}");
     (root, Arc::from(part))
 }
 
--- a/rules/src/compile.rs
+++ b/rules/src/compile.rs
@@ -70,7 +70,7 @@
             }
             Statement::Route(route) => self.add_route(line, route),
             Statement::Model(model) => self.add_model(line, model),
-            Statement::Revision(_) | Statement::Drain(_) | Statement::Part(_) => {}
+            Statement::Revision(_) | Statement::Drain(_) | Statement::Part(_) | Statement::End => {}
         }
     }
 
--- a/rules/src/diff.rs
+++ b/rules/src/diff.rs
@@ -240,7 +240,7 @@
 
 fn describe(config: &Config, statement: &Statement) -> Option<Description> {
     let described = match statement {
-        Statement::Revision(_) | Statement::Part(_) => return None,
+        Statement::Revision(_) | Statement::Part(_) | Statement::End => return None,
         Statement::DataCentre(name) => {
             let whom = Whom::DataCentre(name.clone());
             (Subject::DataCentre(name.clone()), whom, Vec::new())
--- a/rules/src/document.rs
+++ b/rules/src/document.rs
@@ -110,6 +110,12 @@
         })
     }
 
+    /// The lines with their numbers, from 1.
+    pub(crate) fn lines(&self) -> impl Iterator<Item = (u32, &str, Option<&Rule>)> {
+        let lines = self.lines.iter().zip(1..);
+        lines.map(|(line, number)| (number, line.text.as_str(), line.rule.as_ref()))
+    }
+
     /// The words of a line, to find the column of a fault.
     pub(crate) fn words(&self, line: u32) -> Vec<Word<'_>> {
         let index = usize::try_from(line).unwrap_or(usize::MAX).wrapping_sub(1);
--- a/rules/src/lib.rs
+++ b/rules/src/lib.rs
@@ -10,6 +10,7 @@
 mod config;
 mod diff;
 mod document;
+mod end;
 mod error;
 mod history;
 mod part;
--- a/rules/src/part.rs
+++ b/rules/src/part.rs
@@ -9,11 +9,12 @@
 
 use crate::config::KeyHash;
 use crate::document::{Document, MAX_DOCUMENT_BYTES};
+use crate::end;
 use crate::error::RuleError;
 use crate::statement::{PartStatement, Statement};
 
 /// Starts the comment line before a part.
-const MARK: &str = "# part ";
+pub(crate) const MARK: &str = "# part ";
 
 /// The greatest size of one value of the configuration service, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
@@ -63,13 +64,14 @@
 ///
 /// # Errors
 ///
-/// Returns every fault: a part that is missing, too large, has another hash than
+/// Returns every fault: a root without its end, a part that is missing, too large, has another hash than
 /// the root states or names further parts, and a whole that is too large.
 pub fn assemble(
     root: &Document,
     values: &BTreeMap<Name, String>,
 ) -> Result<String, Vec<RuleError>> {
     let mut errors = Vec::new();
+    errors.extend(end::check_root(root));
     let mut text = root.to_string();
     if text.len() > MAX_VALUE_BYTES {
         errors.push(too_large(
--- a/rules/src/read.rs
+++ b/rules/src/read.rs
@@ -11,7 +11,7 @@
 };
 use crate::value::{self, Expected};
 
-const STATEMENTS: Expected = "`revision`, `data-centre`, `pool`, `target`, `team`, `key`, `route`, `model`, `drain` or `part`";
+const STATEMENTS: Expected = "`revision`, `data-centre`, `pool`, `target`, `team`, `key`, `route`, `model`, `drain`, `part` or `end`";
 /// The flags of a route.
 pub(crate) const REPEATS: [&str; 2] = ["idempotent", "once"];
 
@@ -55,6 +55,7 @@
         "model" => model(&mut reader),
         "drain" => drain(&mut reader),
         "part" => part(&mut reader),
+        "end" => end(&mut reader),
         _ => {
             reader.fault(*keyword, STATEMENTS);
             None
@@ -333,6 +334,11 @@
     Some(wrap?(name?).into())
 }
 
+fn end(reader: &mut Reader<'_, '_>) -> Option<Statement> {
+    reader.finish();
+    Some(Statement::End)
+}
+
 fn part(reader: &mut Reader<'_, '_>) -> Option<Statement> {
     let key = reader.next("a key of the configuration service", value::name);
     let hash = reader.next("`sha256:` and 64 hexadecimal digits", value::hash);
--- a/rules/src/statement.rs
+++ b/rules/src/statement.rs
@@ -36,6 +36,10 @@
     Drain(DrainStatement),
     /// Another value whose lines belong to the document.
     Part(PartStatement),
+    /// The end of the root document.
+    #[display("end")]
+    #[from(skip)]
+    End,
 }
 
 /// `pool NAME kind model|service [cold N] [max N]`
--- a/rules/src/verify.rs
+++ b/rules/src/verify.rs
@@ -10,6 +10,7 @@
 
 use crate::config::{KeyHash, PoolKind, Window};
 use crate::document::Document;
+use crate::end;
 use crate::error::{RuleError, quote};
 use crate::read;
 use crate::scan::Word;
@@ -88,6 +89,7 @@
         let error = RuleError::new(1, 1, "no revision", "one `revision N` in the document");
         verifier.errors.push(error);
     }
+    verifier.errors.extend(end::check_document(document));
     verifier.errors.sort();
     match verifier.errors.is_empty() {
         true => Ok(()),
@@ -180,6 +182,7 @@
             Statement::Part(PartStatement { key, .. }) => {
                 self.name(line, key, |all| &mut all.parts);
             }
+            Statement::End => {}
         }
     }
 
@@ -259,7 +262,10 @@
             Statement::Drain(DrainStatement::Target(name)) => {
                 self.known(line, Place::Word(2), name, |all| &all.targets);
             }
-            Statement::Revision(_) | Statement::DataCentre(_) | Statement::Part(_) => {}
+            Statement::Revision(_)
+            | Statement::DataCentre(_)
+            | Statement::Part(_)
+            | Statement::End => {}
         }
     }
 
--- a/rules/tests/config.rs
+++ b/rules/tests/config.rs
@@ -98,7 +98,7 @@
         .filter(|line| !line.contains("winder-logs"))
         .flat_map(|line| [line, "\n"])
         .collect::<String>()
-        + "team aaa  # asked by: operations\n";
+        .replace("\nend ", "\nteam aaa  # asked by: operations\nend ");
     let second = load(&later, &first.names).expect("the document is valid");
     for (id, team) in first.teams.iter() {
         assert_eq!(first.names.teams.name(id), second.names.teams.name(id));
@@ -116,7 +116,7 @@
     let part = "team b  # asked by: operations\n";
     let other = "team a  # asked by: operations\n";
     let root = format!(
-        "revision 1  # asked by: operations\npart teams-2 {}  # asked by: operations\npart teams-1 {}  # asked by: operations\n",
+        "revision 1  # asked by: operations\npart teams-2 {}  # asked by: operations\npart teams-1 {}  # asked by: operations\nend  # asked by: operations\n",
         part_hash(part),
         part_hash(other)
     );
@@ -128,14 +128,14 @@
         (Name::new("teams-2"), part.to_owned()),
     ]);
     let whole = assemble(&root, &values).expect("all parts are there");
-    let places = [3, 4, 5, 7].map(|line| origin(&whole, line));
+    let places = [3, 5, 6, 8].map(|line| origin(&whole, line));
     let place = |part: Option<&str>, line| Origin {
         part: part.map(Name::new),
         line,
     };
     let expected = [
         place(None, 3),
-        place(None, 4),
+        place(None, 5),
         place(Some("teams-2"), 1),
         place(Some("teams-1"), 1),
     ];
@@ -149,12 +149,38 @@
     insta::assert_snapshot!(errors.join("\n"));
 }
 
+#[test]
+fn rules_after_the_end_stand_in_named_parts_only() {
+    let part = "team a  # asked by: operations\n";
+    let hash = part_hash(part);
+    let head = format!("revision 1  # asked by: x\npart teams {hash}  # asked by: x\n");
+    let values = BTreeMap::from([(Name::new("teams"), part.to_owned())]);
+    let faults = |rest: &str| {
+        let root = Document::parse(&format!("{head}{rest}")).expect("every line is valid");
+        let whole = assemble(&root, &values).and_then(|text| load(&text, &Directory::default()));
+        let errors = whole.err().unwrap_or_default();
+        let errors: Vec<_> = errors.iter().map(ToString::to_string).collect();
+        errors.join("\n")
+    };
+    assert_eq!(faults("end  # asked by: x\n# a last comment\n"), "");
+    assert_eq!(
+        faults(""),
+        "line 2, column 1: found the end of the document, \
+         expected `end` as the last rule of the root document"
+    );
+    assert_eq!(
+        faults("end  # asked by: x\n# part teams\nteam b  # asked by: x\n"),
+        "line 5, column 1: found `team`, expected no rule after `end` on line 3"
+    );
+}
+
 #[test]
 fn rules_of_recent_revisions_keep_their_sources() {
     let mut history = History::default();
     let latest = KEPT_REVISIONS as u64 + 1;
     for revision in 1..=latest {
-        let text = format!("revision {revision}  # asked by: asker {revision}\n");
+        let text =
+            format!("revision {revision}  # asked by: asker {revision}\nend  # asked by: x\n");
         let config = load(&text, &Directory::default()).expect("the document is valid");
         history.adopt(&config);
     }
--- a/rules/tests/diff.rs
+++ b/rules/tests/diff.rs
@@ -15,8 +15,10 @@
         .replace("cost 400 timeout 5m", "timeout 90s cost 400")
         .replace("drain data-centre dc2 ", "drain target desk-1 ")
         .replace("key carpet-planning", "key winder-logs")
-        .replace("route stock-item GET", "route stock-things GET")
-        + "team quotes weight 2 class interactive  # asked by: customer service, 2026-11-09\n";
+        .replace("route stock-item GET", "route stock-things GET");
+    let quotes =
+        "team quotes weight 2 class interactive  # asked by: customer service, 2026-11-09\nend ";
+    let later = later.replace("\nend ", &format!("\n{quotes}"));
     let new = load(&later, &old.names).expect("the document is valid");
     insta::assert_snapshot!(diff(&old, &new));
     assert_eq!(diff(&old, &old).changes, []);
--- a/rules/tests/malformed.rs
+++ b/rules/tests/malformed.rs
@@ -32,4 +32,7 @@
     duplicates "08-duplicates.kw"
     bounds "09-bounds.kw"
     text "10-text.kw"
+    end "11-end.kw"
+    no_end "12-no-end.kw"
+    end_words "13-end-words.kw"
 }
--- a/rules/tests/properties.rs
+++ b/rules/tests/properties.rs
@@ -55,7 +55,8 @@
 }
 
 fn text(lines: &[String]) -> String {
-    lines.iter().flat_map(|line| [line, ASKER, "\n"]).collect()
+    let rules = lines.iter().map(String::as_str).chain(["end"]);
+    rules.flat_map(|line| [line, ASKER, "\n"]).collect()
 }
 
 fn loaded(lines: &[String], names: &Directory) -> Option<Config> {
--- a/rules/tests/round_trip.rs
+++ b/rules/tests/round_trip.rs
@@ -174,6 +174,7 @@
         name().prop_map(|name| DrainStatement::DataCentre(name).into()),
         name().prop_map(|name| DrainStatement::Target(name).into()),
         (name(), hash()).prop_map(|(key, hash)| PartStatement { key, hash }.into()),
+        Just(Statement::End),
     ]
 }
 
--- a/rules/tests/scale.rs
+++ b/rules/tests/scale.rs
@@ -31,7 +31,9 @@
     let named = values
         .iter()
         .map(|(key, value)| format!("part {key} {}  # asked by: operations\n", part_hash(value)));
-    let root = "revision 1  # asked by: operations\n".to_owned() + &named.collect::<String>();
+    let root = "revision 1  # asked by: operations\n".to_owned()
+        + &named.collect::<String>()
+        + "end  # asked by: operations\n";
     let root = Document::parse(&root).expect("the root is valid");
     let text = assemble(&root, &values).expect("all parts are there");
     let config = load(&text, &Directory::default()).expect("the document is valid");
--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -139,6 +139,7 @@
     echo "revision $1  # asked by: operations"
     cat "$dir/body.kw"
     [[ -z ${2-} ]] || echo "$2  # asked by: operations"
+    echo "end  # asked by: operations"
 }
 
 publish_rules() {
