A process whose later life exists starts nothing; routers reach agents they heard

Cause: a superseded agent or router went on taking work, and a router left out an agent that it had heard a moment ago when others still held it dead. Agent and router get the event Superseded: new offers and arrivals are refused as not run (stopping), what waits is handed back, what runs ends. Routers ask the fleet whether an agent is reachable. A superseding life is handled at once, not at the next tick.

--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -126,6 +126,7 @@
     next_router: usize,
     /// A later incarnation that the agent has not been told.
     raise: Option<Incarnation>,
+    superseded: bool,
 }
 
 impl AgentRole {
@@ -150,6 +151,7 @@
             members: Vec::new(),
             next_router: 0,
             raise: None,
+            superseded: false,
         }
     }
 
@@ -365,6 +367,10 @@
     }
 
     fn surveyed(&mut self, now: Now, fleet: &FleetMachine, out: &mut Outbox) {
+        if !self.superseded && fleet.superseded().is_some() {
+            self.superseded = true;
+            self.handle(now, AgentEvent::Superseded, out);
+        }
         let members = fleet.members().iter().filter(|member| member.is_live());
         self.members = members.map(|member| member.claim.endpoint).collect();
         let members = fleet.members().iter().filter(|member| member.is_live());
--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -387,7 +387,10 @@
                 FleetAction::Deliver(broadcast) => {
                     self.step(|role, now, out| role.delivered(now, broadcast, out));
                 }
-                FleetAction::Alarm(alarm) => tell_operators(&alarm),
+                FleetAction::Alarm(alarm) => {
+                    tell_operators(&alarm);
+                    self.survey();
+                }
                 FleetAction::MembersChanged => self.survey(),
                 FleetAction::Raised(incarnation) => self.role.borrow_mut().raised(incarnation),
                 FleetAction::Ready => event::log(Event::ProcessReady, &[("process", &self.name)]),
--- a/policy/src/agent.rs
+++ b/policy/src/agent.rs
@@ -129,6 +129,8 @@
     Tick,
     /// The agent is to stop when its attempts have ended.
     Stop,
+    /// A later life of the agent exists: start nothing any more.
+    Superseded,
 }
 
 /// What an agent asks its driver to do.
@@ -243,6 +245,7 @@
     keys: Keys,
     crashes: Crashes,
     stopping: bool,
+    superseded: bool,
     stopped: bool,
 }
 
@@ -279,6 +282,7 @@
             keys: Keys::default(),
             crashes: Crashes::default(),
             stopping: false,
+            superseded: false,
             stopped: false,
         }
     }
@@ -324,7 +328,7 @@
         let drained = config
             .zip(self.target)
             .and_then(|(config, target)| config.drained(target));
-        self.stopping || drained.is_some()
+        self.stopping || self.superseded || drained.is_some()
     }
 
     fn configured(&mut self, now: Now, config: Arc<Config>, actions: &mut Vec<AgentAction>) {
@@ -437,6 +441,7 @@
             AgentEvent::TargetDown => self.target_down(now, actions),
             AgentEvent::Tick => self.tick(now, actions),
             AgentEvent::Stop => self.stopping = true,
+            AgentEvent::Superseded => self.superseded(now, actions),
         }
         self.start_held(now, actions);
         self.fill(now, actions);
--- a/policy/src/agent/admit.rs
+++ b/policy/src/agent/admit.rs
@@ -75,10 +75,14 @@
                 let more = Charge::pending(expected - pick.charge);
                 self.share.charge(now.mono, party, more);
                 match is_suspect {
+                    _ if self.superseded => {
+                        self.hand_back(now, held, Reason::Stopping, actions);
+                    }
                     true => self.hold_suspect(now, held, actions),
                     false => self.held.push_back(held),
                 }
             }
+            None if self.superseded => self.turn_down(now, attempt, Reason::Stopping, actions),
             None if self.is_draining() => self.turn_down(now, attempt, Reason::Draining, actions),
             None if self.crashes.down => self.turn_down(now, attempt, Reason::NoTarget, actions),
             None if self.free() > 0 && self.may_overtake(now, party) => {
@@ -101,6 +105,15 @@
         }
     }
 
+    /// Hands back all that has not started: a later life decides over the target now.
+    pub(super) fn superseded(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
+        self.superseded = true;
+        let held = self.held.drain(..).chain(self.crashes.suspect.take());
+        for held in held.collect::<Vec<_>>() {
+            self.hand_back(now, held, Reason::Stopping, actions);
+        }
+    }
+
     /// Whether an attempt that was not pulled may start before the bids that wait.
     fn may_overtake(&mut self, now: Now, party: Party) -> bool {
         if self.bids.is_backlogged(party.team) {
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -152,6 +152,8 @@
     Stop,
     /// The time of a planned stop runs out: refuse what waits.
     HandBack,
+    /// A later life of the router exists: start nothing any more, refuse what waits.
+    Superseded,
 }
 
 /// An attempt that the driver is to send.
@@ -240,6 +242,7 @@
     minted: usize,
     lives: SecondaryMap<TargetId, Option<Incarnation>>,
     stopping: bool,
+    superseded: bool,
     stopped: bool,
 }
 
@@ -263,6 +266,7 @@
             outbox: Outbox::default(),
             pulls: FxHashMap::default(),
             stopping: false,
+            superseded: false,
             stopped: false,
         }
     }
@@ -321,6 +325,10 @@
             RouterEvent::Tick => self.tick(now, actions),
             RouterEvent::Stop => self.stopping = true,
             RouterEvent::HandBack => self.hand_back(now, actions),
+            RouterEvent::Superseded => self.superseded = true,
+        }
+        if self.superseded {
+            self.hand_back(now, actions);
         }
         self.send_bids(now, actions);
         self.report_stopped(actions);
--- a/policy/src/router/dispatch.rs
+++ b/policy/src/router/dispatch.rs
@@ -68,7 +68,9 @@
     ) -> Result<(Arc<Config>, QueueKey), Refusal> {
         let later = RetryAdvice::After(super::RETRY_DELAY);
         let config = match &self.config {
-            _ if self.stopping => return Err(Refusal::new(Reason::Stopping, later)),
+            _ if self.stopping || self.superseded => {
+                return Err(Refusal::new(Reason::Stopping, later));
+            }
             None => return Err(Refusal::new(Reason::NotConfigured, later)),
             Some(config) => config.clone(),
         };
@@ -201,7 +203,7 @@
                 return self.refuse(now, request, refusal, actions);
             }
         };
-        let is_direct = is_direct && self.queues.is_idle(key.pool, key.home);
+        let is_direct = is_direct && !self.superseded && self.queues.is_idle(key.pool, key.home);
         match is_direct
             .then(|| self.choose(now, config, &arrival, key.home, &[]))
             .flatten()
--- a/policy/src/router/once.rs
+++ b/policy/src/router/once.rs
@@ -149,7 +149,11 @@
     /// Returns a refusal if the route needs no key or no target can be used.
     pub fn ticket(&mut self, now: Now, arrival: &Arrival) -> Result<Ticket, Refusal> {
         let later = RetryAdvice::After(RETRY_DELAY);
-        let Some(config) = self.config.clone().filter(|_| !self.stopping) else {
+        let Some(config) = self
+            .config
+            .clone()
+            .filter(|_| !self.stopping && !self.superseded)
+        else {
             return Err(Refusal::new(Reason::NotConfigured, later));
         };
         if Self::delivery(Some(&config), arrival) != Delivery::OnceMinted {
--- a/policy/tests/fair_agent.rs
+++ b/policy/tests/fair_agent.rs
@@ -241,3 +241,24 @@
     bench.tell(4, AgentEvent::Tick);
     insta::assert_snapshot!(bench.log);
 }
+
+#[test]
+fn a_superseded_agent_starts_nothing_and_its_running_attempts_end() {
+    let mut bench = Bench::new();
+    bench.offer(0, 1, "one", false);
+    bench.bids(1, 1, &[("two", 5)]);
+    bench.pulled(2, 1, 1);
+    bench.offer(3, 2, "two", true);
+    bench.bids(4, 2, &[("two", 5)]);
+    bench.offer(5, 3, "two", true);
+    bench.log.push_str("superseded\n");
+    bench.tell(6, AgentEvent::Superseded);
+    assert!(bench.agent.load().draining);
+    bench.offer(7, 4, "one", false);
+    bench.offer(8, 5, "two", true);
+    bench.bids(9, 3, &[("two", 9)]);
+    bench.answered(10, 1);
+    bench.tell(3_000, AgentEvent::Tick);
+    bench.offer(3_001, 6, "one", false);
+    insta::assert_snapshot!(bench.log);
+}
--- a/policy/tests/fair_router.rs
+++ b/policy/tests/fair_router.rs
@@ -277,3 +277,25 @@
     bench.tell(5, RouterEvent::Tick);
     insta::assert_snapshot!(bench.log);
 }
+
+#[test]
+fn a_superseded_router_starts_nothing_and_what_runs_ends() {
+    let mut bench = Bench::configured(Limits::default());
+    bench.loaded(0, 0, 2);
+    bench.loaded(0, 1, 2);
+    bench.arrive(1, 1, Class::Standard, 9_000);
+    bench.arrive(1, 2, Class::Standard, 9_000);
+    bench.full(2);
+    bench.arrive(3, 3, Class::Standard, 9_000);
+    bench.log.push_str("superseded\n");
+    bench.tell(4, RouterEvent::Superseded);
+    bench.loaded(5, 1, 4);
+    bench.arrive(6, 4, Class::Standard, 9_000);
+    bench.pull(7, 1, Class::Standard, 2);
+    let refusal = Refusal::new(Reason::NoSlot, RetryAdvice::After(Duration::ZERO));
+    bench.ended(8, 1, 0, AttemptResult::NotRun(refusal));
+    let answered = AttemptResult::Answered { cost: Cost(10) };
+    bench.ended(9, 2, 0, answered);
+    bench.tell(5_000, RouterEvent::Tick);
+    insta::assert_snapshot!(bench.log);
+}
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -13,7 +13,7 @@
 use node::event::{self, Event, Field};
 use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
 use node::trace::Trace;
-use policy::fleet::{Broadcast, Health};
+use policy::fleet::Broadcast;
 use policy::message::{Endpoint, Load};
 use policy::{
     Arrival, AttemptResult, DispatchOrder, Router, RouterAction, RouterEvent, RouterSettings,
@@ -129,6 +129,7 @@
     actions: Vec<RouterAction>,
     readiness: Readiness,
     reachable: FxHashMap<TargetId, bool>,
+    superseded: bool,
     mismatches: u64,
     finished: u64,
 }
@@ -149,6 +150,7 @@
             actions: Vec::new(),
             readiness: Readiness::NotReady(NO_CONFIG),
             reachable: FxHashMap::default(),
+            superseded: false,
             mismatches: 0,
             finished: 0,
         }
@@ -202,18 +204,14 @@
     }
 
     /// Whether new work may go to each target, by what the fleet knows of its agent.
-    fn usable(&self, fleet: &FleetMachine) -> Vec<(TargetId, bool)> {
+    fn usable(&self, now: Now, fleet: &FleetMachine) -> Vec<(TargetId, bool)> {
         let Some(config) = &self.config else {
             return Vec::new();
         };
         let targets = config.targets.iter().filter(|(_, target)| target.is_some());
         let usable = |target| {
             let agent = ProcessId(config.names.targets.tag(target));
-            let dead = fleet
-                .members()
-                .get(agent)
-                .is_some_and(|member| member.claim.health == Health::Dead);
-            !dead && fleet.process_leaving(agent).is_none()
+            fleet.is_reachable(now, agent) && fleet.process_leaving(agent).is_none()
         };
         targets
             .map(|(target, _)| (target, usable(target)))
@@ -332,6 +330,10 @@
     fn undelivered(&mut self, _now: Now, _lost: Outgoing, _out: &mut Outbox) {}
 
     fn surveyed(&mut self, now: Now, fleet: &FleetMachine, out: &mut Outbox) {
+        if !self.superseded && fleet.superseded().is_some() {
+            self.superseded = true;
+            self.handle(now, RouterEvent::Superseded, out);
+        }
         for (target, incarnation) in self.lives(fleet) {
             let event = RouterEvent::Alive {
                 target,
@@ -339,7 +341,7 @@
             };
             self.handle(now, event, out);
         }
-        for (target, usable) in self.usable(fleet) {
+        for (target, usable) in self.usable(now, fleet) {
             let known = self.reachable.insert(target, usable);
             let event = match usable {
                 true => RouterEvent::Reachable(target),
