--- a/livetests/src/deployment.rs
+++ b/livetests/src/deployment.rs
@@ -50,6 +50,8 @@
     pub revision: u64,
     /// Further rule lines.
     pub extra: String,
+    /// The processes whose VMs the VM list calls leaving.
+    pub leaving: Vec<String>,
     teams: Vec<String>,
     flags: Vec<String>,
     /// Whether the engines carry hundreds of requests at once.
@@ -105,6 +107,7 @@
             pairs: Vec::new(),
             revision: 0,
             extra: String::new(),
+            leaving: Vec::new(),
             teams: plan.teams,
             flags: plan.engine_flags,
             wide: false,
@@ -283,16 +286,17 @@
         self.put("rules", rules).await
     }
 
-    /// Publishes the VM list with all routers and agents as live.
+    /// Publishes the VM list with all routers and agents, live unless they are in `leaving`.
     ///
     /// # Errors
     ///
     /// Returns an error if the service cannot be reached.
     pub async fn publish_vms(&self) -> eyre::Result<()> {
         let vm = |name: &str, role: &str, centre: &str, control: SocketAddr| {
+            let leaves = self.leaving.iter().any(|leaving| leaving == name);
             serde_json::json!({
                 "name": name, "role": role, "data_centre": centre,
-                "control": control.to_string(), "state": "live",
+                "control": control.to_string(), "state": if leaves { "leaving" } else { "live" },
             })
         };
         let routers = self.routers.iter().enumerate().map(|(number, router)| {
--- a/livetests/tests/faults.rs
+++ b/livetests/tests/faults.rs
@@ -124,6 +124,69 @@
     }
 }
 
+/// Whether every router knows that `count` members leave by the VM list.
+async fn leaving(fleet: &Deployment, count: usize) -> Option<()> {
+    for router in &fleet.routers {
+        let state = dump(router.address("operators")).await?;
+        let members = state["fleet"]["members"].as_array()?;
+        let listed = members.iter().filter(|it| it["leaving"] == "VM list");
+        if listed.count() != count {
+            return None;
+        }
+    }
+    Some(())
+}
+
+#[actix_rt::test]
+async fn a_target_whose_vm_leaves_gets_no_new_work_and_cuts_none() {
+    let mut fleet = Deployment::start("vm-leaves", Plan::default())
+        .await
+        .expect("the fleet starts");
+    let streams: Vec<_> = (0..4)
+        .map(|number| {
+            let call = Call::chat("alpha", &format!("dossier {number}"), 50);
+            let router = fleet.callers(0);
+            actix_rt::spawn(async move { call.send(router).await })
+        })
+        .collect();
+    until("all streams run", || async {
+        (started(&fleet).await >= 4).then_some(())
+    })
+    .await;
+    fleet.leaving = vec!["llm-0".to_owned()];
+    fleet.publish_vms().await.expect("the list is published");
+    until("the routers know", || leaving(&fleet, 1)).await;
+    let before = fleet.counts(0).await["runs"]["started"].as_u64();
+    assert!(before > Some(0), "the target ran nothing before");
+    // More than the other target has slots, so that some wait.
+    let questions: Vec<_> = (0..40)
+        .map(|number| {
+            let call = Call::chat("beta", &format!("question {number}"), 20);
+            let router = fleet.callers(number % 2);
+            actix_rt::spawn(async move { call.send(router).await })
+        })
+        .collect();
+    for question in questions {
+        let answer = question.await.expect("the caller's task ends").whole();
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+    assert_eq!(fleet.counts(0).await["runs"]["started"].as_u64(), before);
+    for stream in streams {
+        let answer = stream.await.expect("the caller's task ends").whole();
+        assert!(is_whole_stream(&answer.body), "{}", answer.body);
+    }
+    fleet.leaving.clear();
+    fleet.publish_vms().await.expect("the list is published");
+    until("the routers know", || leaving(&fleet, 0)).await;
+    until("the target gets work again", || async {
+        let call = Call::chat("beta", "a question after the return", 2);
+        call.send(fleet.callers(0)).await.whole();
+        let now = fleet.counts(0).await["runs"]["started"].as_u64();
+        (now > before).then_some(())
+    })
+    .await;
+}
+
 #[actix_rt::test]
 async fn a_stale_service_never_takes_a_revision_back() {
     let mut fleet = Deployment::start("stale", Plan::default())
--- a/livetests/tests/once.rs
+++ b/livetests/tests/once.rs
@@ -1,7 +1,7 @@
 //! Requests that may run at most once.
 
 use knapweed_livetests::caller::{Call, Ending};
-use knapweed_livetests::deployment::{Deployment, Plan};
+use knapweed_livetests::deployment::{Deployment, Plan, dump};
 use knapweed_livetests::process::Signal;
 use knapweed_livetests::until;
 use serde_json::{Value, json};
@@ -49,6 +49,21 @@
     .header("idempotency-key", key)
 }
 
+/// Agents start callers' keys only while the service has confirmed the rules a short time ago.
+#[actix_rt::test]
+async fn keys_run_where_the_service_has_confirmed_the_rules() {
+    let fleet = desks("confirmed").await;
+    for pair in &fleet.pairs {
+        let operators = pair.agent.address("operators");
+        let state = dump(operators).await.expect("the agent answers");
+        assert!(state["fleet"]["confirmed"].is_object(), "{state}");
+    }
+    let key = key();
+    let answer = booking(&key, "pallet").send(fleet.callers(1)).await.whole();
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
+
 async fn runs(fleet: &Deployment, key: &str) -> u64 {
     let mut runs = 0;
     for index in 0..fleet.pairs.len() {
