--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -418,6 +418,7 @@
             "bids": state.bids,
             "teams": state.teams,
             "load": load,
+            "slots": self.agent.slots(),
             "answers": self.answers.len(),
             "keys": self.agent.remembered().0,
             "answer_bytes": self.agent.remembered().1,
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -133,6 +133,13 @@
     Reachable(TargetId),
     /// The membership holds an agent for unreachable.
     Unreachable(TargetId),
+    /// An agent or its target is about to leave and gets no new work, or stays after all.
+    Leaving {
+        /// The agent's target.
+        target: TargetId,
+        /// Whether it leaves.
+        leaving: bool,
+    },
     /// An attempt ended.
     Ended {
         /// The attempt.
@@ -272,6 +279,14 @@
         self.pending.len()
     }
 
+    /// The number of requests that wait in queues for `pool`.
+    pub fn waiting(&self, pool: PoolId) -> usize {
+        self.queues
+            .of_pool(pool)
+            .map(|(_, queue)| queue.len())
+            .sum()
+    }
+
     /// What attempts did so far.
     pub fn counts(&self) -> AttemptCounts {
         self.attempts.counts()
@@ -313,6 +328,9 @@
             } => self.alive(target, incarnation),
             RouterEvent::Learned(fact) => self.learned(now, &fact),
             RouterEvent::Reachable(target) => self.loads.set_reachable(target, true),
+            RouterEvent::Leaving { target, leaving } => {
+                self.leaving(now, target, leaving, actions);
+            }
             RouterEvent::Unreachable(target) => self.unreachable(now, target, actions),
             RouterEvent::Ended { attempt, result } => self.ended(now, attempt, result, actions),
             RouterEvent::CallerGone(request) => self.caller_gone(now, request, actions),
