why and status against running daemons; refusals of filters are recorded

Cause: why on a request without a route told nothing of its end. Shown by livetests/tests/explain.rs: answered, refused, queued-then-run and quarantined requests, and status (5 passed).

--- a/livetests/src/process.rs
+++ b/livetests/src/process.rs
@@ -125,8 +125,12 @@
     fields.split(' ').filter_map(parse).collect()
 }
 
-/// The path of a program beside the running test.
-fn program(name: &str) -> eyre::Result<PathBuf> {
+/// The path of a program of the workspace, beside the running test.
+///
+/// # Errors
+///
+/// Returns an error if the program is not built.
+pub fn program(name: &str) -> eyre::Result<PathBuf> {
     let test = std::env::current_exe()?;
     let profile = test
         .ancestors()
--- /dev/null
+++ b/livetests/tests/explain.rs
@@ -0,0 +1,147 @@
+//! What `knapweedctl` explains of requests at running daemons.
+
+use std::process::Command;
+
+use knapweed_livetests::caller::Call;
+use knapweed_livetests::deployment::{Deployment, Plan};
+use knapweed_livetests::process::program;
+use knapweed_livetests::until;
+use serde_json::Value;
+
+async fn start(name: &str) -> Deployment {
+    let flags = ["--step-micros", "20000", "--down-millis", "300"];
+    let plan = Plan {
+        routers: 1,
+        engines: 1,
+        engine_flags: flags.map(ToOwned::to_owned).to_vec(),
+        ..Plan::default()
+    };
+    Deployment::start(name, plan)
+        .await
+        .expect("the fleet starts")
+}
+
+/// Runs `knapweedctl --json` and returns what it prints.
+fn ctl(fleet: &Deployment, arguments: &[&str], addressed: bool) -> Value {
+    let program = program("knapweedctl").expect("the program is built");
+    let mut command = Command::new(program);
+    command.args(arguments);
+    let agents = fleet.pairs.iter().map(|pair| &pair.agent);
+    for process in fleet.routers.iter().chain(agents) {
+        let address = process.address("operators").to_string();
+        match addressed {
+            true => command.args(["--addr", &address]),
+            false => command.arg(&address),
+        };
+    }
+    let output = command.arg("--json").output().expect("the program runs");
+    serde_json::from_slice(&output.stdout).unwrap_or_else(|error| {
+        let errors = String::from_utf8_lossy(&output.stderr);
+        panic!(
+            "{error}: {}{errors}",
+            String::from_utf8_lossy(&output.stdout)
+        )
+    })
+}
+
+/// The decisions about a request: process, step, words and the rules' texts.
+fn why(fleet: &Deployment, request: &str) -> String {
+    let answer = ctl(fleet, &["why", request], true);
+    let mut lines = String::new();
+    for decision in answer["decisions"].as_array().into_iter().flatten() {
+        let text = |key: &str| decision[key].as_str().unwrap_or_default().to_owned();
+        lines += &format!("{} {}: {}\n", text("process"), text("step"), text("detail"));
+        for rule in decision["rules"].as_array().into_iter().flatten() {
+            // Addresses differ between runs.
+            let text = rule["text"].as_str().unwrap_or_default();
+            let text = text.split(" data ").next().unwrap_or_default();
+            let asker = rule["asker"].as_str().unwrap_or_default();
+            lines += &format!("    {text}  # asked by: {asker}\n");
+        }
+    }
+    lines
+}
+
+#[actix_rt::test]
+async fn an_answered_request_is_explained_by_its_rules() {
+    let fleet = start("why-answered").await;
+    let answer = Call::chat("alpha", "how wide is the core", 3)
+        .send(fleet.callers(0))
+        .await;
+    insta::assert_snapshot!(why(&fleet, &answer.whole().request));
+}
+
+#[actix_rt::test]
+async fn a_refused_request_is_explained() {
+    let fleet = start("why-refused").await;
+    let answer = Call::post("/v1/secret", "alpha", "{}")
+        .send(fleet.callers(0))
+        .await;
+    insta::assert_snapshot!(why(&fleet, &answer.whole().request));
+}
+
+#[actix_rt::test]
+async fn a_request_that_waited_is_explained() {
+    let fleet = start("why-queued").await;
+    let calls = (0..12).map(|number| {
+        let call = Call::chat("alpha", &format!("review {number}"), 10);
+        let router = fleet.callers(0);
+        async move { call.send(router).await.whole().request }
+    });
+    let requests = futures::future::join_all(calls).await;
+    let stories = requests.iter().map(|request| why(&fleet, request));
+    let queued: Vec<_> = stories.filter(|story| story.contains(" queue: ")).collect();
+    assert!(!queued.is_empty(), "no request waited");
+    for story in &queued {
+        for step in ["identify", "match", "queue", "dispatch", "accept", "end"] {
+            assert!(
+                story.contains(&format!(" {step}: ")),
+                "no {step} in:\n{story}"
+            );
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_quarantined_request_is_explained() {
+    let fleet = start("why-quarantined").await;
+    let request = until("the request is quarantined", || async {
+        let call = Call::chat("beta", "crash-the-engine dossier", 30);
+        let ending = call.send(fleet.callers(0)).await;
+        match ending {
+            knapweed_livetests::caller::Ending::Whole(answer)
+                if answer.reason() == "quarantined" =>
+            {
+                Some(answer.request)
+            }
+            _ => None,
+        }
+    })
+    .await;
+    let story = why(&fleet, &request);
+    assert!(story.contains("is quarantined"), "{story}");
+}
+
+#[actix_rt::test]
+async fn the_status_shows_processes_targets_and_teams() {
+    let fleet = start("status").await;
+    for team in ["alpha", "beta"] {
+        Call::chat(team, "how wide is the core", 3)
+            .send(fleet.callers(0))
+            .await
+            .whole();
+    }
+    let status = ctl(&fleet, &["status"], false);
+    let names = |key: &str, field: &str| -> Vec<String> {
+        let rows = status[key].as_array().into_iter().flatten();
+        rows.map(|row| row[field].as_str().unwrap_or_default().to_owned())
+            .collect()
+    };
+    assert_eq!(
+        names("processes", "process"),
+        ["llm-0", "router-0"],
+        "{status}"
+    );
+    assert_eq!(names("teams", "team"), ["alpha", "beta"], "{status}");
+    assert_eq!(status["teams"][0]["service"], 3, "{status}");
+}
--- a/router/src/service.rs
+++ b/router/src/service.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use entity::{
     Class, Clock, Cost, Fingerprint, HandOver, IdempotencyKey, Now, Outcome, PrefixHash, Reason,
-    Refusal, RequestId, RetryAdvice, SystemClock,
+    Refusal, RequestId, RetryAdvice, Step, SystemClock,
 };
 use node::body::Body;
 use node::client::{Client, Incoming};
@@ -119,7 +119,10 @@
         self.run(now, exchange).await
     }
 
-    fn reject(&self, exchange: Exchange, rejection: Rejection) -> Answer {
+    fn reject(&self, mut exchange: Exchange, rejection: Rejection) -> Answer {
+        let rule = rejection.refusal.rule;
+        let detail = format!("refused, not run: {}", rejection.refusal.reason);
+        exchange.decide(self.clock.now().wall, Step::End, rule.as_slice(), detail);
         self.reporter.report(Input::Rejected(exchange.decisions));
         let outcome = refused(exchange.key, rejection.refusal);
         respond::finished(exchange.request, &outcome)
