--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod choose;
 pub mod cost;
 pub mod drain;
+pub mod dump;
 pub mod fact;
 pub mod fair;
 pub mod fence;
@@ -35,7 +36,7 @@
 mod agent;
 mod router;
 
-pub use agent::{Agent, AgentAction, AgentEvent, AgentSettings, AttemptEnd};
+pub use agent::{Agent, AgentAction, AgentEvent, AgentSettings, AttemptEnd, Slots};
 pub use router::{
     Arrival, AttemptResult, DispatchOrder, Router, RouterAction, RouterEvent, RouterSettings,
 };
--- a/policy/tests/fair_agent.rs
+++ b/policy/tests/fair_agent.rs
@@ -112,6 +112,9 @@
                 }
                 AgentAction::Solicit(_) => "solicit".to_owned(),
                 AgentAction::Cancel(attempt) => format!("cancel {}", attempt.request.0),
+                AgentAction::Decided(decision) => {
+                    format!("decide {}: {}", decision.request.0, decision.detail)
+                }
                 AgentAction::Stopped => "stopped".to_owned(),
                 other => format!("{other:?}"),
             };
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -5,10 +5,11 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use entity::{
-    AttemptId, Decision, Incarnation, Machine, Now, Outcome, ProcessId, Reason, Refusal, RequestId,
-    TargetId, Ticket,
+    AttemptId, Decision, Incarnation, Machine, Name, Now, Outcome, ProcessId, Reason, Refusal,
+    RequestId, TargetId, Ticket,
 };
 use node::event::{self, Event, Field};
 use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
@@ -26,6 +27,9 @@
 /// The number of requests whose decisions are kept.
 const TRACE_CAPACITY: usize = 10_000;
 
+/// Why a router without rules is not ready.
+const NO_CONFIG: &str = "no configuration in force";
+
 /// What traffic threads tell the control thread.
 #[derive(Debug)]
 pub enum Input {
@@ -115,7 +119,11 @@
 
 /// The control state of a router.
 pub struct RouterRole {
+    stop_limit: Duration,
+    /// When a planned stop refuses what waits.
+    hand_back: Option<Instant>,
     router: Router,
+    centre: Name,
     orders: FxHashMap<RequestId, mpsc::UnboundedSender<Order>>,
     trace: Trace,
     config: Option<Arc<Config>>,
@@ -128,14 +136,19 @@
 
 impl RouterRole {
     /// Creates the state of a router that has no configuration yet.
-    pub fn new(settings: RouterSettings) -> Self {
+    ///
+    /// A planned stop refuses what still waits after half of `stop_limit`.
+    pub fn new(settings: RouterSettings, stop_limit: Duration) -> Self {
         Self {
+            stop_limit,
+            hand_back: None,
+            centre: settings.centre.clone(),
             router: Router::new(settings),
             orders: FxHashMap::default(),
             trace: Trace::new(TRACE_CAPACITY),
             config: None,
             actions: Vec::new(),
-            readiness: Readiness::NotReady("no configuration in force"),
+            readiness: Readiness::NotReady(NO_CONFIG),
             reachable: FxHashMap::default(),
             mismatches: 0,
             finished: 0,
@@ -259,7 +272,7 @@
 
     fn configured(&mut self, now: Now, config: Arc<Config>, out: &mut Outbox) {
         self.config = Some(config.clone());
-        if self.readiness != Readiness::Stopped {
+        if self.readiness == Readiness::NotReady(NO_CONFIG) {
             self.readiness = Readiness::Ready;
         }
         self.handle(now, RouterEvent::Configured(config), out);
@@ -361,10 +374,15 @@
 
     fn tick(&mut self, now: Now, out: &mut Outbox) {
         self.handle(now, RouterEvent::Tick, out);
+        if self.hand_back.take_if(|at| *at <= now.mono).is_some() {
+            self.handle(now, RouterEvent::HandBack, out);
+        }
     }
 
     fn stop(&mut self, now: Now, out: &mut Outbox) {
         self.readiness = Readiness::NotReady("stopping");
+        self.hand_back = Some(now.mono + self.stop_limit / 2);
+        out.announce(true);
         self.handle(now, RouterEvent::Stop, out);
     }
 
@@ -372,14 +390,21 @@
         self.readiness.clone()
     }
 
-    fn unfinished(&self) -> usize {
-        self.orders.len()
+    fn unfinished(&self) -> Vec<RequestId> {
+        let mut requests: Vec<_> = self.orders.keys().copied().collect();
+        requests.sort_unstable();
+        requests
     }
 
-    fn dump(&self, _now: Now) -> serde_json::Value {
+    fn dump(&self, now: Now) -> serde_json::Value {
+        let state = self.router.dump(now);
         serde_json::json!({
             "kind": "router",
             "waiting": self.waiting(),
+            "data_centre": self.centre,
+            "pending": state.pending,
+            "teams": state.teams,
+            "targets": state.targets,
             "requests": self.orders.len(),
             "finished": self.finished,
             "mismatches": self.mismatches + self.router.counts().mismatched,
