--- a/policy/src/agent/dump.rs
+++ b/policy/src/agent/dump.rs
@@ -2,10 +2,38 @@
 
 use std::collections::BTreeMap;
 
+use serde::Serialize;
+
 use super::Agent;
 use crate::dump::{AgentDump, team_dump};
 
+/// What an agent's slots are used for.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize)]
+pub struct Slots {
+    /// Attempts that may run.
+    pub window: u32,
+    /// Attempts that run.
+    pub running: u32,
+    /// Pulled requests that wait at the agent for a slot.
+    pub held: u32,
+    /// Slots that are promised to waiting requests.
+    pub reserved: u32,
+    /// Requests to pull before a slot is free.
+    pub ahead: u32,
+}
+
 impl Agent {
+    /// What the agent's slots are used for.
+    pub fn slots(&self) -> Slots {
+        Slots {
+            window: self.window.limit(),
+            running: self.running.len() as u32,
+            held: self.held.len() as u32,
+            reserved: u32::from(self.pulls.reserved()),
+            ahead: self.pace.ahead(),
+        }
+    }
+
     /// The state, for a dump.
     pub fn dump(&self) -> AgentDump {
         let mut teams: BTreeMap<_, (i64, u64)> = BTreeMap::new();
