--- a/agent/src/target.rs
+++ b/agent/src/target.rs
@@ -1,7 +1,7 @@
 //! The watch over the target: whether it lives and what load it reports.
 
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Uri};
@@ -81,12 +81,17 @@
     at_millis: u64,
 }
 
+/// How long after a failure a change of the generation belongs to it: reports lag.
+const REPORT_LAG: Duration = Duration::from_secs(2);
+
 /// What the watch knows of the target.
 #[derive(Clone, Copy, Default, Debug)]
 struct Watch {
     generation: Option<u64>,
     failures: u32,
     down: bool,
+    /// When the target answered again after it had been down.
+    returned: Option<Instant>,
 }
 
 /// Watches the target until the process ends.
@@ -112,7 +117,11 @@
                 continue;
             }
         };
-        match ask(&client, target).await {
+        let mut report = ask(&client, target).await;
+        if is_doubted && report.is_none() {
+            report = ask(&client, target).await;
+        }
+        match report {
             Some(report) => state.seen(report, &reporter),
             None => state.failed(is_doubted, &reporter),
         }
@@ -155,9 +164,14 @@
         let restarted = self
             .generation
             .is_some_and(|known| known != report.generation);
-        if restarted && !self.down {
+        let returned = self.returned;
+        let is_known = returned.is_some_and(|at| at.elapsed() < REPORT_LAG);
+        if restarted && !self.down && !is_known {
             reporter.report(Input::TargetDown);
         }
+        if self.down {
+            self.returned = Some(Instant::now());
+        }
         if restarted || self.down || self.generation.is_none() {
             reporter.report(Input::TargetUp);
         }
@@ -183,7 +197,7 @@
 
     /// Takes in that the target did not answer.
     ///
-    /// If a connection to it broke just before, one failure is enough.
+    /// If a connection to it broke just before, this is enough.
     fn failed(&mut self, is_doubted: bool, reporter: &Reporter) {
         self.failures += 1;
         let is_over = is_doubted || self.failures >= FAILURES;
