A load report without a time carries no generation

Idle engines report generation 0 until they have measured; the agents took the first measured one for a restart and noted a crash with what ran.

--- a/agent/src/target.rs
+++ b/agent/src/target.rs
@@ -89,6 +89,7 @@
 struct Watch {
     generation: Option<u64>,
     failures: u32,
+    seen: bool,
     down: bool,
     /// When the target answered again after it had been down.
     returned: Option<Instant>,
@@ -161,9 +162,10 @@
 impl Watch {
     fn seen(&mut self, report: LoadReport, reporter: &Reporter) {
         self.failures = 0;
-        let restarted = self
-            .generation
-            .is_some_and(|known| known != report.generation);
+        // A target that has not measured yet reports no time and no generation.
+        let generation = (report.at_millis > 0).then_some(report.generation);
+        let known = self.generation.zip(generation);
+        let restarted = known.is_some_and(|(before, now)| before != now);
         let returned = self.returned;
         let is_known = returned.is_some_and(|at| at.elapsed() < REPORT_LAG);
         if restarted && !self.down && !is_known {
@@ -172,10 +174,11 @@
         if self.down {
             self.returned = Some(Instant::now());
         }
-        if restarted || self.down || self.generation.is_none() {
+        if restarted || self.down || !self.seen {
             reporter.report(Input::TargetUp);
         }
-        self.generation = Some(report.generation);
+        self.generation = generation.or(self.generation);
+        self.seen = true;
         self.down = false;
         let now = SystemTime::now()
             .duration_since(UNIX_EPOCH)
