--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -126,6 +126,7 @@
     next_router: usize,
     /// A later incarnation that the agent has not been told.
     raise: Option<Incarnation>,
+    superseded: bool,
 }
 
 impl AgentRole {
@@ -150,6 +151,7 @@
             members: Vec::new(),
             next_router: 0,
             raise: None,
+            superseded: false,
         }
     }
 
@@ -365,6 +367,10 @@
     }
 
     fn surveyed(&mut self, now: Now, fleet: &FleetMachine, out: &mut Outbox) {
+        if !self.superseded && fleet.superseded().is_some() {
+            self.superseded = true;
+            self.handle(now, AgentEvent::Superseded, out);
+        }
         let members = fleet.members().iter().filter(|member| member.is_live());
         self.members = members.map(|member| member.claim.endpoint).collect();
         let members = fleet.members().iter().filter(|member| member.is_live());
@@ -418,6 +424,7 @@
             "bids": state.bids,
             "teams": state.teams,
             "load": load,
+            "slots": self.agent.slots(),
             "answers": self.answers.len(),
             "keys": self.agent.remembered().0,
             "answer_bytes": self.agent.remembered().1,
--- a/policy/src/agent.rs
+++ b/policy/src/agent.rs
@@ -21,6 +21,7 @@
 use rand_chacha::ChaCha8Rng;
 use rules::Config;
 use rustc_hash::FxHashMap;
+use serde::Serialize;
 
 use crate::bid::BidTable;
 use crate::cost::CostTable;
@@ -129,6 +130,8 @@
     Tick,
     /// The agent is to stop when its attempts have ended.
     Stop,
+    /// A later life of the agent exists: start nothing any more.
+    Superseded,
 }
 
 /// What an agent asks its driver to do.
@@ -210,6 +213,21 @@
     pub const GOSSIP: Duration = Duration::from_millis(250);
 }
 
+/// What an agent's slots are used for.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize)]
+pub struct Slots {
+    /// Attempts that may run.
+    pub window: u32,
+    /// Attempts that run.
+    pub running: u32,
+    /// Pulled requests that wait at the agent for a slot.
+    pub held: u32,
+    /// Slots that are promised to waiting requests.
+    pub reserved: u32,
+    /// Requests to pull before a slot is free.
+    pub ahead: u32,
+}
+
 /// An attempt that the target runs.
 #[derive(Debug)]
 struct Running {
@@ -243,6 +261,7 @@
     keys: Keys,
     crashes: Crashes,
     stopping: bool,
+    superseded: bool,
     stopped: bool,
 }
 
@@ -279,6 +298,7 @@
             keys: Keys::default(),
             crashes: Crashes::default(),
             stopping: false,
+            superseded: false,
             stopped: false,
         }
     }
@@ -300,6 +320,17 @@
         }
     }
 
+    /// What the agent's slots are used for.
+    pub fn slots(&self) -> Slots {
+        Slots {
+            window: self.window.limit(),
+            running: self.running.len() as u32,
+            held: self.held.len() as u32,
+            reserved: u32::from(self.pulls.reserved()),
+            ahead: self.pace.ahead(),
+        }
+    }
+
     /// How the agent divides its slots.
     pub fn share(&self) -> &S {
         &self.share
@@ -324,7 +355,7 @@
         let drained = config
             .zip(self.target)
             .and_then(|(config, target)| config.drained(target));
-        self.stopping || drained.is_some()
+        self.stopping || self.superseded || drained.is_some()
     }
 
     fn configured(&mut self, now: Now, config: Arc<Config>, actions: &mut Vec<AgentAction>) {
@@ -437,6 +468,7 @@
             AgentEvent::TargetDown => self.target_down(now, actions),
             AgentEvent::Tick => self.tick(now, actions),
             AgentEvent::Stop => self.stopping = true,
+            AgentEvent::Superseded => self.superseded(now, actions),
         }
         self.start_held(now, actions);
         self.fill(now, actions);
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -3,6 +3,7 @@
 //! Invariant: a request's entry in the order table lives from its submission to
 //! its last order; traffic threads whose entry is gone get no further orders.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -13,7 +14,7 @@
 use node::event::{self, Event, Field};
 use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
 use node::trace::Trace;
-use policy::fleet::{Broadcast, Health};
+use policy::fleet::Broadcast;
 use policy::message::{Endpoint, Load};
 use policy::{
     Arrival, AttemptResult, DispatchOrder, Router, RouterAction, RouterEvent, RouterSettings,
@@ -138,6 +139,7 @@
     actions: Vec<RouterAction>,
     readiness: Readiness,
     standings: FxHashMap<TargetId, Standing>,
+    superseded: bool,
     mismatches: u64,
     finished: u64,
 }
@@ -158,6 +160,7 @@
             actions: Vec::new(),
             readiness: Readiness::NotReady(NO_CONFIG),
             standings: FxHashMap::default(),
+            superseded: false,
             mismatches: 0,
             finished: 0,
         }
@@ -211,16 +214,15 @@
     }
 
     /// What the fleet knows of the agent beside each target.
-    fn standings(&self, fleet: &FleetMachine) -> Vec<(TargetId, Standing)> {
+    fn standings(&self, now: Now, fleet: &FleetMachine) -> Vec<(TargetId, Standing)> {
         let Some(config) = &self.config else {
             return Vec::new();
         };
         let targets = config.targets.iter().filter(|(_, target)| target.is_some());
         let standing = |target| {
             let agent = ProcessId(config.names.targets.tag(target));
-            let member = fleet.members().get(agent);
             Standing {
-                dead: member.is_some_and(|member| member.claim.health == Health::Dead),
+                dead: !fleet.is_reachable(now, agent),
                 leaving: fleet.process_leaving(agent).is_some(),
             }
         };
@@ -249,6 +251,18 @@
         config.targets[target].as_ref().map(|target| target.control)
     }
 
+    /// The number of requests that wait for each pool, by name.
+    fn waiting(&self) -> BTreeMap<String, usize> {
+        let config = self.config.iter();
+        let pools = config.flat_map(|config| {
+            let pools = config.pools.iter().filter(|(_, pool)| pool.is_some());
+            pools.map(|(pool, _)| (config.names.pools.name(pool).to_string(), pool))
+        });
+        pools
+            .map(|(name, pool)| (name, self.router.waiting(pool)))
+            .collect()
+    }
+
     fn submitted(&mut self, now: Now, submission: Submission, out: &mut Outbox) {
         let Submission {
             arrival,
@@ -341,6 +355,10 @@
     fn undelivered(&mut self, _now: Now, _lost: Outgoing, _out: &mut Outbox) {}
 
     fn surveyed(&mut self, now: Now, fleet: &FleetMachine, out: &mut Outbox) {
+        if !self.superseded && fleet.superseded().is_some() {
+            self.superseded = true;
+            self.handle(now, RouterEvent::Superseded, out);
+        }
         for (target, incarnation) in self.lives(fleet) {
             let event = RouterEvent::Alive {
                 target,
@@ -348,7 +366,7 @@
             };
             self.handle(now, event, out);
         }
-        for (target, standing) in self.standings(fleet) {
+        for (target, standing) in self.standings(now, fleet) {
             let known = self.standings.insert(target, standing);
             let known = known.unwrap_or_default();
             if known.dead != standing.dead {
@@ -405,6 +423,7 @@
             "pending": state.pending,
             "teams": state.teams,
             "targets": state.targets,
+            "waiting": self.waiting(),
             "requests": self.orders.len(),
             "finished": self.finished,
             "mismatches": self.mismatches + self.router.counts().mismatched,
