--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -1,6 +1,6 @@
 //! The controller that connects traffic threads with [`policy::Agent`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use policy::fact::Fact;
 use policy::fleet::{Broadcast, Role as FleetRole};
 use policy::message::{Endpoint, Load, Offer};
+use policy::placement::ModelVersion;
 use policy::window::Report;
 use policy::{Agent, AgentAction, AgentEvent, AgentSettings, AttemptEnd};
 use rules::Config;
@@ -23,6 +24,7 @@
 use wire::Message;
 
 use crate::answers::{Answers, Entry, Follower, Kept};
+use crate::orders::{Ended, EngineOrders};
 
 /// The number of requests whose decisions are kept.
 const TRACE_CAPACITY: usize = 10_000;
@@ -63,6 +65,10 @@
     },
     /// The target reported its load.
     Report(Report),
+    /// The target reported the models that it holds.
+    Models(BTreeSet<ModelVersion>),
+    /// An order to the target ended.
+    Ordered(Ended),
     /// The target answers after it had not.
     TargetUp,
     /// The target stopped answering or restarted.
@@ -127,13 +133,19 @@
     /// A later incarnation that the agent has not been told.
     raise: Option<Incarnation>,
     superseded: bool,
+    orders: EngineOrders,
 }
 
 impl AgentRole {
     /// Creates the state of an agent that has no configuration yet.
     ///
     /// `answers` is the greatest size of all kept answers in bytes.
-    pub fn new(settings: AgentSettings, answers: u64, incarnation: SharedIncarnation) -> Self {
+    pub fn new(
+        settings: AgentSettings,
+        answers: u64,
+        incarnation: SharedIncarnation,
+        orders: EngineOrders,
+    ) -> Self {
         Self {
             target: settings.endpoint.id.0,
             agent: Agent::new(settings).with_answers(answers),
@@ -152,6 +164,7 @@
             next_router: 0,
             raise: None,
             superseded: false,
+            orders,
         }
     }
 
@@ -278,6 +291,12 @@
         Some(config.names.centres.name(target.centre))
     }
 
+    /// The target beside which another agent runs.
+    fn target_of(&self, agent: Endpoint) -> Option<TargetId> {
+        let config = self.config.as_ref()?;
+        config.names.targets.by_tag(agent.id.0)
+    }
+
     fn control_address(&self, target: TargetId) -> Option<std::net::SocketAddr> {
         let config = self.config.as_ref()?;
         config.targets[target].as_ref().map(|target| target.control)
@@ -300,6 +319,8 @@
 
     fn input(&mut self, now: Now, input: Input, out: &mut Outbox) {
         let event = match input {
+            Input::Models(models) => return self.orders.reported(now.mono, models),
+            Input::Ordered(ended) => return self.orders.ended(ended),
             Input::Offered { offer, order } => {
                 let once = offer.key.is_some();
                 self.offers.insert(offer.attempt, Offered { order, once });
@@ -327,7 +348,7 @@
     fn received(
         &mut self,
         now: Now,
-        _sender: Endpoint,
+        sender: Endpoint,
         message: Message,
         out: &mut Outbox,
     ) -> Vec<Message> {
@@ -349,6 +370,13 @@
                 self.handle(now, AgentEvent::Learned(fact), out);
                 Vec::new()
             }
+            Message::AskModels => vec![Message::Models(self.orders.models())],
+            Message::Models(models) => {
+                if let Some(target) = self.target_of(sender) {
+                    self.orders.heard(now.mono, target, models);
+                }
+                Vec::new()
+            }
             // Other messages are for routers; an agent that gets one ignores it.
             _ => Vec::new(),
         }
@@ -369,8 +397,13 @@
     fn surveyed(&mut self, now: Now, fleet: &FleetMachine, out: &mut Outbox) {
         if !self.superseded && fleet.superseded().is_some() {
             self.superseded = true;
+            self.orders.superseded();
             self.handle(now, AgentEvent::Superseded, out);
         }
+        if let Some(config) = &self.config {
+            let leaving = |target| fleet.leaving(target).is_some();
+            self.orders.place(now.mono, config, leaving);
+        }
         let members = fleet.members().iter().filter(|member| member.is_live());
         self.members = members.map(|member| member.claim.endpoint).collect();
         let members = fleet.members().iter().filter(|member| member.is_live());
@@ -391,10 +424,17 @@
     fn raised(&mut self, incarnation: Incarnation) {
         self.incarnation.store(incarnation.0, Ordering::Relaxed);
         self.raise = Some(incarnation);
+        self.orders.raised(incarnation);
     }
 
     fn tick(&mut self, now: Now, out: &mut Outbox) {
         self.handle(now, AgentEvent::Tick, out);
+        self.orders.tick(now.mono);
+        for target in self.orders.inquiries(now.mono) {
+            if let Some(to) = self.control_address(target) {
+                out.send(to, Message::AskModels);
+            }
+        }
     }
 
     fn stop(&mut self, now: Now, out: &mut Outbox) {
@@ -428,6 +468,7 @@
             "keys": self.agent.remembered().0,
             "answer_bytes": self.agent.remembered().1,
             "traces": self.trace.len(),
+            "orders": self.orders.dump(),
         })
     }
 
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod answers;
 pub mod control;
 pub mod events;
+pub mod orders;
 pub mod relay;
 pub mod run;
 pub mod service;
--- a/agent/src/run.rs
+++ b/agent/src/run.rs
@@ -20,6 +20,7 @@
 use tokio::sync::mpsc;
 
 use crate::control::{AgentRole, SharedIncarnation};
+use crate::orders::{self, EngineOrders};
 use crate::relay::Reporter;
 use crate::service::{Service, Shared};
 use crate::target::{self, Probe};
@@ -58,7 +59,8 @@
         gossip: AgentPolicy::GOSSIP,
     };
     let answers = settings.limits.answers_bytes as u64;
-    let role = AgentRole::new(policy, answers, incarnation.clone());
+    let (orders, given) = EngineOrders::new(endpoint);
+    let role = AgentRole::new(policy, answers, incarnation.clone(), orders);
     let metrics = Metrics::new()?;
     let host_settings = HostSettings {
         name: settings.name.clone(),
@@ -80,7 +82,14 @@
         body_limit: settings.limits.body_bytes,
         answer_limit: settings.limits.answer_bytes,
     };
-    actix_rt::spawn(target::watch(Client::new(), target, reporter, asks));
+    let client = Client::new();
+    actix_rt::spawn(orders::send(
+        client.clone(),
+        target,
+        reporter.clone(),
+        given,
+    ));
+    actix_rt::spawn(target::watch(client, target, reporter, asks));
     let server = listen(data, &settings, shared)?;
     let handle = server.handle();
     actix_rt::spawn(server);
--- a/agent/src/target.rs
+++ b/agent/src/target.rs
@@ -14,6 +14,7 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use crate::control::Input;
+use crate::orders::read_model;
 use crate::relay::Reporter;
 
 /// The interval between questions to the target.
@@ -23,7 +24,7 @@
 const TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The greatest size of a load report, in bytes.
-const MAX_REPORT_BYTES: usize = 4096;
+const MAX_REPORT_BYTES: usize = 64 << 10;
 
 /// The number of consecutive failures after which the target counts as down.
 const FAILURES: u32 = 3;
@@ -73,12 +74,14 @@
 }
 
 /// A target's load report.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
 struct LoadReport {
     running: u32,
     queued: u32,
     generation: u64,
     at_millis: u64,
+    /// The loaded models, if the target is an engine that takes orders.
+    models: Option<Vec<String>>,
 }
 
 /// What the watch knows of the target.
@@ -171,8 +174,13 @@
             running,
             queued,
             generation,
+            models,
             ..
         } = report;
+        if let Some(models) = models {
+            let models = models.iter().filter_map(|text| read_model(text));
+            reporter.report(Input::Models(models.collect()));
+        }
         reporter.report(Input::Report(Report {
             running,
             queued,
--- a/policy/src/order.rs
+++ b/policy/src/order.rs
@@ -133,6 +133,27 @@
         self.report = Some(Warm { models, at: now });
     }
 
+    /// The time between two loads of this agent.
+    pub fn set_spacing(&mut self, spacing: Duration) {
+        self.spacing = spacing;
+    }
+
+    /// The models that the engine reported last.
+    pub fn held(&self) -> impl Iterator<Item = &ModelVersion> {
+        self.report.iter().flat_map(|report| &report.models)
+    }
+
+    /// The targets whose reports decide whether this one may unload what it holds.
+    pub fn inquiries(&self) -> BTreeSet<TargetId> {
+        let wanted: BTreeSet<_> = self.desired.models(self.target).collect();
+        let extra = self.held().filter(|model| !wanted.contains(model));
+        let names: BTreeSet<_> = extra.map(|model| &model.name).collect();
+        let versions = self.desired.versions();
+        let versions = versions.filter(|version| names.contains(&version.name));
+        let holders = versions.flat_map(|version| self.desired.holders(version));
+        holders.filter(|holder| *holder != self.target).collect()
+    }
+
     /// Takes in what another target's agent says that its engine holds.
     pub fn heard(&mut self, now: Instant, target: TargetId, models: BTreeSet<ModelVersion>) {
         self.others.insert(target, Warm { models, at: now });
--- a/policy/src/placement.rs
+++ b/policy/src/placement.rs
@@ -13,10 +13,13 @@
 
 use entity::{ModelId, Name, Tag, TargetId};
 use rules::Config;
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A version of a model.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, derive_more::Display)]
+#[derive(
+    Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, derive_more::Display, Serialize, Deserialize,
+)]
 #[display("{name}@{version}")]
 pub struct ModelVersion {
     /// The model's name.
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -24,6 +24,6 @@
 pub use fault::Fault;
 pub use front::run;
 pub use order::{Fencing, Order, OrderError, Orders};
-pub use report::{LoadReport, Reporter};
+pub use report::{EngineReport, LoadReport, Reporter};
 pub use request::{ChatRequest, Message, RequestError};
 pub use text::{CRASH_MARKER, Script, digest};
--- a/standins/src/engine/core.rs
+++ b/standins/src/engine/core.rs
@@ -304,6 +304,7 @@
     /// Starts a dead engine again.
     pub fn restart(&mut self, now: Duration) {
         self.measure(now);
+        self.orders.clear();
         self.batch.restart();
         self.sample(now);
     }
--- a/standins/src/engine/front.rs
+++ b/standins/src/engine/front.rs
@@ -19,6 +19,7 @@
 use super::core::{Arrival, Engine, EngineOptions, Rejection, Resumed};
 use super::fault::Fault;
 use super::order::Order;
+use super::report::EngineReport;
 use super::text::Script;
 use crate::http::{Call, Dropped, EpochClock, Handler, drop_connection, json, serve, stream, text};
 
@@ -309,6 +310,14 @@
         json(StatusCode::OK, &fault)
     }
 
+    fn report(&self, now: Duration) -> EngineReport {
+        let state = self.state();
+        EngineReport {
+            load: state.engine.load(now),
+            models: state.engine.orders().models().clone(),
+        }
+    }
+
     fn is_down(&self) -> bool {
         self.state().engine.phase() == Phase::Down
     }
@@ -331,7 +340,7 @@
             }
             _ if self.is_down() => drop_connection(),
             (&Method::POST, ["v1", "chat", "completions"]) => self.complete(&call).await,
-            (&Method::GET, ["load"]) => json(StatusCode::OK, &self.state().engine.load(now)),
+            (&Method::GET, ["load"]) => json(StatusCode::OK, &self.report(now)),
             (&Method::POST, ["v1", "cancel", request]) => self.cancel(request),
             (&Method::GET, ["v1", "streams", request]) => {
                 let offset = call.number("offset").unwrap_or(0);
--- a/standins/src/engine/order.rs
+++ b/standins/src/engine/order.rs
@@ -1,5 +1,7 @@
 //! Orders to an engine, with or without fencing.
 
+use std::collections::BTreeSet;
+
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -56,6 +58,7 @@
     fencing: Fencing,
     greatest: u64,
     taken: Vec<(Option<u64>, Order)>,
+    models: BTreeSet<String>,
 }
 
 impl Orders {
@@ -65,6 +68,7 @@
             fencing,
             greatest: 0,
             taken: Vec::new(),
+            models: BTreeSet::new(),
         }
     }
 
@@ -83,10 +87,29 @@
             _ => {}
         }
         self.greatest = self.greatest.max(number.unwrap_or(0));
+        match &order {
+            Order::Load { model } => {
+                self.models.insert(model.clone());
+            }
+            Order::Unload { model } => {
+                self.models.remove(model);
+            }
+            Order::Role { .. } => {}
+        }
         self.taken.push((number, order));
         Ok(())
     }
 
+    /// The models that are loaded.
+    pub fn models(&self) -> &BTreeSet<String> {
+        &self.models
+    }
+
+    /// Drops all models, as a restart of the engine does.
+    pub fn clear(&mut self) {
+        self.models.clear();
+    }
+
     /// The orders taken, oldest first.
     pub fn taken(&self) -> &[(Option<u64>, Order)] {
         &self.taken
--- a/standins/src/engine/report.rs
+++ b/standins/src/engine/report.rs
@@ -1,6 +1,6 @@
 //! The load report, which lags.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -18,6 +18,16 @@
     pub at_millis: u64,
 }
 
+/// The whole report of an engine.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct EngineReport {
+    /// The load, which lags.
+    #[serde(flatten)]
+    pub load: LoadReport,
+    /// The loaded models.
+    pub models: BTreeSet<String>,
+}
+
 /// Keeps samples and shows one that is as old as the lag.
 #[derive(Clone, Debug)]
 pub struct Reporter {
--- a/wire/src/envelope.rs
+++ b/wire/src/envelope.rs
@@ -16,6 +16,7 @@
 use policy::fact::Fact;
 use policy::fleet::FleetMessage;
 use policy::message::{BidUpdate, Endpoint, LedgerDelta, Load, Pull, Pulled, Solicit};
+use policy::placement::ModelVersion;
 use serde::{Deserialize, Serialize};
 
 /// The version of the protocol that this build writes.
@@ -43,6 +44,10 @@
     Fleet(FleetMessage),
     /// A fact that cannot wait for its broadcast.
     Fact(Fact),
+    /// An agent's question for the models that the other's engine holds.
+    AskModels,
+    /// The models that an agent's engine reported last.
+    Models(Vec<ModelVersion>),
 }
 
 /// A batch of messages from one process to another.
