--- a/policy/tests/fleet.rs
+++ b/policy/tests/fleet.rs
@@ -8,6 +8,8 @@
 mod members;
 #[path = "fleet/net.rs"]
 mod net;
+#[path = "fleet/poll.rs"]
+mod poll;
 
 use std::fmt::Write as _;
 use std::time::Duration;
@@ -51,12 +53,11 @@
 fn publication_with_the_service_up_stale_and_down() {
     let mut table = String::new();
     for n in [10, 50, 150, 950] {
-        for service in ["up", "stale for all but one", "down after one read it"] {
-            if n == 950 && service.starts_with("stale") {
-                continue;
-            }
-            let mut net = running(n, 1);
-            if service != "up" {
+        // One fleet per size: each case publishes the next revision.
+        let mut net = running(n, 1);
+        let cases = ["up", "stale for all but one", "down after one read it"];
+        for (service, revision) in cases.into_iter().zip(2..) {
+            if service.starts_with("stale") {
                 let stale = net.replicas[0].clone();
                 net.replicas.push(stale);
                 let readers =
@@ -73,9 +74,10 @@
                 }
             }
             let start = net.clock;
-            net.publish(0, &ServiceKey::Rules, 2, &document(2, "drain dc1\n"));
-            net.until(60 * SECOND, |net| net.all_at(2));
-            let (median, most) = adoption(&net, start, 2);
+            let text = document(revision, "drain dc1\n");
+            net.publish(0, &ServiceKey::Rules, revision, &text);
+            net.until(60 * SECOND, |net| net.all_at(revision));
+            let (median, most) = adoption(&net, start, revision);
             writeln!(
                 table,
                 "{n} processes, service {service}: p50 {median:.1?}, max {most:.1?}"
@@ -87,6 +89,37 @@
     insta::assert_snapshot!(table);
 }
 
+/// The same publications where each process only polls the service.
+#[test]
+fn publication_to_processes_that_only_poll() {
+    let mut table = String::new();
+    for n in [10, 50, 150, 950] {
+        let cases = [
+            ("up", n, false),
+            ("stale for all but one", 1, false),
+            ("down after one read it", 1, true),
+        ];
+        for (service, reached, is_down) in cases {
+            let polled = poll::publication(n, 1, reached, is_down);
+            let adopted = polled.times.len();
+            let median = polled.times[adopted / 2];
+            let most = polled.times[adopted - 1];
+            writeln!(
+                table,
+                "{n} processes poll every {:?}, service {service}: {adopted} adopt within {:?}, \
+                 p50 {median:.1?}, max {most:.1?}, {} calls a second",
+                polled.interval,
+                poll::WATCHED,
+                polled.calls,
+            )
+            .expect("strings take writes");
+            assert_eq!(adopted, reached, "{table}");
+            assert!(polled.calls <= 2000, "{table}");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
 #[test]
 fn service_calls_a_second() {
     let mut table = String::new();
--- a/policy/tests/fleet/net.rs
+++ b/policy/tests/fleet/net.rs
@@ -331,7 +331,7 @@
                 replica,
             } => {
                 let found = |watch: &(usize, u64, ReadOrder, usize)| {
-                    *watch == (index, life, order.clone(), replica)
+                    (watch.0, watch.1, watch.3) == (index, life, replica) && watch.2 == order
                 };
                 if let Some(place) = self.watches.iter().position(found) {
                     self.watches.remove(place);
@@ -367,9 +367,7 @@
 
     fn send(&mut self, index: usize, to: SocketAddr, message: FleetMessage) {
         let sender = &mut self.processes[index];
-        let size = postcard::to_stdvec(&message)
-            .expect("messages encode")
-            .len();
+        let size = postcard::experimental::serialized_size(&message).expect("messages encode");
         sender.bytes += FRAME_BYTES + ENVELOPE_BYTES + size;
         let (from, group) = (sender.endpoint, sender.group);
         let version = sender.fleet.as_ref().expect("the sender runs").version();
@@ -424,4 +422,4 @@
 }
 
 /// The mean time of a message on its way.
-const LATENCY: Duration = Duration::from_millis(1);
+pub(crate) const LATENCY: Duration = Duration::from_millis(1);
--- /dev/null
+++ b/policy/tests/fleet/poll.rs
@@ -0,0 +1,75 @@
+//! A baseline without gossip: every process polls the service and hears nobody.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use knapweed_policy::reader::{ServiceKey, ServiceResult};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use crate::SECOND;
+use crate::fake::{Replica, document};
+use crate::net::LATENCY;
+
+/// The calls a second that the service answers for all processes together.
+const CALLS_LIMIT: usize = 2000;
+
+/// The keys that each process polls: the rules and the VM list.
+const KEYS: usize = 2;
+
+/// How long after a publication the processes are watched.
+pub(crate) const WATCHED: Duration = Duration::from_secs(60);
+
+/// What polling reached.
+pub(crate) struct Polled {
+    /// The interval at which each process polls.
+    pub(crate) interval: Duration,
+    /// The times from publication to in force, of those that got it, in order.
+    pub(crate) times: Vec<Duration>,
+    /// The greatest number of calls within a second.
+    pub(crate) calls: usize,
+}
+
+/// The interval of `n` processes that stay within [`CALLS_LIMIT`], at least a second.
+fn interval(n: usize) -> Duration {
+    SECOND.max(SECOND.mul_f64((n * KEYS) as f64 / CALLS_LIMIT as f64))
+}
+
+/// Publishes revision 2 while `n` processes poll, `reached` of them a replica that has it.
+///
+/// The others poll a stale replica, or none if the service is down.
+pub(crate) fn publication(n: usize, seed: u64, reached: usize, is_down: bool) -> Polled {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let interval = interval(n);
+    let mut fresh = Replica::default();
+    fresh.put(ServiceKey::Rules, 1, &document(1, ""));
+    let stale = fresh.clone();
+    fresh.put(ServiceKey::Rules, 2, &document(2, "drain dc1\n"));
+    let mut times = Vec::new();
+    let mut calls: BTreeMap<u64, usize> = BTreeMap::new();
+    for process in 0..n {
+        let replica = match process {
+            process if process < reached => Some(&fresh),
+            _ if is_down => None,
+            _ => Some(&stale),
+        };
+        // The publication is at time 0.
+        let mut at = interval.mul_f64(rng.random());
+        let mut adopted = None;
+        while at < WATCHED {
+            *calls.entry(at.as_secs()).or_default() += KEYS;
+            let answer = replica.and_then(|replica| replica.read(&ServiceKey::Rules, 1));
+            if let Some(ServiceResult::Value { index: 2, .. }) = answer {
+                adopted.get_or_insert(at + LATENCY * 3);
+            }
+            at += interval;
+        }
+        times.extend(adopted);
+    }
+    times.sort();
+    Polled {
+        interval,
+        times,
+        calls: calls.into_values().max().unwrap_or(0),
+    }
+}
