Bids: agents are told when a queue becomes non-empty, no more when it doubles

Cause: 1.4 bid updates for each congested request. The answer to each pull tells what is left, so an agent that knows of one request learns of the rest with its next pull; news of growth was needed only by agents that know of none.

Price: an agent with several free slots gets the first request of a queue one round trip before the rest. Not measured: idle time when answers to pulls are lost, where an agent may wait for the refresh or its own solicit.

--- a/policy/src/bid/outbox.rs
+++ b/policy/src/bid/outbox.rs
@@ -1,8 +1,8 @@
 //! What a router has told each agent of its waiting requests.
 //!
-//! An agent is told at once when a queue becomes non-empty and when it doubles.
-//! Other changes ride along with the next update; withdrawals cost no message of
-//! their own, because an agent learns from the answer to a pull what is left.
+//! An agent is told at once when a queue becomes non-empty. Other changes ride
+//! along with the next update; they cost no message of their own, because an agent
+//! learns from the answer to each pull what is left.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
@@ -46,7 +46,7 @@
             }
             _ => {
                 told.dirty.insert(key);
-                told.urgent |= waiting > 0 && waiting >= 2 * known;
+                told.urgent |= waiting > 0 && known == 0;
             }
         }
     }
