--- a/bench/src/bin/binding.rs
+++ b/bench/src/bin/binding.rs
@@ -1,15 +1,28 @@
 //! Measures idle slots, cold targets and control messages on a simulated fleet.
 
+use std::pin::Pin;
 use std::time::Duration;
 
 use entity::{Class, Cost, DocumentHash, Name, Revision};
 use filetests::fleet::{Fleet, FleetSettings, TeamLoad};
 use policy::fair::{Fifo, RouterQuota, Share};
 use policy::ledger::{Extrapolation, Ledger, LedgerSettings};
-use policy::message::{Bid, BidUpdate, Endpoint, LedgerDelta, Left, Pick, Pull, Pulled, TeamTotal};
+use policy::message::{
+    Bid, BidUpdate, Endpoint, LedgerDelta, Left, Load, Pick, Pull, Pulled, TeamTotal,
+};
 use rules::Window;
+use serde::Serialize;
+use tarpc::tokio_serde::Serializer;
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::{ClientMessage, Request, Response};
 use wire::{Envelope, Message};
 
+/// The TCP and IPv4 headers of a packet without options, in bytes.
+const PACKET_BYTES: usize = 40;
+
+/// The length before a frame of the control service, in bytes.
+const FRAME_BYTES: usize = 4;
+
 const SEEDS: core::ops::RangeInclusive<u64> = 1..=4;
 
 fn team(routers: core::ops::Range<usize>, open: usize) -> TeamLoad {
@@ -143,20 +156,59 @@
             totals: vec![total; 15],
         }),
     ];
-    for message in messages {
-        let envelope = Envelope::new(
-            agent,
-            Revision(9),
-            DocumentHash(u64::MAX),
-            core::slice::from_ref(&message),
-        );
+    let seal = |messages: &[Message]| {
+        let hash = DocumentHash(u64::MAX);
+        Envelope::new(agent, Revision(9), hash, messages).encode()
+    };
+    for message in &messages {
         let text = format!("{message:?}");
         let kind = text.split('(').next().unwrap_or_default();
-        println!(
-            "size, {kind}: envelope with one message {} bytes",
-            envelope.encode().len()
-        );
+        let size = seal(core::slice::from_ref(message)).len();
+        println!("size, {kind}: envelope with one message {size} bytes");
     }
+    let [bids, pull, pulled, ledger] = messages;
+    let load = Message::Load(Load::default());
+    let exchange = |name: &str, question: &[Message], answer: &[Message]| {
+        let bytes = exchange_bytes(seal(question), seal(answer));
+        println!("wire, {name}: {bytes} bytes both ways");
+    };
+    exchange("pull", &[pull], &[pulled]);
+    exchange("bids", &[bids], &[load]);
+    exchange("ledger", &[ledger], &[]);
+}
+
+/// The bytes of one exchange between two processes, with the frames of the control
+/// service and one packet each way.
+fn exchange_bytes(question: Vec<u8>, answer: Vec<u8>) -> usize {
+    let request = ClientMessage::Request(Request {
+        context: tarpc::context::current(),
+        id: 1_000,
+        message: Call::Exchange { envelope: question },
+    });
+    let response = Response {
+        request_id: 1_000,
+        message: Ok(Return::Exchange(answer)),
+    };
+    packed(&request) + packed(&response)
+}
+
+/// The bytes of one frame in one packet.
+fn packed<T: Serialize + Unpin>(message: &T) -> usize {
+    let mut codec = Bincode::<(), T>::default();
+    let bytes = Pin::new(&mut codec).serialize(message);
+    PACKET_BYTES + FRAME_BYTES + bytes.expect("messages encode").len()
+}
+
+/// What a call of the control service looks like on the wire.
+#[derive(Serialize)]
+enum Call {
+    Exchange { envelope: Vec<u8> },
+}
+
+/// What its answer looks like.
+#[derive(Serialize)]
+enum Return {
+    Exchange(Vec<u8>),
 }
 
 fn main() {
