--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -133,6 +133,13 @@
     Reachable(TargetId),
     /// The membership holds an agent for unreachable.
     Unreachable(TargetId),
+    /// An agent or its target is about to leave and gets no new work, or stays after all.
+    Leaving {
+        /// The agent's target.
+        target: TargetId,
+        /// Whether it leaves.
+        leaving: bool,
+    },
     /// An attempt ended.
     Ended {
         /// The attempt.
@@ -152,6 +159,8 @@
     Stop,
     /// The time of a planned stop runs out: refuse what waits.
     HandBack,
+    /// A later life of the router exists: start nothing any more, refuse what waits.
+    Superseded,
 }
 
 /// An attempt that the driver is to send.
@@ -240,6 +249,7 @@
     minted: usize,
     lives: SecondaryMap<TargetId, Option<Incarnation>>,
     stopping: bool,
+    superseded: bool,
     stopped: bool,
 }
 
@@ -263,6 +273,7 @@
             outbox: Outbox::default(),
             pulls: FxHashMap::default(),
             stopping: false,
+            superseded: false,
             stopped: false,
         }
     }
@@ -321,6 +332,9 @@
             } => self.alive(target, incarnation),
             RouterEvent::Learned(fact) => self.learned(now, &fact),
             RouterEvent::Reachable(target) => self.loads.set_reachable(target, true),
+            RouterEvent::Leaving { target, leaving } => {
+                self.leaving(now, target, leaving, actions);
+            }
             RouterEvent::Unreachable(target) => self.unreachable(now, target, actions),
             RouterEvent::Ended { attempt, result } => self.ended(now, attempt, result, actions),
             RouterEvent::CallerGone(request) => self.caller_gone(now, request, actions),
@@ -329,6 +343,10 @@
             RouterEvent::Tick => self.tick(now, actions),
             RouterEvent::Stop => self.stopping = true,
             RouterEvent::HandBack => self.hand_back(now, actions),
+            RouterEvent::Superseded => self.superseded = true,
+        }
+        if self.superseded {
+            self.hand_back(now, actions);
         }
         self.send_bids(now, actions);
         self.report_stopped(actions);
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -14,7 +14,7 @@
 use node::event::{self, Event, Field};
 use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
 use node::trace::Trace;
-use policy::fleet::{Broadcast, Health};
+use policy::fleet::Broadcast;
 use policy::message::{Endpoint, Load};
 use policy::{
     Arrival, AttemptResult, DispatchOrder, Router, RouterAction, RouterEvent, RouterSettings,
@@ -117,6 +117,15 @@
     }
 }
 
+/// What the fleet knows of an agent.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
+struct Standing {
+    /// Its members hold it for failed.
+    dead: bool,
+    /// It gets no new work, by the VM list or by its own word.
+    leaving: bool,
+}
+
 /// The control state of a router.
 pub struct RouterRole {
     stop_limit: Duration,
@@ -129,7 +138,8 @@
     config: Option<Arc<Config>>,
     actions: Vec<RouterAction>,
     readiness: Readiness,
-    reachable: FxHashMap<TargetId, bool>,
+    standings: FxHashMap<TargetId, Standing>,
+    superseded: bool,
     mismatches: u64,
     finished: u64,
 }
@@ -149,7 +159,8 @@
             config: None,
             actions: Vec::new(),
             readiness: Readiness::NotReady(NO_CONFIG),
-            reachable: FxHashMap::default(),
+            standings: FxHashMap::default(),
+            superseded: false,
             mismatches: 0,
             finished: 0,
         }
@@ -202,22 +213,21 @@
         }
     }
 
-    /// Whether new work may go to each target, by what the fleet knows of its agent.
-    fn usable(&self, fleet: &FleetMachine) -> Vec<(TargetId, bool)> {
+    /// What the fleet knows of the agent beside each target.
+    fn standings(&self, now: Now, fleet: &FleetMachine) -> Vec<(TargetId, Standing)> {
         let Some(config) = &self.config else {
             return Vec::new();
         };
         let targets = config.targets.iter().filter(|(_, target)| target.is_some());
-        let usable = |target| {
+        let standing = |target| {
             let agent = ProcessId(config.names.targets.tag(target));
-            let dead = fleet
-                .members()
-                .get(agent)
-                .is_some_and(|member| member.claim.health == Health::Dead);
-            !dead && fleet.process_leaving(agent).is_none()
+            Standing {
+                dead: !fleet.is_reachable(now, agent),
+                leaving: fleet.process_leaving(agent).is_some(),
+            }
         };
         targets
-            .map(|(target, _)| (target, usable(target)))
+            .map(|(target, _)| (target, standing(target)))
             .collect()
     }
 
@@ -345,6 +355,10 @@
     fn undelivered(&mut self, _now: Now, _lost: Outgoing, _out: &mut Outbox) {}
 
     fn surveyed(&mut self, now: Now, fleet: &FleetMachine, out: &mut Outbox) {
+        if !self.superseded && fleet.superseded().is_some() {
+            self.superseded = true;
+            self.handle(now, RouterEvent::Superseded, out);
+        }
         for (target, incarnation) in self.lives(fleet) {
             let event = RouterEvent::Alive {
                 target,
@@ -352,15 +366,20 @@
             };
             self.handle(now, event, out);
         }
-        for (target, usable) in self.usable(fleet) {
-            let known = self.reachable.insert(target, usable);
-            let event = match usable {
-                true => RouterEvent::Reachable(target),
-                false => RouterEvent::Unreachable(target),
-            };
-            if known.unwrap_or(true) != usable {
+        for (target, standing) in self.standings(now, fleet) {
+            let known = self.standings.insert(target, standing);
+            let known = known.unwrap_or_default();
+            if known.dead != standing.dead {
+                let event = match standing.dead {
+                    false => RouterEvent::Reachable(target),
+                    true => RouterEvent::Unreachable(target),
+                };
                 self.handle(now, event, out);
             }
+            if known.leaving != standing.leaving {
+                let leaving = standing.leaving;
+                self.handle(now, RouterEvent::Leaving { target, leaving }, out);
+            }
         }
     }
 
@@ -400,11 +419,11 @@
         let state = self.router.dump(now);
         serde_json::json!({
             "kind": "router",
-            "waiting": self.waiting(),
             "data_centre": self.centre,
             "pending": state.pending,
             "teams": state.teams,
             "targets": state.targets,
+            "waiting": self.waiting(),
             "requests": self.orders.len(),
             "finished": self.finished,
             "mismatches": self.mismatches + self.router.counts().mismatched,
