--- a/policy/tests/fair_agent.rs
+++ b/policy/tests/fair_agent.rs
@@ -113,7 +113,12 @@
                 AgentAction::Solicit(_) => "solicit".to_owned(),
                 AgentAction::Cancel(attempt) => format!("cancel {}", attempt.request.0),
                 AgentAction::Decided(decision) => {
-                    format!("decide {}: {}", decision.request.0, decision.detail)
+                    let lines: Vec<_> = decision.rules.iter().map(|rule| rule.line).collect();
+                    let (request, step) = (decision.request.0, decision.step);
+                    format!(
+                        "decide {request} {step:?} by {lines:?}: {}",
+                        decision.detail
+                    )
                 }
                 AgentAction::Stopped => "stopped".to_owned(),
                 other => format!("{other:?}"),
