--- a/filetests/src/scenario.rs
+++ b/filetests/src/scenario.rs
@@ -161,6 +161,8 @@
 pub enum KeyChoice {
     /// A new one for each request; its repeats bear the same.
     Fresh,
+    /// None of the caller's own: the router mints a ticket for each request.
+    Ticket,
     /// One key for all, by name.
     Named(Name),
 }
--- a/filetests/src/scenario/parse.rs
+++ b/filetests/src/scenario/parse.rs
@@ -326,6 +326,7 @@
         "key" if load.key.is_none() => {
             load.key = Some(match name(input)? {
                 name if name.as_str() == "fresh" => KeyChoice::Fresh,
+                name if name.as_str() == "ticket" => KeyChoice::Ticket,
                 name => KeyChoice::Named(name),
             });
         }
--- a/filetests/src/scenario/write.rs
+++ b/filetests/src/scenario/write.rs
@@ -100,6 +100,7 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         match self {
             Self::Fresh => f.write_str("fresh"),
+            Self::Ticket => f.write_str("ticket"),
             Self::Named(name) => name.fmt(f),
         }
     }
--- a/filetests/src/sim/traffic.rs
+++ b/filetests/src/sim/traffic.rs
@@ -42,7 +42,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Key {
     name: Option<Name>,
-    value: IdempotencyKey,
+    /// The caller's own; absent if the router mints a ticket.
+    value: Option<IdempotencyKey>,
 }
 
 /// A request.
@@ -123,7 +124,7 @@
 
     fn key(&mut self, choice: &KeyChoice) -> usize {
         let name = match choice {
-            KeyChoice::Fresh => None,
+            KeyChoice::Fresh | KeyChoice::Ticket => None,
             KeyChoice::Named(name) => Some(name.clone()),
         };
         let known = self
@@ -131,7 +132,7 @@
             .iter()
             .position(|key| name.is_some() && key.name == name);
         known.unwrap_or_else(|| {
-            let value = self.uuid();
+            let value = (*choice != KeyChoice::Ticket).then(|| self.uuid());
             self.keys.push(Key { name, value });
             self.keys.len() - 1
         })
@@ -316,7 +317,7 @@
             class: rule.class.unwrap_or(class),
             hint: Some(request.hint),
             deadline: self.base + request.deadline,
-            key: request.key.map(|key| self.keys[key].value),
+            key: request.key.and_then(|key| self.keys[key].value),
             fingerprint: request.fingerprint,
             prefix: None,
         })
--- a/filetests/tests/scenario.rs
+++ b/filetests/tests/scenario.rs
@@ -29,8 +29,14 @@
 }
 
 fn key() -> impl Strategy<Value = KeyChoice> {
-    let named = name().prop_filter("`fresh` is no name", |name| name.as_str() != "fresh");
-    prop_oneof![Just(KeyChoice::Fresh), named.prop_map(KeyChoice::Named)]
+    let named = name().prop_filter("two words are no names", |name| {
+        !["fresh", "ticket"].contains(&name.as_str())
+    });
+    prop_oneof![
+        Just(KeyChoice::Fresh),
+        Just(KeyChoice::Ticket),
+        named.prop_map(KeyChoice::Named)
+    ]
 }
 
 fn time() -> impl Strategy<Value = Duration> {
