--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -14,7 +14,7 @@
 use node::event::{self, Event, Field};
 use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
 use node::trace::Trace;
-use policy::fleet::{Broadcast, Health};
+use policy::fleet::Broadcast;
 use policy::message::{Endpoint, Load};
 use policy::{
     Arrival, AttemptResult, DispatchOrder, Router, RouterAction, RouterEvent, RouterSettings,
@@ -139,6 +139,7 @@
     actions: Vec<RouterAction>,
     readiness: Readiness,
     standings: FxHashMap<TargetId, Standing>,
+    superseded: bool,
     mismatches: u64,
     finished: u64,
 }
@@ -159,6 +160,7 @@
             actions: Vec::new(),
             readiness: Readiness::NotReady(NO_CONFIG),
             standings: FxHashMap::default(),
+            superseded: false,
             mismatches: 0,
             finished: 0,
         }
@@ -212,16 +214,15 @@
     }
 
     /// What the fleet knows of the agent beside each target.
-    fn standings(&self, fleet: &FleetMachine) -> Vec<(TargetId, Standing)> {
+    fn standings(&self, now: Now, fleet: &FleetMachine) -> Vec<(TargetId, Standing)> {
         let Some(config) = &self.config else {
             return Vec::new();
         };
         let targets = config.targets.iter().filter(|(_, target)| target.is_some());
         let standing = |target| {
             let agent = ProcessId(config.names.targets.tag(target));
-            let member = fleet.members().get(agent);
             Standing {
-                dead: member.is_some_and(|member| member.claim.health == Health::Dead),
+                dead: !fleet.is_reachable(now, agent),
                 leaving: fleet.process_leaving(agent).is_some(),
             }
         };
@@ -354,6 +355,10 @@
     fn undelivered(&mut self, _now: Now, _lost: Outgoing, _out: &mut Outbox) {}
 
     fn surveyed(&mut self, now: Now, fleet: &FleetMachine, out: &mut Outbox) {
+        if !self.superseded && fleet.superseded().is_some() {
+            self.superseded = true;
+            self.handle(now, RouterEvent::Superseded, out);
+        }
         for (target, incarnation) in self.lives(fleet) {
             let event = RouterEvent::Alive {
                 target,
@@ -361,7 +366,7 @@
             };
             self.handle(now, event, out);
         }
-        for (target, standing) in self.standings(fleet) {
+        for (target, standing) in self.standings(now, fleet) {
             let known = self.standings.insert(target, standing);
             let known = known.unwrap_or_default();
             if known.dead != standing.dead {
