A leaving target's pulls are answered with nothing

Cause: Router::pick asked only for drain rules; an agent that is not told that its VM leaves goes on pulling (filetests promises/leaving, pairs/leave-service). The scenario runner told routers that such agents are unreachable, which the daemons do not; it now sends what router/src/control.rs sends. Before: both cases broke 'leaving'. After: both keep it; three cases with supplied keys break it now, since a home that leaves still starts new keys.

--- a/filetests/src/sim/process.rs
+++ b/filetests/src/sim/process.rs
@@ -32,6 +32,13 @@
     Agent(Box<Agent<ScenarioShare>>),
 }
 
+/// What the fleet of a router's process knows of an agent.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
+struct Standing {
+    is_absent: bool,
+    is_leaving: bool,
+}
+
 /// One process.
 #[derive(Debug)]
 pub(super) struct Process {
@@ -56,7 +63,7 @@
     pub(super) followers: BTreeMap<AttemptId, Vec<AttemptId>>,
     /// The target's generation that the agent saw last.
     pub(super) generation: Option<u64>,
-    usable: BTreeMap<TargetId, bool>,
+    standings: BTreeMap<TargetId, Standing>,
     fleet_tick: Duration,
 }
 
@@ -134,7 +141,7 @@
             answers: BTreeMap::new(),
             followers: BTreeMap::new(),
             generation: None,
-            usable: BTreeMap::new(),
+            standings: BTreeMap::new(),
             fleet_tick: self.at,
         }
     }
@@ -268,32 +275,39 @@
                 self.drive_router(process, alive);
             }
         }
-        for (target, usable) in self.usable(process) {
-            let before = self.processes[process].usable.insert(target, usable);
-            let event = match usable {
-                true => RouterEvent::Reachable(target),
-                false => RouterEvent::Unreachable(target),
-            };
-            if before.unwrap_or(true) != usable {
+        for (target, standing) in self.standings(process) {
+            let known = self.processes[process].standings.insert(target, standing);
+            let known = known.unwrap_or_default();
+            if known.is_absent != standing.is_absent {
+                let event = match standing.is_absent {
+                    false => RouterEvent::Reachable(target),
+                    true => RouterEvent::Unreachable(target),
+                };
                 self.drive_router(process, event);
             }
+            if known.is_leaving != standing.is_leaving {
+                let leaving = standing.is_leaving;
+                self.drive_router(process, RouterEvent::Leaving { target, leaving });
+            }
         }
     }
 
-    fn usable(&self, process: usize) -> Vec<(TargetId, bool)> {
+    fn standings(&self, process: usize) -> Vec<(TargetId, Standing)> {
         let Process { fleet, config, .. } = &self.processes[process];
         let Some(config) = config else {
             return Vec::new();
         };
+        let now = self.now(process);
         let targets = config.targets.iter().filter(|(_, target)| target.is_some());
-        let usable = |target| {
+        let standing = |target| {
             let agent = ProcessId(config.names.targets.tag(target));
-            let member = fleet.members().get(agent);
-            let dead = member.is_some_and(|member| member.claim.health == Health::Dead);
-            !dead && fleet.process_leaving(agent).is_none()
+            Standing {
+                is_absent: !fleet.is_reachable(now, agent),
+                is_leaving: fleet.process_leaving(agent).is_some(),
+            }
         };
         targets
-            .map(|(target, _)| (target, usable(target)))
+            .map(|(target, _)| (target, standing(target)))
             .collect()
     }
 }
--- a/policy/src/load.rs
+++ b/policy/src/load.rs
@@ -109,6 +109,11 @@
         self.hints[target].leaving = leaving;
     }
 
+    /// Whether the target is about to leave and gets no new work.
+    pub fn is_leaving(&self, target: TargetId) -> bool {
+        self.hints[target].leaving
+    }
+
     /// Whether the agent beside `target` can be asked, as far as is known, also if
     /// it takes no new work.
     pub fn is_reachable(&self, now: Instant, target: TargetId) -> bool {
--- a/policy/src/router/dispatch.rs
+++ b/policy/src/router/dispatch.rs
@@ -291,9 +291,10 @@
         let Some(rule) = config.targets[target].as_ref() else {
             return none;
         };
-        let is_drained = config.drained(target).is_some();
+        // A leaving target's agent may not know it yet and goes on pulling.
+        let is_closed = config.drained(target).is_some() || self.loads.is_leaving(target);
         let mut count = 0;
-        while count < pick.count && !is_drained {
+        while count < pick.count && !is_closed {
             let Some(key) = self.queues.next(rule.pool, target, team, pick.class) else {
                 break;
             };
