--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -36,7 +36,7 @@
 mod agent;
 mod router;
 
-pub use agent::{Agent, AgentAction, AgentEvent, AgentSettings, AttemptEnd};
+pub use agent::{Agent, AgentAction, AgentEvent, AgentSettings, AttemptEnd, Slots};
 pub use router::{
     Arrival, AttemptResult, DispatchOrder, Router, RouterAction, RouterEvent, RouterSettings,
 };
