--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use entity::{
-    AttemptId, Cost, Decision, Incarnation, Machine, Name, Now, Reason, Refusal, RequestId,
-    RetryAdvice, Tag, TargetId,
+    AttemptId, Cost, Decision, Incarnation, Machine, Name, Now, ProcessId, Reason, Refusal,
+    RequestId, RetryAdvice, Tag, TargetId,
 };
 use node::event::{self, Event, Field};
 use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
@@ -400,6 +400,8 @@
             self.orders.superseded();
             self.handle(now, AgentEvent::Superseded, out);
         }
+        let leaving = fleet.process_leaving(ProcessId(self.target)).is_some();
+        self.handle(now, AgentEvent::Leaving(leaving), out);
         if let Some(config) = &self.config {
             let leaving = |target| fleet.leaving(target).is_some();
             self.orders.place(now.mono, config, leaving);
--- a/filetests/src/sim/process.rs
+++ b/filetests/src/sim/process.rs
@@ -8,7 +8,7 @@
 use entity::{AttemptId, Cost, Incarnation, Machine, Name, ProcessId, RequestId, TargetId};
 use policy::fact::Fact;
 use policy::fleet::{
-    Fleet, FleetAction, FleetEvent, FleetSettings, Health, Role as FleetRole, RulesCompile,
+    Fleet, FleetAction, FleetEvent, FleetSettings, Role as FleetRole, RulesCompile,
 };
 use policy::message::Endpoint;
 use policy::{Agent, AgentEvent, AgentSettings, Router, RouterEvent, RouterSettings};
@@ -255,7 +255,10 @@
     fn confirm(&mut self, process: usize, agent: usize) {
         let fleet = &self.processes[process].fleet;
         let revision = fleet.version().revision;
-        if let Some(at) = fleet.confirmed_at() {
+        let confirmed = fleet.confirmed_at();
+        let leaving = fleet.process_leaving(fleet.endpoint().id).is_some();
+        self.drive_agent(agent, AgentEvent::Leaving(leaving));
+        if let Some(at) = confirmed {
             self.drive_agent(agent, AgentEvent::Confirmed { revision, at });
         }
     }
--- a/policy/src/agent.rs
+++ b/policy/src/agent.rs
@@ -132,6 +132,8 @@
     Stop,
     /// A later life of the agent exists: start nothing any more.
     Superseded,
+    /// The VM list calls the target's VM leaving, or does so no more.
+    Leaving(bool),
 }
 
 /// What an agent asks its driver to do.
@@ -246,6 +248,7 @@
     keys: Keys,
     crashes: Crashes,
     stopping: bool,
+    leaving: bool,
     superseded: bool,
     stopped: bool,
 }
@@ -283,6 +286,7 @@
             keys: Keys::default(),
             crashes: Crashes::default(),
             stopping: false,
+            leaving: false,
             superseded: false,
             stopped: false,
         }
@@ -329,7 +333,7 @@
         let drained = config
             .zip(self.target)
             .and_then(|(config, target)| config.drained(target));
-        self.stopping || self.superseded || drained.is_some()
+        self.stopping || self.superseded || self.leaving || drained.is_some()
     }
 
     fn configured(&mut self, now: Now, config: Arc<Config>, actions: &mut Vec<AgentAction>) {
@@ -443,6 +447,7 @@
             AgentEvent::Tick => self.tick(now, actions),
             AgentEvent::Stop => self.stopping = true,
             AgentEvent::Superseded => self.superseded(now, actions),
+            AgentEvent::Leaving(leaving) => self.leaving = leaving,
         }
         self.start_held(now, actions);
         self.fill(now, actions);
