--- a/bench/src/bin/binding.rs
+++ b/bench/src/bin/binding.rs
@@ -116,7 +116,14 @@
             sequence: 1_000,
             pool: tag,
             full: false,
-            bids: vec![bid],
+            bids: vec![bid.clone()],
+        }),
+        Message::Bids(BidUpdate {
+            router,
+            sequence: 1_000,
+            pool: tag,
+            full: true,
+            bids: vec![bid; 100],
         }),
         Message::Pull(Pull {
             agent,
@@ -152,8 +159,15 @@
         );
         let text = format!("{message:?}");
         let kind = text.split('(').next().unwrap_or_default();
+        let items = match &message {
+            Message::Bids(update) => update.bids.len(),
+            Message::Pull(pull) => pull.picks.len(),
+            Message::Pulled(pulled) => pulled.counts.len(),
+            Message::Ledger(delta) => delta.totals.len(),
+            _ => 0,
+        };
         println!(
-            "size, {kind}: envelope with one message {} bytes",
+            "size, {kind} with {items} items: envelope with one message {} bytes",
             envelope.encode().len()
         );
     }
