--- a/bench/src/bin/ledger.rs
+++ b/bench/src/bin/ledger.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-use entity::{Cost, DocumentHash, ProcessId, Revision, TeamId, Weight};
+use entity::{DocumentHash, ProcessId, Revision, TeamId, Weight};
 use filetests::fleet::{Fleet, FleetSettings, TeamLoad};
 use policy::fair::{Charge, Party, Rank, Share, Teams};
 use policy::ledger::{Extrapolation, Ledger, LedgerSettings};
