--- a/bench/benches/choice.rs
+++ b/bench/benches/choice.rs
@@ -72,6 +72,7 @@
     serial: u128,
     team: Tag,
     sequence: u64,
+    updates: u64,
 }
 
 impl Slot {
@@ -92,20 +93,24 @@
             serial: 0,
             team: Tag(0),
             sequence: 0,
+            updates: 0,
         };
         slot.tell(AgentEvent::Configured(config));
         slot.meet_peer(backlogged);
         slot.bid(backlogged);
-        slot.learn_pace();
+        slot.learn_pace(backlogged);
         slot
     }
 
     /// Serves for some seconds, so that the ledger knows how fast the others serve.
-    fn learn_pace(&mut self) {
+    ///
+    /// The pull in flight is lost meanwhile, and with it the router's bids, so the router bids anew.
+    fn learn_pace(&mut self, backlogged: usize) {
         for _ in 0..4 {
             self.cycle();
             self.now = self.now.after(Duration::from_millis(1_100));
             self.tell(AgentEvent::Tick);
+            self.bid(backlogged);
         }
         assert!(self.agent.share().unseen(self.now.mono) > 0);
     }
@@ -141,9 +146,10 @@
             oldest: Duration::ZERO,
             hint: Cost(100),
         });
+        self.updates += 1;
         let update = BidUpdate {
             router: endpoint("router"),
-            sequence: 1,
+            sequence: self.updates,
             pool: Name::new("pool").tag(),
             full: true,
             bids: bids.collect(),
