--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -408,7 +408,8 @@
         }
         let members = fleet.members().iter().filter(|member| member.is_live());
         self.members = members.map(|member| member.claim.endpoint).collect();
-        let members = fleet.members().iter().filter(|member| member.is_live());
+        // Those held dead are asked as well: an answer ends a partition early.
+        let members = fleet.members().iter();
         let routers = members.filter(|member| member.claim.role == FleetRole::Router);
         self.routers = routers.map(|member| member.claim.endpoint).collect();
         if let Some(at) = fleet.confirmed_at() {
--- a/bench/src/bin/binding.rs
+++ b/bench/src/bin/binding.rs
@@ -129,7 +129,14 @@
             sequence: 1_000,
             pool: tag,
             full: false,
-            bids: vec![bid],
+            bids: vec![bid.clone()],
+        }),
+        Message::Bids(BidUpdate {
+            router,
+            sequence: 1_000,
+            pool: tag,
+            full: true,
+            bids: vec![bid; 100],
         }),
         Message::Pull(Pull {
             agent,
@@ -163,10 +170,17 @@
     for message in &messages {
         let text = format!("{message:?}");
         let kind = text.split('(').next().unwrap_or_default();
+        let items = match message {
+            Message::Bids(update) => update.bids.len(),
+            Message::Pull(pull) => pull.picks.len(),
+            Message::Pulled(pulled) => pulled.counts.len(),
+            Message::Ledger(delta) => delta.totals.len(),
+            _ => 0,
+        };
         let size = seal(core::slice::from_ref(message)).len();
-        println!("size, {kind}: envelope with one message {size} bytes");
+        println!("size, {kind} with {items} items: envelope with one message {size} bytes");
     }
-    let [bids, pull, pulled, ledger] = messages;
+    let [bids, _, pull, pulled, ledger] = messages;
     let load = Message::Load(Load::default());
     let exchange = |name: &str, question: &[Message], answer: &[Message]| {
         let bytes = exchange_bytes(seal(question), seal(answer));
--- a/filetests/src/sim/process.rs
+++ b/filetests/src/sim/process.rs
@@ -241,7 +241,8 @@
         let known = &mut self.processes[process];
         let members = known.fleet.members().iter();
         let live: Vec<_> = members.filter(|member| member.is_live()).collect();
-        let routers = live.iter();
+        // Those held dead are asked as well: an answer ends a partition early.
+        let routers = known.fleet.members().iter();
         let routers = routers.filter(|member| member.claim.role == FleetRole::Router);
         known.routers = routers.map(|member| member.claim.endpoint).collect();
         known.members = live.iter().map(|member| member.claim.endpoint).collect();
--- a/livetests/tests/stops.rs
+++ b/livetests/tests/stops.rs
@@ -8,6 +8,12 @@
 /// The number of streams that are open when the stop begins.
 const STREAMS: usize = 100;
 
+/// The tokens of a stream that ends during the stop.
+const SHORT: u32 = 60;
+
+/// The tokens of a stream that cannot end before the second signal.
+const LONG: u32 = 20_000;
+
 /// Engines that carry all streams at once and take a while for each.
 fn plan() -> Plan {
     let flags = [
@@ -36,10 +42,10 @@
     fleet
 }
 
-async fn open_streams(fleet: &Deployment) -> Vec<actix_rt::task::JoinHandle<Ending>> {
+async fn open_streams(fleet: &Deployment, tokens: u32) -> Vec<actix_rt::task::JoinHandle<Ending>> {
     let streams: Vec<_> = (0..STREAMS)
         .map(|number| {
-            let call = Call::chat("alpha", &format!("review {number}"), 60);
+            let call = Call::chat("alpha", &format!("review {number}"), tokens);
             let router = fleet.callers(0);
             actix_rt::spawn(async move { call.send(router).await })
         })
@@ -79,7 +85,7 @@
 #[actix_rt::test]
 async fn a_router_that_stops_cuts_no_stream() {
     let mut fleet = start("router-stops").await;
-    let streams = open_streams(&fleet).await;
+    let streams = open_streams(&fleet, SHORT).await;
     fleet.routers[0]
         .signal(Signal::Terminate)
         .expect("the router runs");
@@ -90,7 +96,7 @@
 #[actix_rt::test]
 async fn an_agent_that_stops_cuts_no_stream_and_gets_no_new_work() {
     let mut fleet = start("agent-stops").await;
-    let streams = open_streams(&fleet).await;
+    let streams = open_streams(&fleet, SHORT).await;
     fleet.pairs[0]
         .agent
         .signal(Signal::Terminate)
@@ -107,7 +113,7 @@
 #[actix_rt::test]
 async fn a_second_signal_stops_at_once() {
     let mut fleet = start("second-signal").await;
-    let streams = open_streams(&fleet).await;
+    let streams = open_streams(&fleet, LONG).await;
     fleet.routers[0]
         .signal(Signal::Terminate)
         .expect("the router runs");
--- a/node/src/body.rs
+++ b/node/src/body.rs
@@ -35,6 +35,8 @@
     Whole(Bytes),
     /// Bytes come as the source produces them.
     Stream(S),
+    /// The source broke; the error follows once the bytes before it were written.
+    Cut,
 }
 
 impl<S: Chunks> MessageBody for Body<S> {
@@ -43,7 +45,7 @@
     fn size(&self) -> BodySize {
         match self {
             Self::Whole(bytes) => BodySize::Sized(bytes.len() as u64),
-            Self::Stream(_) => BodySize::Stream,
+            Self::Stream(_) | Self::Cut => BodySize::Stream,
         }
     }
 
@@ -51,10 +53,20 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, CutBody>>> {
-        match &mut *self {
-            Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Self::Whole(bytes) => Poll::Ready(Some(Ok(std::mem::take(bytes)))),
+        let polled = match &mut *self {
+            Self::Whole(bytes) if bytes.is_empty() => return Poll::Ready(None),
+            Self::Whole(bytes) => return Poll::Ready(Some(Ok(std::mem::take(bytes)))),
+            Self::Cut => return Poll::Ready(Some(Err(CutBody))),
             Self::Stream(stream) => stream.poll_chunk(cx),
+        };
+        match polled {
+            // An error makes the HTTP layer drop what it has not written yet.
+            Poll::Ready(Some(Err(CutBody))) => {
+                *self = Self::Cut;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled,
         }
     }
 }
--- a/node/tests/client.rs
+++ b/node/tests/client.rs
@@ -2,7 +2,9 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::channel;
 use std::thread;
+use std::time::Duration;
 
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Uri};
@@ -73,13 +75,27 @@
 
 #[actix_rt::test]
 async fn a_connection_that_the_server_closed_is_not_reused() {
-    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
-    let address = serve(Box::leak(Box::new([answer, answer])));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let (closed, closes) = channel();
+    thread::spawn(move || {
+        for _ in 0..2 {
+            let Ok((mut stream, _)) = listener.accept() else {
+                return;
+            };
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+            drop(stream);
+            let _ = closed.send(());
+        }
+    });
     let client = Client::new();
     for _ in 0..2 {
         let response = client.send(address, request()).await.expect("a response");
         assert_eq!(response.body.whole(10).await.expect("a whole body"), "ok");
-        // The server closes after each answer; wait until that is seen here.
-        actix_rt::task::yield_now().await;
+        closes.recv().expect("the server closes the connection");
+        // The close has happened; parking lets the reactor see it.
+        actix_rt::time::sleep(Duration::from_millis(1)).await;
     }
 }
