--- a/node/src/daemon.rs
+++ b/node/src/daemon.rs
@@ -136,6 +136,7 @@
             HttpService::build()
                 .client_request_timeout(traffic.head_timeout)
                 .keep_alive(SERVER_KEEP_ALIVE)
+                .tcp_nodelay(true)
                 .h1_allow_half_closed(false)
                 .h1(fn_service(respond))
                 .tcp()
--- /dev/null
+++ b/node/src/host/operators.rs
@@ -0,0 +1,106 @@
+//! Answers to operators, and what the log tells them of the fleet.
+
+use entity::{Clock, Decision, Now};
+use policy::fleet::Alarm;
+
+use super::{Host, Readiness, Role};
+use crate::event::{self, Event};
+use crate::ops::{Explanation, Query, Source};
+
+impl<R: Role> Host<R> {
+    /// Whether the process takes requests, and why not.
+    fn readiness(&self) -> Result<(), String> {
+        let fleet = self.fleet.borrow();
+        let waiting = fleet.waiting(self.clock.now());
+        match self.role.borrow().readiness() {
+            Readiness::Stopped => Err("stopped".to_owned()),
+            Readiness::NotReady(why) => Err(why.to_owned()),
+            Readiness::Ready if fleet.is_ready() => Ok(()),
+            Readiness::Ready => {
+                Err(waiting.map_or_else(|| "starting".to_owned(), |why| why.to_string()))
+            }
+        }
+    }
+
+    pub(super) fn answer(&self, query: Query) {
+        let now = self.clock.now();
+        let role = self.role.borrow();
+        // A failed send means that the asker gave up.
+        match query {
+            Query::Ready(reply) => {
+                drop(role);
+                let _ = reply.send(self.readiness());
+            }
+            Query::Dump(reply) => {
+                let _ = reply.send(self.dump(&role, now));
+            }
+            Query::Why(request, reply) => {
+                let decisions = role.why(request);
+                let _ = reply.send(decisions.map(|decisions| self.explain(decisions)));
+            }
+        }
+    }
+
+    fn dump(&self, role: &R, now: Now) -> serde_json::Value {
+        let fleet = self.fleet.borrow();
+        let endpoint = fleet.endpoint();
+        let version = fleet.version();
+        let bytes = *self.bytes.borrow();
+        serde_json::json!({
+            "process": self.name,
+            "incarnation": endpoint.incarnation.0,
+            "control": endpoint.control.to_string(),
+            "revision": version.revision.0,
+            "hash": version.hash.to_string(),
+            "links": {
+                "open": self.links.len(),
+                "bytes_sent": bytes.sent,
+                "bytes_received": bytes.received,
+                "exchanges": bytes.exchanges,
+                "rejected": self.rejected.get(),
+            },
+            "fleet": fleet.dump(now),
+            "role": role.dump(now),
+        })
+    }
+
+    fn explain(&self, decisions: Vec<Decision>) -> Explanation {
+        let history = self.history.borrow();
+        let mut rules: Vec<_> = decisions
+            .iter()
+            .flat_map(|decision| &decision.rules)
+            .collect();
+        rules.sort_unstable();
+        rules.dedup();
+        let sources = rules.into_iter().filter_map(|&rule| {
+            let source = history.source(rule)?;
+            Some(Source {
+                rule: rule.to_string(),
+                text: source.text.to_string(),
+                asker: source.asker.to_string(),
+            })
+        });
+        let sources = sources.collect();
+        Explanation {
+            process: self.name.clone(),
+            decisions,
+            sources,
+        }
+    }
+}
+
+/// Logs an alarm of the fleet machine.
+pub(super) fn tell_operators(alarm: &Alarm) {
+    let event = match alarm {
+        Alarm::Invalid { .. } => Event::ConfigRefused,
+        Alarm::Conflict { .. } => Event::ConfigConflict,
+        Alarm::StaleService { .. } => Event::ConfigStale,
+        Alarm::Garbage { .. } => Event::ServiceGarbage,
+        Alarm::Missing { .. } => Event::PartUnavailable,
+        Alarm::Corrupt { .. } => Event::MessageRefused,
+        Alarm::Suspected => Event::SelfSuspected,
+        Alarm::Superseded { .. } => Event::SelfSuperseded,
+        Alarm::Paused { .. } => Event::SelfPaused,
+    };
+    event::log(event, &[("detail", alarm)]);
+}
--- /dev/null
+++ b/node/src/host/signals.rs
@@ -0,0 +1,28 @@
+//! The signals that ask a process to stop.
+
+use eyre::WrapErr;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// The signals that ask a process to stop.
+pub(super) struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    pub(super) fn new() -> eyre::Result<Self> {
+        let terminate = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
+        let interrupt = signal(SignalKind::interrupt()).wrap_err("cannot handle SIGINT")?;
+        Ok(Self {
+            terminate,
+            interrupt,
+        })
+    }
+
+    pub(super) async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
