Metrics of endings and slots, a time limit for bodies; the unused drain machine removed

policy/src/drain.rs was called by nothing: the composites' Stop and the host's stop limit do its work; its tests went with it. A slow body no longer holds a connection for ever (30 s). The late hand-over check has a test of its own.

--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -11,7 +11,9 @@
 };
 use node::event::{self, Event, Field};
 use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
+use node::metrics::{EndMetrics, SlotMetrics};
 use node::trace::Trace;
+use opentelemetry::metrics::Meter;
 use policy::fact::Fact;
 use policy::fleet::{Broadcast, Role as FleetRole};
 use policy::message::{Endpoint, Load, Offer};
@@ -115,6 +117,8 @@
 /// The control state of an agent.
 pub struct AgentRole {
     agent: Agent,
+    slots: SlotMetrics,
+    ends: EndMetrics,
     target: Tag,
     answers: Answers,
     incarnation: SharedIncarnation,
@@ -145,8 +149,11 @@
         answers: u64,
         incarnation: SharedIncarnation,
         orders: EngineOrders,
+        meter: &Meter,
     ) -> Self {
         Self {
+            slots: SlotMetrics::new(meter),
+            ends: EndMetrics::new(meter, "knapweed_attempts"),
             target: settings.endpoint.id.0,
             agent: Agent::new(settings).with_answers(answers),
             answers: Answers::default(),
@@ -330,6 +337,7 @@
             Input::Kept { attempt, bytes } => AgentEvent::Kept { attempt, bytes },
             Input::Ended { attempt, end } => {
                 self.cancels.remove(&attempt);
+                self.ends.count(name(end), String::new());
                 AgentEvent::Ended { attempt, end }
             }
             Input::Report(report) => AgentEvent::Report(report),
@@ -432,6 +440,7 @@
 
     fn tick(&mut self, now: Now, out: &mut Outbox) {
         self.handle(now, AgentEvent::Tick, out);
+        self.slots.record(self.agent.load());
         self.orders.tick(now.mono);
         for target in self.orders.inquiries(now.mono) {
             if let Some(to) = self.control_address(target) {
@@ -480,3 +489,15 @@
         self.trace.why(request).map(<[Decision]>::to_vec)
     }
 }
+
+/// How an attempt ended, as a label of a metric.
+fn name(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Answered { .. } => "answered",
+        AttemptEnd::Refused => "refused",
+        AttemptEnd::Unsent => "unsent",
+        AttemptEnd::Broken => "broken",
+        AttemptEnd::Cancelled => "cancelled",
+        AttemptEnd::Withheld => "withheld",
+    }
+}
--- a/agent/src/run.rs
+++ b/agent/src/run.rs
@@ -49,8 +49,9 @@
     };
     let answers = settings.limits.answers_bytes as u64;
     let (orders, given) = EngineOrders::new(endpoint);
-    let role = AgentRole::new(policy, answers, incarnation.clone(), orders);
     let metrics = Metrics::new()?;
+    let meter = metrics.meter();
+    let role = AgentRole::new(policy, answers, incarnation.clone(), orders, &meter);
     let host_settings = HostSettings {
         name: settings.name.clone(),
         endpoint,
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -9,6 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use futures::StreamExt;
+use tokio::time::timeout;
 use wire::INTERNAL_PREFIX;
 
 /// The time an idle connection to an agent or target is kept by its client.
@@ -53,14 +54,25 @@
     /// The connection broke or the framing is malformed.
     #[display("broken body")]
     Broken,
+    /// The body did not arrive in time.
+    #[display("slow body")]
+    Slow,
 }
 
+/// The time for a client to send a request's body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Reads a request's whole body.
 ///
 /// # Errors
 ///
-/// Returns an error if the body is over `limit` bytes or broken.
+/// Returns an error if the body is over `limit` bytes, broken or too slow.
 pub async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, BodyError> {
+    let whole = timeout(BODY_TIMEOUT, read_chunks(request, limit)).await;
+    whole.unwrap_or(Err(BodyError::Slow))
+}
+
+async fn read_chunks(request: &mut Request, limit: usize) -> Result<Bytes, BodyError> {
     let mut payload: Payload = request.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Metrics through `opentelemetry`, exported in the Prometheus text format.
 
 use eyre::WrapErr;
+use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use policy::message::Load;
 use prometheus::{Registry, TextEncoder};
 
 /// The metrics of one process.
@@ -101,3 +103,46 @@
         self.links.record(sample.links, &[]);
     }
 }
+
+/// Counts how requests, or attempts on a target, ended.
+#[derive(Clone, Debug)]
+pub struct EndMetrics(Counter<u64>);
+
+impl EndMetrics {
+    /// Creates the counter `name`.
+    pub fn new(meter: &Meter, name: &'static str) -> Self {
+        Self(meter.u64_counter(name).build())
+    }
+
+    /// Counts one ending; `reason` is empty for an answer.
+    pub fn count(&self, outcome: &'static str, reason: String) {
+        let labels = [
+            KeyValue::new("outcome", outcome),
+            KeyValue::new("reason", reason),
+        ];
+        self.0.add(1, &labels);
+    }
+}
+
+/// The load of an agent's target, as it is at the last tick.
+#[derive(Clone, Debug)]
+pub struct SlotMetrics {
+    window: Gauge<u64>,
+    running: Gauge<u64>,
+}
+
+impl SlotMetrics {
+    /// Creates the instruments.
+    pub fn new(meter: &Meter) -> Self {
+        Self {
+            window: meter.u64_gauge("knapweed_slots_window").build(),
+            running: meter.u64_gauge("knapweed_slots_running").build(),
+        }
+    }
+
+    /// Records the present slots.
+    pub fn record(&self, load: Load) {
+        self.window.record(load.window.into(), &[]);
+        self.running.record(load.running.into(), &[]);
+    }
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod bid;
 pub mod choose;
 pub mod cost;
-pub mod drain;
 pub mod dump;
 pub mod fact;
 pub mod fair;
--- a/policy/tests/once.rs
+++ b/policy/tests/once.rs
@@ -4,7 +4,7 @@
 
 use entity::{AttemptId, Fingerprint, IdempotencyKey, Incarnation, Now, RequestId, Revision, Tag};
 use knapweed_policy::home::{Bounds, Roster, Seat, TicketMint, Vouch};
-use knapweed_policy::once::{OnceMemory, OnceSettings, OnceVerdict};
+use knapweed_policy::once::{HAND_OVER, OnceMemory, OnceSettings, OnceVerdict, is_late};
 
 const BOUNDS: Bounds = Bounds {
     skew: Duration::from_secs(2),
@@ -324,3 +324,28 @@
         .expect("later than the start");
     format!("from epoch + {from:?}, until start + {until:?}")
 }
+
+#[test]
+fn an_attempt_is_late_by_whichever_clock_moved_further() {
+    let wall = UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+    let decided = Now {
+        mono: Instant::now(),
+        wall,
+    };
+    let limit = HAND_OVER.as_secs();
+    let moved = [(0, 0), (limit, limit), (limit + 1, 0), (0, limit + 1)];
+    let late = moved.map(|(mono, wall)| {
+        let now = Now {
+            mono: decided.mono + Duration::from_secs(mono),
+            wall: decided.wall + Duration::from_secs(wall),
+        };
+        is_late(decided, now)
+    });
+    assert_eq!(late, [false, false, true, true]);
+    // A wall clock that was set back must not make an attempt early.
+    let back = Now {
+        mono: decided.mono,
+        wall: decided.wall - Duration::from_secs(60),
+    };
+    assert!(!is_late(decided, back));
+}
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -13,9 +13,12 @@
 };
 use node::event::{self, Event, Field};
 use node::host::{FleetMachine, Outbox, Outgoing, Readiness, Role};
+use node::metrics::EndMetrics;
 use node::trace::Trace;
+use opentelemetry::metrics::Meter;
 use policy::fleet::Broadcast;
 use policy::message::{Endpoint, Load};
+use policy::status::{ANSWERED, NOT_RUN, UNKNOWN};
 use policy::{
     Arrival, AttemptResult, DispatchOrder, Router, RouterAction, RouterEvent, RouterSettings,
 };
@@ -60,8 +63,15 @@
         /// The attempt that the answer names.
         answered: AttemptId,
     },
+    /// Decisions about a request that is not submitted.
+    Recorded(Vec<Decision>),
     /// A filter rejected a request after these decisions.
-    Rejected(Vec<Decision>),
+    Rejected {
+        /// The reason.
+        reason: Reason,
+        /// The decisions.
+        decisions: Vec<Decision>,
+    },
     /// A caller asks for a ticket.
     Ticket {
         /// The request that the ticket is for.
@@ -141,6 +151,7 @@
     standings: FxHashMap<TargetId, Standing>,
     superseded: bool,
     mismatches: u64,
+    ends: EndMetrics,
     finished: u64,
 }
 
@@ -148,7 +159,7 @@
     /// Creates the state of a router that has no configuration yet.
     ///
     /// A planned stop refuses what still waits after half of `stop_limit`.
-    pub fn new(settings: RouterSettings, stop_limit: Duration) -> Self {
+    pub fn new(settings: RouterSettings, stop_limit: Duration, meter: &Meter) -> Self {
         Self {
             stop_limit,
             hand_back: None,
@@ -162,6 +173,7 @@
             standings: FxHashMap::default(),
             superseded: false,
             mismatches: 0,
+            ends: EndMetrics::new(meter, "knapweed_requests"),
             finished: 0,
         }
     }
@@ -187,6 +199,7 @@
             RouterAction::Finish { request, outcome } => {
                 self.finished += 1;
                 log_ending(request, &outcome);
+                self.count(&outcome);
                 self.order(request, Order::Finish(outcome));
                 self.orders.remove(&request);
             }
@@ -202,6 +215,23 @@
         }
     }
 
+    fn record(&mut self, decisions: Vec<Decision>) {
+        for decision in decisions {
+            self.trace.record(decision);
+        }
+    }
+
+    /// Counts the ending of a request that got no answer.
+    fn count(&self, outcome: &Outcome) {
+        match outcome {
+            Outcome::Answered { .. } => {}
+            Outcome::NotRun { refusal, .. } => {
+                self.ends.count(NOT_RUN, refusal.reason.to_string());
+            }
+            Outcome::Unknown { refusal } => self.ends.count(UNKNOWN, refusal.reason.to_string()),
+        }
+    }
+
     /// Gives an order to a request's traffic thread, unless its caller left.
     fn order(&mut self, request: RequestId, order: Order) {
         let lost = match self.orders.get(&request) {
@@ -270,9 +300,7 @@
             orders,
         } = submission;
         self.orders.insert(arrival.request, orders);
-        for decision in decisions {
-            self.trace.record(decision);
-        }
+        self.record(decisions);
         self.handle(now, RouterEvent::Arrived(arrival), out);
     }
 }
@@ -293,6 +321,7 @@
             Input::Submit(submission) => self.submitted(now, *submission, out),
             Input::Ended { attempt, result } => {
                 if matches!(result, AttemptResult::Answered { .. }) {
+                    self.ends.count(ANSWERED, String::new());
                     self.orders.remove(&attempt.request);
                 }
                 self.handle(now, RouterEvent::Ended { attempt, result }, out);
@@ -323,11 +352,11 @@
                 // A caller that has left needs no ticket.
                 let _ = reply.send(ticket);
             }
-            Input::Rejected(decisions) => {
-                for decision in decisions {
-                    self.trace.record(decision);
-                }
+            Input::Rejected { reason, decisions } => {
+                self.ends.count(NOT_RUN, reason.to_string());
+                self.record(decisions);
             }
+            Input::Recorded(decisions) => self.record(decisions),
         }
     }
 
--- a/router/src/run.rs
+++ b/router/src/run.rs
@@ -38,8 +38,8 @@
         centre: Name::new(&settings.data_centre),
         seed: endpoint.incarnation.0,
     };
-    let role = RouterRole::new(policy, settings.stop_limit);
     let metrics = Metrics::new()?;
+    let role = RouterRole::new(policy, settings.stop_limit, &metrics.meter());
     let host_settings = HostSettings {
         name: settings.name.clone(),
         endpoint,
--- a/router/src/service.rs
+++ b/router/src/service.rs
@@ -111,7 +111,9 @@
             Err(error) => {
                 let reason = match error {
                     node::http::BodyError::TooLarge => Reason::TooLarge,
-                    node::http::BodyError::Broken => Reason::Malformed,
+                    node::http::BodyError::Broken | node::http::BodyError::Slow => {
+                        Reason::Malformed
+                    }
                 };
                 return self.reject(exchange, Rejection::for_good(reason));
             }
@@ -123,7 +125,9 @@
         let rule = rejection.refusal.rule;
         let detail = format!("refused, not run: {}", rejection.refusal.reason);
         exchange.decide(self.clock.now().wall, Step::End, rule.as_slice(), detail);
-        self.reporter.report(Input::Rejected(exchange.decisions));
+        let reason = rejection.refusal.reason;
+        let decisions = exchange.decisions;
+        self.reporter.report(Input::Rejected { reason, decisions });
         let outcome = refused(exchange.key, rejection.refusal);
         respond::finished(exchange.request, &outcome)
     }
@@ -203,7 +207,7 @@
         let request = exchange.request;
         let arrival = arrival(now, &exchange);
         let decisions = std::mem::take(&mut exchange.decisions);
-        self.reporter.report(Input::Rejected(decisions));
+        self.reporter.report(Input::Recorded(decisions));
         let (reply, ticket) = oneshot::channel();
         let arrival = Box::new(arrival);
         self.reporter.report(Input::Ticket { arrival, reply });
