--- a/node/src/daemon.rs
+++ b/node/src/daemon.rs
@@ -138,7 +138,7 @@
                 .keep_alive(SERVER_KEEP_ALIVE)
                 .tcp_nodelay(true)
                 .h1_allow_half_closed(false)
-                .h1(fn_service(respond))
+                .finish(fn_service(respond))
                 .tcp()
         })
         .wrap_err("cannot serve requests")?;
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -172,7 +172,7 @@
         root = ask("\n".join(lines))
         for key, part in parts.items():
             root += ask(f"part {key} sha256:{hashlib.sha256(part.encode()).hexdigest()}")
-        return root, parts
+        return root + ask("end"), parts
 
     def publish(self, revision, configs=None):
         root, parts = self.document(revision)
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -127,7 +127,7 @@
                 .keep_alive(Duration::from_secs(KEEP_ALIVE_SECONDS))
                 .tcp_nodelay(true)
                 .h1_allow_half_closed(false)
-                .h1(move |request| answer(handler.clone(), request))
+                .finish(move |request| answer(handler.clone(), request))
                 .tcp()
         })?
         .run();
