--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -8,7 +8,7 @@
 
 use super::driver::{Event, GapPoint, Outcome};
 use super::mix::Team;
-use super::promise::{Checked, doubled_keys};
+use super::promise::{Checked, Outage, doubled_keys, outages};
 use super::tally::TeamTally;
 use super::watch::{Observation, TargetSpec, Truth};
 use crate::counts::Totals;
@@ -204,7 +204,11 @@
         teams[claim.team].doubled += 1;
     }
     let observations = &outcome.observations;
-    let changes = changes(observations);
+    let outages = outages(setting.events, outcome.time);
+    let mut changes = changes(observations);
+    for change in &mut changes {
+        leave_out(change, setting.targets, &outages);
+    }
     let waits = |at: Duration| is_backlogged(&outcome.gaps, at);
     Report {
         mix: setting.mix.clone(),
@@ -275,6 +279,22 @@
     }
 }
 
+/// Slots of a data centre that is out of service are no capacity.
+fn leave_out(change: &mut Change, targets: &[TargetSpec], outages: &[Outage]) {
+    for (target, totals) in targets.iter().zip(&mut change.targets) {
+        let is_out = outages.iter().any(|outage| {
+            outage.data_centre == target.data_centre
+                && (outage.from..outage.to).contains(&change.at)
+        });
+        if let Some(totals) = totals
+            && is_out
+        {
+            totals.held_millis = 0;
+            totals.limit_millis = 0;
+        }
+    }
+}
+
 fn utilisation<'a>(changes: impl Iterator<Item = &'a Change>) -> Option<f64> {
     let totals = changes.flat_map(|change| change.targets.iter().flatten());
     let (held, limit) = totals.fold((0, 0), |(held, limit), totals| {
