--- a/livetests/tests/path.rs
+++ b/livetests/tests/path.rs
@@ -4,6 +4,8 @@
 use knapweed_livetests::deployment::{Deployment, Plan, get};
 use knapweed_livetests::process::Signal;
 use knapweed_livetests::until;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 #[actix_rt::test]
 async fn a_streamed_answer_arrives_whole_and_can_be_explained() {
@@ -64,3 +66,43 @@
     .await;
     assert_eq!(status.code(), Some(0));
 }
+
+/// The status line of the answer to raw bytes; empty if the connection just ends.
+async fn raw(router: std::net::SocketAddr, bytes: &str) -> String {
+    let mut stream = TcpStream::connect(router)
+        .await
+        .expect("the router listens");
+    stream
+        .write_all(bytes.as_bytes())
+        .await
+        .expect("the bytes are sent");
+    let mut answer = vec![0; 1024];
+    let size = stream.read(&mut answer).await.unwrap_or(0);
+    let answer = String::from_utf8_lossy(&answer[..size]).into_owned();
+    answer.lines().next().unwrap_or_default().to_owned()
+}
+
+#[actix_rt::test]
+async fn a_request_with_two_framings_is_refused_and_runs_nothing() {
+    let fleet = Deployment::start("smuggle", Plan::default())
+        .await
+        .expect("the fleet starts");
+    let router = fleet.callers(0);
+    let head =
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer kw-demo-alpha\r\n";
+    let cases = [
+        "content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        "content-length: 4\r\ncontent-length: 5\r\n\r\n{}{}",
+        "transfer-encoding: gzip, chunked, chunked\r\n\r\n0\r\n\r\n",
+    ];
+    for framing in cases {
+        let status = raw(router, &format!("{head}{framing}")).await;
+        assert!(
+            status.is_empty() || status.contains(" 400 "),
+            "{framing:?}: {status}"
+        );
+    }
+    for index in 0..fleet.pairs.len() {
+        assert_eq!(fleet.counts(index).await["runs"]["started"], 0);
+    }
+}
