--- a/edge/src/caller.rs
+++ b/edge/src/caller.rs
@@ -9,6 +9,7 @@
 //! - After a request whose framing is in doubt the connection is closed.
 
 use std::io;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix_http::body::BodySize;
@@ -23,6 +24,8 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::context::Context;
+
 /// Bytes that are read from a connection at once.
 const READ_BYTES: usize = 4 * 1024;
 
@@ -80,16 +83,26 @@
         }
     }
 
-    /// Waits for a request.
-    pub(crate) async fn next(&mut self, limits: CallerLimits) -> Next {
-        if self.input.is_empty() {
-            // Buffers of idle connections would add up.
-            self.input = BytesMut::new();
-            match timeout(limits.idle_time, self.read()).await {
-                Ok(Ok(true)) => {}
-                Ok(Ok(false) | Err(_)) | Err(_) => return Next::Ended,
-            }
+    /// Waits for the first byte of a request; returns `false` if the connection is to be closed.
+    pub(crate) async fn wait(&mut self, context: &Context, idle: Duration) -> bool {
+        if !self.input.is_empty() {
+            return true;
+        }
+        // Buffers of idle connections would add up.
+        self.input = BytesMut::new();
+        let closing = context.closing.notified();
+        if context.shared.closing.load(Ordering::Relaxed) {
+            return false;
         }
+        tokio::select! {
+            biased;
+            read = timeout(idle, self.read()) => matches!(read, Ok(Ok(true))),
+            () = closing => false,
+        }
+    }
+
+    /// Reads the request of which the first bytes are there.
+    pub(crate) async fn next(&mut self, limits: CallerLimits) -> Next {
         let since = std::time::Instant::now();
         let head = match timeout(limits.head_time, self.head(limits.head_bytes)).await {
             Ok(Ok(Some(head))) => head,
--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -20,6 +20,7 @@
 use policy::direct::share::Shares;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::Notify;
 
 use crate::metrics::TrafficMetrics;
 use crate::shared::{Shared, Sheet};
@@ -57,6 +58,8 @@
     pub(crate) links: Links,
     pub(crate) http: ServiceConfig,
     pub(crate) metrics: TrafficMetrics,
+    /// Tells idle connections that they are closed.
+    pub(crate) closing: Notify,
     suspects: RefCell<Vec<Suspect>>,
     roster: Cell<usize>,
     peers: Cell<Option<Instant>>,
@@ -81,6 +84,7 @@
             place: PlaceSettings {
                 read_rate: settings.engine.read_rate.max(1.0),
                 wait_share: settings.engine.wait_share,
+                reread: settings.engine.reread,
                 ..PlaceSettings::default()
             },
             board: RefCell::default(),
@@ -91,6 +95,7 @@
             links: Links::new(http.clone()),
             http,
             metrics,
+            closing: Notify::new(),
             suspects: RefCell::default(),
             roster: Cell::new(0),
             peers: Cell::new(None),
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -37,10 +37,10 @@
 
 /// How long new connections are taken after a planned stop began; the balancer
 /// notices within two of its checks.
-const STOP_ACCEPT: Duration = Duration::from_millis(3_000);
+const STOP_ACCEPT: Duration = Duration::from_millis(2_700);
 
 /// The part of the stop limit that is left for the process to end.
-const STOP_MARGIN: Duration = Duration::from_millis(600);
+const STOP_MARGIN: Duration = Duration::from_millis(300);
 
 /// How often a stopping process looks whether its requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(25);
@@ -252,7 +252,11 @@
     loop {
         let open = context.shared.open.load(Ordering::Relaxed);
         let spent = began.elapsed();
-        if open == 0 && spent >= STOP_ACCEPT.min(limit) {
+        let is_closing = spent >= STOP_ACCEPT.min(limit);
+        if is_closing && !context.shared.closing.swap(true, Ordering::Relaxed) {
+            context.closing.notify_waiters();
+        }
+        if open == 0 && is_closing {
             event::log(Event::StopEnded, &[("after_ms", &spent.as_millis())]);
             return Exit::Finished;
         }
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -223,7 +223,9 @@
         let ask = Ask {
             service,
             prompt,
-            objective: route.objective,
+            objective: config
+                .least_objective(service.name.as_str())
+                .unwrap_or(route.objective),
             favour: self.favour(prompt, now),
             centre: &context.centre,
             tried: &self.tried,
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -19,7 +19,7 @@
 use crate::caller::{Caller, EARLY_LIMITS, Next, until};
 use crate::context::Context;
 use crate::events::Events;
-use crate::order::{Order, Refusal};
+use crate::order::{Entitled, Order, Refusal};
 use crate::serve::{Outcome, Stream, Work};
 use crate::target::Cut;
 use crate::tcp;
@@ -28,6 +28,9 @@
 /// that the answer arrives in time.
 const ANSWER_LEAD: Duration = Duration::from_millis(15);
 
+/// When callers come back that were refused by a router that stops.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
+
 /// How a request ended for its caller.
 enum Ended {
     /// The caller has a whole answer.
@@ -54,6 +57,9 @@
         let limits = context
             .config()
             .map_or(EARLY_LIMITS, |config| config.limits);
+        if !caller.wait(&context, limits.idle_time).await {
+            return;
+        }
         let next = caller.next(limits).await;
         let incoming = match next {
             Next::Request(incoming) => *incoming,
@@ -78,7 +84,8 @@
 }
 
 async fn one(context: &Rc<Context>, caller: &mut Caller, order: Order) -> Ended {
-    let entitled = match order.entitle(&context.shared) {
+    let entitled = order.entitle(&context.shared);
+    let entitled = match entitled.and_then(|entitled| taken(context, entitled)) {
         Ok(entitled) => entitled,
         Err(refusal) => {
             note_refused(&order, None, refusal);
@@ -120,6 +127,14 @@
     ended
 }
 
+/// Refuses a request that comes so late in a planned stop that it might be cut.
+fn taken(context: &Context, entitled: Entitled) -> Result<Entitled, Refusal> {
+    match context.shared.closing.load(Ordering::Relaxed) {
+        true => Err(Refusal::not_run("stopping", STOPPING_RETRY)),
+        false => Ok(entitled),
+    }
+}
+
 async fn deliver(
     context: &Rc<Context>,
     caller: &mut Caller,
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -49,6 +49,8 @@
     pub(crate) routers: AtomicUsize,
     /// Whether a planned stop has begun.
     pub(crate) stopping: AtomicBool,
+    /// Whether a planned stop has come to the point at which no request is taken.
+    pub(crate) closing: AtomicBool,
     /// Requests that have not ended.
     pub(crate) open: AtomicUsize,
     confirmed: AtomicU64,
@@ -73,6 +75,7 @@
             sheet: ArcSwap::default(),
             routers: AtomicUsize::new(1),
             stopping: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             open: AtomicUsize::new(0),
             confirmed: AtomicU64::new(0),
             revoke,
--- a/node/src/settings/edge.rs
+++ b/node/src/settings/edge.rs
@@ -54,6 +54,8 @@
     pub read_rate: f64,
     /// The share of an objective up to which work may wait at a target.
     pub wait_share: f64,
+    /// The cost of reading a token again, relative to reading it once.
+    pub reread: f64,
 }
 
 impl Settings for EdgeSettings {
@@ -107,9 +109,11 @@
     fn read(section: &mut Section<'_>) -> Option<Self> {
         let read_rate = section.value("read_rate", 50.0, value::number);
         let wait_share = section.value("wait_share", 0.6, value::number);
+        let reread = section.value("reread", 4.0, value::number);
         Some(Self {
             read_rate: read_rate?,
             wait_share: wait_share?,
+            reread: reread?,
         })
     }
 }
--- a/policy/src/direct/config.rs
+++ b/policy/src/direct/config.rs
@@ -146,6 +146,7 @@
     teams: PrimaryMap<TeamIndex, Team>,
     by_host: FxHashMap<Name, Vec<RouteIndex>>,
     by_key: FxHashMap<Name, TeamIndex>,
+    objectives: FxHashMap<Name, Duration>,
 }
 
 impl Config {
@@ -172,6 +173,13 @@
             keys.map(move |key| (key.clone(), index))
         });
         let by_key = keys.collect();
+        let mut objectives: FxHashMap<Name, Duration> = FxHashMap::default();
+        for route in routes.values() {
+            for (service, _) in &route.split {
+                let least = objectives.entry(service.clone()).or_insert(route.objective);
+                *least = route.objective.min(*least);
+            }
+        }
         let services = services.into_iter();
         Self {
             version,
@@ -182,6 +190,7 @@
             pool_rate,
             by_host,
             by_key,
+            objectives,
             routes,
             teams,
         }
@@ -211,6 +220,11 @@
         &self.teams[index]
     }
 
+    /// The least objective of the routes that lead to a service.
+    pub fn least_objective(&self, service: &str) -> Option<Duration> {
+        self.objectives.get(service).copied()
+    }
+
     /// Whether callers of some route need a key.
     pub fn has_teams(&self) -> bool {
         !self.teams.is_empty()
--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -67,7 +67,8 @@
     pub service: &'a Service,
     /// The prompt of a generation.
     pub prompt: Option<&'a Prompt>,
-    /// The objective of its route.
+    /// The least objective of the routes to the service: what a patient kind of
+    /// request leaves waiting at a target, an impatient one has to wait for.
     pub objective: Duration,
     /// The factor of the wait that its team is allowed, 1 for a team within its share.
     pub favour: f64,
