Long shared parts are read at two homes only; lapsed entries kept from the first reading

Ruled out: a higher weight of reading again (8, 16) changed nothing. Wait share 0.6, 0.8, 1.0: equal within noise.

--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -12,7 +12,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use awc::http::StatusCode;
 use entity::{Clock, Name, SystemClock};
@@ -30,22 +30,12 @@
 /// How long a watch waits for changes; it bounds the age of the confirmation.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 
-/// The time between two readings of the targets.
-const TARGETS_PERIOD: Duration = Duration::from_millis(1_000);
-
 /// The time that an answer may take beyond the wait that was asked for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// The delay before a call is made again after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// The silence of the store after which entries may have lapsed; three
-/// heartbeats of a target are longer.
-const OUTAGE: Duration = Duration::from_millis(2_500);
-
-/// The time in which lapsed entries return after an outage.
-const RETURN_TIME: Duration = Duration::from_millis(2_200);
-
 /// The greatest size of an answer in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -76,10 +66,6 @@
     roster: Roster,
     /// Whether each of the two loops got its last answer.
     reached: [bool; 2],
-    /// When the targets were last read.
-    read: Option<Instant>,
-    /// Until when missing targets are kept.
-    keep: Option<Instant>,
     /// Keys of entries that were refused, to log each once.
     refused: FxHashSet<Name>,
 }
@@ -107,8 +93,6 @@
                 confirmation: Confirmation::new(revoke),
                 roster: Roster::default(),
                 reached: [true; 2],
-                read: None,
-                keep: None,
                 refused: FxHashSet::default(),
             }),
         })
@@ -131,13 +115,13 @@
     /// Reads the targets, for as long as the process runs.
     pub(crate) async fn follow_targets(self: Rc<Self>) {
         loop {
-            let began = SystemClock.now().mono;
             match self.range(TARGETS_PREFIX).await {
                 Ok((items, _)) => {
                     self.reached(Part::Targets);
                     self.adopt_targets(&items);
-                    let spent = began.elapsed();
-                    sleep(TARGETS_PERIOD.saturating_sub(spent)).await;
+                    let now = SystemClock.now().mono;
+                    let pause = self.state.borrow().roster.next_read(now);
+                    sleep(pause).await;
                 }
                 Err(error) => {
                     self.failed(Part::Targets, &error);
@@ -282,20 +266,6 @@
                 Err(_) => {}
             }
         }
-        let silent = state
-            .read
-            .is_some_and(|read| now.duration_since(read) >= OUTAGE);
-        if silent {
-            state.keep = Some(now + RETURN_TIME);
-        }
-        state.read = Some(now);
-        if state.keep.is_some_and(|until| until > now) {
-            let listed: FxHashSet<Name> = targets.iter().map(|it| it.name.clone()).collect();
-            let missing = state.roster.targets.values();
-            let missing = missing.filter(|(target, _)| !listed.contains(&target.name));
-            let kept: Vec<_> = missing.map(|(target, _)| target.clone()).collect();
-            targets.extend(kept);
-        }
         let change = state.roster.replace(targets, now);
         for (event, names) in [
             (Event::TargetAppeared, &change.appeared),
--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -16,6 +16,7 @@
 
 use derive_more::Display;
 use entity::Name;
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::board::{Board, Place, Prompt, Spot};
@@ -45,6 +46,15 @@
     }
 }
 
+/// The targets at which a shared part is kept.
+///
+/// One carries what the part gets on most days; the second takes what is beyond.
+const HOMES: usize = 2;
+
+/// The time to read the shared parts, in milliseconds, above which a request
+/// goes only where they are kept or have their homes.
+const WIDE_READ: f64 = 25.0;
+
 /// The share of a target's memory that may be in hand.
 const MEMORY_SHARE: f64 = 0.9;
 
@@ -159,14 +169,22 @@
     if open.is_empty() {
         return no_target();
     }
-    let home = home(board, prompt, &open);
+    let homes = homes(board, prompt, &open);
+    let home = homes.first().copied();
     let size = f64::from(prompt.input + prompt.output);
+    let own = prompt.parts.last().map_or(prompt.input, |part| part.tokens);
+    let shared_read = f64::from(prompt.input.saturating_sub(own)) / settings.read_rate;
     let limit = ask.objective.as_secs_f64() * 1e3 * settings.wait_share * ask.favour;
     let mut best: Option<Candidate> = None;
     let mut least: Option<f64> = None;
     for &spot in &open {
         let place = board.place(spot);
         let in_hand = place.in_hand();
+        let fresh = place.fresh(prompt, now);
+        let is_kept = fresh <= own;
+        if shared_read > WIDE_READ && !is_kept && !homes.contains(&spot) {
+            continue;
+        }
         let has_room = in_hand.count < place.slots.min(engine.slots)
             && in_hand.memory + size <= engine.memory as f64 * MEMORY_SHARE;
         if !has_room {
@@ -174,21 +192,17 @@
         }
         let wait = in_hand.waiting / settings.read_rate;
         least = Some(least.map_or(wait, |least| least.min(wait)));
+        if wait > limit {
+            continue;
+        }
         let is_home = home == Some(spot);
-        let again = match is_home {
-            true => f64::from(prompt.parts.last().map_or(prompt.input, |part| part.tokens)),
-            false => f64::from(place.fresh(prompt, now)),
-        };
-        let away = if place.centre == *ask.centre {
-            0.0
-        } else {
-            settings.away
+        let again = f64::from(if is_home { own } else { fresh });
+        let away = match place.centre == *ask.centre {
+            true => 0.0,
+            false => settings.away,
         };
         let score =
             wait + settings.reread * again / settings.read_rate + away + in_hand_cost(place);
-        if wait > limit {
-            continue;
-        }
         if best.as_ref().is_none_or(|best| score < best.score) {
             best = Some(Candidate {
                 spot,
@@ -223,16 +237,25 @@
     20.0 * used
 }
 
-/// The target at which all routers look for a prompt's shared part.
-fn home(board: &Board, prompt: &Prompt, open: &[Spot]) -> Option<Spot> {
-    let part = prompt.shared()?;
-    let score = |spot: &Spot| {
+/// The targets at which all routers look for a prompt's shared part, best first.
+fn homes(board: &Board, prompt: &Prompt, open: &[Spot]) -> SmallVec<[Spot; HOMES]> {
+    let Some(part) = prompt.shared() else {
+        return SmallVec::new();
+    };
+    let score = |spot: Spot| {
         let mut bytes = [0; 16];
         bytes[..8].copy_from_slice(&part.id.to_le_bytes());
-        bytes[8..].copy_from_slice(&board.place(*spot).tag.to_le_bytes());
+        bytes[8..].copy_from_slice(&board.place(spot).tag.to_le_bytes());
         xxh3_64(&bytes)
     };
-    open.iter().copied().max_by_key(score)
+    let mut homes: SmallVec<[(u64, Spot); 16]> =
+        open.iter().map(|&spot| (score(spot), spot)).collect();
+    homes.sort_unstable_by(|a, b| b.cmp(a));
+    homes
+        .into_iter()
+        .take(HOMES)
+        .map(|(_, spot)| spot)
+        .collect()
 }
 
 fn plain_target(board: &Board, settings: &PlaceSettings, ask: &Ask<'_>, now: Instant) -> Choice {
--- a/policy/src/direct/target.rs
+++ b/policy/src/direct/target.rs
@@ -39,25 +39,45 @@
     pub born: u64,
 }
 
+/// The time between two readings of the targets.
+pub const READ_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// The time without a reading after which entries may have lapsed; three
+/// heartbeats of a target are longer.
+pub const OUTAGE: Duration = Duration::from_millis(2_500);
+
+/// The time in which entries that lapsed in an outage return.
+pub const RETURN_TIME: Duration = Duration::from_millis(2_000);
+
+/// The least time between two readings.
+const LEAST_PERIOD: Duration = Duration::from_millis(50);
+
 /// The targets and drained data centres at one moment.
+///
+/// A target whose entry is missing is gone at once, unless the reading is the
+/// first after an outage: the entry may have lapsed because the target could not
+/// renew it, so the target is kept until such entries had time to return.
 #[derive(Clone, Default, Debug)]
 pub struct Roster {
-    /// The targets by name, with the time at which each entry last changed here.
+    /// The targets by name, with the time at which each cold time was first stated.
     pub targets: FxHashMap<Name, (Target, Option<Instant>)>,
     /// The data centres that operators took out of service.
     pub drained: FxHashSet<Name>,
+    read: Option<Instant>,
+    lapsed: FxHashMap<Name, Instant>,
 }
 
 impl Roster {
-    /// Replaces all targets by a complete reading.
+    /// Adopts a complete reading of the targets.
     pub fn replace(&mut self, targets: Vec<Target>, now: Instant) -> Change {
         let mut change = Change::default();
         let mut next = FxHashMap::default();
         for target in targets {
+            self.lapsed.remove(&target.name);
             let entry = self.targets.remove(&target.name);
             match &entry {
                 Some((old, _)) if old.born == target.born && old.state == target.state => {}
-                Some((_, _)) if target.state == TargetState::Leaving => {
+                Some(_) if target.state == TargetState::Leaving => {
                     change.leaving.push(target.name.clone());
                 }
                 _ => change.appeared.push(target.name.clone()),
@@ -69,11 +89,35 @@
             };
             next.insert(target.name.clone(), (target, since));
         }
-        change.gone = self.targets.drain().map(|(name, _)| name).collect();
+        let since_read = self.read.map(|read| now.saturating_duration_since(read));
+        let follows_outage = since_read.is_some_and(|silence| silence >= OUTAGE);
+        for (name, entry) in self.targets.drain() {
+            if follows_outage {
+                self.lapsed.insert(name.clone(), now + RETURN_TIME);
+            }
+            match self.lapsed.get(&name) {
+                Some(&until) if until > now => {
+                    next.insert(name, entry);
+                }
+                _ => {
+                    self.lapsed.remove(&name);
+                    change.gone.push(name);
+                }
+            }
+        }
         change.gone.sort();
         self.targets = next;
+        self.read = Some(now);
         change
     }
+
+    /// The time until the targets should be read again.
+    pub fn next_read(&self, now: Instant) -> Duration {
+        let due = self.read.map_or(now, |read| read + READ_PERIOD);
+        let lapsed = self.lapsed.values().copied().min();
+        let due = lapsed.map_or(due, |lapsed| lapsed.min(due));
+        due.saturating_duration_since(now).max(LEAST_PERIOD)
+    }
 }
 
 /// What a reading changed.
