--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -85,6 +85,7 @@
                 read_rate: settings.engine.read_rate.max(1.0),
                 wait_share: settings.engine.wait_share,
                 reread: settings.engine.reread,
+                yielding: settings.engine.yielding,
                 ..PlaceSettings::default()
             },
             board: RefCell::default(),
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -223,7 +223,8 @@
         let ask = Ask {
             service,
             prompt,
-            objective: config
+            objective: route.objective,
+            least: config
                 .least_objective(service.name.as_str())
                 .unwrap_or(route.objective),
             favour: self.favour(prompt, now),
--- a/node/src/settings/edge.rs
+++ b/node/src/settings/edge.rs
@@ -56,6 +56,8 @@
     pub wait_share: f64,
     /// The cost of reading a token again, relative to reading it once.
     pub reread: f64,
+    /// How strongly kinds of requests with a longer objective yield to others.
+    pub yielding: f64,
 }
 
 impl Settings for EdgeSettings {
@@ -109,11 +111,13 @@
     fn read(section: &mut Section<'_>) -> Option<Self> {
         let read_rate = section.value("read_rate", 50.0, value::number);
         let wait_share = section.value("wait_share", 0.6, value::number);
+        let yielding = section.value("yielding", 0.5, value::number);
         let reread = section.value("reread", 4.0, value::number);
         Some(Self {
             read_rate: read_rate?,
             wait_share: wait_share?,
             reread: reread?,
+            yielding: yielding?,
         })
     }
 }
--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -31,6 +31,8 @@
     pub wait_share: f64,
     /// The cost of reading a token again, relative to reading it once.
     pub reread: f64,
+    /// How strongly kinds of requests with a longer objective yield to others.
+    pub yielding: f64,
     /// The cost of leaving the data centre, in milliseconds of wait.
     pub away: f64,
 }
@@ -39,8 +41,9 @@
     fn default() -> Self {
         Self {
             read_rate: 50.0,
-            wait_share: 0.6,
-            reread: 1.5,
+            wait_share: 0.7,
+            reread: 4.0,
+            yielding: 0.5,
             away: 4.0,
         }
     }
@@ -79,6 +82,8 @@
     pub prompt: Option<&'a Prompt>,
     /// The least objective of the routes to the service: what a patient kind of
     /// request leaves waiting at a target, an impatient one has to wait for.
+    pub least: Duration,
+    /// The objective of its own route.
     pub objective: Duration,
     /// The factor of the wait that its team is allowed, 1 for a team within its share.
     pub favour: f64,
@@ -174,7 +179,7 @@
     let size = f64::from(prompt.input + prompt.output);
     let own = prompt.parts.last().map_or(prompt.input, |part| part.tokens);
     let shared_read = f64::from(prompt.input.saturating_sub(own)) / settings.read_rate;
-    let limit = ask.objective.as_secs_f64() * 1e3 * settings.wait_share * ask.favour;
+    let limit = limit(settings, ask);
     let mut best: Option<Candidate> = None;
     let mut least: Option<f64> = None;
     for &spot in &open {
@@ -230,6 +235,17 @@
     }
 }
 
+/// The wait at a target up to which a request is sent there, in milliseconds.
+///
+/// When the targets are loaded, kinds of requests with a longer objective are
+/// refused before those with a shorter one.
+fn limit(settings: &PlaceSettings, ask: &Ask<'_>) -> f64 {
+    let least = ask.least.as_secs_f64();
+    let own = ask.objective.as_secs_f64().max(least);
+    let part = if own > 0.0 { least / own } else { 1.0 };
+    least * 1e3 * settings.wait_share * part.powf(settings.yielding) * ask.favour
+}
+
 /// The cost of the attempts that run beside a new one, in milliseconds: each
 /// makes the steps of all others longer.
 fn in_hand_cost(place: &Place) -> f64 {
