--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -131,7 +131,7 @@
     pub(crate) fn upkeep(&self, now: Instant) {
         self.refresh(now);
         let sheet = Sheet {
-            loads: self.board.borrow().report(),
+            loads: self.board.borrow().report(self.place.read_rate, now),
             teams: self.shares.borrow_mut().report(REPORTED_TEAMS, now),
         };
         self.shared.sheet.store(Arc::new(sheet));
@@ -258,10 +258,8 @@
     /// The first event came.
     pub(crate) fn started(&self) {
         if !self.started.replace(true) {
-            self.context
-                .board
-                .borrow_mut()
-                .started(self.spot, self.take);
+            let mut board = self.context.board.borrow_mut();
+            board.started(self.spot, self.take, Instant::now());
         }
     }
 }
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -16,7 +16,7 @@
 use platform::answer;
 use platform::attempt::{Statement, returned, state};
 use policy::direct::board::{Prompt, Spot};
-use policy::direct::config::Repeat;
+use policy::direct::config::{Repeat, Route};
 use policy::direct::place::{self, Ask, Choice};
 use policy::direct::verdict::{Verdict, judge};
 use rand::RngExt as _;
@@ -36,10 +36,12 @@
 /// The greatest number of targets that are tried without a byte leaving.
 const MAX_TRIES: usize = 8;
 
-/// The factor of a route's objective after which a target that has not answered
-/// an idempotent request is given up for another one.
+/// The factor of a route's objective after which a plain target counts as silent.
 const PATIENCE: u32 = 4;
 
+/// The least time after which an engine counts as silent.
+const LEAST_PATIENCE: Duration = Duration::from_millis(1200);
+
 /// The time that must be left for a request to be sent at all.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 
@@ -314,15 +316,18 @@
             sent.set(sent.get() || is_same);
             is_same
         };
-        let patience = match route.repeat {
-            Repeat::Safe => Some(route.objective * PATIENCE),
-            Repeat::Never | Repeat::Stream { .. } => None,
-        };
         let links = &self.context.links;
         let exchange = links.send(address, outbound, &self.order.stated.id, sending);
-        let answer = match patience.filter(|_| self.runs + 1 < route.attempts) {
-            Some(patience) => tokio::time::timeout(patience, exchange).await,
-            None => Ok(exchange.await),
+        let patience = patience(route);
+        tokio::pin!(exchange);
+        let answer = match tokio::time::timeout(patience, &mut exchange).await {
+            Ok(answer) => Ok(answer),
+            Err(silent) if idempotent && self.runs + 1 < route.attempts => Err(silent),
+            Err(_) => {
+                self.context.showed(attempt.spot, false, Instant::now());
+                self.failed(attempt.spot, "silent so far");
+                Ok(exchange.await)
+            }
         };
         match answer {
             Err(_) => {
@@ -450,6 +455,14 @@
     }
 }
 
+/// The time after which a target without an answer counts as silent.
+fn patience(route: &Route) -> Duration {
+    match route.repeat {
+        Repeat::Stream { .. } => (route.objective * 2).max(LEAST_PATIENCE),
+        Repeat::Safe | Repeat::Never => route.objective * PATIENCE,
+    }
+}
+
 /// Why an attempt has no answer.
 enum Failure {
     /// No byte left.
--- a/policy/src/direct/board.rs
+++ b/policy/src/direct/board.rs
@@ -5,6 +5,7 @@
 //!   target never fall below zero.
 //! - A new life of a target starts with nothing in hand and nothing cached.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -74,6 +75,7 @@
     pub fresh: u32,
     /// Tokens of memory while it runs.
     pub memory: u32,
+    number: u64,
 }
 
 /// What is in hand at a target.
@@ -105,6 +107,14 @@
     pub reports: Vec<Report>,
 }
 
+/// An attempt whose prompt is not yet read.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct Unread {
+    number: u64,
+    fresh: u32,
+    sent: Instant,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct ColdMeter {
     tokens: f64,
@@ -133,6 +143,10 @@
     /// Until when it is cold.
     pub cold: Option<Instant>,
     own: InHand,
+    /// Attempts of this router without a first event, in the order in which they were sent.
+    unread: VecDeque<Unread>,
+    /// When this router last saw a first event.
+    progress: Option<Instant>,
     peers: InHand,
     meter: Option<ColdMeter>,
     parts: FxHashMap<u64, Instant>,
@@ -153,6 +167,24 @@
         self.own
     }
 
+    /// Tokens that all routers have waiting, less what was read of the oldest
+    /// prompt of this router; `rate` is the number of tokens read in a millisecond.
+    pub fn waiting(&self, rate: f64, now: Instant) -> f64 {
+        self.peers.waiting + self.own_waiting(rate, now)
+    }
+
+    fn own_waiting(&self, rate: f64, now: Instant) -> f64 {
+        let Some(first) = self.unread.front() else {
+            return 0.0;
+        };
+        // Engines read prompts in the order in which they came.
+        let since = self
+            .progress
+            .map_or(first.sent, |progress| progress.max(first.sent));
+        let read = now.saturating_duration_since(since).as_secs_f64() * 1e3 * rate;
+        self.own.waiting - read.min(f64::from(first.fresh))
+    }
+
     /// Tokens of a prompt that the target has to read.
     pub fn fresh(&self, prompt: &Prompt, now: Instant) -> u32 {
         let mut cached = 0;
@@ -180,6 +212,7 @@
     places: PrimaryMap<Spot, Place>,
     by_name: FxHashMap<Name, Spot>,
     by_service: FxHashMap<Name, Vec<Spot>>,
+    begun: u64,
 }
 
 impl Board {
@@ -209,6 +242,8 @@
                         trust: Trust::default(),
                         cold: None,
                         own: InHand::default(),
+                        unread: VecDeque::new(),
+                        progress: None,
                         peers: InHand::default(),
                         meter: None,
                         parts: FxHashMap::default(),
@@ -265,11 +300,21 @@
 
     /// An attempt with a prompt begins.
     pub fn begin(&mut self, spot: Spot, prompt: Option<&Prompt>, now: Instant) -> Take {
+        self.begun += 1;
+        let number = self.begun;
         let place = &mut self.places[spot];
         let take = prompt.map_or(Take::default(), |prompt| Take {
             fresh: place.fresh(prompt, now),
             memory: prompt.input + prompt.output,
+            number,
         });
+        if take.fresh > 0 {
+            place.unread.push_back(Unread {
+                number,
+                fresh: take.fresh,
+                sent: now,
+            });
+        }
         place.own.waiting += f64::from(take.fresh);
         place.own.count += 1;
         place.own.memory += f64::from(take.memory);
@@ -288,15 +333,21 @@
     }
 
     /// The first event of an attempt came.
-    pub fn started(&mut self, spot: Spot, take: Take) {
-        let own = &mut self.places[spot].own;
-        own.waiting = (own.waiting - f64::from(take.fresh)).max(0.0);
+    pub fn started(&mut self, spot: Spot, take: Take, now: Instant) {
+        self.places[spot].progress = Some(now);
+        self.read(spot, take);
+    }
+
+    fn read(&mut self, spot: Spot, take: Take) {
+        let place = &mut self.places[spot];
+        place.unread.retain(|unread| unread.number != take.number);
+        place.own.waiting = (place.own.waiting - f64::from(take.fresh)).max(0.0);
     }
 
     /// An attempt ended; `had_started` tells whether its first event had come.
     pub fn end(&mut self, spot: Spot, take: Take, had_started: bool) {
         if !had_started {
-            self.started(spot, take);
+            self.read(spot, take);
         }
         let own = &mut self.places[spot].own;
         own.count = own.count.saturating_sub(1);
@@ -324,12 +375,15 @@
         }
     }
 
-    /// What this router has in hand, for its peers.
-    pub fn report(&self) -> Vec<Report> {
+    /// What this router has in hand, for its peers; `rate` as in [`Place::waiting`].
+    pub fn report(&self, rate: f64, now: Instant) -> Vec<Report> {
         let busy = self.places.values().filter(|place| place.own.count > 0);
         busy.map(|place| Report {
             target: place.tag,
-            in_hand: place.own,
+            in_hand: InHand {
+                waiting: place.own_waiting(rate, now),
+                ..place.own
+            },
         })
         .collect()
     }
--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -61,6 +61,10 @@
 /// The share of a target's memory that may be in hand.
 const MEMORY_SHARE: f64 = 0.9;
 
+/// The share of the usual limit that holds for a prompt too long to be read
+/// within its objective.
+const LONG_SHARE: f64 = 0.2;
+
 /// The part of the cold rate that all routers together use.
 ///
 /// The rest covers arrivals that were under way when the target turned cold.
@@ -179,7 +183,8 @@
     let size = f64::from(prompt.input + prompt.output);
     let own = prompt.parts.last().map_or(prompt.input, |part| part.tokens);
     let shared_read = f64::from(prompt.input.saturating_sub(own)) / settings.read_rate;
-    let limit = limit(settings, ask);
+    let usual = limit(settings, ask);
+    let objective = ask.objective.as_secs_f64() * 1e3;
     let mut best: Option<Candidate> = None;
     let mut least: Option<f64> = None;
     for &spot in &open {
@@ -195,9 +200,13 @@
         if !has_room {
             continue;
         }
-        let wait = in_hand.waiting / settings.read_rate;
-        least = Some(least.map_or(wait, |least| least.min(wait)));
-        if wait > limit {
+        let wait = place.waiting(settings.read_rate, now) / settings.read_rate;
+        // A long prompt reaches its objective only where little waits before it.
+        let spare = objective - f64::from(fresh) / settings.read_rate;
+        let limit = usual.min(spare.max(usual * LONG_SHARE));
+        let over = wait - limit;
+        least = Some(least.map_or(over, |least| least.min(over)));
+        if over > 0.0 {
             continue;
         }
         let is_home = home == Some(spot);
@@ -224,9 +233,9 @@
             }),
             _,
         ) => Choice::Target { spot, wait, home },
-        (None, Some(wait)) => Choice::Refused {
+        (None, Some(over)) => Choice::Refused {
             why: Unplaced::Busy,
-            after: Duration::from_secs_f64((wait - limit).max(0.0) / 1e3).max(LEAST_WAIT),
+            after: Duration::from_secs_f64(over.max(0.0) / 1e3).max(LEAST_WAIT),
         },
         (None, None) => Choice::Refused {
             why: Unplaced::Full,
