Shared parts are copied from their home to a target that lacks them

Cause: a home beyond its limit meant reading 5,400 tokens again (88 ms); engines copy them from each other in 8 ms.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -16,7 +16,7 @@
 use policy::direct::budget::{BudgetBound, RepeatBudget};
 use policy::direct::config::Config;
 use policy::direct::crash::{Crashes, Note};
-use policy::direct::place::PlaceSettings;
+use policy::direct::place::{Keeper, PlaceSettings};
 use policy::direct::share::Shares;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -230,6 +230,8 @@
 pub(crate) struct Attempt {
     context: Rc<Context>,
     pub(crate) spot: Spot,
+    /// Where the target copies shared parts from.
+    pub(crate) keeper: Option<Keeper>,
     take: Take,
     started: Cell<bool>,
 }
@@ -239,12 +241,17 @@
         context: &Rc<Context>,
         spot: Spot,
         prompt: Option<&Prompt>,
+        keeper: Option<Keeper>,
         now: Instant,
     ) -> Self {
-        let take = context.board.borrow_mut().begin(spot, prompt, now);
+        let copied = keeper.map_or(0, |keeper| keeper.tokens);
+        let mut board = context.board.borrow_mut();
+        let take = board.begin(spot, prompt, copied, now);
+        drop(board);
         Self {
             context: context.clone(),
             spot,
+            keeper,
             take,
             started: Cell::new(false),
         }
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -236,8 +236,13 @@
         };
         let choice = place::choose(&mut context.board.borrow_mut(), &context.place, &ask, now);
         match choice {
-            Choice::Target { spot, wait, home } => {
-                let attempt = Attempt::begin(context, spot, prompt, now);
+            Choice::Target {
+                spot,
+                wait,
+                home,
+                keeper,
+            } => {
+                let attempt = Attempt::begin(context, spot, prompt, keeper, now);
                 self.note_sent(&attempt, wait, home);
                 self.count(prompt, now);
                 Ok(attempt)
@@ -278,10 +283,13 @@
     }
 
     async fn send(&mut self, attempt: &Attempt, resume: Option<u64>) -> Result<Answer, Failure> {
-        let (name, address) = {
+        let (name, address, keeper) = {
             let board = self.context.board.borrow();
             let place = board.place(attempt.spot);
-            (place.name.clone(), place.address)
+            let keeper = attempt
+                .keeper
+                .map(|keeper| board.place(keeper.spot).address);
+            (place.name.clone(), place.address, keeper)
         };
         let route = self.entitled.config.route_at(self.entitled.route);
         let idempotent = route.repeat.is_idempotent();
@@ -296,6 +304,7 @@
             team: self.entitled.team_name().map(entity::Name::as_str),
             left: self.order.left(route.timeout, Instant::now()),
             resume,
+            keeper,
         };
         state(&mut headers, statement);
         let outbound = Outbound {
@@ -430,13 +439,15 @@
         let wait = wait as u64;
         let (count, fresh) = (place.in_hand().count, attempt.fresh());
         let number = self.sends + 1;
-        let fields: [Field<'_>; 8] = [
+        let copied = attempt.keeper.map_or(0, |keeper| keeper.tokens);
+        let fields: [Field<'_>; 9] = [
             ("request", &self.order.stated.id),
             ("target", &place.name),
             ("attempt", &number),
             ("wait_ms", &wait),
             ("in_hand", &count),
             ("fresh_tokens", &fresh),
+            ("copied_tokens", &copied),
             ("home", &home),
             ("version", &self.entitled.config.version),
         ];
--- a/policy/src/direct/board.rs
+++ b/policy/src/direct/board.rs
@@ -299,12 +299,20 @@
     }
 
     /// An attempt with a prompt begins.
-    pub fn begin(&mut self, spot: Spot, prompt: Option<&Prompt>, now: Instant) -> Take {
+    ///
+    /// `copied` tokens of it are copied from another target.
+    pub fn begin(
+        &mut self,
+        spot: Spot,
+        prompt: Option<&Prompt>,
+        copied: u32,
+        now: Instant,
+    ) -> Take {
         self.begun += 1;
         let number = self.begun;
         let place = &mut self.places[spot];
         let take = prompt.map_or(Take::default(), |prompt| Take {
-            fresh: place.fresh(prompt, now),
+            fresh: place.fresh(prompt, now).saturating_sub(copied),
             memory: prompt.input + prompt.output,
             number,
         });
--- a/policy/src/direct/config.rs
+++ b/policy/src/direct/config.rs
@@ -88,12 +88,15 @@
 }
 
 /// The engine of a service's targets.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Debug)]
 pub struct Engine {
     /// Requests that run at once on one target.
     pub slots: u32,
     /// Tokens that fit a target's memory.
     pub memory: u64,
+    /// Tokens per millisecond that a target copies from another one; 0 if targets
+    /// do not copy from each other.
+    pub copy_rate: f64,
 }
 
 /// One service.
--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -16,7 +16,6 @@
 
 use derive_more::Display;
 use entity::Name;
-use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::board::{Board, Place, Prompt, Spot};
@@ -31,6 +30,11 @@
     pub wait_share: f64,
     /// The cost of reading a token again, relative to reading it once.
     pub reread: f64,
+    /// The cost of copying shared parts, relative to the time that it takes.
+    pub copy: f64,
+    /// The cost of a copy that displaces other parts from a target's memory, in
+    /// milliseconds.
+    pub displaced: f64,
     /// How strongly kinds of requests with a longer objective yield to others.
     pub yielding: f64,
     /// The cost of leaving the data centre, in milliseconds of wait.
@@ -43,19 +47,19 @@
             read_rate: 50.0,
             wait_share: 0.7,
             reread: 4.0,
+            copy: 3.0,
+            displaced: 60.0,
             yielding: 0.5,
             away: 4.0,
         }
     }
 }
 
-/// The targets at which a shared part is kept.
-///
-/// One carries what the part gets on most days; the second takes what is beyond.
-const HOMES: usize = 2;
+/// The least number of tokens that are worth copying from another target.
+const LEAST_COPY: u32 = 64;
 
 /// The time to read the shared parts, in milliseconds, above which a request
-/// goes only where they are kept or have their homes.
+/// goes only where they are kept, can be copied to, or have their homes.
 const WIDE_READ: f64 = 25.0;
 
 /// The share of a target's memory that may be in hand.
@@ -113,6 +117,15 @@
     Full,
 }
 
+/// A target that keeps shared parts of a prompt.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Keeper {
+    /// The target.
+    pub spot: Spot,
+    /// Tokens that are copied from it.
+    pub tokens: u32,
+}
+
 /// A choice.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Choice {
@@ -124,6 +137,8 @@
         wait: f64,
         /// Whether it is the home of the prompt's shared part.
         home: bool,
+        /// Where the target copies shared parts from.
+        keeper: Option<Keeper>,
     },
     /// The request is refused.
     Refused {
@@ -164,6 +179,18 @@
     wait: f64,
     score: f64,
     home: bool,
+    keeper: Option<Keeper>,
+}
+
+impl Candidate {
+    fn chosen(self) -> Choice {
+        Choice::Target {
+            spot: self.spot,
+            wait: self.wait,
+            home: self.home,
+            keeper: self.keeper,
+        }
+    }
 }
 
 fn engine_target(
@@ -178,11 +205,10 @@
     if open.is_empty() {
         return no_target();
     }
-    let homes = homes(board, prompt, &open);
-    let home = homes.first().copied();
+    let (home, second) = homes(board, prompt, &open);
     let size = f64::from(prompt.input + prompt.output);
     let own = prompt.parts.last().map_or(prompt.input, |part| part.tokens);
-    let shared_read = f64::from(prompt.input.saturating_sub(own)) / settings.read_rate;
+    let keeper = home.filter(|&home| board.place(home).fresh(prompt, now) <= own);
     let usual = limit(settings, ask);
     let objective = ask.objective.as_secs_f64() * 1e3;
     let mut best: Option<Candidate> = None;
@@ -190,9 +216,17 @@
     for &spot in &open {
         let place = board.place(spot);
         let in_hand = place.in_hand();
-        let fresh = place.fresh(prompt, now);
-        let is_kept = fresh <= own;
-        if shared_read > WIDE_READ && !is_kept && !homes.contains(&spot) {
+        let is_home = home == Some(spot);
+        let missing = place.fresh(prompt, now).saturating_sub(own);
+        let can_copy = engine.copy_rate > 0.0 && missing >= LEAST_COPY;
+        let keeper = keeper.filter(|keeper| can_copy && *keeper != spot);
+        let keeper = keeper.map(|spot| Keeper {
+            spot,
+            tokens: missing,
+        });
+        let is_read = keeper.is_none() && !is_home;
+        let fresh = own + if is_read { missing } else { 0 };
+        if is_read && f64::from(missing) / settings.read_rate > WIDE_READ && second != Some(spot) {
             continue;
         }
         let has_room = in_hand.count < place.slots.min(engine.slots)
@@ -210,29 +244,28 @@
             continue;
         }
         let is_home = home == Some(spot);
-        let again = f64::from(if is_home { own } else { fresh });
+        let copy = match keeper {
+            Some(_) => settings.displaced + settings.copy * f64::from(missing) / engine.copy_rate,
+            None => 0.0,
+        };
         let away = match place.centre == *ask.centre {
             true => 0.0,
             false => settings.away,
         };
-        let score =
-            wait + settings.reread * again / settings.read_rate + away + in_hand_cost(place);
+        let read = settings.reread * f64::from(fresh) / settings.read_rate;
+        let score = wait + read + copy + away + in_hand_cost(place);
         if best.as_ref().is_none_or(|best| score < best.score) {
             best = Some(Candidate {
                 spot,
                 wait,
                 score,
                 home: is_home,
+                keeper,
             });
         }
     }
     match (best, least) {
-        (
-            Some(Candidate {
-                spot, wait, home, ..
-            }),
-            _,
-        ) => Choice::Target { spot, wait, home },
+        (Some(best), _) => best.chosen(),
         (None, Some(over)) => Choice::Refused {
             why: Unplaced::Busy,
             after: Duration::from_secs_f64(over.max(0.0) / 1e3).max(LEAST_WAIT),
@@ -262,25 +295,29 @@
     20.0 * used
 }
 
-/// The targets at which all routers look for a prompt's shared part, best first.
-fn homes(board: &Board, prompt: &Prompt, open: &[Spot]) -> SmallVec<[Spot; HOMES]> {
+/// The targets at which all routers look for a prompt's shared part: the one
+/// that keeps it, and the one that takes what is beyond.
+fn homes(board: &Board, prompt: &Prompt, open: &[Spot]) -> (Option<Spot>, Option<Spot>) {
     let Some(part) = prompt.shared() else {
-        return SmallVec::new();
+        return (None, None);
     };
     let score = |spot: Spot| {
         let mut bytes = [0; 16];
         bytes[..8].copy_from_slice(&part.id.to_le_bytes());
         bytes[8..].copy_from_slice(&board.place(spot).tag.to_le_bytes());
-        xxh3_64(&bytes)
+        (xxh3_64(&bytes), spot)
     };
-    let mut homes: SmallVec<[(u64, Spot); 16]> =
-        open.iter().map(|&spot| (score(spot), spot)).collect();
-    homes.sort_unstable_by(|a, b| b.cmp(a));
-    homes
-        .into_iter()
-        .take(HOMES)
-        .map(|(_, spot)| spot)
-        .collect()
+    let (mut first, mut second) = (None, None);
+    for &spot in open {
+        let scored = Some(score(spot));
+        if scored > first {
+            second = first;
+            first = scored;
+        } else if scored > second {
+            second = scored;
+        }
+    }
+    (first.map(|(_, spot)| spot), second.map(|(_, spot)| spot))
 }
 
 fn plain_target(board: &Board, settings: &PlaceSettings, ask: &Ask<'_>, now: Instant) -> Choice {
@@ -307,13 +344,12 @@
                 wait: 0.0,
                 score,
                 home: false,
+                keeper: None,
             });
         }
     }
     match best {
-        Some(Candidate {
-            spot, wait, home, ..
-        }) => Choice::Target { spot, wait, home },
+        Some(best) => best.chosen(),
         None => Choice::Refused {
             why: Unplaced::Full,
             after: ask.objective / 2,
