--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -45,12 +45,6 @@
 /// The time that must be left for a request to be sent at all.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 
-/// The standing above which a team counts as beyond its share.
-const OVER_SHARE: f64 = 1.0;
-
-/// The factor of the wait that a team beyond its share is allowed.
-const OVER_FAVOUR: f64 = 0.2;
-
 /// The spread of the time at which refused callers come back, in milliseconds.
 const RETRY_SPREAD: u64 = 120;
 
@@ -268,10 +262,7 @@
             return 1.0;
         };
         let mut shares = self.context.shares.borrow_mut();
-        match shares.standing(team.tag().0, now) > OVER_SHARE {
-            true => OVER_FAVOUR,
-            false => 1.0,
-        }
+        shares.favour(team.tag().0, now)
     }
 
     fn count(&self, prompt: Option<&Prompt>, now: Instant) {
--- a/node/src/sink.rs
+++ b/node/src/sink.rs
@@ -23,6 +23,9 @@
 /// Bytes of all lines per period.
 const ALL_BYTES: usize = 48 * 1024;
 
+/// Bytes that a pipe takes without mixing them with those of others.
+const ATOMIC_BYTES: usize = 4096;
+
 #[derive(Debug, Default)]
 struct Buffer {
     text: String,
@@ -91,9 +94,26 @@
     }
 }
 
+/// Writes whole lines at a time, so that a reader never sees two halves of a
+/// line with another process's output between them.
 fn write(output: &mut impl Write, text: &str) -> io::Result<()> {
-    output.write_all(text.as_bytes())?;
-    output.flush()
+    let mut rest = text;
+    while !rest.is_empty() {
+        let end = match rest.len() > ATOMIC_BYTES {
+            true => rest.as_bytes()[..ATOMIC_BYTES]
+                .iter()
+                .rposition(|&byte| byte == b'\n'),
+            false => Some(rest.len() - 1),
+        };
+        // A single line over the limit is written as it is.
+        let end = end
+            .or_else(|| rest.find('\n'))
+            .map_or(rest.len(), |end| end + 1);
+        output.write_all(&rest.as_bytes()[..end])?;
+        output.flush()?;
+        rest = &rest[end..];
+    }
+    Ok(())
 }
 
 impl Log for Sink {
--- a/policy/src/direct/share.rs
+++ b/policy/src/direct/share.rs
@@ -22,6 +22,18 @@
 /// The rate in tokens per second below which a team is forgotten.
 const LEAST_RATE: f64 = 1.0;
 
+/// The factor for a team beyond its share.
+const OVER_FAVOUR: f64 = 0.2;
+
+/// How strongly the factor depends on what a team asks for.
+const SIZE_EXPONENT: f64 = 0.5;
+
+/// The least factor for a team within its share.
+const LEAST_FAVOUR: f64 = 0.65;
+
+/// The greatest factor.
+const MOST_FAVOUR: f64 = 1.8;
+
 /// Tokens per second that a team asks for and gets.
 #[derive(Clone, Copy, Default, PartialEq, Debug)]
 pub struct TeamRate {
@@ -53,6 +65,7 @@
     own: FxHashMap<u64, Meter>,
     peers: FxHashMap<u64, TeamRate>,
     level: f64,
+    even: f64,
     levelled: Option<Instant>,
 }
 
@@ -64,6 +77,7 @@
             own: FxHashMap::default(),
             peers: FxHashMap::default(),
             level: f64::INFINITY,
+            even: 0.0,
             levelled: None,
         }
     }
@@ -98,6 +112,24 @@
         }
     }
 
+    /// The factor of the wait at targets that a team is allowed.
+    ///
+    /// A team beyond its share waits only where nobody else does. Below that, a
+    /// small team goes before a large one: what it asks for costs the others
+    /// little, and a large team has more requests to be refused among.
+    pub fn favour(&mut self, team: u64, now: Instant) -> f64 {
+        if self.standing(team, now) > 1.0 {
+            return OVER_FAVOUR;
+        }
+        let asked = self.total(team, now).asked;
+        match self.even > 0.0 && asked > 0.0 {
+            true => (self.even / asked)
+                .powf(SIZE_EXPONENT)
+                .clamp(LEAST_FAVOUR, MOST_FAVOUR),
+            false => 1.0,
+        }
+    }
+
     /// The share of a team that asks for more than the pool gives it, in tokens
     /// per second; infinite while nobody does.
     pub fn level(&self) -> f64 {
@@ -153,7 +185,10 @@
         teams.sort_unstable();
         teams.dedup();
         let asked = teams.iter().map(|&team| self.total(team, now).asked);
-        self.level = max_min_level(asked.collect(), self.pool);
+        let asked: Vec<f64> = asked.collect();
+        let sum: f64 = asked.iter().sum();
+        self.even = sum / asked.len().max(1) as f64;
+        self.level = max_min_level(asked, self.pool);
     }
 }
 
