--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -236,8 +236,8 @@
         }
         let wait = place.waiting(settings.read_rate, now) / settings.read_rate;
         // A long prompt reaches its objective only where little waits before it.
-        let spare = objective - f64::from(fresh) / settings.read_rate;
-        let limit = usual.min(spare.max(usual * LONG_SHARE));
+        let read = f64::from(fresh) / settings.read_rate;
+        let limit = usual * (1.0 - read / objective).max(LONG_SHARE);
         let over = wait - limit;
         least = Some(least.map_or(over, |least| least.min(over)));
         if over > 0.0 {
