--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -45,6 +45,46 @@
     at: Instant,
 }
 
+/// Descriptors that are left for files, the store, peers and targets.
+const RESERVED_DESCRIPTORS: usize = 1_000;
+
+/// How many callers' connections there are and may be.
+pub(crate) struct Connections {
+    open: Cell<usize>,
+    most: usize,
+}
+
+impl Connections {
+    fn new(descriptors: usize) -> Self {
+        Self {
+            open: Cell::new(0),
+            most: descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1),
+        }
+    }
+
+    /// Takes a connection in, if there is room.
+    pub(crate) fn enter(&self) -> bool {
+        let has_room = self.open.get() < self.most;
+        if has_room {
+            self.open.set(self.open.get() + 1);
+        }
+        has_room
+    }
+
+    /// A connection has ended.
+    pub(crate) fn leave(&self) {
+        self.open.set(self.open.get() - 1);
+    }
+
+    /// Whether connections should not be kept after their answer.
+    ///
+    /// Callers that were refused come back on new connections and leave the old
+    /// ones idle.
+    pub(crate) fn are_many(&self) -> bool {
+        self.open.get() > self.most / 2
+    }
+}
+
 /// The state of the traffic thread.
 pub(crate) struct Context {
     pub(crate) shared: Arc<Shared>,
@@ -58,6 +98,8 @@
     pub(crate) links: Links,
     pub(crate) http: ServiceConfig,
     pub(crate) metrics: TrafficMetrics,
+    /// The bounds on callers' connections.
+    pub(crate) connections: Connections,
     /// Tells idle connections that they are closed.
     pub(crate) closing: Notify,
     suspects: RefCell<Vec<Suspect>>,
@@ -96,6 +138,7 @@
             links: Links::new(http.clone()),
             http,
             metrics,
+            connections: Connections::new(settings.descriptors),
             closing: Notify::new(),
             suspects: RefCell::default(),
             roster: Cell::new(0),
@@ -103,6 +146,11 @@
         })
     }
 
+    /// Whether connections are closed after their answer.
+    pub(crate) fn closes(&self) -> bool {
+        self.shared.is_stopping() || self.connections.are_many()
+    }
+
     /// The configuration in force.
     pub(crate) fn config(&self) -> Option<Arc<Config>> {
         self.shared.config.load_full()
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -211,19 +211,17 @@
 ) -> eyre::Result<Exit> {
     let mut terminate = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("cannot handle SIGINT")?;
-    let connections = Rc::new(std::cell::Cell::new(0_usize));
     let stop = stopped(context.clone(), settings.stop_limit);
     tokio::pin!(stop);
     loop {
         let is_stopping = context.shared.is_stopping();
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) if connections.get() < settings.connections => {
-                    connections.set(connections.get() + 1);
-                    let (context, connections) = (context.clone(), connections.clone());
+                Ok((stream, _)) if context.connections.enter() => {
+                    let context = context.clone();
                     actix_rt::spawn(async move {
-                        session::serve(context, stream).await;
-                        connections.set(connections.get() - 1);
+                        session::serve(context.clone(), stream).await;
+                        context.connections.leave();
                     });
                 }
                 Ok(_) => event::log(Event::LimitReached, &[("limit", &"connections")]),
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -145,7 +145,7 @@
     match outcome {
         Outcome::Whole(mut whole) => {
             whole.headers.remove(CONTENT_LENGTH);
-            let close = context.shared.is_stopping();
+            let close = context.closes();
             context
                 .crashes
                 .borrow_mut()
@@ -187,7 +187,7 @@
     // A length would hold for one run only.
     let length: Option<u64> = length.filter(|_| !is_events);
     headers.remove(CONTENT_LENGTH);
-    let close = context.shared.is_stopping();
+    let close = context.closes();
     if caller.begin(status, headers, length, close).is_err() {
         return Ended::Broken("unwritable head");
     }
@@ -284,7 +284,7 @@
 }
 
 async fn refuse(context: &Rc<Context>, caller: &mut Caller, refusal: Refusal) -> Ended {
-    let close = context.shared.is_stopping();
+    let close = context.closes();
     let Refusal { status, why, retry } = refusal;
     let answered = caller.answer_own(status, retry, why, close).await;
     answered_or_left(status, answered)
--- a/edge/src/target.rs
+++ b/edge/src/target.rs
@@ -45,7 +45,7 @@
 ///
 /// A target may drop an idle connection without notice; the request that finds
 /// out cannot be sent again.
-const SURE_IDLE: Duration = Duration::from_millis(1500);
+const SURE_IDLE: Duration = Duration::from_millis(3000);
 
 /// The greatest size of an answer's head in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
--- a/node/src/settings/edge.rs
+++ b/node/src/settings/edge.rs
@@ -26,8 +26,8 @@
     pub peers: Vec<SocketAddr>,
     /// The time that the platform gives a planned stop.
     pub stop_limit: Duration,
-    /// The greatest number of callers' connections.
-    pub connections: usize,
+    /// File descriptors that the process may use.
+    pub descriptors: usize,
     /// Bounds that operators set.
     pub bounds: EdgeBounds,
     /// What is known of the engines.
@@ -71,7 +71,7 @@
         let store = section.require("store", value::reachable);
         let peers = section.value("peers", Vec::new(), value::peers);
         let stop_limit = section.value("stop_limit", Duration::from_secs(60), value::time);
-        let connections = section.value("connections", 3_000, value::count);
+        let descriptors = section.value("descriptors", 4_096, value::count);
         let bounds = section.section("bounds");
         let engine = section.section("engine");
         distinct(section, &[("listen", listen), ("operators", operators)]);
@@ -85,7 +85,7 @@
             store: store?,
             peers: peers?,
             stop_limit: stop_limit?,
-            connections: connections?,
+            descriptors: descriptors?,
             bounds: bounds?,
             engine: engine?,
         })
--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -78,6 +78,9 @@
 /// a request is refused.
 const PLAIN_DEPTH: f64 = 2.5;
 
+/// The cost of leaving the data centre for a plain target, as a share of its slots.
+const PLAIN_AWAY: f64 = 0.3;
+
 /// The least time that a refused caller is asked to stay away.
 const LEAST_WAIT: Duration = Duration::from_millis(40);
 
@@ -153,7 +156,7 @@
 pub fn choose(board: &mut Board, settings: &PlaceSettings, ask: &Ask<'_>, now: Instant) -> Choice {
     let choice = match (ask.service.engine, ask.prompt) {
         (Some(engine), Some(prompt)) => engine_target(board, settings, ask, engine, prompt, now),
-        _ => plain_target(board, settings, ask, now),
+        _ => plain_target(board, ask, now),
     };
     if let Choice::Target { spot, .. } = choice
         && board.place(spot).is_cold(now)
@@ -320,7 +323,7 @@
     (first.map(|(_, spot)| spot), second.map(|(_, spot)| spot))
 }
 
-fn plain_target(board: &Board, settings: &PlaceSettings, ask: &Ask<'_>, now: Instant) -> Choice {
+fn plain_target(board: &Board, ask: &Ask<'_>, now: Instant) -> Choice {
     let open = usable(board, ask, now);
     if open.is_empty() {
         return no_target();
@@ -335,7 +338,7 @@
         let away = if place.centre == *ask.centre {
             0.0
         } else {
-            settings.away / 40.0
+            PLAIN_AWAY
         };
         let score = used + away + place.trust.failures();
         if best.as_ref().is_none_or(|best| score < best.score) {
--- a/policy/src/direct/share.rs
+++ b/policy/src/direct/share.rs
@@ -25,7 +25,7 @@
 /// The factor for a team beyond its share.
 const OVER_FAVOUR: f64 = 0.2;
 
-/// How strongly the factor depends on what a team asks for.
+/// How strongly the factor depends on what was placed for a team.
 const SIZE_EXPONENT: f64 = 0.5;
 
 /// The least factor for a team within its share.
@@ -115,18 +115,19 @@
     /// The factor of the wait at targets that a team is allowed.
     ///
     /// A team beyond its share waits only where nobody else does. Below that, a
-    /// small team goes before a large one: what it asks for costs the others
-    /// little, and a large team has more requests to be refused among.
+    /// team for which little was placed goes before one for which much was, so
+    /// that teams which ask for more than there is end up with the same.
     pub fn favour(&mut self, team: u64, now: Instant) -> f64 {
         if self.standing(team, now) > 1.0 {
             return OVER_FAVOUR;
         }
-        let asked = self.total(team, now).asked;
-        match self.even > 0.0 && asked > 0.0 {
-            true => (self.even / asked)
+        let placed = self.total(team, now).placed;
+        match self.even > 0.0 && placed > 0.0 {
+            true => (self.even / placed)
                 .powf(SIZE_EXPONENT)
                 .clamp(LEAST_FAVOUR, MOST_FAVOUR),
-            false => 1.0,
+            // Nothing was placed for it lately.
+            false => MOST_FAVOUR,
         }
     }
 
@@ -186,8 +187,8 @@
         teams.dedup();
         let asked = teams.iter().map(|&team| self.total(team, now).asked);
         let asked: Vec<f64> = asked.collect();
-        let sum: f64 = asked.iter().sum();
-        self.even = sum / asked.len().max(1) as f64;
+        let placed = teams.iter().map(|&team| self.total(team, now).placed);
+        self.even = placed.sum::<f64>() / asked.len().max(1) as f64;
         self.level = max_min_level(asked, self.pool);
     }
 }
