Two routers read the targets and one watches operators; the others learn from beats

A beat echoes the receiver's own beat, so the age that it states holds however long it was under way (keys).

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -18,6 +18,7 @@
 use policy::direct::crash::{Crashes, Note};
 use policy::direct::place::{Keeper, PlaceSettings};
 use policy::direct::share::Shares;
+use policy::direct::target::Roster;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::Notify;
@@ -103,7 +104,8 @@
     /// Tells idle connections that they are closed.
     pub(crate) closing: Notify,
     suspects: RefCell<Vec<Suspect>>,
-    roster: Cell<usize>,
+    /// The roster on the board. It is held, so that its address is not used again.
+    roster: RefCell<Arc<Roster>>,
     peers: Cell<Option<Instant>>,
 }
 
@@ -141,7 +143,7 @@
             connections: Connections::new(settings.descriptors),
             closing: Notify::new(),
             suspects: RefCell::default(),
-            roster: Cell::new(0),
+            roster: RefCell::default(),
             peers: Cell::new(None),
         })
     }
@@ -158,13 +160,14 @@
 
     /// Takes over what the control thread has published.
     pub(crate) fn refresh(&self, now: Instant) {
-        let roster = self.shared.roster.load();
-        let address = Arc::as_ptr(&roster) as usize;
-        if self.roster.replace(address) != address {
+        let roster = self.shared.roster.load_full();
+        let is_new = !Arc::ptr_eq(&self.roster.borrow(), &roster);
+        if is_new {
             self.board.borrow_mut().adopt(&roster, now);
             if let Some(config) = self.config() {
                 self.shares.borrow_mut().set_pool(config.pool_rate);
             }
+            *self.roster.borrow_mut() = roster;
         }
         let is_fresh = |at| now.saturating_duration_since(at) < PEERS_AGE;
         if !self.peers.get().is_some_and(is_fresh) {
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -10,8 +10,9 @@
 //!   than [`COUNT_LIFE`] after it was seen, so that parts given to routers that
 //!   are cut off are not given away.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -20,13 +21,19 @@
 use node::event::{self, Event};
 use policy::direct::board::{InHand, PeerReport, Report};
 use policy::direct::crash::Note;
+use policy::direct::fresh::Uptime;
 use policy::direct::share::TeamRate;
+use policy::direct::target::Target;
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
-use wire::{BEAT_VERSION, Beat, BeatError, CrashRow, LoadRow, MAX_BEAT_BYTES, TeamRow};
+use wire::{
+    Beat, BeatError, CrashRow, Datagram, Echo, Listing, LoadRow, MAX_DATAGRAM_BYTES, TeamRow,
+};
 
+use crate::clock::{BootClock, SystemBootClock};
 use crate::shared::{Peers, Shared};
+use crate::store::StoreReader;
 
 /// The time between two beats while routers are few.
 const BEAT_PERIOD: Duration = Duration::from_millis(100);
@@ -49,6 +56,18 @@
 /// The number of beats in which a crash note is repeated, since beats get lost.
 const NOTE_BEATS: u8 = 10;
 
+/// The number of beats whose times of sending are kept for echoes.
+const SENT_BEATS: usize = 64;
+
+/// The number of targets in a part of a listing, so that it fits a datagram.
+const LISTING_TARGETS: usize = 64;
+
+/// The greatest number of parts of a listing.
+const MAX_PARTS: u16 = 256;
+
+/// The greatest number of listings that are being put together.
+const MAX_OPEN_LISTINGS: usize = 16;
+
 struct Peer {
     life: u64,
     number: u32,
@@ -63,9 +82,16 @@
     address: SocketAddr,
     life: u64,
     number: u32,
+    /// Periods since the start.
+    ticks: u32,
     seeds: Vec<SocketAddr>,
     /// Ordered, so that the same peers are served in the same order.
     peers: BTreeMap<SocketAddr, Peer>,
+    /// When the latest beats were sent.
+    sent: VecDeque<(u32, Uptime)>,
+    /// Parts of listings that are not complete.
+    parts: FxHashMap<(SocketAddr, u64), Vec<Option<Vec<Target>>>>,
+    store: Rc<StoreReader>,
     notes: Vec<(CrashRow, u8)>,
     known: FxHashSet<CrashRow>,
     shared: Arc<Shared>,
@@ -84,6 +110,7 @@
         seeds: &[SocketAddr],
         life: u64,
         shared: Arc<Shared>,
+        store: Rc<StoreReader>,
     ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
         let address = socket.local_addr()?;
@@ -92,8 +119,12 @@
             address,
             life,
             number: 0,
+            ticks: 0,
             seeds: Vec::new(),
             peers: BTreeMap::new(),
+            sent: VecDeque::new(),
+            parts: FxHashMap::default(),
+            store,
             notes: Vec::new(),
             known: FxHashSet::default(),
             shared,
@@ -112,10 +143,12 @@
     pub(crate) async fn run(mut self, mut seeds: tokio::sync::watch::Receiver<Vec<SocketAddr>>) {
         let mut ticks = interval(BEAT_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut buffer = vec![0; MAX_BEAT_BYTES];
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        let store = self.store.clone();
         loop {
             tokio::select! {
-                _ = ticks.tick() => self.beat().await,
+                _ = ticks.tick() => self.beat(),
+                () = store.news() => self.tell_news(),
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => self.hear(&buffer[..length], from),
                     // An unreachable peer's port shows as an error of the next call.
@@ -129,21 +162,21 @@
         }
     }
 
-    async fn beat(&mut self) {
-        self.number += 1;
+    fn beat(&mut self) {
+        self.ticks = self.ticks.wrapping_add(1);
         let now = SystemClock.now().mono;
         self.forget(now);
         let heard = self.peers.values().filter(|peer| peer.reachable).count();
         // With many peers each gets a beat every few periods, so that the cost
         // of a router stays the same.
         let rounds = heard.div_ceil(FULL_FANOUT).max(1) as u32;
-        let turn = self.number % rounds;
+        let turn = self.ticks % rounds;
         let live = self.peers.iter().filter(|(_, peer)| peer.reachable);
         let live = live
             .enumerate()
             .filter(|(index, _)| *index as u32 % rounds == turn);
         let mut to: Vec<SocketAddr> = live.map(|(_, (&address, _))| address).collect();
-        if self.number % SEED_EVERY == 1 {
+        if self.ticks.is_multiple_of(SEED_EVERY) {
             let silent = self.peers.iter().filter(|(_, peer)| !peer.reachable);
             to.extend(silent.map(|(&address, _)| address));
             let unknown = self
@@ -155,13 +188,7 @@
         if to.is_empty() {
             return;
         }
-        let bytes = self.compose().encode();
-        for address in to {
-            // A datagram that is lost here is as one lost on the way.
-            if let Err(error) = self.socket.try_send_to(&bytes, address) {
-                log::debug!("beat to {address}: {error}");
-            }
-        }
+        self.send_beat(&to);
         if turn + 1 == rounds {
             for (_, left) in &mut self.notes {
                 *left -= 1;
@@ -170,6 +197,103 @@
         }
     }
 
+    fn send_beat(&mut self, to: &[SocketAddr]) {
+        self.number += 1;
+        let mut beat = self.compose();
+        // The time is taken before the beat leaves: an echo must not claim more.
+        self.sent.push_back((self.number, SystemBootClock.uptime()));
+        if self.sent.len() > SENT_BEATS {
+            self.sent.pop_front();
+        }
+        for address in to {
+            beat.echo = self.peers.get(address).map(|peer| Echo {
+                life: peer.life,
+                number: peer.number,
+            });
+            self.send(&Datagram::Beat(beat.clone()), *address);
+        }
+    }
+
+    fn send(&self, datagram: &Datagram, to: SocketAddr) {
+        // A datagram that is lost here is as one lost on the way.
+        if let Err(error) = self.socket.try_send_to(&datagram.encode(), to) {
+            log::debug!("datagram to {to}: {error}");
+        }
+    }
+
+    /// Tells the peers at once what was read of the store.
+    fn tell_news(&mut self) {
+        let live = self.peers.iter().filter(|(_, peer)| peer.reachable);
+        let to: Vec<SocketAddr> = live.map(|(&address, _)| address).collect();
+        if to.is_empty() {
+            return;
+        }
+        match self.store.take_listing() {
+            None => self.send_beat(&to),
+            Some((revision, targets)) => {
+                let chunks: Vec<&[Target]> = targets.chunks(LISTING_TARGETS).collect();
+                let parts = chunks.len() as u16;
+                for (part, chunk) in chunks.into_iter().enumerate() {
+                    let listing = Datagram::Listing(Listing {
+                        revision,
+                        part: part as u16,
+                        parts,
+                        targets: chunk.to_vec(),
+                    });
+                    for &address in &to {
+                        self.send(&listing, address);
+                    }
+                }
+            }
+        }
+    }
+
+    fn hear_listing(&mut self, listing: Listing, from: SocketAddr) {
+        let Listing {
+            revision,
+            part,
+            parts,
+            targets,
+        } = listing;
+        if parts == 1 {
+            self.store.adopt_listing(revision, targets);
+            return;
+        }
+        if parts == 0 || part >= parts || parts > MAX_PARTS {
+            event::log(Event::MessageRefused, &[("peer", &from)]);
+            return;
+        }
+        if self.parts.len() >= MAX_OPEN_LISTINGS {
+            self.parts.clear();
+        }
+        let slots = self.parts.entry((from, revision)).or_default();
+        slots.resize(parts.into(), None);
+        slots[usize::from(part)] = Some(targets);
+        if slots.iter().all(Option::is_some) {
+            let whole = self.parts.remove(&(from, revision)).unwrap_or_default();
+            let targets = whole.into_iter().flatten().flatten().collect();
+            self.store.adopt_listing(revision, targets);
+        }
+    }
+
+    /// Takes over what a peer knows of the configuration.
+    fn take_confirmation(&self, beat: &Beat) {
+        let Some((echo, age)) = beat.echo.zip(beat.confirmed) else {
+            return;
+        };
+        if echo.life != self.life {
+            return;
+        }
+        let mut sent = self.sent.iter();
+        let Some((_, at)) = sent.find(|(number, _)| *number == echo.number) else {
+            return;
+        };
+        let age = Duration::from_millis(age.into());
+        if let Some(at) = at.0.checked_sub(age) {
+            self.store.peer_confirmed(beat.digest, Uptime(at));
+        }
+    }
+
     fn compose(&mut self) -> Beat {
         for note in self.shared.take_noted() {
             let row = CrashRow {
@@ -193,8 +317,13 @@
             placed: rate.placed as u32,
         });
         let live = self.peers.iter().filter(|(_, peer)| peer.reachable);
+        let confirmed = self.store.confirmation().age(SystemBootClock.uptime());
+        // Rounded up, so that no more is claimed than is known.
+        let confirmed = confirmed.map(|age| age.as_millis() as u32 + 1);
         Beat {
-            version: BEAT_VERSION,
+            echo: None,
+            digest: self.store.digest(),
+            confirmed,
             from: self.address,
             life: self.life,
             number: self.number,
@@ -210,8 +339,9 @@
     }
 
     fn hear(&mut self, bytes: &[u8], from: SocketAddr) {
-        let beat = match Beat::decode(bytes) {
-            Ok(beat) => beat,
+        let beat = match Datagram::decode(bytes) {
+            Ok(Datagram::Beat(beat)) => beat,
+            Ok(Datagram::Listing(listing)) => return self.hear_listing(listing, from),
             Err(BeatError::Version) => {
                 event::log(Event::VersionRefused, &[("peer", &from)]);
                 return;
@@ -235,6 +365,7 @@
             event::log(Event::PeerReachable, &fields);
         }
         self.merge_notes(&beat.crashes);
+        self.take_confirmation(&beat);
         for &address in &beat.peers {
             let is_known = self.peers.contains_key(&address) || self.seeds.contains(&address);
             if address != self.address && !is_known && self.seeds.len() < MAX_ADDRESSES {
@@ -307,6 +438,12 @@
             }
         }
         self.shared.peers.store(Arc::new(peers));
+        let live = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.reachable && !peer.beat.leaving);
+        self.store
+            .set_live(live.map(|(&address, _)| address).collect());
         let count = (self.peers.len() + 1).max(self.seeds.len());
         self.shared.routers.store(count, Ordering::Relaxed);
     }
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -137,11 +137,18 @@
         let listening = operators.clone().listen(address).await;
         listening.wrap_err_with(|| format!("cannot serve operators at {address}"))?;
     }
-    let gossip = Gossip::bind(settings.control, &settings.peers, life, shared.clone());
+    let revoke = settings.bounds.revoke;
+    let store = StoreReader::new(settings.store, settings.control, revoke, shared.clone());
+    let gossip = Gossip::bind(
+        settings.control,
+        &settings.peers,
+        life,
+        shared.clone(),
+        store.clone(),
+    );
     let gossip = gossip.await.wrap_err("cannot bind the control address")?;
     let (seeds, changed) = watch::channel(settings.peers.clone());
     actix_rt::spawn(gossip.run(changed));
-    let store = StoreReader::new(settings.store, settings.bounds.revoke, shared.clone());
     actix_rt::spawn(store.clone().follow_operators());
     actix_rt::spawn(store.follow_targets());
     actix_rt::spawn(follow_settings(path, settings, seeds));
--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -1,8 +1,8 @@
 //! Reads the platform's store: configuration, drained data centres and targets.
 //!
-//! Two loops run on the control thread. One reads what operators write and then
-//! waits for changes; the other reads the targets at a fixed period, since their
-//! entries change all the time. What was read is published as a snapshot.
+//! Two loops run on the control thread, one for what operators write and one for
+//! the targets. Which calls a router makes itself and what it learns from peers is
+//! decided by `policy::direct::reading`. What is known is published as a snapshot.
 //!
 //! Invariants:
 //! - A configuration is replaced only by one with a higher version.
@@ -10,26 +10,27 @@
 //! - After an outage a missing target is kept until entries had time to return.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use awc::http::StatusCode;
 use entity::{Clock, Name, SystemClock};
 use node::event::{self, Event};
 use platform::record::{self, Subject};
 use platform::store::{self, HISTORY_LOST, Item, OPERATORS_PREFIX, Page, TARGETS_PREFIX};
-use policy::direct::fresh::Confirmation;
-use policy::direct::target::Roster;
+use policy::direct::fresh::{Confirmation, Uptime};
+use policy::direct::reading::{self, WATCH_WAIT};
+use policy::direct::target::{Roster, Target};
 use rustc_hash::FxHashSet;
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{BootClock, SystemBootClock};
 use crate::shared::Shared;
 
-/// How long a watch waits for changes; it bounds the age of the confirmation.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
-
 /// The time that an answer may take beyond the wait that was asked for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -57,13 +58,27 @@
 pub(crate) struct StoreReader {
     client: awc::Client,
     base: String,
+    /// This router's address among its peers.
+    address: SocketAddr,
     shared: Arc<Shared>,
     state: RefCell<State>,
+    /// Wakes the loop of operators' values: a peer knows others.
+    differs: Notify,
+    /// Wakes the gossip: there is something that peers should know at once.
+    news: Notify,
 }
 
 struct State {
     confirmation: Confirmation,
     roster: Roster,
+    /// The store's revision of the targets in the roster.
+    listed: u64,
+    /// When operators' values were last asked for.
+    asked: Option<Instant>,
+    /// The other routers that are live.
+    live: Vec<SocketAddr>,
+    /// A listing that peers have not got yet.
+    outbox: Option<(u64, Vec<Target>)>,
     /// Whether each of the two loops got its last answer.
     reached: [bool; 2],
     /// Keys of entries that were refused, to log each once.
@@ -80,18 +95,26 @@
 impl StoreReader {
     /// Creates a reader of the store at this address.
     pub(crate) fn new(
-        address: std::net::SocketAddr,
+        store: SocketAddr,
+        address: SocketAddr,
         revoke: Option<Duration>,
         shared: Arc<Shared>,
     ) -> Rc<Self> {
         let client = awc::Client::builder().disable_redirects().disable_timeout();
         Rc::new(Self {
             client: client.finish(),
-            base: format!("http://{address}"),
+            base: format!("http://{store}"),
+            address,
             shared,
+            differs: Notify::new(),
+            news: Notify::new(),
             state: RefCell::new(State {
                 confirmation: Confirmation::new(revoke),
                 roster: Roster::default(),
+                listed: 0,
+                asked: None,
+                live: Vec::new(),
+                outbox: None,
                 reached: [true; 2],
                 refused: FxHashSet::default(),
             }),
@@ -104,7 +127,13 @@
         loop {
             after = match after {
                 None => self.read_operators().await,
-                Some(revision) => self.watch_operators(revision).await,
+                Some(revision) if reading::watches(self.rank()) => {
+                    self.watch_operators(revision).await
+                }
+                Some(revision) => match self.wait_for_difference().await {
+                    true => self.read_operators().await,
+                    false => Some(revision),
+                },
             };
             if after.is_none() {
                 sleep(RETRY_DELAY).await;
@@ -115,13 +144,15 @@
     /// Reads the targets, for as long as the process runs.
     pub(crate) async fn follow_targets(self: Rc<Self>) {
         loop {
+            let due = self.targets_due();
+            if due > Duration::ZERO {
+                sleep(due).await;
+                continue;
+            }
             match self.range(TARGETS_PREFIX).await {
-                Ok((items, _)) => {
+                Ok((items, as_of)) => {
                     self.reached(Part::Targets);
-                    self.adopt_targets(&items);
-                    let now = SystemClock.now().mono;
-                    let pause = self.state.borrow().roster.next_read(now);
-                    sleep(pause).await;
+                    self.adopt_items(&items, as_of);
                 }
                 Err(error) => {
                     self.failed(Part::Targets, &error);
@@ -131,8 +162,91 @@
         }
     }
 
+    fn targets_due(&self) -> Duration {
+        let now = SystemClock.now().mono;
+        let rank = self.rank();
+        let state = self.state.borrow();
+        let due = reading::targets_due(rank, state.roster.age(now));
+        state
+            .roster
+            .lapse_due(now)
+            .map_or(due, |lapse| lapse.min(due))
+    }
+
+    /// Waits until what operators write should be read; returns `false` if peers
+    /// have confirmed it meanwhile.
+    async fn wait_for_difference(&self) -> bool {
+        let age = self.confirmation().age(SystemBootClock.uptime());
+        let due = reading::confirmation_due(age);
+        if due.is_zero() {
+            return true;
+        }
+        let differs = timeout(due, self.differs.notified()).await.is_ok();
+        let now = SystemClock.now().mono;
+        let asked = self.state.borrow().asked;
+        let is_spaced = |asked: Instant| now.duration_since(asked) >= RETRY_DELAY;
+        differs && asked.is_none_or(is_spaced)
+    }
+
+    /// This router's rank among those that are live.
+    fn rank(&self) -> usize {
+        reading::rank(self.address, self.state.borrow().live.iter().copied())
+    }
+
+    /// Sets the other routers that are live.
+    pub(crate) fn set_live(&self, live: Vec<SocketAddr>) {
+        self.state.borrow_mut().live = live;
+    }
+
+    /// When what operators wrote was last known to be current.
+    pub(crate) fn confirmation(&self) -> Confirmation {
+        self.state.borrow().confirmation
+    }
+
+    /// The digest of what operators wrote, the same on all routers that know the same.
+    pub(crate) fn digest(&self) -> u64 {
+        let version = self
+            .shared
+            .config
+            .load()
+            .as_ref()
+            .map_or(0, |config| config.version);
+        let state = self.state.borrow();
+        let mut drained: Vec<&str> = state.roster.drained.iter().map(Name::as_str).collect();
+        drained.sort_unstable();
+        xxh3_64(format!("{version} {}", drained.join(" ")).as_bytes())
+    }
+
+    /// A peer knew what operators wrote to be current at `at`.
+    pub(crate) fn peer_confirmed(&self, digest: u64, at: Uptime) {
+        let is_newer = self.confirmation().at().is_none_or(|own| at > own);
+        match digest == self.digest() {
+            true => self.confirm(|confirmation| confirmation.read(at)),
+            false if is_newer => self.differs.notify_one(),
+            false => {}
+        }
+    }
+
+    /// Waits until there is something that peers should know at once.
+    pub(crate) async fn news(&self) {
+        self.news.notified().await;
+    }
+
+    /// Takes the listing that peers have not got yet.
+    pub(crate) fn take_listing(&self) -> Option<(u64, Vec<Target>)> {
+        self.state.borrow_mut().outbox.take()
+    }
+
+    /// Adopts a listing of a peer, unless a later one is known.
+    pub(crate) fn adopt_listing(&self, revision: u64, targets: Vec<Target>) {
+        if revision >= self.state.borrow().listed {
+            self.adopt_targets(targets, revision);
+        }
+    }
+
     async fn read_operators(&self) -> Option<u64> {
         let sent = SystemBootClock.uptime();
+        self.state.borrow_mut().asked = Some(SystemClock.now().mono);
         match self.range(OPERATORS_PREFIX).await {
             Ok((items, as_of)) => {
                 self.reached(Part::Operators);
@@ -212,6 +326,7 @@
                 ];
                 event::log(Event::ConfigAdopted, &fields);
                 self.shared.config.store(Some(Arc::new(config)));
+                self.news.notify_one();
             }
             Err(error) => {
                 let fields: [event::Field<'_>; 2] = [("revision", &item.revision), ("why", &error)];
@@ -242,11 +357,11 @@
             event::log(Event::CentreDrained, &fields);
         }
         state.roster.drained = drained;
+        self.news.notify_one();
         self.shared.roster.store(Arc::new(state.roster.clone()));
     }
 
-    fn adopt_targets(&self, items: &[Item]) {
-        let now = SystemClock.now().mono;
+    fn adopt_items(&self, items: &[Item], as_of: u64) {
         let mut state = self.state.borrow_mut();
         let mut targets = Vec::with_capacity(items.len());
         for item in items {
@@ -266,6 +381,16 @@
                 Err(_) => {}
             }
         }
+        state.outbox = Some((as_of, targets.clone()));
+        drop(state);
+        self.adopt_targets(targets, as_of);
+        self.news.notify_one();
+    }
+
+    fn adopt_targets(&self, targets: Vec<Target>, revision: u64) {
+        let now = SystemClock.now().mono;
+        let mut state = self.state.borrow_mut();
+        state.listed = revision;
         let change = state.roster.replace(targets, now);
         for (event, names) in [
             (Event::TargetAppeared, &change.appeared),
@@ -315,7 +440,7 @@
             body.map(|body| body.to_vec())
                 .map_err(|_| CallError::Unreachable)
         };
-        let answer = tokio::time::timeout(wait + ANSWER_TIMEOUT, call).await;
+        let answer = timeout(wait + ANSWER_TIMEOUT, call).await;
         answer.unwrap_or(Err(CallError::Unreachable))
     }
 
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -7,6 +7,7 @@
 //!
 //! - [`config`]: which route, team and service a request belongs to;
 //! - [`fresh`]: whether what is believed may still be acted on;
+//! - [`reading`]: which routers read the store, and when;
 //! - [`board`]: what every target has in hand, of this router and of its peers;
 //! - [`place`]: which target a request goes to, or why it is refused;
 //! - [`share`]: which teams are beyond their share of the pool;
@@ -23,6 +24,7 @@
 pub mod crash;
 pub mod fresh;
 pub mod place;
+pub mod reading;
 pub mod share;
 pub mod target;
 pub mod trust;
--- a/policy/src/direct/target.rs
+++ b/policy/src/direct/target.rs
@@ -8,9 +8,10 @@
 
 use entity::Name;
 use rustc_hash::{FxHashMap, FxHashSet};
+use serde::{Deserialize, Serialize};
 
 /// Whether a target takes new requests by its own word.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum TargetState {
     /// It takes requests.
     Ready,
@@ -19,7 +20,7 @@
 }
 
 /// One target as it registered itself.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct Target {
     /// The id of this life of the target.
     pub name: Name,
@@ -39,9 +40,6 @@
     pub born: u64,
 }
 
-/// The time between two readings of the targets.
-pub const READ_PERIOD: Duration = Duration::from_millis(1_000);
-
 /// The time without a reading after which entries may have lapsed; three
 /// heartbeats of a target are longer.
 pub const OUTAGE: Duration = Duration::from_millis(2_500);
@@ -49,9 +47,6 @@
 /// The time in which entries that lapsed in an outage return.
 pub const RETURN_TIME: Duration = Duration::from_millis(2_000);
 
-/// The least time between two readings.
-const LEAST_PERIOD: Duration = Duration::from_millis(50);
-
 /// The targets and drained data centres at one moment.
 ///
 /// A target whose entry is missing is gone at once, unless the reading is the
@@ -111,12 +106,15 @@
         change
     }
 
-    /// The time until the targets should be read again.
-    pub fn next_read(&self, now: Instant) -> Duration {
-        let due = self.read.map_or(now, |read| read + READ_PERIOD);
-        let lapsed = self.lapsed.values().copied().min();
-        let due = lapsed.map_or(due, |lapsed| lapsed.min(due));
-        due.saturating_duration_since(now).max(LEAST_PERIOD)
+    /// The age of the last reading.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.read.map(|read| now.saturating_duration_since(read))
+    }
+
+    /// The time until a target that lapsed is given up, if there is one.
+    pub fn lapse_due(&self, now: Instant) -> Option<Duration> {
+        let first = self.lapsed.values().min()?;
+        Some(first.saturating_duration_since(now))
     }
 }
 
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -8,25 +8,30 @@
 use std::net::SocketAddr;
 
 use derive_more::{Display, Error};
+use policy::direct::target::Target;
 use serde::{Deserialize, Serialize};
 
 /// The version of the beat's layout.
 pub const BEAT_VERSION: u8 = 1;
 
-/// The greatest size of a beat in bytes; it fits one datagram.
-pub const MAX_BEAT_BYTES: usize = 8 * 1024;
+/// The greatest size of a datagram in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
 /// What one router states about itself.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct Beat {
-    /// The layout.
-    pub version: u8,
     /// Where the sender receives beats.
     pub from: SocketAddr,
     /// The sender's life; a later one has a higher number.
     pub life: u64,
     /// The number of the beat within the life.
     pub number: u32,
+    /// The last beat of the receiver that the sender heard, in its present life.
+    pub echo: Option<Echo>,
+    /// The digest of what operators wrote, as the sender knows it.
+    pub digest: u64,
+    /// The age of the sender's confirmation of it, in milliseconds.
+    pub confirmed: Option<u32>,
     /// Whether the sender is about to end.
     pub leaving: bool,
     /// Other routers that the sender heard lately.
@@ -39,6 +44,40 @@
     pub crashes: Vec<CrashRow>,
 }
 
+/// A beat of the receiver.
+///
+/// It tells the receiver that the rest of the message was written after that
+/// beat had been sent, however long the message was under way.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Echo {
+    /// The receiver's life.
+    pub life: u64,
+    /// The number of its beat.
+    pub number: u32,
+}
+
+/// A part of a listing of the targets, as a reader of the store saw them.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Listing {
+    /// The store's revision at the reading.
+    pub revision: u64,
+    /// The number of this part, from 0.
+    pub part: u16,
+    /// The number of parts.
+    pub parts: u16,
+    /// The targets of this part.
+    pub targets: Vec<Target>,
+}
+
+/// One datagram between edge routers.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub enum Datagram {
+    /// What the sender has in hand.
+    Beat(Beat),
+    /// What the sender read of the store.
+    Listing(Listing),
+}
+
 /// What a router has in hand at one target.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct LoadRow {
@@ -83,24 +122,27 @@
     Version,
 }
 
-impl Beat {
-    /// The datagram.
+impl Datagram {
+    /// The bytes, which begin with the version.
     ///
     /// # Panics
     ///
     /// Panics if the codec fails, which writing to memory does not.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("writing to memory succeeds")
+        let bytes = vec![BEAT_VERSION];
+        postcard::to_extend(self, bytes).expect("writing to memory succeeds")
     }
 
     /// Reads a datagram.
     ///
     /// # Errors
     ///
-    /// Returns an error if the bytes are no beat of this version.
+    /// Returns an error if the bytes are no datagram of this version.
     pub fn decode(bytes: &[u8]) -> Result<Self, BeatError> {
-        match bytes.first() {
-            Some(&BEAT_VERSION) => postcard::from_bytes(bytes).map_err(|_| BeatError::Garbage),
+        match bytes.split_first() {
+            Some((&BEAT_VERSION, rest)) => {
+                postcard::from_bytes(rest).map_err(|_| BeatError::Garbage)
+            }
             Some(_) => Err(BeatError::Version),
             None => Err(BeatError::Garbage),
         }
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -12,7 +12,10 @@
 mod header;
 mod service;
 
-pub use beat::{BEAT_VERSION, Beat, BeatError, CrashRow, LoadRow, MAX_BEAT_BYTES, TeamRow};
+pub use beat::{
+    BEAT_VERSION, Beat, BeatError, CrashRow, Datagram, Echo, Listing, LoadRow, MAX_DATAGRAM_BYTES,
+    TeamRow,
+};
 pub use envelope::{Envelope, EnvelopeError, MAX_ENVELOPE_BYTES, Message, VERSION};
 pub use fact::{broadcast, fact};
 pub use header::{
