Stand-ins of store and target; tests of the edge router as real processes

Cause of a fault that a test found: a drained data centre reached only the router that watches. A peer's confirmation after a change is no newer than the last one, so a differing digest was ignored until the own confirmation aged. Now each new digest of a peer is a reason to ask the store, once.

--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -75,7 +75,12 @@
     let instruments = TrafficMetrics::new(&metrics.meter());
     let context = Context::new(&settings, shared.clone(), instruments, seed);
     let listener = bind(settings.listen)?;
-    event::log(Event::ListenerBound, &[("callers", &settings.listen)]);
+    let callers = listener.local_addr()?;
+    event::log(Event::ListenerBound, &[("callers", &callers)]);
+    println!(
+        "listening callers={callers} operators={}",
+        settings.operators
+    );
 
     let control = actix_rt::Arbiter::new();
     let operators = Operators {
--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use awc::http::StatusCode;
 use entity::{Clock, Name, SystemClock};
@@ -73,8 +73,8 @@
     roster: Roster,
     /// The store's revision of the targets in the roster.
     listed: u64,
-    /// When operators' values were last asked for.
-    asked: Option<Instant>,
+    /// The last digest of a peer that differed from the own one.
+    foreign: Option<u64>,
     /// The other routers that are live.
     live: Vec<SocketAddr>,
     /// A listing that peers have not got yet.
@@ -112,7 +112,7 @@
                 confirmation: Confirmation::new(revoke),
                 roster: Roster::default(),
                 listed: 0,
-                asked: None,
+                foreign: None,
                 live: Vec::new(),
                 outbox: None,
                 reached: [true; 2],
@@ -181,11 +181,7 @@
         if due.is_zero() {
             return true;
         }
-        let differs = timeout(due, self.differs.notified()).await.is_ok();
-        let now = SystemClock.now().mono;
-        let asked = self.state.borrow().asked;
-        let is_spaced = |asked: Instant| now.duration_since(asked) >= RETRY_DELAY;
-        differs && asked.is_none_or(is_spaced)
+        timeout(due, self.differs.notified()).await.is_ok()
     }
 
     /// This router's rank among those that are live.
@@ -219,11 +215,15 @@
 
     /// A peer knew what operators wrote to be current at `at`.
     pub(crate) fn peer_confirmed(&self, digest: u64, at: Uptime) {
-        let is_newer = self.confirmation().at().is_none_or(|own| at > own);
-        match digest == self.digest() {
-            true => self.confirm(|confirmation| confirmation.read(at)),
-            false if is_newer => self.differs.notify_one(),
-            false => {}
+        if digest == self.digest() {
+            self.confirm(|confirmation| confirmation.read(at));
+            return;
+        }
+        // Which of two digests is the older one is not told by them, so each new
+        // one is a reason to ask the store, once.
+        let known = self.state.borrow_mut().foreign.replace(digest);
+        if known != Some(digest) {
+            self.differs.notify_one();
         }
     }
 
@@ -246,7 +246,6 @@
 
     async fn read_operators(&self) -> Option<u64> {
         let sent = SystemBootClock.uptime();
-        self.state.borrow_mut().asked = Some(SystemClock.now().mono);
         match self.range(OPERATORS_PREFIX).await {
             Ok((items, as_of)) => {
                 self.reached(Part::Operators);
--- /dev/null
+++ b/livetests/src/edge.rs
@@ -0,0 +1,278 @@
+//! Edge routers as real processes, with a store and targets inside the test.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use serde_json::{Value, json};
+pub use standins::platform::raw_call;
+use standins::platform::{Arrival, ScriptedTarget, Store};
+
+use crate::process::{Process, Signal};
+use crate::until;
+
+/// The key of the team `red`.
+pub const RED_KEY: &str = "key-of-red";
+
+/// The data centre of every process.
+const CENTRE: &str = "north";
+
+/// What a test varies of the configuration.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// The version.
+    pub version: u64,
+    /// The keys of the team `red`.
+    pub keys: Vec<&'static str>,
+    /// The time limit of all routes, in milliseconds.
+    pub timeout: u64,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            version: 1,
+            keys: vec![RED_KEY],
+            timeout: 5_000,
+        }
+    }
+}
+
+impl Rules {
+    /// The configuration: routes `/safe/`, `/once/`, `/open/`, `/stream/` and `/resume/`.
+    pub fn value(&self) -> Value {
+        let route = |name: &str, kind: &str, resumable: bool, open: bool| {
+            json!({
+                "name": name,
+                "host": "desk.example",
+                "prefix": format!("/{name}/"),
+                "kind": kind,
+                "timeoutMs": self.timeout,
+                "targetLatencyMs": 300,
+                "priority": 1,
+                "service": "desk",
+                "maxAttempts": 2,
+                "authExempt": open,
+                "sticky": false,
+                "resumable": resumable,
+            })
+        };
+        json!({
+            "version": self.version,
+            "routes": [
+                route("safe", "safe", false, false),
+                route("once", "unsafe", false, false),
+                route("open", "safe", false, true),
+                route("stream", "streaming", false, false),
+                route("resume", "streaming", true, false),
+            ],
+            "services": [{
+                "name": "desk",
+                "healthPath": "/health",
+                "maxConns": 100,
+                "coldStartS": 0.0,
+                "coldPerS": 0.0,
+            }],
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 100_000,
+                "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
+                "tokensPerS": 100_000,
+            },
+            "tenants": [{ "name": "red", "apiKeys": self.keys }],
+        })
+    }
+}
+
+/// A fleet of edge routers.
+#[derive(Debug)]
+pub struct EdgeFleet {
+    /// The store.
+    pub store: Store,
+    /// The targets.
+    pub targets: Vec<ScriptedTarget>,
+    /// The routers.
+    pub routers: Vec<Process>,
+    folder: PathBuf,
+}
+
+impl EdgeFleet {
+    /// Starts routers and targets and waits until every router is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not start.
+    pub async fn start(name: &str, routers: usize, targets: usize) -> eyre::Result<Self> {
+        let folder = std::env::temp_dir().join(format!("knapweed-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let store = Store::start().await?;
+        let mut fleet = Self {
+            store,
+            targets: Vec::new(),
+            routers: Vec::new(),
+            folder,
+        };
+        fleet.store.put("op/config", &Rules::default().value());
+        for number in 0..targets {
+            let target = ScriptedTarget::start(&format!("t{number}")).await?;
+            fleet
+                .store
+                .put(&target.key(), &target.entry("desk", "ready"));
+            fleet.targets.push(target);
+        }
+        let control = free_port()?;
+        for number in 0..routers {
+            let router = fleet.start_router(number, control)?;
+            fleet.routers.push(router);
+        }
+        fleet.ready().await;
+        Ok(fleet)
+    }
+
+    fn start_router(&self, number: usize, control: u16) -> eyre::Result<Process> {
+        let ip = format!("127.0.1.{}", number + 1);
+        let operators = free_port()?;
+        let store = self.store.address();
+        let settings = format!(
+            "name: edge-{number}\ndata_centre: {CENTRE}\nlisten: 127.0.0.1:0\n\
+             control: {ip}:{control}\noperators: 127.0.0.1:{operators}\nstore: {store}\n\
+             peers: [127.0.1.1:9, 127.0.1.2:9]\nstop_limit: 6s\nbounds:\n  revoke: 5s\n"
+        );
+        let file = self.folder.join(format!("edge-{number}.yaml"));
+        std::fs::write(&file, settings)?;
+        let args = ["--settings".to_owned(), file.display().to_string()];
+        let log = self.folder.join(format!("edge-{number}.log"));
+        Process::start("knapweed-edge", &args, &log).wrap_err("cannot start the edge router")
+    }
+
+    /// Waits until every router says that it is ready.
+    pub async fn ready(&self) {
+        for router in &self.routers {
+            let operators = router.address("operators");
+            until("the router is ready", || async move {
+                get(operators, "/ready")
+                    .await
+                    .filter(|text| text.contains(" 200 "))
+            })
+            .await;
+        }
+    }
+
+    /// Sends a request with the key of `red` to the first router.
+    pub async fn call(&self, method: &str, path: &str, id: &str) -> String {
+        self.call_at(0, method, path, id, Some(RED_KEY)).await
+    }
+
+    /// Sends a request to a router, and returns all bytes of the answer.
+    pub async fn call_at(
+        &self,
+        router: usize,
+        method: &str,
+        path: &str,
+        id: &str,
+        key: Option<&str>,
+    ) -> String {
+        let key = key.map_or(String::new(), |key| {
+            format!("Authorization: Bearer {key}\r\n")
+        });
+        let body = if method == "POST" {
+            "Content-Length: 4\r\n\r\nbody"
+        } else {
+            "\r\n"
+        };
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n\
+             X-Knapweedgate-Request-Id: {id}\r\nX-Knapweedgate-Deadline-Ms: 4000\r\n\
+             X-Knapweedgate-Tenant: blue\r\nX-Knapweedgate-Hold: forged\r\n{key}{body}"
+        );
+        let address = self.routers[router].address("callers");
+        raw_call(address, &request).await.unwrap_or_default()
+    }
+
+    /// The requests that reached targets with this id.
+    pub fn arrivals(&self, id: &str) -> Vec<Arrival> {
+        let all = self.targets.iter().flat_map(ScriptedTarget::arrivals);
+        let header = "x-knapweedgate-request-id";
+        all.filter(|it| it.request.header(header) == Some(id))
+            .collect()
+    }
+
+    /// All requests that reached a target.
+    pub fn arrivals_at(&self, target: usize) -> usize {
+        self.targets[target].arrivals().len()
+    }
+
+    /// Sends a signal to a router.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal cannot be sent.
+    pub fn signal(&self, router: usize, signal: Signal) -> eyre::Result<()> {
+        self.routers[router].signal(signal)
+    }
+
+    /// Sends requests until one is answered with the status.
+    pub async fn until_status(&self, router: usize, path: &str, key: Option<&str>, status: u16) {
+        until("the router answers so", || async {
+            let answer = self.call_at(router, "GET", path, "waiting", key).await;
+            (status_of(&answer) == status).then_some(())
+        })
+        .await;
+    }
+}
+
+impl Drop for EdgeFleet {
+    fn drop(&mut self) {
+        // The folder is in the system's temporary one; what is left of it does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// The status of an answer; 0 if there is none.
+pub fn status_of(answer: &str) -> u16 {
+    let status = answer.split(' ').nth(1);
+    status.and_then(|status| status.parse().ok()).unwrap_or(0)
+}
+
+/// The body of an answer, with its chunks joined.
+pub fn body_of(answer: &str) -> String {
+    let Some((head, body)) = answer.split_once("\r\n\r\n") else {
+        return String::new();
+    };
+    if !head
+        .to_ascii_lowercase()
+        .contains("transfer-encoding: chunked")
+    {
+        return body.to_owned();
+    }
+    let mut rest = body;
+    let mut whole = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        match usize::from_str_radix(size, 16) {
+            Ok(size) if size > 0 && after.len() >= size => {
+                whole.push_str(&after[..size]);
+                rest = after[size..].trim_start_matches("\r\n");
+            }
+            _ => break,
+        }
+    }
+    whole
+}
+
+/// Whether a chunked answer has its end.
+pub fn is_whole(answer: &str) -> bool {
+    answer.ends_with("0\r\n\r\n")
+}
+
+/// The text of an operators' page.
+pub async fn get(operators: SocketAddr, path: &str) -> Option<String> {
+    let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    let answer = tokio::time::timeout(Duration::from_secs(2), raw_call(operators, &request)).await;
+    answer.ok()?.ok()
+}
+
+fn free_port() -> eyre::Result<u16> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
+}
--- a/livetests/src/lib.rs
+++ b/livetests/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod caller;
 pub mod deployment;
+pub mod edge;
 pub mod process;
 
 use std::future::Future;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod engine;
 pub mod http;
 pub mod load;
+pub mod platform;
 pub mod service;
--- /dev/null
+++ b/standins/src/platform/store.rs
@@ -0,0 +1,231 @@
+//! A stand-in for the platform's store: reads, watches and faults.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::BytesMut;
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::http::{self, RawRequest};
+
+/// Items on a page of a range.
+const PAGE: usize = 3;
+
+/// How the store answers.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum StoreMode {
+    /// As it should.
+    #[default]
+    Up,
+    /// With 503.
+    Busy,
+    /// Not at all.
+    Silent,
+    /// By resetting the connection.
+    Reset,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    items: BTreeMap<String, (Vec<u8>, u64)>,
+    history: Vec<(u64, String, Option<Vec<u8>>)>,
+    revision: u64,
+    floor: u64,
+    mode: StoreMode,
+    calls: u64,
+}
+
+/// The store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+    address: SocketAddr,
+}
+
+impl Store {
+    /// Starts a store on a free port of loopback.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let store = Self {
+            state: Arc::default(),
+            changed: watch::Sender::new(0),
+            address: listener.local_addr()?,
+        };
+        let server = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let server = server.clone();
+                tokio::spawn(async move { server.serve(stream).await });
+            }
+        });
+        Ok(store)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes a value.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+
+    /// Writes bytes, which need not be a value that anybody can read.
+    pub fn put_bytes(&self, key: &str, bytes: &[u8]) {
+        let mut state = self.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        state
+            .items
+            .insert(key.to_owned(), (bytes.to_vec(), revision));
+        state
+            .history
+            .push((revision, key.to_owned(), Some(bytes.to_vec())));
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Deletes a key.
+    pub fn delete(&self, key: &str) {
+        let mut state = self.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        state.history.push((revision, key.to_owned(), None));
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Sets how it answers; waiting watches are answered so too.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.lock().mode = mode;
+    }
+
+    /// Forgets its history and cuts the watches that wait.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.floor = state.revision + 1;
+        state.revision += 1;
+        let revision = state.revision;
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Calls since the start, refused ones included.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn serve(&self, mut stream: TcpStream) {
+        let mut input = BytesMut::new();
+        while let Ok(Some(request)) = http::read(&mut stream, &mut input).await {
+            self.lock().calls += 1;
+            let (mut status, mut body) = self.answer(&request).await;
+            let mode = self.lock().mode;
+            match mode {
+                StoreMode::Up => {}
+                StoreMode::Busy => (status, body) = (503, json!({})),
+                StoreMode::Silent => std::future::pending().await,
+                StoreMode::Reset => return,
+            }
+            let body = body.to_string();
+            let head = format!(
+                "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            if stream.write_all((head + &body).as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn answer(&self, request: &RawRequest) -> (u16, Value) {
+        let prefix = request.parameter("prefix").unwrap_or_default();
+        match request.path() {
+            "/kv-range" => (200, self.range(prefix, request.parameter("startAfter"))),
+            "/kv-watch" => {
+                let number = |name| request.parameter(name).and_then(|it| it.parse().ok());
+                let after = number("startAfter").unwrap_or(0);
+                let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
+                self.watch(prefix, after, wait).await
+            }
+            _ => (404, json!({})),
+        }
+    }
+
+    fn range(&self, prefix: &str, after: Option<&str>) -> Value {
+        let state = self.lock();
+        let matching = state.items.iter().filter(|(key, _)| {
+            key.starts_with(prefix) && after.is_none_or(|after| key.as_str() > after)
+        });
+        let mut items: Vec<Value> = matching
+            .take(PAGE + 1)
+            .map(|(key, (value, revision))| item(key, Some(value), *revision))
+            .collect();
+        let more = items.len() > PAGE;
+        items.truncate(PAGE);
+        json!({ "items": items, "morePages": more, "asOf": state.revision })
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Value) {
+        let mut changed = self.changed.subscribe();
+        let waiting = async {
+            loop {
+                if let Some(answer) = self.changes(prefix, after) {
+                    return answer;
+                }
+                if changed.changed().await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            }
+        };
+        let nothing = || (200, json!({ "events": [], "asOf": self.lock().revision }));
+        timeout(wait, waiting).await.unwrap_or_else(|_| nothing())
+    }
+
+    fn changes(&self, prefix: &str, after: u64) -> Option<(u16, Value)> {
+        let state = self.lock();
+        if after < state.floor {
+            return Some((410, json!({})));
+        }
+        let events = state.history.iter();
+        let events = events.filter(|(at, key, _)| *at > after && key.starts_with(prefix));
+        let events: Vec<Value> = events
+            .map(|(at, key, value)| item(key, value.as_ref(), *at))
+            .collect();
+        let answer = json!({ "events": events, "asOf": state.revision });
+        (!events.is_empty()).then_some((200, answer))
+    }
+}
+
+fn item(key: &str, value: Option<&Vec<u8>>, revision: u64) -> Value {
+    match value {
+        Some(value) => json!({
+            "key": key,
+            "value": STANDARD.encode(value),
+            "revision": revision,
+            "createRev": revision,
+            "lease": 0,
+        }),
+        None => json!({ "key": key, "revision": revision, "deleted": true }),
+    }
+}
