--- a/policy/src/direct/crash.rs
+++ b/policy/src/direct/crash.rs
@@ -16,7 +16,7 @@
 /// The number of targets that a request may take down before it is refused.
 ///
 /// One crash can hit a request that only ran beside the cause.
-pub const CRASH_LIMIT: usize = 2;
+pub const CRASH_LIMIT: usize = 3;
 
 /// How long a note counts.
 pub const NOTE_LIFE: Duration = Duration::from_secs(60);
@@ -70,7 +70,7 @@
     pub fn refused(&self, request: Fingerprint, now: Instant) -> Option<Duration> {
         let noted = self.noted.get(&request)?;
         let left = (noted.last + NOTE_LIFE).checked_duration_since(now)?;
-        (noted.targets.len() >= CRASH_LIMIT).then_some(left)
+        (noted.targets.len() >= CRASH_LIMIT && !left.is_zero()).then_some(left)
     }
 
     fn forget(&mut self, now: Instant) {
--- /dev/null
+++ b/policy/tests/direct_beliefs.rs
@@ -0,0 +1,276 @@
+//! What an edge router believes, for how long, and what it concludes.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use entity::{Fingerprint, Name};
+use knapweed_policy::direct::budget::{BudgetBound, RepeatBudget};
+use knapweed_policy::direct::crash::{CRASH_LIMIT, Crashes, NOTE_LIFE, Note};
+use knapweed_policy::direct::fresh::{Confirmation, Uptime};
+use knapweed_policy::direct::reading::{
+    CONFIRMED_AGE, READERS, TARGETS_AGE, confirmation_due, rank, targets_due, watches,
+};
+use knapweed_policy::direct::share::{Shares, TeamRate};
+use knapweed_policy::direct::target::{OUTAGE, RETURN_TIME, Roster, Target, TargetState};
+use knapweed_policy::direct::trust::{LONGEST_REST, Trust};
+use knapweed_policy::direct::verdict::{AnswerFacts, Verdict, judge};
+
+const BOUND: Duration = Duration::from_secs(5);
+
+fn at(millis: u64) -> Uptime {
+    Uptime(Duration::from_millis(millis))
+}
+
+fn target(name: &str, state: TargetState) -> Target {
+    Target {
+        name: Name::new(name),
+        service: Name::new("pool"),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        centre: Name::new("north"),
+        slots: 4,
+        state,
+        cold: Duration::ZERO,
+        born: 1,
+    }
+}
+
+#[test]
+fn a_key_is_acted_on_only_while_its_confirmation_is_young() {
+    let mut confirmation = Confirmation::new(Some(BOUND));
+    assert!(!confirmation.allows_keys(at(0)));
+    confirmation.read(at(1_000));
+    assert!(confirmation.allows_keys(at(2_000)));
+    assert!(!confirmation.allows_keys(at(1_000 + 5_000)));
+    // An older reading that arrives late changes nothing.
+    confirmation.read(at(500));
+    assert_eq!(confirmation.at(), Some(at(1_000)));
+}
+
+#[test]
+fn a_quiet_watch_confirms_the_end_of_its_wait_only_if_it_came_in_time() {
+    let wait = Duration::from_secs(2);
+    let confirmed = |took: u64| {
+        let mut confirmation = Confirmation::new(Some(BOUND));
+        confirmation.unchanged(at(100), wait, at(100 + took));
+        confirmation.at()
+    };
+    assert_eq!(confirmed(2_010), Some(at(2_100)));
+    assert_eq!(confirmed(1_000), Some(at(100)), "the store answered early");
+    assert_eq!(
+        confirmed(9_000),
+        Some(at(100)),
+        "the answer was under way, or this VM slept"
+    );
+}
+
+#[test]
+fn a_missing_target_is_gone_at_once_but_after_an_outage() {
+    let start = Instant::now();
+    let mut roster = Roster::default();
+    let both = || {
+        vec![
+            target("a", TargetState::Ready),
+            target("b", TargetState::Ready),
+        ]
+    };
+    roster.replace(both(), start);
+    let one = || vec![target("a", TargetState::Ready)];
+    let change = roster.replace(one(), start + Duration::from_secs(1));
+    assert_eq!(change.gone, [Name::new("b")]);
+    roster.replace(both(), start + Duration::from_secs(2));
+
+    let back = start + Duration::from_secs(2) + OUTAGE;
+    assert!(roster.replace(one(), back).gone.is_empty());
+    assert_eq!(roster.lapse_due(back), Some(RETURN_TIME));
+    // What was listed after the outage and is missing then did not lapse in it.
+    let change = roster.replace(Vec::new(), back + Duration::from_millis(100));
+    assert_eq!(change.gone, [Name::new("a")]);
+    let change = roster.replace(Vec::new(), back + RETURN_TIME);
+    assert_eq!(change.gone, [Name::new("b")]);
+}
+
+#[test]
+fn a_new_life_under_an_old_name_appears_anew() {
+    let start = Instant::now();
+    let mut roster = Roster::default();
+    roster.replace(vec![target("a", TargetState::Ready)], start);
+    let again = Target {
+        born: 2,
+        ..target("a", TargetState::Ready)
+    };
+    let change = roster.replace(vec![again], start);
+    assert_eq!(change.appeared, [Name::new("a")]);
+    let leaving = Target {
+        born: 2,
+        ..target("a", TargetState::Leaving)
+    };
+    assert_eq!(
+        roster.replace(vec![leaving], start).leaving,
+        [Name::new("a")]
+    );
+}
+
+#[test]
+fn all_routers_compute_the_same_readers() {
+    let all: Vec<SocketAddr> = (1..=24)
+        .map(|ip| SocketAddr::from(([10, 0, 0, ip], 7400)))
+        .collect();
+    let rank_of = |own: SocketAddr| rank(own, all.iter().copied().filter(|it| *it != own));
+    let mut ranks: Vec<usize> = all.iter().map(|&own| rank_of(own)).collect();
+    let watching = ranks.iter().filter(|rank| watches(**rank)).count();
+    ranks.sort_unstable();
+    assert_eq!(ranks, (0..24).collect::<Vec<_>>());
+    assert_eq!(watching, 1);
+}
+
+#[test]
+fn a_router_that_hears_nothing_reads_for_itself() {
+    assert_eq!(targets_due(READERS + 5, None), Duration::ZERO);
+    assert_eq!(targets_due(READERS + 5, Some(TARGETS_AGE)), Duration::ZERO);
+    assert!(targets_due(READERS + 5, Some(Duration::from_millis(200))) > Duration::from_secs(1));
+    assert!(targets_due(0, Some(TARGETS_AGE)).is_zero());
+    assert!(confirmation_due(Some(CONFIRMED_AGE)).is_zero());
+    assert!(confirmation_due(None).is_zero());
+}
+
+#[test]
+fn a_request_that_takes_down_its_targets_is_refused_until_it_completes() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    let request = Fingerprint(7);
+    for number in 0..CRASH_LIMIT as u64 {
+        assert_eq!(crashes.refused(request, now), None);
+        let note = Note {
+            request,
+            target: number,
+        };
+        assert!(crashes.add(note, now));
+        assert!(
+            !crashes.add(note, now),
+            "a note that is heard twice counts once"
+        );
+    }
+    assert!(crashes.refused(request, now).is_some());
+    assert_eq!(crashes.refused(Fingerprint(8), now), None);
+    assert_eq!(crashes.refused(request, now + NOTE_LIFE), None);
+    crashes.completed(request);
+    assert_eq!(crashes.refused(request, now), None);
+}
+
+#[test]
+fn a_target_that_fails_a_part_of_its_requests_rests_and_is_tried_again() {
+    let now = Instant::now();
+    let mut trust = Trust::default();
+    assert!(
+        !(0..20).any(|number| match number % 10 {
+            0 => trust.bad(now),
+            _ => {
+                trust.good(now);
+                false
+            }
+        }),
+        "a tenth of failures"
+    );
+    let mut trust = Trust::default();
+    let began = (0..20).any(|number| match number % 2 {
+        0 => trust.bad(now),
+        _ => {
+            trust.good(now);
+            false
+        }
+    });
+    assert!(began && trust.rests(now));
+    assert!(!trust.rests(now + LONGEST_REST));
+}
+
+/// The repeats that `routers` routers send in a window in which each request asks for one.
+fn repeats(routers: usize, requests: usize, bound: BudgetBound) -> usize {
+    let start = Instant::now();
+    let service = Name::new("pool");
+    let mut budgets: Vec<_> = (0..routers).map(|_| RepeatBudget::new(bound)).collect();
+    let mut sent = 0;
+    for number in 0..requests {
+        let now = start + bound.window * number as u32 / requests as u32;
+        let budget = &mut budgets[number % routers];
+        budget.arrived(&service, routers, now);
+        sent += usize::from(budget.spend(&service, routers, now));
+    }
+    sent
+}
+
+#[test]
+fn repeats_of_all_routers_stay_within_the_operators_bound() {
+    let bound = BudgetBound {
+        ratio: 0.2,
+        slack: 56.0,
+        window: Duration::from_secs(10),
+    };
+    for (routers, requests) in [(1, 2_000), (5, 2_000), (24, 20_000), (31, 500)] {
+        let sent = repeats(routers, requests, bound);
+        let most = bound.ratio * requests as f64 + bound.slack;
+        assert!(
+            sent as f64 <= most,
+            "{routers} routers: {sent} repeats, bound {most}"
+        );
+        assert!(sent > 0);
+    }
+}
+
+#[test]
+fn shares_are_max_min() {
+    let now = Instant::now();
+    let mut shares = Shares::new(3_000.0);
+    let peers = [(1, 500.0), (2, 4_000.0), (3, 9_000.0)];
+    let rate = |asked| TeamRate {
+        asked,
+        placed: asked,
+    };
+    shares.set_peers(
+        peers
+            .into_iter()
+            .map(|(team, asked)| (team, rate(asked)))
+            .collect(),
+    );
+    // The first takes its 500, the others divide the rest evenly.
+    assert!(shares.standing(1, now) < 1.0);
+    assert!((shares.level() - 1_250.0).abs() < 1.0, "{}", shares.level());
+    assert!(shares.standing(2, now) > 1.0 && shares.standing(3, now) > 1.0);
+    assert!(shares.favour(1, now) > shares.favour(2, now));
+}
+
+#[test]
+fn nobody_is_beyond_its_share_while_the_pool_covers_all() {
+    let now = Instant::now();
+    let mut shares = Shares::new(1e9);
+    shares.asked(1, 1e6, now);
+    shares.placed(1, 1e6, now);
+    assert_eq!(shares.standing(1, now), 0.0);
+}
+
+#[test]
+fn only_the_targets_own_word_says_that_a_request_has_not_run() {
+    let mut text = String::new();
+    for status in [200, 204, 400, 404, 408, 421, 429, 500, 503, 504] {
+        for (not_run, signed) in [(false, true), (false, false), (true, false)] {
+            let verdict = judge(AnswerFacts {
+                status,
+                not_run,
+                signed,
+                encoded: false,
+            });
+            let is_promise = verdict == Verdict::NotRun;
+            assert!(!is_promise || not_run || status == 421, "{status}");
+            text.push_str(&format!(
+                "{status} not_run={not_run} signed={signed}: {verdict}\n"
+            ));
+        }
+    }
+    let encoded = AnswerFacts {
+        status: 200,
+        not_run: false,
+        signed: true,
+        encoded: true,
+    };
+    assert_eq!(judge(encoded), Verdict::Garbled);
+    insta::assert_snapshot!(text);
+}
--- /dev/null
+++ b/policy/tests/direct_load.rs
@@ -0,0 +1,445 @@
+//! What callers get under load: decisions of edge routers against a small model
+//! of engines.
+//!
+//! The model reads prompts in the order in which they come, at a fixed rate,
+//! keeps parts in limited memory and runs a limited number of requests at once.
+//! Three routers place on it and hear of each other with a delay. Each snapshot
+//! shows the same load by several ways of placing, the product's last.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Write as _;
+use std::time::{Duration, Instant};
+
+use entity::Name;
+use knapweed_policy::direct::board::{Board, Part, PeerReport, Prompt, Spot, Take};
+use knapweed_policy::direct::config::{Engine, Service};
+use knapweed_policy::direct::place::{Ask, Choice, PlaceSettings, choose};
+use knapweed_policy::direct::share::Shares;
+use knapweed_policy::direct::target::{Roster, Target, TargetState};
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Tokens that an engine of the model reads per millisecond.
+const READ_RATE: f64 = 50.0;
+
+/// The length of one step of the model.
+const STEP: Duration = Duration::from_millis(2);
+
+/// The time between two reports of routers to each other.
+const GOSSIP: Duration = Duration::from_millis(100);
+
+/// Tokens of parts that an engine keeps.
+const KEPT_TOKENS: u32 = 120_000;
+
+const TARGETS: usize = 6;
+const ROUTERS: usize = 3;
+const SLOTS: u32 = 48;
+
+/// One kind of request.
+#[derive(Clone, Copy)]
+struct Kind {
+    name: &'static str,
+    per_second: f64,
+    shared: u32,
+    own: u32,
+    things: u64,
+    objective: u64,
+    runs_for: u64,
+}
+
+const KINDS: [Kind; 3] = [
+    Kind {
+        name: "review",
+        per_second: 20.0,
+        shared: 5_400,
+        own: 4_000,
+        things: 30,
+        objective: 800,
+        runs_for: 3_000,
+    },
+    Kind {
+        name: "quote",
+        per_second: 60.0,
+        shared: 200,
+        own: 430,
+        things: 100,
+        objective: 600,
+        runs_for: 2_000,
+    },
+    Kind {
+        name: "digest",
+        per_second: 30.0,
+        shared: 570,
+        own: 1_200,
+        things: 150,
+        objective: 1_200,
+        runs_for: 200,
+    },
+];
+
+/// A way of placing.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// Any target, whatever it has in hand.
+    Random,
+    /// The target with the least to read, whatever it keeps.
+    Least,
+    /// The product's choice, without refusing.
+    Unlimited,
+    /// The product's choice.
+    Product,
+}
+
+/// A request inside an engine.
+struct Running {
+    kind: usize,
+    team: usize,
+    came: Instant,
+    left: f64,
+    until: Option<Instant>,
+    router: usize,
+    spot: Spot,
+    take: Take,
+}
+
+#[derive(Default)]
+struct EngineModel {
+    queue: VecDeque<Running>,
+    running: Vec<Running>,
+    kept: VecDeque<(u64, u32)>,
+}
+
+impl EngineModel {
+    /// Tokens of the prompt that must be read; its parts are kept from now on.
+    fn admit(&mut self, prompt: &Prompt) -> u32 {
+        let mut fresh = 0;
+        let mut is_prefix = true;
+        for part in &prompt.parts {
+            let at = self.kept.iter().position(|(id, _)| *id == part.id);
+            is_prefix = is_prefix && at.is_some();
+            if !is_prefix {
+                fresh += part.tokens;
+            }
+            if let Some(at) = at {
+                self.kept.remove(at);
+            }
+            self.kept.push_back((part.id, part.tokens));
+        }
+        while self.kept.iter().map(|(_, tokens)| tokens).sum::<u32>() > KEPT_TOKENS {
+            self.kept.pop_front();
+        }
+        fresh
+    }
+}
+
+/// What callers got.
+#[derive(Default, Clone, Copy)]
+struct Got {
+    in_time: u32,
+    late: u32,
+    refused: u32,
+}
+
+struct Play {
+    way: Way,
+    factor: f64,
+    /// Requests of team 0 for each one of another team.
+    flood: u64,
+    seconds: u64,
+}
+
+struct Outcome {
+    kinds: [Got; KINDS.len()],
+    teams: BTreeMap<usize, Got>,
+    read: f64,
+}
+
+fn roster(now: Instant) -> Roster {
+    let mut roster = Roster::default();
+    let targets = (0..TARGETS).map(|number| Target {
+        name: Name::new(&format!("t{number}")),
+        service: Name::new("pool"),
+        address: ([10, 0, 0, number as u8], 80).into(),
+        centre: Name::new("north"),
+        slots: SLOTS,
+        state: TargetState::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+    });
+    roster.replace(targets.collect(), now);
+    roster
+}
+
+fn prompt(kind: &Kind, index: usize, random: &mut ChaCha8Rng) -> Prompt {
+    let thing = random.random_range(0..kind.things);
+    let shared = Part {
+        id: (index as u64) << 32 | thing,
+        tokens: kind.shared,
+    };
+    let tokens = random.random_range(kind.own / 4..kind.own * 2);
+    let own = Part {
+        id: random.random(),
+        tokens,
+    };
+    Prompt {
+        parts: [shared, own].into_iter().collect(),
+        input: kind.shared + tokens,
+        output: 200,
+    }
+}
+
+fn play(play: &Play) -> Outcome {
+    let start = Instant::now();
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut boards: Vec<Board> = vec![Board::default(); ROUTERS];
+    let mut shares: Vec<Shares> = vec![Shares::new(0.0); ROUTERS];
+    for board in &mut boards {
+        board.adopt(&roster(start), start);
+    }
+    let spots: Vec<Spot> = boards[0].of_service(&Name::new("pool")).to_vec();
+    let mut engines: Vec<EngineModel> = (0..TARGETS).map(|_| EngineModel::default()).collect();
+    let mut outcome = Outcome {
+        kinds: Default::default(),
+        teams: BTreeMap::new(),
+        read: 0.0,
+    };
+    let service = Service {
+        name: Name::new("pool"),
+        connections: 100,
+        cold_rate: 0.0,
+        engine: Some(Engine {
+            slots: SLOTS,
+            memory: 10_000_000,
+            copy_rate: 0.0,
+        }),
+    };
+    let settings = PlaceSettings {
+        wait_share: if play.way == Way::Unlimited {
+            1e9
+        } else {
+            0.55
+        },
+        ..PlaceSettings::default()
+    };
+    let steps = play.seconds * 1_000 / STEP.as_millis() as u64;
+    for step in 0..steps {
+        let now = start + STEP * step as u32;
+        if step % (GOSSIP.as_millis() / STEP.as_millis()) as u64 == 0 {
+            exchange(&mut boards, &mut shares, now);
+        }
+        for (index, kind) in KINDS.iter().enumerate() {
+            let rate = kind.per_second * play.factor * STEP.as_secs_f64();
+            if !random.random_bool(rate.min(1.0)) {
+                continue;
+            }
+            let prompt = prompt(kind, index, &mut random);
+            let router = random.random_range(0..ROUTERS);
+            let team = match random.random_range(0..play.flood + 5) {
+                number if number < play.flood => 0,
+                number => 1 + (number - play.flood) as usize,
+            };
+            shares[router].asked(team as u64, prompt.size(), now);
+            let chosen = match play.way {
+                Way::Random => Some(spots[random.random_range(0..TARGETS)]),
+                Way::Least => {
+                    let waiting = |spot: &Spot| boards[router].place(*spot).waiting(READ_RATE, now);
+                    spots
+                        .iter()
+                        .copied()
+                        .min_by(|a, b| waiting(a).total_cmp(&waiting(b)))
+                }
+                Way::Unlimited | Way::Product => {
+                    let ask = Ask {
+                        service: &service,
+                        prompt: Some(&prompt),
+                        least: Duration::from_millis(600),
+                        objective: Duration::from_millis(kind.objective),
+                        favour: shares[router].favour(team as u64, now),
+                        centre: &Name::new("north"),
+                        tried: &[],
+                        routers: ROUTERS,
+                    };
+                    match choose(&mut boards[router], &settings, &ask, now) {
+                        Choice::Target { spot, .. } => Some(spot),
+                        Choice::Refused { .. } => None,
+                    }
+                }
+            };
+            let Some(spot) = chosen else {
+                outcome.kinds[index].refused += 1;
+                outcome.teams.entry(team).or_default().refused += 1;
+                continue;
+            };
+            shares[router].placed(team as u64, prompt.size(), now);
+            let take = boards[router].begin(spot, Some(&prompt), 0, now);
+            let engine = &mut engines[spots.iter().position(|it| *it == spot).expect("a spot")];
+            let left = f64::from(engine.admit(&prompt));
+            outcome.read += left;
+            engine.queue.push_back(Running {
+                kind: index,
+                team,
+                came: now,
+                left,
+                until: None,
+                router,
+                spot,
+                take,
+            });
+        }
+        for engine in &mut engines {
+            advance(engine, &mut boards, &mut outcome, now);
+        }
+    }
+    outcome
+}
+
+fn exchange(boards: &mut [Board], shares: &mut [Shares], now: Instant) {
+    let reports: Vec<PeerReport> = boards
+        .iter()
+        .map(|board| PeerReport {
+            at: now,
+            reports: board.report(READ_RATE, now),
+        })
+        .collect();
+    let rates: Vec<_> = shares
+        .iter_mut()
+        .map(|shares| shares.report(16, now))
+        .collect();
+    for (index, board) in boards.iter_mut().enumerate() {
+        let others = reports
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != index);
+        board.set_peers(others.map(|(_, report)| report), now);
+        let mut sums = rustc_hash::FxHashMap::default();
+        for (team, rate) in rates
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != index)
+            .flat_map(|(_, it)| it)
+        {
+            let sum: &mut knapweed_policy::direct::share::TeamRate = sums.entry(*team).or_default();
+            sum.asked += rate.asked;
+            sum.placed += rate.placed;
+        }
+        shares[index].set_peers(sums);
+    }
+}
+
+fn advance(engine: &mut EngineModel, boards: &mut [Board], outcome: &mut Outcome, now: Instant) {
+    let done: Vec<Running> = engine
+        .running
+        .extract_if(.., |it| it.until.is_some_and(|until| until <= now))
+        .collect();
+    for it in done {
+        boards[it.router].end(it.spot, it.take, true);
+    }
+    let mut budget = READ_RATE * STEP.as_secs_f64() * 1e3;
+    while engine.running.len() < SLOTS as usize && budget > 0.0 {
+        let Some(first) = engine.queue.front_mut() else {
+            return;
+        };
+        let read = first.left.min(budget);
+        first.left -= read;
+        budget -= read;
+        if first.left > 0.0 {
+            return;
+        }
+        let mut it = engine.queue.pop_front().expect("a first request");
+        let kind = &KINDS[it.kind];
+        boards[it.router].started(it.spot, it.take, now);
+        it.until = Some(now + Duration::from_millis(kind.runs_for));
+        let is_late = now - it.came > Duration::from_millis(kind.objective);
+        for got in [
+            &mut outcome.kinds[it.kind],
+            outcome.teams.entry(it.team).or_default(),
+        ] {
+            if is_late {
+                got.late += 1
+            } else {
+                got.in_time += 1
+            }
+        }
+        engine.running.push(it);
+    }
+}
+
+fn table(factor: f64, flood: u64) -> String {
+    let ways = [
+        (Way::Random, "random"),
+        (Way::Least, "least to read"),
+        (Way::Unlimited, "kept parts"),
+        (Way::Product, "product"),
+    ];
+    let mut text = String::new();
+    for (way, name) in ways {
+        let outcome = play(&Play {
+            way,
+            factor,
+            flood,
+            seconds: 20,
+        });
+        write!(text, "{name}: read {:.0}k", outcome.read / 1e3).expect("text");
+        for (kind, got) in KINDS.iter().zip(outcome.kinds) {
+            write!(
+                text,
+                ", {} {}/{}/{}",
+                kind.name, got.in_time, got.late, got.refused
+            )
+            .expect("text");
+        }
+        text.push('\n');
+    }
+    text
+}
+
+/// Requests in time, late and refused, by kind and way.
+#[test]
+fn usual_load_is_served_and_twice_the_load_is_served_to_the_pools_limit() {
+    insta::assert_snapshot!(format!(
+        "usual load\n{}\ntwice the load\n{}",
+        table(1.0, 1),
+        table(2.0, 1)
+    ));
+}
+
+/// The share of in-time answers of the pool's limit that must be kept at overload.
+#[test]
+fn overload_does_not_lower_what_is_served_in_time() {
+    let sum = |factor| {
+        let outcome = play(&Play {
+            way: Way::Product,
+            factor,
+            flood: 1,
+            seconds: 20,
+        });
+        outcome.kinds.iter().map(|got| got.in_time).sum::<u32>()
+    };
+    let (usual, heavy) = (sum(1.0), sum(2.5));
+    assert!(
+        heavy >= usual,
+        "{heavy} in time at 2.5 times the load, {usual} at the usual one"
+    );
+}
+
+/// A team that floods the pool gets no more than others that ask for less than it.
+#[test]
+fn a_flood_of_one_team_leaves_the_others_served() {
+    let outcome = play(&Play {
+        way: Way::Product,
+        factor: 2.0,
+        flood: 15,
+        seconds: 20,
+    });
+    let share =
+        |got: &Got| f64::from(got.in_time) / f64::from(got.in_time + got.late + got.refused);
+    let flood = share(&outcome.teams[&0]);
+    for (team, got) in outcome.teams.iter().filter(|(team, _)| **team != 0) {
+        assert!(
+            share(got) >= flood,
+            "team {team}: {:.2}, flood {flood:.2}",
+            share(got)
+        );
+        assert!(share(got) >= 0.8, "team {team}: {:.2}", share(got));
+    }
+}
