--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -22,6 +22,7 @@
 use policy::direct::board::{InHand, PeerReport, Report};
 use policy::direct::crash::Note;
 use policy::direct::fresh::Uptime;
+use policy::direct::reading::READER_AGE;
 use policy::direct::share::TeamRate;
 use policy::direct::target::Target;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -76,6 +77,18 @@
     beat: Beat,
 }
 
+impl Peer {
+    /// Whether the others can rely on it to read the store.
+    fn reads(&self) -> bool {
+        let confirmed = self
+            .beat
+            .confirmed
+            .map(u64::from)
+            .map(Duration::from_millis);
+        !self.beat.leaving && confirmed.is_some_and(|age| age < READER_AGE)
+    }
+}
+
 /// The gossip of one router.
 pub(crate) struct Gossip {
     socket: UdpSocket,
@@ -438,10 +451,8 @@
             }
         }
         self.shared.peers.store(Arc::new(peers));
-        let live = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.reachable && !peer.beat.leaving);
+        let live = self.peers.iter();
+        let live = live.filter(|(_, peer)| peer.reachable && peer.reads());
         self.store
             .set_live(live.map(|(&address, _)| address).collect());
         let count = (self.peers.len() + 1).max(self.seeds.len());
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -216,6 +216,7 @@
             .prompt
             .as_ref()
             .filter(|_| service.engine.is_some());
+        let favour = self.favour(prompt, now);
         let ask = Ask {
             service,
             prompt,
@@ -223,7 +224,7 @@
             least: config
                 .least_objective(service.name.as_str())
                 .unwrap_or(route.objective),
-            favour: self.favour(prompt, now),
+            favour,
             centre: &context.centre,
             tried: &self.tried,
             routers,
@@ -237,7 +238,7 @@
                 keeper,
             } => {
                 let attempt = Attempt::begin(context, spot, prompt, keeper, now);
-                self.note_sent(&attempt, wait, home);
+                self.note_sent(&attempt, wait, home, favour);
                 self.count(prompt, now);
                 Ok(attempt)
             }
@@ -424,14 +425,16 @@
         }
     }
 
-    fn note_sent(&self, attempt: &Attempt, wait: f64, home: bool) {
+    fn note_sent(&self, attempt: &Attempt, wait: f64, home: bool, favour: f64) {
         let board = self.context.board.borrow();
         let place = board.place(attempt.spot);
         let wait = wait as u64;
         let (count, fresh) = (place.in_hand().count, attempt.fresh());
         let number = self.sends + 1;
         let copied = attempt.keeper.map_or(0, |keeper| keeper.tokens);
-        let fields: [Field<'_>; 9] = [
+        let favour = format!("{favour:.2}");
+        let team = self.entitled.team_name().map_or("-", entity::Name::as_str);
+        let fields: [Field<'_>; 11] = [
             ("request", &self.order.stated.id),
             ("target", &place.name),
             ("attempt", &number),
@@ -440,6 +443,8 @@
             ("fresh_tokens", &fresh),
             ("copied_tokens", &copied),
             ("home", &home),
+            ("team", &team),
+            ("favour", &favour),
             ("version", &self.entitled.config.version),
         ];
         event::log(Event::RequestSent, &fields);
--- a/policy/src/direct/reading.rs
+++ b/policy/src/direct/reading.rs
@@ -24,10 +24,15 @@
 pub const TARGETS_AGE: Duration = Duration::from_millis(1_350);
 
 /// How long a watch waits for changes.
-pub const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+pub const WATCH_WAIT: Duration = Duration::from_millis(1_000);
 
-/// The age of the confirmation at which a router reads for itself.
-pub const CONFIRMED_AGE: Duration = Duration::from_millis(2_700);
+/// The age of the confirmation at which a router reads for itself. Operators' own
+/// bound on the age of a configuration is 2 s.
+pub const CONFIRMED_AGE: Duration = Duration::from_millis(1_500);
+
+/// The age of a peer's confirmation at which it is no reader for the others: it
+/// does not reach the store, or is suspended.
+pub const READER_AGE: Duration = Duration::from_millis(2_200);
 
 /// The rank of a router among those that are live, from 0.
 pub fn rank(own: SocketAddr, live: impl Iterator<Item = SocketAddr>) -> usize {
--- a/policy/src/direct/share.rs
+++ b/policy/src/direct/share.rs
@@ -1,6 +1,7 @@
 //! Which teams are beyond their share of the pool.
 //!
-//! The pool's rate is divided max-min: a team that asks for less than an even
+//! The pool's rate, as operators state it or as it shows in what is placed, is
+//! divided max-min: a team that asks for less than an even
 //! share gets all it asks for, and the rest is divided evenly among the others.
 //! Each router measures what teams ask for and get from it and adds what its
 //! peers report.
@@ -22,7 +23,10 @@
 /// The rate in tokens per second below which a team is forgotten.
 const LEAST_RATE: f64 = 1.0;
 
-/// The factor for a team beyond its share.
+/// The factor on what is placed that allows for requests under way.
+const PRODUCED_SLACK: f64 = 1.02;
+
+/// The factor for a team that just reached its share.
 const OVER_FAVOUR: f64 = 0.2;
 
 /// How strongly the factor depends on what was placed for a team.
@@ -82,7 +86,7 @@
         }
     }
 
-    /// Sets the pool's rate in tokens per second; 0 if it is not known.
+    /// Sets the rate that operators state, in tokens per second; 0 if they do not.
     pub fn set_pool(&mut self, pool: f64) {
         self.pool = pool;
     }
@@ -118,8 +122,10 @@
     /// team for which little was placed goes before one for which much was, so
     /// that teams which ask for more than there is end up with the same.
     pub fn favour(&mut self, team: u64, now: Instant) -> f64 {
-        if self.standing(team, now) > 1.0 {
-            return OVER_FAVOUR;
+        let standing = self.standing(team, now);
+        if standing > 1.0 {
+            // Several teams may be beyond it: the one that got most waits longest.
+            return OVER_FAVOUR / (standing * standing);
         }
         let placed = self.total(team, now).placed;
         match self.even > 0.0 && placed > 0.0 {
@@ -131,8 +137,8 @@
         }
     }
 
-    /// The share of a team that asks for more than the pool gives it, in tokens
-    /// per second; infinite while nobody does.
+    /// The share of a team that asks for more than it gets, in tokens per second;
+    /// infinite while nobody does.
     pub fn level(&self) -> f64 {
         self.level
     }
@@ -188,8 +194,16 @@
         let asked = teams.iter().map(|&team| self.total(team, now).asked);
         let asked: Vec<f64> = asked.collect();
         let placed = teams.iter().map(|&team| self.total(team, now).placed);
-        self.even = placed.sum::<f64>() / asked.len().max(1) as f64;
-        self.level = max_min_level(asked, self.pool);
+        let placed: f64 = placed.sum();
+        self.even = placed / asked.len().max(1) as f64;
+        // What the pool produces now shows in what is placed while some is refused.
+        let produced = placed * PRODUCED_SLACK;
+        let pool = if self.pool > 0.0 {
+            self.pool.min(produced)
+        } else {
+            produced
+        };
+        self.level = max_min_level(asked, pool);
     }
 }
 
