--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -20,6 +20,7 @@
 
 use super::board::{Board, Place, Prompt, Spot};
 use super::config::{Engine, Service};
+use super::share::OVER_FAVOUR;
 
 /// The settings of placing.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -214,6 +215,10 @@
     let keeper = home.filter(|&home| board.place(home).fresh(prompt, now) <= own);
     let usual = limit(settings, ask);
     let objective = ask.objective.as_secs_f64() * 1e3;
+    let waits = open
+        .iter()
+        .map(|&spot| board.place(spot).waiting(settings.read_rate, now));
+    let mean_wait = waits.sum::<f64>() / open.len() as f64 / settings.read_rate;
     let mut best: Option<Candidate> = None;
     let mut least: Option<f64> = None;
     for &spot in &open {
@@ -241,7 +246,14 @@
         // A long prompt reaches its objective only where little waits before it.
         let read = f64::from(fresh) / settings.read_rate;
         let limit = usual * (1.0 - read / objective).max(LONG_SHARE);
-        let over = wait - limit;
+        // A team beyond its share asks so often that it would meet each target at
+        // the moment at which nothing waits there.
+        let felt = if ask.favour <= OVER_FAVOUR {
+            wait.max(mean_wait)
+        } else {
+            wait
+        };
+        let over = felt - limit;
         least = Some(least.map_or(over, |least| least.min(over)));
         if over > 0.0 {
             continue;
