--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -20,7 +20,6 @@
 
 use super::board::{Board, Place, Prompt, Spot};
 use super::config::{Engine, Service};
-use super::share::OVER_FAVOUR;
 
 /// The settings of placing.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -246,14 +245,9 @@
         // A long prompt reaches its objective only where little waits before it.
         let read = f64::from(fresh) / settings.read_rate;
         let limit = usual * (1.0 - read / objective).max(LONG_SHARE);
-        // A team beyond its share asks so often that it would meet each target at
-        // the moment at which nothing waits there.
-        let felt = if ask.favour <= OVER_FAVOUR {
-            wait.max(mean_wait)
-        } else {
-            wait
-        };
-        let over = felt - limit;
+        // Who asks often meets each target at the moment at which nothing waits
+        // there, so the wait of the whole pool counts as well.
+        let over = wait.max(mean_wait) - limit;
         least = Some(least.map_or(over, |least| least.min(over)));
         if over > 0.0 {
             continue;
--- a/policy/src/direct/share.rs
+++ b/policy/src/direct/share.rs
@@ -27,7 +27,7 @@
 const PRODUCED_SLACK: f64 = 1.02;
 
 /// The factor for a team that just reached its share.
-pub const OVER_FAVOUR: f64 = 0.5;
+const OVER_FAVOUR: f64 = 1.2;
 
 /// How strongly the factor depends on what was placed for a team.
 const SIZE_EXPONENT: f64 = 0.5;
