--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use actix_http::ServiceConfig;
@@ -30,6 +31,12 @@
 /// How often the traffic thread publishes what it has in hand, and sweeps.
 pub(crate) const UPKEEP_PERIOD: Duration = Duration::from_millis(100);
 
+/// The delay of a period from which on the traffic thread has fallen behind.
+const STRAIN_LAG: Duration = Duration::from_millis(120);
+
+/// How long a router that fell behind gets no new connections.
+const STRAIN_TIME: Duration = Duration::from_millis(1_500);
+
 /// The age up to which the peers' reports are used as they were last summed up.
 const PEERS_AGE: Duration = Duration::from_millis(25);
 
@@ -77,12 +84,17 @@
         self.open.set(self.open.get() - 1);
     }
 
+    /// Whether few more connections can be taken.
+    fn are_nearly_all(&self) -> bool {
+        self.open.get() > self.most / 4 * 3
+    }
+
     /// Whether connections should not be kept after their answer.
     ///
     /// Callers that were refused come back on new connections and leave the old
     /// ones idle.
     pub(crate) fn are_many(&self) -> bool {
-        self.open.get() > self.most / 2
+        self.open.get() > self.most / 3
     }
 }
 
@@ -104,6 +116,8 @@
     /// Tells idle connections that they are closed.
     pub(crate) closing: Notify,
     suspects: RefCell<Vec<Suspect>>,
+    /// When this router last fell behind.
+    strain: Cell<Option<Instant>>,
     /// The roster on the board. It is held, so that its address is not used again.
     roster: RefCell<Arc<Roster>>,
     peers: Cell<Option<Instant>>,
@@ -143,6 +157,7 @@
             connections: Connections::new(settings.descriptors),
             closing: Notify::new(),
             suspects: RefCell::default(),
+            strain: Cell::new(None),
             roster: RefCell::default(),
             peers: Cell::new(None),
         })
@@ -150,7 +165,38 @@
 
     /// Whether connections are closed after their answer.
     pub(crate) fn closes(&self) -> bool {
-        self.shared.is_stopping() || self.connections.are_many()
+        self.shared.is_stopping()
+            || self.connections.are_many()
+            || self.shared.strained.load(Ordering::Relaxed)
+    }
+
+    /// Notes how late a period of the traffic thread began.
+    ///
+    /// A router that falls behind, or runs out of connections, gets no new ones
+    /// for a while: the balancer does not know which VMs are weak.
+    pub(crate) fn note_lag(&self, lag: Duration, now: Instant) {
+        if lag > STRAIN_LAG || self.connections.are_nearly_all() {
+            self.strain.set(Some(now));
+        }
+        let lasts = |at| now.saturating_duration_since(at) < STRAIN_TIME;
+        let is_strained = self.strain.get().is_some_and(lasts);
+        let was_strained = self.shared.strained.swap(is_strained, Ordering::Relaxed);
+        if is_strained == was_strained {
+            return;
+        }
+        let open = self.connections.open.get();
+        let lag = lag.as_millis();
+        let fields: [event::Field<'_>; 3] = [
+            ("reason", &"strained"),
+            ("lag_ms", &lag),
+            ("connections", &open),
+        ];
+        let event = if is_strained {
+            Event::ProcessUnready
+        } else {
+            Event::ProcessReady
+        };
+        event::log(event, &fields);
     }
 
     /// The configuration in force.
@@ -271,7 +317,7 @@
         serde_json::json!({
             "config": self.config().map(|config| config.version),
             "routers": self.shared.router_count(),
-            "open": self.shared.open.load(std::sync::atomic::Ordering::Relaxed),
+            "open": self.shared.open.load(Ordering::Relaxed),
             "targets": targets.collect::<Vec<_>>(),
         })
     }
--- a/edge/src/operators.rs
+++ b/edge/src/operators.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use actix_http::header::CONTENT_TYPE;
 use actix_http::{HttpService, Request, Response, StatusCode};
@@ -91,6 +92,7 @@
         match self.shared.config.load().as_ref() {
             _ if self.shared.is_stopping() => Some("stopping"),
             None => Some("no configuration"),
+            Some(_) if self.shared.strained.load(Ordering::Relaxed) => Some("strained"),
             Some(_) if !confirmation.allows_keys(SystemBootClock.uptime()) => {
                 Some("configuration not confirmed")
             }
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -206,7 +206,11 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            _ = ticks.tick() => context.upkeep(Instant::now()),
+            due = ticks.tick() => {
+                let now = Instant::now();
+                context.note_lag(now.saturating_duration_since(due.into_std()), now);
+                context.upkeep(now);
+            }
             Some(reply) = dumps.recv() => {
                 // The one who asked may have gone.
                 let _ = reply.send(context.dump());
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -49,6 +49,8 @@
     pub(crate) routers: AtomicUsize,
     /// Whether a planned stop has begun.
     pub(crate) stopping: AtomicBool,
+    /// Whether this router has more to do than it can.
+    pub(crate) strained: AtomicBool,
     /// Whether a planned stop has come to the point at which no request is taken.
     pub(crate) closing: AtomicBool,
     /// Requests that have not ended.
@@ -76,6 +78,7 @@
             routers: AtomicUsize::new(1),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
+            strained: AtomicBool::new(false),
             open: AtomicUsize::new(0),
             confirmed: AtomicU64::new(0),
             revoke,
--- a/policy/src/direct/share.rs
+++ b/policy/src/direct/share.rs
@@ -27,13 +27,16 @@
 const PRODUCED_SLACK: f64 = 1.02;
 
 /// The factor for a team that just reached its share.
-const OVER_FAVOUR: f64 = 1.2;
+const OVER_FAVOUR: f64 = 1.0;
+
+/// How strongly the factor falls beyond the share.
+const OVER_EXPONENT: f64 = 4.0;
 
 /// How strongly the factor depends on what was placed for a team.
 const SIZE_EXPONENT: f64 = 0.5;
 
 /// The least factor for a team within its share.
-const LEAST_FAVOUR: f64 = 0.65;
+const LEAST_FAVOUR: f64 = 1.0;
 
 /// The greatest factor.
 const MOST_FAVOUR: f64 = 1.8;
@@ -125,7 +128,7 @@
         let standing = self.standing(team, now);
         if standing > 1.0 {
             // Several teams may be beyond it: the one that got most waits longest.
-            return OVER_FAVOUR / (standing * standing);
+            return OVER_FAVOUR / standing.powf(OVER_EXPONENT);
         }
         let placed = self.total(team, now).placed;
         match self.even > 0.0 && placed > 0.0 {
