Every router hears of all others

Ruled out: a harder limit beyond the share (exponent 4) lowered what all were served. The test each_of_many_routers_hears_all_others failed before.

--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -51,8 +51,11 @@
 /// How long a router that is silent still counts as one.
 const COUNT_LIFE: Duration = Duration::from_secs(30);
 
-/// The greatest number of addresses in a beat.
-const MAX_ADDRESSES: usize = 16;
+/// The number of addresses in a beat; successive beats carry successive ones.
+const BEAT_ADDRESSES: usize = 16;
+
+/// The greatest number of routers that are known.
+const MAX_ROUTERS: usize = 2_048;
 
 /// The number of beats in which a crash note is repeated, since beats get lost.
 const NOTE_BEATS: u8 = 10;
@@ -329,7 +332,6 @@
             asked: rate.asked as u32,
             placed: rate.placed as u32,
         });
-        let live = self.peers.iter().filter(|(_, peer)| peer.reachable);
         let confirmed = self.store.confirmation().age(SystemBootClock.uptime());
         // Rounded up, so that no more is claimed than is known.
         let confirmed = confirmed.map(|age| age.as_millis() as u32 + 1);
@@ -341,16 +343,28 @@
             life: self.life,
             number: self.number,
             leaving: self.shared.is_stopping(),
-            peers: live
-                .map(|(&address, _)| address)
-                .take(MAX_ADDRESSES)
-                .collect(),
+            peers: self.some_peers(),
             loads: loads.collect(),
             teams: teams.collect(),
             crashes: self.notes.iter().map(|(row, _)| *row).collect(),
         }
     }
 
+    /// Some of the live peers, others in each beat.
+    fn some_peers(&self) -> Vec<SocketAddr> {
+        let live = self.peers.iter().filter(|(_, peer)| peer.reachable);
+        let live: Vec<SocketAddr> = live.map(|(&address, _)| address).collect();
+        let first = match live.len() {
+            0 => return live,
+            count => self.number as usize * BEAT_ADDRESSES % count,
+        };
+        let turned = live.iter().cycle().skip(first);
+        turned
+            .take(live.len().min(BEAT_ADDRESSES))
+            .copied()
+            .collect()
+    }
+
     fn hear(&mut self, bytes: &[u8], from: SocketAddr) {
         let beat = match Datagram::decode(bytes) {
             Ok(Datagram::Beat(beat)) => beat,
@@ -381,7 +395,7 @@
         self.take_confirmation(&beat);
         for &address in &beat.peers {
             let is_known = self.peers.contains_key(&address) || self.seeds.contains(&address);
-            if address != self.address && !is_known && self.seeds.len() < MAX_ADDRESSES {
+            if address != self.address && !is_known && self.seeds.len() < MAX_ROUTERS {
                 self.seeds.push(address);
             }
         }
--- a/edge/src/order.rs
+++ b/edge/src/order.rs
@@ -55,12 +55,14 @@
 }
 
 /// An answer of the system itself in place of a target's.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Debug, Display)]
 #[display("{why}")]
 pub(crate) struct Refusal {
     pub(crate) status: StatusCode,
     pub(crate) why: &'static str,
     pub(crate) retry: Option<Duration>,
+    /// The factor of the wait that the team was allowed, where that decided.
+    pub(crate) favour: Option<f64>,
 }
 
 impl Refusal {
@@ -69,6 +71,7 @@
             status,
             why,
             retry: None,
+            favour: None,
         }
     }
 
@@ -78,6 +81,7 @@
             status: StatusCode::SERVICE_UNAVAILABLE,
             why,
             retry: Some(retry),
+            favour: None,
         }
     }
 
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -249,10 +249,11 @@
                     place::Unplaced::Busy => "busy",
                     place::Unplaced::Full => "full",
                 };
-                Err(Refusal::not_run(
-                    reason,
-                    after + Duration::from_millis(spread),
-                ))
+                let after = after + Duration::from_millis(spread);
+                Err(Refusal {
+                    favour: Some(favour),
+                    ..Refusal::not_run(reason, after)
+                })
             }
         }
     }
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -285,7 +285,9 @@
 
 async fn refuse(context: &Rc<Context>, caller: &mut Caller, refusal: Refusal) -> Ended {
     let close = context.closes();
-    let Refusal { status, why, retry } = refusal;
+    let Refusal {
+        status, why, retry, ..
+    } = refusal;
     let answered = caller.answer_own(status, retry, why, close).await;
     answered_or_left(status, answered)
 }
@@ -294,12 +296,16 @@
     let team = team.map_or("-", Name::as_str);
     let retry = refusal.retry.unwrap_or_default().as_millis();
     let age = order.since.elapsed().as_millis();
-    let fields: [Field<'_>; 6] = [
+    let favour = refusal
+        .favour
+        .map_or_else(|| "-".to_owned(), |favour| format!("{favour:.2}"));
+    let fields: [Field<'_>; 7] = [
         ("request", &order.stated.id),
         ("status", &refusal.status.as_u16()),
         ("why", &refusal.why),
         ("retry_ms", &retry),
         ("after_ms", &age),
+        ("favour", &favour),
         ("team", &team),
     ];
     event::log(Event::RequestRefused, &fields);
--- a/livetests/tests/edge_faults.rs
+++ b/livetests/tests/edge_faults.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use knapweed_livetests::edge::{EdgeFleet, RED_KEY, Rules, body_of, is_whole, status_of};
+use knapweed_livetests::edge::{EdgeFleet, RED_KEY, Rules, body_of, get, is_whole, status_of};
 use knapweed_livetests::process::Signal;
 use knapweed_livetests::until;
 use standins::platform::StoreMode;
@@ -133,6 +133,23 @@
     Ok(())
 }
 
+#[actix_rt::test]
+async fn each_of_many_routers_hears_all_others() -> eyre::Result<()> {
+    // More than the addresses that one beat carries.
+    const ROUTERS: usize = 20;
+    let fleet = EdgeFleet::start("many", ROUTERS, 1).await?;
+    for router in &fleet.routers {
+        let operators = router.address("operators");
+        until("the router knows all others", || async move {
+            let dump = get(operators, "/dump").await?;
+            dump.contains(&format!("\"routers\": {ROUTERS},"))
+                .then_some(())
+        })
+        .await;
+    }
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn leaving_targets_and_drained_centres_get_nothing() -> eyre::Result<()> {
     let fleet = EdgeFleet::start("leaving", 3, 2).await?;
--- a/policy/src/direct/config.rs
+++ b/policy/src/direct/config.rs
@@ -165,7 +165,7 @@
         let routes: PrimaryMap<RouteIndex, Route> = routes.into_iter().collect();
         let teams: PrimaryMap<TeamIndex, Team> = teams.into_iter().collect();
         let mut by_host: FxHashMap<Name, Vec<RouteIndex>> = FxHashMap::default();
-        for (index, route) in routes.iter() {
+        for (index, route) in &routes {
             by_host.entry(route.host.clone()).or_default().push(index);
         }
         for indices in by_host.values_mut() {
--- a/policy/src/direct/share.rs
+++ b/policy/src/direct/share.rs
@@ -27,16 +27,16 @@
 const PRODUCED_SLACK: f64 = 1.02;
 
 /// The factor for a team that just reached its share.
-const OVER_FAVOUR: f64 = 1.0;
+const OVER_FAVOUR: f64 = 1.2;
 
 /// How strongly the factor falls beyond the share.
-const OVER_EXPONENT: f64 = 4.0;
+const OVER_EXPONENT: f64 = 2.0;
 
 /// How strongly the factor depends on what was placed for a team.
 const SIZE_EXPONENT: f64 = 0.5;
 
 /// The least factor for a team within its share.
-const LEAST_FAVOUR: f64 = 1.0;
+const LEAST_FAVOUR: f64 = 0.65;
 
 /// The greatest factor.
 const MOST_FAVOUR: f64 = 1.8;
--- a/policy/tests/direct_load.rs
+++ b/policy/tests/direct_load.rs
@@ -355,9 +355,9 @@
             outcome.teams.entry(it.team).or_default(),
         ] {
             if is_late {
-                got.late += 1
+                got.late += 1;
             } else {
-                got.in_time += 1
+                got.in_time += 1;
             }
         }
         engine.running.push(it);
