--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -24,6 +24,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::Notify;
 
+use crate::latest::Latest;
 use crate::metrics::TrafficMetrics;
 use crate::shared::{Shared, Sheet};
 use crate::target::Links;
@@ -118,8 +119,8 @@
     suspects: RefCell<Vec<Suspect>>,
     /// When this router last fell behind.
     strain: Cell<Option<Instant>>,
-    /// The roster on the board. It is held, so that its address is not used again.
-    roster: RefCell<Arc<Roster>>,
+    /// The roster on the board.
+    roster: Latest<Roster>,
     peers: Cell<Option<Instant>>,
 }
 
@@ -158,7 +159,7 @@
             closing: Notify::new(),
             suspects: RefCell::default(),
             strain: Cell::new(None),
-            roster: RefCell::default(),
+            roster: Latest::default(),
             peers: Cell::new(None),
         })
     }
@@ -206,14 +207,11 @@
 
     /// Takes over what the control thread has published.
     pub(crate) fn refresh(&self, now: Instant) {
-        let roster = self.shared.roster.load_full();
-        let is_new = !Arc::ptr_eq(&self.roster.borrow(), &roster);
-        if is_new {
+        if let Some(roster) = self.roster.take(&self.shared.roster) {
             self.board.borrow_mut().adopt(&roster, now);
             if let Some(config) = self.config() {
                 self.shares.borrow_mut().set_pool(config.pool_rate);
             }
-            *self.roster.borrow_mut() = roster;
         }
         let is_fresh = |at| now.saturating_duration_since(at) < PEERS_AGE;
         if !self.peers.get().is_some_and(is_fresh) {
--- a/edge/src/events.rs
+++ b/edge/src/events.rs
@@ -10,14 +10,14 @@
 
 /// The events of one answer.
 #[derive(Debug, Default)]
-pub(crate) struct Events {
+pub struct Events {
     rest: BytesMut,
     last: Option<u64>,
 }
 
 impl Events {
     /// Starts after the event that the caller has.
-    pub(crate) fn after(last: Option<u64>) -> Self {
+    pub fn after(last: Option<u64>) -> Self {
         Self {
             rest: BytesMut::new(),
             last,
@@ -25,7 +25,7 @@
     }
 
     /// Adds bytes and returns the whole events among them.
-    pub(crate) fn push(&mut self, bytes: Bytes) -> Bytes {
+    pub fn push(&mut self, bytes: Bytes) -> Bytes {
         let whole = match self.rest.is_empty() {
             true => bytes,
             false => {
@@ -44,17 +44,17 @@
     }
 
     /// What is left when the stream has ended whole.
-    pub(crate) fn finish(&mut self) -> Bytes {
+    pub fn finish(&mut self) -> Bytes {
         std::mem::take(&mut self.rest).freeze()
     }
 
     /// Drops the half of an event that a broken stream left.
-    pub(crate) fn forget_rest(&mut self) {
+    pub fn forget_rest(&mut self) {
         self.rest.clear();
     }
 
     /// The last event that was handed on.
-    pub(crate) fn last(&self) -> Option<u64> {
+    pub fn last(&self) -> Option<u64> {
         self.last
     }
 }
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -9,8 +9,9 @@
 mod caller;
 mod clock;
 mod context;
-mod events;
+pub mod events;
 mod gossip;
+pub mod latest;
 mod metrics;
 mod operators;
 mod order;
--- a/node/src/settings/edge.rs
+++ b/node/src/settings/edge.rs
@@ -110,8 +110,8 @@
 impl Settings for EngineSettings {
     fn read(section: &mut Section<'_>) -> Option<Self> {
         let read_rate = section.value("read_rate", 50.0, value::number);
-        let wait_share = section.value("wait_share", 0.6, value::number);
-        let yielding = section.value("yielding", 0.5, value::number);
+        let wait_share = section.value("wait_share", 0.75, value::number);
+        let yielding = section.value("yielding", 1.0, value::number);
         let reread = section.value("reread", 4.0, value::number);
         Some(Self {
             read_rate: read_rate?,
--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -45,11 +45,11 @@
     fn default() -> Self {
         Self {
             read_rate: 50.0,
-            wait_share: 0.7,
+            wait_share: 0.75,
             reread: 4.0,
             copy: 3.0,
             displaced: 60.0,
-            yielding: 0.5,
+            yielding: 1.0,
             away: 4.0,
         }
     }
