--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -67,7 +67,7 @@
 
 /// The share of the usual limit that holds for a prompt too long to be read
 /// within its objective.
-const LONG_SHARE: f64 = 0.2;
+const LONG_SHARE: f64 = 0.4;
 
 /// The part of the cold rate that all routers together use.
 ///
--- a/policy/src/direct/share.rs
+++ b/policy/src/direct/share.rs
@@ -27,7 +27,7 @@
 const PRODUCED_SLACK: f64 = 1.02;
 
 /// The factor for a team that just reached its share.
-const OVER_FAVOUR: f64 = 1.2;
+const OVER_FAVOUR: f64 = 0.8;
 
 /// How strongly the factor falls beyond the share.
 const OVER_EXPONENT: f64 = 2.0;
--- a/policy/tests/direct_load.rs
+++ b/policy/tests/direct_load.rs
@@ -213,13 +213,12 @@
             copy_rate: 0.0,
         }),
     };
-    let settings = PlaceSettings {
-        wait_share: if play.way == Way::Unlimited {
-            1e9
-        } else {
-            0.55
+    let settings = match play.way {
+        Way::Unlimited => PlaceSettings {
+            wait_share: 1e9,
+            ..PlaceSettings::default()
         },
-        ..PlaceSettings::default()
+        _ => PlaceSettings::default(),
     };
     let steps = play.seconds * 1_000 / STEP.as_millis() as u64;
     for step in 0..steps {
