A cold target gets arrivals from few routers only

Ruled out: clocks and lost beats, since the sum shows in the policy alone (policy/tests/direct_cold.rs failed with 31 in a second before the change, by choose() only).

Now only as many routers send to a cold target as the bound has room for, the least by a hash of router and target; one that just started sends nothing until it had time to hear of the others. A cold target whose part is used is passed over for a warm one; before, the request was refused (test what_a_cold_target_cannot_take_goes_to_a_warm_one, failed before).

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -15,6 +15,7 @@
 use node::settings::EdgeSettings;
 use policy::direct::board::{Board, Prompt, Spot, Take};
 use policy::direct::budget::{BudgetBound, RepeatBudget};
+use policy::direct::cold::ColdBound;
 use policy::direct::config::Config;
 use policy::direct::crash::{Crashes, Note};
 use policy::direct::place::{Keeper, PlaceSettings};
@@ -145,6 +146,10 @@
                 wait_share: settings.engine.wait_share,
                 reread: settings.engine.reread,
                 yielding: settings.engine.yielding,
+                cold: ColdBound {
+                    over: settings.bounds.cold_over,
+                    slack: settings.bounds.cold_slack,
+                },
                 ..PlaceSettings::default()
             },
             board: RefCell::default(),
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -6,20 +6,20 @@
 //!
 //! Invariants:
 //! - A beat replaces all that its sender said before; an older one is ignored.
-//! - The number of routers that limits are divided by is never lowered sooner
-//!   than [`COUNT_LIFE`] after it was seen, so that parts given to routers that
-//!   are cut off are not given away.
+//! - A router counts among those that limits are divided by until it was silent
+//!   for [`COUNT_LIFE`], so that parts given to routers that are cut off are not
+//!   given away.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use entity::{Clock, Fingerprint, SystemClock};
 use node::event::{self, Event};
 use policy::direct::board::{InHand, PeerReport, Report};
+use policy::direct::cold::Members;
 use policy::direct::crash::Note;
 use policy::direct::fresh::Uptime;
 use policy::direct::reading::READER_AGE;
@@ -32,6 +32,8 @@
     Beat, BeatError, CrashRow, Datagram, Echo, Listing, LoadRow, MAX_DATAGRAM_BYTES, TeamRow,
 };
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::clock::{BootClock, SystemBootClock};
 use crate::shared::{Peers, Shared};
 use crate::store::StoreReader;
@@ -48,6 +50,12 @@
 /// The silence after which a peer's report counts no longer.
 const PEER_SILENCE: Duration = Duration::from_secs(2);
 
+/// The time after its start in which a router hears of all others.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Periods between two beats to unknown routers in that time.
+const SETTLE_EVERY: u32 = 2;
+
 /// How long a router that is silent still counts as one.
 const COUNT_LIFE: Duration = Duration::from_secs(30);
 
@@ -98,6 +106,10 @@
     address: SocketAddr,
     life: u64,
     number: u32,
+    /// When this router started.
+    started: Instant,
+    /// Whether it had time to hear of all others.
+    settled: bool,
     /// Periods since the start.
     ticks: u32,
     seeds: Vec<SocketAddr>,
@@ -135,6 +147,8 @@
             address,
             life,
             number: 0,
+            started: SystemClock.now().mono,
+            settled: false,
             ticks: 0,
             seeds: Vec::new(),
             peers: BTreeMap::new(),
@@ -182,6 +196,7 @@
         self.ticks = self.ticks.wrapping_add(1);
         let now = SystemClock.now().mono;
         self.forget(now);
+        self.settle(now);
         let heard = self.peers.values().filter(|peer| peer.reachable).count();
         // With many peers each gets a beat every few periods, so that the cost
         // of a router stays the same.
@@ -192,7 +207,12 @@
             .enumerate()
             .filter(|(index, _)| *index as u32 % rounds == turn);
         let mut to: Vec<SocketAddr> = live.map(|(_, (&address, _))| address).collect();
-        if self.ticks.is_multiple_of(SEED_EVERY) {
+        let every = if self.settled {
+            SEED_EVERY
+        } else {
+            SETTLE_EVERY
+        };
+        if self.ticks.is_multiple_of(every) {
             let silent = self.peers.iter().filter(|(_, peer)| !peer.reachable);
             to.extend(silent.map(|(&address, _)| address));
             let unknown = self
@@ -441,9 +461,23 @@
         }
     }
 
+    /// Publishes once that this router had time to hear of the others.
+    fn settle(&mut self, now: Instant) {
+        let is_settled = now.saturating_duration_since(self.started) >= SETTLE_TIME;
+        if is_settled && !self.settled {
+            self.settled = true;
+            self.publish();
+        }
+    }
+
     fn publish(&self) {
         let live = self.peers.values().filter(|peer| peer.reachable);
-        let mut peers = Peers::default();
+        let others = self.peers.keys().map(|&address| member_tag(address));
+        let own = member_tag(self.address);
+        let mut peers = Peers {
+            members: Members::new(own, others.collect(), self.settled),
+            ..Peers::default()
+        };
         for peer in live {
             let loads = peer.beat.loads.iter().map(|row| Report {
                 target: row.target,
@@ -469,7 +503,10 @@
         let live = live.filter(|(_, peer)| peer.reachable && peer.reads());
         self.store
             .set_live(live.map(|(&address, _)| address).collect());
-        let count = (self.peers.len() + 1).max(self.seeds.len());
-        self.shared.routers.store(count, Ordering::Relaxed);
     }
 }
+
+/// The tag by which all routers know one.
+fn member_tag(address: SocketAddr) -> u64 {
+    xxh3_64(address.to_string().as_bytes())
+}
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -200,7 +200,8 @@
         {
             return Err(Refusal::not_run("crashes its targets", after));
         }
-        let routers = context.shared.router_count();
+        let peers = context.shared.peers.load();
+        let routers = peers.members.count();
         let is_repeat = self.sends > 0;
         let has_budget = !is_repeat
             || context
@@ -227,7 +228,7 @@
             favour,
             centre: &context.centre,
             tried: &self.tried,
-            routers,
+            members: &peers.members,
         };
         let choice = place::choose(&mut context.board.borrow_mut(), &context.place, &ask, now);
         match choice {
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -9,6 +9,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use policy::direct::board::{PeerReport, Report};
+use policy::direct::cold::Members;
 use policy::direct::config::Config;
 use policy::direct::crash::Note;
 use policy::direct::fresh::{Confirmation, Uptime};
@@ -23,6 +24,8 @@
     pub(crate) reports: Vec<PeerReport>,
     /// What teams ask for and get at all peers together.
     pub(crate) teams: FxHashMap<u64, TeamRate>,
+    /// The routers that limits are divided by.
+    pub(crate) members: Members,
 }
 
 /// What the traffic thread reports to the peers.
@@ -45,8 +48,6 @@
     pub(crate) peers: ArcSwap<Peers>,
     /// What this router has in hand; written by the traffic thread.
     pub(crate) sheet: ArcSwap<Sheet>,
-    /// The number of routers, this one included.
-    pub(crate) routers: AtomicUsize,
     /// Whether a planned stop has begun.
     pub(crate) stopping: AtomicBool,
     /// Whether this router has more to do than it can.
@@ -75,7 +76,6 @@
             roster: ArcSwap::default(),
             peers: ArcSwap::default(),
             sheet: ArcSwap::default(),
-            routers: AtomicUsize::new(1),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             strained: AtomicBool::new(false),
@@ -109,7 +109,7 @@
 
     /// The number of routers, this one included.
     pub(crate) fn router_count(&self) -> usize {
-        self.routers.load(Ordering::Relaxed).max(1)
+        self.peers.load().members.count()
     }
 
     /// Adds crash notes of this router, for the peers.
--- a/node/src/settings/edge.rs
+++ b/node/src/settings/edge.rs
@@ -39,12 +39,20 @@
 pub struct EdgeBounds {
     /// The time within which a withdrawn key stops working; none if it may lag.
     pub revoke: Option<Duration>,
+    /// The time after which a target that leaves gets nothing more.
+    pub drain: Duration,
+    /// The time within which a configuration is in force.
+    pub config: Duration,
     /// Repeats per request.
     pub retry_ratio: f64,
     /// Repeats beyond the ratio, over all routers.
     pub retry_slack: usize,
     /// The window in which repeats are counted.
     pub retry_window: Duration,
+    /// What a cold target gets in a second, as a multiple of the rate that it states.
+    pub cold_over: f64,
+    /// Arrivals beyond that.
+    pub cold_slack: f64,
 }
 
 /// What is known of the engines.
@@ -95,14 +103,22 @@
 impl Settings for EdgeBounds {
     fn read(section: &mut Section<'_>) -> Option<Self> {
         let revoke = section.value("revoke", None, |node| value::time(node).map(Some));
+        let drain = section.value("drain", Duration::from_secs(2), value::time);
+        let config = section.value("config", Duration::from_secs(2), value::time);
         let retry_ratio = section.value("retry_ratio", 0.2, value::number);
         let retry_slack = section.value("retry_slack", 20, value::count);
         let retry_window = section.value("retry_window", Duration::from_secs(10), value::time);
+        let cold_over = section.value("cold_over", 1.0, value::number);
+        let cold_slack = section.value("cold_slack", 0.0, value::number);
         Some(Self {
             revoke: revoke?,
+            drain: drain?,
+            config: config?,
             retry_ratio: retry_ratio?,
             retry_slack: retry_slack?,
             retry_window: retry_window?,
+            cold_over: cold_over?,
+            cold_slack: cold_slack?,
         })
     }
 }
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -10,6 +10,7 @@
 //! - [`reading`]: which routers read the store, and when;
 //! - [`board`]: what every target has in hand, of this router and of its peers;
 //! - [`place`]: which target a request goes to, or why it is refused;
+//! - [`cold`]: which routers send to a cold target, and how often;
 //! - [`share`]: which teams are beyond their share of the pool;
 //! - [`trust`]: which targets fail requests though they look healthy;
 //! - [`budget`]: how many repeats the fleet may add to its load;
@@ -20,6 +21,7 @@
 
 pub mod board;
 pub mod budget;
+pub mod cold;
 pub mod config;
 pub mod crash;
 pub mod fresh;
--- a/policy/src/direct/board.rs
+++ b/policy/src/direct/board.rs
@@ -24,6 +24,9 @@
 /// The greatest number of cached parts that are remembered for one target.
 const MAX_PARTS: usize = 4096;
 
+/// The arrivals at a cold target that a router can save up.
+const COLD_BURST: f64 = 1.0;
+
 /// The age at which a peer's report no longer counts.
 pub const REPORT_LIFE: Duration = Duration::from_secs(2);
 
@@ -200,6 +203,19 @@
         prompt.input.saturating_sub(cached)
     }
 
+    /// Whether this router may send to the target while it is cold, at `rate`
+    /// arrivals per second.
+    pub fn has_cold(&self, rate: f64, now: Instant) -> bool {
+        self.cold_tokens(rate, now) >= 1.0
+    }
+
+    fn cold_tokens(&self, rate: f64, now: Instant) -> f64 {
+        self.meter.map_or(COLD_BURST, |meter| {
+            let passed = now.saturating_duration_since(meter.refilled).as_secs_f64();
+            (meter.tokens + passed * rate).min(COLD_BURST)
+        })
+    }
+
     /// Whether the target is cold at `now`.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold.is_some_and(|until| until > now)
@@ -396,25 +412,15 @@
         .collect()
     }
 
-    /// Takes one of this router's arrivals at a cold target; returns whether there was one.
+    /// Takes one of this router's arrivals at a cold target.
     ///
     /// `rate` is the number of arrivals per second that this router may send.
-    pub fn take_cold(&mut self, spot: Spot, rate: f64, now: Instant) -> bool {
+    pub fn take_cold(&mut self, spot: Spot, rate: f64, now: Instant) {
         let place = &mut self.places[spot];
-        let burst = 1.0;
-        let fresh = ColdMeter {
-            tokens: burst,
+        place.meter = Some(ColdMeter {
+            tokens: place.cold_tokens(rate, now) - 1.0,
             refilled: now,
-        };
-        let meter = place.meter.get_or_insert(fresh);
-        let passed = now.saturating_duration_since(meter.refilled).as_secs_f64();
-        meter.tokens = (meter.tokens + passed * rate).min(burst);
-        meter.refilled = now;
-        let has_one = meter.tokens >= 1.0;
-        if has_one {
-            meter.tokens -= 1.0;
-        }
-        has_one
+        });
     }
 }
 
--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -19,6 +19,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::board::{Board, Place, Prompt, Spot};
+use super::cold::{ColdBound, Members};
 use super::config::{Engine, Service};
 
 /// The settings of placing.
@@ -39,6 +40,8 @@
     pub yielding: f64,
     /// The cost of leaving the data centre, in milliseconds of wait.
     pub away: f64,
+    /// The operators' bound on what cold targets get.
+    pub cold: ColdBound,
 }
 
 impl Default for PlaceSettings {
@@ -51,6 +54,7 @@
             displaced: 60.0,
             yielding: 1.0,
             away: 4.0,
+            cold: ColdBound::default(),
         }
     }
 }
@@ -69,11 +73,6 @@
 /// within its objective.
 const LONG_SHARE: f64 = 0.4;
 
-/// The part of the cold rate that all routers together use.
-///
-/// The rest covers arrivals that were under way when the target turned cold.
-const COLD_SHARE: f64 = 0.7;
-
 /// Attempts in hand at a plain target, as a multiple of its slots, above which
 /// a request is refused.
 const PLAIN_DEPTH: f64 = 2.5;
@@ -102,8 +101,8 @@
     pub centre: &'a Name,
     /// Targets that were tried before.
     pub tried: &'a [Spot],
-    /// The number of routers, this one included.
-    pub routers: usize,
+    /// The routers that limits are divided by.
+    pub members: &'a Members,
 }
 
 /// Why no target takes a request.
@@ -156,25 +155,31 @@
 pub fn choose(board: &mut Board, settings: &PlaceSettings, ask: &Ask<'_>, now: Instant) -> Choice {
     let choice = match (ask.service.engine, ask.prompt) {
         (Some(engine), Some(prompt)) => engine_target(board, settings, ask, engine, prompt, now),
-        _ => plain_target(board, ask, now),
+        _ => plain_target(board, settings, ask, now),
     };
     if let Choice::Target { spot, .. } = choice
-        && board.place(spot).is_cold(now)
+        && let Some(part) = cold_part(board.place(spot), settings, ask, now)
     {
-        let rate = cold_rate(ask);
-        if rate > 0.0 && !board.take_cold(spot, rate, now) {
-            let after = Duration::from_secs_f64((1.0 / rate).min(1.0));
-            return Choice::Refused {
-                why: Unplaced::Busy,
-                after,
-            };
-        }
+        board.take_cold(spot, part, now);
     }
     choice
 }
 
-fn cold_rate(ask: &Ask<'_>) -> f64 {
-    ask.service.cold_rate * COLD_SHARE / ask.routers.max(1) as f64
+/// This router's part of the rate of a cold target, in arrivals per second; none
+/// where arrivals are not limited.
+fn cold_part(place: &Place, settings: &PlaceSettings, ask: &Ask<'_>, now: Instant) -> Option<f64> {
+    let rate = ask.service.cold_rate;
+    let is_limited = rate > 0.0 && place.is_cold(now);
+    is_limited.then(|| {
+        let part = ask.members.cold_part(place.tag, rate, settings.cold);
+        part.unwrap_or(0.0)
+    })
+}
+
+/// Whether a target is beyond what this router may send it while it is cold.
+fn is_spent(place: &Place, settings: &PlaceSettings, ask: &Ask<'_>, now: Instant) -> bool {
+    let part = cold_part(place, settings, ask, now);
+    part.is_some_and(|part| part == 0.0 || !place.has_cold(part, now))
 }
 
 struct Candidate {
@@ -222,6 +227,9 @@
     let mut least: Option<f64> = None;
     for &spot in &open {
         let place = board.place(spot);
+        if is_spent(place, settings, ask, now) {
+            continue;
+        }
         let in_hand = place.in_hand();
         let is_home = home == Some(spot);
         let missing = place.fresh(prompt, now).saturating_sub(own);
@@ -329,7 +337,7 @@
     (first.map(|(_, spot)| spot), second.map(|(_, spot)| spot))
 }
 
-fn plain_target(board: &Board, ask: &Ask<'_>, now: Instant) -> Choice {
+fn plain_target(board: &Board, settings: &PlaceSettings, ask: &Ask<'_>, now: Instant) -> Choice {
     let open = usable(board, ask, now);
     if open.is_empty() {
         return no_target();
@@ -338,7 +346,7 @@
     for &spot in &open {
         let place = board.place(spot);
         let used = f64::from(place.in_hand().count) / f64::from(place.slots.max(1));
-        if used >= PLAIN_DEPTH {
+        if used >= PLAIN_DEPTH || is_spent(place, settings, ask, now) {
             continue;
         }
         let away = if place.centre == *ask.centre {
--- /dev/null
+++ b/policy/tests/direct_cold.rs
@@ -0,0 +1,160 @@
+//! What a cold target gets from all routers together.
+
+use std::time::{Duration, Instant};
+
+use entity::Name;
+use knapweed_policy::direct::board::Board;
+use knapweed_policy::direct::cold::{ColdBound, Members};
+use knapweed_policy::direct::config::Service;
+use knapweed_policy::direct::place::{Ask, Choice, PlaceSettings, choose};
+use knapweed_policy::direct::target::{Roster, Target, TargetState};
+
+/// Arrivals per second that the target of these tests takes while it is cold.
+const COLD_RATE: f64 = 13.0;
+
+/// The bound on the arrivals of any one second: 1.5 times the rate, and 5.
+const BOUND: usize = 24;
+
+const COLD: Duration = Duration::from_secs(4);
+const STEP: Duration = Duration::from_millis(10);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn target(name: &str, cold: Duration) -> Target {
+    Target {
+        name: Name::new(name),
+        service: Name::new("pool"),
+        address: ([10, 0, 0, 1], 80).into(),
+        centre: Name::new("north"),
+        slots: 48,
+        state: TargetState::Ready,
+        cold,
+        born: 1,
+    }
+}
+
+fn board(targets: &[Target], now: Instant) -> Board {
+    let mut roster = Roster::default();
+    roster.replace(targets.to_vec(), now);
+    let mut board = Board::default();
+    board.adopt(&roster, now);
+    board
+}
+
+fn service() -> Service {
+    Service {
+        name: Name::new("pool"),
+        connections: 100,
+        cold_rate: COLD_RATE,
+        engine: None,
+    }
+}
+
+fn settings() -> PlaceSettings {
+    PlaceSettings {
+        cold: ColdBound {
+            over: 1.5,
+            slack: 5.0,
+        },
+        ..PlaceSettings::default()
+    }
+}
+
+/// The fleet as its router `own` knows it.
+fn members(own: usize, routers: usize) -> Members {
+    let others = (0..routers).filter(|&it| it != own);
+    Members::new(own as u64, others.map(|it| it as u64).collect(), true)
+}
+
+/// Where one router sends a request, if anywhere.
+fn placed(board: &mut Board, members: &Members, now: Instant) -> Option<Name> {
+    let service = service();
+    let ask = Ask {
+        service: &service,
+        prompt: None,
+        least: Duration::from_millis(600),
+        objective: Duration::from_millis(600),
+        favour: 1.0,
+        centre: &Name::new("north"),
+        tried: &[],
+        members,
+    };
+    match choose(board, &settings(), &ask, now) {
+        Choice::Target { spot, .. } => Some(board.place(spot).name.clone()),
+        Choice::Refused { .. } => None,
+    }
+}
+
+/// The greatest number of arrivals in any one second.
+fn most_in_a_second(arrivals: &[Instant]) -> usize {
+    let from = arrivals.iter().enumerate();
+    let counts = from.map(|(index, &first)| {
+        let within = arrivals[index..]
+            .iter()
+            .take_while(|&&at| at - first < SECOND);
+        within.count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+/// Routers that all want the same cold target, as often as they are let.
+fn arrivals(routers: usize, idle: Duration) -> Vec<Instant> {
+    let start = Instant::now();
+    let cold = [target("cold", COLD)];
+    let one = |own| (members(own, routers), board(&cold, start));
+    let mut boards: Vec<(Members, Board)> = (0..routers).map(one).collect();
+    let mut arrivals = Vec::new();
+    let mut now = start + idle;
+    while now < start + COLD {
+        for (members, board) in &mut boards {
+            if placed(board, members, now).is_some() {
+                arrivals.push(now);
+            }
+        }
+        now += STEP;
+    }
+    arrivals
+}
+
+#[test]
+fn a_cold_target_gets_no_more_than_its_rate_from_any_number_of_routers() {
+    for routers in [1, 2, 5, 24, 31, 100, 350] {
+        for idle in [Duration::ZERO, Duration::from_secs(2)] {
+            let most = most_in_a_second(&arrivals(routers, idle));
+            assert!(
+                most <= BOUND,
+                "{routers} routers, idle {idle:?}: {most} in a second"
+            );
+        }
+    }
+}
+
+#[test]
+fn most_of_a_cold_targets_rate_is_used() {
+    for routers in [1, 2, 5, 24, 31, 100] {
+        let arrivals = arrivals(routers, Duration::ZERO).len() as f64;
+        let least = COLD_RATE * 0.5 * COLD.as_secs_f64();
+        assert!(arrivals >= least, "{routers} routers: {arrivals} arrivals");
+    }
+}
+
+#[test]
+fn what_a_cold_target_cannot_take_goes_to_a_warm_one() {
+    let now = Instant::now();
+    let targets = [target("cold", COLD), target("warm", Duration::ZERO)];
+    let mut board = board(&targets, now);
+    for number in 0..40 {
+        let at = now + STEP * number;
+        assert!(
+            placed(&mut board, &members(0, 5), at).is_some(),
+            "request {number} is refused"
+        );
+    }
+}
+
+#[test]
+fn a_router_that_just_started_sends_nothing_to_a_cold_target() {
+    let now = Instant::now();
+    let mut board = board(&[target("cold", COLD)], now);
+    let unsettled = Members::new(1, Vec::new(), false);
+    assert_eq!(placed(&mut board, &unsettled, now), None);
+}
--- a/policy/tests/direct_load.rs
+++ b/policy/tests/direct_load.rs
@@ -12,6 +12,7 @@
 
 use entity::Name;
 use knapweed_policy::direct::board::{Board, Part, PeerReport, Prompt, Spot, Take};
+use knapweed_policy::direct::cold::Members;
 use knapweed_policy::direct::config::{Engine, Service};
 use knapweed_policy::direct::place::{Ask, Choice, PlaceSettings, choose};
 use knapweed_policy::direct::share::Shares;
@@ -256,7 +257,7 @@
                         favour: shares[router].favour(team as u64, now),
                         centre: &Name::new("north"),
                         tried: &[],
-                        routers: ROUTERS,
+                        members: &Members::default(),
                     };
                     match choose(&mut boards[router], &settings, &ask, now) {
                         Choice::Target { spot, .. } => Some(spot),
