One router reads the store; its times follow from the operators' bounds

Ruled out: reads for want of a listing, since the others' limit was not reached.

All times are parts of the bounds that operators set for drains and configurations, so a site that allows 3 s calls less often. A watch that ends quietly is told to the peers at once, so that the age of their confirmation does not grow by a round of beats.

--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -22,7 +22,6 @@
 use policy::direct::cold::Members;
 use policy::direct::crash::Note;
 use policy::direct::fresh::Uptime;
-use policy::direct::reading::READER_AGE;
 use policy::direct::share::TeamRate;
 use policy::direct::target::Target;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -90,13 +89,13 @@
 
 impl Peer {
     /// Whether the others can rely on it to read the store.
-    fn reads(&self) -> bool {
+    fn reads(&self, lost: Duration) -> bool {
         let confirmed = self
             .beat
             .confirmed
             .map(u64::from)
             .map(Duration::from_millis);
-        !self.beat.leaving && confirmed.is_some_and(|age| age < READER_AGE)
+        !self.beat.leaving && confirmed.is_some_and(|age| age < lost)
     }
 }
 
@@ -500,7 +499,8 @@
         }
         self.shared.peers.store(Arc::new(peers));
         let live = self.peers.iter();
-        let live = live.filter(|(_, peer)| peer.reachable && peer.reads());
+        let lost = self.store.pace().lost;
+        let live = live.filter(|(_, peer)| peer.reachable && peer.reads(lost));
         self.store
             .set_live(live.map(|(&address, _)| address).collect());
     }
--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -21,7 +21,7 @@
 use platform::record::{self, Subject};
 use platform::store::{self, HISTORY_LOST, Item, OPERATORS_PREFIX, Page, TARGETS_PREFIX};
 use policy::direct::fresh::{Confirmation, Uptime};
-use policy::direct::reading::{self, WATCH_WAIT};
+use policy::direct::reading::{self, Pace};
 use policy::direct::target::{Roster, Target};
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
@@ -58,6 +58,7 @@
 pub(crate) struct StoreReader {
     client: awc::Client,
     base: String,
+    pace: Pace,
     /// This router's address among its peers.
     address: SocketAddr,
     shared: Arc<Shared>,
@@ -98,12 +99,14 @@
         store: SocketAddr,
         address: SocketAddr,
         revoke: Option<Duration>,
+        pace: Pace,
         shared: Arc<Shared>,
     ) -> Rc<Self> {
         let client = awc::Client::builder().disable_redirects().disable_timeout();
         Rc::new(Self {
             client: client.finish(),
             base: format!("http://{store}"),
+            pace,
             address,
             shared,
             differs: Notify::new(),
@@ -166,7 +169,7 @@
         let now = SystemClock.now().mono;
         let rank = self.rank();
         let state = self.state.borrow();
-        let due = reading::targets_due(rank, state.roster.age(now));
+        let due = self.pace.targets_due(rank, state.roster.age(now));
         state
             .roster
             .lapse_due(now)
@@ -177,7 +180,7 @@
     /// have confirmed it meanwhile.
     async fn wait_for_difference(&self) -> bool {
         let age = self.confirmation().age(SystemBootClock.uptime());
-        let due = reading::confirmation_due(age);
+        let due = self.pace.confirmation_due(age);
         if due.is_zero() {
             return true;
         }
@@ -189,6 +192,11 @@
         reading::rank(self.address, self.state.borrow().live.iter().copied())
     }
 
+    /// How often the store is called.
+    pub(crate) fn pace(&self) -> Pace {
+        self.pace
+    }
+
     /// Sets the other routers that are live.
     pub(crate) fn set_live(&self, live: Vec<SocketAddr>) {
         self.state.borrow_mut().live = live;
@@ -270,8 +278,9 @@
 
     async fn watch_operators(&self, after: u64) -> Option<u64> {
         let sent = SystemBootClock.uptime();
-        let path = store::watch_path(OPERATORS_PREFIX, after, WATCH_WAIT);
-        let answer = self.get(&path, WATCH_WAIT).await;
+        let wait = self.pace.wait;
+        let path = store::watch_path(OPERATORS_PREFIX, after, wait);
+        let answer = self.get(&path, wait).await;
         let changes = answer.and_then(|body| {
             store::changes(&body).map_err(|error| CallError::Unreadable(error.to_string()))
         });
@@ -293,9 +302,11 @@
         }
         let now = SystemBootClock.uptime();
         match changes.items.is_empty() {
-            true => self.confirm(|it| it.unchanged(sent, WATCH_WAIT, now)),
+            true => self.confirm(|it| it.unchanged(sent, wait, now)),
             false => self.confirm(|it| it.read(sent)),
         }
+        // Peers count the age of their confirmation from what they hear.
+        self.news.notify_one();
         Some(changes.as_of.max(after))
     }
 
--- a/livetests/tests/edge_faults.rs
+++ b/livetests/tests/edge_faults.rs
@@ -128,8 +128,8 @@
     let span = Duration::from_secs(6);
     sleep(span).await;
     let calls = fleet.store.calls() - before;
-    // Two readers of the targets and one watch: under three calls a second, whatever the fleet.
-    assert!(calls < 3 * span.as_secs(), "{calls} calls");
+    // One reader and one watch: under two calls a second, whatever the fleet.
+    assert!(calls < 2 * span.as_secs(), "{calls} calls");
     Ok(())
 }
 
--- a/policy/src/direct/reading.rs
+++ b/policy/src/direct/reading.rs
@@ -1,10 +1,10 @@
 //! Which routers read the platform's store, and when.
 //!
-//! Each call to the store has a price, so of all routers only [`READERS`] read
-//! the targets and one waits for what operators write. They are the least by a
-//! hash of their addresses, so that all routers compute the same. The others
-//! learn from them, and read for themselves as soon as what they know is too old:
-//! a router that is cut off from the others is as well informed as a reader.
+//! Each call to the store has a price, so of all routers one reads the targets
+//! and waits for what operators write: the least by a hash of the addresses, so
+//! that all routers compute the same. The others learn from it and read for
+//! themselves as soon as what they know is too old, the next in rank first: a
+//! router that is cut off from the others is as well informed as a reader.
 //!
 //! Invariant: whatever the peers do, the age of what is known stays below the
 //! limits of this module plus the time of one call.
@@ -14,25 +14,62 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The number of routers that read the targets.
-pub const READERS: usize = 2;
+/// The greatest bound from which a pace is derived: new targets should be seen
+/// soon even if operators give much time.
+const GREATEST_BOUND: Duration = Duration::from_secs(3);
 
-/// The time between two readings of the targets by a reader.
-pub const TARGETS_PERIOD: Duration = Duration::from_millis(1_100);
-
-/// The age of the targets at which a router reads for itself.
-pub const TARGETS_AGE: Duration = Duration::from_millis(1_350);
+/// How often the store is called. All times are parts of the operators' bounds,
+/// so that the last router to read still has time for a slow call.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Pace {
+    /// The time between two readings of the targets by the reader.
+    pub listing: Duration,
+    /// The age of the targets at which the next in rank reads in its place.
+    pub standby: Duration,
+    /// The age of the targets at which any router reads for itself.
+    pub oldest: Duration,
+    /// How long a watch waits for changes.
+    pub wait: Duration,
+    /// The age of the confirmation at which a router reads for itself.
+    pub confirmed: Duration,
+    /// The age of a peer's confirmation at which it is no reader for the others:
+    /// it does not reach the store, or is suspended.
+    pub lost: Duration,
+}
 
-/// How long a watch waits for changes.
-pub const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+impl Pace {
+    /// Derives the pace from the time in which a leaving target has to get
+    /// nothing more, and the time in which a configuration has to be in force.
+    pub fn new(drain: Duration, config: Duration) -> Self {
+        let drain = drain.min(GREATEST_BOUND);
+        let config = config.min(GREATEST_BOUND);
+        Self {
+            listing: drain.mul_f64(0.6),
+            standby: drain.mul_f64(0.66),
+            oldest: drain.mul_f64(0.725),
+            wait: config.mul_f64(0.5),
+            confirmed: config.mul_f64(0.75),
+            lost: config.mul_f64(1.1),
+        }
+    }
 
-/// The age of the confirmation at which a router reads for itself. Operators' own
-/// bound on the age of a configuration is 2 s.
-pub const CONFIRMED_AGE: Duration = Duration::from_millis(1_500);
+    /// The time until a router of this rank should read the targets, if the last
+    /// listing is of the age `age`.
+    pub fn targets_due(&self, rank: usize, age: Option<Duration>) -> Duration {
+        let limit = match rank {
+            0 => self.listing,
+            1 => self.standby,
+            _ => self.oldest,
+        };
+        age.map_or(Duration::ZERO, |age| limit.saturating_sub(age))
+    }
 
-/// The age of a peer's confirmation at which it is no reader for the others: it
-/// does not reach the store, or is suspended.
-pub const READER_AGE: Duration = Duration::from_millis(2_200);
+    /// The time until a router that does not watch should read what operators
+    /// wrote, if its last confirmation is of the age `age`.
+    pub fn confirmation_due(&self, age: Option<Duration>) -> Duration {
+        age.map_or(Duration::ZERO, |age| self.confirmed.saturating_sub(age))
+    }
+}
 
 /// The rank of a router among those that are live, from 0.
 pub fn rank(own: SocketAddr, live: impl Iterator<Item = SocketAddr>) -> usize {
@@ -41,24 +78,7 @@
     live.filter(|&address| score(address) < own).count()
 }
 
-/// The time until a router of this rank should read the targets, if the last
-/// listing is of the age `age`.
-pub fn targets_due(rank: usize, age: Option<Duration>) -> Duration {
-    let limit = if rank < READERS {
-        TARGETS_PERIOD
-    } else {
-        TARGETS_AGE
-    };
-    age.map_or(Duration::ZERO, |age| limit.saturating_sub(age))
-}
-
 /// Whether a router of this rank waits for what operators write.
 pub fn watches(rank: usize) -> bool {
     rank == 0
 }
-
-/// The time until a router that does not watch should read what operators wrote,
-/// if its last confirmation is of the age `age`.
-pub fn confirmation_due(age: Option<Duration>) -> Duration {
-    age.map_or(Duration::ZERO, |age| CONFIRMED_AGE.saturating_sub(age))
-}
--- a/policy/tests/direct_beliefs.rs
+++ b/policy/tests/direct_beliefs.rs
@@ -7,9 +7,7 @@
 use knapweed_policy::direct::budget::{BudgetBound, RepeatBudget};
 use knapweed_policy::direct::crash::{CRASH_LIMIT, Crashes, NOTE_LIFE, Note};
 use knapweed_policy::direct::fresh::{Confirmation, Uptime};
-use knapweed_policy::direct::reading::{
-    CONFIRMED_AGE, READERS, TARGETS_AGE, confirmation_due, rank, targets_due, watches,
-};
+use knapweed_policy::direct::reading::{Pace, rank, watches};
 use knapweed_policy::direct::share::{Shares, TeamRate};
 use knapweed_policy::direct::target::{OUTAGE, RETURN_TIME, Roster, Target, TargetState};
 use knapweed_policy::direct::trust::{LONGEST_REST, Trust};
@@ -125,12 +123,34 @@
 
 #[test]
 fn a_router_that_hears_nothing_reads_for_itself() {
-    assert_eq!(targets_due(READERS + 5, None), Duration::ZERO);
-    assert_eq!(targets_due(READERS + 5, Some(TARGETS_AGE)), Duration::ZERO);
-    assert!(targets_due(READERS + 5, Some(Duration::from_millis(200))) > Duration::from_secs(1));
-    assert!(targets_due(0, Some(TARGETS_AGE)).is_zero());
-    assert!(confirmation_due(Some(CONFIRMED_AGE)).is_zero());
-    assert!(confirmation_due(None).is_zero());
+    let pace = Pace::new(Duration::from_secs(2), Duration::from_secs(2));
+    for rank in [0, 1, 7] {
+        assert_eq!(pace.targets_due(rank, None), Duration::ZERO);
+        assert!(pace.targets_due(rank, Some(pace.oldest)).is_zero());
+        let early = pace.targets_due(rank, Some(Duration::from_millis(200)));
+        assert!(early >= Duration::from_secs(1));
+    }
+    assert!(pace.confirmation_due(Some(pace.confirmed)).is_zero());
+    assert!(pace.confirmation_due(None).is_zero());
+}
+
+#[test]
+fn no_two_routers_read_the_same_listing() {
+    let pace = Pace::new(Duration::from_secs(2), Duration::from_secs(2));
+    let due = |rank| pace.targets_due(rank, Some(pace.listing));
+    assert!(due(0).is_zero());
+    // The next ones have time to hear of it: a call takes 4 ms and a datagram less.
+    assert!(due(1) >= Duration::from_millis(100));
+    assert!(due(2) >= due(1) + Duration::from_millis(100));
+}
+
+#[test]
+fn the_last_to_read_is_within_the_operators_bounds() {
+    for bound in [1, 2, 3, 60].map(Duration::from_secs) {
+        let pace = Pace::new(bound, bound);
+        assert!(pace.oldest + bound / 4 <= bound, "{bound:?}");
+        assert!(pace.confirmed + bound / 4 <= bound, "{bound:?}");
+    }
 }
 
 #[test]
