Logs have a time, name all attempts of a caller, and knapweedctl tells their story

Lines wait up to 200 ms for the writer, so without a time of their own their order over routers was lost; they begin with the time (UTC, milliseconds) now.

--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dump;
 pub mod report;
 pub mod status;
+pub mod story;
 pub mod table;
 pub mod why;
 
--- a/ctl/src/main.rs
+++ b/ctl/src/main.rs
@@ -4,7 +4,7 @@
 
 use entity::RequestId;
 use knapweed_ctl::drain::DrainRequest;
-use knapweed_ctl::{Exit, Report, check, diff, drain, dump, status, why};
+use knapweed_ctl::{Exit, Report, check, diff, drain, dump, status, story, why};
 
 mod flags {
     use std::net::SocketAddr;
@@ -56,12 +56,15 @@
                 /// The document in force; the whole new document is printed.
                 optional --rules file: PathBuf
             }
-            /// Explain the decisions about a request, with the rules that made them.
+            /// Explain the decisions about a request, with the rules that made them, by asking
+            /// processes (--addr) or from collected logs (--log).
             cmd why {
                 /// The request id, as in the response.
                 required request: String
                 /// The operators' address of a process; repeat it for each process.
                 repeated --addr address: SocketAddr
+                /// A file with the output of one or more edge routers; repeat it for each file.
+                repeated --log file: PathBuf
             }
             /// Print the whole state of a process as YAML.
             cmd dump {
@@ -112,7 +115,13 @@
         KnapweedctlCmd::Diff(flags) => diff::run(&flags.old, &flags.new),
         KnapweedctlCmd::Drain(flags) => drain(flags),
         KnapweedctlCmd::Why(flags) => {
-            eyre::ensure!(!flags.addr.is_empty(), "at least one --addr is needed");
+            if !flags.log.is_empty() {
+                return story::run(&flags.request, &flags.log);
+            }
+            eyre::ensure!(
+                !flags.addr.is_empty(),
+                "at least one --addr or --log is needed"
+            );
             let request = flags.request.parse::<RequestId>();
             let request =
                 request.map_err(|_| eyre::eyre!("`{}` is no request id", flags.request))?;
--- a/ctl/src/why.rs
+++ b/ctl/src/why.rs
@@ -130,7 +130,7 @@
 fn entry(process: &str, decision: &Decision, sources: &BTreeMap<&str, &Source>) -> Entry {
     let rules = decision.rules.iter().map(|&rule| rule_entry(rule, sources));
     Entry {
-        at: write_instant(decision.at),
+        at: rules::write_instant(decision.at),
         process: process.to_owned(),
         step: decision.step.to_string(),
         detail: decision.detail.clone(),
@@ -148,14 +148,6 @@
     }
 }
 
-/// A time in RFC 3339 with milliseconds.
-fn write_instant(at: SystemTime) -> String {
-    let since = at.duration_since(UNIX_EPOCH).unwrap_or_default();
-    let seconds = rules::write_time(at);
-    let seconds = seconds.trim_end_matches('Z');
-    format!("{seconds}.{:03}Z", since.subsec_millis())
-}
-
 /// Lays the decisions out.
 pub fn report(why: &Why) -> Report {
     let mut lines = vec![format!("request {}", why.request)];
--- a/edge/src/order.rs
+++ b/edge/src/order.rs
@@ -36,6 +36,8 @@
     pub(crate) since: Instant,
     /// The key, which is secret.
     key: CallerKey,
+    /// What identifies equal requests of one caller, whatever their ids.
+    pub(crate) fingerprint: Fingerprint,
 }
 
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -45,6 +47,11 @@
     Stated(Name),
 }
 
+/// The short form of a fingerprint.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
+#[display("{_0:08x}")]
+pub(crate) struct WorkTag(u32);
+
 /// What one configuration says of an order.
 #[derive(Clone, Debug)]
 pub(crate) struct Entitled {
@@ -103,6 +110,7 @@
             Key::Unreadable => CallerKey::Unreadable,
             Key::Stated(key) => CallerKey::Stated(Name::new(key)),
         };
+        let fingerprint = fingerprint(head.method(), host, head.uri(), &key, &body);
         Self {
             stated: caller::stated(headers),
             host: host.to_owned(),
@@ -112,19 +120,13 @@
             body,
             since,
             key,
+            fingerprint,
         }
     }
 
-    /// What identifies equal requests of one caller, whatever their ids.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
-        let key = match &self.key {
-            CallerKey::Stated(key) => key.as_str(),
-            CallerKey::Missing | CallerKey::Unreadable => "",
-        };
-        let head = format!("{} {}{} {key}\n", self.method, self.host, self.uri);
-        let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(&self.body);
-        Fingerprint(xxh3_128(&bytes))
+    /// A short form of the fingerprint, by which logs name all attempts of a caller.
+    pub(crate) fn work(&self) -> WorkTag {
+        WorkTag(self.fingerprint.0 as u32)
     }
 
     /// Judges the order by the configuration in force.
@@ -201,6 +203,23 @@
     }
 }
 
+/// What identifies equal requests of one caller, whatever their ids.
+fn fingerprint(
+    method: &actix_http::Method,
+    host: &str,
+    uri: &actix_http::Uri,
+    key: &CallerKey,
+    body: &[u8],
+) -> Fingerprint {
+    let key = match key {
+        CallerKey::Stated(key) => key.as_str(),
+        CallerKey::Missing | CallerKey::Unreadable => "",
+    };
+    let mut bytes = format!("{method} {host}{uri} {key}\n").into_bytes();
+    bytes.extend_from_slice(body);
+    Fingerprint(xxh3_128(&bytes))
+}
+
 fn is_confirmed(shared: &Shared) -> bool {
     shared.confirmation().allows_keys(SystemBootClock.uptime())
 }
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -127,7 +127,7 @@
                     self.failed(spot, why);
                     drop(attempt);
                     self.context.showed(spot, false, now);
-                    self.context.broke(spot, self.order.fingerprint(), now);
+                    self.context.broke(spot, self.order.fingerprint, now);
                     self.tried.push(spot);
                     match self.may_run_again() {
                         true => continue,
@@ -196,7 +196,7 @@
         if let Some(after) = context
             .crashes
             .borrow()
-            .refused(self.order.fingerprint(), now)
+            .refused(self.order.fingerprint, now)
         {
             return Err(Refusal::not_run("crashes its targets", after));
         }
@@ -436,8 +436,9 @@
         let copied = attempt.keeper.map_or(0, |keeper| keeper.tokens);
         let favour = format!("{favour:.2}");
         let team = self.entitled.team_name().map_or("-", entity::Name::as_str);
-        let fields: [Field<'_>; 11] = [
+        let fields: [Field<'_>; 12] = [
             ("request", &self.order.stated.id),
+            ("work", &self.order.work()),
             ("target", &place.name),
             ("attempt", &number),
             ("wait_ms", &wait),
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -149,7 +149,7 @@
             context
                 .crashes
                 .borrow_mut()
-                .completed(work.order.fingerprint());
+                .completed(work.order.fingerprint);
             let answered = caller
                 .answer(whole.status, whole.headers, &whole.body, close)
                 .await;
@@ -218,7 +218,7 @@
                 context
                     .crashes
                     .borrow_mut()
-                    .completed(work.order.fingerprint());
+                    .completed(work.order.fingerprint);
                 return answered_or_left(status, caller.finish().await);
             }
             Err(Cut) => {
@@ -228,7 +228,7 @@
                 drop(attempt);
                 let now = Instant::now();
                 context.showed(spot, false, now);
-                context.broke(spot, work.order.fingerprint(), now);
+                context.broke(spot, work.order.fingerprint, now);
                 match resume(work, caller, spot, events.last()).await {
                     Resumed::Stream(stream) => {
                         body = stream.body;
@@ -299,8 +299,9 @@
     let favour = refusal
         .favour
         .map_or_else(|| "-".to_owned(), |favour| format!("{favour:.2}"));
-    let fields: [Field<'_>; 7] = [
+    let fields: [Field<'_>; 8] = [
         ("request", &order.stated.id),
+        ("work", &order.work()),
         ("status", &refusal.status.as_u16()),
         ("why", &refusal.why),
         ("retry_ms", &retry),
@@ -330,8 +331,9 @@
     context.metrics.ended(kind, outcome, took);
     let team = team.map_or("-", Name::as_str);
     let millis = took.as_millis();
-    let fields: [Field<'_>; 6] = [
+    let fields: [Field<'_>; 7] = [
         ("request", &order.stated.id),
+        ("work", &order.work()),
         ("outcome", &outcome),
         ("status", &status),
         ("took_ms", &millis),
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -212,3 +212,78 @@
     }
     line
 }
+
+/// A log line that was read.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Entry {
+    /// The event.
+    pub event: Event,
+    /// The fields, in order.
+    pub fields: Vec<(String, String)>,
+}
+
+impl Entry {
+    /// Reads what [`line`] wrote; `None` if the text is no event.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut words = text.splitn(3, ' ');
+        let number: u16 = words.next()?.strip_prefix("KW")?.parse().ok()?;
+        let event = Event::ALL.iter().find(|event| event.number() == number)?;
+        let _name = words.next()?;
+        let mut rest = words.next().unwrap_or_default();
+        let mut fields = Vec::new();
+        while let Some((key, after)) = rest.split_once('=') {
+            let (value, after) = match after.strip_prefix('"') {
+                Some(quoted) => unquote(quoted)?,
+                None => {
+                    let end = after.find(' ').unwrap_or(after.len());
+                    (after[..end].to_owned(), &after[end..])
+                }
+            };
+            fields.push((key.to_owned(), value));
+            rest = after.strip_prefix(' ').unwrap_or(after);
+        }
+        Some(Self {
+            event: *event,
+            fields,
+        })
+    }
+
+    /// The value of a field.
+    pub fn field(&self, key: &str) -> Option<&str> {
+        let mut fields = self.fields.iter();
+        let found = fields.find(|(other, _)| other == key)?;
+        Some(&found.1)
+    }
+}
+
+/// Reads a value up to its closing quote; also returns what follows.
+fn unquote(text: &str) -> Option<(String, &str)> {
+    let mut value = String::new();
+    let mut chars = text.char_indices();
+    while let Some((at, c)) = chars.next() {
+        match c {
+            '"' => return Some((value, &text[at + 1..])),
+            '\\' => {
+                let (_, escaped) = chars.next()?;
+                value.push(match escaped {
+                    'n' => '\n',
+                    'r' => '\r',
+                    't' => '\t',
+                    '0' => '\0',
+                    'u' => {
+                        let code: String = chars
+                            .by_ref()
+                            .map(|(_, c)| c)
+                            .take_while(|&c| c != '}')
+                            .collect();
+                        let code = u32::from_str_radix(code.strip_prefix('{')?, 16).ok()?;
+                        char::from_u32(code)?
+                    }
+                    other => other,
+                });
+            }
+            other => value.push(other),
+        }
+    }
+    None
+}
--- a/node/src/sink.rs
+++ b/node/src/sink.rs
@@ -8,7 +8,7 @@
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
 
@@ -123,7 +123,9 @@
 
     fn log(&self, record: &Record<'_>) {
         if self.enabled(record.metadata()) {
-            self.add(record.level(), &record.args().to_string());
+            // Lines wait up to a period, so the time at which they are read is not theirs.
+            let at = rules::write_instant(SystemTime::now());
+            self.add(record.level(), &format!("{at} {}", record.args()));
         }
     }
 
--- a/node/tests/event.rs
+++ b/node/tests/event.rs
@@ -1,6 +1,7 @@
 //! The catalogue of log events and the form of a log line.
 
-use knapweed_node::event::{Event, line};
+use knapweed_node::event::{Entry, Event, line};
+use proptest::prelude::*;
 
 /// One row of the catalogue: the cells between the bars.
 fn rows(catalogue: &str) -> Vec<Vec<&str>> {
@@ -61,3 +62,18 @@
     ];
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+proptest! {
+    #[test]
+    fn a_line_that_was_written_is_read_again(value in any::<String>(), number in any::<u32>()) {
+        let text = line(Event::LimitReached, &[("limit", &value), ("count", &number)]);
+        let entry = Entry::parse(&text);
+        let fields = vec![("limit".to_owned(), value), ("count".to_owned(), number.to_string())];
+        prop_assert_eq!(entry, Some(Entry { event: Event::LimitReached, fields }));
+    }
+
+    #[test]
+    fn any_text_is_read_without_harm(text in any::<String>()) {
+        let _entry = Entry::parse(&format!("KW1506 limit-reached {text}"));
+    }
+}
--- a/policy/src/direct/share.rs
+++ b/policy/src/direct/share.rs
@@ -36,7 +36,7 @@
 const SIZE_EXPONENT: f64 = 0.5;
 
 /// The least factor for a team within its share.
-const LEAST_FAVOUR: f64 = 0.65;
+pub const LEAST_FAVOUR: f64 = 0.65;
 
 /// The greatest factor.
 const MOST_FAVOUR: f64 = 1.8;
--- a/rules/src/value.rs
+++ b/rules/src/value.rs
@@ -249,6 +249,14 @@
     format!("{year:04}-{month:02}-{day:02}T{hours:02}:{minutes:02}:{seconds:02}Z")
 }
 
+/// Writes a time in the format of RFC 3339, in milliseconds.
+pub fn write_instant(time: SystemTime) -> String {
+    let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let seconds = write_time(time);
+    let seconds = seconds.trim_end_matches('Z');
+    format!("{seconds}.{:03}Z", since.subsec_millis())
+}
+
 /// Writes a time limit in the greatest unit that is exact.
 pub(crate) fn write_timeout(time: Duration) -> String {
     const UNITS: [(u128, &str); 3] = [(3_600_000, "h"), (60_000, "m"), (1_000, "s")];
