A soak of edge routers as real processes under overlapping faults

knapweed-soak starts routers as processes with stand-ins for store, targets and callers, and plays a seeded schedule of 17 kinds of faults that overlap: pauses, kills, planned stops, SIGHUP, cuts from the store, store busy, silent, resetting or without history, withdrawn keys, versions, and targets that reset, go silent, answer nothing, slow down, crash and come back cold, or drain. A proxy on loopback harms connections.

--- a/livetests/src/process.rs
+++ b/livetests/src/process.rs
@@ -6,9 +6,16 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
 
 use eyre::{WrapErr, eyre};
 
+/// How long a process may take until it listens.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// How often the log of a starting process is looked at.
+const START_POLL: Duration = Duration::from_millis(10);
+
 /// A signal that a test sends.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Signal {
@@ -18,6 +25,8 @@
     Pause,
     /// Lets a suspended process go on.
     Resume,
+    /// Tells the process that its settings changed.
+    HangUp,
 }
 
 /// A running process; it is killed when dropped.
@@ -57,6 +66,46 @@
         }
     }
 
+    /// Starts the program `name` with all that it prints going to the file `log`,
+    /// behind what is there, and waits for its `listening` line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program is missing, or does not listen in time.
+    pub async fn start_logged<S: AsRef<str>>(
+        name: &str,
+        args: &[S],
+        log: &Path,
+    ) -> eyre::Result<Self> {
+        let program = program(name)?;
+        let mut options = File::options();
+        let file = options.create(true).append(true).open(log)?;
+        let before = file.metadata()?.len() as usize;
+        let mut child = Command::new(&program)
+            .args(args.iter().map(AsRef::as_ref))
+            .stdin(Stdio::null())
+            .stderr(file.try_clone()?)
+            .stdout(file)
+            .spawn()
+            .wrap_err_with(|| format!("cannot start {}", program.display()))?;
+        let began = Instant::now();
+        while began.elapsed() < START_LIMIT {
+            let text = std::fs::read(log)?;
+            let text = String::from_utf8_lossy(&text[before.min(text.len())..]).into_owned();
+            let mut lines = text.lines();
+            let line = lines.find(|line| line.starts_with("listening "));
+            let addresses = addresses(line.unwrap_or_default());
+            if !addresses.is_empty() && text.ends_with('\n') {
+                return Ok(Self { child, addresses });
+            }
+            if let Some(status) = child.try_wait()? {
+                return Err(eyre!("{name} ended with {status} before it listened"));
+            }
+            tokio::time::sleep(START_POLL).await;
+        }
+        Err(eyre!("{name} did not listen in time"))
+    }
+
     /// The address that the process printed under `name`.
     ///
     /// # Panics
@@ -76,6 +125,7 @@
             Signal::Terminate => "-TERM",
             Signal::Pause => "-STOP",
             Signal::Resume => "-CONT",
+            Signal::HangUp => "-HUP",
         };
         let status = Command::new("kill")
             .arg(option)
@@ -125,23 +175,17 @@
     fields.split(' ').filter_map(parse).collect()
 }
 
-/// The path of a program of the workspace, beside the running test.
+/// The path of a program of the workspace, beside the running test or program.
 ///
 /// # Errors
 ///
 /// Returns an error if the program is not built.
 pub fn program(name: &str) -> eyre::Result<PathBuf> {
-    let test = std::env::current_exe()?;
-    let profile = test
-        .ancestors()
-        .nth(2)
-        .ok_or_else(|| eyre!("no target folder"))?;
-    let program = profile.join(name);
-    match program.is_file() {
-        true => Ok(program),
-        false => Err(eyre!(
-            "{} is not built: run cargo build --workspace",
-            program.display()
-        )),
-    }
+    let own = std::env::current_exe()?;
+    // Tests stand in a folder below the one of the programs.
+    let folders = own.ancestors().skip(1).take(2);
+    let mut programs = folders.map(|folder| folder.join(name));
+    programs
+        .find(|program| program.is_file())
+        .ok_or_else(|| eyre!("{name} is not built: run cargo build --workspace"))
 }
--- a/livetests/tests/edge_faults.rs
+++ b/livetests/tests/edge_faults.rs
@@ -120,6 +120,34 @@
     Ok(())
 }
 
+#[actix_rt::test]
+async fn a_stream_whose_target_goes_silent_goes_on_at_another() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start("quiet", 1, 3).await?;
+    let answer = fleet.call("GET", "/resume/stall-4", "q").await;
+    let body = body_of(&answer);
+    let ids: Vec<&str> = body
+        .lines()
+        .filter_map(|it| it.strip_prefix("id: "))
+        .collect();
+    let all: Vec<String> = (1..=10).map(|id| id.to_string()).collect();
+    assert_eq!(ids, all, "{answer}");
+    assert!(is_whole(&answer), "{answer}");
+    assert_eq!(fleet.arrivals("q").len(), 2);
+    // The silent target was told that its run is not wanted any more.
+    let left: usize = fleet.targets.iter().map(|it| it.left().len()).sum();
+    assert_eq!(left, 1);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_stream_that_runs_once_waits_for_its_silent_target() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start("quiet-once", 1, 3).await?;
+    let answer = fleet.call("POST", "/stream/stall-4", "q").await;
+    assert!(!is_whole(&answer), "{answer}");
+    assert_eq!(fleet.arrivals("q").len(), 1);
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn few_routers_call_the_store() -> eyre::Result<()> {
     let fleet = EdgeFleet::start("readers", 6, 1).await?;
@@ -262,7 +290,7 @@
     .await;
     drop(stream);
     let left = until("the target is left", || async {
-        (fleet.targets[0].left() > 0).then_some(())
+        (!fleet.targets[0].left().is_empty()).then_some(())
     });
     timeout(Duration::from_millis(500), left).await?;
     Ok(())
--- /dev/null
+++ b/soak/src/fleet.rs
@@ -0,0 +1,388 @@
+//! Real router processes with stand-ins for store and targets behind proxies.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use eyre::WrapErr;
+use livetests::edge::{Rules, get};
+use livetests::process::{Process, Signal};
+use serde_json::{Value, json};
+use standins::platform::{ScriptedTarget, Store, StoreMode};
+
+use crate::proxy::{Mode, Proxy};
+use crate::schedule::Size;
+
+/// The key of the team `red`, which always holds.
+pub const RED_KEY: &str = "key-of-red";
+
+/// The key of the team `loose`, which is withdrawn at times.
+pub const LOOSE_KEY: &str = "key-of-loose";
+
+/// The limit of all routes.
+pub const TIMEOUT: Duration = Duration::from_millis(3_000);
+
+/// The time that a planned stop may take.
+pub const STOP: Duration = Duration::from_secs(8);
+
+/// How long a target that comes back is cold.
+pub const COLD: Duration = Duration::from_secs(3);
+
+/// Arrivals per second that a cold target takes.
+pub const COLD_RATE: u32 = 14;
+
+/// The fleet's bounds for a cold target: a multiple of its rate, and more.
+pub const COLD_OVER: (f64, f64) = (1.5, 5.0);
+
+/// How often the balancer asks a router.
+const BALANCE: Duration = Duration::from_secs(1);
+
+/// How often a process that should end is looked at.
+const POLL: Duration = Duration::from_millis(20);
+
+/// A router.
+#[derive(Debug)]
+struct Router {
+    process: Option<Process>,
+    store: Proxy,
+    file: PathBuf,
+    log: PathBuf,
+    settings: String,
+}
+
+/// What is said of a target in the store.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct Life {
+    born: u64,
+    cold: Duration,
+}
+
+/// What varies of the configuration.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct Written {
+    version: u64,
+    has_loose: bool,
+}
+
+/// A target.
+#[derive(Debug)]
+struct Target {
+    scripted: ScriptedTarget,
+    proxy: Proxy,
+    life: Mutex<Life>,
+}
+
+/// The fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    store: Store,
+    targets: Vec<Target>,
+    routers: Vec<Mutex<Router>>,
+    written: Mutex<Written>,
+    /// Whether the balancer gives a router new connections.
+    rotation: Vec<AtomicBool>,
+}
+
+impl Fleet {
+    /// Starts all processes; their settings and logs are in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not start or does not become ready.
+    pub async fn start(folder: &Path, size: Size) -> eyre::Result<Self> {
+        std::fs::create_dir_all(folder)?;
+        let mut fleet = Self {
+            store: Store::start().await?,
+            targets: Vec::new(),
+            routers: Vec::new(),
+            rotation: (0..size.routers).map(|_| AtomicBool::new(true)).collect(),
+            written: Mutex::new(Written {
+                version: 0,
+                has_loose: true,
+            }),
+        };
+        fleet.configure();
+        for number in 0..size.targets {
+            let scripted = ScriptedTarget::start(&format!("t{number}")).await?;
+            let target = Target {
+                proxy: Proxy::start(scripted.address()).await?,
+                scripted,
+                life: Mutex::new(Life {
+                    born: 1_700_000_000_000,
+                    cold: Duration::ZERO,
+                }),
+            };
+            fleet.targets.push(target);
+            fleet.register(number, "ready");
+        }
+        let control = free_port()?;
+        // Peers meet on one port, so each fleet has addresses of its own.
+        let net = control % 250;
+        for number in 0..size.routers {
+            let store = Proxy::start(fleet.store.address()).await?;
+            let settings = format!(
+                "name: edge-{number}\ndata_centre: north\nlisten: 127.0.0.1:0\n\
+                 control: 127.1.{net}.{}:{control}\noperators: 127.0.0.1:{}\nstore: {}\n\
+                 peers: [127.1.{net}.1:9, 127.1.{net}.2:9]\nstop_limit: {}s\nbounds:\n  revoke: 5s\n\
+                 \x20 cold_over: {}\n  cold_slack: {}\n",
+                number + 1,
+                free_port()?,
+                store.address(),
+                STOP.as_secs(),
+                COLD_OVER.0,
+                COLD_OVER.1,
+            );
+            let router = Router {
+                process: None,
+                store,
+                file: folder.join(format!("edge-{number}.yaml")),
+                log: folder.join(format!("edge-{number}.log")),
+                settings,
+            };
+            fleet.routers.push(Mutex::new(router));
+            fleet.start_router(number).await?;
+        }
+        for number in 0..size.routers {
+            fleet.ready(number).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// The number of routers.
+    pub fn router_count(&self) -> usize {
+        self.routers.len()
+    }
+
+    /// Where a router takes callers' requests, unless it is down.
+    pub fn callers(&self, router: usize) -> Option<SocketAddr> {
+        let router = lock(&self.routers[router]);
+        router.process.as_ref().map(|it| it.address("callers"))
+    }
+
+    /// What reached the targets, by the target's number.
+    pub fn targets(&self) -> impl Iterator<Item = (usize, &ScriptedTarget)> {
+        self.targets.iter().map(|it| &it.scripted).enumerate()
+    }
+
+    /// Starts a router that is down.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not start.
+    pub async fn start_router(&self, number: usize) -> eyre::Result<()> {
+        let (file, log) = {
+            let router = lock(&self.routers[number]);
+            std::fs::write(&router.file, &router.settings)?;
+            (router.file.clone(), router.log.clone())
+        };
+        let args = ["--settings".to_owned(), file.display().to_string()];
+        let process = Process::start_logged("knapweed-edge", &args, &log).await;
+        let process = process.wrap_err("cannot start the edge router")?;
+        lock(&self.routers[number]).process = Some(process);
+        Ok(())
+    }
+
+    async fn ready(&self, number: usize) -> eyre::Result<()> {
+        for _ in 0..500 {
+            if self.is_ready(number).await {
+                return Ok(());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Err(eyre::eyre!("router {number} does not become ready"))
+    }
+
+    async fn is_ready(&self, number: usize) -> bool {
+        let operators = {
+            let router = lock(&self.routers[number]);
+            let process = router.process.as_ref();
+            process.map(|process| process.address("operators"))
+        };
+        let Some(operators) = operators else {
+            return false;
+        };
+        let page = get(operators, "/ready").await;
+        page.is_some_and(|page| page.contains(" 200 "))
+    }
+
+    /// Asks a router whether it is ready, as the platform's balancer does: after
+    /// two misses it gets no new connections until it is ready again.
+    pub async fn balance(&self, number: usize) {
+        let mut misses = 0;
+        loop {
+            misses = if self.is_ready(number).await {
+                0
+            } else {
+                misses + 1
+            };
+            self.rotation[number].store(misses < 2, Ordering::Relaxed);
+            tokio::time::sleep(BALANCE).await;
+        }
+    }
+
+    /// The routers that get new connections; all if none is ready.
+    pub fn in_rotation(&self) -> Vec<usize> {
+        let all = 0..self.routers.len();
+        let ready = all
+            .clone()
+            .filter(|&it| self.rotation[it].load(Ordering::Relaxed));
+        let ready: Vec<usize> = ready.collect();
+        if ready.is_empty() {
+            all.collect()
+        } else {
+            ready
+        }
+    }
+
+    /// Sends a signal to a router, if it is up.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal cannot be sent.
+    pub fn signal(&self, router: usize, signal: Signal) -> eyre::Result<()> {
+        let router = lock(&self.routers[router]);
+        router
+            .process
+            .as_ref()
+            .map_or(Ok(()), |it| it.signal(signal))
+    }
+
+    /// Kills a router.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be killed.
+    pub fn kill(&self, router: usize) -> eyre::Result<()> {
+        let process = lock(&self.routers[router]).process.take();
+        process.map_or(Ok(()), |mut process| process.kill())
+    }
+
+    /// Waits until a router that was asked to stop has ended, or `limit` passed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be asked.
+    pub async fn stopped(&self, router: usize, limit: Duration) -> eyre::Result<Duration> {
+        let began = Instant::now();
+        loop {
+            let is_up = self.has_ended(router)?.is_none();
+            let took = began.elapsed();
+            if !is_up || took > limit {
+                lock(&self.routers[router]).process = None;
+                return Ok(took);
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Whether a router that should be up has ended; `None` if it is up.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be asked.
+    pub fn has_ended(&self, router: usize) -> eyre::Result<Option<Instant>> {
+        let mut router = lock(&self.routers[router]);
+        let ended = match &mut router.process {
+            Some(process) => process.ended()?,
+            None => None,
+        };
+        Ok(ended.map(|_| Instant::now()))
+    }
+
+    /// Changes a router's settings file without changing what it says.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file cannot be written.
+    pub fn rewrite_settings(&self, router: usize) -> eyre::Result<()> {
+        let router = lock(&self.routers[router]);
+        let text = format!("# Written again.\n{}", router.settings);
+        Ok(std::fs::write(&router.file, text)?)
+    }
+
+    /// Sets what happens between a router and the store.
+    pub fn set_store_path(&self, router: usize, mode: Mode) {
+        lock(&self.routers[router]).store.set(mode);
+    }
+
+    /// Sets what happens on the way to a target.
+    pub fn set_target_path(&self, target: usize, mode: Mode) {
+        self.targets[target].proxy.set(mode);
+    }
+
+    /// Sets how the store answers.
+    pub fn set_store(&self, mode: StoreMode) {
+        self.store.set_mode(mode);
+    }
+
+    /// Makes the store forget its history.
+    pub fn compact(&self) {
+        self.store.compact();
+    }
+
+    /// Withdraws the loose key, or gives it back.
+    pub fn set_loose(&self, has_loose: bool) {
+        lock(&self.written).has_loose = has_loose;
+        self.configure();
+    }
+
+    /// Writes a new version of the configuration.
+    pub fn configure(&self) {
+        let mut written = lock(&self.written);
+        written.version += 3;
+        let rules = Rules {
+            version: written.version,
+            keys: vec![RED_KEY],
+            timeout: TIMEOUT.as_millis() as u64,
+        };
+        let mut value = rules.value();
+        let keys: Value = if written.has_loose {
+            json!([LOOSE_KEY])
+        } else {
+            json!([])
+        };
+        let loose = json!({ "name": "loose", "apiKeys": keys });
+        if let Some(teams) = value["tenants"].as_array_mut() {
+            teams.push(loose);
+        }
+        value["services"][0]["coldPerS"] = json!(COLD_RATE);
+        value["services"][0]["coldStartS"] = json!(COLD.as_secs_f64());
+        self.store.put("op/config", &value);
+    }
+
+    /// Writes a target's entry.
+    pub fn register(&self, number: usize, state: &str) {
+        let target = &self.targets[number];
+        let life = *lock(&target.life);
+        let mut entry = target.scripted.entry("desk", state);
+        entry["address"] = json!(target.proxy.address());
+        entry["born"] = json!(life.born);
+        entry["coldRemainingMs"] = json!(life.cold.as_millis() as u64);
+        self.store.put(&target.scripted.key(), &entry);
+    }
+
+    /// Deletes a target's entry.
+    pub fn forget(&self, number: usize) {
+        self.store.delete(&self.targets[number].scripted.key());
+    }
+
+    /// Gives a target a new life, which begins cold.
+    pub fn revive(&self, number: usize) {
+        {
+            let mut life = lock(&self.targets[number].life);
+            life.born += 1_000;
+            life.cold = COLD;
+        }
+        self.register(number, "ready");
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn free_port() -> eyre::Result<u16> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,118 @@
+//! The `knapweed-soak` program.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use knapweed_soak::check::{Finding, check};
+use knapweed_soak::play::play;
+use knapweed_soak::schedule::{Schedule, Size};
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Plays seeded faults on real router processes and checks what callers and targets see.
+        ///
+        /// Exit codes: 0 all promises kept; 1 some broken; 2 a play could not be carried out.
+        cmd knapweed-soak {
+            /// The first seed. Default: 1
+            optional --seed seed: u64
+            /// The number of seeds, one after the other. Default: 1
+            optional --seeds seeds: u64
+            /// Routers. Default: 4
+            optional --routers routers: usize
+            /// Targets. Default: 3
+            optional --targets targets: usize
+            /// Callers. Default: 12
+            optional --callers callers: usize
+            /// Seconds with faults. Default: 20
+            optional --seconds seconds: u64
+            /// A file with a schedule, in place of the seed's.
+            optional --schedule file: PathBuf
+            /// Print the schedules and play nothing.
+            optional --print
+            /// Where processes write; the folders of broken seeds are kept. Default: the system's
+            /// temporary folder.
+            optional --folder folder: PathBuf
+        }
+    }
+}
+
+#[actix_rt::main]
+async fn main() -> ExitCode {
+    let flags = flags::KnapweedSoak::from_env_or_exit();
+    match run(&flags).await {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("knapweed-soak: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Plays all seeds; returns the number of broken promises.
+async fn run(flags: &flags::KnapweedSoak) -> eyre::Result<usize> {
+    let first = flags.seed.unwrap_or(1);
+    let size = Size {
+        routers: flags.routers.unwrap_or(4),
+        targets: flags.targets.unwrap_or(3),
+        length: Duration::from_secs(flags.seconds.unwrap_or(20)),
+    };
+    let root = flags.folder.clone().unwrap_or_else(std::env::temp_dir);
+    let mut broken = 0;
+    for seed in first..first + flags.seeds.unwrap_or(1) {
+        let schedule = schedule(flags, seed, size)?;
+        if flags.print {
+            print!("# seed {seed}\n{schedule}");
+            continue;
+        }
+        let folder = root.join(format!("knapweed-soak-{}-{seed}", std::process::id()));
+        let callers = flags.callers.unwrap_or(12);
+        let record = play(&schedule, size, callers, seed, &folder).await;
+        let record = record.wrap_err_with(|| format!("seed {seed}"))?;
+        let findings = check(&record);
+        let answered = record.calls.iter().filter(|call| is_served(call)).count();
+        println!(
+            "seed {seed}: {} faults, {} requests, {answered} served, {} runs, {} broken",
+            schedule.steps.len(),
+            record.calls.len(),
+            record.runs.len(),
+            findings.len()
+        );
+        report(&findings, &schedule, &folder)?;
+        broken += findings.len();
+    }
+    Ok(broken)
+}
+
+fn schedule(flags: &flags::KnapweedSoak, seed: u64, size: Size) -> eyre::Result<Schedule> {
+    match &flags.schedule {
+        Some(file) => std::fs::read_to_string(file)
+            .wrap_err_with(|| format!("cannot read {}", file.display()))?
+            .parse(),
+        None => Ok(Schedule::draw(seed, size)),
+    }
+}
+
+fn is_served(call: &knapweed_soak::record::Call) -> bool {
+    use knapweed_soak::record::Outcome;
+    matches!(&call.outcome, Outcome::Answer(answer) if answer.status == 200 && answer.whole)
+}
+
+/// Prints what was found, and keeps the logs of a seed that broke a promise.
+fn report(findings: &[Finding], schedule: &Schedule, folder: &Path) -> eyre::Result<()> {
+    if findings.is_empty() {
+        std::fs::remove_dir_all(folder)?;
+        return Ok(());
+    }
+    let path: PathBuf = folder.join("schedule.txt");
+    std::fs::write(&path, schedule.to_string())?;
+    for finding in findings {
+        println!("  {finding}");
+    }
+    println!("  logs and schedule: {}", folder.display());
+    Ok(())
+}
--- /dev/null
+++ b/soak/tests/seeds.rs
@@ -0,0 +1,56 @@
+//! Short plays of fixed seeds, and of schedules that once broke a promise.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use knapweed_soak::check::check;
+use knapweed_soak::play::play;
+use knapweed_soak::schedule::{Schedule, Size};
+
+const SIZE: Size = Size {
+    routers: 3,
+    targets: 3,
+    length: Duration::from_secs(9),
+};
+
+const CALLERS: usize = 6;
+
+fn folder(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("knapweed-soak-{}-{name}", std::process::id()))
+}
+
+/// Plays a schedule and fails with what it broke; the logs are kept then.
+async fn keeps_all(name: &str, schedule: &Schedule, size: Size) -> eyre::Result<()> {
+    let folder = folder(name);
+    let record = play(schedule, size, CALLERS, 1, &folder).await?;
+    let findings: Vec<String> = check(&record).iter().map(ToString::to_string).collect();
+    assert!(
+        findings.is_empty(),
+        "{}\n{schedule}logs: {}",
+        findings.join("\n"),
+        folder.display()
+    );
+    std::fs::remove_dir_all(folder)?;
+    Ok(())
+}
+
+#[test]
+fn a_seed_gives_the_same_schedule_and_its_text_reads_back() -> eyre::Result<()> {
+    for seed in 0..200 {
+        let schedule = Schedule::draw(seed, SIZE);
+        assert_eq!(schedule, Schedule::draw(seed, SIZE));
+        assert_eq!(schedule.to_string().parse::<Schedule>()?, schedule);
+        assert!(schedule.steps.iter().all(|step| step.end() <= SIZE.length));
+    }
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn seed_1_keeps_all_promises() -> eyre::Result<()> {
+    keeps_all("seed-1", &Schedule::draw(1, SIZE), SIZE).await
+}
+
+#[actix_rt::test]
+async fn seed_2_keeps_all_promises() -> eyre::Result<()> {
+    keeps_all("seed-2", &Schedule::draw(2, SIZE), SIZE).await
+}
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -9,4 +9,4 @@
 
 pub use http::{RawRequest, raw_call};
 pub use store::{Store, StoreMode};
-pub use target::{Arrival, ScriptedTarget};
+pub use target::{Arrival, Departure, ScriptedTarget};
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -17,12 +17,13 @@
 //! | `mute` | never answers |
 //! | `stream-N` | streams N events |
 //! | `halt-N` | streams to the middle of event N, and goes on from there if asked to |
+//! | `stall-N` | streams N events and then nothing, and goes on from there if asked to |
 //! | `slow-N` | streams an event every N milliseconds, ten in all |
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use serde_json::{Value, json};
@@ -42,12 +43,23 @@
     pub target: String,
     /// The request.
     pub request: RawRequest,
+    /// When it was read.
+    pub at: Instant,
+}
+
+/// A request whose connection was closed before its answer had ended.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Departure {
+    /// The request's id.
+    pub request: String,
+    /// When the target noticed.
+    pub at: Instant,
 }
 
 #[derive(Debug, Default)]
 struct Record {
     arrivals: Vec<Arrival>,
-    left: u64,
+    left: Vec<Departure>,
     connections: u64,
 }
 
@@ -86,6 +98,11 @@
         Ok(target)
     }
 
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// The key of its entry in the store.
     pub fn key(&self) -> String {
         format!("servers/{}", self.id)
@@ -112,8 +129,8 @@
     }
 
     /// Requests whose connection was closed before their answer had ended.
-    pub fn left(&self) -> u64 {
-        self.lock().left
+    pub fn left(&self) -> Vec<Departure> {
+        self.lock().left.clone()
     }
 
     /// Connections that were opened.
@@ -137,6 +154,7 @@
             self.lock().arrivals.push(Arrival {
                 target: self.id.to_string(),
                 request: request.clone(),
+                at: Instant::now(),
             });
             if !self.play(&mut stream, &request).await? {
                 return Ok(());
@@ -178,21 +196,36 @@
                 format!("{whole}{other}")
             }
             "unframed" => format!("HTTP/1.1 200 OK\r\n{marks}\r\n{body}"),
-            "stream" => return self.stream(stream, &marks, number, None, 0).await,
-            "slow" => return self.stream(stream, &marks, EVENTS, None, number).await,
-            "halt" => {
-                let after = request
-                    .header("last-event-id")
-                    .and_then(|id| id.parse().ok());
-                let halt = after.is_none().then_some(number);
-                return self
-                    .events(stream, &marks, after.unwrap_or(0), EVENTS, halt, 0)
-                    .await;
+            "stream" | "slow" | "halt" | "stall" => {
+                let after = request.header("last-event-id");
+                let after: Option<u64> = after.and_then(|id| id.parse().ok());
+                let play = match name {
+                    "stream" => Events {
+                        after: after.unwrap_or(0),
+                        ..Events::up_to(number)
+                    },
+                    "slow" => Events {
+                        after: after.unwrap_or(0),
+                        pause: Duration::from_millis(number),
+                        ..Events::up_to(EVENTS)
+                    },
+                    "halt" => Events {
+                        after: after.unwrap_or(0),
+                        stop: after.is_none().then_some(Stop::Cut(number)),
+                        ..Events::up_to(EVENTS)
+                    },
+                    _ => Events {
+                        after: after.unwrap_or(0),
+                        stop: after.is_none().then_some(Stop::Stall(number)),
+                        ..Events::up_to(EVENTS)
+                    },
+                };
+                return self.events(stream, request, &marks, play).await;
             }
             "mute" => {
                 // Returns when the caller of the target closes the connection.
                 stream.readable().await?;
-                self.lock().left += 1;
+                self.note_left(request);
                 return Ok(false);
             }
             _ => return Ok(false),
@@ -202,33 +235,29 @@
         Ok(!matches!(name, "cut" | "unframed"))
     }
 
-    async fn stream(
-        &self,
-        stream: &mut TcpStream,
-        marks: &str,
-        count: u64,
-        halt: Option<u64>,
-        pause: u64,
-    ) -> io::Result<bool> {
-        self.events(stream, marks, 0, count, halt, pause).await
+    fn note_left(&self, request: &RawRequest) {
+        let id = request.header("x-knapweedgate-request-id");
+        self.lock().left.push(Departure {
+            request: id.unwrap_or_default().to_owned(),
+            at: Instant::now(),
+        });
     }
 
+    /// Streams the events after `play.after`.
     async fn events(
         &self,
         stream: &mut TcpStream,
+        request: &RawRequest,
         marks: &str,
-        after: u64,
-        last: u64,
-        halt: Option<u64>,
-        pause: u64,
+        play: Events,
     ) -> io::Result<bool> {
         let head = format!(
             "HTTP/1.1 200 OK\r\n{marks}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).await?;
-        for number in after + 1..=last {
+        for number in play.after + 1..=play.last {
             let event = format!("id: {number}\ndata: token {number}\n\n");
-            if halt == Some(number) {
+            if play.stop == Some(Stop::Cut(number)) {
                 let half = &event[..event.len() / 2];
                 let chunk = format!("{:x}\r\n{half}\r\n", half.len());
                 stream.write_all(chunk.as_bytes()).await?;
@@ -236,12 +265,52 @@
             }
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).await.is_err() {
-                self.lock().left += 1;
+                self.note_left(request);
+                return Ok(false);
+            }
+            if play.stop == Some(Stop::Stall(number)) {
+                // Returns when the caller of the target closes the connection.
+                stream.readable().await?;
+                self.note_left(request);
                 return Ok(false);
             }
-            sleep(Duration::from_millis(pause)).await;
+            sleep(play.pause).await;
         }
         stream.write_all(b"0\r\n\r\n").await?;
         Ok(true)
     }
 }
+
+/// How a stream stops before its end.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stop {
+    /// In the middle of this event, by closing the connection.
+    Cut(u64),
+    /// After this event, without a word.
+    Stall(u64),
+}
+
+/// The events of a stream.
+#[derive(Clone, Copy)]
+struct Events {
+    /// The last event that the caller has.
+    after: u64,
+    /// The last event of the stream.
+    last: u64,
+    /// Where the stream stops before its end.
+    stop: Option<Stop>,
+    /// The time between events.
+    pause: Duration,
+}
+
+impl Events {
+    /// Events up to `last`, without a pause.
+    fn up_to(last: u64) -> Self {
+        Self {
+            after: 0,
+            last,
+            stop: None,
+            pause: Duration::ZERO,
+        }
+    }
+}
