Quiet targets are avoided, told to peers, and resumable streams go on elsewhere

Ruled out: probes, since health answers may be false either way.

A working engine sends on its streams all the time: a target whose streams all say nothing for 500 ms is quiet, and so is one that should have read its oldest prompt by now. Quiet and resting targets are told to peers in a datagram ahead of each beat; two peers' word counts unless the target is heard here. Where most targets seem so, the cause is here and nothing changes. A request that may run again leaves a quiet target at once, a resumable stream goes on elsewhere if there is room.

Also: peers' reports are published at most every 80 ms where peers are many, since each beat of 31 went through the reports of all (profile of a real process beside 30 others: half of its time when idle).

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -23,11 +23,12 @@
 use policy::direct::target::Roster;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 
 use crate::latest::Latest;
 use crate::metrics::TrafficMetrics;
-use crate::shared::{Shared, Sheet};
+use crate::shared::{Peers, Shared, Sheet};
 use crate::target::Links;
 
 /// How often the traffic thread publishes what it has in hand, and sweeps.
@@ -117,12 +118,19 @@
     pub(crate) connections: Connections,
     /// Tells idle connections that they are closed.
     pub(crate) closing: Notify,
+    /// Tells that some target is quiet.
+    quiet: Notify,
     suspects: RefCell<Vec<Suspect>>,
+    /// The targets that are avoided, as the log has it.
+    avoided: RefCell<FxHashSet<Spot>>,
     /// When this router last fell behind.
     strain: Cell<Option<Instant>>,
     /// The roster on the board.
     roster: Latest<Roster>,
-    peers: Cell<Option<Instant>>,
+    /// What the peers said, as it was last taken over.
+    peers: Latest<Peers>,
+    /// When their reports were last summed up.
+    summed: Cell<Option<Instant>>,
 }
 
 impl Context {
@@ -162,10 +170,13 @@
             metrics,
             connections: Connections::new(settings.descriptors),
             closing: Notify::new(),
+            quiet: Notify::new(),
             suspects: RefCell::default(),
+            avoided: RefCell::default(),
             strain: Cell::new(None),
             roster: Latest::default(),
-            peers: Cell::new(None),
+            peers: Latest::default(),
+            summed: Cell::new(None),
         })
     }
 
@@ -218,11 +229,23 @@
                 self.shares.borrow_mut().set_pool(config.pool_rate);
             }
         }
-        let is_fresh = |at| now.saturating_duration_since(at) < PEERS_AGE;
-        if !self.peers.get().is_some_and(is_fresh) {
-            self.peers.set(Some(now));
-            let peers = self.shared.peers.load();
-            self.board.borrow_mut().set_peers(peers.reports.iter(), now);
+        let passed = self
+            .summed
+            .get()
+            .map(|at| now.saturating_duration_since(at));
+        if passed.is_some_and(|passed| passed < PEERS_AGE) {
+            return;
+        }
+        let news = self.peers.take(&self.shared.peers);
+        // Without news the reports only grow older.
+        if news.is_none() && passed.is_some_and(|passed| passed < PEERS_AGE * 4) {
+            return;
+        }
+        self.summed.set(Some(now));
+        let mut board = self.board.borrow_mut();
+        board.set_peers(self.shared.peers.load().reports.iter(), now);
+        if let Some(peers) = news {
+            board.set_reported(&peers.trouble);
             self.shares.borrow_mut().set_peers(peers.teams.clone());
         }
     }
@@ -233,8 +256,11 @@
         let sheet = Sheet {
             loads: self.board.borrow().report(self.place.read_rate, now),
             teams: self.shares.borrow_mut().report(REPORTED_TEAMS, now),
+            trouble: self.board.borrow().troubled(self.place.read_rate, now),
         };
         self.shared.sheet.store(Arc::new(sheet));
+        self.note_trouble(now);
+        self.note_quiet(now);
         let mut crashes = self.crashes.borrow_mut();
         for note in self.shared.take_heard() {
             crashes.add(note, now);
@@ -245,6 +271,59 @@
         self.metrics.opened(self.links.opened());
     }
 
+    /// Waits until a target is quiet.
+    pub(crate) async fn silence(&self, spot: Spot) {
+        loop {
+            self.quiet.notified().await;
+            let now = Instant::now();
+            if self
+                .board
+                .borrow()
+                .place(spot)
+                .is_quiet(self.place.read_rate, now)
+            {
+                return;
+            }
+        }
+    }
+
+    /// Wakes those that wait for the silence of a target, if any is quiet.
+    fn note_quiet(&self, now: Instant) {
+        let board = self.board.borrow();
+        let mut busy = board.places().filter(|(_, place)| place.own().count > 0);
+        if busy.any(|(_, place)| place.is_quiet(self.place.read_rate, now)) {
+            self.quiet.notify_waiters();
+        }
+    }
+
+    /// Logs which targets are avoided from now on, and which no longer are.
+    fn note_trouble(&self, now: Instant) {
+        let board = self.board.borrow();
+        let mut avoided = self.avoided.borrow_mut();
+        let open = board.places().filter(|(_, place)| place.open);
+        for (spot, place) in open {
+            let trouble = place.trouble(self.place.read_rate, now);
+            let known = avoided.contains(&spot);
+            let Some(event) = avoidance(known, trouble.is_some()) else {
+                continue;
+            };
+            match trouble {
+                Some(_) => avoided.insert(spot),
+                None => avoided.remove(&spot),
+            };
+            let why = trouble.map_or_else(|| "-".to_owned(), |trouble| trouble.to_string());
+            let failures = format!("{:.2}", place.trust.failures());
+            let in_hand = place.own().count;
+            let fields: [event::Field<'_>; 4] = [
+                ("target", &place.name),
+                ("why", &why),
+                ("failures", &failures),
+                ("own_in_hand", &in_hand),
+            ];
+            event::log(event, &fields);
+        }
+    }
+
     /// An attempt broke while its target worked on it.
     pub(crate) fn broke(&self, spot: Spot, request: Fingerprint, now: Instant) {
         self.suspects.borrow_mut().push(Suspect {
@@ -257,13 +336,8 @@
     /// A target cannot be reached: attempts that broke on it lately may be the cause.
     pub(crate) fn unreachable(&self, spot: Spot, now: Instant) {
         let mut board = self.board.borrow_mut();
-        let began = board.trust(spot).unreachable(now);
-        let place = board.place(spot);
-        if began {
-            let fields: [event::Field<'_>; 2] = [("target", &place.name), ("why", &"unreachable")];
-            event::log(Event::TargetResting, &fields);
-        }
-        let target = place.tag;
+        board.trust(spot).unreachable(now);
+        let target = board.place(spot).tag;
         let mut suspects = self.suspects.borrow_mut();
         let is_recent = |at| now.saturating_duration_since(at) < CRASH_WINDOW;
         let blamed = suspects.extract_if(.., |it| it.spot == spot && is_recent(it.at));
@@ -285,17 +359,7 @@
             board.trust(spot).good(now);
             return;
         }
-        let failures = board.trust(spot).failures();
-        if board.trust(spot).bad(now) {
-            let name = &board.place(spot).name;
-            let failures = format!("{failures:.2}");
-            let fields: [event::Field<'_>; 3] = [
-                ("target", name),
-                ("why", &"failures"),
-                ("failures", &failures),
-            ];
-            event::log(Event::TargetResting, &fields);
-        }
+        board.trust(spot).bad(now);
     }
 
     /// The state of the traffic thread for operators.
@@ -311,7 +375,7 @@
                 "service": place.service.as_str(),
                 "centre": place.centre.as_str(),
                 "open": place.open,
-                "resting": place.trust.rests(now),
+                "trouble": place.trouble(self.place.read_rate, now).map(|it| it.to_string()),
                 "cold": place.is_cold(now),
                 "own": { "count": place.own().count, "waiting": place.own().waiting },
                 "all": { "count": place.in_hand().count, "waiting": place.in_hand().waiting },
@@ -326,6 +390,15 @@
     }
 }
 
+/// The event of a change in whether a target is avoided.
+fn avoidance(was: bool, is: bool) -> Option<Event> {
+    match (was, is) {
+        (false, true) => Some(Event::TargetResting),
+        (true, false) => Some(Event::TargetTrusted),
+        _ => None,
+    }
+}
+
 /// An attempt on the board.
 pub(crate) struct Attempt {
     context: Rc<Context>,
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -29,6 +29,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{
     Beat, BeatError, CrashRow, Datagram, Echo, Listing, LoadRow, MAX_DATAGRAM_BYTES, TeamRow,
+    Trouble,
 };
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -46,6 +47,10 @@
 /// Beats between two that go to peers that were not heard lately.
 const SEED_EVERY: u32 = 10;
 
+/// The least time between two publications of what many peers said. Each goes
+/// through all reports of all peers, and with many of them beats come all the time.
+const PUBLISH_GAP: Duration = Duration::from_millis(80);
+
 /// The silence after which a peer's report counts no longer.
 const PEER_SILENCE: Duration = Duration::from_secs(2);
 
@@ -85,9 +90,19 @@
     heard: Instant,
     reachable: bool,
     beat: Beat,
+    /// What the beat says of targets.
+    reports: Arc<[Report]>,
+    trouble: Option<Trouble>,
 }
 
 impl Peer {
+    /// The targets with which it has trouble, by its latest beat.
+    fn trouble(&self) -> &[u64] {
+        let is_current = |it: &&Trouble| it.life == self.life && it.number == self.number;
+        let trouble = self.trouble.as_ref().filter(is_current);
+        trouble.map_or(&[], |it| it.targets.as_slice())
+    }
+
     /// Whether the others can rely on it to read the store.
     fn reads(&self, lost: Duration) -> bool {
         let confirmed = self
@@ -109,6 +124,10 @@
     started: Instant,
     /// Whether it had time to hear of all others.
     settled: bool,
+    /// When the peers were last published.
+    published: Instant,
+    /// Whether a beat was heard since then.
+    is_stale: bool,
     /// Periods since the start.
     ticks: u32,
     seeds: Vec<SocketAddr>,
@@ -148,6 +167,8 @@
             number: 0,
             started: SystemClock.now().mono,
             settled: false,
+            published: SystemClock.now().mono,
+            is_stale: false,
             ticks: 0,
             seeds: Vec::new(),
             peers: BTreeMap::new(),
@@ -240,7 +261,19 @@
         if self.sent.len() > SENT_BEATS {
             self.sent.pop_front();
         }
+        let targets = self.shared.sheet.load().trouble.clone();
+        let trouble = (!targets.is_empty()).then_some({
+            Datagram::Trouble(Trouble {
+                from: self.address,
+                life: self.life,
+                number: self.number,
+                targets,
+            })
+        });
         for address in to {
+            if let Some(trouble) = &trouble {
+                self.send(trouble, *address);
+            }
             beat.echo = self.peers.get(address).map(|peer| Echo {
                 life: peer.life,
                 number: peer.number,
@@ -311,6 +344,13 @@
         }
     }
 
+    /// Keeps what a known peer reports until its next beat.
+    fn hear_trouble(&mut self, trouble: Trouble) {
+        if let Some(peer) = self.peers.get_mut(&trouble.from) {
+            peer.trouble = Some(trouble);
+        }
+    }
+
     /// Takes over what a peer knows of the configuration.
     fn take_confirmation(&self, beat: &Beat) {
         let Some((echo, age)) = beat.echo.zip(beat.confirmed) else {
@@ -388,6 +428,7 @@
         let beat = match Datagram::decode(bytes) {
             Ok(Datagram::Beat(beat)) => beat,
             Ok(Datagram::Listing(listing)) => return self.hear_listing(listing, from),
+            Ok(Datagram::Trouble(trouble)) => return self.hear_trouble(trouble),
             Err(BeatError::Version) => {
                 event::log(Event::VersionRefused, &[("peer", &from)]);
                 return;
@@ -406,7 +447,8 @@
         if is_old {
             return;
         }
-        if !known.is_some_and(|peer| peer.reachable) {
+        let peer_was_reachable = known.is_some_and(|peer| peer.reachable);
+        if !peer_was_reachable {
             let fields: [event::Field<'_>; 2] = [("peer", &beat.from), ("life", &beat.life)];
             event::log(Event::PeerReachable, &fields);
         }
@@ -418,7 +460,11 @@
                 self.seeds.push(address);
             }
         }
+        let known = self.peers.remove(&beat.from);
+        let reports = beat.loads.iter().map(report);
         let peer = Peer {
+            reports: reports.collect(),
+            trouble: known.and_then(|peer| peer.trouble),
             life: beat.life,
             number: beat.number,
             heard: now,
@@ -426,7 +472,11 @@
             beat,
         };
         self.peers.insert(peer.beat.from, peer);
-        self.publish();
+        self.is_stale = true;
+        let is_due = now.saturating_duration_since(self.published) >= PUBLISH_GAP;
+        if is_due || !peer_was_reachable || self.peers.len() <= FULL_FANOUT {
+            self.publish();
+        }
     }
 
     fn merge_notes(&mut self, rows: &[CrashRow]) {
@@ -460,16 +510,22 @@
         }
     }
 
-    /// Publishes once that this router had time to hear of the others.
+    /// Publishes what was heard since the last time, and once that this router had
+    /// time to hear of the others.
     fn settle(&mut self, now: Instant) {
         let is_settled = now.saturating_duration_since(self.started) >= SETTLE_TIME;
-        if is_settled && !self.settled {
+        let was_settled = self.settled;
+        if is_settled {
             self.settled = true;
+        }
+        if is_settled != was_settled || self.is_stale {
             self.publish();
         }
     }
 
-    fn publish(&self) {
+    fn publish(&mut self) {
+        self.published = SystemClock.now().mono;
+        self.is_stale = false;
         let live = self.peers.values().filter(|peer| peer.reachable);
         let others = self.peers.keys().map(|&address| member_tag(address));
         let own = member_tag(self.address);
@@ -478,18 +534,13 @@
             ..Peers::default()
         };
         for peer in live {
-            let loads = peer.beat.loads.iter().map(|row| Report {
-                target: row.target,
-                in_hand: InHand {
-                    waiting: row.waiting.into(),
-                    count: row.count,
-                    memory: row.memory.into(),
-                },
-            });
             peers.reports.push(PeerReport {
                 at: peer.heard,
-                reports: loads.collect(),
+                reports: peer.reports.clone(),
             });
+            for &target in peer.trouble() {
+                *peers.trouble.entry(target).or_default() += 1;
+            }
             let sums: &mut FxHashMap<u64, TeamRate> = &mut peers.teams;
             for row in &peer.beat.teams {
                 let sum = sums.entry(row.team).or_default();
@@ -506,6 +557,17 @@
     }
 }
 
+fn report(row: &LoadRow) -> Report {
+    Report {
+        target: row.target,
+        in_hand: InHand {
+            waiting: row.waiting.into(),
+            count: row.count,
+            memory: row.memory.into(),
+        },
+    }
+}
+
 /// The tag by which all routers know one.
 fn member_tag(address: SocketAddr) -> u64 {
     xxh3_64(address.to_string().as_bytes())
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -21,6 +21,7 @@
 use policy::direct::verdict::{Verdict, judge};
 use rand::RngExt as _;
 use smallvec::SmallVec;
+use tokio::time::sleep;
 
 use crate::context::{Attempt, Context};
 use crate::order::{Entitled, Order, Refusal};
@@ -101,11 +102,17 @@
         }
     }
 
-    /// Places and sends the request until there is something for its caller.
-    pub(crate) async fn run(&mut self, resume: Option<u64>) -> Outcome {
+    /// Places and sends the request until there is something for its caller; the
+    /// first attempt may be placed already.
+    pub(crate) async fn run(
+        &mut self,
+        resume: Option<u64>,
+        mut placed: Option<Attempt>,
+    ) -> Outcome {
         let mut fallback: Option<Whole> = None;
         loop {
-            let attempt = match self.next_attempt() {
+            let next = placed.take().map_or_else(|| self.next_attempt(), Ok);
+            let attempt = match next {
                 Ok(attempt) => attempt,
                 Err(refusal) => return self.end(fallback, refusal),
             };
@@ -160,6 +167,19 @@
         self.may_run_again()
     }
 
+    /// Places the request elsewhere, if it may run again and there is room.
+    pub(crate) fn place_elsewhere(&mut self, spot: Spot) -> Option<Attempt> {
+        if !self.may_run_again() {
+            return None;
+        }
+        self.tried.push(spot);
+        let attempt = self.next_attempt().ok();
+        if attempt.is_none() {
+            self.tried.pop();
+        }
+        attempt
+    }
+
     fn end(&self, fallback: Option<Whole>, refusal: Refusal) -> Outcome {
         match fallback {
             Some(whole) => Outcome::Whole(whole),
@@ -322,30 +342,37 @@
         let links = &self.context.links;
         let exchange = links.send(address, outbound, &self.order.stated.id, sending);
         let patience = patience(route);
+        let goes_elsewhere = idempotent && self.runs + 1 < route.attempts;
         tokio::pin!(exchange);
-        let answer = match tokio::time::timeout(patience, &mut exchange).await {
-            Ok(answer) => Ok(answer),
-            Err(silent) if idempotent && self.runs + 1 < route.attempts => Err(silent),
-            Err(_) => {
+        let answered = tokio::select! {
+            biased;
+            answer = &mut exchange => Some(answer),
+            () = sleep(patience) => None,
+            () = self.context.silence(attempt.spot), if goes_elsewhere => None,
+        };
+        let answer = match answered {
+            Some(answer) => Some(answer),
+            None if goes_elsewhere => None,
+            None => {
                 self.context.showed(attempt.spot, false, Instant::now());
                 self.failed(attempt.spot, "silent so far");
-                Ok(exchange.await)
+                Some(exchange.await)
             }
         };
         match answer {
-            Err(_) => {
+            None => {
                 self.sends += 1;
                 self.runs += 1;
                 Err(Failure::Broken("silent"))
             }
-            Ok(Err(SendError::Unsent)) if withdrawn.get() => Err(Failure::Withdrawn),
-            Ok(Err(SendError::Unsent)) => Err(Failure::Unsent),
-            Ok(Err(SendError::Broken)) => {
+            Some(Err(SendError::Unsent)) if withdrawn.get() => Err(Failure::Withdrawn),
+            Some(Err(SendError::Unsent)) => Err(Failure::Unsent),
+            Some(Err(SendError::Broken)) => {
                 self.sends += 1;
                 self.runs += 1;
                 Err(Failure::Broken("broken"))
             }
-            Ok(Ok(answer)) => {
+            Some(Ok(answer)) => {
                 self.sends += 1;
                 Ok(answer)
             }
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpStream;
 
 use crate::caller::{Caller, EARLY_LIMITS, Next, until};
-use crate::context::Context;
+use crate::context::{Attempt, Context};
 use crate::events::Events;
 use crate::order::{Entitled, Order, Refusal};
 use crate::serve::{Outcome, Stream, Work};
@@ -109,7 +109,7 @@
     let outcome = tokio::select! {
         biased;
         () = caller.left() => None,
-        outcome = until(answer_by.into(), work.run(None)) => Some(outcome),
+        outcome = until(answer_by.into(), work.run(None, None)) => Some(outcome),
     };
     let ended = match outcome {
         None => Ended::Left,
@@ -193,6 +193,7 @@
     }
     let mut events = Events::after(work.order.stated.last_event);
     let mut pending = Some(first).filter(|it| !it.is_empty());
+    let is_resumable = work.entitled.repeat() == Repeat::Stream { resumable: true };
     loop {
         let next = match pending.take() {
             Some(bytes) => Ok(Some(bytes)),
@@ -200,10 +201,33 @@
                 biased;
                 next = body.next() => next,
                 () = caller.left() => return Ended::Left,
+                () = context.silence(attempt.spot), if is_resumable => {
+                    let Some(placed) = work.place_elsewhere(attempt.spot) else {
+                        continue;
+                    };
+                    events.forget_rest();
+                    drop(body);
+                    context.showed(attempt.spot, false, Instant::now());
+                    drop(attempt);
+                    match resume(work, caller, events.last(), Some(placed)).await {
+                        Resumed::Stream(stream) => {
+                            body = stream.body;
+                            attempt = stream.attempt;
+                            pending = Some(stream.first).filter(|it| !it.is_empty());
+                            continue;
+                        }
+                        Resumed::Impossible => return Ended::Broken("quiet target"),
+                        Resumed::Left => return Ended::Left,
+                    }
+                }
             },
         };
         match next {
             Ok(Some(bytes)) => {
+                context
+                    .board
+                    .borrow_mut()
+                    .heard(attempt.spot, Instant::now());
                 let piece = if is_events { events.push(bytes) } else { bytes };
                 if !piece.is_empty() && caller.piece(piece).await.is_err() {
                     return Ended::Left;
@@ -229,7 +253,10 @@
                 let now = Instant::now();
                 context.showed(spot, false, now);
                 context.broke(spot, work.order.fingerprint, now);
-                match resume(work, caller, spot, events.last()).await {
+                if !is_resumable || !work.goes_on(spot) {
+                    return Ended::Broken("target broke the stream");
+                }
+                match resume(work, caller, events.last(), None).await {
                     Resumed::Stream(stream) => {
                         body = stream.body;
                         attempt = stream.attempt;
@@ -253,13 +280,9 @@
 async fn resume(
     work: &mut Work<'_>,
     caller: &mut Caller,
-    broken: policy::direct::board::Spot,
     last: Option<u64>,
+    placed: Option<Attempt>,
 ) -> Resumed {
-    let is_resumable = work.entitled.repeat() == Repeat::Stream { resumable: true };
-    if !is_resumable || !work.goes_on(broken) {
-        return Resumed::Impossible;
-    }
     let fields: [Field<'_>; 2] = [
         ("request", &work.order.stated.id),
         ("after", &last.unwrap_or(0)),
@@ -268,7 +291,7 @@
     let outcome = tokio::select! {
         biased;
         () = caller.left() => return Resumed::Left,
-        outcome = work.run(last) => outcome,
+        outcome = work.run(last, placed) => outcome,
     };
     match outcome {
         Outcome::Stream(stream) if stream.status == StatusCode::OK => Resumed::Stream(stream),
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -24,6 +24,8 @@
     pub(crate) reports: Vec<PeerReport>,
     /// What teams ask for and get at all peers together.
     pub(crate) teams: FxHashMap<u64, TeamRate>,
+    /// How many peers report trouble with each target.
+    pub(crate) trouble: FxHashMap<u64, u32>,
     /// The routers that limits are divided by.
     pub(crate) members: Members,
 }
@@ -35,6 +37,8 @@
     pub(crate) loads: Vec<Report>,
     /// What teams ask for and get.
     pub(crate) teams: Vec<(u64, TeamRate)>,
+    /// The targets with which it has trouble.
+    pub(crate) trouble: Vec<u64>,
 }
 
 /// The state that both threads see.
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -152,6 +152,8 @@
     TargetGone 1413 Info "target-gone";
     /// A target rests after failures.
     TargetResting 1414 Warn "target-resting";
+    /// A target that was avoided gets requests again.
+    TargetTrusted 1415 Info "target-trusted";
 
     /// A request is quarantined after crashes of targets.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -11,6 +11,7 @@
 //! - [`board`]: what every target has in hand, of this router and of its peers;
 //! - [`place`]: which target a request goes to, or why it is refused;
 //! - [`cold`]: which routers send to a cold target, and how often;
+//! - [`quiet`]: which targets say nothing while they should;
 //! - [`share`]: which teams are beyond their share of the pool;
 //! - [`trust`]: which targets fail requests though they look healthy;
 //! - [`budget`]: how many repeats the fleet may add to its load;
@@ -26,6 +27,7 @@
 pub mod crash;
 pub mod fresh;
 pub mod place;
+pub mod quiet;
 pub mod reading;
 pub mod share;
 pub mod target;
--- a/policy/src/direct/board.rs
+++ b/policy/src/direct/board.rs
@@ -7,13 +7,16 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cranelift_entity::{PrimaryMap, entity_impl};
+use derive_more::Display;
 use entity::Name;
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
+use super::quiet::{LEAST_PEERS, Oldest, STREAM_SILENCE, Signs};
 use super::target::{Roster, TargetState};
 use super::trust::Trust;
 
@@ -106,8 +109,8 @@
 pub struct PeerReport {
     /// When they were received.
     pub at: Instant,
-    /// The reports.
-    pub reports: Vec<Report>,
+    /// The reports, which do not change between two beats of the peer.
+    pub reports: Arc<[Report]>,
 }
 
 /// An attempt whose prompt is not yet read.
@@ -153,6 +156,23 @@
     peers: InHand,
     meter: Option<ColdMeter>,
     parts: FxHashMap<u64, Instant>,
+    signs: Signs,
+    /// Whether several peers report trouble with it.
+    reported: bool,
+}
+
+/// Why a target is avoided though its entry stands.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
+pub enum Trouble {
+    /// Requests or connections to it failed.
+    #[display("failures")]
+    Failures,
+    /// It says nothing while it should.
+    #[display("quiet")]
+    Quiet,
+    /// Several peers report trouble with it, and nothing shows otherwise here.
+    #[display("peers")]
+    Peers,
 }
 
 impl Place {
@@ -203,6 +223,27 @@
         prompt.input.saturating_sub(cached)
     }
 
+    /// Why the target is avoided, if it is; `rate` as in [`Place::waiting`].
+    pub fn trouble(&self, rate: f64, now: Instant) -> Option<Trouble> {
+        let silence = self.signs.silence(now);
+        let is_heard = silence.is_some_and(|silence| silence <= STREAM_SILENCE);
+        match () {
+            () if self.trust.rests(now) => Some(Trouble::Failures),
+            () if self.is_quiet(rate, now) => Some(Trouble::Quiet),
+            () if self.reported && !is_heard => Some(Trouble::Peers),
+            () => None,
+        }
+    }
+
+    /// Whether the target says nothing while it should; `rate` as in [`Place::waiting`].
+    pub fn is_quiet(&self, rate: f64, now: Instant) -> bool {
+        let oldest = self.unread.front().map(|first| Oldest {
+            sent: first.sent,
+            read: self.in_hand().waiting / rate,
+        });
+        self.signs.is_quiet(oldest, now)
+    }
+
     /// Whether this router may send to the target while it is cold, at `rate`
     /// arrivals per second.
     pub fn has_cold(&self, rate: f64, now: Instant) -> bool {
@@ -263,6 +304,8 @@
                         peers: InHand::default(),
                         meter: None,
                         parts: FxHashMap::default(),
+                        signs: Signs::default(),
+                        reported: false,
                     });
                     self.by_name.insert(name.clone(), spot);
                     spot
@@ -358,10 +401,17 @@
 
     /// The first event of an attempt came.
     pub fn started(&mut self, spot: Spot, take: Take, now: Instant) {
-        self.places[spot].progress = Some(now);
+        let place = &mut self.places[spot];
+        place.progress = Some(now);
+        place.signs.opened(now);
         self.read(spot, take);
     }
 
+    /// A byte of an answer came.
+    pub fn heard(&mut self, spot: Spot, now: Instant) {
+        self.places[spot].signs.heard(now);
+    }
+
     fn read(&mut self, spot: Spot, take: Take) {
         let place = &mut self.places[spot];
         place.unread.retain(|unread| unread.number != take.number);
@@ -370,8 +420,9 @@
 
     /// An attempt ended; `had_started` tells whether its first event had come.
     pub fn end(&mut self, spot: Spot, take: Take, had_started: bool) {
-        if !had_started {
-            self.read(spot, take);
+        match had_started {
+            true => self.places[spot].signs.closed(),
+            false => self.read(spot, take),
         }
         let own = &mut self.places[spot].own;
         own.count = own.count.saturating_sub(1);
@@ -387,7 +438,7 @@
                 continue;
             }
             let left = 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64());
-            for Report { target, in_hand } in &peer.reports {
+            for Report { target, in_hand } in peer.reports.iter() {
                 let sum = sums.entry(*target).or_default();
                 sum.waiting += in_hand.waiting * left;
                 sum.count += in_hand.count;
@@ -399,6 +450,29 @@
         }
     }
 
+    /// Replaces what the peers report: how many have trouble with each target.
+    pub fn set_reported(&mut self, reports: &FxHashMap<u64, u32>) {
+        for place in self.places.values_mut() {
+            let count = reports.get(&place.tag).copied().unwrap_or(0);
+            place.reported = count >= LEAST_PEERS;
+        }
+    }
+
+    /// The targets with which this router itself has trouble, for its peers; none
+    /// if it has trouble with most, since then the cause is more likely here.
+    pub fn troubled(&self, rate: f64, now: Instant) -> Vec<u64> {
+        let open = self.places.values().filter(|place| place.open);
+        let is_own = |place: &&Place| {
+            let trouble = place.trouble(rate, now);
+            trouble.is_some_and(|trouble| trouble != Trouble::Peers)
+        };
+        let troubled: Vec<u64> = open.clone().filter(is_own).map(|place| place.tag).collect();
+        match troubled.len() * 2 < open.count() {
+            true => troubled,
+            false => Vec::new(),
+        }
+    }
+
     /// What this router has in hand, for its peers; `rate` as in [`Place::waiting`].
     pub fn report(&self, rate: f64, now: Instant) -> Vec<Report> {
         let busy = self.places.values().filter(|place| place.own.count > 0);
--- a/policy/src/direct/place.rs
+++ b/policy/src/direct/place.rs
@@ -209,7 +209,7 @@
     prompt: &Prompt,
     now: Instant,
 ) -> Choice {
-    let open = usable(board, ask, now);
+    let open = usable(board, settings, ask, now);
     if open.is_empty() {
         return no_target();
     }
@@ -338,7 +338,7 @@
 }
 
 fn plain_target(board: &Board, settings: &PlaceSettings, ask: &Ask<'_>, now: Instant) -> Choice {
-    let open = usable(board, ask, now);
+    let open = usable(board, settings, ask, now);
     if open.is_empty() {
         return no_target();
     }
@@ -374,17 +374,17 @@
     }
 }
 
-/// The open targets that were not tried, without those that rest unless all do.
-fn usable(board: &Board, ask: &Ask<'_>, now: Instant) -> Vec<Spot> {
+/// The open targets that were not tried, without those with trouble unless most have.
+fn usable(board: &Board, settings: &PlaceSettings, ask: &Ask<'_>, now: Instant) -> Vec<Spot> {
     let spots = board.of_service(&ask.service.name).iter().copied();
     let is_open = |spot: &Spot| board.place(*spot).open && !ask.tried.contains(spot);
     let open: Vec<Spot> = spots.filter(is_open).collect();
     let trusted = open
         .iter()
         .copied()
-        .filter(|&spot| !board.place(spot).trust.rests(now));
+        .filter(|&spot| board.place(spot).trouble(settings.read_rate, now).is_none());
     let trusted: Vec<Spot> = trusted.collect();
-    // With most targets at rest the cause is not the targets, or there is no better choice.
+    // With trouble at most targets the cause is not the targets, or there is no better choice.
     match trusted.len() * 2 >= open.len() {
         true => trusted,
         false => open,
--- a/policy/tests/direct_load.rs
+++ b/policy/tests/direct_load.rs
@@ -298,7 +298,7 @@
         .iter()
         .map(|board| PeerReport {
             at: now,
-            reports: board.report(READ_RATE, now),
+            reports: board.report(READ_RATE, now).into(),
         })
         .collect();
     let rates: Vec<_> = shares
--- /dev/null
+++ b/policy/tests/direct_quiet.rs
@@ -0,0 +1,243 @@
+//! Targets that say nothing while they should, and what routers tell each other.
+
+use std::time::{Duration, Instant};
+
+use entity::Name;
+use knapweed_policy::direct::board::{Board, Part, Prompt, Spot, Take, Trouble};
+use knapweed_policy::direct::cold::Members;
+use knapweed_policy::direct::config::{Engine, Service};
+use knapweed_policy::direct::place::{Ask, Choice, PlaceSettings, choose};
+use knapweed_policy::direct::quiet::{LEAST_PEERS, PROMPT_SILENCE, STREAM_SILENCE};
+use knapweed_policy::direct::target::{Roster, Target, TargetState};
+use rustc_hash::FxHashMap;
+
+/// Tokens that an engine reads per millisecond.
+const READ_RATE: f64 = 50.0;
+
+const TARGETS: u8 = 5;
+const MILLI: Duration = Duration::from_millis(1);
+
+fn board(now: Instant) -> (Board, Vec<Spot>) {
+    let targets = (0..TARGETS).map(|number| Target {
+        name: Name::new(&format!("t{number}")),
+        service: Name::new("pool"),
+        address: ([10, 0, 0, number], 80).into(),
+        centre: Name::new("north"),
+        slots: 48,
+        state: TargetState::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+    });
+    let mut roster = Roster::default();
+    roster.replace(targets.collect(), now);
+    let mut board = Board::default();
+    board.adopt(&roster, now);
+    let spots = board.of_service(&Name::new("pool")).to_vec();
+    (board, spots)
+}
+
+fn prompt(own: u64, tokens: u32) -> Prompt {
+    Prompt {
+        parts: [Part { id: own, tokens }].into_iter().collect(),
+        input: tokens,
+        output: 100,
+    }
+}
+
+/// Where a request goes, if anywhere.
+fn placed(board: &mut Board, prompt: &Prompt, now: Instant) -> Option<Spot> {
+    let service = Service {
+        name: Name::new("pool"),
+        connections: 100,
+        cold_rate: 0.0,
+        engine: Some(Engine {
+            slots: 48,
+            memory: 10_000_000,
+            copy_rate: 0.0,
+        }),
+    };
+    let ask = Ask {
+        service: &service,
+        prompt: Some(prompt),
+        least: Duration::from_millis(600),
+        objective: Duration::from_millis(600),
+        favour: 1.0,
+        centre: &Name::new("north"),
+        tried: &[],
+        members: &Members::default(),
+    };
+    let settings = PlaceSettings {
+        read_rate: READ_RATE,
+        ..PlaceSettings::default()
+    };
+    match choose(board, &settings, &ask, now) {
+        Choice::Target { spot, .. } => Some(spot),
+        Choice::Refused { .. } => None,
+    }
+}
+
+/// A stream that runs at a target.
+fn stream(board: &mut Board, spot: Spot, now: Instant) -> Take {
+    let take = board.begin(spot, Some(&prompt(1, 500)), 0, now);
+    board.started(spot, take, now);
+    take
+}
+
+#[test]
+fn a_target_is_quiet_when_its_streams_are_and_one_byte_ends_that() {
+    let start = Instant::now();
+    let (mut board, spots) = board(start);
+    let take = stream(&mut board, spots[0], start);
+    let trouble = |board: &Board, at| board.place(spots[0]).trouble(READ_RATE, at);
+    assert_eq!(trouble(&board, start + STREAM_SILENCE), None);
+    let late = start + STREAM_SILENCE + MILLI;
+    assert_eq!(trouble(&board, late), Some(Trouble::Quiet));
+    board.heard(spots[0], late);
+    assert_eq!(trouble(&board, late + STREAM_SILENCE), None);
+    board.end(spots[0], take, true);
+    // Without a stream there is nothing to be heard.
+    assert_eq!(trouble(&board, late + STREAM_SILENCE * 10), None);
+}
+
+#[test]
+fn a_target_with_prompts_only_has_the_time_to_read_them() {
+    let start = Instant::now();
+    let (mut board, spots) = board(start);
+    let tokens = 40_000;
+    board.begin(spots[0], Some(&prompt(1, tokens)), 0, start);
+    let read = Duration::from_secs_f64(f64::from(tokens) / READ_RATE / 1e3);
+    let is_quiet = |at| board.place(spots[0]).is_quiet(READ_RATE, at);
+    assert!(!is_quiet(start + read + PROMPT_SILENCE));
+    assert!(is_quiet(start + read * 2 + PROMPT_SILENCE + MILLI));
+}
+
+#[test]
+fn a_quiet_target_gets_nothing_more_until_it_is_heard() {
+    let start = Instant::now();
+    let (mut board, spots) = board(start);
+    for spot in &spots {
+        stream(&mut board, *spot, start);
+    }
+    let now = start + STREAM_SILENCE + MILLI;
+    for spot in &spots[1..] {
+        board.heard(*spot, now);
+    }
+    for number in 0..40 {
+        let spot = placed(&mut board, &prompt(100 + number, 100), now).expect("there is room");
+        assert_ne!(spot, spots[0]);
+        board.begin(spot, Some(&prompt(100 + number, 100)), 0, now);
+    }
+    board.heard(spots[0], now);
+    // It has least in hand now.
+    assert_eq!(placed(&mut board, &prompt(200, 100), now), Some(spots[0]));
+}
+
+#[test]
+fn where_all_are_quiet_the_cause_is_here_and_requests_go_on() {
+    let start = Instant::now();
+    let (mut board, spots) = board(start);
+    for spot in &spots {
+        stream(&mut board, *spot, start);
+    }
+    let now = start + STREAM_SILENCE * 2;
+    assert!(placed(&mut board, &prompt(9, 100), now).is_some());
+    assert!(board.troubled(READ_RATE, now).is_empty());
+}
+
+#[test]
+fn a_target_that_several_peers_report_is_avoided_unless_it_is_heard_here() {
+    let start = Instant::now();
+    let (mut board, spots) = board(start);
+    let tag = board.place(spots[0]).tag;
+    let reports = |count| FxHashMap::from_iter([(tag, count)]);
+    let trouble = |board: &Board, at| board.place(spots[0]).trouble(READ_RATE, at);
+    board.set_reported(&reports(LEAST_PEERS - 1));
+    assert_eq!(
+        trouble(&board, start),
+        None,
+        "one peer may have lost its own way"
+    );
+    board.set_reported(&reports(LEAST_PEERS));
+    assert_eq!(trouble(&board, start), Some(Trouble::Peers));
+    assert!(
+        board.troubled(READ_RATE, start).is_empty(),
+        "hearsay is not passed on"
+    );
+    stream(&mut board, spots[0], start);
+    assert_eq!(trouble(&board, start), None);
+    board.set_reported(&FxHashMap::default());
+    assert_eq!(trouble(&board, start), None);
+}
+
+/// A prompt at a target of the model.
+struct Reading {
+    spot: Spot,
+    take: Take,
+    /// When it is read, or its patience ends.
+    until: Instant,
+}
+
+/// Requests that reach a dark target in three seconds of a well used pool, and
+/// what the others serve. Each target runs a stream besides.
+fn lost(avoids: bool) -> (usize, usize) {
+    const STEP: Duration = Duration::from_millis(10);
+    const PATIENCE: Duration = Duration::from_millis(1_200);
+    const TOKENS: u32 = 1_900;
+    let start = Instant::now();
+    let (mut board, spots) = board(start);
+    for spot in &spots {
+        stream(&mut board, *spot, start);
+    }
+    let dark = spots[0];
+    let mut free: FxHashMap<Spot, Instant> = spots.iter().map(|&spot| (spot, start)).collect();
+    let mut reading: Vec<Reading> = Vec::new();
+    let (mut lost, mut served) = (0, 0);
+    for step in 0..300_u32 {
+        let now = start + STEP * step;
+        for &spot in &spots {
+            if spot != dark || !avoids {
+                board.heard(spot, now);
+            }
+        }
+        for it in reading.extract_if(.., |it| it.until <= now) {
+            if it.spot == dark {
+                board.end(it.spot, it.take, false);
+            } else {
+                board.started(it.spot, it.take, now);
+                board.end(it.spot, it.take, true);
+                served += 1;
+            }
+        }
+        let prompt = prompt(1_000 + u64::from(step), TOKENS);
+        let Some(spot) = placed(&mut board, &prompt, now) else {
+            continue;
+        };
+        let take = board.begin(spot, Some(&prompt), 0, now);
+        let until = if spot == dark {
+            lost += 1;
+            now + PATIENCE
+        } else {
+            let read = Duration::from_secs_f64(f64::from(TOKENS) / READ_RATE / 1e3);
+            let free = free.get_mut(&spot).expect("a target");
+            *free = now.max(*free) + read;
+            *free
+        };
+        reading.push(Reading { spot, take, until });
+    }
+    (lost, served)
+}
+
+#[test]
+fn few_requests_are_lost_at_a_dark_target() {
+    let (lost_before, served_before) = lost(false);
+    let (lost, served) = lost(true);
+    // It shows after a sixth of the time.
+    assert!(
+        lost * 3 <= lost_before,
+        "{lost} lost, {lost_before} without"
+    );
+    assert!(
+        served >= served_before,
+        "{served} served, {served_before} without"
+    );
+}
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,5 +1,6 @@
 //! The `knapweed-soak` program.
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use eyre::WrapErr;
 use knapweed_soak::check::{Finding, check};
 use knapweed_soak::play::play;
+use knapweed_soak::record::{Call, Outcome};
 use knapweed_soak::schedule::{Schedule, Size};
 
 mod flags {
@@ -74,11 +76,11 @@
         let record = play(&schedule, size, callers, seed, &folder).await;
         let record = record.wrap_err_with(|| format!("seed {seed}"))?;
         let findings = check(&record);
-        let answered = record.calls.iter().filter(|call| is_served(call)).count();
         println!(
-            "seed {seed}: {} faults, {} requests, {answered} served, {} runs, {} broken",
+            "seed {seed}: {} faults, {} requests ({}), {} runs, {} broken",
             schedule.steps.len(),
             record.calls.len(),
+            outcomes(&record.calls),
             record.runs.len(),
             findings.len()
         );
@@ -97,9 +99,25 @@
     }
 }
 
-fn is_served(call: &knapweed_soak::record::Call) -> bool {
-    use knapweed_soak::record::Outcome;
-    matches!(&call.outcome, Outcome::Answer(answer) if answer.status == 200 && answer.whole)
+/// How many requests ended in which way.
+fn outcomes(calls: &[Call]) -> String {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for call in calls {
+        let ended = match &call.outcome {
+            Outcome::Answer(answer) if answer.whole => answer.status.to_string(),
+            Outcome::Answer(_) => "cut".to_owned(),
+            Outcome::Closed => "closed".to_owned(),
+            Outcome::Unconnected => "unconnected".to_owned(),
+            Outcome::Silence => "silence".to_owned(),
+            Outcome::Left => "left".to_owned(),
+        };
+        *counts.entry(ended).or_default() += 1;
+    }
+    let counts: Vec<String> = counts
+        .iter()
+        .map(|(ended, count)| format!("{ended}: {count}"))
+        .collect();
+    counts.join(", ")
 }
 
 /// Prints what was found, and keeps the logs of a seed that broke a promise.
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -23,9 +23,8 @@
 /// The time after which a target that leaves gets nothing more.
 const DRAIN: Duration = Duration::from_secs(2);
 
-/// The time that a key stays withdrawn beyond the bound, so that there are
-/// requests to judge.
-const WITHDRAWN: Duration = Duration::from_secs(2);
+/// How long a target that left stays away.
+const AWAY: Duration = Duration::from_secs(1);
 
 /// The delay of a slow path.
 const DELAY: Duration = Duration::from_millis(150);
@@ -213,10 +212,8 @@
         }
         Kind::StopRouter => {
             fleet.signal(subject, Signal::Terminate)?;
-            let took = fleet
-                .stopped(subject, STOP + Duration::from_secs(1))
-                .await?;
-            sleep(span).await;
+            let took = fleet.stopped(subject, span).await?;
+            sleep(span.saturating_sub(took)).await;
             fleet.start_router(subject).await?;
             return Ok(Some(took));
         }
@@ -240,7 +237,7 @@
         }
         Kind::WithdrawKey => {
             fleet.set_loose(false);
-            sleep(REVOKE + WITHDRAWN).await;
+            sleep(span).await;
             fleet.set_loose(true);
         }
         Kind::NewConfig => {
@@ -259,9 +256,9 @@
         }
         Kind::DrainTarget => {
             fleet.register(subject, "draining");
-            sleep(DRAIN + span).await;
-            fleet.forget(subject);
             sleep(span).await;
+            fleet.forget(subject);
+            sleep(AWAY).await;
             fleet.revive(subject);
         }
     }
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -18,6 +18,9 @@
 /// The shortest and the longest fault, in milliseconds.
 const SPANS: (u64, u64) = (300, 3_500);
 
+/// The time between two faults of one process, in which it starts again.
+const CLEAR: Duration = Duration::from_millis(1_500);
+
 /// The longest time between the beginnings of two faults, in milliseconds; most
 /// faults overlap the next one.
 const GAP: u64 = 1_400;
@@ -117,6 +120,30 @@
         }
     }
 
+    /// The shortest length, where what is asked for takes longer than others: the
+    /// bound of a withdrawn key and requests to judge, the limit of a stop, the
+    /// time of a drain.
+    fn least_span(self) -> Duration {
+        match self {
+            Self::WithdrawKey => Duration::from_secs(7),
+            Self::StopRouter => Duration::from_secs(9),
+            Self::DrainTarget => Duration::from_secs(3),
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Whether it changes the same as another, of the same subject. What is written
+    /// to the store is changed whether the store answers or not.
+    fn hits_same(self, other: Self) -> bool {
+        let is_written = |kind| matches!(kind, Self::WithdrawKey | Self::NewConfig);
+        match (self.subject(), other.subject()) {
+            (Subject::Store, Subject::Store) if is_written(self) || is_written(other) => {
+                self == other
+            }
+            (own, others) => own == others,
+        }
+    }
+
     /// Whether it only asks for something that routers carry out without harm.
     pub fn is_planned(self) -> bool {
         matches!(
@@ -202,6 +229,7 @@
                 Subject::Store => 0,
             };
             let span = Duration::from_millis(random.random_range(SPANS.0..=SPANS.1));
+            let span = span.max(kind.least_span());
             let step = Step {
                 at,
                 span,
@@ -210,9 +238,7 @@
             };
             // Two faults of one process at once would undo each other's end.
             let overlaps = |other: &Step| {
-                other.kind.subject() == kind.subject()
-                    && other.subject == subject
-                    && other.end() > at
+                other.kind.hits_same(kind) && other.subject == subject && other.end() + CLEAR > at
             };
             if step.end() <= size.length && !steps.iter().any(overlaps) {
                 steps.push(step);
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -69,6 +69,19 @@
     pub targets: Vec<Target>,
 }
 
+/// The targets with which a router has trouble, sent ahead of a beat.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Trouble {
+    /// The sender, as in its beats.
+    pub from: SocketAddr,
+    /// The sender's life.
+    pub life: u64,
+    /// The number of the beat that follows; with a later one it holds no more.
+    pub number: u32,
+    /// The tags of the targets' lives.
+    pub targets: Vec<u64>,
+}
+
 /// One datagram between edge routers.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub enum Datagram {
@@ -76,6 +89,8 @@
     Beat(Beat),
     /// What the sender read of the store.
     Listing(Listing),
+    /// With which targets the sender has trouble.
+    Trouble(Trouble),
 }
 
 /// What a router has in hand at one target.
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use beat::{
     BEAT_VERSION, Beat, BeatError, CrashRow, Datagram, Echo, Listing, LoadRow, MAX_DATAGRAM_BYTES,
-    TeamRow,
+    TeamRow, Trouble,
 };
 pub use envelope::{Envelope, EnvelopeError, MAX_ENVELOPE_BYTES, Message, VERSION};
 pub use fact::{broadcast, fact};
