A strained router says so at 30 ms, for 8 s, and longer when it is so again

The rest of 1.5 s ended before callers had moved, and each time the balancer sent as many back within a second. Rests from 8 s double up to 30 s, and begin at a delay of 30 ms; a process that was suspended is not strained.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -20,6 +20,7 @@
 use policy::direct::crash::{Crashes, Note};
 use policy::direct::place::{Keeper, PlaceSettings};
 use policy::direct::share::Shares;
+use policy::direct::strain::Strain;
 use policy::direct::target::Roster;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -34,12 +35,6 @@
 /// How often the traffic thread publishes what it has in hand, and sweeps.
 pub(crate) const UPKEEP_PERIOD: Duration = Duration::from_millis(100);
 
-/// The delay of a period from which on the traffic thread has fallen behind.
-const STRAIN_LAG: Duration = Duration::from_millis(120);
-
-/// How long a router that fell behind gets no new connections.
-const STRAIN_TIME: Duration = Duration::from_millis(1_500);
-
 /// The age up to which the peers' reports are used as they were last summed up.
 const PEERS_AGE: Duration = Duration::from_millis(25);
 
@@ -123,8 +118,7 @@
     suspects: RefCell<Vec<Suspect>>,
     /// The targets that are avoided, as the log has it.
     avoided: RefCell<FxHashSet<Spot>>,
-    /// When this router last fell behind.
-    strain: Cell<Option<Instant>>,
+    strain: RefCell<Strain>,
     /// The roster on the board.
     roster: Latest<Roster>,
     /// What the peers said, as it was last taken over.
@@ -173,7 +167,7 @@
             quiet: Notify::new(),
             suspects: RefCell::default(),
             avoided: RefCell::default(),
-            strain: Cell::new(None),
+            strain: RefCell::default(),
             roster: Latest::default(),
             peers: Latest::default(),
             summed: Cell::new(None),
@@ -192,11 +186,8 @@
     /// A router that falls behind, or runs out of connections, gets no new ones
     /// for a while: the balancer does not know which VMs are weak.
     pub(crate) fn note_lag(&self, lag: Duration, now: Instant) {
-        if lag > STRAIN_LAG || self.connections.are_nearly_all() {
-            self.strain.set(Some(now));
-        }
-        let lasts = |at| now.saturating_duration_since(at) < STRAIN_TIME;
-        let is_strained = self.strain.get().is_some_and(lasts);
+        let is_crowded = self.connections.are_nearly_all();
+        let is_strained = self.strain.borrow_mut().note(lag, is_crowded, now);
         let was_strained = self.shared.strained.swap(is_strained, Ordering::Relaxed);
         if is_strained == was_strained {
             return;
--- /dev/null
+++ b/policy/src/direct/strain.rs
@@ -0,0 +1,65 @@
+//! Whether a router has more to do than it can.
+//!
+//! The balancer spreads callers evenly over VMs of unequal strength. A weak one
+//! that falls behind makes all its callers wait, while a strong one beside it has
+//! time. So a router that is late with its own periods says that it is not ready
+//! and closes connections after their answers, and its callers go elsewhere. When
+//! it is ready again the balancer sends it as many as before, so it stays away the
+//! longer the sooner it falls behind again.
+//!
+//! Invariant: a router is strained no longer than [`LONGEST_REST`] after it last
+//! fell behind.
+
+use std::time::{Duration, Instant};
+
+/// The delay of a period from which on a router has fallen behind: what a request
+/// waits there is spent at each of its steps.
+pub const LAG_LIMIT: Duration = Duration::from_millis(30);
+
+/// The delay from which on the process was suspended: it has nothing to catch up with.
+pub const SUSPENDED: Duration = Duration::from_millis(1_000);
+
+/// How long a router stays away the first time.
+pub const FIRST_REST: Duration = Duration::from_secs(8);
+
+/// The longest time for which it stays away.
+pub const LONGEST_REST: Duration = Duration::from_secs(30);
+
+/// Whether a router is strained, and for how long.
+#[derive(Clone, Copy, Debug)]
+pub struct Strain {
+    rest: Duration,
+    until: Option<Instant>,
+}
+
+impl Default for Strain {
+    fn default() -> Self {
+        Self {
+            rest: FIRST_REST,
+            until: None,
+        }
+    }
+}
+
+impl Strain {
+    /// Notes how late a period began, and whether few more connections can be
+    /// taken; returns whether the router is strained.
+    pub fn note(&mut self, lag: Duration, is_crowded: bool, now: Instant) -> bool {
+        let is_behind = lag > LAG_LIMIT && lag < SUSPENDED;
+        if is_behind || is_crowded {
+            if !self.is_strained(now) {
+                let is_early = self.until.is_some_and(|until| now < until + self.rest);
+                self.rest = match is_early {
+                    true => (self.rest * 2).min(LONGEST_REST),
+                    false => FIRST_REST,
+                };
+            }
+            self.until = Some(now + self.rest);
+        }
+        self.is_strained(now)
+    }
+
+    fn is_strained(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+}
--- /dev/null
+++ b/policy/tests/direct_strain.rs
@@ -0,0 +1,133 @@
+//! Weak routers behind a balancer that does not know which are weak.
+
+use std::time::{Duration, Instant};
+
+use knapweed_policy::direct::strain::{FIRST_REST, LAG_LIMIT, LONGEST_REST, SUSPENDED, Strain};
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const PERIOD: Duration = Duration::from_millis(100);
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_router_that_falls_behind_again_stays_away_longer() {
+    let mut now = Instant::now();
+    let mut strain = Strain::default();
+    let late = LAG_LIMIT + Duration::from_millis(1);
+    assert!(!strain.note(LAG_LIMIT, false, now));
+    let mut rest = FIRST_REST;
+    for _ in 0..5 {
+        assert!(strain.note(late, false, now));
+        assert!(strain.note(Duration::ZERO, false, now + rest - PERIOD));
+        now += rest;
+        assert!(!strain.note(Duration::ZERO, false, now));
+        rest = (rest * 2).min(LONGEST_REST);
+    }
+    // After a time without strain it begins anew.
+    now += LONGEST_REST;
+    assert!(strain.note(late, false, now));
+    assert!(!strain.note(Duration::ZERO, false, now + FIRST_REST));
+}
+
+#[test]
+fn a_process_that_was_suspended_is_not_strained() {
+    let mut strain = Strain::default();
+    assert!(!strain.note(SUSPENDED, false, Instant::now()));
+}
+
+#[test]
+fn a_router_without_room_for_connections_is_strained() {
+    let mut strain = Strain::default();
+    assert!(strain.note(Duration::ZERO, true, Instant::now()));
+}
+
+/// Routers of the model: requests that each serves in a second.
+const RATES: [f64; 7] = [900.0, 900.0, 160.0, 160.0, 160.0, 160.0, 160.0];
+
+/// Callers, who each send a request every half second on a kept connection.
+const CALLERS: usize = 700;
+
+/// When routers say that they are strained.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// Never.
+    Never,
+    /// For 1.5 s after they were late by 120 ms.
+    Brief,
+    /// As the product does.
+    Product,
+}
+
+/// What one router of the model says of itself.
+#[derive(Clone, Copy, Default)]
+struct Router {
+    strain: Strain,
+    late: Option<Instant>,
+    strained: bool,
+    backlog: f64,
+}
+
+impl Router {
+    fn note(&mut self, way: Way, lag: Duration, now: Instant) {
+        if lag > Duration::from_millis(120) {
+            self.late = Some(now);
+        }
+        let was_late = self.late.is_some_and(|late| now - late < SECOND * 3 / 2);
+        self.strained = match way {
+            Way::Never => false,
+            Way::Brief => was_late,
+            Way::Product => self.strain.note(lag, false, now),
+        };
+    }
+}
+
+/// The share of requests that wait longer than a tenth of a second, in a minute.
+fn delayed(way: Way) -> f64 {
+    let start = Instant::now();
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    let mut routers = [Router::default(); RATES.len()];
+    let mut at: Vec<usize> = (0..CALLERS).map(|it| it % RATES.len()).collect();
+    let (mut all, mut late) = (0, 0);
+    for step in 0..600_u32 {
+        let now = start + PERIOD * step;
+        // The balancer looks once a second, and uses all if fewer than half are ready.
+        let ready = (0..RATES.len()).filter(|&it| !routers[it].strained);
+        let ready: Vec<usize> = ready.collect();
+        let ready = match ready.len() * 2 >= RATES.len() {
+            true => ready,
+            false => (0..RATES.len()).collect(),
+        };
+        for caller in &mut at {
+            if !random.random_bool(PERIOD.as_secs_f64() / 0.5) {
+                continue;
+            }
+            let router = &mut routers[*caller];
+            router.backlog += 1.0;
+            all += 1;
+            late += u32::from(router.backlog / RATES[*caller] > 0.1);
+            if router.strained {
+                *caller = ready[random.random_range(0..ready.len())];
+            }
+        }
+        for (router, rate) in routers.iter_mut().zip(RATES) {
+            router.backlog = (router.backlog - rate * PERIOD.as_secs_f64()).max(0.0);
+            let lag = Duration::from_secs_f64(router.backlog / rate);
+            router.note(way, lag.min(SUSPENDED / 2), now);
+        }
+    }
+    f64::from(late) / f64::from(all)
+}
+
+#[test]
+fn callers_wait_less_when_weak_routers_say_so_early_and_for_long() {
+    let (never, brief) = (delayed(Way::Never), delayed(Way::Brief));
+    let product = delayed(Way::Product);
+    assert!(
+        product * 2.0 <= never,
+        "{product:.3} late, {never:.3} without a word"
+    );
+    assert!(
+        product < brief,
+        "{product:.3} late, {brief:.3} with short rests"
+    );
+}
