Engines' rate is learned where it is far from the stated one

Cause: every predicted wait rests on engine.read_rate of the settings, 50 tokens per millisecond; on engines that read at a third of it the limit of waiting is three times too long (direct_load.rs, Way::Stated).

The time from sending a prompt to its first event, and what was to be read then, show the rate. With engines of a third of the rate a test asks for a third of the late answers.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -38,6 +38,9 @@
 /// The age up to which the peers' reports are used as they were last summed up.
 const PEERS_AGE: Duration = Duration::from_millis(25);
 
+/// The change of the engines' rate that is logged, as a natural logarithm: a fifth.
+const RATE_CHANGE: f64 = 0.2;
+
 /// The time after a broken attempt in which its target's death is laid to it.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
@@ -100,7 +103,11 @@
 pub(crate) struct Context {
     pub(crate) shared: Arc<Shared>,
     pub(crate) centre: Name,
-    pub(crate) place: PlaceSettings,
+    pub(crate) place: Cell<PlaceSettings>,
+    /// The rate at which engines read by the settings, in tokens per millisecond.
+    stated_rate: f64,
+    /// The rate that was logged last.
+    logged_rate: Cell<f64>,
     pub(crate) board: RefCell<Board>,
     pub(crate) shares: RefCell<Shares>,
     pub(crate) budget: RefCell<RepeatBudget>,
@@ -135,6 +142,7 @@
         seed: u64,
     ) -> Rc<Self> {
         let http = ServiceConfig::default();
+        let stated_rate = settings.engine.read_rate.max(1.0);
         let bound = BudgetBound {
             ratio: settings.bounds.retry_ratio,
             slack: settings.bounds.retry_slack as f64,
@@ -143,8 +151,8 @@
         Rc::new(Self {
             shared,
             centre: Name::new(&settings.data_centre),
-            place: PlaceSettings {
-                read_rate: settings.engine.read_rate.max(1.0),
+            place: Cell::new(PlaceSettings {
+                read_rate: stated_rate,
                 wait_share: settings.engine.wait_share,
                 reread: settings.engine.reread,
                 yielding: settings.engine.yielding,
@@ -153,7 +161,9 @@
                     slack: settings.bounds.cold_slack,
                 },
                 ..PlaceSettings::default()
-            },
+            }),
+            stated_rate,
+            logged_rate: Cell::new(stated_rate),
             board: RefCell::default(),
             shares: RefCell::new(Shares::new(0.0)),
             budget: RefCell::new(RepeatBudget::new(bound)),
@@ -244,10 +254,14 @@
     /// Publishes what is in hand and takes in what the peers noted.
     pub(crate) fn upkeep(&self, now: Instant) {
         self.refresh(now);
+        self.learn_rate();
         let sheet = Sheet {
-            loads: self.board.borrow().report(self.place.read_rate, now),
+            loads: self.board.borrow().report(self.place.get().read_rate, now),
             teams: self.shares.borrow_mut().report(REPORTED_TEAMS, now),
-            trouble: self.board.borrow().troubled(self.place.read_rate, now),
+            trouble: self
+                .board
+                .borrow()
+                .troubled(self.place.get().read_rate, now),
         };
         self.shared.sheet.store(Arc::new(sheet));
         self.note_trouble(now);
@@ -262,6 +276,22 @@
         self.metrics.opened(self.links.opened());
     }
 
+    /// Takes over how fast engines are seen to read.
+    fn learn_rate(&self) {
+        let mut board = self.board.borrow_mut();
+        let rate = board.speed().rate(self.stated_rate);
+        board.set_rate(rate);
+        let mut place = self.place.get();
+        place.read_rate = rate;
+        self.place.set(place);
+        let logged = self.logged_rate.get();
+        if (rate / logged).ln().abs() > RATE_CHANGE {
+            self.logged_rate.set(rate);
+            let (rate, stated) = (format!("{rate:.1}"), self.stated_rate);
+            event::log(Event::SpeedLearned, &[("rate", &rate), ("stated", &stated)]);
+        }
+    }
+
     /// Waits until a target is quiet.
     pub(crate) async fn silence(&self, spot: Spot) {
         loop {
@@ -271,7 +301,7 @@
                 .board
                 .borrow()
                 .place(spot)
-                .is_quiet(self.place.read_rate, now)
+                .is_quiet(self.place.get().read_rate, now)
             {
                 return;
             }
@@ -282,7 +312,7 @@
     fn note_quiet(&self, now: Instant) {
         let board = self.board.borrow();
         let mut busy = board.places().filter(|(_, place)| place.own().count > 0);
-        if busy.any(|(_, place)| place.is_quiet(self.place.read_rate, now)) {
+        if busy.any(|(_, place)| place.is_quiet(self.place.get().read_rate, now)) {
             self.quiet.notify_waiters();
         }
     }
@@ -293,7 +323,7 @@
         let mut avoided = self.avoided.borrow_mut();
         let open = board.places().filter(|(_, place)| place.open);
         for (spot, place) in open {
-            let trouble = place.trouble(self.place.read_rate, now);
+            let trouble = place.trouble(self.place.get().read_rate, now);
             let known = avoided.contains(&spot);
             let Some(event) = avoidance(known, trouble.is_some()) else {
                 continue;
@@ -366,7 +396,7 @@
                 "service": place.service.as_str(),
                 "centre": place.centre.as_str(),
                 "open": place.open,
-                "trouble": place.trouble(self.place.read_rate, now).map(|it| it.to_string()),
+                "trouble": place.trouble(self.place.get().read_rate, now).map(|it| it.to_string()),
                 "cold": place.is_cold(now),
                 "own": { "count": place.own().count, "waiting": place.own().waiting },
                 "all": { "count": place.in_hand().count, "waiting": place.in_hand().waiting },
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -250,7 +250,12 @@
             tried: &self.tried,
             members: &peers.members,
         };
-        let choice = place::choose(&mut context.board.borrow_mut(), &context.place, &ask, now);
+        let choice = place::choose(
+            &mut context.board.borrow_mut(),
+            &context.place.get(),
+            &ask,
+            now,
+        );
         match choice {
             Choice::Target {
                 spot,
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -154,6 +154,8 @@
     TargetResting 1414 Warn "target-resting";
     /// A target that was avoided gets requests again.
     TargetTrusted 1415 Info "target-trusted";
+    /// Engines read prompts faster or slower than was believed.
+    SpeedLearned 1416 Info "speed-learned";
 
     /// A request is quarantined after crashes of targets.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -13,6 +13,7 @@
 //! - [`cold`]: which routers send to a cold target, and how often;
 //! - [`quiet`]: which targets say nothing while they should;
 //! - [`share`]: which teams are beyond their share of the pool;
+//! - [`speed`]: how fast engines read prompts;
 //! - [`strain`]: whether this router has more to do than it can;
 //! - [`trust`]: which targets fail requests though they look healthy;
 //! - [`budget`]: how many repeats the fleet may add to its load;
@@ -31,6 +32,7 @@
 pub mod quiet;
 pub mod reading;
 pub mod share;
+pub mod speed;
 pub mod strain;
 pub mod target;
 pub mod trust;
--- a/policy/src/direct/board.rs
+++ b/policy/src/direct/board.rs
@@ -17,6 +17,7 @@
 use smallvec::SmallVec;
 
 use super::quiet::{LEAST_PEERS, Oldest, STREAM_SILENCE, Signs};
+use super::speed::Speed;
 use super::target::{Roster, TargetState};
 use super::trust::Trust;
 
@@ -75,13 +76,15 @@
 }
 
 /// What one attempt takes of a target.
-#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, Default, PartialEq, Debug)]
 pub struct Take {
     /// Tokens to read before the first event.
     pub fresh: u32,
     /// Tokens of memory while it runs.
     pub memory: u32,
     number: u64,
+    /// When it was sent and what was to be read then, if that shows the engine's speed.
+    sent: Option<(Instant, f64)>,
 }
 
 /// What is in hand at a target.
@@ -270,6 +273,9 @@
     by_name: FxHashMap<Name, Spot>,
     by_service: FxHashMap<Name, Vec<Spot>>,
     begun: u64,
+    /// Tokens that an engine is taken to read in a millisecond.
+    rate: f64,
+    speed: Speed,
 }
 
 impl Board {
@@ -326,6 +332,16 @@
         }
     }
 
+    /// Sets how many tokens an engine is taken to read in a millisecond.
+    pub fn set_rate(&mut self, rate: f64) {
+        self.rate = rate;
+    }
+
+    /// What was observed of the engines.
+    pub fn speed(&self) -> Speed {
+        self.speed
+    }
+
     /// The targets of a service, open or not.
     pub fn of_service(&self, service: &Name) -> &[Spot] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
@@ -368,12 +384,13 @@
         now: Instant,
     ) -> Take {
         self.begun += 1;
-        let number = self.begun;
+        let (number, rate) = (self.begun, self.rate);
         let place = &mut self.places[spot];
         let take = prompt.map_or(Take::default(), |prompt| Take {
             fresh: place.fresh(prompt, now).saturating_sub(copied),
             memory: prompt.input + prompt.output,
             number,
+            sent: (copied == 0).then(|| (now, place.waiting(rate, now))),
         });
         if take.fresh > 0 {
             place.unread.push_back(Unread {
@@ -404,6 +421,10 @@
         let place = &mut self.places[spot];
         place.progress = Some(now);
         place.signs.opened(now);
+        if let Some((sent, ahead)) = take.sent {
+            let tokens = ahead + f64::from(take.fresh);
+            self.speed.read(tokens, now.saturating_duration_since(sent));
+        }
         self.read(spot, take);
     }
 
--- a/policy/tests/direct_load.rs
+++ b/policy/tests/direct_load.rs
@@ -87,6 +87,8 @@
     Least,
     /// The product's choice, without refusing.
     Unlimited,
+    /// The product's choice, with the rate that the settings state.
+    Stated,
     /// The product's choice.
     Product,
 }
@@ -144,6 +146,8 @@
 struct Play {
     way: Way,
     factor: f64,
+    /// Tokens that an engine really reads per millisecond.
+    rate: f64,
     /// Requests of team 0 for each one of another team.
     flood: u64,
     seconds: u64,
@@ -214,7 +218,7 @@
             copy_rate: 0.0,
         }),
     };
-    let settings = match play.way {
+    let mut settings = match play.way {
         Way::Unlimited => PlaceSettings {
             wait_share: 1e9,
             ..PlaceSettings::default()
@@ -226,6 +230,12 @@
         let now = start + STEP * step as u32;
         if step % (GOSSIP.as_millis() / STEP.as_millis()) as u64 == 0 {
             exchange(&mut boards, &mut shares, now);
+            if play.way == Way::Product {
+                settings.read_rate = boards[0].speed().rate(READ_RATE);
+                boards
+                    .iter_mut()
+                    .for_each(|it| it.set_rate(settings.read_rate));
+            }
         }
         for (index, kind) in KINDS.iter().enumerate() {
             let rate = kind.per_second * play.factor * STEP.as_secs_f64();
@@ -248,7 +258,7 @@
                         .copied()
                         .min_by(|a, b| waiting(a).total_cmp(&waiting(b)))
                 }
-                Way::Unlimited | Way::Product => {
+                Way::Unlimited | Way::Stated | Way::Product => {
                     let ask = Ask {
                         service: &service,
                         prompt: Some(&prompt),
@@ -287,7 +297,7 @@
             });
         }
         for engine in &mut engines {
-            advance(engine, &mut boards, &mut outcome, now);
+            advance(engine, play.rate, &mut boards, &mut outcome, now);
         }
     }
     outcome
@@ -326,7 +336,13 @@
     }
 }
 
-fn advance(engine: &mut EngineModel, boards: &mut [Board], outcome: &mut Outcome, now: Instant) {
+fn advance(
+    engine: &mut EngineModel,
+    rate: f64,
+    boards: &mut [Board],
+    outcome: &mut Outcome,
+    now: Instant,
+) {
     let done: Vec<Running> = engine
         .running
         .extract_if(.., |it| it.until.is_some_and(|until| until <= now))
@@ -334,7 +350,11 @@
     for it in done {
         boards[it.router].end(it.spot, it.take, true);
     }
-    let mut budget = READ_RATE * STEP.as_secs_f64() * 1e3;
+    // Streams go on whatever is read besides.
+    for it in &engine.running {
+        boards[it.router].heard(it.spot, now);
+    }
+    let mut budget = rate * STEP.as_secs_f64() * 1e3;
     while engine.running.len() < SLOTS as usize && budget > 0.0 {
         let Some(first) = engine.queue.front_mut() else {
             return;
@@ -376,6 +396,7 @@
         let outcome = play(&Play {
             way,
             factor,
+            rate: READ_RATE,
             flood,
             seconds: 20,
         });
@@ -410,6 +431,7 @@
         let outcome = play(&Play {
             way: Way::Product,
             factor,
+            rate: READ_RATE,
             flood: 1,
             seconds: 20,
         });
@@ -428,6 +450,7 @@
     let outcome = play(&Play {
         way: Way::Product,
         factor: 2.0,
+        rate: READ_RATE,
         flood: 15,
         seconds: 20,
     });
@@ -443,3 +466,34 @@
         assert!(share(got) >= 0.8, "team {team}: {:.2}", share(got));
     }
 }
+
+/// Engines that read at a third of the rate that the settings state, and at twice.
+#[test]
+fn a_rate_that_differs_from_the_stated_one_is_learned() {
+    let sums = |way, rate: f64, factor| {
+        let outcome = play(&Play {
+            way,
+            factor,
+            rate,
+            flood: 1,
+            seconds: 20,
+        });
+        let sum = |count: fn(&Got) -> u32| outcome.kinds.iter().map(count).sum::<u32>();
+        (sum(|got| got.in_time), sum(|got| got.late))
+    };
+    let (slow, slow_factor) = (READ_RATE / 3.0, 0.7);
+    let (_, stated_late) = sums(Way::Stated, slow, slow_factor);
+    let (in_time, late) = sums(Way::Product, slow, slow_factor);
+    assert!(
+        late * 3 <= stated_late,
+        "{late} late, {stated_late} by the stated rate"
+    );
+    assert!(late * 10 <= in_time, "{late} late, {in_time} in time");
+    let (fast, fast_factor) = (READ_RATE * 2.0, 3.0);
+    let (stated_in_time, _) = sums(Way::Stated, fast, fast_factor);
+    let (in_time, _) = sums(Way::Product, fast, fast_factor);
+    assert!(
+        in_time >= stated_in_time,
+        "{in_time} in time, {stated_in_time} by the stated rate"
+    );
+}
