--- a/policy/src/direct/speed.rs
+++ b/policy/src/direct/speed.rs
@@ -36,7 +36,7 @@
 const BASE_MILLIS: f64 = 12.0;
 
 /// The weight of the stated rate, as a time of reading in milliseconds.
-const STATED_MILLIS: f64 = 2_000.0;
+const STATED_MILLIS: f64 = 500.0;
 
 /// The weight of all observations at which the older half of them fades, as a time
 /// of reading in milliseconds.
--- a/policy/tests/direct_speed.rs
+++ b/policy/tests/direct_speed.rs
@@ -7,11 +7,15 @@
 
 const STATED: f64 = 50.0;
 
+/// The first step of an engine and the way there and back.
+const STEP: Duration = Duration::from_millis(12);
+
 /// What is believed after many prompts of 5,000 tokens at a rate.
 fn learned(rate: f64) -> f64 {
     let mut speed = Speed::default();
     for _ in 0..200 {
-        speed.read(5_000.0, Duration::from_secs_f64(5_000.0 / rate / 1e3));
+        let read = Duration::from_secs_f64(5_000.0 / rate / 1e3);
+        speed.read(5_000.0, read + STEP);
     }
     speed.rate(STATED)
 }
