--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -10,6 +10,7 @@
 use knapweed_soak::play::play;
 use knapweed_soak::record::{Call, Outcome};
 use knapweed_soak::schedule::{Schedule, Size};
+use tokio::signal::unix::{SignalKind, signal};
 
 mod flags {
     use std::path::PathBuf;
@@ -45,7 +46,12 @@
 #[actix_rt::main]
 async fn main() -> ExitCode {
     let flags = flags::KnapweedSoak::from_env_or_exit();
-    match run(&flags).await {
+    let played = tokio::select! {
+        played = run(&flags) => played,
+        // What is dropped here ends the routers.
+        why = interrupted() => why.and_then(|()| Err(eyre::eyre!("interrupted"))),
+    };
+    match played {
         Ok(0) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::FAILURE,
         Err(error) => {
@@ -55,6 +61,16 @@
     }
 }
 
+/// Returns when the program is asked to end.
+async fn interrupted() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => Ok(()),
+        _ = interrupt.recv() => Ok(()),
+    }
+}
+
 /// Plays all seeds; returns the number of broken promises.
 async fn run(flags: &flags::KnapweedSoak) -> eyre::Result<usize> {
     let first = flags.seed.unwrap_or(1);
