An unchanged listing is told in a few bytes, and an old one is not told at all

Two faults of the listings that the reader of the store sends to its peers.

A reading that gives what was told before is told by its digest; a router that missed the listing reads for itself as soon as it is too old.

The age: a reading at a time without peers stayed in the outbox and was sent with the next news, up to a period later, and peers counted it as new. Readings older than 0.4 s, on the clock that counts suspensions, are kept back now.

--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -36,7 +36,7 @@
 
 use crate::clock::{BootClock, SystemBootClock};
 use crate::shared::{Peers, Shared};
-use crate::store::StoreReader;
+use crate::store::{News, StoreReader};
 
 /// The time between two beats while routers are few.
 const BEAT_PERIOD: Duration = Duration::from_millis(100);
@@ -293,29 +293,37 @@
     fn tell_news(&mut self) {
         let live = self.peers.iter().filter(|(_, peer)| peer.reachable);
         let to: Vec<SocketAddr> = live.map(|(&address, _)| address).collect();
+        let listing = self.store.take_listing();
         if to.is_empty() {
             return;
         }
-        match self.store.take_listing() {
+        match listing {
             None => self.send_beat(&to),
-            Some((revision, targets)) => {
-                let chunks: Vec<&[Target]> = targets.chunks(LISTING_TARGETS).collect();
-                let parts = chunks.len() as u16;
-                for (part, chunk) in chunks.into_iter().enumerate() {
-                    let listing = Datagram::Listing(Listing {
-                        revision,
-                        part: part as u16,
-                        parts,
-                        targets: chunk.to_vec(),
-                    });
-                    for &address in &to {
-                        self.send(&listing, address);
-                    }
+            Some(News::Listing(revision, targets)) => self.send_listing(revision, &targets, &to),
+            Some(News::Unchanged(unchanged)) => {
+                for address in to {
+                    self.send(&Datagram::Unchanged(unchanged), address);
                 }
             }
         }
     }
 
+    fn send_listing(&self, revision: u64, targets: &[Target], to: &[SocketAddr]) {
+        let chunks: Vec<&[Target]> = targets.chunks(LISTING_TARGETS).collect();
+        let parts = chunks.len() as u16;
+        for (part, chunk) in chunks.into_iter().enumerate() {
+            let listing = Datagram::Listing(Listing {
+                revision,
+                part: part as u16,
+                parts,
+                targets: chunk.to_vec(),
+            });
+            for &address in to {
+                self.send(&listing, address);
+            }
+        }
+    }
+
     fn hear_listing(&mut self, listing: Listing, from: SocketAddr) {
         let Listing {
             revision,
@@ -429,6 +437,7 @@
             Ok(Datagram::Beat(beat)) => beat,
             Ok(Datagram::Listing(listing)) => return self.hear_listing(listing, from),
             Ok(Datagram::Trouble(trouble)) => return self.hear_trouble(trouble),
+            Ok(Datagram::Unchanged(unchanged)) => return self.store.adopt_unchanged(unchanged),
             Err(BeatError::Version) => {
                 event::log(Event::VersionRefused, &[("peer", &from)]);
                 return;
--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -26,6 +26,7 @@
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
+use wire::{Unchanged, listing_digest};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{BootClock, SystemBootClock};
@@ -37,6 +38,9 @@
 /// The delay before a call is made again after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// The age of a reading at which peers are not told of it any more.
+const NEWS_AGE: Duration = Duration::from_millis(400);
+
 /// The greatest size of an answer in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -78,14 +82,27 @@
     foreign: Option<u64>,
     /// The other routers that are live.
     live: Vec<SocketAddr>,
-    /// A listing that peers have not got yet.
-    outbox: Option<(u64, Vec<Target>)>,
+    /// The targets that were listed last, and their digest.
+    listing: Vec<Target>,
+    digest: u64,
+    /// The digest of the last listing that was told to the peers.
+    told: Option<u64>,
+    /// What peers have not heard yet, and when the call for it was sent.
+    outbox: Option<(Uptime, News)>,
     /// Whether each of the two loops got its last answer.
     reached: [bool; 2],
     /// Keys of entries that were refused, to log each once.
     refused: FxHashSet<Name>,
 }
 
+/// A reading of the targets, for the peers.
+pub(crate) enum News {
+    /// The store's revision and the targets.
+    Listing(u64, Vec<Target>),
+    /// They are as in the last listing that was told.
+    Unchanged(Unchanged),
+}
+
 /// Which of the two loops reports.
 #[derive(Clone, Copy)]
 enum Part {
@@ -117,6 +134,9 @@
                 listed: 0,
                 foreign: None,
                 live: Vec::new(),
+                listing: Vec::new(),
+                digest: 0,
+                told: None,
                 outbox: None,
                 reached: [true; 2],
                 refused: FxHashSet::default(),
@@ -152,10 +172,11 @@
                 sleep(due).await;
                 continue;
             }
+            let sent = SystemBootClock.uptime();
             match self.range(TARGETS_PREFIX).await {
                 Ok((items, as_of)) => {
                     self.reached(Part::Targets);
-                    self.adopt_items(&items, as_of);
+                    self.adopt_items(&items, as_of, sent);
                 }
                 Err(error) => {
                     self.failed(Part::Targets, &error);
@@ -240,9 +261,27 @@
         self.news.notified().await;
     }
 
-    /// Takes the listing that peers have not got yet.
-    pub(crate) fn take_listing(&self) -> Option<(u64, Vec<Target>)> {
-        self.state.borrow_mut().outbox.take()
+    /// Takes the reading of the targets that peers have not heard of yet.
+    ///
+    /// Peers count its age from when they hear of it, so an old one is kept back:
+    /// there was no peer at the time, or this process was suspended since.
+    pub(crate) fn take_listing(&self) -> Option<News> {
+        let (sent, news) = self.state.borrow_mut().outbox.take()?;
+        let is_fresh = SystemBootClock.uptime().since(sent) < NEWS_AGE;
+        is_fresh.then_some(news)
+    }
+
+    /// Takes over that the targets were read again and are as before. A router that
+    /// missed the listing has others; it reads for itself when they are too old.
+    pub(crate) fn adopt_unchanged(&self, unchanged: Unchanged) {
+        let Unchanged { revision, digest } = unchanged;
+        let state = self.state.borrow();
+        if digest != state.digest || revision < state.listed {
+            return;
+        }
+        let targets = state.listing.clone();
+        drop(state);
+        self.adopt_targets(targets, revision);
     }
 
     /// Adopts a listing of a peer, unless a later one is known.
@@ -371,7 +410,7 @@
         self.shared.roster.store(Arc::new(state.roster.clone()));
     }
 
-    fn adopt_items(&self, items: &[Item], as_of: u64) {
+    fn adopt_items(&self, items: &[Item], as_of: u64, sent: Uptime) {
         let mut state = self.state.borrow_mut();
         let mut targets = Vec::with_capacity(items.len());
         for item in items {
@@ -391,7 +430,16 @@
                 Err(_) => {}
             }
         }
-        state.outbox = Some((as_of, targets.clone()));
+        let digest = listing_digest(&targets);
+        let is_told = state.told.replace(digest) == Some(digest);
+        let news = match is_told {
+            true => News::Unchanged(Unchanged {
+                revision: as_of,
+                digest,
+            }),
+            false => News::Listing(as_of, targets.clone()),
+        };
+        state.outbox = Some((sent, news));
         drop(state);
         self.adopt_targets(targets, as_of);
         self.news.notify_one();
@@ -401,6 +449,10 @@
         let now = SystemClock.now().mono;
         let mut state = self.state.borrow_mut();
         state.listed = revision;
+        if state.listing != targets {
+            state.digest = listing_digest(&targets);
+            state.listing.clone_from(&targets);
+        }
         let change = state.roster.replace(targets, now);
         for (event, names) in [
             (Event::TargetAppeared, &change.appeared),
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -10,6 +10,7 @@
 use derive_more::{Display, Error};
 use policy::direct::target::Target;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The version of the beat's layout.
 pub const BEAT_VERSION: u8 = 1;
@@ -82,6 +83,21 @@
     pub targets: Vec<u64>,
 }
 
+/// Another reading of the store that gave the same targets as the last listing.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Unchanged {
+    /// The store's revision at the reading.
+    pub revision: u64,
+    /// The digest of the targets.
+    pub digest: u64,
+}
+
+/// The digest of a listing of targets, the same on all routers.
+pub fn listing_digest(targets: &[Target]) -> u64 {
+    let bytes = postcard::to_stdvec(targets).expect("targets have an encoding");
+    xxh3_64(&bytes)
+}
+
 /// One datagram between edge routers.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub enum Datagram {
@@ -91,6 +107,8 @@
     Listing(Listing),
     /// With which targets the sender has trouble.
     Trouble(Trouble),
+    /// The targets are as in the last listing.
+    Unchanged(Unchanged),
 }
 
 /// What a router has in hand at one target.
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use beat::{
     BEAT_VERSION, Beat, BeatError, CrashRow, Datagram, Echo, Listing, LoadRow, MAX_DATAGRAM_BYTES,
-    TeamRow, Trouble,
+    TeamRow, Trouble, Unchanged, listing_digest,
 };
 pub use envelope::{Envelope, EnvelopeError, MAX_ENVELOPE_BYTES, Message, VERSION};
 pub use fact::{broadcast, fact};
