A router that is far behind turns new connections away unread

Ruled out: the strain's word to the balancer, which was given 0.4 s after the connections had come; with fewer than half of a data centre ready the balancer uses all.

A router whose periods are over 150 ms late answers new connections with 503 and 0.25 s for the next 300 ms, without reading the request; nothing of it is passed on. And log lines that the budget drops are no longer written first: there were 1,250 a second of them.

Tests: direct_strain.rs.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -217,6 +217,11 @@
         event::log(event, &fields);
     }
 
+    /// Whether new connections are turned away.
+    pub(crate) fn sheds(&self, now: Instant) -> bool {
+        self.strain.borrow().sheds(now)
+    }
+
     /// The configuration in force.
     pub(crate) fn config(&self) -> Option<Arc<Config>> {
         self.shared.config.load_full()
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod serve;
 mod session;
 mod shared;
+mod shed;
 mod store;
 mod target;
 mod tcp;
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -15,6 +15,7 @@
 #[derive(Debug)]
 pub(crate) struct TrafficMetrics {
     requests: Counter<u64>,
+    shed: Counter<u64>,
     attempts: Counter<u64>,
     first: Histogram<f64>,
     whole: Histogram<f64>,
@@ -36,6 +37,7 @@
             attempts: meter.u64_counter("knapweed_edge_attempts").build(),
             first: histogram("knapweed_edge_first_event"),
             whole: histogram("knapweed_edge_whole_answer"),
+            shed: meter.u64_counter("knapweed_edge_shed_connections").build(),
             connections: meter
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
@@ -53,6 +55,11 @@
         self.whole.record(took.as_secs_f64(), &labels);
     }
 
+    /// Counts a connection that was turned away.
+    pub(crate) fn shed(&self) {
+        self.shed.add(1, &[]);
+    }
+
     /// Counts an attempt by what its target answered.
     pub(crate) fn attempt(&self, result: &'static str) {
         self.attempts.add(1, &[KeyValue::new("result", result)]);
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -25,6 +25,7 @@
 use crate::operators::{DumpQuery, Operators};
 use crate::session;
 use crate::shared::Shared;
+use crate::shed;
 use crate::store::StoreReader;
 
 /// New connections that may wait to be accepted.
@@ -239,7 +240,10 @@
                 Ok((stream, _)) if context.connections.enter() => {
                     let context = context.clone();
                     actix_rt::spawn(async move {
-                        session::serve(context.clone(), stream).await;
+                        match context.sheds(Instant::now()) {
+                            true => shed::turn_away(&context, stream).await,
+                            false => session::serve(context.clone(), stream).await,
+                        }
                         context.connections.leave();
                     });
                 }
--- a/node/src/sink.rs
+++ b/node/src/sink.rs
@@ -23,6 +23,9 @@
 /// Bytes of all lines per period.
 const ALL_BYTES: usize = 48 * 1024;
 
+/// Bytes of a line, about; a line is not begun without room for as much.
+const LINE_BYTES: usize = 256;
+
 /// Bytes that a pipe takes without mixing them with those of others.
 const ATOMIC_BYTES: usize = 4096;
 
@@ -69,12 +72,7 @@
     /// Adds a line, or counts it as dropped.
     pub fn add(&self, level: Level, line: &str) {
         let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
-        let limit = if level <= Level::Warn {
-            ALL_BYTES
-        } else {
-            ORDINARY_BYTES
-        };
-        if buffer.text.len() + line.len() >= limit {
+        if buffer.text.len() + line.len() >= limit(level) {
             buffer.dropped += 1;
             return;
         }
@@ -82,6 +80,16 @@
         buffer.text.push('\n');
     }
 
+    /// Whether a line of this level would still be kept; counts it as dropped if not.
+    ///
+    /// Under load most lines are dropped, and those need not be written first.
+    fn has_room(&self, level: Level) -> bool {
+        let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        let has_room = buffer.text.len() + LINE_BYTES < limit(level);
+        buffer.dropped += u64::from(!has_room);
+        has_room
+    }
+
     fn drain(&self, mut output: impl Write) {
         loop {
             thread::sleep(PERIOD);
@@ -116,13 +124,25 @@
     Ok(())
 }
 
+/// Bytes that are kept per period for lines of a level.
+fn limit(level: Level) -> usize {
+    match level <= Level::Warn {
+        true => ALL_BYTES,
+        false => ORDINARY_BYTES,
+    }
+}
+
+fn is_wanted(metadata: &Metadata<'_>) -> bool {
+    metadata.target() == event::TARGET || metadata.level() <= Level::Warn
+}
+
 impl Log for Sink {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        metadata.target() == event::TARGET || metadata.level() <= Level::Warn
+        is_wanted(metadata) && self.has_room(metadata.level())
     }
 
     fn log(&self, record: &Record<'_>) {
-        if self.enabled(record.metadata()) {
+        if is_wanted(record.metadata()) {
             // Lines wait up to a period, so the time at which they are read is not theirs.
             let at = rules::write_instant(SystemTime::now());
             self.add(record.level(), &format!("{at} {}", record.args()));
--- a/policy/src/direct/strain.rs
+++ b/policy/src/direct/strain.rs
@@ -16,6 +16,13 @@
 /// waits there is spent at each of its steps.
 pub const LAG_LIMIT: Duration = Duration::from_millis(30);
 
+/// The delay of a period from which on new connections are turned away: what is
+/// taken in then waits so long at each step that even its end comes too late.
+pub const SHED_LAG: Duration = Duration::from_millis(150);
+
+/// How long connections are turned away after such a delay.
+pub const SHED_TIME: Duration = Duration::from_millis(300);
+
 /// The delay from which on the process was suspended: it has nothing to catch up with.
 pub const SUSPENDED: Duration = Duration::from_millis(1_000);
 
@@ -30,6 +37,7 @@
 pub struct Strain {
     rest: Duration,
     until: Option<Instant>,
+    shed: Option<Instant>,
 }
 
 impl Default for Strain {
@@ -37,6 +45,7 @@
         Self {
             rest: FIRST_REST,
             until: None,
+            shed: None,
         }
     }
 }
@@ -46,6 +55,9 @@
     /// taken; returns whether the router is strained.
     pub fn note(&mut self, lag: Duration, is_crowded: bool, now: Instant) -> bool {
         let is_behind = lag > LAG_LIMIT && lag < SUSPENDED;
+        if is_behind && lag > SHED_LAG {
+            self.shed = Some(now + SHED_TIME);
+        }
         if is_behind || is_crowded {
             if !self.is_strained(now) {
                 let is_early = self.until.is_some_and(|until| now < until + self.rest);
@@ -59,6 +71,11 @@
         self.is_strained(now)
     }
 
+    /// Whether new connections are turned away.
+    pub fn sheds(&self, now: Instant) -> bool {
+        self.shed.is_some_and(|until| now < until)
+    }
+
     fn is_strained(&self, now: Instant) -> bool {
         self.until.is_some_and(|until| now < until)
     }
--- a/policy/tests/direct_strain.rs
+++ b/policy/tests/direct_strain.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use knapweed_policy::direct::strain::{FIRST_REST, LAG_LIMIT, LONGEST_REST, SUSPENDED, Strain};
+use knapweed_policy::direct::strain::{
+    FIRST_REST, LAG_LIMIT, LONGEST_REST, SHED_LAG, SHED_TIME, SUSPENDED, Strain,
+};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -29,6 +31,19 @@
     assert!(!strain.note(Duration::ZERO, false, now + FIRST_REST));
 }
 
+#[test]
+fn new_connections_are_turned_away_while_a_router_is_far_behind() {
+    let now = Instant::now();
+    let mut strain = Strain::default();
+    strain.note(SHED_LAG, false, now);
+    assert!(!strain.sheds(now));
+    strain.note(SHED_LAG + Duration::from_millis(1), false, now);
+    assert!(strain.sheds(now));
+    assert!(!strain.sheds(now + SHED_TIME));
+    strain.note(SUSPENDED, false, now + SECOND);
+    assert!(!strain.sheds(now + SECOND));
+}
+
 #[test]
 fn a_process_that_was_suspended_is_not_strained() {
     let mut strain = Strain::default();
