--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -227,7 +227,7 @@
 }
 
 impl Entry {
-    /// Reads what [`line`] wrote; `None` if the text is no event.
+    /// Reads what [`line()`] wrote; `None` if the text is no event.
     pub fn parse(text: &str) -> Option<Self> {
         let mut words = text.splitn(3, ' ');
         let number: u16 = words.next()?.strip_prefix("KW")?.parse().ok()?;
