--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -188,7 +188,7 @@
     pub(crate) fn closes(&self) -> bool {
         self.shared.is_stopping()
             || self.connections.are_many()
-            || self.shared.strained.load(Ordering::Relaxed)
+            || self.strain.borrow().closes(Instant::now())
     }
 
     /// Notes how late a period of the traffic thread began.
@@ -217,7 +217,7 @@
         event::log(event, &fields);
     }
 
-    /// Whether new connections are turned away.
+    /// Whether new connections, and requests on old ones, are turned away.
     pub(crate) fn sheds(&self, now: Instant) -> bool {
         self.strain.borrow().sheds(now)
     }
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -31,6 +31,10 @@
 /// When callers come back that were refused by a router that stops.
 const STOPPING_RETRY: Duration = Duration::from_millis(20);
 
+/// When callers come back that were refused by a router that is far behind, as in
+/// [`crate::shed`].
+const STRAINED_RETRY: Duration = Duration::from_millis(250);
+
 /// How a request ended for its caller.
 enum Ended {
     /// The caller has a whole answer.
@@ -84,6 +88,11 @@
 }
 
 async fn one(context: &Rc<Context>, caller: &mut Caller, order: Order) -> Ended {
+    if context.sheds(Instant::now()) {
+        let refusal = Refusal::not_run("strained", STRAINED_RETRY);
+        note_refused(&order, None, refusal);
+        return refuse(context, caller, refusal).await;
+    }
     let entitled = order.entitle(&context.shared);
     let entitled = match entitled.and_then(|entitled| taken(context, entitled)) {
         Ok(entitled) => entitled,
--- a/policy/src/direct/strain.rs
+++ b/policy/src/direct/strain.rs
@@ -3,7 +3,9 @@
 //! The balancer spreads callers evenly over VMs of unequal strength. A weak one
 //! that falls behind makes all its callers wait, while a strong one beside it has
 //! time. So a router that is late with its own periods says that it is not ready
-//! and closes connections after their answers, and its callers go elsewhere. When
+//! and closes connections after their answers, and its callers go elsewhere. It
+//! closes none for longer than that takes: where they come back all the same,
+//! every router of the data centre is strained and new connections only cost more. When
 //! it is ready again the balancer sends it as many as before, so it stays away the
 //! longer the sooner it falls behind again.
 //!
@@ -16,6 +18,10 @@
 /// waits there is spent at each of its steps.
 pub const LAG_LIMIT: Duration = Duration::from_millis(30);
 
+/// How long connections are closed after their answers. The balancer notices
+/// within two of its checks, one a second.
+pub const CLOSE_TIME: Duration = Duration::from_secs(3);
+
 /// The delay of a period from which on new connections are turned away: what is
 /// taken in then waits so long at each step that even its end comes too late.
 pub const SHED_LAG: Duration = Duration::from_millis(150);
@@ -37,6 +43,8 @@
 pub struct Strain {
     rest: Duration,
     until: Option<Instant>,
+    /// When the present strain began.
+    began: Option<Instant>,
     shed: Option<Instant>,
 }
 
@@ -45,6 +53,7 @@
         Self {
             rest: FIRST_REST,
             until: None,
+            began: None,
             shed: None,
         }
     }
@@ -60,6 +69,7 @@
         }
         if is_behind || is_crowded {
             if !self.is_strained(now) {
+                self.began = Some(now);
                 let is_early = self.until.is_some_and(|until| now < until + self.rest);
                 self.rest = match is_early {
                     true => (self.rest * 2).min(LONGEST_REST),
@@ -71,7 +81,12 @@
         self.is_strained(now)
     }
 
-    /// Whether new connections are turned away.
+    /// Whether connections are closed after their answers.
+    pub fn closes(&self, now: Instant) -> bool {
+        self.is_strained(now) && self.began.is_some_and(|began| now < began + CLOSE_TIME)
+    }
+
+    /// Whether new connections, and requests on old ones, are turned away.
     pub fn sheds(&self, now: Instant) -> bool {
         self.shed.is_some_and(|until| now < until)
     }
--- a/policy/tests/direct_strain.rs
+++ b/policy/tests/direct_strain.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use knapweed_policy::direct::strain::{
-    FIRST_REST, LAG_LIMIT, LONGEST_REST, SHED_LAG, SHED_TIME, SUSPENDED, Strain,
+    CLOSE_TIME, FIRST_REST, LAG_LIMIT, LONGEST_REST, SHED_LAG, SHED_TIME, SUSPENDED, Strain,
 };
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -44,6 +44,18 @@
     assert!(!strain.sheds(now + SECOND));
 }
 
+#[test]
+fn connections_are_closed_only_until_callers_had_time_to_go_elsewhere() {
+    let now = Instant::now();
+    let late = LAG_LIMIT + Duration::from_millis(1);
+    let mut strain = Strain::default();
+    for second in 0..20 {
+        let at = now + SECOND * second;
+        assert!(strain.note(late, false, at));
+        assert_eq!(strain.closes(at), at < now + CLOSE_TIME, "second {second}");
+    }
+}
+
 #[test]
 fn a_process_that_was_suspended_is_not_strained() {
     let mut strain = Strain::default();
