--- a/policy/src/direct/strain.rs
+++ b/policy/src/direct/strain.rs
@@ -30,7 +30,8 @@
 pub const SHED_TIME: Duration = Duration::from_millis(300);
 
 /// The delay from which on the process was suspended: it has nothing to catch up with.
-pub const SUSPENDED: Duration = Duration::from_millis(1_000);
+/// A router under load was seen to be late by a second and a half.
+pub const SUSPENDED: Duration = Duration::from_millis(3_000);
 
 /// How long a router stays away the first time.
 pub const FIRST_REST: Duration = Duration::from_secs(8);
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -124,11 +124,11 @@
             let store = Proxy::start(fleet.store.address()).await?;
             let settings = format!(
                 "name: edge-{number}\ndata_centre: north\nlisten: 127.0.0.1:0\n\
-                 control: 127.1.{net}.{}:{control}\noperators: 127.0.0.1:{}\nstore: {}\n\
+                 control: 127.1.{net}.{}:{control}\noperators: 127.1.{net}.{}:{control}\nstore: {}\n\
                  peers: [127.1.{net}.1:9, 127.1.{net}.2:9]\nstop_limit: {}s\nbounds:\n  revoke: 5s\n\
                  \x20 cold_over: {}\n  cold_slack: {}\n",
                 number + 1,
-                free_port()?,
+                number + 1,
                 store.address(),
                 STOP.as_secs(),
                 COLD_OVER.0,
