--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -235,7 +235,7 @@
 /// A request that ends without an answer around a planned stop, and nothing else
 /// that could be the cause.
 fn stops(record: &Record, call: &Call, findings: &mut Findings) {
-    let breaks_off = matches!(call.script, "reset" | "cut" | "mute" | "halt");
+    let breaks_off = matches!(call.script, "reset" | "cut" | "mute");
     let is_cut = match &call.outcome {
         Outcome::Closed => true,
         Outcome::Answer(answer) => !answer.whole,
