Edge: refusals state the wait and the limit, one line a second the rates of a refused team

New: wait_ms and limit_ms of KW1509, charged_tokens of KW1507, and KW1417 team-refused, of level warn so that it keeps its place in the buffer.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -29,6 +29,7 @@
 
 use crate::latest::LatestSnapshot;
 use crate::metrics::TrafficMetrics;
+use crate::refused_teams::RefusedTeams;
 use crate::shared::{LocalReport, PeerState, Shared};
 use crate::target::ConnectionPool;
 
@@ -113,6 +114,7 @@
     logged_rate: Cell<f64>,
     pub(crate) target_table: RefCell<TargetTable>,
     pub(crate) fair_shares: RefCell<FairShares>,
+    pub(crate) refused_teams: RefCell<RefusedTeams>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crash_history: RefCell<CrashHistory>,
     pub(crate) rng: RefCell<ChaCha8Rng>,
@@ -169,6 +171,7 @@
             logged_rate: Cell::new(configured_rate),
             target_table: RefCell::default(),
             fair_shares: RefCell::new(FairShares::new(0.0)),
+            refused_teams: RefCell::new(RefusedTeams::new(Instant::now())),
             retry_budget: RefCell::new(RetryBudget::new(retry_limit)),
             crash_history: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -289,6 +292,9 @@
         };
         self.shared.local_report.store(Arc::new(local_report));
         self.log_avoided_targets(now);
+        self.refused_teams
+            .borrow_mut()
+            .log_if_due(&mut self.fair_shares.borrow_mut(), now);
         self.notify_stalled(now);
         let mut crash_history = self.crash_history.borrow_mut();
         for record in self.shared.take_peer_crashes() {
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod latest;
 mod metrics;
 mod operators;
+mod refused_teams;
 mod request;
 pub mod run;
 mod serve;
--- a/edge/src/request.rs
+++ b/edge/src/request.rs
@@ -14,6 +14,7 @@
 use platform::attempt::forwarded_headers;
 use platform::caller::{self, ApiKey, CallerHeaders};
 use policy::direct::config::{Config, RetryPolicy, RouteIndex, TeamIndex};
+use policy::direct::placement::ExceededWait;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
 
 use crate::caller::ReceivedRequest;
@@ -70,6 +71,8 @@
     pub(crate) retry: Option<Duration>,
     /// The factor on the wait allowed to the team, if placement refused the request.
     pub(crate) favour: Option<f64>,
+    /// The wait that was too long, if placement refused the request for it.
+    pub(crate) exceeded: Option<ExceededWait>,
 }
 
 impl Refusal {
@@ -79,6 +82,7 @@
             why,
             retry: None,
             favour: None,
+            exceeded: None,
         }
     }
 
@@ -89,6 +93,7 @@
             why,
             retry: Some(retry),
             favour: None,
+            exceeded: None,
         }
     }
 
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -282,6 +282,7 @@
             Placement::Refused {
                 reason,
                 retry_after,
+                exceeded,
             } => {
                 let jitter = context
                     .rng
@@ -295,6 +296,7 @@
                 let retry_after = retry_after + Duration::from_millis(jitter);
                 Err(Refusal {
                     favour: Some(wait_factor),
+                    exceeded,
                     ..Refusal::not_run(reason, retry_after)
                 })
             }
@@ -318,6 +320,15 @@
         }
     }
 
+    /// Counts the request as refused for its team.
+    pub(crate) fn record_refused(&self) {
+        let team = self.authorized.team_name();
+        if let (Some(team), Some(prompt)) = (team, &self.request.caller_headers.prompt) {
+            let mut refused_teams = self.context.refused_teams.borrow_mut();
+            refused_teams.record(team, prompt.weighted_tokens());
+        }
+    }
+
     async fn send(
         &mut self,
         attempt: &Attempt,
@@ -516,7 +527,9 @@
             .authorized
             .team_name()
             .map_or("-", entity::Name::as_str);
-        let fields: [Field<'_>; 12] = [
+        let prompt = self.request.caller_headers.prompt.as_ref();
+        let charged = prompt.map_or(0, |prompt| prompt.weighted_tokens() as u64);
+        let fields: [Field<'_>; 13] = [
             ("request", &self.request.caller_headers.id),
             ("work", &self.request.fingerprint_tag()),
             ("target", &target.name),
@@ -525,6 +538,7 @@
             ("in_hand", &attempts),
             ("fresh_tokens", &prefill_tokens),
             ("copied_tokens", &copied),
+            ("charged_tokens", &charged),
             ("home", &is_home),
             ("team", &team),
             ("favour", &wait_factor),
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -180,6 +180,9 @@
         }
         Outcome::Refused(refusal) => {
             let team = dispatch.authorized.team_name().cloned();
+            if refusal.favour.is_some() {
+                dispatch.record_refused();
+            }
             log_refused(dispatch.request, team.as_ref(), refusal);
             refuse(context, caller, refusal).await
         }
@@ -358,7 +361,12 @@
     let favour = refusal
         .favour
         .map_or_else(|| "-".to_owned(), |favour| format!("{favour:.2}"));
-    let fields: [Field<'_>; 8] = [
+    let millis = |millis: Option<f64>| {
+        millis.map_or_else(|| "-".to_owned(), |millis| format!("{millis:.0}"))
+    };
+    let wait = millis(refusal.exceeded.map(|it| it.wait_millis));
+    let limit = millis(refusal.exceeded.map(|it| it.limit_millis));
+    let fields: [Field<'_>; 10] = [
         ("request", &request.caller_headers.id),
         ("work", &request.fingerprint_tag()),
         ("status", &refusal.status.as_u16()),
@@ -366,6 +374,8 @@
         ("retry_ms", &retry),
         ("after_ms", &age),
         ("favour", &favour),
+        ("wait_ms", &wait),
+        ("limit_ms", &limit),
         ("team", &team),
     ];
     event::log(Event::RequestRefused, &fields);
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -156,6 +156,8 @@
     TargetTrusted 1415 Info "target-trusted";
     /// The estimate of how fast engines process prompts changed.
     SpeedLearned 1416 Info "speed-learned";
+    /// Requests of a team were refused; the line states its rates and share.
+    TeamRefused 1417 Warn "team-refused";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct/fair_share.rs
+++ b/policy/src/direct/fair_share.rs
@@ -51,6 +51,17 @@
     pub admitted: f64,
 }
 
+/// A team's rates and share as known to one router.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct TeamUsage {
+    /// The rates of requests at this router.
+    pub own: TeamRate,
+    /// The rates of requests at all routers.
+    pub total: TeamRate,
+    /// The fair share in tokens per second; infinite while the pool covers all demands.
+    pub fair_share: f64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Meter {
     rate: TeamRate,
@@ -151,6 +162,16 @@
         self.fair_share
     }
 
+    /// The rates and the share of a team.
+    pub fn team_usage(&mut self, team: u64, now: Instant) -> TeamUsage {
+        self.update_fair_share(now);
+        TeamUsage {
+            own: self.own_rate(team, now),
+            total: self.total(team, now),
+            fair_share: self.fair_share,
+        }
+    }
+
     /// The rates measured by this router for at most `max_teams` teams, highest first.
     pub fn report(&mut self, max_teams: usize, now: Instant) -> Vec<(u64, TeamRate)> {
         let meters = self.own.iter_mut().map(|(&team, meter)| {
@@ -177,14 +198,18 @@
         meter
     }
 
-    fn total(&self, team: u64, now: Instant) -> TeamRate {
-        let own = self.own.get(&team).map_or(TeamRate::default(), |meter| {
+    fn own_rate(&self, team: u64, now: Instant) -> TeamRate {
+        self.own.get(&team).map_or(TeamRate::default(), |meter| {
             let factor = decay(now.saturating_duration_since(meter.updated_at));
             TeamRate {
                 requested: meter.rate.requested * factor,
                 admitted: meter.rate.admitted * factor,
             }
-        });
+        })
+    }
+
+    fn total(&self, team: u64, now: Instant) -> TeamRate {
+        let own = self.own_rate(team, now);
         let peers = self.peers.get(&team).copied().unwrap_or_default();
         TeamRate {
             requested: own.requested + peers.requested,
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -127,6 +127,21 @@
     Full,
 }
 
+/// The shortest wait by which a request exceeded its limit.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct ExceededWait {
+    /// The wait, in milliseconds.
+    pub wait_millis: f64,
+    /// The limit, in milliseconds.
+    pub limit_millis: f64,
+}
+
+impl ExceededWait {
+    fn excess_millis(self) -> f64 {
+        self.wait_millis - self.limit_millis
+    }
+}
+
 /// A target from which cached parts of a prompt are copied.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct CopySource {
@@ -156,6 +171,8 @@
         reason: RefusalReason,
         /// The time after which capacity is expected.
         retry_after: Duration,
+        /// The wait that was too long, if a wait is the reason.
+        exceeded: Option<ExceededWait>,
     },
 }
 
@@ -258,7 +275,7 @@
     });
     let mean_wait = waiting_tokens.sum::<f64>() / eligible.len() as f64 / settings.prefill_rate;
     let mut best: Option<Candidate> = None;
-    let mut min_excess: Option<f64> = None;
+    let mut min_exceeded: Option<ExceededWait> = None;
     for &target in &eligible {
         let entry = table.target(target);
         if is_cold_rate_used_up(entry, settings, request, now) {
@@ -292,9 +309,15 @@
         let wait_limit = base_limit * (1.0 - prefill_millis / objective).max(MIN_LIMIT_FRACTION);
         // Frequent requests find each target just when nothing waits there, so
         // the mean wait of the pool is taken into account as well.
-        let excess = wait_millis.max(mean_wait) - wait_limit;
-        min_excess = Some(min_excess.map_or(excess, |least| least.min(excess)));
-        if excess > 0.0 {
+        let exceeded = ExceededWait {
+            wait_millis: wait_millis.max(mean_wait),
+            limit_millis: wait_limit,
+        };
+        if exceeded.excess_millis() > 0.0 {
+            let is_less = |it: ExceededWait| exceeded.excess_millis() < it.excess_millis();
+            if min_exceeded.is_none_or(is_less) {
+                min_exceeded = Some(exceeded);
+            }
             continue;
         }
         let is_home = home == Some(target);
@@ -322,15 +345,18 @@
             });
         }
     }
-    match (best, min_excess) {
+    match (best, min_exceeded) {
         (Some(best), _) => best.into_placement(),
-        (None, Some(excess)) => Placement::Refused {
+        (None, Some(exceeded)) => Placement::Refused {
             reason: RefusalReason::Busy,
-            retry_after: Duration::from_secs_f64(excess.max(0.0) / 1e3).max(MIN_RETRY_AFTER),
+            retry_after: Duration::from_secs_f64(exceeded.excess_millis() / 1e3)
+                .max(MIN_RETRY_AFTER),
+            exceeded: Some(exceeded),
         },
         (None, None) => Placement::Refused {
             reason: RefusalReason::Full,
             retry_after: request.objective / 4,
+            exceeded: None,
         },
     }
 }
@@ -433,6 +459,7 @@
         None => Placement::Refused {
             reason: RefusalReason::Full,
             retry_after: request.objective / 2,
+            exceeded: None,
         },
     }
 }
@@ -472,5 +499,6 @@
     Placement::Refused {
         reason: RefusalReason::NoTarget,
         retry_after: Duration::from_millis(500),
+        exceeded: None,
     }
 }
