--- /dev/null
+++ b/policy/tests/direct_load/pool.rs
@@ -0,0 +1,494 @@
+//! A small model of engines, and of the routers that place requests on them.
+//!
+//! Engines prefill prompts in the order of arrival at a fixed rate, cache parts in
+//! limited memory and run a limited number of requests concurrently. Routers
+//! exchange reports with a delay. A router can be late: it then observes responses
+//! some time after they arrive.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use entity::Name;
+use knapweed_policy::direct::cold::Members;
+use knapweed_policy::direct::config::{Engine, Service};
+use knapweed_policy::direct::fair_share::{FairShares, TeamRate};
+use knapweed_policy::direct::placement::{
+    Placement, PlacementRequest, PlacementSettings, select_target,
+};
+use knapweed_policy::direct::target::{Target, TargetRegistry, TargetState};
+use knapweed_policy::direct::target_table::{
+    AttemptCost, PeerLoadReport, Prompt, PromptPart, TargetEntryId, TargetTable,
+};
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
+
+/// The prefill rate of an engine, in tokens per millisecond.
+pub(crate) const PREFILL_RATE: f64 = 50.0;
+
+/// The length of one step of the model.
+pub(crate) const STEP: Duration = Duration::from_millis(2);
+
+/// The interval at which routers exchange reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The capacity of an engine's cache, in tokens.
+const CACHE_TOKENS: u32 = 120_000;
+
+/// The maximum number of teams in a report.
+const MAX_REPORTED_TEAMS: usize = 16;
+
+const TARGETS: usize = 6;
+const SLOTS: u32 = 48;
+
+/// One kind of request.
+#[derive(Clone, Copy)]
+pub(crate) struct Kind {
+    pub(crate) name: &'static str,
+    pub(crate) per_second: f64,
+    /// The tokens of the part that requests share.
+    pub(crate) shared_tokens: u32,
+    /// The part that is specific to a request has between a quarter of and twice
+    /// this number of tokens.
+    pub(crate) own_tokens: u32,
+    /// The number of different shared parts.
+    pub(crate) shared_prompts: u64,
+    pub(crate) objective_millis: u64,
+    /// The time from the first event to the end.
+    pub(crate) run_millis: u64,
+}
+
+pub(crate) const KINDS: [Kind; 3] = [
+    Kind {
+        name: "review",
+        per_second: 20.0,
+        shared_tokens: 5_400,
+        own_tokens: 4_000,
+        shared_prompts: 30,
+        objective_millis: 800,
+        run_millis: 3_000,
+    },
+    Kind {
+        name: "quote",
+        per_second: 60.0,
+        shared_tokens: 200,
+        own_tokens: 430,
+        shared_prompts: 100,
+        objective_millis: 600,
+        run_millis: 2_000,
+    },
+    Kind {
+        name: "digest",
+        per_second: 30.0,
+        shared_tokens: 570,
+        own_tokens: 1_200,
+        shared_prompts: 150,
+        objective_millis: 1_200,
+        run_millis: 200,
+    },
+];
+
+/// A placement policy.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Policy {
+    /// A random target.
+    Random,
+    /// The target with the fewest waiting tokens, regardless of its cache.
+    LeastWaiting,
+    /// The implementation under test, without refusals.
+    Unlimited,
+    /// The implementation under test, with the configured prefill rate.
+    Configured,
+    /// The implementation under test.
+    Product,
+}
+
+/// A request inside an engine.
+struct Running {
+    request: Request,
+    arrived_at: Instant,
+    /// The tokens still to prefill.
+    remaining_tokens: f64,
+    /// The end, once its prompt is prefilled.
+    until: Option<Instant>,
+    attempt: Attempt,
+}
+
+/// An attempt of a router.
+#[derive(Clone, Copy)]
+struct Attempt {
+    router: usize,
+    target: TargetEntryId,
+    cost: AttemptCost,
+}
+
+/// What an engine sends to a router.
+#[derive(Clone, Copy)]
+enum Response {
+    FirstEvent,
+    End,
+}
+
+#[derive(Default)]
+struct EngineModel {
+    queue: VecDeque<Running>,
+    running: Vec<Running>,
+    cache: VecDeque<(u64, u32)>,
+}
+
+impl EngineModel {
+    /// Caches the parts of a prompt and returns the tokens to prefill.
+    fn admit(&mut self, prompt: &Prompt) -> u32 {
+        let mut uncached = 0;
+        let mut is_prefix = true;
+        for part in &prompt.parts {
+            let at = self.cache.iter().position(|(id, _)| *id == part.id);
+            is_prefix = is_prefix && at.is_some();
+            if !is_prefix {
+                uncached += part.tokens;
+            }
+            if let Some(at) = at {
+                self.cache.remove(at);
+            }
+            self.cache.push_back((part.id, part.tokens));
+        }
+        while self.cache.iter().map(|(_, tokens)| tokens).sum::<u32>() > CACHE_TOKENS {
+            self.cache.pop_front();
+        }
+        uncached
+    }
+
+    /// Prefills for one step. Returns the requests whose prompts were completed.
+    fn prefill(&mut self, rate: f64, now: Instant) -> Vec<Begun> {
+        let mut begun = Vec::new();
+        let mut budget = rate * STEP.as_secs_f64() * 1e3;
+        while self.running.len() < SLOTS as usize && budget > 0.0 {
+            let Some(first) = self.queue.front_mut() else {
+                break;
+            };
+            let prefilled = first.remaining_tokens.min(budget);
+            first.remaining_tokens -= prefilled;
+            budget -= prefilled;
+            if first.remaining_tokens > 0.0 {
+                break;
+            }
+            let mut it = self.queue.pop_front().expect("a first request");
+            let kind = &KINDS[it.request.kind];
+            it.until = Some(now + Duration::from_millis(kind.run_millis));
+            begun.push(Begun {
+                request: it.request,
+                attempt: it.attempt,
+                is_late: now - it.arrived_at > Duration::from_millis(kind.objective_millis),
+            });
+            self.running.push(it);
+        }
+        begun
+    }
+}
+
+/// A request offered to the pool.
+#[derive(Clone, Copy)]
+pub(crate) struct Request {
+    /// The index of its kind in [`KINDS`].
+    pub(crate) kind: usize,
+    pub(crate) team: usize,
+    /// Its weighted tokens.
+    pub(crate) tokens: f64,
+}
+
+/// A request whose first event was sent.
+pub(crate) struct Begun {
+    pub(crate) request: Request,
+    attempt: Attempt,
+    /// Whether that was after its objective.
+    pub(crate) is_late: bool,
+}
+
+/// A router of the model.
+struct Router {
+    table: TargetTable,
+    shares: FairShares,
+    settings: PlacementSettings,
+    /// How long after its arrival a response is observed.
+    lag: Duration,
+    /// Responses not yet observed.
+    responses: VecDeque<(Instant, Attempt, Response)>,
+}
+
+impl Router {
+    fn observe_responses(&mut self, now: Instant) {
+        while let Some(&(at, attempt, response)) = self.responses.front()
+            && at <= now
+        {
+            self.responses.pop_front();
+            let Attempt { target, cost, .. } = attempt;
+            match response {
+                Response::FirstEvent => self.table.record_first_event(target, cost, now),
+                Response::End => self.table.end_attempt(target, cost, true),
+            }
+        }
+    }
+}
+
+/// The engines and their routers.
+pub(crate) struct Pool {
+    policy: Policy,
+    /// The actual prefill rate of an engine, in tokens per millisecond.
+    rate: f64,
+    routers: Vec<Router>,
+    engines: Vec<EngineModel>,
+    targets: Vec<TargetEntryId>,
+    service: Service,
+    /// The tokens that engines have prefilled.
+    pub(crate) prefilled_tokens: f64,
+    steps: u64,
+}
+
+impl Pool {
+    /// Creates a pool with a router for each of `lags`; engines prefill at `rate`.
+    pub(crate) fn new(policy: Policy, rate: f64, lags: &[Duration], now: Instant) -> Self {
+        let settings = match policy {
+            Policy::Unlimited => PlacementSettings {
+                max_wait_fraction: 1e9,
+                ..PlacementSettings::default()
+            },
+            _ => PlacementSettings::default(),
+        };
+        let routers: Vec<Router> = lags
+            .iter()
+            .map(|&lag| {
+                let mut table = TargetTable::default();
+                table.apply_registry(&registry(now), now);
+                Router {
+                    table,
+                    shares: FairShares::new(0.0),
+                    settings,
+                    lag,
+                    responses: VecDeque::new(),
+                }
+            })
+            .collect();
+        let targets = routers[0].table.targets_of_service(&Name::new("pool"));
+        Self {
+            policy,
+            rate,
+            targets: targets.to_vec(),
+            routers,
+            engines: (0..TARGETS).map(|_| EngineModel::default()).collect(),
+            service: service(),
+            prefilled_tokens: 0.0,
+            steps: 0,
+        }
+    }
+
+    /// Begins a step: routers observe what is due, and exchange reports at the end of
+    /// an interval.
+    pub(crate) fn begin_step(&mut self, now: Instant) {
+        for router in &mut self.routers {
+            router.observe_responses(now);
+        }
+        let interval = (REPORT_INTERVAL.as_millis() / STEP.as_millis()) as u64;
+        if self.steps.is_multiple_of(interval) {
+            self.exchange_reports(now);
+            if self.policy == Policy::Product {
+                self.update_rates();
+            }
+        }
+        self.steps += 1;
+    }
+
+    fn update_rates(&mut self) {
+        let observed = self.routers[0].table.observed_rate();
+        let rate = observed.tokens_per_milli(PREFILL_RATE);
+        for router in &mut self.routers {
+            router.settings.prefill_rate = rate;
+            router.table.set_prefill_rate(rate);
+        }
+    }
+
+    /// Ends a step: engines prefill. Returns the requests that began to run.
+    pub(crate) fn end_step(&mut self, now: Instant) -> Vec<Begun> {
+        let mut all_begun = Vec::new();
+        for engine in &mut self.engines {
+            let is_done = |it: &mut Running| it.until.is_some_and(|until| until <= now);
+            for it in engine.running.extract_if(.., is_done) {
+                respond(&mut self.routers, it.attempt, Response::End, now);
+            }
+            // Streams continue while prompts are prefilled.
+            for it in &engine.running {
+                let Attempt { router, target, .. } = it.attempt;
+                self.routers[router].table.record_byte(target, now);
+            }
+            let begun = engine.prefill(self.rate, now);
+            for it in &begun {
+                respond(&mut self.routers, it.attempt, Response::FirstEvent, now);
+            }
+            all_begun.extend(begun);
+        }
+        all_begun
+    }
+
+    /// Offers a request to a router. Returns whether it was sent to a target.
+    pub(crate) fn offer(
+        &mut self,
+        router: usize,
+        request: Request,
+        prompt: &Prompt,
+        random: &mut ChaCha8Rng,
+        now: Instant,
+    ) -> bool {
+        let state = &mut self.routers[router];
+        let team = request.team as u64;
+        state
+            .shares
+            .record_request(team, prompt.weighted_tokens(), now);
+        let chosen = match self.policy {
+            Policy::Random => Some(self.targets[random.random_range(0..TARGETS)]),
+            Policy::LeastWaiting => {
+                let waiting = |target: &TargetEntryId| {
+                    state
+                        .table
+                        .target(*target)
+                        .waiting_tokens(PREFILL_RATE, now)
+                };
+                let targets = self.targets.iter().copied();
+                targets.min_by(|a, b| waiting(a).total_cmp(&waiting(b)))
+            }
+            Policy::Unlimited | Policy::Configured | Policy::Product => {
+                let objective = KINDS[request.kind].objective_millis;
+                let placement_request = PlacementRequest {
+                    service: &self.service,
+                    prompt: Some(prompt),
+                    min_objective: Duration::from_millis(600),
+                    objective: Duration::from_millis(objective),
+                    wait_factor: state.shares.wait_factor(team, now),
+                    centre: &Name::new("north"),
+                    tried: &[],
+                    members: &Members::default(),
+                };
+                let settings = &state.settings;
+                match select_target(&mut state.table, settings, &placement_request, now) {
+                    Placement::Target { target, .. } => Some(target),
+                    Placement::Refused { .. } => None,
+                }
+            }
+        };
+        let Some(target) = chosen else {
+            return false;
+        };
+        state
+            .shares
+            .record_admitted(team, prompt.weighted_tokens(), now);
+        let cost = state.table.begin_attempt(target, Some(prompt), 0, now);
+        let index = self.targets.iter().position(|it| *it == target);
+        let engine = &mut self.engines[index.expect("a known target")];
+        let remaining_tokens = f64::from(engine.admit(prompt));
+        self.prefilled_tokens += remaining_tokens;
+        engine.queue.push_back(Running {
+            request,
+            arrived_at: now,
+            remaining_tokens,
+            until: None,
+            attempt: Attempt {
+                router,
+                target,
+                cost,
+            },
+        });
+        true
+    }
+
+    fn exchange_reports(&mut self, now: Instant) {
+        let loads: Vec<PeerLoadReport> = self
+            .routers
+            .iter()
+            .map(|router| PeerLoadReport {
+                received_at: now,
+                reports: router.table.load_reports(PREFILL_RATE, now).into(),
+            })
+            .collect();
+        let rates: Vec<Vec<(u64, TeamRate)>> = self
+            .routers
+            .iter_mut()
+            .map(|router| router.shares.report(MAX_REPORTED_TEAMS, now))
+            .collect();
+        for (index, router) in self.routers.iter_mut().enumerate() {
+            let others = loads.iter().enumerate();
+            let others = others.filter(|(other, _)| *other != index);
+            router
+                .table
+                .set_peer_loads(others.map(|(_, report)| report), now);
+            let mut sums: FxHashMap<u64, TeamRate> = FxHashMap::default();
+            let others = rates.iter().enumerate();
+            let others = others.filter(|(other, _)| *other != index);
+            for (team, rate) in others.flat_map(|(_, it)| it) {
+                let sum = sums.entry(*team).or_default();
+                sum.requested += rate.requested;
+                sum.admitted += rate.admitted;
+            }
+            router.shares.set_peers(sums);
+        }
+    }
+}
+
+/// Delivers a response to its router, at once unless the router is late.
+fn respond(routers: &mut [Router], attempt: Attempt, response: Response, now: Instant) {
+    let router = &mut routers[attempt.router];
+    let due = now + router.lag;
+    router.responses.push_back((due, attempt, response));
+    router.observe_responses(now);
+}
+
+fn service() -> Service {
+    Service {
+        name: Name::new("pool"),
+        connections: 100,
+        cold_rate: 0.0,
+        engine: Some(Engine {
+            slots: SLOTS,
+            memory: 10_000_000,
+            copy_rate: 0.0,
+        }),
+    }
+}
+
+fn registry(now: Instant) -> TargetRegistry {
+    let mut registry = TargetRegistry::default();
+    let targets = (0..TARGETS).map(|number| Target {
+        name: Name::new(&format!("t{number}")),
+        service: Name::new("pool"),
+        address: ([10, 0, 0, number as u8], 80).into(),
+        centre: Name::new("north"),
+        slots: SLOTS,
+        state: TargetState::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+    });
+    registry.replace(targets.collect(), now);
+    registry
+}
+
+/// Draws a prompt of the kind with this index in [`KINDS`].
+pub(crate) fn prompt(index: usize, random: &mut ChaCha8Rng) -> Prompt {
+    let kind = &KINDS[index];
+    let shared_prompt = random.random_range(0..kind.shared_prompts);
+    let shared = PromptPart {
+        id: (index as u64) << 32 | shared_prompt,
+        tokens: kind.shared_tokens,
+    };
+    let tokens = random.random_range(kind.own_tokens / 4..kind.own_tokens * 2);
+    let own = PromptPart {
+        id: random.random(),
+        tokens,
+    };
+    Prompt {
+        parts: [shared, own].into_iter().collect(),
+        input_tokens: kind.shared_tokens + tokens,
+        max_output_tokens: 200,
+    }
+}
+
+/// The random numbers of a run.
+pub(crate) fn seeded_random() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(7)
+}
