Failing test: a team whose only router is late gets less than half of another's tokens

Two teams request five times what they can get; the callers of one reach router 0, which observes responses 300 ms late, those of the other all other routers. On the current code:

team 0 got 219653 tokens from second 6 on, due are 271300 less 41394

Its sibling with a router that is on time passes, so reaching only one router is not the cause.

Each router of the model now uses its own learned rate, as the daemon does.

--- a/policy/tests/direct_load.rs
+++ b/policy/tests/direct_load.rs
@@ -15,7 +15,11 @@
 
 use pool::{KINDS, PREFILL_RATE, Policy, Pool, Request, STEP, prompt, seeded_random};
 
+#[path = "direct_load/fairness.rs"]
+mod fairness;
+
 const ROUTERS: usize = 3;
+const TARGETS: usize = 6;
 
 /// The results of requests.
 #[derive(Default, Clone, Copy)]
@@ -45,7 +49,13 @@
 fn run(run: &Run) -> Outcome {
     let start = Instant::now();
     let mut random = seeded_random();
-    let mut pool = Pool::new(run.policy, run.rate, &[Duration::ZERO; ROUTERS], start);
+    let mut pool = Pool::new(
+        run.policy,
+        TARGETS,
+        run.rate,
+        &[Duration::ZERO; ROUTERS],
+        start,
+    );
     let mut outcome = Outcome {
         kinds: Default::default(),
         teams: BTreeMap::new(),
--- /dev/null
+++ b/policy/tests/direct_load/fairness.rs
@@ -0,0 +1,129 @@
+//! Fairness between two teams that both request far more than their share.
+//!
+//! The callers of one of them reach a single router, those of the other reach all
+//! other routers.
+
+use std::time::{Duration, Instant};
+
+use rand::RngExt as _;
+
+use crate::pool::{KINDS, PREFILL_RATE, Policy, Pool, Request, STEP, prompt, seeded_random};
+
+const ROUTERS: usize = 8;
+const TARGETS: usize = 12;
+
+/// The team whose callers reach router 0 only.
+const ONE_ROUTER_TEAM: usize = 0;
+
+/// The team whose callers reach all other routers.
+const MANY_ROUTERS_TEAM: usize = 1;
+
+/// The teams that request little.
+const SMALL_TEAMS: usize = 8;
+
+/// The load as a multiple of the usual load.
+const LOAD_FACTOR: f64 = 8.0;
+
+/// The seconds over which service is compared.
+const WINDOW_SECONDS: usize = 6;
+
+const SECONDS: usize = 20;
+
+/// The largest requests of a team by which it may fall short in a window.
+const SPARED_REQUESTS: usize = 3;
+
+/// The weighted tokens of a team, by second.
+#[derive(Default)]
+struct Service {
+    begun: [f64; SECONDS],
+    requested: [f64; SECONDS],
+    largest: Vec<f64>,
+}
+
+impl Service {
+    fn record_request(&mut self, tokens: f64, second: usize) {
+        self.requested[second] += tokens;
+        self.largest.push(tokens);
+        self.largest.sort_by(|a, b| b.total_cmp(a));
+        self.largest.truncate(SPARED_REQUESTS);
+    }
+}
+
+/// Plays both teams and the small ones; router 0 observes responses `lag` late.
+fn play(lag: Duration) -> [Service; 2] {
+    let start = Instant::now();
+    let mut random = seeded_random();
+    let mut lags = [Duration::ZERO; ROUTERS];
+    lags[0] = lag;
+    let mut pool = Pool::new(Policy::Product, TARGETS, PREFILL_RATE, &lags, start);
+    let mut services = [Service::default(), Service::default()];
+    for step in 0..SECONDS * 1_000 / STEP.as_millis() as usize {
+        let now = start + STEP * step as u32;
+        let second = (now - start).as_secs() as usize;
+        pool.begin_step(now);
+        for (index, kind) in KINDS.iter().enumerate() {
+            if !random.random_bool(kind.per_second * LOAD_FACTOR * STEP.as_secs_f64()) {
+                continue;
+            }
+            let prompt = prompt(index, &mut random);
+            let (team, router) = match random.random_range(0..10) {
+                0..3 => (ONE_ROUTER_TEAM, 0),
+                3..6 => (MANY_ROUTERS_TEAM, random.random_range(1..ROUTERS)),
+                _ => (
+                    2 + random.random_range(0..SMALL_TEAMS),
+                    random.random_range(1..ROUTERS),
+                ),
+            };
+            let tokens = prompt.weighted_tokens();
+            let request = Request {
+                kind: index,
+                team,
+                tokens,
+            };
+            if let Some(service) = services.get_mut(team) {
+                service.record_request(tokens, second);
+            }
+            pool.offer(router, request, &prompt, &mut random, now);
+        }
+        for begun in pool.end_step(now) {
+            let Request { team, tokens, .. } = begun.request;
+            if let Some(service) = services.get_mut(team) {
+                service.begun[second] += tokens;
+            }
+        }
+    }
+    services
+}
+
+/// Asserts that in no window either team gets less than half of what the other
+/// gets or it requests itself, whichever is less, apart from a few requests.
+fn assert_fair(services: &[Service; 2]) {
+    for (own, other) in [(0, 1), (1, 0)] {
+        let (own_service, other_service) = (&services[own], &services[other]);
+        let spared: f64 = own_service.largest.iter().sum();
+        for from in 0..=SECONDS - WINDOW_SECONDS {
+            let window = from..from + WINDOW_SECONDS;
+            let got: f64 = own_service.begun[window.clone()].iter().sum();
+            let due = window.map(|second| {
+                let requested = own_service.requested[second];
+                requested.min(other_service.begun[second]) / 2.0
+            });
+            let due: f64 = due.sum();
+            assert!(
+                got >= due - spared,
+                "team {own} got {got:.0} tokens from second {from} on, due are {due:.0} less {spared:.0}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_team_at_one_router_gets_as_much_as_a_team_at_many() {
+    assert_fair(&play(Duration::ZERO));
+}
+
+/// Guards against a late router overestimating the waits of all targets.
+#[test]
+fn a_team_whose_only_router_is_late_gets_half_of_what_another_team_gets() {
+    assert_fair(&play(Duration::from_millis(300)));
+}
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -38,7 +38,6 @@
 /// The maximum number of teams in a report.
 const MAX_REPORTED_TEAMS: usize = 16;
 
-const TARGETS: usize = 6;
 const SLOTS: u32 = 48;
 
 /// One kind of request.
@@ -245,8 +244,15 @@
 }
 
 impl Pool {
-    /// Creates a pool with a router for each of `lags`; engines prefill at `rate`.
-    pub(crate) fn new(policy: Policy, rate: f64, lags: &[Duration], now: Instant) -> Self {
+    /// Creates a pool of `targets` engines that prefill at `rate`, with a router for
+    /// each of `lags`.
+    pub(crate) fn new(
+        policy: Policy,
+        targets: usize,
+        rate: f64,
+        lags: &[Duration],
+        now: Instant,
+    ) -> Self {
         let settings = match policy {
             Policy::Unlimited => PlacementSettings {
                 max_wait_fraction: 1e9,
@@ -258,7 +264,7 @@
             .iter()
             .map(|&lag| {
                 let mut table = TargetTable::default();
-                table.apply_registry(&registry(now), now);
+                table.apply_registry(&registry(targets, now), now);
                 Router {
                     table,
                     shares: FairShares::new(0.0),
@@ -268,13 +274,13 @@
                 }
             })
             .collect();
-        let targets = routers[0].table.targets_of_service(&Name::new("pool"));
+        let target_ids = routers[0].table.targets_of_service(&Name::new("pool"));
         Self {
             policy,
             rate,
-            targets: targets.to_vec(),
+            targets: target_ids.to_vec(),
             routers,
-            engines: (0..TARGETS).map(|_| EngineModel::default()).collect(),
+            engines: (0..targets).map(|_| EngineModel::default()).collect(),
             service: service(),
             prefilled_tokens: 0.0,
             steps: 0,
@@ -298,9 +304,9 @@
     }
 
     fn update_rates(&mut self) {
-        let observed = self.routers[0].table.observed_rate();
-        let rate = observed.tokens_per_milli(PREFILL_RATE);
         for router in &mut self.routers {
+            let observed = router.table.observed_rate();
+            let rate = observed.tokens_per_milli(PREFILL_RATE);
             router.settings.prefill_rate = rate;
             router.table.set_prefill_rate(rate);
         }
@@ -343,7 +349,7 @@
             .shares
             .record_request(team, prompt.weighted_tokens(), now);
         let chosen = match self.policy {
-            Policy::Random => Some(self.targets[random.random_range(0..TARGETS)]),
+            Policy::Random => Some(self.targets[random.random_range(0..self.targets.len())]),
             Policy::LeastWaiting => {
                 let waiting = |target: &TargetEntryId| {
                     state
@@ -404,7 +410,10 @@
             .iter()
             .map(|router| PeerLoadReport {
                 received_at: now,
-                reports: router.table.load_reports(PREFILL_RATE, now).into(),
+                reports: router
+                    .table
+                    .load_reports(router.settings.prefill_rate, now)
+                    .into(),
             })
             .collect();
         let rates: Vec<Vec<(u64, TeamRate)>> = self
@@ -452,9 +461,9 @@
     }
 }
 
-fn registry(now: Instant) -> TargetRegistry {
+fn registry(targets: usize, now: Instant) -> TargetRegistry {
     let mut registry = TargetRegistry::default();
-    let targets = (0..TARGETS).map(|number| Target {
+    let targets = (0..targets).map(|number| Target {
         name: Name::new(&format!("t{number}")),
         service: Name::new("pool"),
         address: ([10, 0, 0, number as u8], 80).into(),
