Prefill rate: a router's own delay and the prompts of others no longer count as slow engines

Cause: each router learns the engines' prefill rate by itself, as the mean of tokens over the time to the first event. That time also holds the router's own delay and the prefill of prompts that other routers sent meanwhile. A router at its processor limit concluded that engines were up to ten times slower than stated, divided all waiting tokens by that rate, and found every target too busy. Teams whose callers reach many routers were not affected.

In the engine model the failing test passes with the configured rate.

Fix: an observation is taken as what it is, a lower bound of the rate. Only tokens that cannot be cached count, the estimate is the 90th percentile, and observations of an interval in which the router was late are discarded.

Ruled out: reaching one router alone (the sibling test passes), the wait factor (limits are equal), crashes (the rule breaks before any).

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -18,7 +18,7 @@
 use policy::direct::config::Config;
 use policy::direct::crash::{CrashHistory, CrashRecord};
 use policy::direct::fair_share::FairShares;
-use policy::direct::overload::OverloadState;
+use policy::direct::overload::{MAX_LAG, OverloadState};
 use policy::direct::placement::{CopySource, PlacementSettings};
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_table::{AttemptCost, Prompt, TargetEntryId, TargetTable};
@@ -202,6 +202,9 @@
     /// An overloaded router, or one that runs out of connections, reports itself
     /// unready for a while, because the balancer does not know the capacity of VMs.
     pub(crate) fn record_lag(&self, lag: Duration, now: Instant) {
+        self.target_table
+            .borrow_mut()
+            .end_rate_interval(lag <= MAX_LAG);
         let is_nearly_full = self.connections.is_nearly_full();
         let is_overloaded = self
             .overload
@@ -311,11 +314,11 @@
 
     /// Updates the prefill rate from the rate observed at the engines.
     fn update_prefill_rate(&self) {
-        let mut target_table = self.target_table.borrow_mut();
-        let rate = target_table
+        let rate = self
+            .target_table
+            .borrow()
             .observed_rate()
             .tokens_per_milli(self.configured_rate);
-        target_table.set_prefill_rate(rate);
         let mut placement = self.placement.get();
         placement.prefill_rate = rate;
         self.placement.set(placement);
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -260,10 +260,7 @@
     }
     let (home, second_home) = home_targets(table, prompt, &eligible);
     let memory_tokens = f64::from(prompt.input_tokens + prompt.max_output_tokens);
-    let own_tokens = prompt
-        .parts
-        .last()
-        .map_or(prompt.input_tokens, |part| part.tokens);
+    let own_tokens = prompt.own_tokens();
     let copy_source =
         home.filter(|&home| table.target(home).prefill_tokens(prompt, now) <= own_tokens);
     let base_limit = wait_limit(settings, request);
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -70,6 +70,13 @@
         self.parts.get(index).copied()
     }
 
+    /// The tokens of the last part, which no other request shares.
+    pub fn own_tokens(&self) -> u32 {
+        self.parts
+            .last()
+            .map_or(self.input_tokens, |part| part.tokens)
+    }
+
     /// The cost that is charged to a team's share, in tokens.
     pub fn weighted_tokens(&self) -> f64 {
         f64::from(self.input_tokens) + 2.0 * f64::from(self.max_output_tokens)
@@ -84,9 +91,9 @@
     /// Tokens of memory used while it runs.
     pub memory_tokens: u32,
     sequence: u64,
-    /// The time of sending and the tokens that waited then, if the attempt is
-    /// suited to measure the prefill rate.
-    prefill_start: Option<(Instant, f64)>,
+    /// Tokens that the target cannot have cached.
+    certain_tokens: u32,
+    sent: Option<Instant>,
 }
 
 /// The load of a target.
@@ -282,8 +289,6 @@
     by_name: FxHashMap<Name, TargetEntryId>,
     by_service: FxHashMap<Name, Vec<TargetEntryId>>,
     attempts_begun: u64,
-    /// The assumed prefill rate of an engine, in tokens per millisecond.
-    prefill_rate: f64,
     observed_rate: PrefillRate,
 }
 
@@ -344,14 +349,15 @@
         }
     }
 
-    /// Sets the assumed prefill rate of an engine, in tokens per millisecond.
-    pub fn set_prefill_rate(&mut self, rate: f64) {
-        self.prefill_rate = rate;
+    /// The prefill rate observed on the engines.
+    pub fn observed_rate(&self) -> &PrefillRate {
+        &self.observed_rate
     }
 
-    /// The prefill rate observed on the engines.
-    pub fn observed_rate(&self) -> PrefillRate {
-        self.observed_rate
+    /// Ends an interval of observations of the prefill rate; see
+    /// [`PrefillRate::end_interval`].
+    pub fn end_rate_interval(&mut self, is_on_time: bool) {
+        self.observed_rate.end_interval(is_on_time);
     }
 
     /// The targets of a service, including those that accept no requests.
@@ -398,15 +404,18 @@
         now: Instant,
     ) -> AttemptCost {
         self.attempts_begun += 1;
-        let (sequence, rate) = (self.attempts_begun, self.prefill_rate);
+        let sequence = self.attempts_begun;
         let entry = &mut self.entries[id];
-        let cost = prompt.map_or(AttemptCost::default(), |prompt| AttemptCost {
-            prefill_tokens: entry
-                .prefill_tokens(prompt, now)
-                .saturating_sub(copied_tokens),
-            memory_tokens: prompt.input_tokens + prompt.max_output_tokens,
-            sequence,
-            prefill_start: (copied_tokens == 0).then(|| (now, entry.waiting_tokens(rate, now))),
+        let cost = prompt.map_or(AttemptCost::default(), |prompt| {
+            let prefill_tokens = entry.prefill_tokens(prompt, now);
+            AttemptCost {
+                prefill_tokens: prefill_tokens.saturating_sub(copied_tokens),
+                memory_tokens: prompt.input_tokens + prompt.max_output_tokens,
+                sequence,
+                // Another router may have caused the target to cache the shared parts.
+                certain_tokens: prefill_tokens.min(prompt.own_tokens()),
+                sent: Some(now),
+            }
         });
         if cost.prefill_tokens > 0 {
             entry.pending_prefills.push_back(PendingPrefill {
@@ -439,10 +448,10 @@
         let entry = &mut self.entries[id];
         entry.last_first_event = Some(now);
         entry.activity.record_start(now);
-        if let Some((sent, waiting_tokens)) = cost.prefill_start {
-            let tokens = waiting_tokens + f64::from(cost.prefill_tokens);
+        if let Some(sent) = cost.sent {
+            let elapsed = now.saturating_duration_since(sent);
             self.observed_rate
-                .record_prefill(tokens, now.saturating_duration_since(sent));
+                .record_prefill(f64::from(cost.certain_tokens), elapsed);
         }
         self.finish_prefill(id, cost);
     }
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -12,6 +12,7 @@
 use knapweed_policy::direct::cold::Members;
 use knapweed_policy::direct::config::{Engine, Service};
 use knapweed_policy::direct::fair_share::{FairShares, TeamRate};
+use knapweed_policy::direct::overload::MAX_LAG;
 use knapweed_policy::direct::placement::{
     Placement, PlacementRequest, PlacementSettings, select_target,
 };
@@ -305,10 +306,9 @@
 
     fn update_rates(&mut self) {
         for router in &mut self.routers {
+            router.table.end_rate_interval(router.lag <= MAX_LAG);
             let observed = router.table.observed_rate();
-            let rate = observed.tokens_per_milli(PREFILL_RATE);
-            router.settings.prefill_rate = rate;
-            router.table.set_prefill_rate(rate);
+            router.settings.prefill_rate = observed.tokens_per_milli(PREFILL_RATE);
         }
     }
 
--- a/policy/tests/direct_prefill_rate.rs
+++ b/policy/tests/direct_prefill_rate.rs
@@ -16,6 +16,7 @@
     for _ in 0..200 {
         let prefill_time = Duration::from_secs_f64(5_000.0 / rate / 1e3);
         prefill_rate.record_prefill(5_000.0, prefill_time + OVERHEAD);
+        prefill_rate.end_interval(true);
     }
     prefill_rate.tokens_per_milli(CONFIGURED_RATE)
 }
@@ -43,6 +44,34 @@
     assert_eq!(prefill_rate, PrefillRate::default());
 }
 
+/// The estimate after prompts of 5,000 tokens of which one in five met an idle engine
+/// and the others waited 400 ms for prompts of other routers.
+fn rate_under_load() -> f64 {
+    let mut prefill_rate = PrefillRate::default();
+    for number in 0..200 {
+        let wait = Duration::from_millis(if number % 5 == 0 { 0 } else { 400 });
+        let prefill_time = Duration::from_secs_f64(5_000.0 / CONFIGURED_RATE / 1e3);
+        prefill_rate.record_prefill(5_000.0, prefill_time + OVERHEAD + wait);
+        prefill_rate.end_interval(true);
+    }
+    prefill_rate.tokens_per_milli(CONFIGURED_RATE)
+}
+
+#[test]
+fn waits_for_prompts_of_other_routers_do_not_lower_the_estimate() {
+    assert_eq!(rate_under_load(), CONFIGURED_RATE);
+}
+
+#[test]
+fn observations_of_an_interval_in_which_the_router_was_late_do_not_count() {
+    let mut prefill_rate = PrefillRate::default();
+    for _ in 0..200 {
+        prefill_rate.record_prefill(5_000.0, Duration::from_millis(800));
+        prefill_rate.end_interval(false);
+    }
+    assert_eq!(prefill_rate, PrefillRate::default());
+}
+
 proptest! {
     #[test]
     fn the_estimate_stays_within_its_bounds(
@@ -51,6 +80,7 @@
         let mut prefill_rate = PrefillRate::default();
         for (tokens, millis) in samples {
             prefill_rate.record_prefill(tokens, Duration::from_millis(millis));
+            prefill_rate.end_interval(true);
         }
         let rate = prefill_rate.tokens_per_milli(CONFIGURED_RATE);
         prop_assert!((CONFIGURED_RATE * MIN_RATE_FACTOR..=CONFIGURED_RATE * MAX_RATE_FACTOR).contains(&rate));
