Shares: the expected output is charged, not the limit on it

What callers saw: a team with many short requests got fewer tokens than a team with long ones, though the routers' books showed equal rates.

Cause: a request was charged its input plus twice the limit on its output. Limits are far above what is generated. Short quotes are overcharged most.

Memory is still reserved for the limit. A caller that understates its output is charged less than it uses; a limit on that needs the number of generated tokens, which targets do not tell.

--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -61,6 +61,8 @@
     pub input_tokens: u32,
     /// The maximum number of tokens to generate.
     pub max_output_tokens: u32,
+    /// The number of tokens that the caller expects to be generated.
+    pub expected_output_tokens: u32,
 }
 
 impl Prompt {
@@ -78,8 +80,11 @@
     }
 
     /// The cost that is charged to a team's share, in tokens.
+    ///
+    /// Limits on the output are often far above what is generated, by different
+    /// factors for different teams, so the expected output is charged.
     pub fn weighted_tokens(&self) -> f64 {
-        f64::from(self.input_tokens) + 2.0 * f64::from(self.max_output_tokens)
+        f64::from(self.input_tokens) + 2.0 * f64::from(self.expected_output_tokens)
     }
 }
 
--- a/policy/tests/direct_load/fairness.rs
+++ b/policy/tests/direct_load/fairness.rs
@@ -1,7 +1,4 @@
 //! Fairness between two teams that both request far more than their share.
-//!
-//! The callers of one of them reach a single router, those of the other reach all
-//! other routers.
 
 use std::time::{Duration, Instant};
 
@@ -12,12 +9,6 @@
 const ROUTERS: usize = 8;
 const TARGETS: usize = 12;
 
-/// The team whose callers reach router 0 only.
-const ONE_ROUTER_TEAM: usize = 0;
-
-/// The team whose callers reach all other routers.
-const MANY_ROUTERS_TEAM: usize = 1;
-
 /// The teams that request little.
 const SMALL_TEAMS: usize = 8;
 
@@ -49,12 +40,30 @@
     }
 }
 
-/// Plays both teams and the small ones; router 0 observes responses `lag` late.
-fn play(lag: Duration) -> [Service; 2] {
+/// How the two teams differ.
+#[derive(Clone, Copy)]
+struct Difference {
+    /// Whether the callers of team 0 reach router 0 only, which no other team uses.
+    reaches_one_router: bool,
+    /// How late router 0 observes responses.
+    lag: Duration,
+    /// The limit on the output that callers of team 0 state, as a multiple of what
+    /// they expect.
+    limit_factor: u32,
+}
+
+const NO_DIFFERENCE: Difference = Difference {
+    reaches_one_router: false,
+    lag: Duration::ZERO,
+    limit_factor: 1,
+};
+
+/// Plays both teams and the small ones.
+fn play(difference: Difference) -> [Service; 2] {
     let start = Instant::now();
     let mut random = seeded_random();
     let mut lags = [Duration::ZERO; ROUTERS];
-    lags[0] = lag;
+    lags[0] = difference.lag;
     let mut pool = Pool::new(Policy::Product, TARGETS, PREFILL_RATE, &lags, start);
     let mut services = [Service::default(), Service::default()];
     for step in 0..SECONDS * 1_000 / STEP.as_millis() as usize {
@@ -65,16 +74,21 @@
             if !random.random_bool(kind.per_second * LOAD_FACTOR * STEP.as_secs_f64()) {
                 continue;
             }
-            let prompt = prompt(index, &mut random);
-            let (team, router) = match random.random_range(0..10) {
-                0..3 => (ONE_ROUTER_TEAM, 0),
-                3..6 => (MANY_ROUTERS_TEAM, random.random_range(1..ROUTERS)),
-                _ => (
-                    2 + random.random_range(0..SMALL_TEAMS),
-                    random.random_range(1..ROUTERS),
-                ),
+            let mut prompt = prompt(index, &mut random);
+            let team = match random.random_range(0..10) {
+                0..3 => 0,
+                3..6 => 1,
+                _ => 2 + random.random_range(0..SMALL_TEAMS),
+            };
+            let router = match (difference.reaches_one_router, team) {
+                (true, 0) => 0,
+                (true, _) => random.random_range(1..ROUTERS),
+                (false, _) => random.random_range(0..ROUTERS),
             };
             let tokens = prompt.weighted_tokens();
+            if team == 0 {
+                prompt.max_output_tokens *= difference.limit_factor;
+            }
             let request = Request {
                 kind: index,
                 team,
@@ -119,11 +133,27 @@
 
 #[test]
 fn a_team_at_one_router_gets_as_much_as_a_team_at_many() {
-    assert_fair(&play(Duration::ZERO));
+    assert_fair(&play(Difference {
+        reaches_one_router: true,
+        ..NO_DIFFERENCE
+    }));
 }
 
 /// Guards against a late router overestimating the waits of all targets.
 #[test]
 fn a_team_whose_only_router_is_late_gets_half_of_what_another_team_gets() {
-    assert_fair(&play(Duration::from_millis(300)));
+    assert_fair(&play(Difference {
+        reaches_one_router: true,
+        lag: Duration::from_millis(300),
+        ..NO_DIFFERENCE
+    }));
+}
+
+/// Guards against charging a team for output that it does not expect.
+#[test]
+fn a_team_with_high_output_limits_gets_half_of_what_another_team_gets() {
+    assert_fair(&play(Difference {
+        limit_factor: 20,
+        ..NO_DIFFERENCE
+    }));
 }
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -477,6 +477,9 @@
     registry
 }
 
+/// The tokens that a request generates.
+const OUTPUT_TOKENS: u32 = 200;
+
 /// Draws a prompt of the kind with this index in [`KINDS`].
 pub(crate) fn prompt(index: usize, random: &mut ChaCha8Rng) -> Prompt {
     let kind = &KINDS[index];
@@ -493,7 +496,8 @@
     Prompt {
         parts: [shared, own].into_iter().collect(),
         input_tokens: kind.shared_tokens + tokens,
-        max_output_tokens: 200,
+        max_output_tokens: OUTPUT_TOKENS,
+        expected_output_tokens: OUTPUT_TOKENS,
     }
 }
 
--- a/policy/tests/direct_stall.rs
+++ b/policy/tests/direct_stall.rs
@@ -47,6 +47,7 @@
         parts: [PromptPart { id: own, tokens }].into_iter().collect(),
         input_tokens: tokens,
         max_output_tokens: 100,
+        expected_output_tokens: 100,
     }
 }
 
