Edge: an overloaded router limits the requests in progress

Requests that a router of 0.09 cores had accepted were sent to a target 1 to 2 s later; callers left meanwhile, and the router learned that so late that targets worked on for more than half a second.

Cause: load shedding looked at new connections only.

Fix: a limit on requests in progress, found by additive increase and multiplicative decrease from the lag of the maintenance task. Generation requests beyond it are refused as strained; teams within their share may exceed it by half. Requests to services without an engine are not limited.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -18,7 +18,7 @@
 use policy::direct::config::Config;
 use policy::direct::crash::{CrashHistory, CrashRecord};
 use policy::direct::fair_share::FairShares;
-use policy::direct::overload::{MAX_LAG, OverloadState};
+use policy::direct::overload::{MAX_LAG, OverloadState, RequestLimit};
 use policy::direct::placement::{CopySource, PlacementSettings};
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_table::{AttemptCost, Prompt, TargetEntryId, TargetTable};
@@ -149,6 +149,7 @@
     /// The targets last logged as avoided.
     avoided: RefCell<FxHashSet<TargetEntryId>>,
     overload: RefCell<OverloadState>,
+    request_limit: RefCell<RequestLimit>,
     /// The registry last applied to the target table.
     registry: LatestSnapshot<TargetRegistry>,
     /// The peer state that was last applied.
@@ -202,6 +203,7 @@
             broken_attempts: RefCell::default(),
             avoided: RefCell::default(),
             overload: RefCell::default(),
+            request_limit: RefCell::default(),
             registry: LatestSnapshot::default(),
             peers: LatestSnapshot::default(),
             peers_summed_at: Cell::new(None),
@@ -223,6 +225,10 @@
         self.target_table
             .borrow_mut()
             .end_rate_interval(lag <= MAX_LAG);
+        let open_requests = self.shared.open_requests.load(Ordering::Relaxed);
+        self.request_limit
+            .borrow_mut()
+            .record_lag(lag, open_requests);
         let is_nearly_full = self.connections.is_nearly_full();
         let is_overloaded = self
             .overload
@@ -255,6 +261,20 @@
         self.overload.borrow().rejects_connections(now)
     }
 
+    /// Whether a generation request of a team may begin, given the requests in progress.
+    pub(crate) fn allows_request(&self, team: &Name, now: Instant) -> bool {
+        // The request itself is already counted.
+        let requests = self.shared.open_requests.load(Ordering::Relaxed);
+        let requests = requests.saturating_sub(1);
+        let request_limit = self.request_limit.borrow();
+        if request_limit.allows(requests, false) {
+            return true;
+        }
+        let mut fair_shares = self.fair_shares.borrow_mut();
+        let is_within_share = fair_shares.share_usage(team.tag().0, now) <= 1.0;
+        request_limit.allows(requests, is_within_share)
+    }
+
     /// Returns the active configuration.
     pub(crate) fn config(&self) -> Option<Arc<Config>> {
         self.shared.config.load_full()
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -109,8 +109,16 @@
         .borrow_mut()
         .record_request(&service, routers, now);
     if let (Some(team), Some(prompt)) = (authorized.team_name(), &request.caller_headers.prompt) {
-        let mut fair_shares = context.fair_shares.borrow_mut();
-        fair_shares.record_request(team.tag().0, prompt.weighted_tokens(), now);
+        let tokens = prompt.weighted_tokens();
+        context
+            .fair_shares
+            .borrow_mut()
+            .record_request(team.tag().0, tokens, now);
+        if !context.allows_request(team, now) {
+            let refusal = Refusal::not_run("strained", OVERLOAD_RETRY_DELAY);
+            log_refused(&request, Some(team), refusal);
+            return refuse(context, caller, refusal).await;
+        }
     }
     let timeout = authorized.config.route_at(authorized.route).timeout;
     let kind = authorized.kind();
