Edge: a router that lags far behind accepts connections in small batches

Cause: accepting and rejecting alone took more processor time than the router had, and left none for requests in progress. A request is delayed by the lag at each of its five or six steps, so a lag of 200 to 300 ms is a second or more.

Fix: above the lag at which connections are rejected, the router pauses for an eighth of the lag after each 8 connections. What it does not accept in time is tried elsewhere after a second.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -256,6 +256,11 @@
         event::log(event, &fields);
     }
 
+    /// How long to wait after accepting a batch of connections.
+    pub(crate) fn accept_pause(&self, now: Instant) -> Option<Duration> {
+        self.overload.borrow().accept_pause(now)
+    }
+
     /// Whether new connections, and requests on existing ones, are rejected.
     pub(crate) fn rejects_connections(&self, now: Instant) -> bool {
         self.overload.borrow().rejects_connections(now)
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -13,6 +13,7 @@
 use node::metrics::Metrics;
 use node::settings::{self, EdgeSettings};
 use node::sink::BufferedLogger;
+use policy::direct::overload::ACCEPT_BATCH;
 use policy::direct::polling::PollIntervals;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -240,10 +241,17 @@
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("cannot handle SIGINT")?;
     let stop = wait_for_requests(context.clone(), settings.stop_limit);
     tokio::pin!(stop);
+    let mut accepted_count = 0;
     loop {
         let is_stopping = context.shared.is_stopping();
+        if accepted_count >= ACCEPT_BATCH {
+            accepted_count = 0;
+            if let Some(pause) = context.accept_pause(Instant::now()) {
+                sleep(pause).await;
+            }
+        }
         tokio::select! {
-            accepted = listener.accept() => match accepted {
+            accepted = listener.accept() => match accepted.inspect(|_| accepted_count += 1) {
                 Ok((stream, _)) if context.connections.try_acquire() => {
                     let context = context.clone();
                     actix_rt::spawn(async move {
--- a/policy/src/direct/overload.rs
+++ b/policy/src/direct/overload.rs
@@ -45,6 +45,12 @@
 /// The maximum time for which a router is not ready.
 pub const MAX_UNREADY_TIME: Duration = Duration::from_secs(30);
 
+/// The number of connections accepted between two pauses.
+pub const ACCEPT_BATCH: u32 = 8;
+
+/// The lag as a multiple of the pause between two batches of connections.
+const ACCEPT_PAUSE_DIVISOR: u32 = 8;
+
 /// The overload state of a router.
 #[derive(Clone, Copy, Debug)]
 pub struct OverloadState {
@@ -53,6 +59,8 @@
     /// The start of the current overload.
     overloaded_since: Option<Instant>,
     shed_until: Option<Instant>,
+    /// The last lag above [`SHED_LAG`].
+    shed_lag: Duration,
 }
 
 impl Default for OverloadState {
@@ -62,6 +70,7 @@
             unready_until: None,
             overloaded_since: None,
             shed_until: None,
+            shed_lag: Duration::ZERO,
         }
     }
 }
@@ -78,6 +87,7 @@
         let is_late = lag > MAX_LAG && lag < SUSPENSION_LAG;
         if is_late && lag > SHED_LAG {
             self.shed_until = Some(now + SHED_DURATION);
+            self.shed_lag = lag;
         }
         if is_late || is_near_connection_limit {
             if !self.is_overloaded(now) {
@@ -109,6 +119,15 @@
         self.shed_until.is_some_and(|until| now < until)
     }
 
+    /// How long to wait after accepting [`ACCEPT_BATCH`] connections.
+    ///
+    /// Accepting and rejecting connections takes processor time from the requests in
+    /// progress. Connections that are not accepted in time are tried elsewhere.
+    pub fn accept_pause(&self, now: Instant) -> Option<Duration> {
+        self.rejects_connections(now)
+            .then(|| self.shed_lag / ACCEPT_PAUSE_DIVISOR)
+    }
+
     fn is_overloaded(&self, now: Instant) -> bool {
         self.unready_until.is_some_and(|until| now < until)
     }
--- a/policy/tests/direct_flood.rs
+++ b/policy/tests/direct_flood.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use knapweed_policy::direct::overload::{LIMIT_LAG, OverloadState, RequestLimit};
+use knapweed_policy::direct::overload::{LIMIT_LAG, OverloadState, RequestLimit, SHED_LAG};
 
 /// The step of the model, and the period of the task whose lag is recorded.
 const STEP: Duration = Duration::from_millis(10);
@@ -115,3 +115,17 @@
     assert!(limit.allows(100, true));
     assert!(!limit.allows(200, true));
 }
+
+#[test]
+fn accepting_pauses_only_while_a_router_lags_far_behind_and_for_longer_the_more_it_lags() {
+    let now = Instant::now();
+    let pause = |lag| {
+        let mut overload = OverloadState::default();
+        overload.record_lag(lag, false, now);
+        overload.accept_pause(now)
+    };
+    assert_eq!(pause(SHED_LAG), None);
+    let (short, long) = (pause(SHED_LAG * 2), pause(SHED_LAG * 8));
+    assert!(short.is_some() && short < long);
+    assert!(long < Some(MAX_LAG));
+}
