--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -18,7 +18,7 @@
 use policy::direct::config::Config;
 use policy::direct::crash::{CrashHistory, CrashRecord};
 use policy::direct::fair_share::FairShares;
-use policy::direct::overload::{MAX_LAG, OverloadState};
+use policy::direct::overload::{MAX_LAG, OverloadState, RequestLimit};
 use policy::direct::placement::{CopySource, PlacementSettings};
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_table::{AttemptCost, Prompt, TargetEntryId, TargetTable};
@@ -65,6 +65,8 @@
 pub(crate) struct ConnectionLimit {
     open: Cell<usize>,
     max_open: usize,
+    /// The connections closed because of the limit since that was last logged.
+    rejected: Cell<u32>,
 }
 
 impl ConnectionLimit {
@@ -72,6 +74,7 @@
         Self {
             open: Cell::new(0),
             max_open: descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1),
+            rejected: Cell::new(0),
         }
     }
 
@@ -89,6 +92,21 @@
         self.open.set(self.open.get() - 1);
     }
 
+    /// Counts a connection that is closed because the limit is reached.
+    pub(crate) fn record_rejected(&self) {
+        self.rejected.set(self.rejected.get() + 1);
+    }
+
+    /// Logs the connections closed because of the limit. One line for each of them
+    /// would cost an overloaded router more than the connections.
+    fn log_rejected(&self) {
+        let count = self.rejected.take();
+        if count > 0 {
+            let fields: [event::Field<'_>; 2] = [("limit", &"connections"), ("count", &count)];
+            event::log(Event::LimitReached, &fields);
+        }
+    }
+
     /// Whether more than three quarters of the connection limit are in use.
     fn is_nearly_full(&self) -> bool {
         self.open.get() > self.max_open / 4 * 3
@@ -131,6 +149,7 @@
     /// The targets last logged as avoided.
     avoided: RefCell<FxHashSet<TargetEntryId>>,
     overload: RefCell<OverloadState>,
+    request_limit: RefCell<RequestLimit>,
     /// The registry last applied to the target table.
     registry: LatestSnapshot<TargetRegistry>,
     /// The peer state that was last applied.
@@ -184,6 +203,7 @@
             broken_attempts: RefCell::default(),
             avoided: RefCell::default(),
             overload: RefCell::default(),
+            request_limit: RefCell::default(),
             registry: LatestSnapshot::default(),
             peers: LatestSnapshot::default(),
             peers_summed_at: Cell::new(None),
@@ -205,6 +225,10 @@
         self.target_table
             .borrow_mut()
             .end_rate_interval(lag <= MAX_LAG);
+        let open_requests = self.shared.open_requests.load(Ordering::Relaxed);
+        self.request_limit
+            .borrow_mut()
+            .record_lag(lag, open_requests);
         let is_nearly_full = self.connections.is_nearly_full();
         let is_overloaded = self
             .overload
@@ -232,11 +256,30 @@
         event::log(event, &fields);
     }
 
+    /// How long to wait after accepting a batch of connections.
+    pub(crate) fn accept_pause(&self, now: Instant) -> Option<Duration> {
+        self.overload.borrow().accept_pause(now)
+    }
+
     /// Whether new connections, and requests on existing ones, are rejected.
     pub(crate) fn rejects_connections(&self, now: Instant) -> bool {
         self.overload.borrow().rejects_connections(now)
     }
 
+    /// Whether a generation request of a team may begin, given the requests in progress.
+    pub(crate) fn allows_request(&self, team: &Name, now: Instant) -> bool {
+        // The request itself is already counted.
+        let requests = self.shared.open_requests.load(Ordering::Relaxed);
+        let requests = requests.saturating_sub(1);
+        let request_limit = self.request_limit.borrow();
+        if request_limit.allows(requests, false) {
+            return true;
+        }
+        let mut fair_shares = self.fair_shares.borrow_mut();
+        let is_within_share = fair_shares.share_usage(team.tag().0, now) <= 1.0;
+        request_limit.allows(requests, is_within_share)
+    }
+
     /// Returns the active configuration.
     pub(crate) fn config(&self) -> Option<Arc<Config>> {
         self.shared.config.load_full()
@@ -295,6 +338,7 @@
         };
         self.shared.local_report.store(Arc::new(local_report));
         self.log_avoided_targets(now);
+        self.connections.log_rejected();
         self.refused_teams
             .borrow_mut()
             .log_if_due(&mut self.fair_shares.borrow_mut(), now);
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -22,7 +22,6 @@
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
 use crate::serve::{Dispatch, Outcome, StreamedResponse};
 use crate::target::BodyTruncated;
-use crate::tcp;
 
 /// How long before its deadline a request without a response is abandoned, so that
 /// the error response arrives in time.
@@ -52,10 +51,6 @@
 
 /// Serves a connection until it is closed.
 pub(crate) async fn serve(context: Rc<Context>, stream: TcpStream) {
-    if let Err(error) = tcp::configure(&stream) {
-        log::debug!("caller's connection failed: {error}");
-        return;
-    }
     let mut caller = CallerConnection::new(stream, context.http.clone());
     loop {
         let limits = context
@@ -114,19 +109,42 @@
         .borrow_mut()
         .record_request(&service, routers, now);
     if let (Some(team), Some(prompt)) = (authorized.team_name(), &request.caller_headers.prompt) {
-        let mut fair_shares = context.fair_shares.borrow_mut();
-        fair_shares.record_request(team.tag().0, prompt.weighted_tokens(), now);
+        let tokens = prompt.weighted_tokens();
+        context
+            .fair_shares
+            .borrow_mut()
+            .record_request(team.tag().0, tokens, now);
+        if !context.allows_request(team, now) {
+            let refusal = Refusal::not_run("strained", OVERLOAD_RETRY_DELAY);
+            log_refused(&request, Some(team), refusal);
+            return refuse(context, caller, refusal).await;
+        }
     }
     let timeout = authorized.config.route_at(authorized.route).timeout;
     let kind = authorized.kind();
     let team = authorized.team_name().cloned();
     let deadline = request.deadline(timeout);
     let mut dispatch = Dispatch::new(context, &request, authorized);
+    // A refusal needs neither the connection's options nor a watch for the end of the
+    // connection, which cost an overloaded router more than the refusal itself.
+    let first_attempt = match dispatch.next_attempt() {
+        Ok(attempt) => attempt,
+        Err(refusal) => {
+            let refused = Outcome::Refused(refusal);
+            let ended = send_outcome(context, caller, &mut dispatch, refused, deadline).await;
+            log_ended(context, &request, kind, team.as_ref(), &ended);
+            return ended;
+        }
+    };
+    if let Err(error) = caller.configure() {
+        log::debug!("caller's connection failed: {error}");
+        return RequestEnd::Disconnected;
+    }
     let abandon_at = deadline.checked_sub(RESPONSE_MARGIN).unwrap_or(deadline);
     let outcome = tokio::select! {
         biased;
         () = caller.disconnected() => None,
-        outcome = run_until(abandon_at.into(), dispatch.run(None, None)) => Some(outcome),
+        outcome = run_until(abandon_at.into(), dispatch.run(None, Some(first_attempt))) => Some(outcome),
     };
     let ended = match outcome {
         None => RequestEnd::Disconnected,
