Edge: a stream that cannot be resumed logs the reason

KW1513 resume-failed states the status or the reason; an unknown outcome keeps the reason of the refusal that it replaces.

Target 1 drains, target 2 has left and comes back 0.6 s later, and the only other target broke the stream: no target could take it.

--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -194,7 +194,7 @@
         match fallback {
             Some(buffered) => Outcome::Buffered(buffered),
             // Once an attempt may have run, a refusal must not promise "not run".
-            None if self.runs > 0 => Outcome::Refused(Refusal::unknown("attempt broken")),
+            None if self.runs > 0 => Outcome::Refused(Refusal::unknown(refusal.why)),
             None => Outcome::Refused(refusal),
         }
     }
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -346,10 +346,20 @@
         () = caller.disconnected() => return Resumed::Disconnected,
         outcome = dispatch.run(last, placed) => outcome,
     };
-    match outcome {
-        Outcome::Streamed(stream) if stream.status == StatusCode::OK => Resumed::Stream(stream),
-        _ => Resumed::Impossible,
-    }
+    let why = match outcome {
+        Outcome::Streamed(stream) if stream.status == StatusCode::OK => {
+            return Resumed::Stream(stream);
+        }
+        Outcome::Streamed(stream) => format!("status {}", stream.status.as_u16()),
+        Outcome::Buffered(response) => format!("status {}", response.status.as_u16()),
+        Outcome::Refused(refusal) => refusal.to_string(),
+    };
+    let fields: [Field<'_>; 2] = [
+        ("request", &dispatch.request.caller_headers.id),
+        ("why", &why),
+    ];
+    event::log(Event::ResumeFailed, &fields);
+    Resumed::Impossible
 }
 
 fn response_end(status: StatusCode, written: std::io::Result<bool>) -> RequestEnd {
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -183,6 +183,8 @@
     StreamResumed 1511 Info "stream-resumed";
     /// The caller disconnected before the end of the response.
     CallerLeft 1512 Info "caller-left";
+    /// A stream could not be continued on another target.
+    ResumeFailed 1513 Warn "resume-failed";
 }
 
 impl Display for Event {
