--- a/policy/tests/direct_load/fairness.rs
+++ b/policy/tests/direct_load/fairness.rs
@@ -50,12 +50,15 @@
     /// The limit on the output that callers of team 0 state, as a multiple of what
     /// they expect.
     limit_factor: u32,
+    /// The requests that router 0 can send in a second.
+    max_sent: u32,
 }
 
 const NO_DIFFERENCE: Difference = Difference {
     reaches_one_router: false,
     lag: Duration::ZERO,
     limit_factor: 1,
+    max_sent: u32::MAX,
 };
 
 /// Plays both teams and the small ones.
@@ -66,10 +69,15 @@
     lags[0] = difference.lag;
     let mut pool = Pool::new(Policy::Product, TARGETS, PREFILL_RATE, &lags, start);
     let mut services = [Service::default(), Service::default()];
+    // The requests sent by router 0 in the current second.
+    let mut sent = (0, 0);
     for step in 0..SECONDS * 1_000 / STEP.as_millis() as usize {
         let now = start + STEP * step as u32;
         let second = (now - start).as_secs() as usize;
         pool.begin_step(now);
+        if sent.0 != second {
+            sent = (second, 0);
+        }
         for (index, kind) in KINDS.iter().enumerate() {
             if !random.random_bool(kind.per_second * LOAD_FACTOR * STEP.as_secs_f64()) {
                 continue;
@@ -97,7 +105,14 @@
             if let Some(service) = services.get_mut(team) {
                 service.record_request(tokens, second);
             }
-            pool.offer(router, request, &prompt, &mut random, now);
+            if router == 0 && sent.1 >= difference.max_sent {
+                pool.refuse(router, request, now);
+                continue;
+            }
+            let is_sent = pool.offer(router, request, &prompt, &mut random, now);
+            if router == 0 && is_sent {
+                sent.1 += 1;
+            }
         }
         for begun in pool.end_step(now) {
             let Request { team, tokens, .. } = begun.request;
@@ -157,3 +172,13 @@
         ..NO_DIFFERENCE
     }));
 }
+
+/// Guards against one team's overloaded router leaving the pool to the other team.
+#[test]
+fn a_team_whose_only_router_can_send_little_gets_half_of_what_another_team_gets() {
+    assert_fair(&play(Difference {
+        reaches_one_router: true,
+        max_sent: 20,
+        ..NO_DIFFERENCE
+    }));
+}
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -404,6 +404,12 @@
         true
     }
 
+    /// Refuses a request at a router without selecting a target.
+    pub(crate) fn refuse(&mut self, router: usize, request: Request, now: Instant) {
+        let shares = &mut self.routers[router].shares;
+        shares.record_request(request.team as u64, request.tokens, now);
+    }
+
     fn exchange_reports(&mut self, now: Instant) {
         let loads: Vec<PeerLoadReport> = self
             .routers
