Edge: requests refused by the limit on requests in progress are counted

They were logged but missing from knapweed_edge_requests (outcome strained) and from the lines on refused teams.

--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -116,6 +116,10 @@
             .record_request(team.tag().0, tokens, now);
         if !context.allows_request(team, now) {
             let refusal = Refusal::not_run("strained", OVERLOAD_RETRY_DELAY);
+            context.refused_teams.borrow_mut().record(team, tokens);
+            let elapsed = request.received_at.elapsed();
+            let kind = authorized.kind();
+            context.metrics.record_request(kind, "strained", elapsed);
             log_refused(&request, Some(team), refusal);
             return refuse(context, caller, refusal).await;
         }
--- a/policy/src/direct/overload.rs
+++ b/policy/src/direct/overload.rs
@@ -175,10 +175,9 @@
 
     /// Whether a request may begin while `requests` others are in progress.
     pub fn allows(&self, requests: usize, is_within_share: bool) -> bool {
-        let factor = if is_within_share {
-            WITHIN_SHARE_FACTOR
-        } else {
-            1.0
+        let factor = match is_within_share {
+            true => WITHIN_SHARE_FACTOR,
+            false => 1.0,
         };
         self.limit
             .is_none_or(|limit| (requests as f64) < limit * factor)
