Live tests: router and agent record the end of a request in either order

Each process records its own end with its own clock reading when the last byte has passed, so neither order is guaranteed. The ends are now compared in the order of the processes' names; every entry and the order of all others are still checked.

--- a/livetests/tests/explain.rs
+++ b/livetests/tests/explain.rs
@@ -47,8 +47,15 @@
 /// The decisions about a request: process, step, details and the text of the rules.
 fn explain(fleet: &Deployment, request: &str) -> String {
     let answer = run_ctl(fleet, &["why", request], true);
+    let decisions = answer["decisions"].as_array().into_iter().flatten();
+    let mut decisions: Vec<&Value> = decisions.collect();
+    // Router and agent record the end of a request concurrently, in either order.
+    let is_other_step = |decision: &&Value| decision["step"] != "end";
+    let ends = decisions.iter().rposition(is_other_step);
+    let ends = ends.map_or(0, |last| last + 1);
+    decisions[ends..].sort_by_key(|decision| decision["process"].as_str());
     let mut lines = String::new();
-    for decision in answer["decisions"].as_array().into_iter().flatten() {
+    for decision in decisions {
         let text = |key: &str| decision[key].as_str().unwrap_or_default().to_owned();
         lines += &format!("{} {}: {}\n", text("process"), text("step"), text("detail"));
         for rule in decision["rules"].as_array().into_iter().flatten() {
