Edge: log and count how the bodies of responses end

The logs could not tell the hypotheses on the truncated answers apart: KW1510 states neither how a target marked the end of the body nor whether it was inside an event. KW1514 body-ended is written when a body ended with its connection or inside an event, with the target, the framing and the size of the incomplete event; knapweed_edge_body_ends counts all ends by both. No change of behaviour.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -31,7 +31,7 @@
 use crate::metrics::TrafficMetrics;
 use crate::refused_teams::RefusedTeams;
 use crate::shared::{LocalReport, PeerState, Shared};
-use crate::target::ConnectionPool;
+use crate::target::{BodyFraming, ConnectionPool};
 
 /// The period of the traffic thread's maintenance: publishing its load report and
 /// closing expired connections.
@@ -434,6 +434,29 @@
         }
     }
 
+    /// Records how the body of a response ended; `partial` is the size in bytes of an
+    /// incomplete event at its end.
+    pub(crate) fn record_body_end(
+        &self,
+        request_id: &str,
+        target_id: TargetEntryId,
+        framing: BodyFraming,
+        partial: usize,
+    ) {
+        self.metrics.record_body_end(framing, partial > 0);
+        if framing == BodyFraming::Framed && partial == 0 {
+            return;
+        }
+        let target_table = self.target_table.borrow();
+        let fields: [event::Field<'_>; 4] = [
+            ("request", &request_id),
+            ("target", &target_table.target(target_id).name),
+            ("framing", &framing),
+            ("partial", &partial),
+        ];
+        event::log(Event::BodyEnded, &fields);
+    }
+
     /// Records an attempt that broke while its target was processing it.
     pub(crate) fn record_broken_attempt(
         &self,
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -6,6 +6,8 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
+use crate::target::BodyFraming;
+
 /// Bucket bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_SECONDS: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 10.0,
@@ -20,6 +22,7 @@
     first_event: Histogram<f64>,
     full_response: Histogram<f64>,
     connections: Counter<u64>,
+    body_ends: Counter<u64>,
     reported_connections: Cell<u64>,
 }
 
@@ -41,6 +44,7 @@
             connections: meter
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
+            body_ends: meter.u64_counter("knapweed_edge_body_ends").build(),
             reported_connections: Cell::new(0),
         }
     }
@@ -76,6 +80,15 @@
             .record(elapsed.as_secs_f64(), &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts the end of a body by its framing and by whether it was inside an event.
+    pub(crate) fn record_body_end(&self, framing: BodyFraming, is_inside_event: bool) {
+        let labels = [
+            KeyValue::new("framing", framing.to_string()),
+            KeyValue::new("inside_event", is_inside_event),
+        ];
+        self.body_ends.add(1, &labels);
+    }
+
     /// Updates the counter of connections to targets from the number opened so far.
     pub(crate) fn record_connections(&self, opened: u64) {
         self.connections
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -497,6 +497,12 @@
                         },
                     )));
                 }
+                self.context.record_body_end(
+                    &self.request.caller_headers.id,
+                    target_id,
+                    body.framing(),
+                    0,
+                );
                 let buffered = BufferedResponse {
                     status,
                     headers,
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -292,6 +292,12 @@
             }
             Ok(None) => {
                 let partial = events.finish();
+                context.record_body_end(
+                    &dispatch.request.caller_headers.id,
+                    attempt.target_id,
+                    body.framing(),
+                    partial.len(),
+                );
                 if !partial.is_empty() && caller.write_chunk(partial).await.is_err() {
                     return RequestEnd::Disconnected;
                 }
--- a/edge/src/target.rs
+++ b/edge/src/target.rs
@@ -295,6 +295,26 @@
     Close,
 }
 
+/// How a target marks the end of a body.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
+pub(crate) enum BodyFraming {
+    /// By a content length or by chunked encoding, or there is no body.
+    #[display("framed")]
+    Framed,
+    /// By the end of the connection, as does a target that crashes.
+    #[display("close")]
+    Close,
+}
+
+impl Framing {
+    fn kind(&self) -> BodyFraming {
+        match self {
+            Self::Empty(_) | Self::Framed(_) => BodyFraming::Framed,
+            Self::Close => BodyFraming::Close,
+        }
+    }
+}
+
 /// Returns the framing of a response, and the codec for the next response if there is
 /// no body.
 fn response_framing(
@@ -419,6 +439,11 @@
         }
     }
 
+    /// How the target marks the end of the body.
+    pub(crate) fn framing(&self) -> BodyFraming {
+        self.framing.kind()
+    }
+
     /// Whether the body was read to its end.
     pub(crate) fn is_complete(&self) -> bool {
         self.connection.is_none()
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -185,6 +185,8 @@
     CallerLeft 1512 Info "caller-left";
     /// A stream could not be continued on another target.
     ResumeFailed 1513 Warn "resume-failed";
+    /// A body ended without framing, or inside an event.
+    BodyEnded 1514 Info "body-ended";
 }
 
 impl Display for Event {
