Failing tests: truncated streams without framing look complete to their callers

A stand-in target streams events without a length or chunks and closes the connection in the middle of event 4 (torn), ends its chunked body there (half), resets the connection after event 4 (lost), or ends between two events (eof).

--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -6,8 +6,8 @@
 
 use eyre::WrapErr;
 use serde_json::{Value, json};
-pub use standins::platform::raw_call;
-use standins::platform::{Arrival, ScriptedTarget, Store};
+use standins::platform::{Arrival, ScriptedTarget, Store, raw_exchange};
+pub use standins::platform::{RawResponse, raw_call};
 
 use crate::process::{Process, Signal};
 use crate::wait_until;
@@ -177,23 +177,22 @@
         id: &str,
         key: Option<&str>,
     ) -> String {
-        let key = key.map_or(String::new(), |key| {
-            format!("Authorization: Bearer {key}\r\n")
-        });
-        let body = if method == "POST" {
-            "Content-Length: 4\r\n\r\nbody"
-        } else {
-            "\r\n"
-        };
-        let request = format!(
-            "{method} {path} HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n\
-             X-Knapweedgate-Request-Id: {id}\r\nX-Knapweedgate-Deadline-Ms: 4000\r\n\
-             X-Knapweedgate-Tenant: blue\r\nX-Knapweedgate-Hold: forged\r\n{key}{body}"
-        );
         let address = self.routers[router].address("callers");
+        let request = request_text(method, path, id, key);
         raw_call(address, &request).await.unwrap_or_default()
     }
 
+    /// Sends a request with [`RED_KEY`] to the first router and returns everything received.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the request cannot be sent.
+    pub async fn receive(&self, method: &str, path: &str, id: &str) -> eyre::Result<RawResponse> {
+        let address = self.routers[0].address("callers");
+        let request = request_text(method, path, id, Some(RED_KEY));
+        Ok(raw_exchange(address, &request).await?)
+    }
+
     /// The requests with this id that reached targets.
     pub fn arrivals(&self, id: &str) -> Vec<Arrival> {
         let all = self.targets.iter().flat_map(ScriptedTarget::arrivals);
@@ -233,6 +232,23 @@
     }
 }
 
+/// Returns the text of a request.
+fn request_text(method: &str, path: &str, id: &str, key: Option<&str>) -> String {
+    let key = key.map_or(String::new(), |key| {
+        format!("Authorization: Bearer {key}\r\n")
+    });
+    let body = if method == "POST" {
+        "Content-Length: 4\r\n\r\nbody"
+    } else {
+        "\r\n"
+    };
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n\
+         X-Knapweedgate-Request-Id: {id}\r\nX-Knapweedgate-Deadline-Ms: 4000\r\n\
+         X-Knapweedgate-Tenant: blue\r\nX-Knapweedgate-Hold: forged\r\n{key}{body}"
+    )
+}
+
 /// The status of a raw response; 0 if there is none.
 pub fn status_of(answer: &str) -> u16 {
     let status = answer.split(' ').nth(1);
@@ -269,6 +285,27 @@
     answer.ends_with("0\r\n\r\n")
 }
 
+/// Whether a response looks complete to its caller.
+pub fn looks_complete(response: &RawResponse) -> bool {
+    let (head, body) = response.text.split_once("\r\n\r\n").unwrap_or_default();
+    let head = head.to_ascii_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    match length {
+        Some(length) => length.parse() == Ok(body.len()),
+        None if head.contains("transfer-encoding: chunked") => is_complete_chunked(body),
+        None => !head.is_empty() && !response.is_reset,
+    }
+}
+
+/// Whether the end of a response is marked by a length or a final chunk.
+pub fn is_framed(response: &RawResponse) -> bool {
+    let (head, _) = response.text.split_once("\r\n\r\n").unwrap_or_default();
+    let head = head.to_ascii_lowercase();
+    head.contains("content-length: ") || head.contains("transfer-encoding: chunked")
+}
+
 /// The raw response of an operators' page; `None` on an error or after 2 s.
 pub async fn http_get(operators: SocketAddr, path: &str) -> Option<String> {
     let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -8,6 +8,6 @@
 mod store;
 mod target;
 
-pub use http::{RawRequest, raw_call};
+pub use http::{RawRequest, RawResponse, raw_call, raw_exchange};
 pub use store::{Store, StoreMode};
 pub use target::{Arrival, ClientDisconnect, ScriptedTarget};
--- a/standins/src/platform/http.rs
+++ b/standins/src/platform/http.rs
@@ -82,15 +82,41 @@
     Ok(Some(request))
 }
 
-/// Sends the bytes of a request and returns everything received until the connection ends.
+/// Everything received on a connection until its end.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct RawResponse {
+    /// The bytes received.
+    pub text: String,
+    /// Whether the connection was reset instead of closed.
+    pub is_reset: bool,
+}
+
+/// Sends the bytes of a request and returns everything received until the connection is
+/// closed or reset.
 ///
 /// # Errors
 ///
-/// Returns an error if the connection cannot be opened or is reset.
-pub async fn raw_call(address: SocketAddr, request: &str) -> io::Result<String> {
+/// Returns an error if the connection cannot be opened or the request cannot be sent.
+pub async fn raw_exchange(address: SocketAddr, request: &str) -> io::Result<RawResponse> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(request.as_bytes()).await?;
     let mut response = Vec::new();
-    stream.read_to_end(&mut response).await?;
-    Ok(String::from_utf8_lossy(&response).into_owned())
+    let end = stream.read_to_end(&mut response).await;
+    Ok(RawResponse {
+        text: String::from_utf8_lossy(&response).into_owned(),
+        is_reset: end.is_err(),
+    })
+}
+
+/// Sends the bytes of a request and returns everything received until the connection ends.
+///
+/// # Errors
+///
+/// Returns an error if the connection cannot be opened or is reset.
+pub async fn raw_call(address: SocketAddr, request: &str) -> io::Result<String> {
+    let response = raw_exchange(address, request).await?;
+    match response.is_reset {
+        true => Err(io::ErrorKind::ConnectionReset.into()),
+        false => Ok(response.text),
+    }
 }
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -17,6 +17,10 @@
 //! | `mute` | never answers |
 //! | `stream-N` | streams N events |
 //! | `halt-N` | closes the connection in the middle of event N; resumes on request |
+//! | `half-N` | ends the body in the middle of event N with the final chunk; resumes on request |
+//! | `eof-N` | streams N events without framing and closes the connection |
+//! | `torn-N` | like `halt-N`, without framing |
+//! | `lost-N` | streams N events without framing and resets the connection; resumes on request |
 //! | `stall-N` | streams N events and then sends nothing; resumes on request |
 //! | `slow-N` | streams ten events, one every N milliseconds |
 
@@ -27,13 +31,17 @@
 
 use bytes::BytesMut;
 use serde_json::{Value, json};
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
 use super::http::{self, RawRequest};
 
-/// The number of events of a `halt`, `stall` or `slow` stream.
+/// The delay of a reset, which may discard bytes that its receiver has not read.
+const RESET_DELAY: Duration = Duration::from_millis(200);
+
+/// The number of events of all streams but `stream` and `eof`.
 const DEFAULT_EVENT_COUNT: u64 = 10;
 
 /// A request that reached the target.
@@ -197,28 +205,28 @@
                 format!("{whole}{other}")
             }
             "unframed" => format!("HTTP/1.1 200 OK\r\n{identity_headers}\r\n{body}"),
-            "stream" | "slow" | "halt" | "stall" => {
+            "stream" | "slow" | "halt" | "stall" | "half" | "eof" | "torn" | "lost" => {
                 let after = request.header("last-event-id");
                 let after: Option<u64> = after.and_then(|id| id.parse().ok());
-                let options = match name {
-                    "stream" => StreamOptions {
-                        after: after.unwrap_or(0),
-                        ..StreamOptions::up_to(number)
-                    },
-                    "slow" => StreamOptions {
-                        after: after.unwrap_or(0),
-                        pause: Duration::from_millis(number),
-                        ..StreamOptions::up_to(DEFAULT_EVENT_COUNT)
-                    },
-                    "halt" => StreamOptions {
-                        after: after.unwrap_or(0),
-                        fault: after.is_none().then_some(StreamFault::Cut(number)),
-                        ..StreamOptions::up_to(DEFAULT_EVENT_COUNT)
-                    },
-                    _ => StreamOptions {
-                        after: after.unwrap_or(0),
-                        fault: after.is_none().then_some(StreamFault::Stall(number)),
-                        ..StreamOptions::up_to(DEFAULT_EVENT_COUNT)
+                let fault = match name {
+                    "halt" | "torn" => Some(StreamFault::Cut(number)),
+                    "half" => Some(StreamFault::End(number)),
+                    "lost" => Some(StreamFault::Reset(number)),
+                    "stall" => Some(StreamFault::Stall(number)),
+                    _ => None,
+                };
+                let last = match name {
+                    "stream" | "eof" => number,
+                    _ => DEFAULT_EVENT_COUNT,
+                };
+                let options = StreamOptions {
+                    after: after.unwrap_or(0),
+                    last,
+                    fault: fault.filter(|_| after.is_none()),
+                    is_chunked: after.is_some() || !matches!(name, "eof" | "torn" | "lost"),
+                    pause: match name {
+                        "slow" => Duration::from_millis(number),
+                        _ => Duration::ZERO,
                     },
                 };
                 return self
@@ -254,33 +262,52 @@
         identity_headers: &str,
         options: StreamOptions,
     ) -> io::Result<bool> {
+        let framing = match options.is_chunked {
+            true => "Transfer-Encoding: chunked\r\n",
+            false => "",
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{identity_headers}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\n{identity_headers}Content-Type: text/event-stream\r\n{framing}\r\n"
         );
         stream.write_all(head.as_bytes()).await?;
         for number in options.after + 1..=options.last {
             let event = format!("id: {number}\ndata: token {number}\n\n");
-            if options.fault == Some(StreamFault::Cut(number)) {
-                let half = &event[..event.len() / 2];
-                let chunk = format!("{:x}\r\n{half}\r\n", half.len());
-                stream.write_all(chunk.as_bytes()).await?;
-                return Ok(false);
+            let half = &event[..event.len() / 2];
+            match options.fault {
+                Some(StreamFault::Cut(at)) if at == number => {
+                    stream.write_all(&options.encode(half)).await?;
+                    return Ok(false);
+                }
+                Some(StreamFault::End(at)) if at == number => {
+                    stream.write_all(&options.encode(half)).await?;
+                    break;
+                }
+                _ => {}
             }
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            if stream.write_all(chunk.as_bytes()).await.is_err() {
+            if stream.write_all(&options.encode(&event)).await.is_err() {
                 self.record_disconnect(request);
                 return Ok(false);
             }
-            if options.fault == Some(StreamFault::Stall(number)) {
-                // Becomes readable when the client closes the connection.
-                stream.readable().await?;
-                self.record_disconnect(request);
-                return Ok(false);
+            match options.fault {
+                Some(StreamFault::Stall(at)) if at == number => {
+                    // Becomes readable when the client closes the connection.
+                    stream.readable().await?;
+                    self.record_disconnect(request);
+                    return Ok(false);
+                }
+                Some(StreamFault::Reset(at)) if at == number => {
+                    sleep(RESET_DELAY).await;
+                    SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
+                    return Ok(false);
+                }
+                _ => {}
             }
             sleep(options.pause).await;
         }
-        stream.write_all(b"0\r\n\r\n").await?;
-        Ok(true)
+        if options.is_chunked {
+            stream.write_all(b"0\r\n\r\n").await?;
+        }
+        Ok(options.is_chunked)
     }
 }
 
@@ -289,6 +316,10 @@
 enum StreamFault {
     /// Closes the connection in the middle of this event.
     Cut(u64),
+    /// Ends the body in the middle of this event.
+    End(u64),
+    /// Resets the connection after this event.
+    Reset(u64),
     /// Sends nothing more after this event.
     Stall(u64),
 }
@@ -302,18 +333,18 @@
     last: u64,
     /// The fault, if any.
     fault: Option<StreamFault>,
+    /// Whether the body is sent in chunks; otherwise it ends with the connection.
+    is_chunked: bool,
     /// The delay after each event.
     pause: Duration,
 }
 
 impl StreamOptions {
-    /// All events up to `last`, without delay or fault.
-    fn up_to(last: u64) -> Self {
-        Self {
-            after: 0,
-            last,
-            fault: None,
-            pause: Duration::ZERO,
+    /// Returns the bytes on the wire for a part of the body.
+    fn encode(&self, part: &str) -> Vec<u8> {
+        match self.is_chunked {
+            true => format!("{:x}\r\n{part}\r\n", part.len()).into_bytes(),
+            false => part.as_bytes().to_vec(),
         }
     }
 }
