Edge: the end of a body is marked only if its target marked it

What callers saw: a stream that its target broke off was framed as complete, with half an event before the final chunk, so they did not take it up again; resumable streams were not resumed.

Cause: a body with neither a length nor chunks ends with its connection, and so does a crash. The end of the connection counted as the normal end, the splitter released what was left of an event as the rest of the stream, and the response got a final chunk or a length, which states more than was known. Class: an absent statement is replaced by the best case.

Now: - EventSplitter::finish returns an error if the stream ended inside an event, whatever its framing. That is handled like a truncated body: resumed where the route allows it, else cut off. Blank lines and comments are no event. A response on a stream route with another content type is not split. - A body without framing goes to its caller without framing.

Weighed: a final chunk at an event boundary (claims what nobody knows); no final chunk ever (whole answers fail); a probe by Last-Event-Id at another target (a prefill for each answer).

The property in edge/tests/pieces.rs expected that the rest of a cut text is released, which was the fault. Its replacement accounts for every byte as well: released events plus the reported size of the partial event are the text.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -497,6 +497,13 @@
         self.shared.add_local_crashes(new.collect::<Vec<_>>());
     }
 
+    /// Records that a request ran to the marked end of its response.
+    pub(crate) fn record_completed(&self, fingerprint: Fingerprint) {
+        self.crash_history
+            .borrow_mut()
+            .record_completed(fingerprint);
+    }
+
     /// Records the result of an attempt for outlier detection.
     pub(crate) fn record_result(&self, target_id: TargetEntryId, good: bool, now: Instant) {
         let mut target_table = self.target_table.borrow_mut();
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -26,7 +26,7 @@
 
 use crate::context::{Attempt, Context};
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
-use crate::target::{Body, SendError, TargetRequest, TargetResponse};
+use crate::target::{Body, BodyFraming, SendError, TargetRequest, TargetResponse};
 
 /// The maximum size of a response that is buffered before it is forwarded.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
@@ -68,6 +68,7 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) framing: BodyFraming,
 }
 
 /// A response whose body is forwarded in chunks.
@@ -503,10 +504,18 @@
                     body.framing(),
                     0,
                 );
+                if body.framing() == BodyFraming::Close {
+                    self.context.record_broken_attempt(
+                        target_id,
+                        self.request.fingerprint,
+                        Instant::now(),
+                    );
+                }
                 let buffered = BufferedResponse {
                     status,
                     headers,
                     body: first,
+                    framing: body.framing(),
                 };
                 if succeeded {
                     ResponseAction::Respond(Outcome::Buffered(buffered))
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -2,26 +2,27 @@
 //!
 //! Invariants:
 //! - When the caller disconnects, its attempt is cancelled at once.
-//! - A truncated response never looks complete to the caller: the connection is
-//!   closed before the end of the body.
+//! - A truncated response never looks complete to the caller: the connection is closed
+//!   before the end of the body is marked, or reset if nothing else marks it.
+//! - The end of a body is marked only if its target marked it.
 
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
-use actix_http::header::CONTENT_LENGTH;
+use bytes::Bytes;
 use entity::Name;
 use node::event::{self, Event, Field};
 use policy::direct::config::RetryPolicy;
 use tokio::net::TcpStream;
 
-use crate::caller::{CallerConnection, INITIAL_LIMITS, ReadOutcome, run_until};
+use crate::caller::{CallerConnection, INITIAL_LIMITS, ReadOutcome, ResponseFraming, run_until};
 use crate::context::{Attempt, Context};
-use crate::events::EventSplitter;
+use crate::events::{EventSplitter, has_events};
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
 use crate::serve::{Dispatch, Outcome, StreamedResponse};
-use crate::target::BodyTruncated;
+use crate::target::{BodyFraming, BodyTruncated};
 
 /// How long before its deadline a request without a response is abandoned, so that
 /// the error response arrives in time.
@@ -188,15 +189,23 @@
     deadline: Instant,
 ) -> RequestEnd {
     match outcome {
-        Outcome::Buffered(mut response) => {
-            response.headers.remove(CONTENT_LENGTH);
+        Outcome::Buffered(response) => {
             let close = context.closes_after_response();
-            context
-                .crash_history
-                .borrow_mut()
-                .record_completed(dispatch.request.fingerprint);
+            let framing = match response.framing {
+                BodyFraming::Framed => {
+                    context.record_completed(dispatch.request.fingerprint);
+                    ResponseFraming::Length(response.body.len() as u64)
+                }
+                BodyFraming::Close => ResponseFraming::Close,
+            };
             let written = caller
-                .respond(response.status, response.headers, &response.body, close)
+                .respond(
+                    response.status,
+                    response.headers,
+                    &response.body,
+                    framing,
+                    close,
+                )
                 .await;
             response_end(response.status, written)
         }
@@ -229,24 +238,25 @@
 ) -> RequestEnd {
     let StreamedResponse {
         status,
-        mut headers,
+        headers,
         first,
         mut body,
         mut attempt,
     } = stream;
-    let is_events = dispatch.authorized.retry_policy().is_stream();
-    let length = headers.get(CONTENT_LENGTH);
-    let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
-    // A content length would be valid for one run only.
-    let length: Option<u64> = length.filter(|_| !is_events);
-    headers.remove(CONTENT_LENGTH);
+    let is_events = dispatch.authorized.retry_policy().is_stream() && has_events(&headers);
+    let framing = match body.framing() {
+        BodyFraming::Framed => ResponseFraming::Chunked,
+        BodyFraming::Close => ResponseFraming::Close,
+    };
     let close = context.closes_after_response();
     if caller
-        .begin_response(status, headers, length, close)
+        .begin_response(status, headers, framing, close)
         .is_err()
     {
         return RequestEnd::Truncated("unwritable head");
     }
+    let request_id = dispatch.request.caller_headers.id.as_str();
+    let fingerprint = dispatch.request.fingerprint;
     let mut events = EventSplitter::resume_after(dispatch.request.caller_headers.last_event);
     let mut pending = Some(first).filter(|it| !it.is_empty());
     let is_resumable =
@@ -279,8 +289,20 @@
                 }
             },
         };
+        let next = match next {
+            Ok(None) => events.finish().map(StreamInput::End).map_err(|partial| {
+                context.record_body_end(
+                    request_id,
+                    attempt.target_id,
+                    body.framing(),
+                    partial.bytes,
+                );
+                BodyTruncated
+            }),
+            next => next.map(|bytes| StreamInput::Bytes(bytes.unwrap_or_default())),
+        };
         match next {
-            Ok(Some(bytes)) => {
+            Ok(StreamInput::Bytes(bytes)) => {
                 context
                     .target_table
                     .borrow_mut()
@@ -290,22 +312,26 @@
                     return RequestEnd::Disconnected;
                 }
             }
-            Ok(None) => {
-                let partial = events.finish();
-                context.record_body_end(
-                    &dispatch.request.caller_headers.id,
-                    attempt.target_id,
-                    body.framing(),
-                    partial.len(),
-                );
-                if !partial.is_empty() && caller.write_chunk(partial).await.is_err() {
+            Ok(StreamInput::End(rest)) => {
+                let end = body.framing();
+                context.record_body_end(request_id, attempt.target_id, end, 0);
+                if !rest.is_empty() && caller.write_chunk(rest).await.is_err() {
                     return RequestEnd::Disconnected;
                 }
-                context.record_result(attempt.target_id, true, Instant::now());
-                context
-                    .crash_history
-                    .borrow_mut()
-                    .record_completed(dispatch.request.fingerprint);
+                let now = Instant::now();
+                match end {
+                    BodyFraming::Framed => {
+                        context.record_result(attempt.target_id, true, now);
+                        context.record_completed(fingerprint);
+                    }
+                    // The target may have crashed, which shows once it is unreachable.
+                    BodyFraming::Close => {
+                        context.record_broken_attempt(attempt.target_id, fingerprint, now);
+                    }
+                }
+                if end == BodyFraming::Close && framing != ResponseFraming::Close {
+                    return RequestEnd::Truncated("unmarked end");
+                }
                 return response_end(status, caller.finish_response().await);
             }
             Err(BodyTruncated) => {
@@ -315,7 +341,7 @@
                 drop(attempt);
                 let now = Instant::now();
                 context.record_result(target_id, false, now);
-                context.record_broken_attempt(target_id, dispatch.request.fingerprint, now);
+                context.record_broken_attempt(target_id, fingerprint, now);
                 if !is_resumable || !dispatch.may_resume(target_id) {
                     return RequestEnd::Truncated("target broke the stream");
                 }
@@ -333,6 +359,13 @@
     }
 }
 
+/// What a target's stream delivers next.
+enum StreamInput {
+    Bytes(Bytes),
+    /// The end of the stream, with the bytes after its last event.
+    End(Bytes),
+}
+
 enum Resumed {
     Stream(Box<StreamedResponse>),
     Impossible,
--- a/edge/src/target.rs
+++ b/edge/src/target.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariants:
 //! - [`SendError::Unsent`] means that no byte of the request left this process.
-//! - A body ends with `None` only if its framing shows that it is complete.
+//! - A body ends with `None` only if its framing shows that it is complete, or if it is
+//!   delimited by the end of the connection, which shows nothing.
 //! - A connection is reused only if its last request was fully written, its last
 //!   response was fully read and no bytes followed the response.
 
--- a/edge/src/tcp.rs
+++ b/edge/src/tcp.rs
@@ -31,3 +31,13 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))
 }
+
+/// Sets whether dropping the socket resets the connection instead of closing it, also
+/// when the process is killed.
+///
+/// # Errors
+///
+/// Returns an error if the operating system rejects the option.
+pub(crate) fn set_reset_on_drop(stream: &TcpStream, resets: bool) -> io::Result<()> {
+    SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO))
+}
--- a/edge/tests/pieces.rs
+++ b/edge/tests/pieces.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use knapweed_edge::events::EventSplitter;
+use knapweed_edge::events::{EventSplitter, PartialEvent};
 use knapweed_edge::latest::LatestSnapshot;
 use proptest::prelude::*;
 
@@ -57,8 +57,12 @@
         let released = String::from_utf8(released).expect("text");
         let last_id = events.last_id().unwrap_or(0) as usize;
         prop_assert_eq!(&released, &stream(last_id));
-        let rest = String::from_utf8(events.finish().to_vec()).expect("text");
-        prop_assert_eq!(released + &rest, &text[..end]);
+        let expected = match end - released.len() {
+            0 => Ok(Bytes::new()),
+            bytes => Err(PartialEvent { bytes }),
+        };
+        prop_assert_eq!(events.finish(), expected);
+        prop_assert_eq!(events.finish(), Ok(Bytes::new()));
     }
 }
 
@@ -71,5 +75,21 @@
     events.push(Bytes::from_static(b"id: 8\r\ndata: x\r\n\r\nid: 9\r\nda"));
     assert_eq!(events.last_id(), Some(8));
     events.discard_partial();
-    assert!(events.finish().is_empty());
+    assert_eq!(events.finish(), Ok(Bytes::new()));
+}
+
+#[test]
+fn comments_and_blank_lines_after_the_last_event_are_no_partial_event() {
+    for rest in ["\n", ": ping\n", ":\r\n\n: a\n"] {
+        let mut events = EventSplitter::resume_after(None);
+        let text = format!("id: 1\ndata: x\n\n{rest}");
+        let mut released = events.push(Bytes::from(text.clone())).to_vec();
+        released.extend_from_slice(&events.finish().expect("no partial event"));
+        assert_eq!(released, text.as_bytes());
+    }
+    for rest in [": pin", "id: 2\n", ": ping\ndata: y\n"] {
+        let mut events = EventSplitter::resume_after(None);
+        events.push(Bytes::from(format!("id: 1\ndata: x\n\n{rest}")));
+        assert_eq!(events.finish(), Err(PartialEvent { bytes: rest.len() }));
+    }
 }
--- a/livetests/tests/unframed.rs
+++ b/livetests/tests/unframed.rs
@@ -75,3 +75,13 @@
     }
     Ok(())
 }
+
+#[actix_rt::test]
+async fn framed_stream_with_an_unframed_rest_does_not_look_complete() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start("mixed", 1, 2).await?;
+    let response = fleet.receive("GET", "/resume/mixed-4", "m").await?;
+    assert!(!looks_complete(&response), "{response:?}");
+    assert_eq!(body(&response), events(EVENTS));
+    assert_eq!(fleet.arrivals("m").len(), 2);
+    Ok(())
+}
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -20,6 +20,7 @@
 //! | `half-N` | ends the body in the middle of event N with the final chunk; resumes on request |
 //! | `eof-N` | streams N events without framing and closes the connection |
 //! | `torn-N` | like `halt-N`, without framing |
+//! | `mixed-N` | like `halt-N`; resumes without framing |
 //! | `lost-N` | streams N events without framing and resets the connection; resumes on request |
 //! | `stall-N` | streams N events and then sends nothing; resumes on request |
 //! | `slow-N` | streams ten events, one every N milliseconds |
@@ -205,11 +206,11 @@
                 format!("{whole}{other}")
             }
             "unframed" => format!("HTTP/1.1 200 OK\r\n{identity_headers}\r\n{body}"),
-            "stream" | "slow" | "halt" | "stall" | "half" | "eof" | "torn" | "lost" => {
+            "stream" | "slow" | "halt" | "stall" | "half" | "eof" | "torn" | "mixed" | "lost" => {
                 let after = request.header("last-event-id");
                 let after: Option<u64> = after.and_then(|id| id.parse().ok());
                 let fault = match name {
-                    "halt" | "torn" => Some(StreamFault::Cut(number)),
+                    "halt" | "torn" | "mixed" => Some(StreamFault::Cut(number)),
                     "half" => Some(StreamFault::End(number)),
                     "lost" => Some(StreamFault::Reset(number)),
                     "stall" => Some(StreamFault::Stall(number)),
@@ -223,7 +224,12 @@
                     after: after.unwrap_or(0),
                     last,
                     fault: fault.filter(|_| after.is_none()),
-                    is_chunked: after.is_some() || !matches!(name, "eof" | "torn" | "lost"),
+                    is_chunked: match name {
+                        "eof" => false,
+                        "torn" | "lost" => after.is_some(),
+                        "mixed" => after.is_none(),
+                        _ => true,
+                    },
                     pause: match name {
                         "slow" => Duration::from_millis(number),
                         _ => Duration::ZERO,
