Edge: a stream broken inside a partly forwarded event is not resumed

The splitter released an event of more than 1 MiB before its end and counted its id as delivered. A break in the rest of it was then resumed at another target, after that id: the caller got the first part of the event joined to the next one, framed as complete.

An oversized event is still released in parts, since it may be a valid one, but until its end the stream is not resumable, and its id counts only at its end. The limit is now 64 KiB, and push searches only new bytes: before, each read copied and searched everything buffered, which a target that sends an event without end could use to occupy the router.

Test: stream_broken_in_an_event_that_was_partly_forwarded_is_not_resumed failed before (the response looked complete) and passes; a property checks that an oversized event passes unchanged for any split and that resumption is barred exactly while it is open.

--- a/edge/src/events.rs
+++ b/edge/src/events.rs
@@ -1,17 +1,22 @@
 //! Splits a stream of server-sent events at event boundaries.
 //!
 //! Invariants:
-//! - Bytes are released only up to the end of an event, so a stream that is resumed at
-//!   another target never joins parts of two events.
+//! - Bytes are released only up to the end of an event, or the splitter says that the
+//!   stream cannot be resumed, so a stream that continues at another target never joins
+//!   parts of two events.
 //! - A stream that ends inside an event is incomplete, however its body is framed.
 
 use actix_http::header::{CONTENT_TYPE, HeaderMap};
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 
-/// The maximum size of a buffered incomplete event, in bytes; a larger one is
-/// released before it is complete.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// The maximum size of a buffered incomplete event, in bytes. A larger one is released
+/// in parts, and its stream cannot be resumed before its end.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
+
+/// The maximum number of bytes at the end of an input that may belong to the separator
+/// of two events whose rest follows.
+const MAX_SEPARATOR_PREFIX: usize = 3;
 
 /// The media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -36,35 +41,75 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    /// The length of the prefix of `partial` in which no event ends.
+    searched: usize,
     last_id: Option<u64>,
+    /// The event that is being released in parts.
+    oversized: Option<OversizedEvent>,
+}
+
+/// An incomplete event of which a part was released.
+#[derive(Clone, Copy, Debug)]
+struct OversizedEvent {
+    id: Option<u64>,
+    released_bytes: usize,
 }
 
 impl EventSplitter {
     /// Creates a splitter for a stream that resumes after the event `last_id`.
     pub fn resume_after(last_id: Option<u64>) -> Self {
         Self {
-            partial: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
-    /// Adds bytes and returns the events that are now complete.
+    /// Adds bytes and returns the events that are now complete, or a part of an event that
+    /// is too large to buffer.
     pub fn push(&mut self, bytes: Bytes) -> Bytes {
-        let buffered = match self.partial.is_empty() {
-            true => bytes,
-            false => {
-                self.partial.extend_from_slice(&bytes);
-                std::mem::take(&mut self.partial).freeze()
-            }
-        };
-        let end = match last_event_end(&buffered) {
-            None if buffered.len() > MAX_EVENT_BYTES => buffered.len(),
-            end => end.unwrap_or(0),
-        };
-        self.partial.extend_from_slice(&buffered[end..]);
-        let events = buffered.slice(..end);
-        self.last_id = last_event_id(&events).or(self.last_id);
-        events
+        if self.partial.is_empty() && last_event_end(&bytes) == Some(bytes.len()) {
+            self.record_events(&bytes);
+            return bytes;
+        }
+        self.partial.extend_from_slice(&bytes);
+        let from = self.searched.saturating_sub(MAX_SEPARATOR_PREFIX);
+        let end = last_event_end(&self.partial[from..]).map(|end| from + end);
+        if let Some(end) = end {
+            let events = self.partial.split_to(end).freeze();
+            self.searched = self.partial.len();
+            self.record_events(&events);
+            return events;
+        }
+        self.searched = self.partial.len();
+        match self.oversized.is_some() || self.partial.len() > MAX_EVENT_BYTES {
+            true => self.release_part(),
+            false => Bytes::new(),
+        }
+    }
+
+    /// Records released bytes that end with an event.
+    fn record_events(&mut self, events: &[u8]) {
+        let oversized = self.oversized.take();
+        let oversized_id = oversized.and_then(|event| event.id);
+        self.last_id = last_event_id(events).or(oversized_id).or(self.last_id);
+    }
+
+    /// Releases an incomplete event up to a possible separator at its end.
+    fn release_part(&mut self) -> Bytes {
+        let end = self.partial.len().saturating_sub(MAX_SEPARATOR_PREFIX);
+        let part = self.partial.split_to(end).freeze();
+        self.searched = self.partial.len();
+        let event = self.oversized.get_or_insert_with(|| OversizedEvent {
+            id: last_event_id(&part),
+            released_bytes: 0,
+        });
+        event.released_bytes += part.len();
+        part
+    }
+
+    /// Whether the stream can continue at another target after the last whole event.
+    pub fn is_resumable(&self) -> bool {
+        self.oversized.is_none()
     }
 
     /// Ends the stream; returns the bytes after its last event, which are blank lines and
@@ -75,8 +120,12 @@
     /// Returns an error and discards the incomplete event if the stream ended inside one.
     pub fn finish(&mut self) -> Result<Bytes, PartialEvent> {
         let rest = std::mem::take(&mut self.partial).freeze();
-        match contains_event_data(&rest) {
-            true => Err(PartialEvent { bytes: rest.len() }),
+        self.searched = 0;
+        let released_bytes = self.oversized.map_or(0, |event| event.released_bytes);
+        match released_bytes > 0 || contains_event_data(&rest) {
+            true => Err(PartialEvent {
+                bytes: released_bytes + rest.len(),
+            }),
             false => Ok(rest),
         }
     }
@@ -84,9 +133,10 @@
     /// Discards the incomplete event at the end of a broken stream.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.searched = 0;
     }
 
-    /// Returns the id of the last event that was released.
+    /// Returns the id of the last event that was released to its end.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
     }
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -268,7 +268,7 @@
                 biased;
                 next = body.next() => next,
                 () = caller.disconnected() => return RequestEnd::Disconnected,
-                () = context.wait_until_stalled(attempt.target_id), if is_resumable => {
+                () = context.wait_until_stalled(attempt.target_id), if is_resumable && events.is_resumable() => {
                     let Some(placed) = dispatch.place_on_other_target(attempt.target_id) else {
                         continue;
                     };
@@ -342,7 +342,7 @@
                 let now = Instant::now();
                 context.record_result(target_id, false, now);
                 context.record_broken_attempt(target_id, fingerprint, now);
-                if !is_resumable || !dispatch.may_resume(target_id) {
+                if !is_resumable || !events.is_resumable() || !dispatch.may_resume(target_id) {
                     return RequestEnd::Truncated("target broke the stream");
                 }
                 match resume_stream(dispatch, caller, events.last_id(), None).await {
--- a/edge/tests/pieces.rs
+++ b/edge/tests/pieces.rs
@@ -66,6 +66,47 @@
     }
 }
 
+proptest! {
+    #[test]
+    fn an_oversized_event_is_released_unchanged_and_bars_resumption_until_its_end(
+        size in 60_000_usize..200_000,
+        split_points in proptest::collection::vec(0_usize..200_100, 0..40),
+        is_complete in any::<bool>(),
+    ) {
+        let end = if is_complete { "\r\n\r\n" } else { "\r\n\r" };
+        let text = format!("id: 1\ndata: a\n\nid: 2\r\ndata: {}{end}", "x".repeat(size));
+        let mut split_points: Vec<usize> = split_points
+            .into_iter()
+            .map(|point| point.min(text.len()))
+            .collect();
+        split_points.extend([0, text.len()]);
+        split_points.sort_unstable();
+        let mut events = EventSplitter::resume_after(None);
+        let mut released = Vec::new();
+        for pair in split_points.windows(2) {
+            let piece = Bytes::copy_from_slice(&text.as_bytes()[pair[0]..pair[1]]);
+            released.extend_from_slice(&events.push(piece));
+            let boundaries = [0, stream_start().len(), text.len()];
+            let is_boundary = is_complete && boundaries.contains(&released.len())
+                || boundaries[..2].contains(&released.len());
+            prop_assert_eq!(events.is_resumable(), is_boundary);
+        }
+        prop_assert!(text.as_bytes().starts_with(&released));
+        let incomplete = text.len() - stream_start().len();
+        let (id, expected) = match is_complete {
+            true => (2, Ok(Bytes::new())),
+            false => (1, Err(PartialEvent { bytes: incomplete })),
+        };
+        prop_assert_eq!(events.last_id(), Some(id));
+        prop_assert_eq!(events.finish(), expected);
+    }
+}
+
+/// The event before the oversized one.
+fn stream_start() -> &'static str {
+    "id: 1\ndata: a\n\n"
+}
+
 #[test]
 fn a_resumed_stream_continues_after_the_last_event_id() {
     let mut events = EventSplitter::resume_after(Some(7));
--- a/livetests/tests/unframed.rs
+++ b/livetests/tests/unframed.rs
@@ -85,3 +85,15 @@
     assert_eq!(fleet.arrivals("m").len(), 2);
     Ok(())
 }
+
+#[actix_rt::test]
+async fn stream_broken_in_an_event_that_was_partly_forwarded_is_not_resumed() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start("huge", 1, 2).await?;
+    let response = fleet.receive("GET", "/resume/huge-4", "h").await?;
+    assert!(!looks_complete(&response));
+    let body = body(&response);
+    assert!(body.starts_with(&format!("{}id: 4\ndata: xxx", events(3))));
+    assert!(!body.contains("id: 5"));
+    assert_eq!(fleet.arrivals("h").len(), 1);
+    Ok(())
+}
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -18,6 +18,7 @@
 //! | `stream-N` | streams N events |
 //! | `halt-N` | closes the connection in the middle of event N; resumes on request |
 //! | `half-N` | ends the body in the middle of event N with the final chunk; resumes on request |
+//! | `huge-N` | closes the connection in event N, which is larger than a router buffers; resumes on request |
 //! | `eof-N` | streams N events without framing and closes the connection |
 //! | `torn-N` | like `halt-N`, without framing |
 //! | `mixed-N` | like `halt-N`; resumes without framing |
@@ -39,6 +40,9 @@
 
 use super::http::{self, RawRequest};
 
+/// The size of the part of an event that is sent by `huge`.
+const HUGE_EVENT_BYTES: usize = 2 * 1024 * 1024;
+
 /// The delay of a reset, which may discard bytes that its receiver has not read.
 const RESET_DELAY: Duration = Duration::from_millis(200);
 
@@ -206,11 +210,13 @@
                 format!("{whole}{other}")
             }
             "unframed" => format!("HTTP/1.1 200 OK\r\n{identity_headers}\r\n{body}"),
-            "stream" | "slow" | "halt" | "stall" | "half" | "eof" | "torn" | "mixed" | "lost" => {
+            "stream" | "slow" | "halt" | "stall" | "half" | "huge" | "eof" | "torn" | "mixed"
+            | "lost" => {
                 let after = request.header("last-event-id");
                 let after: Option<u64> = after.and_then(|id| id.parse().ok());
                 let fault = match name {
                     "halt" | "torn" | "mixed" => Some(StreamFault::Cut(number)),
+                    "huge" => Some(StreamFault::Overflow(number)),
                     "half" => Some(StreamFault::End(number)),
                     "lost" => Some(StreamFault::Reset(number)),
                     "stall" => Some(StreamFault::Stall(number)),
@@ -284,6 +290,11 @@
                     stream.write_all(&options.encode(half)).await?;
                     return Ok(false);
                 }
+                Some(StreamFault::Overflow(at)) if at == number => {
+                    let part = format!("id: {number}\ndata: {}", "x".repeat(HUGE_EVENT_BYTES));
+                    stream.write_all(&options.encode(&part)).await?;
+                    return Ok(false);
+                }
                 Some(StreamFault::End(at)) if at == number => {
                     stream.write_all(&options.encode(half)).await?;
                     break;
@@ -322,6 +333,8 @@
 enum StreamFault {
     /// Closes the connection in the middle of this event.
     Cut(u64),
+    /// Closes the connection in this event, after more bytes than a router buffers.
+    Overflow(u64),
     /// Ends the body in the middle of this event.
     End(u64),
     /// Resets the connection after this event.
