Platform: decode the software version of targets and the header Resumes; log both

The logs could not tell the hypotheses on streams over two versions apart. KW1507 now states the version (build) of the target and, for a stream that its caller takes up, the attempt that began it and the last event received. Nothing decides by them yet.

The version reaches other routers with the listing of targets, as a new variant at the end of the datagrams (VersionedListing); the encoding of Listing and its digest stay as they are, which wire/tests/datagram.rs checks byte by byte. Routers of the version before refuse the new variant (KW1305) and read the store themselves.

--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -29,7 +29,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{
     Beat, CrashRow, Datagram, DatagramError, Echo, Listing, LoadRow, MAX_DATAGRAM_BYTES, TeamRow,
-    Trouble,
+    Trouble, VersionedListing,
 };
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -319,12 +319,12 @@
         let chunks: Vec<&[Target]> = targets.chunks(TARGETS_PER_PART).collect();
         let parts = chunks.len() as u16;
         for (part, chunk) in chunks.into_iter().enumerate() {
-            let listing = Datagram::Listing(Listing {
+            let listing = Datagram::VersionedListing(VersionedListing::new(Listing {
                 revision,
                 part: part as u16,
                 parts,
                 targets: chunk.to_vec(),
-            });
+            }));
             for &address in to {
                 self.send(&listing, address);
             }
@@ -447,6 +447,9 @@
         let heartbeat = match Datagram::decode(bytes) {
             Ok(Datagram::Beat(heartbeat)) => heartbeat,
             Ok(Datagram::Listing(listing)) => return self.receive_listing(listing, from),
+            Ok(Datagram::VersionedListing(listing)) => {
+                return self.receive_listing(listing.into_listing(), from);
+            }
             Ok(Datagram::Trouble(problems)) => return self.receive_problems(problems),
             Ok(Datagram::Unchanged(unchanged)) => return self.store.adopt_unchanged(unchanged),
             Err(DatagramError::Version) => {
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -544,10 +544,16 @@
             .map_or("-", entity::Name::as_str);
         let prompt = self.request.caller_headers.prompt.as_ref();
         let charged = prompt.map_or(0, |prompt| prompt.weighted_tokens() as u64);
-        let fields: [Field<'_>; 13] = [
+        let resumes = self.request.caller_headers.resumes.as_deref();
+        let resumes = resumes.unwrap_or("-");
+        let after = self.request.caller_headers.last_event.unwrap_or(0);
+        let fields: [Field<'_>; 16] = [
             ("request", &self.request.caller_headers.id),
             ("work", &self.request.fingerprint_tag()),
             ("target", &target.name),
+            ("build", &target.version),
+            ("resumes", &resumes),
+            ("after", &after),
             ("attempt", &number),
             ("wait_ms", &wait),
             ("in_hand", &attempts),
--- a/policy/src/direct/target.rs
+++ b/policy/src/direct/target.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use derive_more::{Display, From};
 use entity::Name;
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,31 @@
     Leaving,
 }
 
+/// The version of the software that a target runs.
+#[derive(
+    Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display, From, Serialize, Deserialize,
+)]
+pub struct SoftwareVersion(Name);
+
+impl SoftwareVersion {
+    /// Creates a version from the text of a registration.
+    pub fn new(text: &str) -> Self {
+        Self(Name::new(text))
+    }
+
+    /// The hash that identifies the version between routers.
+    pub fn tag(&self) -> u64 {
+        self.0.tag().0
+    }
+}
+
+impl Default for SoftwareVersion {
+    /// The version of a target that states none.
+    fn default() -> Self {
+        Self::new("")
+    }
+}
+
 /// A target's registration.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct Target {
@@ -38,6 +64,10 @@
     pub cold: Duration,
     /// The start time in milliseconds since the Unix epoch; 0 if unknown.
     pub born: u64,
+    /// The version of its software. Not part of the encoding, which is that of routers
+    /// that know no versions.
+    #[serde(skip)]
+    pub version: SoftwareVersion,
 }
 
 /// The time without a successful read after which registrations may have expired.
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -19,7 +19,7 @@
 use super::outlier::OutlierDetector;
 use super::prefill_rate::PrefillRate;
 use super::stall::{Activity, MIN_REPORTING_PEERS, OldestAttempt, STREAM_STALL_TIMEOUT};
-use super::target::{TargetRegistry, TargetState};
+use super::target::{SoftwareVersion, TargetRegistry, TargetState};
 
 /// How long a prompt part is assumed to stay in a target's cache after its last
 /// use.
@@ -157,6 +157,8 @@
     pub address: SocketAddr,
     /// The data centre.
     pub centre: Name,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     /// The number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts new requests according to its registration.
@@ -319,6 +321,7 @@
                         service: target.service.clone(),
                         address: target.address,
                         centre: target.centre.clone(),
+                        version: target.version.clone(),
                         slots: target.slots,
                         accepts_requests: false,
                         outlier_detector: OutlierDetector::default(),
--- a/policy/tests/direct_cold.rs
+++ b/policy/tests/direct_cold.rs
@@ -8,7 +8,7 @@
 use knapweed_policy::direct::placement::{
     Placement, PlacementRequest, PlacementSettings, select_target,
 };
-use knapweed_policy::direct::target::{Target, TargetRegistry, TargetState};
+use knapweed_policy::direct::target::{SoftwareVersion, Target, TargetRegistry, TargetState};
 use knapweed_policy::direct::target_table::TargetTable;
 
 /// Requests per second that a cold target of these tests can handle.
@@ -31,6 +31,7 @@
         state: TargetState::Ready,
         cold,
         born: 1,
+        version: SoftwareVersion::default(),
     }
 }
 
--- a/policy/tests/direct_fleet_view.rs
+++ b/policy/tests/direct_fleet_view.rs
@@ -15,7 +15,7 @@
 use knapweed_policy::direct::polling::{PollIntervals, rank, watches_config};
 use knapweed_policy::direct::response::{ResponseClass, ResponseFacts, classify};
 use knapweed_policy::direct::target::{
-    MIN_OUTAGE, REREGISTRATION_TIME, Target, TargetRegistry, TargetState,
+    MIN_OUTAGE, REREGISTRATION_TIME, SoftwareVersion, Target, TargetRegistry, TargetState,
 };
 
 const BOUND: Duration = Duration::from_secs(5);
@@ -34,6 +34,7 @@
         state,
         cold: Duration::ZERO,
         born: 1,
+        version: SoftwareVersion::default(),
     }
 }
 
@@ -103,12 +104,14 @@
     registry.replace(vec![target("a", TargetState::Ready)], start);
     let restarted = Target {
         born: 2,
+        version: SoftwareVersion::default(),
         ..target("a", TargetState::Ready)
     };
     let changes = registry.replace(vec![restarted], start);
     assert_eq!(changes.added, [Name::new("a")]);
     let leaving = Target {
         born: 2,
+        version: SoftwareVersion::default(),
         ..target("a", TargetState::Leaving)
     };
     assert_eq!(
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -16,7 +16,7 @@
 use knapweed_policy::direct::placement::{
     Placement, PlacementRequest, PlacementSettings, select_target,
 };
-use knapweed_policy::direct::target::{Target, TargetRegistry, TargetState};
+use knapweed_policy::direct::target::{SoftwareVersion, Target, TargetRegistry, TargetState};
 use knapweed_policy::direct::target_table::{
     AttemptCost, PeerLoadReport, Prompt, PromptPart, TargetEntryId, TargetTable,
 };
@@ -478,6 +478,7 @@
         state: TargetState::Ready,
         cold: Duration::ZERO,
         born: 1,
+        version: SoftwareVersion::default(),
     });
     registry.replace(targets.collect(), now);
     registry
--- a/policy/tests/direct_stall.rs
+++ b/policy/tests/direct_stall.rs
@@ -11,7 +11,7 @@
 use knapweed_policy::direct::stall::{
     MIN_REPORTING_PEERS, PREFILL_STALL_MARGIN, STREAM_STALL_TIMEOUT,
 };
-use knapweed_policy::direct::target::{Target, TargetRegistry, TargetState};
+use knapweed_policy::direct::target::{SoftwareVersion, Target, TargetRegistry, TargetState};
 use knapweed_policy::direct::target_table::{
     AttemptCost, AvoidReason, Prompt, PromptPart, TargetEntryId, TargetTable,
 };
@@ -33,6 +33,7 @@
         state: TargetState::Ready,
         cold: Duration::ZERO,
         born: 1,
+        version: SoftwareVersion::default(),
     });
     let mut registry = TargetRegistry::default();
     registry.replace(targets.collect(), now);
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use derive_more::{Display, Error};
-use policy::direct::target::Target;
+use policy::direct::target::{SoftwareVersion, Target};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -70,6 +70,35 @@
     pub targets: Vec<Target>,
 }
 
+/// A fragment of the list of targets with the versions of their software.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct VersionedListing {
+    /// The targets, which are encoded without their versions.
+    pub listing: Listing,
+    /// The versions, in the order of the targets.
+    pub versions: Vec<SoftwareVersion>,
+}
+
+impl VersionedListing {
+    /// Creates a fragment from targets with their versions.
+    pub fn new(listing: Listing) -> Self {
+        let versions = listing.targets.iter().map(|target| target.version.clone());
+        Self {
+            versions: versions.collect(),
+            listing,
+        }
+    }
+
+    /// Returns the fragment with the version of each target.
+    pub fn into_listing(self) -> Listing {
+        let mut listing = self.listing;
+        for (target, version) in listing.targets.iter_mut().zip(self.versions) {
+            target.version = version;
+        }
+        listing
+    }
+}
+
 /// The targets that currently fail for a router, sent before a heartbeat.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Trouble {
@@ -110,6 +139,8 @@
     Trouble(Trouble),
     /// The targets are unchanged since the last listing.
     Unchanged(Unchanged),
+    /// Targets that the sender read from the store, with their versions.
+    VersionedListing(VersionedListing),
 }
 
 /// The in-flight load of a router at one target.
--- /dev/null
+++ b/wire/tests/datagram.rs
@@ -0,0 +1,54 @@
+//! Tests of the encoding of datagrams.
+
+use std::time::Duration;
+
+use entity::Name;
+use knapweed_wire::{Datagram, Listing, VersionedListing, listing_digest};
+use policy::direct::target::{SoftwareVersion, Target, TargetState};
+
+fn target(version: &str) -> Target {
+    Target {
+        name: Name::new("i-1"),
+        service: Name::new("desk"),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        centre: Name::new("north"),
+        slots: 4,
+        state: TargetState::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+        version: SoftwareVersion::new(version),
+    }
+}
+
+fn listing(targets: Vec<Target>) -> Listing {
+    Listing {
+        revision: 7,
+        part: 0,
+        parts: 1,
+        targets,
+    }
+}
+
+#[test]
+fn a_versioned_listing_keeps_the_versions() {
+    let listing = listing(vec![target("v1"), target("v1.1")]);
+    let datagram = Datagram::VersionedListing(VersionedListing::new(listing.clone()));
+    let decoded = Datagram::decode(&datagram.encode());
+    let Ok(Datagram::VersionedListing(decoded)) = decoded else {
+        panic!("{decoded:?}");
+    };
+    assert_eq!(decoded.into_listing(), listing);
+}
+
+#[test]
+fn a_listing_has_the_encoding_of_routers_without_versions() {
+    let bytes = Datagram::Listing(listing(vec![target("v1")])).encode();
+    let expected = b"\x01\x01\x07\x00\x01\x01\x03i-1\x04desk\x00\x7f\x00\x00\x01\x50\x05north\x04\x00\x00\x00\x01";
+    assert_eq!(bytes, expected);
+    let decoded = Datagram::decode(&bytes);
+    assert_eq!(decoded, Ok(Datagram::Listing(listing(vec![target("")]))));
+    assert_eq!(
+        listing_digest(&[target("v1")]),
+        listing_digest(&[target("v2")])
+    );
+}
