--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -105,6 +105,20 @@
     ///
     /// Returns an error if a process does not start.
     pub async fn start(name: &str, routers: usize, targets: usize) -> eyre::Result<Self> {
+        Self::start_versions(name, routers, &vec!["v1"; targets]).await
+    }
+
+    /// Starts routers, and a target of each of these software versions, and waits until
+    /// every router is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not start.
+    pub async fn start_versions(
+        name: &str,
+        routers: usize,
+        versions: &[&str],
+    ) -> eyre::Result<Self> {
         let directory =
             std::env::temp_dir().join(format!("knapweed-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&directory)?;
@@ -118,12 +132,8 @@
         fleet
             .store
             .put("op/config", &EdgeConfig::default().to_json());
-        for number in 0..targets {
-            let target = ScriptedTarget::start(&format!("t{number}")).await?;
-            fleet
-                .store
-                .put(&target.key(), &target.entry("desk", "ready"));
-            fleet.targets.push(target);
+        for version in versions {
+            fleet.add_target(version).await?;
         }
         let control = free_port()?;
         for number in 0..routers {
@@ -134,6 +144,19 @@
         Ok(fleet)
     }
 
+    /// Starts and registers a target of a software version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn add_target(&mut self, version: &str) -> eyre::Result<()> {
+        let target = ScriptedTarget::start(&format!("t{}", self.targets.len())).await?;
+        let entry = target.versioned_entry("desk", "ready", version);
+        self.store.put(&target.key(), &entry);
+        self.targets.push(target);
+        Ok(())
+    }
+
     fn start_router(&self, number: usize, control: u16) -> eyre::Result<Process> {
         let ip = format!("127.0.1.{}", number + 1);
         let operators = free_port()?;
@@ -193,6 +216,27 @@
         Ok(raw_exchange(address, &request).await?)
     }
 
+    /// Takes a stream up again at a router after an event, as the caller whose attempt
+    /// `began` brought its first event.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the request cannot be sent.
+    pub async fn take_up(
+        &self,
+        router: usize,
+        path: &str,
+        id: &str,
+        began: &str,
+        after: u64,
+    ) -> eyre::Result<RawResponse> {
+        let address = self.routers[router].address("callers");
+        let request = request_text("GET", path, id, Some(RED_KEY));
+        let headers = format!("Last-Event-Id: {after}\r\nResumes: {began}\r\n\r\n");
+        let request = request.replacen("\r\n\r\n", &format!("\r\n{headers}"), 1);
+        Ok(raw_exchange(address, &request).await?)
+    }
+
     /// The requests with this id that reached targets.
     pub fn arrivals(&self, id: &str) -> Vec<Arrival> {
         let all = self.targets.iter().flat_map(ScriptedTarget::arrivals);
--- /dev/null
+++ b/livetests/tests/versions.rs
@@ -0,0 +1,150 @@
+//! Streams while targets of several software versions serve one service.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use knapweed_livetests::edge::{EdgeFleet, body_of, looks_complete, status_of};
+use tokio::time::sleep;
+
+/// The versions of the targets of a fleet, by the number in their ids.
+const VERSIONS: [&str; 4] = ["v1", "v1.1", "v1", "v1.1"];
+
+/// A stream of ten events with 20 ms between them.
+const SLOW_STREAM: &str = "/resume/slow-20";
+
+/// The number of streams in a test.
+const STREAMS: usize = 16;
+
+/// The time within which routers exchange what they know of a stream.
+const EXCHANGE_TIME: Duration = Duration::from_millis(600);
+
+/// The versions of the targets that a request reached.
+fn versions_of(fleet: &EdgeFleet, id: &str) -> Vec<&'static str> {
+    let arrivals = fleet.arrivals(id).into_iter();
+    let numbers = arrivals.map(|it| it.target.trim_start_matches('t').parse::<usize>());
+    numbers
+        .map(|number| VERSIONS[number.expect("the number of a target")])
+        .collect()
+}
+
+/// Begins streams at the first router, which spreads them over its targets, and returns the
+/// version of each.
+async fn begin_streams(fleet: &EdgeFleet) -> eyre::Result<Vec<&'static str>> {
+    let ids: Vec<String> = (0..STREAMS)
+        .map(|number| format!("begin{number}"))
+        .collect();
+    let streams = ids.iter().map(|id| fleet.receive("GET", SLOW_STREAM, id));
+    for response in join_all(streams).await {
+        let response = response?;
+        assert!(looks_complete(&response), "{response:?}");
+    }
+    let begun = ids.iter().flat_map(|id| versions_of(fleet, id));
+    Ok(begun.collect())
+}
+
+/// Takes the streams up at a router, all at once, and checks the versions at which they go
+/// on.
+async fn check_streams_go_on(
+    fleet: &EdgeFleet,
+    router: usize,
+    begun: &[&'static str],
+) -> eyre::Result<()> {
+    assert_eq!(begun.len(), STREAMS);
+    let ids: Vec<String> = (0..STREAMS)
+        .map(|number| format!("again{number}"))
+        .collect();
+    let began: Vec<String> = (0..STREAMS)
+        .map(|number| format!("begin{number}"))
+        .collect();
+    // In another order, so that an even spread does not meet the same targets again.
+    let streams = ids.iter().zip(&began).cycle().skip(1).take(STREAMS);
+    let streams = streams.map(|(id, began)| fleet.take_up(router, SLOW_STREAM, id, began, 4));
+    for response in join_all(streams).await {
+        let response = response?;
+        assert_eq!(status_of(&response.text), 200, "{response:?}");
+        assert!(
+            body_of(&response.text).starts_with("id: 5\n"),
+            "{response:?}"
+        );
+    }
+    for (id, version) in ids.iter().zip(begun) {
+        assert_eq!(versions_of(fleet, id), [*version], "{id}");
+    }
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn broken_stream_does_not_go_on_at_another_software_version() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start_versions("versions", 1, &VERSIONS[..2]).await?;
+    for number in 0..4 {
+        let id = format!("halt{number}");
+        let response = fleet.receive("GET", "/resume/halt-4", &id).await?;
+        assert!(!looks_complete(&response), "{response:?}");
+        assert!(!body_of(&response.text).contains("id: 4\n"));
+        assert_eq!(fleet.arrivals(&id).len(), 1);
+    }
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn broken_stream_goes_on_at_its_software_version() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start_versions("version-kept", 1, &VERSIONS).await?;
+    for number in 0..4 {
+        let id = format!("halt{number}");
+        let response = fleet.receive("GET", "/resume/halt-4", &id).await?;
+        assert!(looks_complete(&response), "{response:?}");
+        let versions = versions_of(&fleet, &id);
+        assert_eq!(versions.len(), 2);
+        assert_eq!(versions[0], versions[1]);
+    }
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn stream_taken_up_at_another_router_goes_on_at_its_software_version() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start_versions("version-caller", 3, &VERSIONS).await?;
+    let begun = begin_streams(&fleet).await?;
+    sleep(EXCHANGE_TIME).await;
+    check_streams_go_on(&fleet, 1, &begun).await
+}
+
+#[actix_rt::test]
+async fn stream_of_a_killed_router_goes_on_at_its_software_version() -> eyre::Result<()> {
+    let mut fleet = EdgeFleet::start_versions("version-killed", 5, &VERSIONS).await?;
+    let begun = begin_streams(&fleet).await?;
+    sleep(EXCHANGE_TIME).await;
+    fleet.routers[0].kill()?;
+    fleet.routers[1].kill()?;
+    check_streams_go_on(&fleet, 2, &begun).await
+}
+
+#[actix_rt::test]
+async fn stream_of_one_version_goes_on_at_it_after_another_has_appeared() -> eyre::Result<()> {
+    let mut fleet = EdgeFleet::start_versions("version-new", 3, &VERSIONS[..1]).await?;
+    let begun = begin_streams(&fleet).await?;
+    fleet.add_target(VERSIONS[1]).await?;
+    sleep(Duration::from_secs(2)).await;
+    check_streams_go_on(&fleet, 1, &begun).await
+}
+
+#[actix_rt::test]
+async fn stream_of_an_unknown_software_version_is_refused_at_once() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start_versions("version-unknown", 2, &VERSIONS).await?;
+    let response = fleet
+        .take_up(0, "/resume/stream-10", "again", "never-begun", 4)
+        .await?;
+    assert_eq!(status_of(&response.text), 503, "{response:?}");
+    assert!(response.text.contains("retry-after"), "{response:?}");
+    assert!(fleet.arrivals("again").is_empty());
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn stream_goes_on_without_a_record_while_there_is_one_software_version() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start("version-single", 2, 2).await?;
+    let response = fleet
+        .take_up(0, "/resume/stream-10", "again", "never-begun", 4)
+        .await?;
+    assert_eq!(status_of(&response.text), 200, "{response:?}");
+    Ok(())
+}
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -121,13 +121,18 @@
         format!("servers/{}", self.id)
     }
 
-    /// Its entry in the store.
+    /// Its entry in the store, with the software version `v1`.
     pub fn entry(&self, service: &str, state: &str) -> Value {
+        self.versioned_entry(service, state, "v1")
+    }
+
+    /// Its entry in the store with a software version.
+    pub fn versioned_entry(&self, service: &str, state: &str, version: &str) -> Value {
         json!({
             "service": service,
             "address": self.address,
             "zone": "north",
-            "version": "v1",
+            "version": version,
             "slots": 8,
             "state": state,
             "coldRemainingMs": 0,
