A stream goes on only at the software version that began it

What callers saw: while targets of several software versions served one service, a stream that broke went on at any of them, whether its router resumed it or its caller took it up elsewhere; the text of two versions does not fit together (ORDER).

Cause: the version was neither read nor part of any decision. Class: a target was taken for interchangeable with every other of its service; what distinguishes two of them was dropped when the entry was decoded.

Now: - Placement takes an optional version; both kinds of resumption pass through it. Without a target of that version the request is refused as "no target of its version". - The router that forwards the first event of a resumable stream records its version. - While a service has several versions, or had in the last 30 s, routers send these records to three holders that rendezvous hashing names, a datagram for each holder and version every 100 ms. With one version nothing is sent. A router at which a caller takes a stream up asks the holders, then all peers, for 150 ms at most; an unknown version is refused at once, with a Retry-After. - A service's only version needs no record if the targets were read less than 2.5 s ago, counted on the clock that runs through a suspension. - KW1515 stream-origin, KW1516 origins-asked, knapweed_edge_stream_origins.

Weighed: all records to all peers (58 KB/s for each router at 7,300 streams a second; with three holders about 0.6 KB/s); asking the router that began the stream (it may have been killed); choosing the version from a hash of the request (gives up the prompt's home, and changes with the set of versions).

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -291,6 +291,9 @@
             self.target_table
                 .borrow_mut()
                 .apply_registry(&registry, now);
+            let targets = registry.targets.values().map(|(target, _)| target);
+            let versions = targets.map(|target| (&target.service, target.version.tag()));
+            self.shared.origins().observe_versions(versions, now);
             if let Some(config) = self.config() {
                 self.fair_shares
                     .borrow_mut()
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -10,6 +10,9 @@
 //!   for [`MEMBER_TIMEOUT`], so that the shares of partitioned routers are not given
 //!   to others.
 
+mod listing;
+mod origins;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,8 +31,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{
-    Beat, CrashRow, Datagram, DatagramError, Echo, Listing, LoadRow, MAX_DATAGRAM_BYTES, TeamRow,
-    Trouble, VersionedListing,
+    Beat, CrashRow, Datagram, DatagramError, Echo, LoadRow, MAX_DATAGRAM_BYTES, TeamRow, Trouble,
 };
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -80,15 +82,6 @@
 /// The number of heartbeats whose send times are kept for matching echoes.
 const MAX_SENT_HEARTBEATS: usize = 64;
 
-/// The number of targets in a part of a listing, chosen so that a part fits a datagram.
-const TARGETS_PER_PART: usize = 64;
-
-/// The maximum number of parts of a listing.
-const MAX_LISTING_PARTS: u16 = 256;
-
-/// The maximum number of listings being reassembled.
-const MAX_PARTIAL_LISTINGS: usize = 16;
-
 struct Peer {
     incarnation: u64,
     sequence: u32,
@@ -199,11 +192,12 @@
         let mut ticks = interval(HEARTBEAT_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-        let store = self.store.clone();
+        let (store, shared) = (self.store.clone(), self.shared.clone());
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.send_heartbeats(),
                 () = store.wait_for_update() => self.send_update(),
+                () = shared.origin_asked.notified() => self.send_origin_queries(),
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => self.receive(&buffer[..length], from),
                     // The ICMP error of an unreachable peer is reported by the next call.
@@ -222,6 +216,7 @@
         let now = SystemClock.now().mono;
         self.expire_peers(now);
         self.publish_if_stale(now);
+        self.send_origins(now);
         let reachable = self.peers.values().filter(|peer| peer.reachable).count();
         // With many peers, each gets a heartbeat only every few periods, so that the
         // cost of a period stays constant.
@@ -315,53 +310,6 @@
         }
     }
 
-    fn send_listing(&self, revision: u64, targets: &[Target], to: &[SocketAddr]) {
-        let chunks: Vec<&[Target]> = targets.chunks(TARGETS_PER_PART).collect();
-        let parts = chunks.len() as u16;
-        for (part, chunk) in chunks.into_iter().enumerate() {
-            let listing = Datagram::VersionedListing(VersionedListing::new(Listing {
-                revision,
-                part: part as u16,
-                parts,
-                targets: chunk.to_vec(),
-            }));
-            for &address in to {
-                self.send(&listing, address);
-            }
-        }
-    }
-
-    fn receive_listing(&mut self, listing: Listing, from: SocketAddr) {
-        let Listing {
-            revision,
-            part,
-            parts,
-            targets,
-        } = listing;
-        if parts == 1 {
-            self.store.adopt_listing(revision, targets);
-            return;
-        }
-        if parts == 0 || part >= parts || parts > MAX_LISTING_PARTS {
-            event::log(Event::MessageRefused, &[("peer", &from)]);
-            return;
-        }
-        if self.partial_listings.len() >= MAX_PARTIAL_LISTINGS {
-            self.partial_listings.clear();
-        }
-        let slots = self.partial_listings.entry((from, revision)).or_default();
-        slots.resize(parts.into(), None);
-        slots[usize::from(part)] = Some(targets);
-        if slots.iter().all(Option::is_some) {
-            let complete = self
-                .partial_listings
-                .remove(&(from, revision))
-                .unwrap_or_default();
-            let targets = complete.into_iter().flatten().flatten().collect();
-            self.store.adopt_listing(revision, targets);
-        }
-    }
-
     /// Stores the problem targets of a known peer until its next heartbeat.
     fn receive_problems(&mut self, problems: Trouble) {
         if let Some(peer) = self.peers.get_mut(&problems.from) {
@@ -450,6 +398,8 @@
             Ok(Datagram::VersionedListing(listing)) => {
                 return self.receive_listing(listing.into_listing(), from);
             }
+            Ok(Datagram::Origins(origins)) => return self.receive_origins(&origins),
+            Ok(Datagram::OriginQuery(query)) => return self.answer_query(&query, from),
             Ok(Datagram::Trouble(problems)) => return self.receive_problems(problems),
             Ok(Datagram::Unchanged(unchanged)) => return self.store.adopt_unchanged(unchanged),
             Err(DatagramError::Version) => {
--- /dev/null
+++ b/edge/src/gossip/origins.rs
@@ -0,0 +1,130 @@
+//! The exchange of the software versions at which streams began.
+//!
+//! Invariant: a question is answered only with recorded versions, never with a version
+//! that is inferred.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use entity::{Clock, SystemClock};
+use node::event::{self, Event};
+use policy::direct::stream_origin::{HOLDERS, StreamId, holders};
+use policy::direct::target::VersionTag;
+use rustc_hash::FxHashMap;
+use wire::{Datagram, OriginQuery, Origins};
+
+use super::{Gossip, member_tag};
+
+/// The maximum number of streams in a datagram; each takes up to ten bytes.
+const MAX_STREAMS: usize = 700;
+
+impl Gossip {
+    /// Sends the streams that this router began to their holders, once it knows enough
+    /// peers to derive them.
+    pub(super) fn send_origins(&self, now: Instant) {
+        let needed = if self.is_settled { 1 } else { HOLDERS };
+        if self.reachable_peers().len() < needed {
+            return;
+        }
+        let unsent = self.shared.origins().take_unsent(now);
+        if unsent.is_empty() {
+            return;
+        }
+        let members = self.ranked_members();
+        let mut rows: FxHashMap<(SocketAddr, VersionTag), Vec<StreamId>> = FxHashMap::default();
+        for (stream, version) in unsent {
+            for address in self.holder_addresses(stream, &members) {
+                rows.entry((address, version)).or_default().push(stream);
+            }
+        }
+        for ((address, version), streams) in rows {
+            self.send_streams(version, &streams, address);
+        }
+    }
+
+    fn send_streams(&self, version: VersionTag, streams: &[StreamId], to: SocketAddr) {
+        for streams in streams.chunks(MAX_STREAMS) {
+            let origins = Origins {
+                version,
+                streams: streams.to_vec(),
+            };
+            self.send(&Datagram::Origins(origins), to);
+        }
+    }
+
+    /// Sends the questions of the traffic thread.
+    pub(super) fn send_origin_queries(&self) {
+        let members = self.ranked_members();
+        let mut queries: FxHashMap<SocketAddr, Vec<StreamId>> = FxHashMap::default();
+        for question in self.shared.take_origin_questions() {
+            let addresses = match question.asks_all {
+                true => self.reachable_peers(),
+                false => self.holder_addresses(question.stream, &members),
+            };
+            for address in addresses {
+                queries.entry(address).or_default().push(question.stream);
+            }
+        }
+        for (address, streams) in queries {
+            for streams in streams.chunks(MAX_STREAMS) {
+                let query = OriginQuery {
+                    streams: streams.to_vec(),
+                };
+                self.send(&Datagram::OriginQuery(query), address);
+            }
+        }
+    }
+
+    pub(super) fn receive_origins(&self, origins: &Origins) {
+        let now = SystemClock.now().mono;
+        let mut records = self.shared.origins();
+        for &stream in &origins.streams {
+            records.record(stream, origins.version, now);
+        }
+        drop(records);
+        self.shared.origin_learned.notify_waiters();
+    }
+
+    /// Sends the recorded versions of the streams in a query.
+    pub(super) fn answer_query(&self, query: &OriginQuery, from: SocketAddr) {
+        let now = SystemClock.now().mono;
+        let mut known: FxHashMap<VersionTag, Vec<StreamId>> = FxHashMap::default();
+        let records = self.shared.origins();
+        for &stream in &query.streams {
+            if let Some(version) = records.recorded(stream, now) {
+                known.entry(version).or_default().push(stream);
+            }
+        }
+        drop(records);
+        let found: usize = known.values().map(Vec::len).sum();
+        let fields: [event::Field<'_>; 3] = [
+            ("peer", &from),
+            ("streams", &query.streams.len()),
+            ("known", &found),
+        ];
+        event::log(Event::OriginsAsked, &fields);
+        for (version, streams) in known {
+            self.send_streams(version, &streams, from);
+        }
+    }
+
+    /// The peers and whether they are reachable, in the order of `self.peers`.
+    fn ranked_members(&self) -> Vec<(u64, bool)> {
+        let members = self.peers.iter();
+        members
+            .map(|(&address, peer)| (member_tag(address), peer.reachable))
+            .collect()
+    }
+
+    /// The holders of a stream; `members` are those of [`Self::ranked_members`].
+    fn holder_addresses(&self, stream: StreamId, members: &[(u64, bool)]) -> Vec<SocketAddr> {
+        let addresses: Vec<SocketAddr> = self.peers.keys().copied().collect();
+        let holders = holders(stream, members);
+        holders.into_iter().map(|index| addresses[index]).collect()
+    }
+
+    fn reachable_peers(&self) -> Vec<SocketAddr> {
+        let reachable = self.peers.iter().filter(|(_, peer)| peer.reachable);
+        reachable.map(|(&address, _)| address).collect()
+    }
+}
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod latest;
 mod metrics;
 mod operators;
+mod origin;
 mod refused_teams;
 mod request;
 pub mod run;
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -23,6 +23,7 @@
     full_response: Histogram<f64>,
     connections: Counter<u64>,
     body_ends: Counter<u64>,
+    stream_origins: Counter<u64>,
     reported_connections: Cell<u64>,
 }
 
@@ -44,6 +45,7 @@
             connections: meter
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
+            stream_origins: meter.u64_counter("knapweed_edge_stream_origins").build(),
             body_ends: meter.u64_counter("knapweed_edge_body_ends").build(),
             reported_connections: Cell::new(0),
         }
@@ -89,6 +91,12 @@
         self.body_ends.add(1, &labels);
     }
 
+    /// Counts a stream that a caller takes up by how its version became known.
+    pub(crate) fn record_stream_origin(&self, origin: &'static str) {
+        self.stream_origins
+            .add(1, &[KeyValue::new("origin", origin)]);
+    }
+
     /// Updates the counter of connections to targets from the number opened so far.
     pub(crate) fn record_connections(&self, opened: u64) {
         self.connections
--- /dev/null
+++ b/edge/src/origin.rs
@@ -0,0 +1,111 @@
+//! Finds the software version at which a stream that a caller takes up must go on.
+//!
+//! Invariant: a stream goes on only if the version that began it is known.
+
+use std::time::{Duration, Instant};
+
+use node::event::{self, Event, Field};
+use policy::direct::stream_origin::{Origin, StreamId};
+use policy::direct::target::{MIN_OUTAGE, VersionTag};
+use tokio::time::timeout_at;
+
+use crate::clock::{BootClock, SystemBootClock};
+use crate::context::Context;
+use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
+use crate::shared::OriginQuestion;
+
+/// The time to wait for the response to a question, and whether it is put to all peers
+/// instead of the holders of the stream.
+const QUESTIONS: [(Duration, bool); 3] = [
+    (Duration::from_millis(30), false),
+    (Duration::from_millis(50), true),
+    (Duration::from_millis(70), true),
+];
+
+/// The retry delay of a caller whose stream cannot go on because its version is unknown;
+/// a peer that knows it may be reachable again by then.
+const UNKNOWN_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Returns the only version at which the request may run; `None` if it takes up no stream.
+///
+/// # Errors
+///
+/// Returns a refusal if the request takes up a stream that began at an unknown version.
+pub(crate) async fn required_version(
+    context: &Context,
+    request: &CallerRequest,
+    authorized: &AuthorizedRequest,
+) -> Result<Option<VersionTag>, Refusal> {
+    let headers = &request.caller_headers;
+    if headers.last_event.is_none() || !authorized.retry_policy().is_stream() {
+        return Ok(None);
+    }
+    let stream = headers.resumes.as_deref().map(StreamId::of_attempt);
+    let (origin, asked) = find_origin(context, stream, authorized).await;
+    let name = match origin {
+        Origin::Recorded(_) => "recorded",
+        Origin::Single(_) => "single",
+        Origin::Unknown => "unknown",
+    };
+    let build = origin.version();
+    let build = build.map_or_else(|| "-".to_owned(), |version| version.to_string());
+    let resumes = headers.resumes.as_deref().unwrap_or("-");
+    let fields: [Field<'_>; 5] = [
+        ("request", &headers.id),
+        ("resumes", &resumes),
+        ("origin", &name),
+        ("build", &build),
+        ("asked", &asked),
+    ];
+    event::log(Event::StreamOrigin, &fields);
+    context.metrics.record_stream_origin(name);
+    match origin.version() {
+        Some(version) => Ok(Some(version)),
+        None => Err(Refusal::not_run(
+            "unknown version of the stream",
+            UNKNOWN_RETRY_DELAY,
+        )),
+    }
+}
+
+/// Looks the origin up and asks the peers if it is not known here; also returns how often
+/// they were asked.
+async fn find_origin(
+    context: &Context,
+    stream: Option<StreamId>,
+    authorized: &AuthorizedRequest,
+) -> (Origin, usize) {
+    context.refresh(Instant::now());
+    let shared = &context.shared;
+    let look_up = || {
+        let age = shared.targets_age(SystemBootClock.uptime());
+        let is_current = age.is_some_and(|age| age < MIN_OUTAGE);
+        let origins = shared.origins();
+        origins.origin(stream, &authorized.service, is_current, Instant::now())
+    };
+    let Some(stream) = stream else {
+        return (look_up(), 0);
+    };
+    for (asked, (wait, asks_all)) in QUESTIONS.into_iter().enumerate() {
+        let until = Instant::now() + wait;
+        let mut is_asked = false;
+        loop {
+            let learned = shared.origin_learned.notified();
+            tokio::pin!(learned);
+            // Registers before the look-up, so that an answer in between is not missed.
+            learned.as_mut().enable();
+            let origin = look_up();
+            if origin != Origin::Unknown {
+                return (origin, asked + usize::from(is_asked));
+            }
+            if !std::mem::replace(&mut is_asked, true) {
+                shared.ask_origin(OriginQuestion { stream, asks_all });
+            }
+            // Answers to other questions wake this one as well.
+            if timeout_at(until.into(), learned).await.is_err() {
+                break;
+            }
+        }
+    }
+    (look_up(), QUESTIONS.len())
+}
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -19,6 +19,8 @@
 use policy::direct::config::{RetryPolicy, Route};
 use policy::direct::placement::{self, Placement, PlacementRequest};
 use policy::direct::response::{ResponseClass, classify};
+use policy::direct::stream_origin::StreamId;
+use policy::direct::target::VersionTag;
 use policy::direct::target_table::{Prompt, TargetEntryId};
 use rand::RngExt as _;
 use smallvec::SmallVec;
@@ -89,6 +91,8 @@
     pub(crate) authorized: AuthorizedRequest,
     /// Whether a byte of the request may have been sent; decides the status of a timeout.
     pub(crate) sent: Cell<bool>,
+    /// The only software version at which the request may run, since it continues a stream.
+    version: Option<VersionTag>,
     tried: SmallVec<[TargetEntryId; 4]>,
     sends: u32,
     runs: u32,
@@ -105,6 +109,7 @@
             request,
             authorized,
             sent: Cell::new(false),
+            version: None,
             tried: SmallVec::new(),
             sends: 0,
             runs: 0,
@@ -171,6 +176,25 @@
         }
     }
 
+    /// Restricts the request to a software version.
+    pub(crate) fn require_version(&mut self, version: VersionTag) {
+        self.version = Some(version);
+    }
+
+    /// Records the target of the first event that is forwarded: the stream may go on only
+    /// at the version of its software.
+    pub(crate) fn record_stream_begun(&mut self, target_id: TargetEntryId) {
+        if self.version.is_some() {
+            return;
+        }
+        let target_table = self.context.target_table.borrow();
+        let version = target_table.target(target_id).version.tag();
+        self.version = Some(version);
+        let stream = StreamId::of_attempt(&self.request.caller_headers.id);
+        let mut origins = self.context.shared.origins();
+        origins.record_begun(stream, version, Instant::now());
+    }
+
     /// Whether a broken stream may resume at another target; excludes the target that
     /// broke it.
     pub(crate) fn may_resume(&mut self, broken: TargetEntryId) -> bool {
@@ -259,6 +283,7 @@
                 .unwrap_or(route.objective),
             wait_factor,
             centre: &context.data_centre,
+            version: self.version,
             tried: &self.tried,
             members: &peers.members,
         };
@@ -291,6 +316,7 @@
                     .random_range(0..=MAX_RETRY_JITTER_MILLIS);
                 let reason = match reason {
                     placement::RefusalReason::NoTarget => "no target",
+                    placement::RefusalReason::NoTargetOfVersion => "no target of its version",
                     placement::RefusalReason::Busy => "busy",
                     placement::RefusalReason::Full => "full",
                 };
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -20,6 +20,7 @@
 use crate::caller::{CallerConnection, INITIAL_LIMITS, ReadOutcome, ResponseFraming, run_until};
 use crate::context::{Attempt, Context};
 use crate::events::{EventSplitter, has_events};
+use crate::origin;
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
 use crate::serve::{Dispatch, Outcome, StreamedResponse};
 use crate::target::{BodyFraming, BodyTruncated};
@@ -129,7 +130,19 @@
     let kind = authorized.kind();
     let team = authorized.team_name().cloned();
     let deadline = request.deadline(timeout);
+    let origin = match origin::required_version(context, &request, &authorized).await {
+        Ok(origin) => origin,
+        Err(refusal) => {
+            log_refused(&request, team.as_ref(), refusal);
+            let ended = refuse(context, caller, refusal).await;
+            log_ended(context, &request, kind, team.as_ref(), &ended);
+            return ended;
+        }
+    };
     let mut dispatch = Dispatch::new(context, &request, authorized);
+    if let Some(version) = origin {
+        dispatch.require_version(version);
+    }
     // A refusal needs neither the connection's options nor a watch for the end of the
     // connection, which cost an overloaded router more than the refusal itself.
     let first_attempt = match dispatch.next_attempt() {
@@ -255,7 +268,7 @@
     {
         return RequestEnd::Truncated("unwritable head");
     }
-    let request_id = dispatch.request.caller_headers.id.as_str();
+    let request_id = &dispatch.request.caller_headers.id;
     let fingerprint = dispatch.request.fingerprint;
     let mut events = EventSplitter::resume_after(dispatch.request.caller_headers.last_event);
     let mut pending = Some(first).filter(|it| !it.is_empty());
@@ -308,6 +321,9 @@
                     .borrow_mut()
                     .record_byte(attempt.target_id, Instant::now());
                 let chunk = if is_events { events.push(bytes) } else { bytes };
+                if is_resumable && !chunk.is_empty() {
+                    dispatch.record_stream_begun(attempt.target_id);
+                }
                 if !chunk.is_empty() && caller.write_chunk(chunk).await.is_err() {
                     return RequestEnd::Disconnected;
                 }
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -4,7 +4,7 @@
 //! snapshot, so no request waits for control state.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -13,9 +13,11 @@
 use policy::direct::confirmation::{Confirmation, Uptime};
 use policy::direct::crash::CrashRecord;
 use policy::direct::fair_share::TeamRate;
+use policy::direct::stream_origin::{StreamId, StreamOrigins};
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_table::{LoadReport, PeerLoadReport};
 use rustc_hash::FxHashMap;
+use tokio::sync::Notify;
 
 /// The latest reports of the peers.
 #[derive(Clone, Debug, Default)]
@@ -62,8 +64,25 @@
     pub(crate) open_requests: AtomicUsize,
     confirmed_at_micros: AtomicU64,
     revocation_limit: Option<Duration>,
+    /// When the targets were last read, in microseconds of uptime.
+    targets_read_at_micros: AtomicU64,
     /// Crash records that one thread hands to the other.
     crash_queues: Mutex<CrashQueues>,
+    origins: Mutex<StreamOrigins>,
+    /// Streams whose origin the traffic thread asks the peers for.
+    origin_questions: Mutex<Vec<OriginQuestion>>,
+    /// Wakes the control thread when there is a question.
+    pub(crate) origin_asked: Notify,
+    /// Wakes the traffic thread when peers have answered.
+    pub(crate) origin_learned: Notify,
+}
+
+/// A question to the peers for the origin of a stream.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) struct OriginQuestion {
+    pub(crate) stream: StreamId,
+    /// Whether all peers are asked instead of the holders.
+    pub(crate) asks_all: bool,
 }
 
 #[derive(Debug, Default)]
@@ -86,7 +105,12 @@
             open_requests: AtomicUsize::new(0),
             confirmed_at_micros: AtomicU64::new(0),
             revocation_limit,
+            targets_read_at_micros: AtomicU64::new(0),
             crash_queues: Mutex::default(),
+            origins: Mutex::default(),
+            origin_questions: Mutex::default(),
+            origin_asked: Notify::new(),
+            origin_learned: Notify::new(),
         })
     }
 
@@ -118,6 +142,39 @@
         self.peers.load().members.count()
     }
 
+    /// Publishes the time at which the targets were last read.
+    pub(crate) fn publish_targets_read(&self, at: Uptime) {
+        let micros = at.0.as_micros() as u64;
+        self.targets_read_at_micros.store(micros, Ordering::Release);
+    }
+
+    /// Returns how long ago the targets were read, suspensions of the machine included.
+    pub(crate) fn targets_age(&self, now: Uptime) -> Option<Duration> {
+        let at = self.targets_read_at_micros.load(Ordering::Acquire);
+        (at > 0).then(|| now.since(Uptime(Duration::from_micros(at))))
+    }
+
+    /// Locks the origins of streams; never held across a suspension point.
+    pub(crate) fn origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        self.origins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks the peers for the origin of a stream.
+    pub(crate) fn ask_origin(&self, question: OriginQuestion) {
+        self.origin_questions().push(question);
+        self.origin_asked.notify_one();
+    }
+
+    /// Takes the questions for the peers.
+    pub(crate) fn take_origin_questions(&self) -> Vec<OriginQuestion> {
+        std::mem::take(&mut self.origin_questions())
+    }
+
+    fn origin_questions(&self) -> MutexGuard<'_, Vec<OriginQuestion>> {
+        let questions = self.origin_questions.lock();
+        questions.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adds crash records of this router, to be sent to the peers.
     pub(crate) fn add_local_crashes(&self, crashes: impl IntoIterator<Item = CrashRecord>) {
         self.crash_queues().local.extend(crashes);
@@ -138,7 +195,7 @@
         std::mem::take(&mut self.crash_queues().peers)
     }
 
-    fn crash_queues(&self) -> std::sync::MutexGuard<'_, CrashQueues> {
+    fn crash_queues(&self) -> MutexGuard<'_, CrashQueues> {
         self.crash_queues
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -466,6 +466,7 @@
                 event::log(event, &[("target", name)]);
             }
         }
+        self.shared.publish_targets_read(SystemBootClock.uptime());
         self.shared.registry.store(Arc::new(state.registry.clone()));
     }
 
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -187,6 +187,10 @@
     ResumeFailed 1513 Warn "resume-failed";
     /// A body ended without framing, or inside an event.
     BodyEnded 1514 Info "body-ended";
+    /// The software version at which a stream that is taken up began was looked up.
+    StreamOrigin 1515 Info "stream-origin";
+    /// A peer asked for the versions at which streams began.
+    OriginsAsked 1516 Info "origins-asked";
 }
 
 impl Display for Event {
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -20,6 +20,7 @@
 //! - [`overload`]: whether this router is overloaded;
 //! - [`outlier`]: which targets fail requests although their health checks pass;
 //! - [`budget`]: how many retries this router may send;
+//! - [`stream_origin`]: at which software version a stream began;
 //! - [`crash`]: which requests crash every target that runs them;
 //! - [`response`]: what a response says about the request.
 //!
@@ -38,5 +39,6 @@
 pub mod prefill_rate;
 pub mod response;
 pub mod stall;
+pub mod stream_origin;
 pub mod target;
 pub mod target_table;
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -22,6 +22,7 @@
 
 use super::cold::{ColdLimit, Members};
 use super::config::{Engine, Service};
+use super::target::VersionTag;
 use super::target_table::{Prompt, TargetEntry, TargetEntryId, TargetTable};
 
 /// The settings of placement.
@@ -106,6 +107,8 @@
     pub wait_factor: f64,
     /// The data centre of this router.
     pub centre: &'a Name,
+    /// The only software version at which the request may run, if it continues a stream.
+    pub version: Option<VersionTag>,
     /// Targets that were already tried.
     pub tried: &'a [TargetEntryId],
     /// The routers among which limits are divided.
@@ -118,6 +121,9 @@
     /// No target of the service accepts requests.
     #[display("no-target")]
     NoTarget,
+    /// No target of the software version that began the stream accepts requests.
+    #[display("no-target-of-version")]
+    NoTargetOfVersion,
     /// The wait at every target is too long.
     #[display("busy")]
     Busy,
@@ -256,7 +262,7 @@
 ) -> Placement {
     let eligible = eligible_targets(table, settings, request, now);
     if eligible.is_empty() {
-        return refuse_without_target();
+        return refuse_without_target(request);
     }
     let (home, second_home) = home_targets(table, prompt, &eligible);
     let memory_tokens = f64::from(prompt.input_tokens + prompt.max_output_tokens);
@@ -424,7 +430,7 @@
 ) -> Placement {
     let eligible = eligible_targets(table, settings, request, now);
     if eligible.is_empty() {
-        return refuse_without_target();
+        return refuse_without_target(request);
     }
     let mut best: Option<Candidate> = None;
     for &target in &eligible {
@@ -461,8 +467,8 @@
     }
 }
 
-/// The available targets, which accept requests and were not tried yet. Avoided
-/// targets are left out unless they are the majority.
+/// The available targets, which accept requests, may run the request and were not tried
+/// yet. Avoided targets are left out unless they are the majority.
 fn eligible_targets(
     table: &TargetTable,
     settings: &PlacementSettings,
@@ -474,7 +480,11 @@
         .iter()
         .copied();
     let is_available = |target: &TargetEntryId| {
-        table.target(*target).accepts_requests && !request.tried.contains(target)
+        let entry = table.target(*target);
+        let runs_version = |version| entry.version.tag() == version;
+        entry.accepts_requests
+            && !request.tried.contains(target)
+            && request.version.is_none_or(runs_version)
     };
     let available: Vec<TargetEntryId> = targets.filter(is_available).collect();
     let preferred = available.iter().copied().filter(|&target| {
@@ -492,9 +502,13 @@
     }
 }
 
-fn refuse_without_target() -> Placement {
+fn refuse_without_target(request: &PlacementRequest<'_>) -> Placement {
+    let reason = match request.version {
+        Some(_) => RefusalReason::NoTargetOfVersion,
+        None => RefusalReason::NoTarget,
+    };
     Placement::Refused {
-        reason: RefusalReason::NoTarget,
+        reason,
         retry_after: Duration::from_millis(500),
         exceeded: None,
     }
--- /dev/null
+++ b/policy/src/direct/stream_origin.rs
@@ -0,0 +1,240 @@
+//! The software versions at which streams began.
+//!
+//! What two versions of a target's software write does not fit together, so a stream may
+//! go on only at the version that began it. A router that resumes a stream itself knows
+//! that version. A caller, however, may take its stream up at another router, after the
+//! one that began it has ended. So while a service has targets of several versions, each
+//! router sends what it begins to a few holders, which all routers derive from the
+//! stream and the members; the router at which the caller returns asks them.
+//!
+//! Invariants:
+//! - A version is stated only if a record says so, or if the service had a single one for
+//!   as long as a stream can be taken up.
+//! - Records are kept for [`ORIGIN_TTL`], and at most [`MAX_ORIGINS`] of them.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use entity::Name;
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::target::VersionTag;
+
+/// How long after its begin a stream can be taken up; longer than any caller waits.
+pub const ORIGIN_TTL: Duration = Duration::from_secs(30);
+
+/// The maximum number of streams whose origin is kept; the oldest are evicted.
+pub const MAX_ORIGINS: usize = 65_536;
+
+/// The number of routers that hold the origin of a stream besides the one that began it.
+pub const HOLDERS: usize = 3;
+
+/// Identifies a stream: the hash of the id of the attempt that brought its first event.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display, Serialize, Deserialize,
+)]
+#[display("{_0:016x}")]
+#[serde(transparent)]
+pub struct StreamId(pub u64);
+
+impl StreamId {
+    /// Returns the id of the stream whose first event this attempt brought.
+    pub fn of_attempt(attempt: &str) -> Self {
+        Self(xxh3_64(attempt.as_bytes()))
+    }
+}
+
+/// What is known of the version at which a stream began.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Origin {
+    /// A record states the version.
+    Recorded(VersionTag),
+    /// The service has had no other version.
+    Single(VersionTag),
+    /// Other routers may know it.
+    Unknown,
+}
+
+impl Origin {
+    /// Returns the version, if it is known.
+    pub fn version(self) -> Option<VersionTag> {
+        match self {
+            Self::Recorded(version) | Self::Single(version) => Some(version),
+            Self::Unknown => None,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    version: VersionTag,
+    at: Instant,
+}
+
+/// The versions of the targets of one service.
+#[derive(Clone, Default, Debug)]
+struct VersionHistory {
+    current: SmallVec<[VersionTag; 2]>,
+    /// Versions without a target, with the time at which the last one was gone.
+    past: SmallVec<[(VersionTag, Instant); 2]>,
+}
+
+impl VersionHistory {
+    fn update(&mut self, current: SmallVec<[VersionTag; 2]>, now: Instant) {
+        let gone = self.current.iter().filter(|it| !current.contains(it));
+        let gone: SmallVec<[_; 2]> = gone.map(|&version| (version, now)).collect();
+        self.past.extend(gone);
+        self.past.retain(|(version, gone_at)| {
+            !current.contains(version) && now.saturating_duration_since(*gone_at) < ORIGIN_TTL
+        });
+        self.current = current;
+    }
+
+    /// Returns the only version that streams can have begun at, if there is one.
+    fn single(&self, now: Instant) -> Option<VersionTag> {
+        let is_recent = |gone_at| now.saturating_duration_since(gone_at) < ORIGIN_TTL;
+        let has_past = self.past.iter().any(|&(_, gone_at)| is_recent(gone_at));
+        match self.current.as_slice() {
+            &[version] if !has_past => Some(version),
+            _ => None,
+        }
+    }
+}
+
+/// The origins of the streams that this router began or holds for others.
+#[derive(Default, Debug)]
+pub struct StreamOrigins {
+    records: FxHashMap<StreamId, Record>,
+    /// The records in the order of their arrival.
+    order: VecDeque<(StreamId, Instant)>,
+    /// Streams begun by this router that were not yet sent to their holders.
+    unsent: VecDeque<(StreamId, VersionTag, Instant)>,
+    versions: FxHashMap<Name, VersionHistory>,
+}
+
+impl StreamOrigins {
+    /// Updates the versions of the registered targets, as pairs of service and version.
+    pub fn observe_versions<'a>(
+        &mut self,
+        targets: impl Iterator<Item = (&'a Name, VersionTag)>,
+        now: Instant,
+    ) {
+        let mut current: FxHashMap<&Name, SmallVec<[VersionTag; 2]>> = FxHashMap::default();
+        for (service, version) in targets {
+            let versions = current.entry(service).or_default();
+            if !versions.contains(&version) {
+                versions.push(version);
+            }
+        }
+        for service in current.keys() {
+            if !self.versions.contains_key(*service) {
+                let history = VersionHistory::default();
+                self.versions.insert((*service).clone(), history);
+            }
+        }
+        for (service, history) in &mut self.versions {
+            history.update(current.remove(service).unwrap_or_default(), now);
+        }
+    }
+
+    /// Records a stream that this router began.
+    pub fn record_begun(&mut self, stream: StreamId, version: VersionTag, now: Instant) {
+        self.record(stream, version, now);
+        let is_expired = |at| now.saturating_duration_since(at) >= ORIGIN_TTL;
+        while let Some(&(_, _, at)) = self.unsent.front()
+            && (is_expired(at) || self.unsent.len() >= MAX_ORIGINS)
+        {
+            self.unsent.pop_front();
+        }
+        self.unsent.push_back((stream, version, now));
+    }
+
+    /// Records a stream that another router began.
+    pub fn record(&mut self, stream: StreamId, version: VersionTag, now: Instant) {
+        self.evict(now);
+        let record = Record { version, at: now };
+        if self.records.insert(stream, record).is_none() {
+            self.order.push_back((stream, now));
+        }
+    }
+
+    fn evict(&mut self, now: Instant) {
+        let is_expired = |at| now.saturating_duration_since(at) >= ORIGIN_TTL;
+        while let Some(&(stream, at)) = self.order.front() {
+            if !is_expired(at) && self.order.len() < MAX_ORIGINS {
+                return;
+            }
+            self.order.pop_front();
+            self.records.remove(&stream);
+        }
+    }
+
+    /// Returns the recorded version of a stream.
+    pub fn recorded(&self, stream: StreamId, now: Instant) -> Option<VersionTag> {
+        let record = self.records.get(&stream)?;
+        let is_current = now.saturating_duration_since(record.at) < ORIGIN_TTL;
+        is_current.then_some(record.version)
+    }
+
+    /// Returns the version at which a stream of a service began. `is_current` tells
+    /// whether the registered targets were read recently.
+    pub fn origin(
+        &self,
+        stream: Option<StreamId>,
+        service: &Name,
+        is_current: bool,
+        now: Instant,
+    ) -> Origin {
+        if let Some(version) = stream.and_then(|stream| self.recorded(stream, now)) {
+            return Origin::Recorded(version);
+        }
+        let history = self.versions.get(service).filter(|_| is_current);
+        let single = history.and_then(|history| history.single(now));
+        single.map_or(Origin::Unknown, Origin::Single)
+    }
+
+    /// Takes the streams to be sent to their holders: none while each service has a
+    /// single version.
+    pub fn take_unsent(&mut self, now: Instant) -> Vec<(StreamId, VersionTag)> {
+        let has_several = self
+            .versions
+            .values()
+            .any(|history| !history.current.is_empty() && history.single(now).is_none());
+        if !has_several {
+            return Vec::new();
+        }
+        let is_current = |at| now.saturating_duration_since(at) < ORIGIN_TTL;
+        let unsent = self.unsent.drain(..);
+        let current = unsent.filter(|&(_, _, at)| is_current(at));
+        current
+            .map(|(stream, version, _)| (stream, version))
+            .collect()
+    }
+}
+
+/// Returns the members that hold the origin of a stream, by rendezvous hashing: as many
+/// as it takes to include [`HOLDERS`] that are reachable.
+///
+/// `members` are pairs of a member's tag and whether it is reachable. An unreachable one
+/// is included since it may be reachable for others.
+pub fn holders(stream: StreamId, members: &[(u64, bool)]) -> SmallVec<[usize; 8]> {
+    let score = |index: &usize| {
+        let mut bytes = [0; 16];
+        bytes[..8].copy_from_slice(&stream.0.to_le_bytes());
+        bytes[8..].copy_from_slice(&members[*index].0.to_le_bytes());
+        xxh3_64(&bytes)
+    };
+    let mut ranked: Vec<usize> = (0..members.len()).collect();
+    ranked.sort_unstable_by_key(|index| std::cmp::Reverse(score(index)));
+    let mut reachable = 0;
+    let needed = ranked.iter().take_while(|&&index| {
+        let is_needed = reachable < HOLDERS;
+        reachable += usize::from(members[index].1);
+        is_needed
+    });
+    needed.copied().collect()
+}
--- a/policy/src/direct/target.rs
+++ b/policy/src/direct/target.rs
@@ -33,11 +33,19 @@
     }
 
     /// The hash that identifies the version between routers.
-    pub fn tag(&self) -> u64 {
-        self.0.tag().0
+    pub fn tag(&self) -> VersionTag {
+        VersionTag(self.0.tag().0)
     }
 }
 
+/// The hash of a software version.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display, Serialize, Deserialize,
+)]
+#[display("{_0:016x}")]
+#[serde(transparent)]
+pub struct VersionTag(pub u64);
+
 impl Default for SoftwareVersion {
     /// The version of a target that states none.
     fn default() -> Self {
--- a/policy/tests/direct_cold.rs
+++ b/policy/tests/direct_cold.rs
@@ -78,6 +78,7 @@
         objective: Duration::from_millis(600),
         wait_factor: 1.0,
         centre: &Name::new("north"),
+        version: None,
         tried: &[],
         members,
     };
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -369,6 +369,7 @@
                     objective: Duration::from_millis(objective),
                     wait_factor: state.shares.wait_factor(team, now),
                     centre: &Name::new("north"),
+                    version: None,
                     tried: &[],
                     members: &Members::default(),
                 };
--- a/policy/tests/direct_stall.rs
+++ b/policy/tests/direct_stall.rs
@@ -71,6 +71,7 @@
         objective: Duration::from_millis(600),
         wait_factor: 1.0,
         centre: &Name::new("north"),
+        version: None,
         tried: &[],
         members: &Members::default(),
     };
--- /dev/null
+++ b/policy/tests/direct_stream_origin.rs
@@ -0,0 +1,117 @@
+//! Tests of the versions at which streams began.
+
+use std::time::{Duration, Instant};
+
+use entity::Name;
+use knapweed_policy::direct::stream_origin::{
+    HOLDERS, MAX_ORIGINS, ORIGIN_TTL, Origin, StreamId, StreamOrigins, holders,
+};
+use knapweed_policy::direct::target::{SoftwareVersion, VersionTag};
+use proptest::prelude::*;
+
+fn version(text: &str) -> VersionTag {
+    SoftwareVersion::new(text).tag()
+}
+
+fn service() -> Name {
+    Name::new("pool")
+}
+
+fn observe(origins: &mut StreamOrigins, versions: &[&str], now: Instant) {
+    let service = service();
+    let targets = versions.iter().map(|text| (&service, version(text)));
+    origins.observe_versions(targets, now);
+}
+
+/// A stream of which nothing was recorded.
+const UNRECORDED: Option<StreamId> = Some(StreamId(1));
+
+#[test]
+fn an_unrecorded_stream_has_the_only_version_of_its_service() {
+    let mut origins = StreamOrigins::default();
+    let now = Instant::now();
+    let origin = |origins: &StreamOrigins, is_current, now| {
+        origins.origin(UNRECORDED, &service(), is_current, now)
+    };
+    assert_eq!(origin(&origins, true, now), Origin::Unknown);
+    observe(&mut origins, &["v1", "v1"], now);
+    assert_eq!(origin(&origins, true, now), Origin::Single(version("v1")));
+    // Without a recent reading, another version may have appeared.
+    assert_eq!(origin(&origins, false, now), Origin::Unknown);
+    observe(&mut origins, &["v1", "v2"], now);
+    assert_eq!(origin(&origins, true, now), Origin::Unknown);
+    // A stream may have begun at a version that is gone.
+    observe(&mut origins, &["v2"], now);
+    let later = now + ORIGIN_TTL - Duration::from_millis(1);
+    assert_eq!(origin(&origins, true, later), Origin::Unknown);
+    let later = now + ORIGIN_TTL;
+    assert_eq!(origin(&origins, true, later), Origin::Single(version("v2")));
+}
+
+#[test]
+fn a_recorded_stream_keeps_its_version_until_the_record_expires() {
+    let mut origins = StreamOrigins::default();
+    let now = Instant::now();
+    observe(&mut origins, &["v1", "v2"], now);
+    let stream = StreamId::of_attempt("9c41");
+    origins.record(stream, version("v1"), now);
+    let origin = |at| origins.origin(Some(stream), &service(), false, at);
+    assert_eq!(origin(now), Origin::Recorded(version("v1")));
+    assert_eq!(origin(now + ORIGIN_TTL), Origin::Unknown);
+}
+
+#[test]
+fn the_number_of_records_is_bounded() {
+    let mut origins = StreamOrigins::default();
+    let now = Instant::now();
+    observe(&mut origins, &["v1", "v2"], now);
+    for number in 0..=MAX_ORIGINS as u64 {
+        origins.record_begun(StreamId(number), version("v1"), now);
+    }
+    assert_eq!(origins.recorded(StreamId(0), now), None);
+    assert_eq!(origins.recorded(StreamId(1), now), Some(version("v1")));
+    assert_eq!(origins.take_unsent(now).len(), MAX_ORIGINS);
+}
+
+#[test]
+fn streams_are_sent_to_holders_only_while_there_are_several_versions() {
+    let mut origins = StreamOrigins::default();
+    let now = Instant::now();
+    observe(&mut origins, &["v1"], now);
+    origins.record_begun(StreamId(1), version("v1"), now);
+    assert!(origins.take_unsent(now).is_empty());
+    // What began before the second version appeared is sent then.
+    let later = now + Duration::from_secs(1);
+    observe(&mut origins, &["v1", "v2"], later);
+    origins.record_begun(StreamId(2), version("v2"), later);
+    let expected = vec![(StreamId(1), version("v1")), (StreamId(2), version("v2"))];
+    assert_eq!(origins.take_unsent(later), expected);
+    assert!(origins.take_unsent(later).is_empty());
+}
+
+proptest! {
+    #[test]
+    fn a_router_that_asks_reaches_a_holder_after_two_others_have_failed(
+        stream in any::<u64>(),
+        count in 5_u64..40,
+        failed in any::<(prop::sample::Index, prop::sample::Index)>(),
+    ) {
+        let stream = StreamId(stream);
+        let view = |own: u64, failed: &[u64]| -> Vec<(u64, bool)> {
+            let others = (0..count).filter(|&member| member != own);
+            others.map(|member| (member, !failed.contains(&member))).collect()
+        };
+        let tags = |members: &[(u64, bool)]| -> Vec<u64> {
+            let holders = holders(stream, members);
+            holders.into_iter().map(|index| members[index].0).collect()
+        };
+        // Router 0 began the stream; its caller takes it up at router 1.
+        let held_by = tags(&view(0, &[]));
+        prop_assert_eq!(held_by.len(), HOLDERS);
+        let failed = [failed.0, failed.1].map(|index| index.index(count as usize) as u64);
+        let failed: Vec<u64> = failed.into_iter().filter(|&member| member != 1).collect();
+        let asked = tags(&view(1, &failed));
+        let mut live = held_by.iter().filter(|member| !failed.contains(member));
+        prop_assert!(live.any(|member| *member == 1 || asked.contains(member)));
+    }
+}
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -8,7 +8,8 @@
 use std::net::SocketAddr;
 
 use derive_more::{Display, Error};
-use policy::direct::target::{SoftwareVersion, Target};
+use policy::direct::stream_origin::StreamId;
+use policy::direct::target::{SoftwareVersion, Target, VersionTag};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -99,6 +100,23 @@
     }
 }
 
+/// Streams that began at one software version, sent to their holders and in response to
+/// an [`OriginQuery`].
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Origins {
+    /// The version.
+    pub version: VersionTag,
+    /// The streams.
+    pub streams: Vec<StreamId>,
+}
+
+/// Asks for the versions at which streams began.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct OriginQuery {
+    /// The streams.
+    pub streams: Vec<StreamId>,
+}
+
 /// The targets that currently fail for a router, sent before a heartbeat.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Trouble {
@@ -141,6 +159,10 @@
     Unchanged(Unchanged),
     /// Targets that the sender read from the store, with their versions.
     VersionedListing(VersionedListing),
+    /// Streams that began at one software version.
+    Origins(Origins),
+    /// A question for the versions at which streams began.
+    OriginQuery(OriginQuery),
 }
 
 /// The in-flight load of a router at one target.
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -15,7 +15,8 @@
 
 pub use datagram::{
     Beat, CrashRow, DATAGRAM_VERSION, Datagram, DatagramError, Echo, Listing, LoadRow,
-    MAX_DATAGRAM_BYTES, TeamRow, Trouble, Unchanged, VersionedListing, listing_digest,
+    MAX_DATAGRAM_BYTES, OriginQuery, Origins, TeamRow, Trouble, Unchanged, VersionedListing,
+    listing_digest,
 };
 pub use envelope::{Envelope, EnvelopeError, MAX_ENVELOPE_BYTES, Message, PROTOCOL_VERSION};
 pub use fact::{decode_fact, encode_fact};
