Soak: a stream that no target could resume is not counted as lost in a planned stop

The check now excuses a stream that its target's script broke only if each target had run it or was drained at that time, counting the drain bound for a return that routers may not know. Planted records: excused with both others drained; still reported with either of them in service, and for a stream that its target did not break.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -95,7 +95,7 @@
         check_revoked_key(record, request, attempts, &mut findings);
         check_headers(request, attempts, &mut findings);
         check_time_limit(record, request, &mut findings);
-        check_planned_stop(record, request, &mut findings);
+        check_planned_stop(record, request, attempts, &mut findings);
         check_cancellation(record, request, attempts, &mut findings);
     }
     check_drains(record, &mut findings);
@@ -254,10 +254,25 @@
     }
 }
 
+/// Whether a target broke the stream when all others were drained, so that it could not be
+/// resumed.
+fn had_no_target_to_resume(record: &Record, request: &Request, attempts: &[&Attempt]) -> bool {
+    let is_broken_by_script = matches!(request.script, "halt" | "torn");
+    let has_run = |target| attempts.iter().any(|attempt| attempt.target == target);
+    let is_out = |target| has_run(target) || record.is_drained(target, request.ended);
+    is_broken_by_script && !attempts.is_empty() && (0..record.targets).all(is_out)
+}
+
 /// Reports a request that is cut off around a planned stop when no other fault or script could
 /// have caused it.
-fn check_planned_stop(record: &Record, request: &Request, findings: &mut Findings) {
-    let is_cut_by_script = matches!(request.script, "reset" | "cut" | "mute");
+fn check_planned_stop(
+    record: &Record,
+    request: &Request,
+    attempts: &[&Attempt],
+    findings: &mut Findings,
+) {
+    let is_cut_by_script = matches!(request.script, "reset" | "cut" | "mute")
+        || had_no_target_to_resume(record, request, attempts);
     let is_cut = match &request.outcome {
         Outcome::ConnectionClosed => true,
         Outcome::Response(response) => !response.is_complete,
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -157,6 +157,8 @@
 pub struct Record {
     /// The bounds to check against.
     pub bounds: Bounds,
+    /// The number of targets.
+    pub targets: usize,
     /// The requests that callers sent while faults were injected.
     pub requests: Vec<Request>,
     /// The requests that callers sent after recovery.
@@ -213,6 +215,17 @@
         })
     }
 
+    /// Whether a target was drained at this time, or returned from it so recently that
+    /// routers may not know.
+    pub fn is_drained(&self, target: usize, at: Instant) -> bool {
+        let mut drains = self.faults_of_kind(FaultKind::DrainTarget);
+        drains.any(|fault| {
+            fault.planned.subject == target
+                && fault.began <= at
+                && at <= fault.ended + self.bounds.drain_limit
+        })
+    }
+
     fn no_fault_overlaps(
         &self,
         from: Instant,
--- a/soak/src/runner.rs
+++ b/soak/src/runner.rs
@@ -103,6 +103,7 @@
     let mut observations = observations.lock().unwrap_or_else(PoisonError::into_inner);
     let mut record = Record {
         bounds: bounds(),
+        targets: fleet.targets().count(),
         requests,
         recovery_requests,
         attempts: Vec::new(),
--- a/soak/tests/planted.rs
+++ b/soak/tests/planted.rs
@@ -91,6 +91,7 @@
     let attempts = all.map(|request| attempt(&request.id, 0, request.sent + MILLI));
     Record {
         bounds: bounds(),
+        targets: 3,
         attempts: attempts.collect(),
         requests,
         recovery_requests,
@@ -280,6 +281,26 @@
     );
 }
 
+#[test]
+fn stream_lost_in_a_planned_stop_is_reported_unless_no_other_target_was_in_service() {
+    let violate = |drained: &[usize], script| {
+        violated_promises(|record, start| {
+            let stop = fault(FaultKind::StopRouter, 0, start, SECOND * 2);
+            let drains = drained
+                .iter()
+                .map(|&target| fault(FaultKind::DrainTarget, target, start, SECOND / 2));
+            record.faults.extend(drains.chain([stop]));
+            // The first resumable stream, which ran at target 0 only.
+            record.requests[3].script = script;
+            response_mut(&mut record.requests[3]).is_complete = false;
+        })
+    };
+    assert_eq!(violate(&[1, 2], "halt"), []);
+    assert_eq!(violate(&[1], "halt"), [Promise::Stops]);
+    assert_eq!(violate(&[2], "halt"), [Promise::Stops]);
+    assert_eq!(violate(&[1, 2], "slow"), [Promise::Stops]);
+}
+
 #[test]
 fn response_after_the_route_timeout_is_reported() {
     let delay_response =
