--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -28,8 +28,8 @@
 const MAX_PAUSE_MILLIS: u64 = 60;
 
 /// The mix of requests. The weights add up to 100.
-const REQUEST_MIX: [RequestTemplate; 13] = [
-    RequestTemplate::new(RouteKind::Safe, "ok", 26),
+const REQUEST_MIX: [RequestTemplate; 14] = [
+    RequestTemplate::new(RouteKind::Safe, "ok", 25),
     RequestTemplate::new(RouteKind::Safe, "error", 1),
     RequestTemplate::new(RouteKind::Safe, "extra", 2),
     RequestTemplate::new(RouteKind::Safe, "unframed", 2),
@@ -40,6 +40,7 @@
     RequestTemplate::new(RouteKind::Stream, "stream-10", 14),
     RequestTemplate::new(RouteKind::Stream, "slow-30", 8),
     RequestTemplate::new(RouteKind::Resumable, "halt-4", 3),
+    RequestTemplate::new(RouteKind::Resumable, "torn-4", 1),
     RequestTemplate::new(RouteKind::Resumable, "slow-20", 14),
     RequestTemplate {
         cancels: true,
