A target that says it leaves gets no further requests

Server-Leaving: 1 is decoded in platform/ and taken from every head that a target sends, also of a failure, of an informational response and of a response to another request; not from another instance at its address. From then on this router places nothing there, whatever the registration says, until the target's next incarnation. Peers hear of it with ten heartbeats (a new datagram variant). Streams that run there go on. KW1418, knapweed_edge_leaving_targets.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -346,6 +346,11 @@
             .borrow_mut()
             .log_if_due(&mut self.fair_shares.borrow_mut(), now);
         self.notify_stalled(now);
+        let leaving = self.shared.take_peer_leaving();
+        let leaving = self.target_table.borrow_mut().record_leaving_tags(&leaving);
+        for target_id in leaving {
+            self.log_leaving(target_id, "peer");
+        }
         let mut crash_history = self.crash_history.borrow_mut();
         for record in self.shared.take_peer_crashes() {
             crash_history.add(record, now);
@@ -507,6 +512,25 @@
             .record_completed(fingerprint);
     }
 
+    /// Records that a target told this router that it is leaving.
+    pub(crate) fn record_leaving(&self, target_id: TargetEntryId) {
+        if self.target_table.borrow_mut().record_leaving(target_id) {
+            let tag = self.target_table.borrow().target(target_id).tag;
+            self.shared.add_local_leaving(tag);
+            self.log_leaving(target_id, "self");
+        }
+    }
+
+    fn log_leaving(&self, target_id: TargetEntryId, from: &'static str) {
+        self.metrics.record_leaving(from);
+        let target_table = self.target_table.borrow();
+        let fields: [event::Field<'_>; 2] = [
+            ("target", &target_table.target(target_id).name),
+            ("from", &from),
+        ];
+        event::log(Event::TargetSaidLeaving, &fields);
+    }
+
     /// Records the result of an attempt for outlier detection.
     pub(crate) fn record_result(&self, target_id: TargetEntryId, good: bool, now: Instant) {
         let mut target_table = self.target_table.borrow_mut();
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -75,9 +75,9 @@
 /// The maximum number of known addresses of routers.
 const MAX_ROUTERS: usize = 2_048;
 
-/// The number of heartbeats in which a crash record is repeated, since datagrams may
-/// be lost.
-const CRASH_REPEATS: u8 = 10;
+/// The number of heartbeats with which a crash record or a leaving target is repeated,
+/// since datagrams may be lost.
+const RECORD_REPEATS: u8 = 10;
 
 /// The number of heartbeats whose send times are kept for matching echoes.
 const MAX_SENT_HEARTBEATS: usize = 64;
@@ -138,6 +138,8 @@
     store: Rc<StoreReader>,
     crashes: Vec<(CrashRow, u8)>,
     known_crashes: FxHashSet<CrashRow>,
+    /// Targets that told this router that they are leaving, with the remaining repeats.
+    leaving: Vec<(u64, u8)>,
     shared: Arc<Shared>,
 }
 
@@ -175,6 +177,7 @@
             store,
             crashes: Vec::new(),
             known_crashes: FxHashSet::default(),
+            leaving: Vec::new(),
             shared,
         };
         gossip.set_seeds(seeds);
@@ -246,10 +249,8 @@
         }
         self.send_heartbeat(&to);
         if turn + 1 == rounds {
-            for (_, remaining) in &mut self.crashes {
-                *remaining -= 1;
-            }
-            self.crashes.retain(|(_, remaining)| *remaining > 0);
+            count_repeat(&mut self.crashes);
+            count_repeat(&mut self.leaving);
         }
     }
 
@@ -272,9 +273,14 @@
                 targets,
             })
         });
+        let leaving = self.shared.take_local_leaving().into_iter();
+        self.leaving
+            .extend(leaving.map(|target| (target, RECORD_REPEATS)));
+        let leaving: Vec<u64> = self.leaving.iter().map(|(target, _)| *target).collect();
+        let leaving = (!leaving.is_empty()).then_some(Datagram::Leaving(leaving));
         for address in to {
-            if let Some(problems) = &problems {
-                self.send(problems, *address);
+            for datagram in problems.iter().chain(&leaving) {
+                self.send(datagram, *address);
             }
             heartbeat.echo = self.peers.get(address).map(|peer| Echo {
                 life: peer.incarnation,
@@ -343,7 +349,7 @@
                 target: crash.target,
             };
             if self.known_crashes.insert(row) {
-                self.crashes.push((row, CRASH_REPEATS));
+                self.crashes.push((row, RECORD_REPEATS));
             }
         }
         let sheet = self.shared.local_report.load();
@@ -400,6 +406,7 @@
             }
             Ok(Datagram::Origins(origins)) => return self.receive_origins(&origins),
             Ok(Datagram::OriginQuery(query)) => return self.answer_query(&query, from),
+            Ok(Datagram::Leaving(targets)) => return self.shared.add_peer_leaving(targets),
             Ok(Datagram::Trouble(problems)) => return self.receive_problems(problems),
             Ok(Datagram::Unchanged(unchanged)) => return self.store.adopt_unchanged(unchanged),
             Err(DatagramError::Version) => {
@@ -462,7 +469,7 @@
             .filter(|row| self.known_crashes.insert(*row))
             .collect();
         self.crashes
-            .extend(new.iter().map(|&row| (row, CRASH_REPEATS)));
+            .extend(new.iter().map(|&row| (row, RECORD_REPEATS)));
         self.shared
             .add_peer_crashes(new.into_iter().map(|row| CrashRecord {
                 request: Fingerprint(row.request),
@@ -535,6 +542,14 @@
     }
 }
 
+/// Counts one repeat of each record and removes those that were sent often enough.
+fn count_repeat<T>(records: &mut Vec<(T, u8)>) {
+    for (_, remaining) in records.iter_mut() {
+        *remaining -= 1;
+    }
+    records.retain(|(_, remaining)| *remaining > 0);
+}
+
 fn load_report(row: &LoadRow) -> LoadReport {
     LoadReport {
         target: row.target,
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -24,6 +24,7 @@
     connections: Counter<u64>,
     body_ends: Counter<u64>,
     stream_origins: Counter<u64>,
+    leaving_targets: Counter<u64>,
     reported_connections: Cell<u64>,
 }
 
@@ -45,6 +46,7 @@
             connections: meter
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
+            leaving_targets: meter.u64_counter("knapweed_edge_leaving_targets").build(),
             stream_origins: meter.u64_counter("knapweed_edge_stream_origins").build(),
             body_ends: meter.u64_counter("knapweed_edge_body_ends").build(),
             reported_connections: Cell::new(0),
@@ -97,6 +99,11 @@
             .add(1, &[KeyValue::new("origin", origin)]);
     }
 
+    /// Counts a target that said that it is leaving, to this router or to a peer.
+    pub(crate) fn record_leaving(&self, from: &'static str) {
+        self.leaving_targets.add(1, &[KeyValue::new("from", from)]);
+    }
+
     /// Updates the counter of connections to targets from the number opened so far.
     pub(crate) fn record_connections(&self, opened: u64) {
         self.connections
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -15,7 +15,7 @@
 use bytes::{Bytes, BytesMut};
 use node::event::{self, Event, Field};
 use platform::attempt::{SystemHeaders, returned_headers, set_system_headers};
-use platform::response;
+use platform::response::{self, ResponseHead};
 use policy::direct::config::{RetryPolicy, Route};
 use policy::direct::placement::{self, Placement, PlacementRequest};
 use policy::direct::response::{ResponseClass, classify};
@@ -403,12 +403,21 @@
             sent.set(sent.get() || is_same);
             is_same
         };
+        let on_head = |head: &ResponseHead<'_>| {
+            // Another instance at the same address speaks for itself only.
+            let is_other = head.facts.status == StatusCode::MISDIRECTED_REQUEST.as_u16()
+                || head.target.is_some_and(|target| target != name.as_str());
+            if head.is_leaving && !is_other {
+                self.context.record_leaving(attempt.target_id);
+            }
+        };
         let pool = &self.context.connection_pool;
         let exchange = pool.send(
             address,
             target_request,
             &self.request.caller_headers.id,
             may_send,
+            on_head,
         );
         let silence_limit = silence_limit(route);
         let may_try_another = idempotent && self.runs + 1 < route.attempts;
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -68,6 +68,8 @@
     targets_read_at_micros: AtomicU64,
     /// Crash records that one thread hands to the other.
     crash_queues: Mutex<CrashQueues>,
+    /// Tags of leaving targets that one thread hands to the other.
+    leaving_queues: Mutex<LeavingQueues>,
     origins: Mutex<StreamOrigins>,
     /// Streams whose origin the traffic thread asks the peers for.
     origin_questions: Mutex<Vec<OriginQuestion>>,
@@ -91,6 +93,12 @@
     peers: Vec<CrashRecord>,
 }
 
+#[derive(Debug, Default)]
+struct LeavingQueues {
+    local: Vec<u64>,
+    peers: Vec<u64>,
+}
+
 impl Shared {
     /// Creates the initial state, without configuration, targets and peers.
     pub(crate) fn new(revocation_limit: Option<Duration>) -> Arc<Self> {
@@ -107,6 +115,7 @@
             revocation_limit,
             targets_read_at_micros: AtomicU64::new(0),
             crash_queues: Mutex::default(),
+            leaving_queues: Mutex::default(),
             origins: Mutex::default(),
             origin_questions: Mutex::default(),
             origin_asked: Notify::new(),
@@ -175,6 +184,31 @@
         questions.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds a target that told this router that it is leaving, to be sent to the peers.
+    pub(crate) fn add_local_leaving(&self, target: u64) {
+        self.leaving_queues().local.push(target);
+    }
+
+    /// Adds targets that told a peer that they are leaving.
+    pub(crate) fn add_peer_leaving(&self, targets: Vec<u64>) {
+        self.leaving_queues().peers.extend(targets);
+    }
+
+    /// Takes the targets to be sent to the peers.
+    pub(crate) fn take_local_leaving(&self) -> Vec<u64> {
+        std::mem::take(&mut self.leaving_queues().local)
+    }
+
+    /// Takes the targets received from peers.
+    pub(crate) fn take_peer_leaving(&self) -> Vec<u64> {
+        std::mem::take(&mut self.leaving_queues().peers)
+    }
+
+    fn leaving_queues(&self) -> MutexGuard<'_, LeavingQueues> {
+        let queues = self.leaving_queues.lock();
+        queues.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adds crash records of this router, to be sent to the peers.
     pub(crate) fn add_local_crashes(&self, crashes: impl IntoIterator<Item = CrashRecord>) {
         self.crash_queues().local.extend(crashes);
--- a/edge/src/target.rs
+++ b/edge/src/target.rs
@@ -18,6 +18,7 @@
 use actix_http::{Method, RequestHead, RequestHeadType, ServiceConfig, StatusCode, Uri};
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
+use platform::response::ResponseHead;
 use rustc_hash::FxHashMap;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -133,7 +134,8 @@
     ///
     /// Dropping the future or the body closes the connection. `may_send` is called
     /// right before the first byte is written; if it returns `false`, nothing is
-    /// sent.
+    /// sent. `on_head` is called with each head that the target sends, also of responses
+    /// to other requests.
     ///
     /// # Errors
     ///
@@ -144,6 +146,7 @@
         request: TargetRequest,
         id: &str,
         may_send: impl FnOnce() -> bool,
+        on_head: impl Fn(&ResponseHead<'_>),
     ) -> Result<TargetResponse, SendError> {
         let stream = match self.take_idle(address, request.idempotent) {
             Some(stream) => stream,
@@ -156,7 +159,8 @@
             stream,
             input: BytesMut::new(),
         };
-        let response = self.exchange(address, &mut connection, request, id).await;
+        let exchange = self.exchange(address, &mut connection, request, id, on_head);
+        let response = exchange.await;
         match response {
             Some((status, headers, framing, request_written)) => {
                 let idle_time = allowed_idle_time(&headers);
@@ -213,6 +217,7 @@
         connection: &mut Connection,
         request: TargetRequest,
         id: &str,
+        on_head: impl Fn(&ResponseHead<'_>),
     ) -> Option<(StatusCode, HeaderMap, Framing, bool)> {
         let mut codec = ClientCodec::new(self.config.clone());
         let mut output = encode(&mut codec, request).ok()?;
@@ -222,13 +227,14 @@
             let decoded = codec.decode(&mut connection.input).ok()?;
             if let Some(head) = decoded {
                 let status = head.status;
+                let headers = head.headers().clone();
+                let parsed = platform::response::parse_head(status.as_u16(), &headers);
+                on_head(&parsed);
                 if status.is_informational() {
                     continue;
                 }
-                let headers = head.headers().clone();
+                let is_mismatched = parsed.request.is_some_and(|answered| answered != id);
                 let (framing, next) = response_framing(codec, status, &headers);
-                let answered_id = platform::response::parse_head(status.as_u16(), &headers).request;
-                let is_mismatched = answered_id.is_some_and(|answered| answered != id);
                 if !is_mismatched {
                     return Some((status, headers, framing, output.is_empty()));
                 }
--- /dev/null
+++ b/livetests/tests/target_signals.rs
@@ -0,0 +1,50 @@
+//! What targets say of themselves in their responses.
+
+use std::time::Duration;
+
+use knapweed_livetests::edge::{EdgeFleet, RED_KEY, status_of};
+use tokio::time::sleep;
+
+/// The time within which routers exchange what targets said.
+const EXCHANGE_TIME: Duration = Duration::from_secs(1);
+
+/// Sends requests to a router and returns how many of them reached the target that
+/// received the request `id`.
+async fn arrivals_after(fleet: &EdgeFleet, router: usize, id: &str) -> usize {
+    let arrivals = fleet.arrivals(id);
+    let number = arrivals[0].target.trim_start_matches('t').parse();
+    let target: usize = number.expect("the number of a target");
+    let before = fleet.arrival_count(target);
+    for _ in 0..10 {
+        let answer = fleet.send_to(router, "GET", "/safe/ok", "n", Some(RED_KEY));
+        assert_eq!(status_of(&answer.await), 200);
+    }
+    fleet.arrival_count(target) - before
+}
+
+#[actix_rt::test]
+async fn target_that_says_it_leaves_gets_no_further_requests() -> eyre::Result<()> {
+    for (name, path) in [("says", "/safe/leave"), ("refuses", "/safe/shed-leave")] {
+        let mut fleet = EdgeFleet::start(&format!("leaving-{name}"), 2, 2).await?;
+        fleet.send("GET", path, "leave").await;
+        if name == "refuses" {
+            // Both targets have said that they leave.
+            let answer = fleet.send("GET", "/safe/ok", "later").await;
+            assert_eq!(status_of(&answer), 503, "{answer}");
+            fleet.add_target("v1").await?;
+            fleet
+                .wait_for_status(0, "/safe/ok", Some(RED_KEY), 200)
+                .await;
+        }
+        assert_eq!(arrivals_after(&fleet, 0, "leave").await, 0);
+        // The entry is read again, and is still `ready`.
+        sleep(EXCHANGE_TIME).await;
+        fleet
+            .wait_for_status(1, "/safe/ok", Some(RED_KEY), 200)
+            .await;
+        for router in 0..2 {
+            assert_eq!(arrivals_after(&fleet, router, "leave").await, 0);
+        }
+    }
+    Ok(())
+}
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -158,6 +158,8 @@
     SpeedLearned 1416 Info "speed-learned";
     /// Requests of a team were refused; the line states its rates and share.
     TeamRefused 1417 Warn "team-refused";
+    /// A target said in a response that it is leaving, to this router or to a peer.
+    TargetSaidLeaving 1418 Info "target-said-leaving";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -161,8 +161,11 @@
     pub version: SoftwareVersion,
     /// The number of requests that it runs concurrently.
     pub slots: u32,
-    /// Whether it accepts new requests according to its registration.
+    /// Whether it accepts new requests according to its registration and to itself.
     pub accepts_requests: bool,
+    /// Whether the target said that it is leaving, which no registration of this
+    /// incarnation revokes.
+    said_leaving: bool,
     /// Failure statistics of its requests.
     pub outlier_detector: OutlierDetector,
     /// The time until which it is cold.
@@ -324,6 +327,7 @@
                         version: target.version.clone(),
                         slots: target.slots,
                         accepts_requests: false,
+                        said_leaving: false,
                         outlier_detector: OutlierDetector::default(),
                         cold_until: None,
                         own_load: TargetLoad::default(),
@@ -341,7 +345,8 @@
             };
             let entry = &mut self.entries[id];
             let is_drained = registry.drained.contains(&target.centre);
-            entry.accepts_requests = target.state == TargetState::Ready && !is_drained;
+            entry.accepts_requests =
+                target.state == TargetState::Ready && !is_drained && !entry.said_leaving;
             entry.slots = target.slots;
             entry.address = target.address;
             entry.service = target.service.clone();
@@ -401,6 +406,26 @@
         self.entries[id].accepts_requests = false;
     }
 
+    /// Records that a target said that it is leaving; returns whether this is new. The
+    /// target gets no further requests in this incarnation.
+    pub fn record_leaving(&mut self, id: TargetEntryId) -> bool {
+        let entry = &mut self.entries[id];
+        entry.accepts_requests = false;
+        !std::mem::replace(&mut entry.said_leaving, true)
+    }
+
+    /// Like [`Self::record_leaving`], for the targets with these tags, as heard from a peer;
+    /// returns those for which this is new.
+    pub fn record_leaving_tags(&mut self, tags: &[u64]) -> Vec<TargetEntryId> {
+        let known = self.entries.iter();
+        let known = known.filter(|(_, entry)| tags.contains(&entry.tag));
+        let known: Vec<TargetEntryId> = known.map(|(id, _)| id).collect();
+        known
+            .into_iter()
+            .filter(|&id| self.record_leaving(id))
+            .collect()
+    }
+
     /// Records the start of an attempt.
     ///
     /// `copied_tokens` of its prompt tokens are copied from another target.
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -8,6 +8,8 @@
 //! | `error` | answers 500 with its identity headers |
 //! | `shed` | answers 503 and states that it did not run the request |
 //! | `busy` | answers 503 without stating whether it ran the request |
+//! | `leave` | answers and says that the target is leaving |
+//! | `shed-leave` | like `shed`, and says that the target is leaving |
 //! | `unsigned` | answers 200 without its identity headers |
 //! | `encoded` | answers with a `Content-Encoding` |
 //! | `reset` | closes the connection after reading the request |
@@ -199,6 +201,10 @@
             format!("HTTP/1.1 200 OK\r\n{identity_headers}Content-Length: {length}\r\n\r\n{body}");
         let bytes = match name {
             "ok" => whole,
+            "leave" => whole.replacen("\r\n", "\r\nServer-Leaving: 1\r\n", 1),
+            "shed" if script == "shed-leave" => "HTTP/1.1 503 X\r\nServer-Leaving: 1\r\n\
+                 X-Knapweedgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                .to_owned(),
             "error" => format!("HTTP/1.1 500 X\r\n{identity_headers}Content-Length: 4\r\n\r\noops"),
             "shed" => {
                 "HTTP/1.1 503 X\r\nX-Knapweedgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -163,6 +163,8 @@
     Origins(Origins),
     /// A question for the versions at which streams began.
     OriginQuery(OriginQuery),
+    /// The tags of target incarnations that said that they are leaving.
+    Leaving(Vec<u64>),
 }
 
 /// The in-flight load of a router at one target.
