A target that turns a request away with Retry-After gets none until then

A 503 with Retry-After (seconds, fractions too; anything but a positive number counts as absent, a longer time than 600 s as 600 s) is a pause for this router. Placement leaves the target out; with all targets paused a request is refused at once as "paused", to come back at the first one's end. A pause is no failure for outlier detection. KW1419, knapweed_edge_target_pauses.

Test: targets_that_ask_for_a_pause_get_no_requests_until_its_end; before, the requests during the pause reached the targets.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -521,6 +521,19 @@
         }
     }
 
+    /// Records that a target wants no requests for a while.
+    pub(crate) fn record_pause(&self, target_id: TargetEntryId, pause: Duration, now: Instant) {
+        self.metrics.record_pause();
+        let mut target_table = self.target_table.borrow_mut();
+        target_table.record_pause(target_id, pause, now);
+        let millis = pause.as_millis();
+        let fields: [event::Field<'_>; 2] = [
+            ("target", &target_table.target(target_id).name),
+            ("pause_ms", &millis),
+        ];
+        event::log(Event::TargetPaused, &fields);
+    }
+
     fn log_leaving(&self, target_id: TargetEntryId, from: &'static str) {
         self.metrics.record_leaving(from);
         let target_table = self.target_table.borrow();
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -25,6 +25,7 @@
     body_ends: Counter<u64>,
     stream_origins: Counter<u64>,
     leaving_targets: Counter<u64>,
+    pauses: Counter<u64>,
     reported_connections: Cell<u64>,
 }
 
@@ -46,6 +47,7 @@
             connections: meter
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
+            pauses: meter.u64_counter("knapweed_edge_target_pauses").build(),
             leaving_targets: meter.u64_counter("knapweed_edge_leaving_targets").build(),
             stream_origins: meter.u64_counter("knapweed_edge_stream_origins").build(),
             body_ends: meter.u64_counter("knapweed_edge_body_ends").build(),
@@ -104,6 +106,11 @@
         self.leaving_targets.add(1, &[KeyValue::new("from", from)]);
     }
 
+    /// Counts a response in which a target asked for a pause.
+    pub(crate) fn record_pause(&self) {
+        self.pauses.add(1, &[]);
+    }
+
     /// Updates the counter of connections to targets from the number opened so far.
     pub(crate) fn record_connections(&self, opened: u64) {
         self.connections
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -317,6 +317,7 @@
                 let reason = match reason {
                     placement::RefusalReason::NoTarget => "no target",
                     placement::RefusalReason::NoTargetOfVersion => "no target of its version",
+                    placement::RefusalReason::Paused => "paused",
                     placement::RefusalReason::Busy => "busy",
                     placement::RefusalReason::Full => "full",
                 };
@@ -479,6 +480,9 @@
                 .borrow_mut()
                 .extend_cold(target_id, cold, now);
         }
+        if let Some(pause) = head.pause {
+            self.context.record_pause(target_id, pause, now);
+        }
         match classify(head.facts) {
             ResponseClass::NotRun => {
                 let why = if status == StatusCode::MISDIRECTED_REQUEST {
@@ -492,7 +496,7 @@
                         .target_table
                         .borrow_mut()
                         .stop_requests(target_id);
-                } else {
+                } else if head.pause.is_none() {
                     self.context.record_result(target_id, false, now);
                 }
                 self.tried.push(target_id);
--- a/livetests/tests/target_signals.rs
+++ b/livetests/tests/target_signals.rs
@@ -48,3 +48,25 @@
     }
     Ok(())
 }
+
+#[actix_rt::test]
+async fn targets_that_ask_for_a_pause_get_no_requests_until_its_end() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start("pause", 1, 2).await?;
+    // The second target is tried after the first one has asked for a pause.
+    let answer = fleet.send("POST", "/once/pause-2", "pause").await;
+    assert_eq!(status_of(&answer), 503, "{answer}");
+    assert_eq!(fleet.arrivals("pause").len(), 2);
+    for _ in 0..5 {
+        let answer = fleet.send("GET", "/safe/ok", "held").await;
+        assert_eq!(status_of(&answer), 503, "{answer}");
+        let mut lines = answer.lines();
+        let retry = lines.find_map(|line| line.strip_prefix("retry-after: "));
+        let retry: f64 = retry.expect("a retry-after header").parse()?;
+        assert!((1.0..=2.2).contains(&retry), "{answer}");
+    }
+    assert!(fleet.arrivals("held").is_empty());
+    sleep(Duration::from_secs(2)).await;
+    let answer = fleet.send("GET", "/safe/ok", "after").await;
+    assert_eq!(status_of(&answer), 200, "{answer}");
+    Ok(())
+}
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -160,6 +160,8 @@
     TeamRefused 1417 Warn "team-refused";
     /// A target said in a response that it is leaving, to this router or to a peer.
     TargetSaidLeaving 1418 Info "target-said-leaving";
+    /// A target turned a request away and wants no others for a while.
+    TargetPaused 1419 Info "target-paused";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -86,6 +86,9 @@
 /// centre, as a fraction of its slots.
 const PLAIN_REMOTE_COST: f64 = 0.3;
 
+/// The time after which a caller is asked to retry if no target may run its request.
+const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
+
 /// The minimum time after which a refused caller is asked to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(40);
 
@@ -124,6 +127,9 @@
     /// No target of the software version that began the stream accepts requests.
     #[display("no-target-of-version")]
     NoTargetOfVersion,
+    /// Every target that accepts requests has asked for a pause.
+    #[display("paused")]
+    Paused,
     /// The wait at every target is too long.
     #[display("busy")]
     Busy,
@@ -262,7 +268,7 @@
 ) -> Placement {
     let eligible = eligible_targets(table, settings, request, now);
     if eligible.is_empty() {
-        return refuse_without_target(request);
+        return refuse_without_target(table, request, now);
     }
     let (home, second_home) = home_targets(table, prompt, &eligible);
     let memory_tokens = f64::from(prompt.input_tokens + prompt.max_output_tokens);
@@ -430,7 +436,7 @@
 ) -> Placement {
     let eligible = eligible_targets(table, settings, request, now);
     if eligible.is_empty() {
-        return refuse_without_target(request);
+        return refuse_without_target(table, request, now);
     }
     let mut best: Option<Candidate> = None;
     for &target in &eligible {
@@ -481,10 +487,9 @@
         .copied();
     let is_available = |target: &TargetEntryId| {
         let entry = table.target(*target);
-        let runs_version = |version| entry.version.tag() == version;
-        entry.accepts_requests
+        may_run(entry, request)
             && !request.tried.contains(target)
-            && request.version.is_none_or(runs_version)
+            && entry.remaining_pause(now).is_none()
     };
     let available: Vec<TargetEntryId> = targets.filter(is_available).collect();
     let preferred = available.iter().copied().filter(|&target| {
@@ -502,14 +507,29 @@
     }
 }
 
-fn refuse_without_target(request: &PlacementRequest<'_>) -> Placement {
-    let reason = match request.version {
-        Some(_) => RefusalReason::NoTargetOfVersion,
-        None => RefusalReason::NoTarget,
+/// Whether a target accepts requests and has the software version that the request needs.
+fn may_run(entry: &TargetEntry, request: &PlacementRequest<'_>) -> bool {
+    let runs_version = |version| entry.version.tag() == version;
+    entry.accepts_requests && request.version.is_none_or(runs_version)
+}
+
+fn refuse_without_target(
+    table: &TargetTable,
+    request: &PlacementRequest<'_>,
+    now: Instant,
+) -> Placement {
+    let targets = table.targets_of_service(&request.service.name).iter();
+    let targets = targets.map(|&target| table.target(target));
+    let running = targets.filter(|entry| may_run(entry, request));
+    let pause = running.filter_map(|entry| entry.remaining_pause(now)).min();
+    let (reason, retry_after) = match (pause, request.version) {
+        (Some(pause), _) => (RefusalReason::Paused, pause),
+        (None, Some(_)) => (RefusalReason::NoTargetOfVersion, NO_TARGET_RETRY),
+        (None, None) => (RefusalReason::NoTarget, NO_TARGET_RETRY),
     };
     Placement::Refused {
         reason,
-        retry_after: Duration::from_millis(500),
+        retry_after,
         exceeded: None,
     }
 }
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -31,6 +31,10 @@
 /// The number of requests to a cold target that a router can save up.
 const COLD_BURST: f64 = 1.0;
 
+/// The longest pause that a target is granted, so that a wrong value does not take it out
+/// of service for good.
+pub const MAX_PAUSE: Duration = Duration::from_secs(600);
+
 /// The age at which a peer's report is discarded.
 pub const REPORT_TTL: Duration = Duration::from_secs(2);
 
@@ -177,6 +181,8 @@
     last_first_event: Option<Instant>,
     peer_load: TargetLoad,
     cold_bucket: Option<ColdBucket>,
+    /// The time until which the target wants no requests.
+    paused_until: Option<Instant>,
     cached_parts: FxHashMap<u64, Instant>,
     activity: Activity,
     /// Whether several peers report a problem with it.
@@ -286,6 +292,12 @@
         })
     }
 
+    /// The time until the end of the pause that the target asked for, if there is one.
+    pub fn remaining_pause(&self, now: Instant) -> Option<Duration> {
+        let remaining = self.paused_until?.saturating_duration_since(now);
+        (!remaining.is_zero()).then_some(remaining)
+    }
+
     /// Whether the target is cold at `now`.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| until > now)
@@ -335,6 +347,7 @@
                         last_first_event: None,
                         peer_load: TargetLoad::default(),
                         cold_bucket: None,
+                        paused_until: None,
                         cached_parts: FxHashMap::default(),
                         activity: Activity::default(),
                         reported_by_peers: false,
@@ -414,6 +427,13 @@
         !std::mem::replace(&mut entry.said_leaving, true)
     }
 
+    /// Records that a target wants no requests for this time, at most [`MAX_PAUSE`]. A
+    /// shorter pause does not end a longer one.
+    pub fn record_pause(&mut self, id: TargetEntryId, pause: Duration, now: Instant) {
+        let entry = &mut self.entries[id];
+        entry.paused_until = entry.paused_until.max(Some(now + pause.min(MAX_PAUSE)));
+    }
+
     /// Like [`Self::record_leaving`], for the targets with these tags, as heard from a peer;
     /// returns those for which this is new.
     pub fn record_leaving_tags(&mut self, tags: &[u64]) -> Vec<TargetEntryId> {
--- a/policy/tests/direct_fleet_view.rs
+++ b/policy/tests/direct_fleet_view.rs
@@ -17,6 +17,7 @@
 use knapweed_policy::direct::target::{
     MIN_OUTAGE, REREGISTRATION_TIME, SoftwareVersion, Target, TargetRegistry, TargetState,
 };
+use knapweed_policy::direct::target_table::{MAX_PAUSE, TargetTable};
 
 const BOUND: Duration = Duration::from_secs(5);
 
@@ -38,6 +39,47 @@
     }
 }
 
+#[test]
+fn a_pause_is_bounded_and_is_not_shortened() {
+    let now = Instant::now();
+    let mut registry = TargetRegistry::default();
+    registry.replace(vec![target("a", TargetState::Ready)], now);
+    let mut table = TargetTable::default();
+    table.apply_registry(&registry, now);
+    let (id, _) = table.targets().next().expect("a target");
+    assert_eq!(table.target(id).remaining_pause(now), None);
+    table.record_pause(id, Duration::from_secs(2), now);
+    table.record_pause(id, Duration::from_millis(1), now);
+    let remaining = |table: &TargetTable, at| table.target(id).remaining_pause(at);
+    assert_eq!(remaining(&table, now), Some(Duration::from_secs(2)));
+    assert_eq!(remaining(&table, now + Duration::from_secs(2)), None);
+    table.record_pause(id, Duration::MAX, now);
+    assert_eq!(remaining(&table, now), Some(MAX_PAUSE));
+}
+
+#[test]
+fn a_target_that_said_it_leaves_stays_so_until_its_next_incarnation() {
+    let now = Instant::now();
+    let mut registry = TargetRegistry::default();
+    registry.replace(vec![target("a", TargetState::Ready)], now);
+    let mut table = TargetTable::default();
+    table.apply_registry(&registry, now);
+    let (id, entry) = table.targets().next().expect("a target");
+    let tag = entry.tag;
+    assert_eq!(table.record_leaving_tags(&[tag, tag + 1]), [id]);
+    assert!(!table.record_leaving(id));
+    table.apply_registry(&registry, now);
+    assert!(!table.target(id).accepts_requests);
+    let restarted = Target {
+        born: 2,
+        ..target("a", TargetState::Ready)
+    };
+    registry.replace(vec![restarted], now);
+    table.apply_registry(&registry, now);
+    let accepting = table.targets().filter(|(_, entry)| entry.accepts_requests);
+    assert_eq!(accepting.count(), 1);
+}
+
 #[test]
 fn keys_are_accepted_only_while_the_confirmation_is_recent() {
     let mut confirmation = Confirmation::new(Some(BOUND));
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -10,6 +10,7 @@
 //! | `busy` | answers 503 without stating whether it ran the request |
 //! | `leave` | answers and says that the target is leaving |
 //! | `shed-leave` | like `shed`, and says that the target is leaving |
+//! | `pause-N` | like `shed`, and wants no requests for N seconds |
 //! | `unsigned` | answers 200 without its identity headers |
 //! | `encoded` | answers with a `Content-Encoding` |
 //! | `reset` | closes the connection after reading the request |
@@ -210,6 +211,10 @@
                 "HTTP/1.1 503 X\r\nX-Knapweedgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
                     .to_owned()
             }
+            "pause" => format!(
+                "HTTP/1.1 503 X\r\nRetry-After: {number}\r\n\
+                 X-Knapweedgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            ),
             "busy" => format!("HTTP/1.1 503 X\r\n{identity_headers}Content-Length: 0\r\n\r\n"),
             "unsigned" => format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"),
             "encoded" => format!(
