Edge: a target's bytes without end are given up early

Informational responses, the body of a response to another request, and the bytes between two parts of a body (a chunk's extension) had no limit: a target that sent them without end occupied the router until the request's deadline, and its caller got 504. Now 16 informational responses, 1 MiB of a skipped body and 64 KiB without a part of the body end the attempt, its connection is closed and the target counts as failing. A head was limited before; an event without end is passed on in parts until the deadline.

Test: response_without_end_is_given_up_before_the_deadline.

--- a/edge/src/target.rs
+++ b/edge/src/target.rs
@@ -56,6 +56,16 @@
 /// The number of responses to other requests that are skipped on one connection.
 const MAX_MISMATCHED_RESPONSES: usize = 2;
 
+/// The number of informational responses that are skipped before a response.
+const MAX_INFORMATIONAL_RESPONSES: usize = 16;
+
+/// The maximum size of the body of a skipped response, in bytes.
+const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
+
+/// The maximum number of bytes between two parts of a body, such as the extension of a
+/// chunk.
+const MAX_FRAMING_BYTES: usize = 64 * 1024;
+
 /// A request to a target.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetRequest {
@@ -221,7 +231,7 @@
     ) -> Option<(StatusCode, HeaderMap, Framing, bool)> {
         let mut codec = ClientCodec::new(self.config.clone());
         let mut output = encode(&mut codec, request).ok()?;
-        let mut mismatched = 0;
+        let (mut mismatched, mut informational) = (0, 0);
         let (mut read_half, mut write_half) = connection.stream.split();
         loop {
             let decoded = codec.decode(&mut connection.input).ok()?;
@@ -231,6 +241,10 @@
                 let parsed = platform::response::parse_head(status.as_u16(), &headers);
                 on_head(&parsed);
                 if status.is_informational() {
+                    informational += 1;
+                    if informational > MAX_INFORMATIONAL_RESPONSES {
+                        return None;
+                    }
                     continue;
                 }
                 let is_mismatched = parsed.request.is_some_and(|answered| answered != id);
@@ -354,15 +368,20 @@
         (Framing::Framed(codec), _) => codec,
         _ => return None,
     };
+    let mut skipped_bytes = 0;
     loop {
+        if skipped_bytes > MAX_SKIPPED_BYTES {
+            return None;
+        }
         match codec.decode(input).ok()? {
             Some(Some(_)) => {}
             Some(None) if codec.keep_alive() => return Some(codec.into_message_codec()),
             Some(None) => return None,
             None => {
                 input.reserve(READ_CHUNK_BYTES);
-                if stream.read_buf(input).await.ok()? == 0 {
-                    return None;
+                match stream.read_buf(input).await.ok()? {
+                    0 => return None,
+                    count => skipped_bytes += count,
                 }
             }
         }
@@ -413,7 +432,11 @@
         let Some(connection) = &mut self.connection else {
             return Ok(None);
         };
+        let mut framing_bytes = 0;
         loop {
+            if framing_bytes > MAX_FRAMING_BYTES {
+                return self.truncate();
+            }
             match &mut self.framing {
                 Framing::Empty(_) => return Ok(None),
                 Framing::Framed(codec) => match codec.decode(&mut connection.input) {
@@ -441,7 +464,7 @@
                     return Ok(None);
                 }
                 Ok(0) | Err(_) => return self.truncate(),
-                Ok(_) => {}
+                Ok(count) => framing_bytes += count,
             }
         }
     }
--- a/livetests/tests/target_signals.rs
+++ b/livetests/tests/target_signals.rs
@@ -1,4 +1,4 @@
-//! What targets say of themselves in their responses.
+//! What targets say of themselves in their responses, and responses without end.
 
 use std::time::Duration;
 
@@ -70,3 +70,16 @@
     assert_eq!(status_of(&answer), 200, "{answer}");
     Ok(())
 }
+
+#[actix_rt::test]
+async fn response_without_end_is_given_up_before_the_deadline() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start("endless", 1, 1).await?;
+    for part in ["head", "informational", "other", "extension"] {
+        let path = format!("/once/endless-{part}");
+        let answer = fleet.send("POST", &path, part).await;
+        // At the deadline the status would be 504.
+        assert_eq!(status_of(&answer), 502, "{part}: {answer}");
+        assert_eq!(fleet.arrivals(part).len(), 1);
+    }
+    Ok(())
+}
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -18,6 +18,10 @@
 //! | `extra` | answers, and then sends a second answer with the id of another request |
 //! | `unframed` | answers without a content length and closes the connection |
 //! | `mute` | never answers |
+//! | `endless-head` | sends a response head without end |
+//! | `endless-informational` | sends informational responses without end |
+//! | `endless-other` | sends a response to another request whose body has no end |
+//! | `endless-extension` | sends a chunk whose extension has no end |
 //! | `stream-N` | streams N events |
 //! | `halt-N` | closes the connection in the middle of event N; resumes on request |
 //! | `half-N` | ends the body in the middle of event N with the final chunk; resumes on request |
@@ -46,6 +50,10 @@
 /// The size of the part of an event that is sent by `huge`.
 const HUGE_EVENT_BYTES: usize = 2 * 1024 * 1024;
 
+/// The number of repeated parts that `endless` sends at a time, and the pause after them.
+const ENDLESS_REPEATS: usize = 1_000;
+const ENDLESS_PAUSE: Duration = Duration::from_millis(2);
+
 /// The delay of a reset, which may discard bytes that its receiver has not read.
 const RESET_DELAY: Duration = Duration::from_millis(200);
 
@@ -261,6 +269,30 @@
                     .stream_events(stream, request, &identity_headers, options)
                     .await;
             }
+            "endless" => {
+                let other = identity_headers.replace(id, "ffffffffffffffff");
+                let (start, repeated) = match script {
+                    "endless-head" => ("HTTP/1.1 200 OK\r\n".to_owned(), "X-More: 1\r\n"),
+                    "endless-informational" => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
+                    "endless-other" => (
+                        format!("HTTP/1.1 200 OK\r\n{other}Transfer-Encoding: chunked\r\n\r\n"),
+                        "4\r\nmore\r\n",
+                    ),
+                    _ => (
+                        format!(
+                            "HTTP/1.1 200 OK\r\n{identity_headers}Transfer-Encoding: chunked\r\n\r\n4;x="
+                        ),
+                        "more",
+                    ),
+                };
+                stream.write_all(start.as_bytes()).await?;
+                let repeated = repeated.repeat(ENDLESS_REPEATS);
+                // Ends when the client closes the connection.
+                loop {
+                    stream.write_all(repeated.as_bytes()).await?;
+                    sleep(ENDLESS_PAUSE).await;
+                }
+            }
             "mute" => {
                 // Becomes readable when the client closes the connection.
                 stream.readable().await?;
