--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -1,7 +1,6 @@
 //! The state of the traffic thread.
 //!
-//! Invariant: every attempt registered in the target table is ended when its
-//! [`Attempt`] is dropped, whatever the outcome of its request.
+//! Invariant: it is used by the traffic thread only; other threads see what it publishes.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -19,14 +18,15 @@
 use policy::direct::crash::{CrashHistory, CrashRecord};
 use policy::direct::fair_share::FairShares;
 use policy::direct::overload::{MAX_LAG, OverloadState, RequestLimit};
-use policy::direct::placement::{CopySource, PlacementSettings};
+use policy::direct::placement::PlacementSettings;
 use policy::direct::target::TargetRegistry;
-use policy::direct::target_table::{AttemptCost, Prompt, TargetEntryId, TargetTable};
+use policy::direct::target_table::{TargetEntryId, TargetTable};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 
+use crate::connection_limit::ConnectionLimit;
 use crate::latest::LatestSnapshot;
 use crate::metrics::TrafficMetrics;
 use crate::refused_teams::RefusedTeams;
@@ -58,69 +58,6 @@
     broken_at: Instant,
 }
 
-/// File descriptors reserved for files and for connections to the store, peers and targets.
-const RESERVED_DESCRIPTORS: usize = 1_000;
-
-/// Counts callers' connections and limits them.
-pub(crate) struct ConnectionLimit {
-    open: Cell<usize>,
-    max_open: usize,
-    /// The connections closed because of the limit since that was last logged.
-    rejected: Cell<u32>,
-}
-
-impl ConnectionLimit {
-    fn new(descriptors: usize) -> Self {
-        Self {
-            open: Cell::new(0),
-            max_open: descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1),
-            rejected: Cell::new(0),
-        }
-    }
-
-    /// Counts a new connection; returns `false` if the limit is reached.
-    pub(crate) fn try_acquire(&self) -> bool {
-        let has_room = self.open.get() < self.max_open;
-        if has_room {
-            self.open.set(self.open.get() + 1);
-        }
-        has_room
-    }
-
-    /// Records the end of a connection.
-    pub(crate) fn release(&self) {
-        self.open.set(self.open.get() - 1);
-    }
-
-    /// Counts a connection that is closed because the limit is reached.
-    pub(crate) fn record_rejected(&self) {
-        self.rejected.set(self.rejected.get() + 1);
-    }
-
-    /// Logs the connections closed because of the limit. One line for each of them
-    /// would cost an overloaded router more than the connections.
-    fn log_rejected(&self) {
-        let count = self.rejected.take();
-        if count > 0 {
-            let fields: [event::Field<'_>; 2] = [("limit", &"connections"), ("count", &count)];
-            event::log(Event::LimitReached, &fields);
-        }
-    }
-
-    /// Whether more than three quarters of the connection limit are in use.
-    fn is_nearly_full(&self) -> bool {
-        self.open.get() > self.max_open / 4 * 3
-    }
-
-    /// Whether more than a third of the connection limit is in use, so that
-    /// connections are closed after their response.
-    ///
-    /// Refused callers retry on new connections and leave the old ones idle.
-    pub(crate) fn exceeds_keep_alive_share(&self) -> bool {
-        self.open.get() > self.max_open / 3
-    }
-}
-
 /// The state of the traffic thread.
 pub(crate) struct Context {
     pub(crate) shared: Arc<Shared>,
@@ -241,7 +178,7 @@
         if is_overloaded == was_overloaded {
             return;
         }
-        let open = self.connections.open.get();
+        let open = self.connections.open_count();
         let lag = lag.as_millis();
         let fields: [event::Field<'_>; 3] = [
             ("reason", &"strained"),
@@ -590,55 +527,3 @@
         _ => None,
     }
 }
-
-/// An attempt registered in the target table.
-pub(crate) struct Attempt {
-    context: Rc<Context>,
-    pub(crate) target_id: TargetEntryId,
-    /// The target from which cached prompt parts are copied.
-    pub(crate) copy_source: Option<CopySource>,
-    cost: AttemptCost,
-    started: Cell<bool>,
-}
-
-impl Attempt {
-    pub(crate) fn begin(
-        context: &Rc<Context>,
-        target_id: TargetEntryId,
-        prompt: Option<&Prompt>,
-        copy_source: Option<CopySource>,
-        now: Instant,
-    ) -> Self {
-        let copied = copy_source.map_or(0, |copy_source| copy_source.tokens);
-        let mut target_table = context.target_table.borrow_mut();
-        let cost = target_table.begin_attempt(target_id, prompt, copied, now);
-        drop(target_table);
-        Self {
-            context: context.clone(),
-            target_id,
-            copy_source,
-            cost,
-            started: Cell::new(false),
-        }
-    }
-
-    /// The number of tokens that the target has to prefill.
-    pub(crate) fn prefill_tokens(&self) -> u32 {
-        self.cost.prefill_tokens
-    }
-
-    /// Records the first event of the response.
-    pub(crate) fn record_started(&self) {
-        if !self.started.replace(true) {
-            let mut target_table = self.context.target_table.borrow_mut();
-            target_table.record_first_event(self.target_id, self.cost, Instant::now());
-        }
-    }
-}
-
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        let mut target_table = self.context.target_table.borrow_mut();
-        target_table.end_attempt(self.target_id, self.cost, self.started.get());
-    }
-}
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -6,8 +6,10 @@
 //! from the snapshots that the control thread publishes. Decisions are made by
 //! `policy::direct`; names on the wire are decoded by `platform`.
 
+mod attempt;
 mod caller;
 mod clock;
+mod connection_limit;
 mod context;
 pub mod events;
 mod gossip;
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -6,19 +6,20 @@
 //!   did not run it, or if no byte of it was sent.
 //! - A status that promises "not run" is returned only if no attempt may have run.
 
+mod response;
+
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
 use actix_http::header::{HOST, HeaderMap, HeaderValue};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use node::event::{self, Event, Field};
-use platform::attempt::{SystemHeaders, returned_headers, set_system_headers};
-use platform::response::{self, ResponseHead};
+use platform::attempt::{SystemHeaders, set_system_headers};
+use platform::response::ResponseHead;
 use policy::direct::config::{RetryPolicy, Route};
 use policy::direct::placement::{self, Placement, PlacementRequest};
-use policy::direct::response::{ResponseClass, classify};
 use policy::direct::stream_origin::StreamId;
 use policy::direct::target::VersionTag;
 use policy::direct::target_table::{Prompt, TargetEntryId};
@@ -26,13 +27,11 @@
 use smallvec::SmallVec;
 use tokio::time::sleep;
 
-use crate::context::{Attempt, Context};
+use crate::attempt::Attempt;
+use crate::context::Context;
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
 use crate::target::{Body, BodyFraming, SendError, TargetRequest, TargetResponse};
 
-/// The maximum size of a response that is buffered before it is forwarded.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
-
 /// The maximum number of times that one request is sent, including to targets that
 /// refused to run it.
 const MAX_SENDS: u32 = 4;
@@ -459,114 +458,6 @@
         }
     }
 
-    /// Classifies a response and reads its body if it is short.
-    async fn handle_response(
-        &mut self,
-        response: TargetResponse,
-        attempt: Attempt,
-        started: Instant,
-    ) -> ResponseAction {
-        let TargetResponse {
-            status,
-            headers,
-            mut body,
-        } = response;
-        let head = response::parse_head(status.as_u16(), &headers);
-        let target_id = attempt.target_id;
-        let now = Instant::now();
-        if let Some(cold) = head.cold {
-            self.context
-                .target_table
-                .borrow_mut()
-                .extend_cold(target_id, cold, now);
-        }
-        if let Some(pause) = head.pause {
-            self.context.record_pause(target_id, pause, now);
-        }
-        match classify(head.facts) {
-            ResponseClass::NotRun => {
-                let why = if status == StatusCode::MISDIRECTED_REQUEST {
-                    "another target"
-                } else {
-                    "not run"
-                };
-                self.record_failure(target_id, why);
-                if status == StatusCode::MISDIRECTED_REQUEST {
-                    self.context
-                        .target_table
-                        .borrow_mut()
-                        .stop_requests(target_id);
-                } else if head.pause.is_none() {
-                    self.context.record_result(target_id, false, now);
-                }
-                self.tried.push(target_id);
-                ResponseAction::TryAnother
-            }
-            ResponseClass::Garbled => {
-                self.runs += 1;
-                ResponseAction::Broken("garbled")
-            }
-            class => {
-                self.runs += 1;
-                attempt.record_started();
-                let succeeded = class == ResponseClass::Answer;
-                self.context
-                    .metrics
-                    .record_attempt(if succeeded { "answer" } else { "failed" });
-                let kind = self.authorized.kind();
-                self.context
-                    .metrics
-                    .record_first_event(kind, now.duration_since(started));
-                let is_stream = self.authorized.retry_policy().is_stream() && status.is_success();
-                let limit = if is_stream { 0 } else { MAX_BUFFERED_BYTES };
-                let first = match read_body(&mut body, limit).await {
-                    Ok(first) => first,
-                    Err(()) => return ResponseAction::Broken("cut"),
-                };
-                self.context
-                    .record_result(target_id, succeeded, Instant::now());
-                let headers = returned_headers(&headers);
-                if !body.is_complete() || is_stream {
-                    return ResponseAction::Respond(Outcome::Streamed(Box::new(
-                        StreamedResponse {
-                            status,
-                            headers,
-                            first,
-                            body,
-                            attempt,
-                        },
-                    )));
-                }
-                self.context.record_body_end(
-                    &self.request.caller_headers.id,
-                    target_id,
-                    body.framing(),
-                    0,
-                );
-                if body.framing() == BodyFraming::Close {
-                    self.context.record_broken_attempt(
-                        target_id,
-                        self.request.fingerprint,
-                        Instant::now(),
-                    );
-                }
-                let buffered = BufferedResponse {
-                    status,
-                    headers,
-                    body: first,
-                    framing: body.framing(),
-                };
-                if succeeded {
-                    ResponseAction::Respond(Outcome::Buffered(buffered))
-                } else {
-                    self.record_failure(target_id, "target failed");
-                    self.tried.push(target_id);
-                    ResponseAction::Failed(buffered)
-                }
-            }
-        }
-    }
-
     fn log_sent(&self, attempt: &Attempt, wait: f64, is_home: bool, wait_factor: f64) {
         let target_table = self.context.target_table.borrow();
         let target = target_table.target(attempt.target_id);
@@ -648,16 +539,3 @@
     /// The target may have run the request, but there is no valid response.
     Broken(&'static str),
 }
-
-/// Reads a body until it ends or at least `limit` bytes were read.
-async fn read_body(body: &mut Body, limit: usize) -> Result<Bytes, ()> {
-    let mut buffered = BytesMut::new();
-    while buffered.len() < limit {
-        match body.next().await {
-            Ok(Some(chunk)) => buffered.extend_from_slice(&chunk),
-            Ok(None) => break,
-            Err(_) => return Err(()),
-        }
-    }
-    Ok(buffered.freeze())
-}
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -17,8 +17,9 @@
 use policy::direct::config::RetryPolicy;
 use tokio::net::TcpStream;
 
+use crate::attempt::Attempt;
 use crate::caller::{CallerConnection, INITIAL_LIMITS, ReadOutcome, ResponseFraming, run_until};
-use crate::context::{Attempt, Context};
+use crate::context::Context;
 use crate::events::{EventSplitter, has_events};
 use crate::origin;
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
