Edge: a broken response without events is not resumed

A response on a resumable route that is no event stream is passed on unsplit since. If it broke after its first bytes, the router asked another target for the rest after no event, and joined a second whole response to the first part. Only streams of events are resumed now. Found by reading the change again.

Test: broken_response_without_events_on_a_stream_route_is_not_resumed; before, two arrivals.

--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -274,7 +274,7 @@
     let mut events = EventSplitter::resume_after(dispatch.request.caller_headers.last_event);
     let mut pending = Some(first).filter(|it| !it.is_empty());
     let is_resumable =
-        dispatch.authorized.retry_policy() == RetryPolicy::Stream { resumable: true };
+        is_events && dispatch.authorized.retry_policy() == RetryPolicy::Stream { resumable: true };
     loop {
         let next = match pending.take() {
             Some(bytes) => Ok(Some(bytes)),
--- a/livetests/tests/unframed.rs
+++ b/livetests/tests/unframed.rs
@@ -97,3 +97,12 @@
     assert_eq!(fleet.arrivals("h").len(), 1);
     Ok(())
 }
+
+#[actix_rt::test]
+async fn broken_response_without_events_on_a_stream_route_is_not_resumed() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start("no-events", 1, 2).await?;
+    let response = fleet.receive("GET", "/resume/cut-json", "j").await?;
+    assert!(!looks_complete(&response), "{response:?}");
+    assert_eq!(fleet.arrivals("j").len(), 1);
+    Ok(())
+}
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -15,6 +15,7 @@
 //! | `encoded` | answers with a `Content-Encoding` |
 //! | `reset` | closes the connection after reading the request |
 //! | `cut` | closes the connection before the end of its answer |
+//! | `cut-json` | like `cut`, with the content type of JSON |
 //! | `extra` | answers, and then sends a second answer with the id of another request |
 //! | `unframed` | answers without a content length and closes the connection |
 //! | `mute` | never answers |
@@ -228,6 +229,11 @@
             "encoded" => format!(
                 "HTTP/1.1 200 OK\r\n{identity_headers}Content-Encoding: gzip\r\nContent-Length: {length}\r\n\r\n{body}"
             ),
+            "cut" if script == "cut-json" => whole[..whole.len() - 3].replacen(
+                "\r\n",
+                "\r\nContent-Type: application/json\r\n",
+                1,
+            ),
             "cut" => whole[..whole.len() - 3].to_owned(),
             "extra" => {
                 let other = whole.replace(id, "ffffffffffffffff");
