Edge: a stream goes on only with a stream of events

A response of another content type to a resumption was spliced into the stream as far as its text held blank lines. It now counts as a failed resumption (KW1513 why="no events").

Test: stream_does_not_go_on_with_a_response_without_events; before, the caller got the JSON text behind event 3, framed as complete.

--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -408,7 +408,10 @@
     };
     let why = match outcome {
         Outcome::Streamed(stream) if stream.status == StatusCode::OK => {
-            return Resumed::Stream(stream);
+            if has_events(&stream.headers) {
+                return Resumed::Stream(stream);
+            }
+            "no events".to_owned()
         }
         Outcome::Streamed(stream) => format!("status {}", stream.status.as_u16()),
         Outcome::Buffered(response) => format!("status {}", response.status.as_u16()),
--- a/livetests/tests/unframed.rs
+++ b/livetests/tests/unframed.rs
@@ -106,3 +106,12 @@
     assert_eq!(fleet.arrivals("j").len(), 1);
     Ok(())
 }
+
+#[actix_rt::test]
+async fn stream_does_not_go_on_with_a_response_without_events() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start("swap", 1, 2).await?;
+    let response = fleet.receive("GET", "/resume/swap-4", "s").await?;
+    assert!(!looks_complete(&response), "{response:?}");
+    assert_eq!(body(&response), events(3));
+    Ok(())
+}
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -30,6 +30,7 @@
 //! | `eof-N` | streams N events without framing and closes the connection |
 //! | `torn-N` | like `halt-N`, without framing |
 //! | `mixed-N` | like `halt-N`; resumes without framing |
+//! | `swap-N` | like `halt-N`; answers the resumption with JSON |
 //! | `lost-N` | streams N events without framing and resets the connection; resumes on request |
 //! | `stall-N` | streams N events and then sends nothing; resumes on request |
 //! | `slow-N` | streams ten events, one every N milliseconds |
@@ -215,6 +216,10 @@
             "shed" if script == "shed-leave" => "HTTP/1.1 503 X\r\nServer-Leaving: 1\r\n\
                  X-Knapweedgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
                 .to_owned(),
+            "swap" if request.header("last-event-id").is_some() => format!(
+                "HTTP/1.1 200 OK\r\n{identity_headers}Content-Type: application/json\r\n\
+                 Content-Length: 4\r\n\r\n{{}}\n\n"
+            ),
             "error" => format!("HTTP/1.1 500 X\r\n{identity_headers}Content-Length: 4\r\n\r\noops"),
             "shed" => {
                 "HTTP/1.1 503 X\r\nX-Knapweedgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -240,12 +245,12 @@
                 format!("{whole}{other}")
             }
             "unframed" => format!("HTTP/1.1 200 OK\r\n{identity_headers}\r\n{body}"),
-            "stream" | "slow" | "halt" | "stall" | "half" | "huge" | "eof" | "torn" | "mixed"
-            | "lost" => {
+            "stream" | "slow" | "halt" | "stall" | "half" | "swap" | "huge" | "eof" | "torn"
+            | "mixed" | "lost" => {
                 let after = request.header("last-event-id");
                 let after: Option<u64> = after.and_then(|id| id.parse().ok());
                 let fault = match name {
-                    "halt" | "torn" | "mixed" => Some(StreamFault::Cut(number)),
+                    "halt" | "torn" | "mixed" | "swap" => Some(StreamFault::Cut(number)),
                     "huge" => Some(StreamFault::Overflow(number)),
                     "half" => Some(StreamFault::End(number)),
                     "lost" => Some(StreamFault::Reset(number)),
