Live tests: ports of edge routers lie below the ephemeral range

Ports were found by binding port 0 and closing it, so a connection of a concurrent test could take one before the router bound it. Shown by hand: with its operators' port taken, the router exits with 1 after its listening line, and the test waits for a dead process.

--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -357,6 +358,23 @@
     answer.ok()?.ok()
 }
 
+/// The first port given to routers. It lies below the ports that the system assigns, so
+/// that no connection of a concurrent test takes it before the router binds it.
+const FIRST_PORT: u16 = 21_000;
+
+/// The number of ports given to routers.
+const PORTS: u16 = 8_000;
+
+/// The number of ports given out so far.
+static PORTS_USED: AtomicU16 = AtomicU16::new(0);
+
 fn free_port() -> eyre::Result<u16> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
+    for _ in 0..PORTS {
+        let offset = PORTS_USED.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let port = FIRST_PORT + offset;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return Ok(port);
+        }
+    }
+    eyre::bail!("no free port")
 }
