--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -106,7 +106,7 @@
         let configured_rate = settings.engine.read_rate.max(1.0);
         let retry_limit = RetryLimit {
             ratio: settings.bounds.retry_ratio,
-            slack: settings.bounds.retry_slack as f64,
+            slack: settings.bounds.retry_slack,
             window: settings.bounds.retry_window,
         };
         Rc::new(Self {
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -122,6 +122,8 @@
     SelfSuperseded 1307 Error "self-superseded";
     /// This process was not scheduled for a while.
     SelfPaused 1308 Warn "self-paused";
+    /// This router reports to another relay, or is a relay itself.
+    RelayChosen 1309 Info "relay-chosen";
 
     /// The target accepts connections.
     TargetUp 1401 Info "target-up";
--- a/node/src/settings/edge.rs
+++ b/node/src/settings/edge.rs
@@ -46,7 +46,7 @@
     /// Number of retries allowed per request.
     pub retry_ratio: f64,
     /// Number of retries allowed beyond the ratio, over all routers.
-    pub retry_slack: usize,
+    pub retry_slack: f64,
     /// Time window over which retries are counted.
     pub retry_window: Duration,
     /// Request rate to a cold target, as a multiple of the rate per second that it advertises.
@@ -106,7 +106,7 @@
         let drain = section.value_or("drain", Duration::from_secs(2), value::duration);
         let config = section.value_or("config", Duration::from_secs(2), value::duration);
         let retry_ratio = section.value_or("retry_ratio", 0.2, value::non_negative);
-        let retry_slack = section.value_or("retry_slack", 20, value::count);
+        let retry_slack = section.value_or("retry_slack", 20.0, value::non_negative);
         let retry_window =
             section.value_or("retry_window", Duration::from_secs(10), value::duration);
         let cold_over = section.value_or("cold_over", 1.0, value::non_negative);
--- a/node/src/settings/value.rs
+++ b/node/src/settings/value.rs
@@ -95,13 +95,14 @@
 
 /// Parses a duration above 0 with its unit.
 pub(crate) fn duration(node: &Node) -> Result<Duration, Expected> {
-    const UNITS: [(&str, u64); 4] = [("ms", 1), ("s", 1000), ("m", 60_000), ("h", 3_600_000)];
-    let millis = match node {
+    const UNITS: [(&str, f64); 4] = [("ms", 1e-3), ("s", 1.0), ("m", 60.0), ("h", 3600.0)];
+    let seconds = match node {
         Node::Text(text) => parse_with_unit(text, &UNITS),
         _ => None,
     };
-    let duration = millis.filter(|&millis| millis > 0);
-    duration.map(Duration::from_millis).ok_or_else(|| {
+    let duration = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    let duration = duration.filter(|duration| !duration.is_zero());
+    duration.ok_or_else(|| {
         "a time above 0 with its unit, such as `500ms`, `10s`, `5m` or `1h`".to_owned()
     })
 }
@@ -143,11 +144,17 @@
         .ok_or_else(|| format!("a whole number from {min} to {max}"))
 }
 
-/// Parses an integer followed by one of `units` and scales it by the unit.
-fn parse_with_unit(text: &str, units: &[(&str, u64)]) -> Option<u64> {
-    let end = text.find(|c: char| !c.is_ascii_digit())?;
-    let (digits, unit) = text.split_at(end);
+/// Parses a decimal number followed by one of `units` and scales it by the unit.
+fn parse_with_unit(text: &str, units: &[(&str, f64)]) -> Option<f64> {
+    let end = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+    let (number, unit) = text.split_at(end);
     let unit = unit.trim_start();
     let (_, scale) = units.iter().find(|(name, _)| *name == unit)?;
-    digits.parse::<u64>().ok()?.checked_mul(*scale)
+    let starts_and_ends_with_digits =
+        !number.starts_with('.') && !number.ends_with('.') && !number.is_empty();
+    let number: f64 = number
+        .parse()
+        .ok()
+        .filter(|_| starts_and_ends_with_digits)?;
+    Some(number * scale)
 }
--- a/node/tests/settings.rs
+++ b/node/tests/settings.rs
@@ -1,9 +1,10 @@
 //! Settings files: the documented examples, the defaults, and reporting of all errors.
 
 use std::path::Path;
+use std::time::Duration;
 
 use knapweed_node::settings::{
-    AgentLimits, AgentSettings, RouterLimits, RouterSettings, Settings, load, parse,
+    AgentLimits, AgentSettings, EdgeSettings, RouterLimits, RouterSettings, Settings, load, parse,
 };
 
 fn workspace_file(file: &str) -> std::path::PathBuf {
@@ -98,3 +99,35 @@
     let errors = load::<RouterSettings>(missing).expect_err("there is no such file");
     insta::assert_snapshot!(errors);
 }
+
+#[test]
+fn bounds_of_an_edge_router_may_be_fractions() {
+    let text = "name: a\ndata_centre: north\nlisten: 10.0.0.1:80\ncontrol: 10.0.0.1:7400\n\
+                operators: 10.0.0.1:81\nstore: 10.0.0.9:8500\nstop_limit: 8.5s\nbounds:\n  \
+                revoke: 2500.5ms\n  drain: 1.5s\n  retry_slack: 38.2608695652174\n";
+    let settings: EdgeSettings = parse(text).expect("the settings are valid");
+    assert_eq!(settings.stop_limit, Duration::from_millis(8_500));
+    assert_eq!(settings.bounds.drain, Duration::from_millis(1_500));
+    assert_eq!(
+        settings.bounds.revoke,
+        Some(Duration::from_micros(2_500_500))
+    );
+    assert!((settings.bounds.retry_slack - 38.260_869_565).abs() < 1e-6);
+}
+
+#[test]
+fn a_time_that_is_no_decimal_number_is_refused() {
+    for time in [
+        "1.5.5s",
+        ".s",
+        "1.s",
+        "-1s",
+        "1e3s",
+        "0.0s",
+        "99999999999999999999h",
+    ] {
+        let text = format!("stop_limit: {time}\n");
+        let errors = errors::<EdgeSettings>(&text);
+        assert!(errors.contains("stop_limit: found"), "{time}: {errors}");
+    }
+}
