--- a/edge/src/gossip/origins.rs
+++ b/edge/src/gossip/origins.rs
@@ -22,8 +22,12 @@
     /// Sends the streams that this router began to their holders, once it knows enough
     /// peers to derive them.
     pub(super) fn send_origins(&self, now: Instant) {
-        let needed = if self.is_settled { 1 } else { HOLDERS };
-        if self.reachable_peers().len() < needed {
+        let needed = if self.exchange.is_settled(now) {
+            1
+        } else {
+            HOLDERS
+        };
+        if self.exchange.reachable().count() < needed {
             return;
         }
         let unsent = self.shared.origins().take_unsent(now);
@@ -58,7 +62,7 @@
         let mut queries: FxHashMap<SocketAddr, Vec<StreamId>> = FxHashMap::default();
         for question in self.shared.take_origin_questions() {
             let addresses = match question.asks_all {
-                true => self.reachable_peers(),
+                true => self.exchange.reachable().collect(),
                 false => self.holder_addresses(question.stream, &members),
             };
             for address in addresses {
@@ -108,23 +112,18 @@
         }
     }
 
-    /// The peers and whether they are reachable, in the order of `self.peers`.
+    /// The members and whether they are reachable, in the order of the exchange.
     fn ranked_members(&self) -> Vec<(u64, bool)> {
-        let members = self.peers.iter();
+        let members = self.exchange.members();
         members
-            .map(|(&address, peer)| (member_tag(address), peer.reachable))
+            .map(|(address, is_reachable)| (member_tag(address), is_reachable))
             .collect()
     }
 
     /// The holders of a stream; `members` are those of [`Self::ranked_members`].
     fn holder_addresses(&self, stream: StreamId, members: &[(u64, bool)]) -> Vec<SocketAddr> {
-        let addresses: Vec<SocketAddr> = self.peers.keys().copied().collect();
+        let addresses: Vec<SocketAddr> = self.exchange.members().map(|(it, _)| it).collect();
         let holders = holders(stream, members);
         holders.into_iter().map(|index| addresses[index]).collect()
     }
-
-    fn reachable_peers(&self) -> Vec<SocketAddr> {
-        let reachable = self.peers.iter().filter(|(_, peer)| peer.reachable);
-        reachable.map(|(&address, _)| address).collect()
-    }
 }
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Counters and histograms of the traffic thread.
+//! Counters and histograms of the traffic thread and of the exchange among routers.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -117,3 +117,42 @@
             .add(opened - self.reported_connections.replace(opened), &[]);
     }
 }
+
+/// The instruments of the exchange with the other routers.
+#[derive(Debug)]
+pub(crate) struct ExchangeMetrics {
+    sent_bytes: Counter<u64>,
+    received_bytes: Counter<u64>,
+    sent: Counter<u64>,
+    ignored: Counter<u64>,
+}
+
+impl ExchangeMetrics {
+    pub(crate) fn new(meter: &Meter) -> Self {
+        Self {
+            sent_bytes: meter.u64_counter("knapweed_edge_peer_sent_bytes").build(),
+            received_bytes: meter
+                .u64_counter("knapweed_edge_peer_received_bytes")
+                .build(),
+            sent: meter.u64_counter("knapweed_edge_peer_datagrams").build(),
+            ignored: meter.u64_counter("knapweed_edge_ignored_datagrams").build(),
+        }
+    }
+
+    /// Counts a datagram sent to a router.
+    pub(crate) fn record_sent(&self, bytes: usize) {
+        self.sent.add(1, &[]);
+        self.sent_bytes.add(bytes as u64, &[]);
+    }
+
+    /// Counts the bytes of a received datagram.
+    pub(crate) fn record_received(&self, bytes: usize) {
+        self.received_bytes.add(bytes as u64, &[]);
+    }
+
+    /// Counts a received datagram that was ignored.
+    pub(crate) fn record_ignored(&self, reason: &str) {
+        self.ignored
+            .add(1, &[KeyValue::new("reason", reason.to_owned())]);
+    }
+}
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -22,7 +22,7 @@
 
 use crate::context::{Context, MAINTENANCE_PERIOD};
 use crate::gossip::Gossip;
-use crate::metrics::TrafficMetrics;
+use crate::metrics::{ExchangeMetrics, TrafficMetrics};
 use crate::operators::{DumpRequest, Operators};
 use crate::session;
 use crate::shared::Shared;
@@ -148,19 +148,22 @@
     let revoke = settings.bounds.revoke;
     let poll_intervals = PollIntervals::new(settings.bounds.drain, settings.bounds.config);
     let (address, shared_store) = (settings.control, shared.clone());
+    let (centre, meter) = (Name::new(&settings.data_centre), operators.metrics.meter());
     let store = StoreReader::new(
         settings.store,
         address,
         revoke,
         poll_intervals,
         shared_store,
+        incarnation,
     );
     let gossip = Gossip::bind(
         settings.control,
         &settings.peers,
-        incarnation,
+        (&centre, incarnation),
         shared.clone(),
         store.clone(),
+        ExchangeMetrics::new(&meter),
     );
     let gossip = gossip.await.wrap_err("cannot bind the control address")?;
     let (seeds, changed) = watch::channel(settings.peers.clone());
--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -21,12 +21,15 @@
 use platform::record::{self, StoreKey};
 use platform::store::{self, HISTORY_LOST, Item, OPERATORS_PREFIX, Page, TARGETS_PREFIX};
 use policy::direct::confirmation::{Confirmation, Uptime};
+use policy::direct::listing::{ListingChange, sort_listing};
 use policy::direct::polling::{self, PollIntervals};
 use policy::direct::target::{Target, TargetRegistry};
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
-use wire::{Unchanged, listing_digest};
+use wire::{ChangedListing, Listing, Unchanged, VersionedListing, listing_digest};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{BootClock, SystemBootClock};
@@ -35,9 +38,6 @@
 /// The time limit of a call, in addition to the requested watch wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// The delay before a failed call is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
-
 /// The age at which a reading of the targets is no longer sent to peers.
 const MAX_UPDATE_AGE: Duration = Duration::from_millis(400);
 
@@ -67,6 +67,7 @@
     address: SocketAddr,
     shared: Arc<Shared>,
     state: RefCell<State>,
+    rng: RefCell<ChaCha8Rng>,
     /// Wakes the operators' loop when a peer knows different operators' entries.
     digest_differs: Notify,
     /// Wakes the gossip task when there is an update to send to peers at once.
@@ -80,13 +81,15 @@
     targets_revision: u64,
     /// The last digest received from a peer that differed from this router's digest.
     peer_digest: Option<u64>,
-    /// The other live routers.
-    live_peers: Vec<SocketAddr>,
+    /// The other routers on which this one relies to read the store.
+    readers: Vec<SocketAddr>,
+    /// The other reachable routers.
+    reachable_peers: Vec<SocketAddr>,
+    /// The number of failed calls in a row, of each loop.
+    failures: [u32; 2],
     /// The latest target listing, and its digest.
     listing: Vec<Target>,
     digest: u64,
-    /// The digest of the last listing announced to the peers.
-    announced_digest: Option<u64>,
     /// The update not yet sent to peers, and when its call to the store was made.
     pending_update: Option<(Uptime, PeerUpdate)>,
     /// Whether the last call of each loop succeeded.
@@ -99,7 +102,9 @@
 pub(crate) enum PeerUpdate {
     /// The store revision and the targets.
     Full(u64, Vec<Target>),
-    /// The targets are the same as in the last announced listing.
+    /// What changed since the last listing.
+    Change(ChangedListing),
+    /// The targets are the same as in the last listing.
     Unchanged(Unchanged),
 }
 
@@ -118,6 +123,7 @@
         revoke: Option<Duration>,
         poll_intervals: PollIntervals,
         shared: Arc<Shared>,
+        seed: u64,
     ) -> Rc<Self> {
         let client = awc::Client::builder().disable_redirects().disable_timeout();
         Rc::new(Self {
@@ -128,15 +134,17 @@
             shared,
             digest_differs: Notify::new(),
             update_ready: Notify::new(),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
             state: RefCell::new(State {
                 confirmation: Confirmation::new(revoke),
                 registry: TargetRegistry::default(),
                 targets_revision: 0,
                 peer_digest: None,
-                live_peers: Vec::new(),
+                readers: Vec::new(),
+                reachable_peers: Vec::new(),
+                failures: [0; 2],
                 listing: Vec::new(),
                 digest: 0,
-                announced_digest: None,
                 pending_update: None,
                 reachable: [true; 2],
                 rejected_keys: FxHashSet::default(),
@@ -149,18 +157,17 @@
         let mut after = None;
         loop {
             after = match after {
+                None if self.is_confirmed_by_peers() => match self.wait_for_changes().await {
+                    true => self.read_operators().await,
+                    false => None,
+                },
                 None => self.read_operators().await,
-                Some(revision) if polling::watches_config(self.rank()) => {
-                    self.watch_operators(revision).await
-                }
+                Some(revision) if self.is_reader() => self.watch_operators(revision).await,
                 Some(revision) => match self.wait_for_changes().await {
                     true => self.read_operators().await,
                     false => Some(revision),
                 },
             };
-            if after.is_none() {
-                sleep(RETRY_DELAY).await;
-            }
         }
     }
 
@@ -180,7 +187,7 @@
                 }
                 Err(error) => {
                     self.record_failure(ReadLoop::Targets, &error);
-                    sleep(RETRY_DELAY).await;
+                    self.wait_to_retry(ReadLoop::Targets).await;
                 }
             }
         }
@@ -199,20 +206,45 @@
             .map_or(due, |removal| removal.min(due))
     }
 
+    /// Whether the configuration is known and peers confirm it, so that this router need
+    /// not read it.
+    fn is_confirmed_by_peers(&self) -> bool {
+        let age = self.confirmation().age(SystemBootClock.uptime());
+        let due = self.poll_intervals.confirmation_due(self.rank(), age);
+        !self.is_reader() && !due.is_zero() && self.shared.config.load().is_some()
+    }
+
+    /// Waits until a failed call may be made again.
+    async fn wait_to_retry(&self, read_loop: ReadLoop) {
+        let delay = {
+            let state = self.state.borrow();
+            let rank = polling::rank(self.address, state.reachable_peers.iter().copied());
+            let routers = state.reachable_peers.len() + 1;
+            let random = self.rng.borrow_mut().random_range(0.0..1.0);
+            polling::retry_delay(rank, routers, state.failures[read_loop as usize], random)
+        };
+        sleep(delay).await;
+    }
+
     /// Waits until the operators' entries should be read; returns `false` if peers may
     /// have confirmed them in the meantime.
     async fn wait_for_changes(&self) -> bool {
         let age = self.confirmation().age(SystemBootClock.uptime());
-        let due = self.poll_intervals.confirmation_due(age);
+        let due = self.poll_intervals.confirmation_due(self.rank(), age);
         if due.is_zero() {
             return true;
         }
         timeout(due, self.digest_differs.notified()).await.is_ok()
     }
 
-    /// Returns this router's rank among the live routers.
+    /// Returns this router's rank among those on which others rely to read the store.
     fn rank(&self) -> usize {
-        polling::rank(self.address, self.state.borrow().live_peers.iter().copied())
+        polling::rank(self.address, self.state.borrow().readers.iter().copied())
+    }
+
+    /// Whether this router reads the store for the others.
+    pub(crate) fn is_reader(&self) -> bool {
+        polling::watches_config(self.rank())
     }
 
     /// Returns the intervals between calls to the store.
@@ -220,9 +252,12 @@
         self.poll_intervals
     }
 
-    /// Sets the other live routers.
-    pub(crate) fn set_live_peers(&self, live_peers: Vec<SocketAddr>) {
-        self.state.borrow_mut().live_peers = live_peers;
+    /// Sets the other routers on which this one relies to read the store, and all others
+    /// that are reachable.
+    pub(crate) fn set_peers(&self, readers: Vec<SocketAddr>, reachable: Vec<SocketAddr>) {
+        let mut state = self.state.borrow_mut();
+        state.readers = readers;
+        state.reachable_peers = reachable;
     }
 
     /// Returns when the operators' entries were last known to be current.
@@ -272,27 +307,61 @@
         is_fresh.then_some(update)
     }
 
-    /// Adopts a peer's notice that the targets are unchanged. A router that missed the
-    /// listing has a different digest; it reads the store itself when its targets are
-    /// too old.
-    pub(crate) fn adopt_unchanged(&self, unchanged: Unchanged) {
+    /// Adopts a peer's notice that the targets are unchanged; returns `false` if this
+    /// router has another listing.
+    pub(crate) fn adopt_unchanged(&self, unchanged: Unchanged) -> bool {
         let Unchanged { revision, digest } = unchanged;
+        self.adopt_change(digest, digest, revision, &ListingChange::default())
+    }
+
+    /// Adopts a change of the listing with the digest `base`; returns `false` if this
+    /// router has neither that listing nor the one to which the change leads.
+    pub(crate) fn adopt_change(
+        &self,
+        base: u64,
+        digest: u64,
+        revision: u64,
+        change: &ListingChange,
+    ) -> bool {
         let state = self.state.borrow();
-        if digest != state.digest || revision < state.targets_revision {
-            return;
+        if revision < state.targets_revision {
+            // It was overtaken by a later reading.
+            return true;
         }
-        let targets = state.listing.clone();
+        let targets = match state.digest {
+            known if known == digest => state.listing.clone(),
+            known if known == base => change.apply(&state.listing),
+            _ => return false,
+        };
         drop(state);
+        if listing_digest(&targets) != digest {
+            return false;
+        }
         self.adopt_targets(targets, revision);
+        true
     }
 
     /// Adopts a peer's listing, unless a later one is known.
-    pub(crate) fn adopt_listing(&self, revision: u64, targets: Vec<Target>) {
+    pub(crate) fn adopt_listing(&self, revision: u64, mut targets: Vec<Target>) {
         if revision >= self.state.borrow().targets_revision {
+            sort_listing(&mut targets);
             self.adopt_targets(targets, revision);
         }
     }
 
+    /// Returns the latest listing and its revision.
+    pub(crate) fn listing(&self) -> (u64, Vec<Target>) {
+        let state = self.state.borrow();
+        (state.targets_revision, state.listing.clone())
+    }
+
+    /// Whether the latest listing is recent enough to be sent to a peer, which counts its
+    /// age from its arrival.
+    pub(crate) fn has_fresh_listing(&self) -> bool {
+        let age = self.state.borrow().registry.age(SystemClock.now().mono);
+        age.is_some_and(|age| age < MAX_UPDATE_AGE)
+    }
+
     async fn read_operators(&self) -> Option<u64> {
         let sent = SystemBootClock.uptime();
         match self.range(OPERATORS_PREFIX).await {
@@ -313,6 +382,7 @@
             }
             Err(error) => {
                 self.record_failure(ReadLoop::Operators, &error);
+                self.wait_to_retry(ReadLoop::Operators).await;
                 None
             }
         }
@@ -334,6 +404,7 @@
             }
             Err(error) => {
                 self.record_failure(ReadLoop::Operators, &error);
+                self.wait_to_retry(ReadLoop::Operators).await;
                 return None;
             }
         };
@@ -433,14 +504,28 @@
                 Err(_) => {}
             }
         }
-        let digest = listing_digest(&targets);
-        let is_announced = state.announced_digest.replace(digest) == Some(digest);
-        let update = match is_announced {
-            true => PeerUpdate::Unchanged(Unchanged {
+        sort_listing(&mut targets);
+        let (base, digest) = (state.digest, listing_digest(&targets));
+        let update = match (base == digest, state.listing.is_empty()) {
+            (true, _) => PeerUpdate::Unchanged(Unchanged {
                 revision: as_of,
                 digest,
             }),
-            false => PeerUpdate::Full(as_of, targets.clone()),
+            (false, true) => PeerUpdate::Full(as_of, targets.clone()),
+            (false, false) => {
+                let change = ListingChange::between(&state.listing, &targets);
+                PeerUpdate::Change(ChangedListing {
+                    base,
+                    digest,
+                    removed: change.removed,
+                    changed: VersionedListing::new(Listing {
+                        revision: as_of,
+                        part: 0,
+                        parts: 1,
+                        targets: change.changed,
+                    }),
+                })
+            }
         };
         state.pending_update = Some((sent, update));
         drop(state);
@@ -512,6 +597,7 @@
 
     fn record_success(&self, read_loop: ReadLoop) {
         let mut state = self.state.borrow_mut();
+        state.failures[read_loop as usize] = 0;
         if !std::mem::replace(&mut state.reachable[read_loop as usize], true) {
             event::log(Event::ServiceReachable, &[("part", &read_loop.name())]);
         }
@@ -519,6 +605,7 @@
 
     fn record_failure(&self, read_loop: ReadLoop, error: &CallError) {
         let mut state = self.state.borrow_mut();
+        state.failures[read_loop as usize] += 1;
         if std::mem::replace(&mut state.reachable[read_loop as usize], false) {
             let age = state.confirmation.age(SystemBootClock.uptime());
             let age = age.map_or_else(
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -10,6 +10,7 @@
 //!   keys;
 //! - [`polling`]: which routers read the platform's store, and at which intervals;
 //! - [`target`]: which targets are registered;
+//! - [`listing`]: what changed between two listings of the targets;
 //! - [`target_table`]: the load of every target, caused by this router and its
 //!   peers;
 //! - [`placement`]: which target a request is sent to, or why it is refused;
@@ -22,6 +23,7 @@
 //! - [`budget`]: how many retries this router may send;
 //! - [`stream_origin`]: at which software version a stream began;
 //! - [`crash`]: which requests crash every target that runs them;
+//! - [`exchange`]: which router tells which others what, and who relays it;
 //! - [`response`]: what a response says about the request.
 //!
 //! Invariant: nothing here performs I/O or reads a clock.
@@ -31,7 +33,9 @@
 pub mod config;
 pub mod confirmation;
 pub mod crash;
+pub mod exchange;
 pub mod fair_share;
+pub mod listing;
 pub mod outlier;
 pub mod overload;
 pub mod placement;
--- /dev/null
+++ b/policy/src/direct/exchange/message.rs
@@ -0,0 +1,224 @@
+//! The messages of the exchange.
+//!
+//! A heartbeat ([`Beat`]) states its sender's own load. A [`Summary`] states what a
+//! relay knows of the routers behind it.
+
+use std::net::SocketAddr;
+
+use derive_more::{Display, From};
+use entity::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::direct::target_table::{LoadReport, TargetLoad};
+
+/// The hash of a data centre's name.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display, From, Serialize, Deserialize,
+)]
+#[display("{_0:08x}")]
+#[serde(transparent)]
+pub struct CentreTag(pub u32);
+
+impl CentreTag {
+    /// Returns the tag of a data centre, which is the same on all routers.
+    pub fn new(centre: &Name) -> Self {
+        Self(centre.tag().0 as u32)
+    }
+}
+
+/// Where a router stands in the exchange.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Place {
+    /// Its data centre.
+    pub centre: CentreTag,
+    /// The relay to which it reports; its own address if it is a relay itself.
+    pub relay: SocketAddr,
+    /// Whether it had time to discover the others since its start.
+    pub is_settled: bool,
+}
+
+/// The heartbeat of a router: its state and load.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Beat {
+    /// The address at which the sender receives datagrams.
+    pub from: SocketAddr,
+    /// The sender's incarnation; a later one has a higher number.
+    pub life: u64,
+    /// The sequence number of the heartbeat within the incarnation.
+    pub number: u32,
+    /// The last heartbeat that the sender received from the receiver's current incarnation.
+    pub echo: Option<Echo>,
+    /// The digest of the operators' settings known to the sender.
+    pub digest: u64,
+    /// The time since the sender last confirmed these settings, in milliseconds.
+    pub confirmed: Option<u32>,
+    /// Whether the sender is shutting down.
+    pub leaving: bool,
+    /// Other routers from which the sender recently received datagrams.
+    pub peers: Vec<SocketAddr>,
+    /// The sender's in-flight load at each target; empty if a summary contains it.
+    pub loads: Vec<LoadRow>,
+    /// The requested and placed work of each team at the sender; empty if a summary
+    /// contains it.
+    pub teams: Vec<TeamRow>,
+    /// Target crashes, with the request that was running.
+    pub crashes: Vec<CrashRow>,
+    /// The sender's place, unless it runs a version that knows no relays. It follows
+    /// the encoding of the other fields, where that version does not look.
+    #[serde(skip)]
+    pub place: Option<Place>,
+}
+
+/// Identifies a heartbeat of the receiver.
+///
+/// It shows the receiver that the message was written after that heartbeat was
+/// sent, regardless of the delay of the message.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Echo {
+    /// The receiver's incarnation.
+    pub life: u64,
+    /// The sequence number of the heartbeat.
+    pub number: u32,
+}
+
+/// The in-flight load of one or several routers at one target.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct LoadRow {
+    /// The tag of the target's incarnation.
+    pub target: u64,
+    /// The prompt tokens of attempts that have not produced their first event.
+    pub waiting: u32,
+    /// The number of attempts.
+    pub count: u32,
+    /// The memory in use, in tokens.
+    pub memory: u32,
+}
+
+impl From<&LoadReport> for LoadRow {
+    fn from(report: &LoadReport) -> Self {
+        Self {
+            target: report.target,
+            waiting: report.load.waiting_tokens as u32,
+            count: report.load.attempts,
+            memory: report.load.memory_tokens as u32,
+        }
+    }
+}
+
+impl From<&LoadRow> for LoadReport {
+    fn from(row: &LoadRow) -> Self {
+        Self {
+            target: row.target,
+            load: TargetLoad {
+                waiting_tokens: row.waiting.into(),
+                attempts: row.count,
+                memory_tokens: row.memory.into(),
+            },
+        }
+    }
+}
+
+/// The requested and placed work of one team, in tokens per second.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct TeamRow {
+    /// The tag of the team's name.
+    pub team: u64,
+    /// The requested work.
+    pub asked: u32,
+    /// The work placed at targets.
+    pub placed: u32,
+}
+
+/// A crash of a target while it ran a request.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+pub struct CrashRow {
+    /// The request's fingerprint.
+    pub request: u128,
+    /// The tag of the target's incarnation.
+    pub target: u64,
+}
+
+/// The targets that currently fail for a router, sent before a heartbeat.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Trouble {
+    /// The sender's address, as in its heartbeats.
+    pub from: SocketAddr,
+    /// The sender's incarnation.
+    pub life: u64,
+    /// The sequence number of the heartbeat that follows; a later heartbeat
+    /// invalidates this datagram.
+    pub number: u32,
+    /// The tags of the target incarnations.
+    pub targets: Vec<u64>,
+}
+
+/// Whose state a summary contains.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, Serialize, Deserialize)]
+pub enum Scope {
+    /// The sender and the routers that report to it; sent to other relays.
+    #[display("group")]
+    Group,
+    /// All routers but the receiver; sent to the routers that report to the sender.
+    #[display("fleet")]
+    Fleet,
+}
+
+/// A part of what a relay knows of other routers.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Summary {
+    /// The sender's address, as in its heartbeats.
+    pub from: SocketAddr,
+    /// The sender's incarnation.
+    pub life: u64,
+    /// The sequence number of the sender's latest heartbeat.
+    pub number: u32,
+    /// The index of this part, from 0.
+    pub part: u8,
+    /// The number of parts.
+    pub parts: u8,
+    /// Whose state it is.
+    pub scope: Scope,
+    /// The routers that the sender holds reachable; empty in most summaries.
+    pub members: Vec<MemberRow>,
+    /// The sums of loads.
+    pub loads: Vec<LoadRow>,
+    /// The sums of the teams' work.
+    pub teams: Vec<TeamRow>,
+    /// The number of routers for which a target currently fails.
+    pub problems: Vec<ProblemRow>,
+}
+
+/// A router that a relay holds reachable.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct MemberRow {
+    /// The address at which it receives datagrams.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub centre: CentreTag,
+    /// Whether it may be a relay: it is neither starting nor stopping.
+    pub steady: bool,
+    /// Whether others can rely on it to read the store.
+    pub reads: bool,
+}
+
+/// The number of routers for which a target currently fails.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct ProblemRow {
+    /// The tag of the target's incarnation.
+    pub target: u64,
+    /// The number of routers.
+    pub count: u32,
+}
+
+/// A message between two routers.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Message {
+    /// The state of the sender.
+    Beat(Box<Beat>),
+    /// The state of routers behind the sender.
+    Summary(Box<Summary>),
+    /// Targets that currently fail for the sender.
+    Trouble(Trouble),
+    /// The tags of target incarnations that said that they are leaving.
+    Leaving(Vec<u64>),
+}
--- /dev/null
+++ b/policy/src/direct/listing.rs
@@ -0,0 +1,65 @@
+//! The differences between two listings of the targets.
+//!
+//! Load that it answers: thousands of targets of which a few change between two reads.
+//! The router that reads the store sends the others what changed; a router that has
+//! another listing than the one on which a change is based asks for the whole.
+//!
+//! Invariant: a listing is ordered by name, so equal targets give equal listings.
+
+use std::cmp::Ordering;
+
+use entity::Name;
+
+use super::target::Target;
+
+/// The difference between two listings.
+#[derive(Clone, Default, PartialEq, Debug)]
+pub struct ListingChange {
+    /// The targets that are new or differ.
+    pub changed: Vec<Target>,
+    /// The names of the targets that are gone.
+    pub removed: Vec<Name>,
+}
+
+/// Orders targets as in a listing. Of several with one name the first is kept.
+pub fn sort_listing(targets: &mut Vec<Target>) {
+    targets.sort_by(|a, b| a.name.cmp(&b.name));
+    targets.dedup_by(|later, first| later.name == first.name);
+}
+
+impl ListingChange {
+    /// Returns what leads from one listing to another.
+    pub fn between(old: &[Target], new: &[Target]) -> Self {
+        let mut change = Self::default();
+        let (mut old, mut new) = (old.iter().peekable(), new.iter().peekable());
+        loop {
+            let order = match (old.peek(), new.peek()) {
+                (None, None) => return change,
+                (Some(_), None) => Ordering::Less,
+                (None, Some(_)) => Ordering::Greater,
+                (Some(a), Some(b)) => a.name.cmp(&b.name),
+            };
+            let before = if order.is_le() { old.next() } else { None };
+            let after = if order.is_ge() { new.next() } else { None };
+            match (before, after) {
+                (Some(gone), None) => change.removed.push(gone.name.clone()),
+                (before, Some(target)) if before != Some(target) => {
+                    change.changed.push(target.clone());
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Returns the listing to which the change leads.
+    pub fn apply(&self, old: &[Target]) -> Vec<Target> {
+        let is_replaced = |target: &Target| {
+            let name = &target.name;
+            self.removed.contains(name) || self.changed.iter().any(|it| it.name == *name)
+        };
+        let kept = old.iter().filter(|target| !is_replaced(target));
+        let mut targets: Vec<Target> = kept.chain(&self.changed).cloned().collect();
+        sort_listing(&mut targets);
+        targets
+    }
+}
--- a/policy/src/direct/polling.rs
+++ b/policy/src/direct/polling.rs
@@ -35,6 +35,8 @@
     /// The age of the confirmation at which a router reads the configuration for
     /// itself.
     pub max_confirmation_age: Duration,
+    /// The time over which these reads are spread, up to that age.
+    pub confirmation_spread: Duration,
     /// The age of a peer's confirmation at which the peer is no longer
     /// considered as the reader: it cannot reach the store, or is suspended.
     pub lost_peer_age: Duration,
@@ -51,8 +53,9 @@
             reader_age: drain.mul_f64(0.6),
             standby_age: drain.mul_f64(0.66),
             max_target_age: drain.mul_f64(0.725),
-            watch_wait: config.mul_f64(0.5),
+            watch_wait: config.mul_f64(0.4),
             max_confirmation_age: config.mul_f64(0.75),
+            confirmation_spread: config.mul_f64(0.1),
             lost_peer_age: config.mul_f64(1.1),
         }
     }
@@ -68,15 +71,56 @@
         age.map_or(Duration::ZERO, |age| limit.saturating_sub(age))
     }
 
-    /// The time until a router that does not watch the configuration should read
-    /// it, given the age of its last confirmation.
-    pub fn confirmation_due(&self, age: Option<Duration>) -> Duration {
-        age.map_or(Duration::ZERO, |age| {
-            self.max_confirmation_age.saturating_sub(age)
-        })
+    /// The time until a router of this rank that does not watch the configuration
+    /// should read it, given the age of its last confirmation. The first to read
+    /// confirms it to the others.
+    pub fn confirmation_due(&self, rank: usize, age: Option<Duration>) -> Duration {
+        let turn = (rank as u32).min(SPREAD_RANKS);
+        let lead = self.confirmation_spread * (SPREAD_RANKS - turn) / SPREAD_RANKS;
+        let limit = self.max_confirmation_age.saturating_sub(lead);
+        age.map_or(Duration::ZERO, |age| limit.saturating_sub(age))
     }
 }
 
+/// The number of routers that call a store that does not answer soon again.
+const PROBING_ROUTERS: usize = 2;
+
+/// The delay of these routers after a first failed call.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
+
+/// The delay of these routers after many failed calls.
+const MAX_PROBE_DELAY: Duration = Duration::from_millis(600);
+
+/// The rate of failing calls of all other routers together, in calls per second.
+const FLEET_RETRY_RATE: f64 = 10.0;
+
+/// The maximum delay between two failing calls of a router.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
+
+/// The fraction by which delays are spread in both directions.
+const RETRY_SPREAD: f64 = 0.25;
+
+/// The ranks over which the reads of a configuration that no peer confirms are spread.
+const SPREAD_RANKS: u32 = 16;
+
+/// The delay before a failed call to the store is made again.
+///
+/// Load that it answers: a store that is down, slow or busy, before hundreds of routers.
+/// A few of them probe it, and tell the others what they read; the others together make
+/// [`FLEET_RETRY_RATE`] calls a second, in case these few cannot reach it. `rank` is that
+/// among all reachable routers, `routers` their number, `failures` the number of failed
+/// calls in a row, and `random` a number from 0 to 1.
+pub fn retry_delay(rank: usize, routers: usize, failures: u32, random: f64) -> Duration {
+    let delay = match rank < PROBING_ROUTERS {
+        true => MIN_RETRY_DELAY
+            .mul_f64(f64::from(1 << failures.saturating_sub(1).min(8)))
+            .min(MAX_PROBE_DELAY),
+        false => Duration::from_secs_f64(routers as f64 / FLEET_RETRY_RATE)
+            .clamp(MAX_PROBE_DELAY, MAX_RETRY_DELAY),
+    };
+    delay.mul_f64(1.0 + RETRY_SPREAD * (2.0 * random - 1.0))
+}
+
 /// The rank of a router in the hash order of the live routers, from 0.
 pub fn rank(own: SocketAddr, live: impl Iterator<Item = SocketAddr>) -> usize {
     let score = |address: SocketAddr| (xxh3_64(address.to_string().as_bytes()), address);
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -541,20 +541,7 @@
         peers: impl Iterator<Item = &'a PeerLoadReport>,
         now: Instant,
     ) {
-        let mut sums: FxHashMap<u64, TargetLoad> = FxHashMap::default();
-        for peer in peers {
-            let age = now.saturating_duration_since(peer.received_at);
-            if age >= REPORT_TTL {
-                continue;
-            }
-            let remaining = 0.5_f64.powf(age.as_secs_f64() / WAITING_HALF_LIFE.as_secs_f64());
-            for LoadReport { target, load } in peer.reports.iter() {
-                let sum = sums.entry(*target).or_default();
-                sum.waiting_tokens += load.waiting_tokens * remaining;
-                sum.attempts += load.attempts;
-                sum.memory_tokens += load.memory_tokens;
-            }
-        }
+        let sums = sum_loads(peers, now);
         for entry in self.entries.values_mut() {
             entry.peer_load = sums.get(&entry.tag).copied().unwrap_or_default();
         }
@@ -617,6 +604,29 @@
     }
 }
 
+/// Sums up reports by target. What waited when a report was made has been prefilled in
+/// part since.
+pub fn sum_loads<'a>(
+    reports: impl Iterator<Item = &'a PeerLoadReport>,
+    now: Instant,
+) -> FxHashMap<u64, TargetLoad> {
+    let mut sums: FxHashMap<u64, TargetLoad> = FxHashMap::default();
+    for report in reports {
+        let age = now.saturating_duration_since(report.received_at);
+        if age >= REPORT_TTL {
+            continue;
+        }
+        let remaining = 0.5_f64.powf(age.as_secs_f64() / WAITING_HALF_LIFE.as_secs_f64());
+        for LoadReport { target, load } in report.reports.iter() {
+            let sum = sums.entry(*target).or_default();
+            sum.waiting_tokens += load.waiting_tokens * remaining;
+            sum.attempts += load.attempts;
+            sum.memory_tokens += load.memory_tokens;
+        }
+    }
+    sums
+}
+
 /// The tag of one incarnation of a target, identical on all routers.
 pub fn incarnation_tag(name: &Name, born: u64) -> u64 {
     let mut bytes = name.as_str().as_bytes().to_vec();
--- /dev/null
+++ b/policy/tests/direct_exchange.rs
@@ -0,0 +1,321 @@
+//! Tests of the exchange of state among routers, in virtual time.
+
+#[path = "direct_exchange/net.rs"]
+mod net;
+
+use std::time::Duration;
+
+use knapweed_policy::direct::exchange::PEER_TIMEOUT;
+use knapweed_policy::direct::exchange::message::Scope;
+use knapweed_policy::direct::fair_share::TeamRate;
+use knapweed_policy::direct::target_table::REPORT_TTL;
+use net::{Net, load};
+
+/// The largest datagram that routers accept, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+
+/// The time that the operators grant routers between their start and the first traffic.
+const START_TIME: Duration = Duration::from_secs(14);
+
+/// The number of targets at the size for which the design is meant.
+const TARGETS: usize = 600;
+
+/// The sizes of fleets, and their numbers of data centres.
+const FLEETS: [(usize, usize); 4] = [(5, 4), (30, 4), (120, 6), (350, 7)];
+
+/// A fleet of about three times the size for which the design is meant.
+const LARGEST_FLEET: (usize, usize) = (1_000, 7);
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Starts a fleet whose routers each have attempts at some targets, and lets it settle.
+fn settled(count: usize, centres: usize, seed: u64) -> Net {
+    let mut net = Net::start(count, centres, seed);
+    for (index, router) in net.routers.iter_mut().enumerate() {
+        let targets = (0..12).map(|it| (index * 7 + it * 5) % (2 * count));
+        router.loads = targets.map(|target| load(target as u64, 2)).collect();
+    }
+    net.run_until(START_TIME);
+    net
+}
+
+/// Asserts that each connected router knows all others and the sum of their loads.
+fn assert_consistent(net: &Net, what: &str) {
+    let connected = net.connected();
+    for &router in &connected {
+        let known = net.routers[router].exchange.reachable().count();
+        assert_eq!(known, connected.len() - 1, "{what}: members of {router}");
+        let viewed = net.viewed_attempts(router);
+        assert_eq!(
+            viewed,
+            net.attempts_of_others(router),
+            "{what}: loads at {router}"
+        );
+    }
+}
+
+#[test]
+fn after_a_start_of_all_at_once_every_router_has_the_sums_of_all_others() {
+    for (count, centres) in FLEETS {
+        let net = settled(count, centres, 1);
+        assert_consistent(&net, &format!("{count} routers"));
+    }
+}
+
+#[test]
+fn a_change_of_load_reaches_all_in_half_the_time_for_which_reports_are_used() {
+    for (count, centres) in FLEETS {
+        let mut net = settled(count, centres, 2);
+        net.routers[3].loads = vec![load(1, 500)];
+        net.run_for(REPORT_TTL / 2);
+        assert_consistent(&net, &format!("{count} routers"));
+    }
+}
+
+#[test]
+fn the_work_of_teams_and_problems_are_summed() {
+    let mut net = settled(120, 6, 3);
+    let rate = TeamRate {
+        requested: 100.0,
+        admitted: 60.0,
+    };
+    for router in &mut net.routers {
+        router.teams = vec![(11, rate), (12, rate)];
+    }
+    for router in [4, 5, 40] {
+        net.routers[router].problems = vec![9];
+    }
+    net.run_for(millis(600));
+    for router in net.connected() {
+        let view = net.routers[router].exchange.view(net.now_mono());
+        for team in [11, 12] {
+            assert_eq!(view.teams[&team].requested, 119.0 * 100.0, "at {router}");
+            assert_eq!(view.teams[&team].admitted, 119.0 * 60.0, "at {router}");
+        }
+        let others = [4, 5, 40].iter().filter(|&&it| it != router).count();
+        assert_eq!(view.problem_counts[&9] as usize, others, "at {router}");
+    }
+}
+
+#[test]
+fn routers_behind_a_relay_that_is_killed_cut_or_frozen_report_to_another() {
+    for (count, centres) in [(30, 4), (120, 6), (350, 7)] {
+        for fault in ["killed", "cut", "frozen"] {
+            let mut net = settled(count, centres, 4);
+            let relay = *net.relays().first().expect("a relay");
+            let router = &mut net.routers[relay];
+            match fault {
+                "killed" => router.is_alive = false,
+                "cut" => router.is_cut = true,
+                _ => router.is_frozen = true,
+            }
+            for _ in 0..40 {
+                net.run_for(millis(100));
+                for router in net.connected() {
+                    let known = net.routers[router].exchange.reachable().count();
+                    // Only the lost relay may count as unreachable.
+                    assert!(
+                        known + 2 >= count,
+                        "{count} routers, {fault}: {known} known"
+                    );
+                    let members = net.routers[router].exchange.members().count();
+                    assert_eq!(members, count - 1, "limits are divided as before");
+                }
+            }
+            let what = format!("{count} routers, relay {fault}");
+            for &router in &net.connected() {
+                let lost = net.routers[relay].loads.iter();
+                let lost: u32 = lost.map(|report| report.load.attempts).sum();
+                let others = net.attempts_of_others(router);
+                let others = others - if fault == "killed" { 0 } else { lost };
+                assert_eq!(
+                    net.viewed_attempts(router),
+                    others,
+                    "{what}: loads at {router}"
+                );
+            }
+            net.routers[relay].is_cut = false;
+            if net.routers[relay].is_frozen {
+                net.thaw(relay);
+            }
+            if net.routers[relay].is_alive {
+                net.run_for(Duration::from_secs(8));
+                assert_consistent(&net, &format!("{what}, healed"));
+            }
+        }
+    }
+}
+
+#[test]
+fn the_sums_never_count_a_router_twice_for_long_while_its_relay_changes() {
+    let mut net = settled(120, 6, 5);
+    let relay = *net.relays().first().expect("a relay");
+    net.routers[relay].is_alive = false;
+    let total: u32 = net.attempts_of_others(usize::MAX);
+    let mut exceeded = Duration::ZERO;
+    for _ in 0..80 {
+        net.run_for(millis(50));
+        let greatest = net
+            .connected()
+            .into_iter()
+            .map(|it| net.viewed_attempts(it));
+        if greatest.max().expect("routers") > total + 24 {
+            exceeded += millis(50);
+        }
+    }
+    assert!(exceeded <= PEER_TIMEOUT, "{exceeded:?}");
+}
+
+#[test]
+fn a_lost_data_centre_and_its_return() {
+    let mut net = settled(120, 6, 6);
+    for router in (0..120).step_by(6) {
+        net.routers[router].is_alive = false;
+    }
+    net.run_for(Duration::from_secs(5));
+    assert_consistent(&net, "without a data centre");
+    for router in (0..120).step_by(6) {
+        net.restart(router);
+    }
+    net.run_for(Duration::from_secs(8));
+    assert_consistent(&net, "with all data centres");
+}
+
+#[test]
+fn a_partition_heals() {
+    let mut net = settled(120, 6, 7);
+    for router in 0..60 {
+        net.routers[router].is_cut = true;
+    }
+    net.run_for(Duration::from_secs(8));
+    for router in 0..60 {
+        net.routers[router].is_cut = false;
+    }
+    net.run_for(Duration::from_secs(12));
+    assert_consistent(&net, "after the partition");
+}
+
+#[test]
+fn a_router_that_starts_knows_all_others_after_one_exchange() {
+    for (count, centres) in FLEETS {
+        let mut net = settled(count, centres, 8);
+        net.restart(4);
+        // A period, and two more for a seed that does not know the new incarnation.
+        net.run_for(millis(350));
+        let known = net.routers[4].exchange.reachable().count();
+        assert_eq!(known, count - 1, "{count} routers");
+    }
+}
+
+#[test]
+fn rolling_restarts_leave_every_router_with_all_sums() {
+    let mut net = settled(68, 6, 9);
+    for router in 0..68 {
+        net.restart(router);
+        net.run_for(millis(300));
+    }
+    for (index, router) in net.routers.iter_mut().enumerate() {
+        router.loads = vec![load(index as u64, 3)];
+    }
+    net.run_for(Duration::from_secs(6));
+    assert_consistent(&net, "after the restarts");
+}
+
+#[test]
+fn lost_datagrams_cost_freshness_only() {
+    let mut net = settled(120, 6, 10);
+    net.loss = 0.1;
+    for _ in 0..100 {
+        net.run_for(millis(100));
+        for router in net.connected() {
+            let known = net.routers[router].exchange.reachable().count();
+            assert_eq!(known, 119, "at {router}");
+        }
+    }
+    net.loss = 0.0;
+    net.run_for(Duration::from_secs(3));
+    assert_consistent(&net, "after the losses");
+}
+
+#[test]
+fn a_confirmation_is_never_dated_too_late_and_reaches_all() {
+    for (count, centres) in FLEETS {
+        let mut net = settled(count, centres, 11);
+        // One router reads the store, the others hear of it.
+        for _ in 0..20 {
+            let now = net.now;
+            net.routers[2].read_at = Some(now);
+            net.run_for(millis(100));
+            for router in net.connected() {
+                let confirmed = net.routers[router].confirmed_at;
+                assert!(confirmed.is_none_or(|at| at <= now), "{count} routers");
+            }
+        }
+        let read_at = net.routers[2].read_at.expect("it has read");
+        net.run_for(millis(100));
+        for router in net.connected() {
+            let confirmed = net.routers[router].confirmed_at.expect("it heard of it");
+            // Three hops, each of which costs the wait for two heartbeats at most.
+            let lag = read_at.saturating_sub(confirmed);
+            assert!(lag <= millis(800), "{count} routers: {lag:?} at {router}");
+        }
+    }
+}
+
+#[test]
+fn old_versions_and_new_ones_know_each_other() {
+    let mut net = Net::start(24, 4, 12);
+    for (index, router) in net.routers.iter_mut().enumerate() {
+        router.is_old = index % 5 == 0;
+        router.loads = vec![load(index as u64, 1)];
+    }
+    net.run_until(START_TIME);
+    for router in net.connected() {
+        let known = net.routers[router].exchange.reachable().count();
+        assert_eq!(known, 23, "at {router}");
+        if !net.routers[router].is_old {
+            assert_eq!(net.viewed_attempts(router), 23, "at {router}");
+        }
+    }
+}
+
+#[test]
+fn what_a_router_sends_grows_no_faster_than_the_root_of_the_fleet() {
+    let mut means = Vec::new();
+    for (count, centres) in FLEETS.into_iter().chain([LARGEST_FLEET]) {
+        let mut net = settled(count, centres, 13);
+        assert_consistent(&net, &format!("{count} routers"));
+        // The load of the users' target: each router has attempts at some of 600 targets.
+        for (index, router) in net.routers.iter_mut().enumerate() {
+            let targets = (0..12).map(|it| (index * 7 + it * 5) % TARGETS);
+            router.loads = targets.map(|target| load(target as u64, 2)).collect();
+        }
+        net.run_for(Duration::from_secs(1));
+        net.is_measured = true;
+        net.run_for(Duration::from_secs(2));
+        let sent: Vec<usize> = net.routers.iter().map(|it| it.sent_bytes / 2).collect();
+        let mean = sent.iter().sum::<usize>() as f64 / count as f64;
+        let datagrams: usize = net.routers.iter().map(|it| it.sent_datagrams / 2).sum();
+        let greatest = sent.iter().max().expect("routers");
+        println!(
+            "{count} routers: {mean:.0} bytes/s, greatest {greatest}, {} datagrams/s",
+            datagrams / count
+        );
+        assert!(net.largest_datagram <= MAX_DATAGRAM_BYTES);
+        means.push((count as f64, mean));
+    }
+    for pair in means.windows(2).skip(1) {
+        let [(small, less), (large, more)] = [pair[0], pair[1]];
+        assert!(more / less <= (large / small).sqrt() * 1.3, "{means:?}");
+    }
+}
+
+#[test]
+fn scopes_have_their_names_in_logs() {
+    assert_eq!(
+        [Scope::Group, Scope::Fleet].map(|it| it.to_string()),
+        ["group", "fleet"]
+    );
+}
--- a/policy/tests/direct_fleet_view.rs
+++ b/policy/tests/direct_fleet_view.rs
@@ -191,10 +191,10 @@
     }
     assert!(
         intervals
-            .confirmation_due(Some(intervals.max_confirmation_age))
+            .confirmation_due(0, Some(intervals.max_confirmation_age))
             .is_zero()
     );
-    assert!(intervals.confirmation_due(None).is_zero());
+    assert!(intervals.confirmation_due(0, None).is_zero());
 }
 
 #[test]
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -1,13 +1,13 @@
 //! The datagrams that edge routers exchange.
 //!
-//! A heartbeat ([`Beat`]) contains the complete in-flight state of its sender, so a
-//! later one replaces an earlier one and a lost one is not retransmitted. `tarpc` is
+//! `policy::direct::exchange` defines the messages of the exchange. Each of them replaces
+//! the sender's previous one, so a lost one is not retransmitted. `tarpc` is
 //! not used here because a late message has no value and an unresponsive peer must
 //! not block the sender.
 
-use std::net::SocketAddr;
-
 use derive_more::{Display, Error};
+use entity::Name;
+use policy::direct::exchange::message::{Beat, Message, Place, Summary, Trouble};
 use policy::direct::stream_origin::StreamId;
 use policy::direct::target::{SoftwareVersion, Target, VersionTag};
 use serde::{Deserialize, Serialize};
@@ -19,45 +19,6 @@
 /// The maximum size of a datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
-/// The heartbeat of a router: its state and load.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
-pub struct Beat {
-    /// The address at which the sender receives datagrams.
-    pub from: SocketAddr,
-    /// The sender's incarnation; a later one has a higher number.
-    pub life: u64,
-    /// The sequence number of the heartbeat within the incarnation.
-    pub number: u32,
-    /// The last heartbeat that the sender received from the receiver's current incarnation.
-    pub echo: Option<Echo>,
-    /// The digest of the operators' settings known to the sender.
-    pub digest: u64,
-    /// The time since the sender last confirmed these settings, in milliseconds.
-    pub confirmed: Option<u32>,
-    /// Whether the sender is shutting down.
-    pub leaving: bool,
-    /// Other routers from which the sender recently received datagrams.
-    pub peers: Vec<SocketAddr>,
-    /// The sender's in-flight load at each target.
-    pub loads: Vec<LoadRow>,
-    /// The requested and placed work of each team at the sender.
-    pub teams: Vec<TeamRow>,
-    /// Target crashes, with the request that was running.
-    pub crashes: Vec<CrashRow>,
-}
-
-/// Identifies a heartbeat of the receiver.
-///
-/// It shows the receiver that the message was written after that heartbeat was
-/// sent, regardless of the delay of the message.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub struct Echo {
-    /// The receiver's incarnation.
-    pub life: u64,
-    /// The sequence number of the heartbeat.
-    pub number: u32,
-}
-
 /// A fragment of the list of targets that a router read from the store.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct Listing {
@@ -100,6 +61,19 @@
     }
 }
 
+/// What changed between two reads of the targets.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct ChangedListing {
+    /// The digest of the listing that changed.
+    pub base: u64,
+    /// The digest of the listing after the change.
+    pub digest: u64,
+    /// The names of the targets that are gone.
+    pub removed: Vec<Name>,
+    /// The targets that are new or differ, as the only part.
+    pub changed: VersionedListing,
+}
+
 /// Streams that began at one software version, sent to their holders and in response to
 /// an [`OriginQuery`].
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
@@ -117,20 +91,6 @@
     pub streams: Vec<StreamId>,
 }
 
-/// The targets that currently fail for a router, sent before a heartbeat.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub struct Trouble {
-    /// The sender's address, as in its heartbeats.
-    pub from: SocketAddr,
-    /// The sender's incarnation.
-    pub life: u64,
-    /// The sequence number of the heartbeat that follows; a later heartbeat
-    /// invalidates this datagram.
-    pub number: u32,
-    /// The tags of the target incarnations.
-    pub targets: Vec<u64>,
-}
-
 /// A later read of the store that returned the same targets as the last listing.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Unchanged {
@@ -165,39 +125,23 @@
     OriginQuery(OriginQuery),
     /// The tags of target incarnations that said that they are leaving.
     Leaving(Vec<u64>),
-}
-
-/// The in-flight load of a router at one target.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub struct LoadRow {
-    /// The tag of the target's incarnation.
-    pub target: u64,
-    /// The prompt tokens of attempts that have not produced their first event.
-    pub waiting: u32,
-    /// The number of attempts.
-    pub count: u32,
-    /// The memory in use, in tokens.
-    pub memory: u32,
-}
-
-/// The requested and placed work of one team, in tokens per second.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub struct TeamRow {
-    /// The tag of the team's name.
-    pub team: u64,
-    /// The requested work.
-    pub asked: u32,
-    /// The work placed at targets.
-    pub placed: u32,
-}
-
-/// A crash of a target while it ran a request.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
-pub struct CrashRow {
-    /// The request's fingerprint.
-    pub request: u128,
-    /// The tag of the target's incarnation.
-    pub target: u64,
+    /// A part of what a relay knows of other routers.
+    Summary(Summary),
+    /// What changed since the last listing.
+    ChangedListing(ChangedListing),
+    /// Asks for the whole listing.
+    ListingQuery,
+}
+
+impl From<Message> for Datagram {
+    fn from(message: Message) -> Self {
+        match message {
+            Message::Beat(beat) => Self::Beat(*beat),
+            Message::Summary(summary) => Self::Summary(*summary),
+            Message::Trouble(trouble) => Self::Trouble(trouble),
+            Message::Leaving(targets) => Self::Leaving(targets),
+        }
+    }
 }
 
 /// An error from decoding a datagram.
@@ -219,7 +163,14 @@
     /// Panics if encoding fails, which does not happen when writing to memory.
     pub fn encode(&self) -> Vec<u8> {
         let bytes = vec![DATAGRAM_VERSION];
-        postcard::to_extend(self, bytes).expect("writing to memory succeeds")
+        let bytes = postcard::to_extend(self, bytes).expect("writing to memory succeeds");
+        match self {
+            // Routers without relays do not read what follows the heartbeat.
+            Self::Beat(Beat {
+                place: Some(place), ..
+            }) => postcard::to_extend(place, bytes).expect("writing to memory succeeds"),
+            _ => bytes,
+        }
     }
 
     /// Decodes a datagram.
@@ -230,7 +181,15 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, DatagramError> {
         match bytes.split_first() {
             Some((&DATAGRAM_VERSION, rest)) => {
-                postcard::from_bytes(rest).map_err(|_| DatagramError::Garbage)
+                let taken = postcard::take_from_bytes(rest);
+                let (mut datagram, rest) = taken.map_err(|_| DatagramError::Garbage)?;
+                if let Self::Beat(beat) = &mut datagram
+                    && !rest.is_empty()
+                {
+                    let place: Result<Place, _> = postcard::from_bytes(rest);
+                    beat.place = Some(place.map_err(|_| DatagramError::Garbage)?);
+                }
+                Ok(datagram)
             }
             Some(_) => Err(DatagramError::Version),
             None => Err(DatagramError::Garbage),
