Exchange: wrong, late and repeated messages; listings and retries as properties

The property of repeated messages found that sums of attempts wrapped around with a wrong report (panicked in a debug build); sums saturate now.

--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -916,14 +916,16 @@
             view.reports.push(peer.loads.clone());
             add_teams(&mut view.teams, &peer.beat.teams);
             for &target in peer.problem_targets() {
-                *view.problem_counts.entry(target).or_default() += 1;
+                let count = view.problem_counts.entry(target).or_default();
+                *count = count.saturating_add(1);
             }
         }
         for summary in self.used_summaries(now) {
             view.reports.push(summary.loads.clone());
             add_teams(&mut view.teams, &summary.teams);
             for row in &summary.problems {
-                *view.problem_counts.entry(row.target).or_default() += row.count;
+                let count = view.problem_counts.entry(row.target).or_default();
+                *count = count.saturating_add(row.count);
             }
         }
         view
--- a/policy/src/direct/exchange/summary.rs
+++ b/policy/src/direct/exchange/summary.rs
@@ -228,13 +228,15 @@
         let mut counts: FxHashMap<u64, u32> = FxHashMap::default();
         for peer in self.covered(scope, now) {
             for &target in peer.problem_targets() {
-                *counts.entry(target).or_default() += 1;
+                let count = counts.entry(target).or_default();
+                *count = count.saturating_add(1);
             }
         }
         if scope == Scope::Fleet {
             for summary in self.used_summaries(now) {
                 for row in &summary.problems {
-                    *counts.entry(row.target).or_default() += row.count;
+                    let count = counts.entry(row.target).or_default();
+                    *count = count.saturating_add(row.count);
                 }
             }
         }
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -209,7 +209,10 @@
     pub fn load(&self) -> TargetLoad {
         TargetLoad {
             waiting_tokens: self.own_load.waiting_tokens + self.peer_load.waiting_tokens,
-            attempts: self.own_load.attempts + self.peer_load.attempts,
+            attempts: self
+                .own_load
+                .attempts
+                .saturating_add(self.peer_load.attempts),
             memory_tokens: self.own_load.memory_tokens + self.peer_load.memory_tokens,
         }
     }
@@ -620,7 +623,8 @@
         for LoadReport { target, load } in report.reports.iter() {
             let sum = sums.entry(*target).or_default();
             sum.waiting_tokens += load.waiting_tokens * remaining;
-            sum.attempts += load.attempts;
+            // A wrong report must not wrap the sum around to a small one.
+            sum.attempts = sum.attempts.saturating_add(load.attempts);
             sum.memory_tokens += load.memory_tokens;
         }
     }
--- a/policy/tests/direct_exchange.rs
+++ b/policy/tests/direct_exchange.rs
@@ -1,5 +1,7 @@
 //! Tests of the exchange of state among routers, in virtual time.
 
+#[path = "direct_exchange/bad_input.rs"]
+mod bad_input;
 #[path = "direct_exchange/net.rs"]
 mod net;
 
--- a/policy/tests/direct_fleet_view.rs
+++ b/policy/tests/direct_fleet_view.rs
@@ -12,7 +12,7 @@
 };
 use knapweed_policy::direct::fair_share::{FairShares, TeamRate};
 use knapweed_policy::direct::outlier::{MAX_EJECTION_TIME, OutlierDetector};
-use knapweed_policy::direct::polling::{PollIntervals, rank, watches_config};
+use knapweed_policy::direct::polling::{PollIntervals, rank, retry_delay, watches_config};
 use knapweed_policy::direct::response::{ResponseClass, ResponseFacts, classify};
 use knapweed_policy::direct::target::{
     MIN_OUTAGE, REREGISTRATION_TIME, SoftwareVersion, Target, TargetRegistry, TargetState,
@@ -208,6 +208,35 @@
     assert!(due(2) >= due(1) + Duration::from_millis(100));
 }
 
+#[test]
+fn failing_calls_of_a_fleet_stay_few_in_an_outage_of_any_length() {
+    for routers in [5, 31, 120, 350, 1_000] {
+        let mut calls = 0.0;
+        for rank in 0..routers {
+            // The greatest rate, with the shortest delays.
+            let delay = retry_delay(rank, routers, 8, 0.0);
+            calls += 1.0 / delay.as_secs_f64();
+        }
+        // The few that probe, and 10 calls a second of all others as long as each of them
+        // calls once in 4 s at least; a quarter more for the spread.
+        let others = (routers as f64 / 4.0).max(10.0);
+        assert!(
+            calls <= (2.0 / 0.6 + others) * 4.0 / 3.0,
+            "{routers}: {calls}"
+        );
+    }
+}
+
+#[test]
+fn a_store_that_returns_is_called_within_a_second() {
+    for routers in [1, 5, 350] {
+        for failures in [1, 3, 1_000, u32::MAX] {
+            let delay = retry_delay(0, routers, failures, 1.0);
+            assert!(delay <= Duration::from_millis(750), "{delay:?}");
+        }
+    }
+}
+
 #[test]
 fn the_last_reader_is_within_the_configured_bounds() {
     for bound in [1, 2, 3, 60].map(Duration::from_secs) {
--- a/wire/tests/datagram.rs
+++ b/wire/tests/datagram.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use entity::Name;
-use knapweed_wire::{Datagram, Listing, VersionedListing, listing_digest};
+use knapweed_wire::{Datagram, DatagramError, Listing, VersionedListing, listing_digest};
+use policy::direct::exchange::message::{Beat, CentreTag, Place};
 use policy::direct::target::{SoftwareVersion, Target, TargetState};
 
 fn target(version: &str) -> Target {
@@ -52,3 +53,39 @@
         listing_digest(&[target("v2")])
     );
 }
+
+fn beat(place: Option<Place>) -> Beat {
+    Beat {
+        from: "127.0.0.1:7400".parse().expect("an address"),
+        life: 3,
+        number: 4,
+        echo: None,
+        digest: 5,
+        confirmed: Some(6),
+        leaving: false,
+        peers: Vec::new(),
+        loads: Vec::new(),
+        teams: Vec::new(),
+        crashes: Vec::new(),
+        place,
+    }
+}
+
+#[test]
+fn a_heartbeat_is_read_by_routers_without_relays_and_theirs_is_read_here() {
+    let place = Place {
+        centre: CentreTag(9),
+        relay: "127.0.0.2:7400".parse().expect("an address"),
+        is_settled: true,
+    };
+    let old = Datagram::Beat(beat(None)).encode();
+    let new = Datagram::Beat(beat(Some(place))).encode();
+    assert_eq!(new[..old.len()], old[..], "what follows is not read there");
+    assert_eq!(Datagram::decode(&old), Ok(Datagram::Beat(beat(None))));
+    assert_eq!(
+        Datagram::decode(&new),
+        Ok(Datagram::Beat(beat(Some(place))))
+    );
+    let cut = &new[..new.len() - 1];
+    assert_eq!(Datagram::decode(cut), Err(DatagramError::Garbage));
+}
