--- a/policy/src/direct/polling.rs
+++ b/policy/src/direct/polling.rs
@@ -53,7 +53,7 @@
             reader_age: drain.mul_f64(0.6),
             standby_age: drain.mul_f64(0.66),
             max_target_age: drain.mul_f64(0.725),
-            watch_wait: config.mul_f64(0.4),
+            watch_wait: config.mul_f64(0.45),
             max_confirmation_age: config.mul_f64(0.75),
             confirmation_spread: config.mul_f64(0.1),
             lost_peer_age: config.mul_f64(1.1),
