--- a/policy/src/direct/polling.rs
+++ b/policy/src/direct/polling.rs
@@ -107,7 +107,7 @@
 ///
 /// Load that it answers: a store that is down, slow or busy, before hundreds of routers.
 /// A few of them probe it, and tell the others what they read; the others together make
-/// [`FLEET_RETRY_RATE`] calls a second, in case these few cannot reach it. `rank` is that
+/// some calls a second, in case these few cannot reach it. `rank` is that
 /// among all reachable routers, `routers` their number, `failures` the number of failed
 /// calls in a row, and `random` a number from 0 to 1.
 pub fn retry_delay(rank: usize, routers: usize, failures: u32, random: f64) -> Duration {
