Listings: only changes are sent to all, the whole only to who asks

At 300 routers and 3,000 targets a listing has 210 kB; after all were killed each router read the store and sent its first listing to all 299 others (18.8 GB), and whoever had another digest asked the reader for all of it. Now a first reading is announced by its digest only; changes go in steps that fit a datagram; a router asks its relay for the whole and the reader by turns, at most every 250 ms; who answers sends 8,000 targets a period at most, with the age of the listing, so that an older one can be passed on truthfully.

A router that starts waits 0.2 s (up to 0.8 s when all start) for a listing from others before it reads the store: fewer calls in rolling restarts. It is not ready until it has one (livetests of edge failed in between: ready without targets). Test: a_router_that_starts_gets_the_targets_from_another.

The watch waits half of the bound again: with 0.45 store_requests_do_not_grow_with_the_fleet counted 12 calls, under 12 are due.

--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -25,7 +25,7 @@
 use rustc_hash::FxHashMap;
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
-use wire::{Datagram, DatagramError, MAX_DATAGRAM_BYTES};
+use wire::{AgedListing, Datagram, DatagramError, MAX_DATAGRAM_BYTES};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{BootClock, SystemBootClock};
@@ -56,8 +56,10 @@
     announced_digest: Option<u64>,
     /// The received parts of incomplete listings.
     partial_listings: FxHashMap<(SocketAddr, u64), Vec<Option<Vec<Target>>>>,
-    /// When a peer was last asked for the whole listing.
-    listing_asked: Option<Instant>,
+    /// When a peer was last asked for the whole listing, and whether it was the relay.
+    listing_asked: Option<(Instant, bool)>,
+    /// The begin of a period, and the targets sent in it to routers that asked for them.
+    answered: (Instant, usize),
     store: Rc<StoreReader>,
     metrics: ExchangeMetrics,
     shared: Arc<Shared>,
@@ -98,6 +100,7 @@
             announced_digest: None,
             partial_listings: FxHashMap::default(),
             listing_asked: None,
+            answered: (now, 0),
             store,
             metrics,
             shared,
@@ -180,8 +183,9 @@
                 let sent = self.exchange.announce(&local, to_all, now);
                 self.send_all(sent);
             }
-            Some(PeerUpdate::Full(revision, targets)) => self.send_listing(revision, &targets, &to),
-            Some(PeerUpdate::Change(change)) => self.send_change(change, &to),
+            Some(PeerUpdate::Change { revision, old, new }) => {
+                self.send_change(revision, &old, &new, &to);
+            }
             Some(PeerUpdate::Unchanged(unchanged)) => {
                 for address in to {
                     self.send(&Datagram::Unchanged(unchanged), address);
@@ -220,9 +224,15 @@
             Ok(Datagram::Summary(summary)) => Message::Summary(Box::new(summary)),
             Ok(Datagram::Trouble(problems)) => Message::Trouble(problems),
             Ok(Datagram::Leaving(targets)) => Message::Leaving(targets),
-            Ok(Datagram::Listing(listing)) => return self.receive_listing(listing, from),
+            Ok(Datagram::Listing(listing)) => {
+                return self.receive_listing(listing, Duration::ZERO, from);
+            }
             Ok(Datagram::VersionedListing(listing)) => {
-                return self.receive_listing(listing.into_listing(), from);
+                return self.receive_listing(listing.into_listing(), Duration::ZERO, from);
+            }
+            Ok(Datagram::AgedListing(AgedListing { age, listing })) => {
+                let age = Duration::from_millis(age.into());
+                return self.receive_listing(listing.into_listing(), age, from);
             }
             Ok(Datagram::ChangedListing(change)) => return self.receive_change(change, from),
             Ok(Datagram::ListingQuery) => return self.answer_listing_query(from),
@@ -246,6 +256,7 @@
         };
         let received = self.exchange.receive(message, now);
         self.apply(received, sender, now);
+        self.ask_for_first_listing(sender);
     }
 
     /// Hands what a message said to the other parts of the router.
--- a/edge/src/gossip/listing.rs
+++ b/edge/src/gossip/listing.rs
@@ -6,9 +6,12 @@
 
 use entity::{Clock, SystemClock};
 use node::event::{self, Event};
+use policy::direct::exchange::PERIOD;
 use policy::direct::listing::ListingChange;
 use policy::direct::target::Target;
-use wire::{ChangedListing, Datagram, Listing, MAX_DATAGRAM_BYTES, Unchanged, VersionedListing};
+use wire::{
+    AgedListing, ChangedListing, Datagram, Listing, Unchanged, VersionedListing, listing_digest,
+};
 
 use super::Gossip;
 
@@ -21,19 +24,57 @@
 /// The maximum number of listings being reassembled.
 const MAX_PARTIAL_LISTINGS: usize = 16;
 
+/// The maximum number of targets sent in one period to routers that asked for the listing.
+const MAX_ANSWERED_TARGETS: usize = 8_000;
+
 /// The minimum time between two questions for the whole listing.
-const MIN_QUERY_INTERVAL: Duration = Duration::from_millis(500);
+const MIN_QUERY_INTERVAL: Duration = Duration::from_millis(250);
 
 impl Gossip {
-    /// Sends what changed in the listing, or the whole if that does not fit a datagram.
-    pub(super) fn send_change(&self, change: ChangedListing, to: &[SocketAddr]) {
-        let datagram = Datagram::ChangedListing(change);
-        if datagram.encode().len() > MAX_DATAGRAM_BYTES {
-            let (revision, targets) = self.store.listing();
-            return self.send_listing(revision, &targets, to);
-        }
-        for &address in to {
-            self.send(&datagram, address);
+    /// Sends what changed between two listings, in steps that fit a datagram.
+    pub(super) fn send_change(
+        &self,
+        revision: u64,
+        old: &[Target],
+        new: &[Target],
+        to: &[SocketAddr],
+    ) {
+        let change = ListingChange::between(old, new);
+        let mut steps: Vec<ListingChange> = change
+            .changed
+            .chunks(TARGETS_PER_PART)
+            .map(|changed| ListingChange {
+                changed: changed.to_vec(),
+                removed: Vec::new(),
+            })
+            .collect();
+        steps.extend(
+            change
+                .removed
+                .chunks(TARGETS_PER_PART)
+                .map(|removed| ListingChange {
+                    changed: Vec::new(),
+                    removed: removed.to_vec(),
+                }),
+        );
+        let mut listing = old.to_vec();
+        for step in steps {
+            let base = listing_digest(&listing);
+            listing = step.apply(&listing);
+            let datagram = Datagram::ChangedListing(ChangedListing {
+                base,
+                digest: listing_digest(&listing),
+                removed: step.removed,
+                changed: VersionedListing::new(Listing {
+                    revision,
+                    part: 0,
+                    parts: 1,
+                    targets: step.changed,
+                }),
+            });
+            for &address in to {
+                self.send(&datagram, address);
+            }
         }
     }
 
@@ -64,43 +105,56 @@
         }
     }
 
-    /// Asks the router that has just read the store for the whole listing.
+    /// Asks for the whole listing: the relay of this router, since the reader has many to
+    /// answer, and by turns the router that has it for certain.
     fn ask_for_listing(&mut self, from: SocketAddr) {
         let now = SystemClock.now().mono;
         let is_recent = |at| now.saturating_duration_since(at) < MIN_QUERY_INTERVAL;
-        if self.listing_asked.is_some_and(is_recent) {
+        if self.listing_asked.is_some_and(|(at, _)| is_recent(at)) {
             return;
         }
-        self.listing_asked = Some(now);
-        self.send(&Datagram::ListingQuery, from);
+        let asked_relay = self.listing_asked.is_some_and(|(_, relay)| relay);
+        let relay = self.exchange.relay().filter(|_| !asked_relay);
+        self.listing_asked = Some((now, relay.is_some()));
+        self.send(&Datagram::ListingQuery, relay.unwrap_or(from));
     }
 
-    /// Sends the whole listing. An old one is not sent, since its receiver counts its
-    /// age from its arrival.
-    pub(super) fn answer_listing_query(&self, from: SocketAddr) {
-        if self.store.has_fresh_listing() {
-            let (revision, targets) = self.store.listing();
-            self.send_listing(revision, &targets, &[from]);
+    /// Asks a router for the listing if this one has none yet.
+    pub(super) fn ask_for_first_listing(&mut self, from: SocketAddr) {
+        if !self.store.has_listing() {
+            self.ask_for_listing(from);
         }
     }
 
-    pub(super) fn send_listing(&self, revision: u64, targets: &[Target], to: &[SocketAddr]) {
+    /// Sends the whole listing with its age, unless many others were sent it just now.
+    pub(super) fn answer_listing_query(&mut self, to: SocketAddr) {
+        let Some((revision, age, targets)) = self.store.listing() else {
+            return;
+        };
+        let now = SystemClock.now().mono;
+        if now.saturating_duration_since(self.answered.0) >= PERIOD {
+            self.answered = (now, 0);
+        }
+        if self.answered.1 >= MAX_ANSWERED_TARGETS {
+            return;
+        }
+        self.answered.1 += targets.len();
         let chunks: Vec<&[Target]> = targets.chunks(TARGETS_PER_PART).collect();
         let parts = chunks.len() as u16;
+        // Rounded up, so that the listing never appears more recent than it is.
+        let age = age.as_millis() as u32 + 1;
         for (part, chunk) in chunks.into_iter().enumerate() {
-            let listing = Datagram::VersionedListing(VersionedListing::new(Listing {
+            let listing = VersionedListing::new(Listing {
                 revision,
                 part: part as u16,
                 parts,
                 targets: chunk.to_vec(),
-            }));
-            for &address in to {
-                self.send(&listing, address);
-            }
+            });
+            self.send(&Datagram::AgedListing(AgedListing { age, listing }), to);
         }
     }
 
-    pub(super) fn receive_listing(&mut self, listing: Listing, from: SocketAddr) {
+    pub(super) fn receive_listing(&mut self, listing: Listing, age: Duration, from: SocketAddr) {
         let Listing {
             revision,
             part,
@@ -108,7 +162,7 @@
             targets,
         } = listing;
         if parts == 1 {
-            self.store.adopt_listing(revision, targets);
+            self.store.adopt_listing(revision, age, targets);
             return;
         }
         if parts == 0 || part >= parts || parts > MAX_LISTING_PARTS {
@@ -127,7 +181,7 @@
                 .remove(&(from, revision))
                 .unwrap_or_default();
             let targets = complete.into_iter().flatten().flatten().collect();
-            self.store.adopt_listing(revision, targets);
+            self.store.adopt_listing(revision, age, targets);
         }
     }
 }
--- a/edge/src/operators.rs
+++ b/edge/src/operators.rs
@@ -94,6 +94,9 @@
         match self.shared.config.load().as_ref() {
             _ if self.shared.is_stopping() => Some("stopping"),
             None => Some("no configuration"),
+            Some(_) if self.shared.targets_age(SystemBootClock.uptime()).is_none() => {
+                Some("no targets listed")
+            }
             Some(_) if self.shared.overloaded.load(Ordering::Relaxed) => Some("strained"),
             Some(_) if !confirmation.allows_keys(SystemBootClock.uptime()) => {
                 Some("configuration not confirmed")
--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -29,7 +29,7 @@
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
-use wire::{ChangedListing, Listing, Unchanged, VersionedListing, listing_digest};
+use wire::{Unchanged, listing_digest};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{BootClock, SystemBootClock};
@@ -38,6 +38,9 @@
 /// The time limit of a call, in addition to the requested watch wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// The period at which a router that starts checks whether a peer has sent the targets.
+const FIRST_READ_CHECK_PERIOD: Duration = Duration::from_millis(20);
+
 /// The age at which a reading of the targets is no longer sent to peers.
 const MAX_UPDATE_AGE: Duration = Duration::from_millis(400);
 
@@ -100,11 +103,17 @@
 
 /// An update about the targets, for the peers.
 pub(crate) enum PeerUpdate {
-    /// The store revision and the targets.
-    Full(u64, Vec<Target>),
-    /// What changed since the last listing.
-    Change(ChangedListing),
-    /// The targets are the same as in the last listing.
+    /// The targets differ from those of the last listing.
+    Change {
+        /// The store revision.
+        revision: u64,
+        /// The last listing.
+        old: Vec<Target>,
+        /// The targets.
+        new: Vec<Target>,
+    },
+    /// The targets are the same as in the last listing, or are the first that this router
+    /// read: others that have a different listing ask for them.
     Unchanged(Unchanged),
 }
 
@@ -173,6 +182,7 @@
 
     /// Reads the targets for as long as the process runs.
     pub(crate) async fn follow_targets(self: Rc<Self>) {
+        self.wait_for_first_listing().await;
         loop {
             let due = self.targets_due();
             if due > Duration::ZERO {
@@ -193,6 +203,21 @@
         }
     }
 
+    /// Waits until a peer has sent the targets, or until this router should read them.
+    async fn wait_for_first_listing(&self) {
+        let started = SystemClock.now().mono;
+        while !self.has_listing() {
+            let elapsed = SystemClock.now().mono.saturating_duration_since(started);
+            let reachable = self.state.borrow().reachable_peers.clone();
+            let count = reachable.len();
+            let rank = polling::rank(self.address, reachable.into_iter());
+            if elapsed >= polling::first_read_delay(rank, count) {
+                return;
+            }
+            sleep(FIRST_READ_CHECK_PERIOD).await;
+        }
+    }
+
     fn targets_due(&self) -> Duration {
         let now = SystemClock.now().mono;
         let rank = self.rank();
@@ -337,29 +362,33 @@
         if listing_digest(&targets) != digest {
             return false;
         }
-        self.adopt_targets(targets, revision);
+        self.adopt_targets(targets, revision, Duration::ZERO);
         true
     }
 
-    /// Adopts a peer's listing, unless a later one is known.
-    pub(crate) fn adopt_listing(&self, revision: u64, mut targets: Vec<Target>) {
-        if revision >= self.state.borrow().targets_revision {
+    /// Adopts a peer's listing that was read `age` ago, unless a later one is known.
+    pub(crate) fn adopt_listing(&self, revision: u64, age: Duration, mut targets: Vec<Target>) {
+        let state = self.state.borrow();
+        let known_age = state.registry.age(SystemClock.now().mono);
+        let is_later = revision >= state.targets_revision && known_age.is_none_or(|it| it > age);
+        drop(state);
+        if is_later {
             sort_listing(&mut targets);
-            self.adopt_targets(targets, revision);
+            self.adopt_targets(targets, revision, age);
         }
     }
 
-    /// Returns the latest listing and its revision.
-    pub(crate) fn listing(&self) -> (u64, Vec<Target>) {
+    /// Returns the revision, the age and the targets of the latest listing, if any.
+    pub(crate) fn listing(&self) -> Option<(u64, Duration, Vec<Target>)> {
         let state = self.state.borrow();
-        (state.targets_revision, state.listing.clone())
+        let age = state.registry.age(SystemClock.now().mono)?;
+        Some((state.targets_revision, age, state.listing.clone()))
     }
 
-    /// Whether the latest listing is recent enough to be sent to a peer, which counts its
-    /// age from its arrival.
-    pub(crate) fn has_fresh_listing(&self) -> bool {
-        let age = self.state.borrow().registry.age(SystemClock.now().mono);
-        age.is_some_and(|age| age < MAX_UPDATE_AGE)
+    /// Whether there is a listing.
+    pub(crate) fn has_listing(&self) -> bool {
+        let state = self.state.borrow();
+        state.registry.age(SystemClock.now().mono).is_some()
     }
 
     async fn read_operators(&self) -> Option<u64> {
@@ -505,36 +534,29 @@
             }
         }
         sort_listing(&mut targets);
-        let (base, digest) = (state.digest, listing_digest(&targets));
-        let update = match (base == digest, state.listing.is_empty()) {
-            (true, _) => PeerUpdate::Unchanged(Unchanged {
+        let digest = listing_digest(&targets);
+        let is_first = state.listing.is_empty();
+        let update = match is_first || state.digest == digest {
+            true => PeerUpdate::Unchanged(Unchanged {
                 revision: as_of,
                 digest,
             }),
-            (false, true) => PeerUpdate::Full(as_of, targets.clone()),
-            (false, false) => {
-                let change = ListingChange::between(&state.listing, &targets);
-                PeerUpdate::Change(ChangedListing {
-                    base,
-                    digest,
-                    removed: change.removed,
-                    changed: VersionedListing::new(Listing {
-                        revision: as_of,
-                        part: 0,
-                        parts: 1,
-                        targets: change.changed,
-                    }),
-                })
-            }
+            false => PeerUpdate::Change {
+                revision: as_of,
+                old: state.listing.clone(),
+                new: targets.clone(),
+            },
         };
         state.pending_update = Some((sent, update));
         drop(state);
-        self.adopt_targets(targets, as_of);
+        self.adopt_targets(targets, as_of, Duration::ZERO);
         self.update_ready.notify_one();
     }
 
-    fn adopt_targets(&self, targets: Vec<Target>, revision: u64) {
+    /// Adopts a listing that was read `age` ago.
+    fn adopt_targets(&self, targets: Vec<Target>, revision: u64, age: Duration) {
         let now = SystemClock.now().mono;
+        let now = now.checked_sub(age).unwrap_or(now);
         let mut state = self.state.borrow_mut();
         state.targets_revision = revision;
         if state.listing != targets {
@@ -551,7 +573,8 @@
                 event::log(event, &[("target", name)]);
             }
         }
-        self.shared.publish_targets_read(SystemBootClock.uptime());
+        let read_at = SystemBootClock.uptime().0.saturating_sub(age);
+        self.shared.publish_targets_read(Uptime(read_at));
         self.shared.registry.store(Arc::new(state.registry.clone()));
     }
 
--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -96,6 +96,8 @@
     pub targets: Vec<ScriptedTarget>,
     /// The routers.
     pub routers: Vec<Process>,
+    /// The port for datagrams, the same on all routers.
+    control: u16,
     directory: PathBuf,
 }
 
@@ -128,6 +130,7 @@
             store,
             targets: Vec::new(),
             routers: Vec::new(),
+            control: free_port()?,
             directory,
         };
         fleet
@@ -136,15 +139,24 @@
         for version in versions {
             fleet.add_target(version).await?;
         }
-        let control = free_port()?;
-        for number in 0..routers {
-            let router = fleet.start_router(number, control)?;
-            fleet.routers.push(router);
+        for _ in 0..routers {
+            fleet.start_router()?;
         }
         fleet.wait_until_ready().await;
         Ok(fleet)
     }
 
+    /// Starts one more router and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process does not start.
+    pub async fn add_router(&mut self) -> eyre::Result<()> {
+        self.start_router()?;
+        self.wait_until_ready().await;
+        Ok(())
+    }
+
     /// Starts and registers a target of a software version.
     ///
     /// # Errors
@@ -158,7 +170,8 @@
         Ok(())
     }
 
-    fn start_router(&self, number: usize, control: u16) -> eyre::Result<Process> {
+    fn start_router(&mut self) -> eyre::Result<()> {
+        let (number, control) = (self.routers.len(), self.control);
         let ip = format!("127.0.1.{}", number + 1);
         let operators = free_port()?;
         let store = self.store.address();
@@ -171,7 +184,10 @@
         std::fs::write(&file, settings)?;
         let args = ["--settings".to_owned(), file.display().to_string()];
         let log = self.directory.join(format!("edge-{number}.log"));
-        Process::start("knapweed-edge", &args, &log).wrap_err("cannot start the edge router")
+        let router = Process::start("knapweed-edge", &args, &log);
+        self.routers
+            .push(router.wrap_err("cannot start the edge router")?);
+        Ok(())
     }
 
     /// Waits until every router reports that it is ready.
--- a/livetests/tests/edge_faults.rs
+++ b/livetests/tests/edge_faults.rs
@@ -376,3 +376,17 @@
     assert!(fleet.arrivals("paused").is_empty());
     Ok(())
 }
+
+#[actix_rt::test]
+async fn a_router_that_starts_gets_the_targets_from_another() -> eyre::Result<()> {
+    let mut fleet = EdgeFleet::start("joins", 3, 2).await?;
+    sleep(PROPAGATION_TIME).await;
+    // It cannot read the targets itself, and its callers are served all the same.
+    fleet.store.refuse("servers/");
+    fleet.add_router().await?;
+    let answer = fleet
+        .send_to(3, "GET", "/safe/ok", "j", api_key(RED_KEY))
+        .await;
+    assert_eq!(status_of(&answer), 200, "{answer}");
+    Ok(())
+}
--- a/policy/src/direct/polling.rs
+++ b/policy/src/direct/polling.rs
@@ -53,9 +53,9 @@
             reader_age: drain.mul_f64(0.6),
             standby_age: drain.mul_f64(0.66),
             max_target_age: drain.mul_f64(0.725),
-            watch_wait: config.mul_f64(0.45),
+            watch_wait: config.mul_f64(0.5),
             max_confirmation_age: config.mul_f64(0.75),
-            confirmation_spread: config.mul_f64(0.1),
+            confirmation_spread: config.mul_f64(0.05),
             lost_peer_age: config.mul_f64(1.1),
         }
     }
@@ -100,6 +100,24 @@
 /// The fraction by which delays are spread in both directions.
 const RETRY_SPREAD: f64 = 0.25;
 
+/// How long a router that starts waits for a listing from others before it reads the
+/// store; it hears of the others within two periods of their exchange.
+const DISCOVERY_WAIT: Duration = Duration::from_millis(200);
+
+/// The additional time for each further router that starts as well, and its maximum. All
+/// routers of a fleet may start at once.
+const START_SPREAD: Duration = Duration::from_millis(20);
+const MAX_START_SPREAD: Duration = Duration::from_millis(600);
+
+/// The time since its start at which a router without a listing reads the store for
+/// itself. `rank` is that among all reachable routers.
+pub fn first_read_delay(rank: usize, reachable: usize) -> Duration {
+    match reachable {
+        0 => DISCOVERY_WAIT,
+        _ => DISCOVERY_WAIT + (START_SPREAD * rank as u32).min(MAX_START_SPREAD),
+    }
+}
+
 /// The ranks over which the reads of a configuration that no peer confirms are spread.
 const SPREAD_RANKS: u32 = 16;
 
--- a/policy/src/direct/target.rs
+++ b/policy/src/direct/target.rs
@@ -104,7 +104,8 @@
 }
 
 impl TargetRegistry {
-    /// Replaces the targets by a complete list read from the service.
+    /// Replaces the targets by a complete list that was read from the service at `now`,
+    /// which may be in the past but not before an earlier one.
     pub fn replace(&mut self, targets: Vec<Target>, now: Instant) -> TargetChanges {
         let mut changes = TargetChanges::default();
         let mut updated = FxHashMap::default();
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -41,6 +41,8 @@
     revision: u64,
     compacted_revision: u64,
     mode: StoreMode,
+    /// The prefix of which reads are refused.
+    refused_prefix: Option<String>,
     calls: u64,
 }
 
@@ -116,6 +118,11 @@
         self.lock().mode = mode;
     }
 
+    /// Refuses all reads of a prefix with status 503.
+    pub fn refuse(&self, prefix: &str) {
+        self.lock().refused_prefix = Some(prefix.to_owned());
+    }
+
     /// Discards the history and wakes the pending watches, which then fail with status 410.
     pub fn compact(&self) {
         let mut state = self.lock();
@@ -160,7 +167,9 @@
 
     async fn answer(&self, request: &RawRequest) -> (u16, Value) {
         let prefix = request.parameter("prefix").unwrap_or_default();
+        let is_refused = self.lock().refused_prefix.as_deref() == Some(prefix);
         match request.path() {
+            _ if is_refused => (503, json!({})),
             "/kv-range" => (200, self.range(prefix, request.parameter("startAfter"))),
             "/kv-watch" => {
                 let number = |name| request.parameter(name).and_then(|it| it.parse().ok());
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -74,6 +74,15 @@
     pub changed: VersionedListing,
 }
 
+/// A fragment of a listing that was read a while ago, sent to a router that asked for it.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct AgedListing {
+    /// The time since the listing was read from the store, in milliseconds.
+    pub age: u32,
+    /// The fragment.
+    pub listing: VersionedListing,
+}
+
 /// Streams that began at one software version, sent to their holders and in response to
 /// an [`OriginQuery`].
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
@@ -131,6 +140,8 @@
     ChangedListing(ChangedListing),
     /// Asks for the whole listing.
     ListingQuery,
+    /// A part of the whole listing.
+    AgedListing(AgedListing),
 }
 
 impl From<Message> for Datagram {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -14,8 +14,8 @@
 mod service;
 
 pub use datagram::{
-    ChangedListing, DATAGRAM_VERSION, Datagram, DatagramError, Listing, MAX_DATAGRAM_BYTES,
-    OriginQuery, Origins, Unchanged, VersionedListing, listing_digest,
+    AgedListing, ChangedListing, DATAGRAM_VERSION, Datagram, DatagramError, Listing,
+    MAX_DATAGRAM_BYTES, OriginQuery, Origins, Unchanged, VersionedListing, listing_digest,
 };
 pub use envelope::{Envelope, EnvelopeError, MAX_ENVELOPE_BYTES, Message, PROTOCOL_VERSION};
 pub use fact::{decode_fact, encode_fact};
