Placement: what a target says of its pace counts

The stated pace scales waits at that target, between 0.5 and 4, and fades with a half-life of 250 ms, since it changes many times a second.

--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -410,6 +410,10 @@
             if head.is_leaving && !is_other {
                 self.context.record_leaving(attempt.target_id);
             }
+            if let Some(pace) = head.load.and_then(|load| load.pace).filter(|_| !is_other) {
+                let mut target_table = self.context.target_table.borrow_mut();
+                target_table.record_pace(attempt.target_id, pace, Instant::now());
+            }
         };
         let pool = &self.context.connection_pool;
         let exchange = pool.send(
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -312,9 +312,10 @@
         if !has_room {
             continue;
         }
-        let wait_millis = entry.waiting_tokens(settings.prefill_rate, now) / settings.prefill_rate;
+        let rate = settings.prefill_rate / entry.pace(now);
+        let wait_millis = entry.waiting_tokens(settings.prefill_rate, now) / rate;
         // A long prompt meets its objective only if little waits before it.
-        let prefill_millis = f64::from(prefill_tokens) / settings.prefill_rate;
+        let prefill_millis = f64::from(prefill_tokens) / rate;
         let wait_limit = base_limit * (1.0 - prefill_millis / objective).max(MIN_LIMIT_FRACTION);
         // Frequent requests find each target just when nothing waits there, so
         // the mean wait of the pool is taken into account as well.
@@ -341,8 +342,7 @@
             true => 0.0,
             false => settings.remote_cost_millis,
         };
-        let prefill_millis =
-            settings.prefill_cost * f64::from(prefill_tokens) / settings.prefill_rate;
+        let prefill_millis = settings.prefill_cost * f64::from(prefill_tokens) / rate;
         let cost = wait_millis + prefill_millis + copy_cost + remote_cost + concurrency_cost(entry);
         if best.as_ref().is_none_or(|best| cost < best.cost) {
             best = Some(Candidate {
@@ -452,7 +452,8 @@
         } else {
             PLAIN_REMOTE_COST
         };
-        let cost = utilisation + remote_cost + entry.outlier_detector.failure_fraction();
+        let cost =
+            utilisation * entry.pace(now) + remote_cost + entry.outlier_detector.failure_fraction();
         if best.as_ref().is_none_or(|best| cost < best.cost) {
             best = Some(Candidate {
                 target,
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -38,6 +38,14 @@
 /// The age at which a peer's report is discarded.
 pub const REPORT_TTL: Duration = Duration::from_secs(2);
 
+/// The half-life of the deviation of a target's pace from the usual one: it changes many
+/// times a second.
+const PACE_HALF_LIFE: Duration = Duration::from_millis(250);
+
+/// The bounds of a stated pace, as a multiple of the usual time, so that a wrong value
+/// neither excludes a target nor draws all requests to it.
+const PACE_BOUNDS: (f64, f64) = (0.5, 4.0);
+
 /// The half-life of the waiting tokens in a peer's report.
 const WAITING_HALF_LIFE: Duration = Duration::from_millis(150);
 
@@ -183,6 +191,8 @@
     cold_bucket: Option<ColdBucket>,
     /// The time until which the target wants no requests.
     paused_until: Option<Instant>,
+    /// The time that work took there as a multiple of the usual time, and when it said so.
+    stated_pace: Option<(f64, Instant)>,
     cached_parts: FxHashMap<u64, Instant>,
     activity: Activity,
     /// Whether several peers report a problem with it.
@@ -301,6 +311,14 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
+    /// The time that work takes at the target, as a multiple of the usual time.
+    pub fn pace(&self, now: Instant) -> f64 {
+        self.stated_pace.map_or(1.0, |(pace, stated_at)| {
+            let age = now.saturating_duration_since(stated_at).as_secs_f64();
+            1.0 + (pace - 1.0) * 0.5_f64.powf(age / PACE_HALF_LIFE.as_secs_f64())
+        })
+    }
+
     /// Whether the target is cold at `now`.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| until > now)
@@ -351,6 +369,7 @@
                         peer_load: TargetLoad::default(),
                         cold_bucket: None,
                         paused_until: None,
+                        stated_pace: None,
                         cached_parts: FxHashMap::default(),
                         activity: Activity::default(),
                         reported_by_peers: false,
@@ -437,6 +456,13 @@
         entry.paused_until = entry.paused_until.max(Some(now + pause.min(MAX_PAUSE)));
     }
 
+    /// Records how long work takes at a target, in percent of the usual time.
+    pub fn record_pace(&mut self, id: TargetEntryId, percent: u32, now: Instant) {
+        let (min, max) = PACE_BOUNDS;
+        let pace = (f64::from(percent) / 100.0).clamp(min, max);
+        self.entries[id].stated_pace = Some((pace, now));
+    }
+
     /// Like [`Self::record_leaving`], for the targets with these tags, as heard from a peer;
     /// returns those for which this is new.
     pub fn record_leaving_tags(&mut self, tags: &[u64]) -> Vec<TargetEntryId> {
--- a/policy/tests/direct_fleet_view.rs
+++ b/policy/tests/direct_fleet_view.rs
@@ -57,6 +57,26 @@
     assert_eq!(remaining(&table, now), Some(MAX_PAUSE));
 }
 
+#[test]
+fn a_stated_pace_is_bounded_and_fades() {
+    let now = Instant::now();
+    let mut registry = TargetRegistry::default();
+    registry.replace(vec![target("a", TargetState::Ready)], now);
+    let mut table = TargetTable::default();
+    table.apply_registry(&registry, now);
+    let (id, _) = table.targets().next().expect("a target");
+    let mut pace = |percent, age| {
+        table.record_pace(id, percent, now);
+        table.target(id).pace(now + age)
+    };
+    assert_eq!(pace(250, Duration::ZERO), 2.5);
+    assert_eq!(pace(300, Duration::from_millis(250)), 2.0);
+    assert!((pace(300, Duration::from_secs(5)) - 1.0).abs() < 1e-4);
+    for (wrong, bound) in [(0, 0.5), (u32::MAX, 4.0)] {
+        assert_eq!(pace(wrong, Duration::ZERO), bound);
+    }
+}
+
 #[test]
 fn a_target_that_said_it_leaves_stays_so_until_its_next_incarnation() {
     let now = Instant::now();
