--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -290,6 +290,7 @@
             &mut context.target_table.borrow_mut(),
             &context.placement.get(),
             &placement_request,
+            &context.connection_pool,
             now,
         );
         match placement {
--- a/edge/src/target.rs
+++ b/edge/src/target.rs
@@ -19,6 +19,7 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
 use platform::response::ResponseHead;
+use policy::direct::placement::IdleConnections;
 use rustc_hash::FxHashMap;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -107,12 +108,12 @@
     expires_at: Instant,
 }
 
-type IdleConnections = Rc<RefCell<FxHashMap<SocketAddr, Vec<IdleConnection>>>>;
+type IdleByAddress = Rc<RefCell<FxHashMap<SocketAddr, Vec<IdleConnection>>>>;
 
 /// The connections of one router to all targets.
 #[derive(Clone)]
 pub(crate) struct ConnectionPool {
-    idle_connections: IdleConnections,
+    idle_connections: IdleByAddress,
     config: ServiceConfig,
     opened_count: Rc<std::cell::Cell<u64>>,
 }
@@ -120,7 +121,7 @@
 impl ConnectionPool {
     pub(crate) fn new(config: ServiceConfig) -> Self {
         Self {
-            idle_connections: IdleConnections::default(),
+            idle_connections: IdleByAddress::default(),
             config,
             opened_count: Rc::default(),
         }
@@ -278,6 +279,16 @@
     }
 }
 
+impl IdleConnections for ConnectionPool {
+    fn has_idle(&self, address: SocketAddr) -> bool {
+        // Expired connections are removed with the next maintenance.
+        let idle_connections = self.idle_connections.borrow();
+        idle_connections
+            .get(&address)
+            .is_some_and(|idle| !idle.is_empty())
+    }
+}
+
 fn encode(codec: &mut ClientCodec, request: TargetRequest) -> std::io::Result<BytesMut> {
     let mut output = BytesMut::with_capacity(request.body.len() + 1024);
     let mut head = RequestHead::default();
@@ -390,7 +401,7 @@
 
 /// The body of a response.
 pub(crate) struct Body {
-    idle_connections: IdleConnections,
+    idle_connections: IdleByAddress,
     address: SocketAddr,
     /// `None` after the end of the body.
     connection: Option<Connection>,
@@ -402,7 +413,7 @@
 
 impl Body {
     fn new(
-        idle_connections: IdleConnections,
+        idle_connections: IdleByAddress,
         address: SocketAddr,
         connection: Connection,
         framing: Framing,
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -14,6 +14,7 @@
 //! rate is never chosen. A target that is avoided is chosen only if most of the
 //! available ones are avoided.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
@@ -43,6 +44,8 @@
     pub objective_exponent: f64,
     /// The cost of sending a request to another data centre, in milliseconds.
     pub remote_cost_millis: f64,
+    /// The cost of opening a connection to a target, in milliseconds.
+    pub connection_cost_millis: f64,
     /// The fleet-wide limit on requests to cold targets.
     pub cold_limit: ColdLimit,
 }
@@ -57,6 +60,7 @@
             eviction_cost_millis: 60.0,
             objective_exponent: 1.0,
             remote_cost_millis: 4.0,
+            connection_cost_millis: 8.0,
             cold_limit: ColdLimit::default(),
         }
     }
@@ -86,6 +90,10 @@
 /// centre, as a fraction of its slots.
 const PLAIN_REMOTE_COST: f64 = 0.3;
 
+/// The cost of opening a connection to a target without an engine, as a fraction of its
+/// slots.
+const PLAIN_CONNECTION_COST: f64 = 0.2;
+
 /// The time after which a caller is asked to retry if no target may run its request.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
 
@@ -188,19 +196,36 @@
     },
 }
 
+/// The connections to targets that are open and idle.
+///
+/// A router that spreads its requests evenly over hundreds of targets uses each
+/// connection so rarely that the target closes it before its next use.
+pub trait IdleConnections {
+    /// Whether there is an idle connection to the target at this address.
+    fn has_idle(&self, address: SocketAddr) -> bool;
+}
+
+/// No idle connections.
+impl IdleConnections for () {
+    fn has_idle(&self, _address: SocketAddr) -> bool {
+        false
+    }
+}
+
 /// Selects a target. If the target is cold, uses up one of this router's requests
 /// to it.
 pub fn select_target(
     table: &mut TargetTable,
     settings: &PlacementSettings,
     request: &PlacementRequest<'_>,
+    connections: &impl IdleConnections,
     now: Instant,
 ) -> Placement {
     let placement = match (request.service.engine, request.prompt) {
         (Some(engine), Some(prompt)) => {
-            select_engine_target(table, settings, request, engine, prompt, now)
+            select_engine_target(table, settings, request, connections, (engine, prompt), now)
         }
-        _ => select_plain_target(table, settings, request, now),
+        _ => select_plain_target(table, settings, request, connections, now),
     };
     if let Placement::Target { target, .. } = placement
         && let Some(share) = cold_rate_share(table.target(target), settings, request, now)
@@ -262,8 +287,8 @@
     table: &TargetTable,
     settings: &PlacementSettings,
     request: &PlacementRequest<'_>,
-    engine: Engine,
-    prompt: &Prompt,
+    connections: &impl IdleConnections,
+    (engine, prompt): (Engine, &Prompt),
     now: Instant,
 ) -> Placement {
     let eligible = eligible_targets(table, settings, request, now);
@@ -342,8 +367,17 @@
             true => 0.0,
             false => settings.remote_cost_millis,
         };
+        let connection_cost = match connections.has_idle(entry.address) {
+            true => 0.0,
+            false => settings.connection_cost_millis,
+        };
         let prefill_millis = settings.prefill_cost * f64::from(prefill_tokens) / rate;
-        let cost = wait_millis + prefill_millis + copy_cost + remote_cost + concurrency_cost(entry);
+        let cost = wait_millis
+            + prefill_millis
+            + copy_cost
+            + remote_cost
+            + connection_cost
+            + concurrency_cost(entry);
         if best.as_ref().is_none_or(|best| cost < best.cost) {
             best = Some(Candidate {
                 target,
@@ -432,6 +466,7 @@
     table: &TargetTable,
     settings: &PlacementSettings,
     request: &PlacementRequest<'_>,
+    connections: &impl IdleConnections,
     now: Instant,
 ) -> Placement {
     let eligible = eligible_targets(table, settings, request, now);
@@ -452,8 +487,14 @@
         } else {
             PLAIN_REMOTE_COST
         };
-        let cost =
-            utilisation * entry.pace(now) + remote_cost + entry.outlier_detector.failure_fraction();
+        let connection_cost = match connections.has_idle(entry.address) {
+            true => 0.0,
+            false => PLAIN_CONNECTION_COST,
+        };
+        let cost = utilisation * entry.pace(now)
+            + remote_cost
+            + connection_cost
+            + entry.outlier_detector.failure_fraction();
         if best.as_ref().is_none_or(|best| cost < best.cost) {
             best = Some(Candidate {
                 target,
--- a/policy/tests/direct_cold.rs
+++ b/policy/tests/direct_cold.rs
@@ -82,7 +82,7 @@
         tried: &[],
         members,
     };
-    match select_target(table, &settings(), &request, now) {
+    match select_target(table, &settings(), &request, &(), now) {
         Placement::Target { target, .. } => Some(table.target(target).name.clone()),
         Placement::Refused { .. } => None,
     }
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -374,7 +374,7 @@
                     members: &Members::default(),
                 };
                 let settings = &state.settings;
-                match select_target(&mut state.table, settings, &placement_request, now) {
+                match select_target(&mut state.table, settings, &placement_request, &(), now) {
                     Placement::Target { target, .. } => Some(target),
                     Placement::Refused { .. } => None,
                 }
--- a/policy/tests/direct_stall.rs
+++ b/policy/tests/direct_stall.rs
@@ -79,7 +79,7 @@
         prefill_rate: PREFILL_RATE,
         ..PlacementSettings::default()
     };
-    match select_target(table, &settings, &request, now) {
+    match select_target(table, &settings, &request, &(), now) {
         Placement::Target { target, .. } => Some(target),
         Placement::Refused { .. } => None,
     }
