Store: an era that rises is a store that came back from an older copy

Now a revision is ordered by its era first, also between routers (their datagrams keep their layout: the era takes the upper 16 bits); a watch of another era leads to a list; answers of an older era are failures; the digest that routers compare carries the era; targets that are not listed again are kept for 2 s, as after an outage, drained data centres too, and the operators' entries are read once more after that. A configuration is replaced only by a higher version, as before.

a_store_that_goes_back_takes_no_target_and_no_revocation_away failed before with 503 (no target).

--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -23,6 +23,7 @@
 use policy::direct::confirmation::{Confirmation, Uptime};
 use policy::direct::listing::{ListingChange, sort_listing};
 use policy::direct::polling::{self, PollIntervals};
+use policy::direct::store_revision::{EraChange, StoreEra, StoreRevision};
 use policy::direct::target::{Target, TargetRegistry};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -59,6 +60,15 @@
     /// The response cannot be decoded.
     #[display("{_0}")]
     Unreadable(String),
+    /// The response is of a copy of the store that was left behind.
+    #[display("era {_0}")]
+    OldEra(u64),
+}
+
+/// A response of the store.
+struct Answer {
+    body: Vec<u8>,
+    era: u64,
 }
 
 /// Reads the store and publishes configuration and targets.
@@ -80,6 +90,7 @@
 struct State {
     confirmation: Confirmation,
     registry: TargetRegistry,
+    era: StoreEra,
     /// The store revision of the targets in the registry.
     targets_revision: u64,
     /// The last digest received from a peer that differed from this router's digest.
@@ -147,6 +158,7 @@
             state: RefCell::new(State {
                 confirmation: Confirmation::new(revoke),
                 registry: TargetRegistry::default(),
+                era: StoreEra::default(),
                 targets_revision: 0,
                 peer_digest: None,
                 readers: Vec::new(),
@@ -171,6 +183,7 @@
                     false => None,
                 },
                 None => self.read_operators().await,
+                Some(_) if self.is_rewritten() => self.read_operators().await,
                 Some(revision) if self.is_reader() => self.watch_operators(revision).await,
                 Some(revision) => match self.wait_for_changes().await {
                     true => self.read_operators().await,
@@ -231,6 +244,13 @@
             .map_or(due, |removal| removal.min(due))
     }
 
+    /// Whether the operators had time to write again what the store had lost, and this
+    /// router has not read it since.
+    fn is_rewritten(&self) -> bool {
+        let rewritten = self.state.borrow().era.rewritten_in(SystemClock.now().mono);
+        rewritten.is_some_and(|rest| rest.is_zero())
+    }
+
     /// Whether the configuration is known and peers confirm it, so that this router need
     /// not read it.
     fn is_confirmed_by_peers(&self) -> bool {
@@ -256,6 +276,8 @@
     async fn wait_for_changes(&self) -> bool {
         let age = self.confirmation().age(SystemBootClock.uptime());
         let due = self.poll_intervals.confirmation_due(self.rank(), age);
+        let rewritten = self.state.borrow().era.rewritten_in(SystemClock.now().mono);
+        let due = rewritten.map_or(due, |rewritten| rewritten.min(due));
         if due.is_zero() {
             return true;
         }
@@ -301,7 +323,12 @@
         let state = self.state.borrow();
         let mut drained: Vec<&str> = state.registry.drained.iter().map(Name::as_str).collect();
         drained.sort_unstable();
-        xxh3_64(format!("{version} {}", drained.join(" ")).as_bytes())
+        // Peers that read different copies of the store do not confirm each other.
+        let era = match state.era.get() {
+            0 => String::new(),
+            era => format!(" era {era}"),
+        };
+        xxh3_64(format!("{version} {}{era}", drained.join(" ")).as_bytes())
     }
 
     /// Records that a peer knew the operators' entries with this digest to be current at `at`.
@@ -391,7 +418,7 @@
         state.registry.age(SystemClock.now().mono).is_some()
     }
 
-    async fn read_operators(&self) -> Option<u64> {
+    async fn read_operators(&self) -> Option<StoreRevision> {
         let sent = SystemBootClock.uptime();
         match self.range(OPERATORS_PREFIX).await {
             Ok((items, as_of)) => {
@@ -402,7 +429,7 @@
                         StoreKey::Drain(centre) => Some(centre),
                         _ => None,
                     });
-                self.adopt_drained(drained.collect());
+                self.adopt_listed_drained(drained.collect());
                 for item in &items {
                     self.adopt_config(item);
                 }
@@ -417,16 +444,20 @@
         }
     }
 
-    async fn watch_operators(&self, after: u64) -> Option<u64> {
+    async fn watch_operators(&self, after: StoreRevision) -> Option<StoreRevision> {
         let sent = SystemBootClock.uptime();
         let wait = self.poll_intervals.watch_wait;
-        let path = store::watch_path(OPERATORS_PREFIX, after, wait);
+        let path = store::watch_path(OPERATORS_PREFIX, after.number(), wait);
         let response = self.get(&path, wait).await;
-        let changes = response.and_then(|body| {
-            store::parse_changes(&body).map_err(|error| CallError::Unreadable(error.to_string()))
+        let changes = response.and_then(|answer| {
+            let changes = store::parse_changes(&answer.body);
+            let changes = changes.map_err(|error| CallError::Unreadable(error.to_string()))?;
+            Ok((changes, answer.era))
         });
         let changes = match changes {
-            Ok(changes) => changes,
+            // The revision of the watch means nothing in another era.
+            Ok((_, era)) if era != after.era() => return self.read_operators().await,
+            Ok((changes, _)) => changes,
             Err(CallError::Status(HISTORY_LOST)) => {
                 event::log(Event::HistoryLost, &[("after", &after)]);
                 return self.read_operators().await;
@@ -449,7 +480,7 @@
         }
         // Peers derive the age of their confirmation from this router's datagrams.
         self.update_ready.notify_one();
-        Some(changes.as_of.max(after))
+        Some(StoreRevision::new(after.era(), changes.as_of).max(after))
     }
 
     fn confirm(&self, confirm: impl FnOnce(&mut Confirmation)) {
@@ -499,6 +530,33 @@
         self.adopt_drained(drained);
     }
 
+    /// Adopts a complete list of drained data centres. While the operators write again
+    /// what a store lost that came back from an older copy, known ones stay drained.
+    fn adopt_listed_drained(&self, mut drained: FxHashSet<Name>) {
+        let now = SystemClock.now().mono;
+        let mut state = self.state.borrow_mut();
+        match state.era.is_being_rewritten(now) {
+            true => drained.extend(state.registry.drained.iter().cloned()),
+            false => state.era.end_rewrite(),
+        }
+        drop(state);
+        self.adopt_drained(drained);
+    }
+
+    /// Records the era of an answer of the store or of a peer's listing.
+    fn observe_era(&self, era: u64) -> EraChange {
+        let now = SystemClock.now().mono;
+        let mut state = self.state.borrow_mut();
+        let change = state.era.observe(era, now);
+        if change == EraChange::Risen {
+            state.registry.expect_missing_entries();
+            // The operators' entries are read again, now and once they are complete.
+            self.digest_differs.notify_one();
+            event::log(Event::StoreEraRisen, &[("era", &era)]);
+        }
+        change
+    }
+
     fn adopt_drained(&self, drained: FxHashSet<Name>) {
         let mut state = self.state.borrow_mut();
         if state.registry.drained == drained {
@@ -513,7 +571,8 @@
         self.shared.registry.store(Arc::new(state.registry.clone()));
     }
 
-    fn adopt_items(&self, items: &[Item], as_of: u64, sent: Uptime) {
+    fn adopt_items(&self, items: &[Item], as_of: StoreRevision, sent: Uptime) {
+        let as_of = as_of.0;
         let mut state = self.state.borrow_mut();
         let mut targets = Vec::with_capacity(items.len());
         for item in items {
@@ -555,6 +614,7 @@
 
     /// Adopts a listing that was read `age` ago.
     fn adopt_targets(&self, targets: Vec<Target>, revision: u64, age: Duration) {
+        self.observe_era(StoreRevision(revision).era());
         let now = SystemClock.now().mono;
         let now = now.checked_sub(age).unwrap_or(now);
         let mut state = self.state.borrow_mut();
@@ -579,21 +639,26 @@
     }
 
     /// Reads all pages of a prefix; returns the items and the revision of the first page.
-    async fn range(&self, prefix: &str) -> Result<(Vec<Item>, u64), CallError> {
+    async fn range(&self, prefix: &str) -> Result<(Vec<Item>, StoreRevision), CallError> {
         let mut items: Vec<Item> = Vec::new();
         let mut first = None;
         loop {
             let after = items.last().map(|item| &item.key);
-            let body = self
+            let answer = self
                 .get(&store::range_path(prefix, after), Duration::ZERO)
                 .await?;
-            let page = store::parse_page(&body);
+            let page = store::parse_page(&answer.body);
             let Page {
                 items: more_items,
                 more,
                 as_of,
             } = page.map_err(|error| CallError::Unreadable(error.to_string()))?;
+            let as_of = StoreRevision::new(answer.era, as_of);
             let as_of = *first.get_or_insert(as_of);
+            if as_of.era() != answer.era {
+                // Pages of two copies do not fit together.
+                return Err(CallError::OldEra(as_of.era()));
+            }
             let is_last = !more || more_items.is_empty();
             items.extend(more_items);
             if is_last {
@@ -602,7 +667,7 @@
         }
     }
 
-    async fn get(&self, path: &str, wait: Duration) -> Result<Vec<u8>, CallError> {
+    async fn get(&self, path: &str, wait: Duration) -> Result<Answer, CallError> {
         let call = async {
             let url = format!("{}{path}", self.base);
             let sent = self.client.get(url).send().await;
@@ -610,12 +675,17 @@
             if response.status() != StatusCode::OK {
                 return Err(CallError::Status(response.status().as_u16()));
             }
+            let era = store::parse_era(response.headers());
             let body = response.body().limit(MAX_RESPONSE_BYTES).await;
-            body.map(|body| body.to_vec())
-                .map_err(|_| CallError::Unreachable)
+            let body = body.map_err(|_| CallError::Unreachable)?.to_vec();
+            Ok(Answer { body, era })
         };
         let response = timeout(wait + RESPONSE_TIMEOUT, call).await;
-        response.unwrap_or(Err(CallError::Unreachable))
+        let answer = response.unwrap_or(Err(CallError::Unreachable))?;
+        match self.observe_era(answer.era) {
+            EraChange::Old => Err(CallError::OldEra(answer.era)),
+            EraChange::Same | EraChange::Risen => Ok(answer),
+        }
     }
 
     fn record_success(&self, read_loop: ReadLoop) {
--- a/livetests/tests/edge_faults.rs
+++ b/livetests/tests/edge_faults.rs
@@ -390,3 +390,44 @@
     assert_eq!(status_of(&answer), 200, "{answer}");
     Ok(())
 }
+
+#[actix_rt::test]
+async fn a_store_that_goes_back_takes_no_target_and_no_revocation_away() -> eyre::Result<()> {
+    let mut fleet = EdgeFleet::start("goes-back", 3, 0).await?;
+    let copy = fleet.store.copy();
+    fleet.add_target("v1").await?;
+    let config = EdgeConfig {
+        version: 4,
+        keys: vec!["another"],
+        ..EdgeConfig::default()
+    };
+    fleet.store.put("op/config", &config.to_json());
+    sleep(PROPAGATION_TIME).await;
+    fleet.store.go_back(copy);
+    // The target has until 2 s after the return to register again.
+    sleep(Duration::from_millis(1_000)).await;
+    for router in 0..3 {
+        let old = fleet
+            .send_to(router, "GET", "/safe/ok", "g", api_key(RED_KEY))
+            .await;
+        assert_eq!(status_of(&old), 401, "the revocation stays: {old}");
+        let new = fleet
+            .send_to(router, "GET", "/safe/ok", "h", api_key("another"))
+            .await;
+        assert_eq!(status_of(&new), 200, "the target stays: {new}");
+    }
+    // What is written under revisions that are given out again is taken over.
+    fleet.store.put("op/config", &config.to_json());
+    fleet.add_target("v1").await?;
+    sleep(PROPAGATION_TIME * 3).await;
+    assert!(fleet.arrival_count(1) == 0);
+    for router in 0..3 {
+        let answer = fleet
+            .send_to(router, "GET", "/safe/ok", "i", api_key("another"))
+            .await;
+        assert_eq!(status_of(&answer), 200, "{answer}");
+    }
+    // The first target did not register again and is gone.
+    assert_eq!(fleet.arrival_count(1), 3);
+    Ok(())
+}
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -105,6 +105,8 @@
     EntryRefused 1213 Warn "entry-refused";
     /// A data centre was taken out of service or put back.
     CentreDrained 1214 Info "centre-drained";
+    /// The store came back from an older copy of itself; everything is read again.
+    StoreEraRisen 1215 Warn "store-era-risen";
 
     /// A peer was reached for the first time or again.
     PeerReachable 1301 Info "peer-reachable";
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -9,6 +9,7 @@
 //! - [`confirmation`]: whether the configuration is recent enough to accept API
 //!   keys;
 //! - [`polling`]: which routers read the platform's store, and at which intervals;
+//! - [`store_revision`]: which of two revisions of the store is later;
 //! - [`target`]: which targets are registered;
 //! - [`listing`]: what changed between two listings of the targets;
 //! - [`target_table`]: the load of every target, caused by this router and its
@@ -43,6 +44,7 @@
 pub mod prefill_rate;
 pub mod response;
 pub mod stall;
+pub mod store_revision;
 pub mod stream_origin;
 pub mod target;
 pub mod target_table;
--- a/policy/src/direct/target.rs
+++ b/policy/src/direct/target.rs
@@ -100,6 +100,8 @@
     /// The data centres that operators drained.
     pub drained: FxHashSet<Name>,
     last_read: Option<Instant>,
+    /// Whether the next list may lack registrations that are written again.
+    may_lack_entries: bool,
     kept_until: FxHashMap<Name, Instant>,
 }
 
@@ -134,7 +136,8 @@
         let time_since_read = self
             .last_read
             .map(|last_read| now.saturating_duration_since(last_read));
-        let follows_outage = time_since_read.is_some_and(|elapsed| elapsed >= MIN_OUTAGE);
+        let follows_outage = std::mem::take(&mut self.may_lack_entries)
+            || time_since_read.is_some_and(|elapsed| elapsed >= MIN_OUTAGE);
         for (name, entry) in self.targets.drain() {
             if follows_outage {
                 self.kept_until
@@ -156,6 +159,12 @@
         changes
     }
 
+    /// Records that the service came back from an older copy, so that registrations may
+    /// be missing until targets have written them again.
+    pub fn expect_missing_entries(&mut self) {
+        self.may_lack_entries = true;
+    }
+
     /// The time since the last read.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.last_read
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -9,5 +9,5 @@
 mod target;
 
 pub use http::{RawRequest, RawResponse, raw_call, raw_exchange};
-pub use store::{Store, StoreMode};
+pub use store::{Store, StoreCopy, StoreMode};
 pub use target::{Arrival, ClientDisconnect, ScriptedTarget};
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -40,12 +40,21 @@
     history: Vec<(u64, String, Option<Vec<u8>>)>,
     revision: u64,
     compacted_revision: u64,
+    /// The number of times it went back to a copy.
+    era: u64,
     mode: StoreMode,
     /// The prefix of which reads are refused.
     refused_prefix: Option<String>,
     calls: u64,
 }
 
+/// The items of a store at some time.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    items: BTreeMap<String, (Vec<u8>, u64)>,
+    revision: u64,
+}
+
 /// A handle to a running store.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -118,6 +127,28 @@
         self.lock().mode = mode;
     }
 
+    /// Returns a copy of the items and their revision.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy {
+            items: state.items.clone(),
+            revision: state.revision,
+        }
+    }
+
+    /// Goes back to a copy: what was written since is gone, revisions are given out again
+    /// and the era rises.
+    pub fn go_back(&self, copy: StoreCopy) {
+        let mut state = self.lock();
+        state.era += 1;
+        state.items = copy.items;
+        state.revision = copy.revision;
+        state.history.clear();
+        state.compacted_revision = copy.revision;
+        drop(state);
+        self.changed.send_replace(copy.revision);
+    }
+
     /// Refuses all reads of a prefix with status 503.
     pub fn refuse(&self, prefix: &str) {
         self.lock().refused_prefix = Some(prefix.to_owned());
@@ -155,8 +186,9 @@
                 StoreMode::Reset => return,
             }
             let body = body.to_string();
+            let era = self.lock().era;
             let head = format!(
-                "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
             if stream.write_all((head + &body).as_bytes()).await.is_err() {
@@ -213,7 +245,8 @@
 
     fn changes(&self, prefix: &str, after: u64) -> Option<(u16, Value)> {
         let state = self.lock();
-        if after < state.compacted_revision {
+        // A watch from a revision that does not exist has no history either.
+        if after < state.compacted_revision || after > state.revision {
             return Some((410, json!({})));
         }
         let events = state.history.iter();
