--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -288,6 +288,10 @@
 
 impl Drop for EdgeFleet {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("the logs are kept in {}", self.directory.display());
+            return;
+        }
         // The directory is in the system's temporary directory, so it may be left behind.
         let _ = std::fs::remove_dir_all(&self.directory);
     }
