--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -23,13 +23,14 @@
 use policy::direct::confirmation::{Confirmation, Uptime};
 use policy::direct::listing::{ListingChange, sort_listing};
 use policy::direct::polling::{self, PollIntervals};
+use policy::direct::store_revision::{EraChange, StoreEra, StoreRevision};
 use policy::direct::target::{Target, TargetRegistry};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
-use wire::{ChangedListing, Listing, Unchanged, VersionedListing, listing_digest};
+use wire::{Unchanged, listing_digest};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{BootClock, SystemBootClock};
@@ -38,6 +39,9 @@
 /// The time limit of a call, in addition to the requested watch wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// The period at which a router that starts checks whether a peer has sent the targets.
+const FIRST_READ_CHECK_PERIOD: Duration = Duration::from_millis(20);
+
 /// The age at which a reading of the targets is no longer sent to peers.
 const MAX_UPDATE_AGE: Duration = Duration::from_millis(400);
 
@@ -56,6 +60,15 @@
     /// The response cannot be decoded.
     #[display("{_0}")]
     Unreadable(String),
+    /// The response is of a copy of the store that was left behind.
+    #[display("era {_0}")]
+    OldEra(u64),
+}
+
+/// A response of the store.
+struct Answer {
+    body: Vec<u8>,
+    era: u64,
 }
 
 /// Reads the store and publishes configuration and targets.
@@ -77,6 +90,7 @@
 struct State {
     confirmation: Confirmation,
     registry: TargetRegistry,
+    era: StoreEra,
     /// The store revision of the targets in the registry.
     targets_revision: u64,
     /// The last digest received from a peer that differed from this router's digest.
@@ -100,11 +114,17 @@
 
 /// An update about the targets, for the peers.
 pub(crate) enum PeerUpdate {
-    /// The store revision and the targets.
-    Full(u64, Vec<Target>),
-    /// What changed since the last listing.
-    Change(ChangedListing),
-    /// The targets are the same as in the last listing.
+    /// The targets differ from those of the last listing.
+    Change {
+        /// The store revision.
+        revision: u64,
+        /// The last listing.
+        old: Vec<Target>,
+        /// The targets.
+        new: Vec<Target>,
+    },
+    /// The targets are the same as in the last listing, or are the first that this router
+    /// read: others that have a different listing ask for them.
     Unchanged(Unchanged),
 }
 
@@ -138,6 +158,7 @@
             state: RefCell::new(State {
                 confirmation: Confirmation::new(revoke),
                 registry: TargetRegistry::default(),
+                era: StoreEra::default(),
                 targets_revision: 0,
                 peer_digest: None,
                 readers: Vec::new(),
@@ -162,6 +183,7 @@
                     false => None,
                 },
                 None => self.read_operators().await,
+                Some(_) if self.is_rewritten() => self.read_operators().await,
                 Some(revision) if self.is_reader() => self.watch_operators(revision).await,
                 Some(revision) => match self.wait_for_changes().await {
                     true => self.read_operators().await,
@@ -173,6 +195,7 @@
 
     /// Reads the targets for as long as the process runs.
     pub(crate) async fn follow_targets(self: Rc<Self>) {
+        self.wait_for_first_listing().await;
         loop {
             let due = self.targets_due();
             if due > Duration::ZERO {
@@ -193,6 +216,21 @@
         }
     }
 
+    /// Waits until a peer has sent the targets, or until this router should read them.
+    async fn wait_for_first_listing(&self) {
+        let started = SystemClock.now().mono;
+        while !self.has_listing() {
+            let elapsed = SystemClock.now().mono.saturating_duration_since(started);
+            let reachable = self.state.borrow().reachable_peers.clone();
+            let count = reachable.len();
+            let rank = polling::rank(self.address, reachable.into_iter());
+            if elapsed >= polling::first_read_delay(rank, count) {
+                return;
+            }
+            sleep(FIRST_READ_CHECK_PERIOD).await;
+        }
+    }
+
     fn targets_due(&self) -> Duration {
         let now = SystemClock.now().mono;
         let rank = self.rank();
@@ -206,6 +244,13 @@
             .map_or(due, |removal| removal.min(due))
     }
 
+    /// Whether the operators had time to write again what the store had lost, and this
+    /// router has not read it since.
+    fn is_rewritten(&self) -> bool {
+        let rewritten = self.state.borrow().era.rewritten_in(SystemClock.now().mono);
+        rewritten.is_some_and(|rest| rest.is_zero())
+    }
+
     /// Whether the configuration is known and peers confirm it, so that this router need
     /// not read it.
     fn is_confirmed_by_peers(&self) -> bool {
@@ -231,6 +276,8 @@
     async fn wait_for_changes(&self) -> bool {
         let age = self.confirmation().age(SystemBootClock.uptime());
         let due = self.poll_intervals.confirmation_due(self.rank(), age);
+        let rewritten = self.state.borrow().era.rewritten_in(SystemClock.now().mono);
+        let due = rewritten.map_or(due, |rewritten| rewritten.min(due));
         if due.is_zero() {
             return true;
         }
@@ -276,7 +323,12 @@
         let state = self.state.borrow();
         let mut drained: Vec<&str> = state.registry.drained.iter().map(Name::as_str).collect();
         drained.sort_unstable();
-        xxh3_64(format!("{version} {}", drained.join(" ")).as_bytes())
+        // Peers that read different copies of the store do not confirm each other.
+        let era = match state.era.get() {
+            0 => String::new(),
+            era => format!(" era {era}"),
+        };
+        xxh3_64(format!("{version} {}{era}", drained.join(" ")).as_bytes())
     }
 
     /// Records that a peer knew the operators' entries with this digest to be current at `at`.
@@ -337,32 +389,36 @@
         if listing_digest(&targets) != digest {
             return false;
         }
-        self.adopt_targets(targets, revision);
+        self.adopt_targets(targets, revision, Duration::ZERO);
         true
     }
 
-    /// Adopts a peer's listing, unless a later one is known.
-    pub(crate) fn adopt_listing(&self, revision: u64, mut targets: Vec<Target>) {
-        if revision >= self.state.borrow().targets_revision {
+    /// Adopts a peer's listing that was read `age` ago, unless a later one is known.
+    pub(crate) fn adopt_listing(&self, revision: u64, age: Duration, mut targets: Vec<Target>) {
+        let state = self.state.borrow();
+        let known_age = state.registry.age(SystemClock.now().mono);
+        let is_later = revision >= state.targets_revision && known_age.is_none_or(|it| it > age);
+        drop(state);
+        if is_later {
             sort_listing(&mut targets);
-            self.adopt_targets(targets, revision);
+            self.adopt_targets(targets, revision, age);
         }
     }
 
-    /// Returns the latest listing and its revision.
-    pub(crate) fn listing(&self) -> (u64, Vec<Target>) {
+    /// Returns the revision, the age and the targets of the latest listing, if any.
+    pub(crate) fn listing(&self) -> Option<(u64, Duration, Vec<Target>)> {
         let state = self.state.borrow();
-        (state.targets_revision, state.listing.clone())
+        let age = state.registry.age(SystemClock.now().mono)?;
+        Some((state.targets_revision, age, state.listing.clone()))
     }
 
-    /// Whether the latest listing is recent enough to be sent to a peer, which counts its
-    /// age from its arrival.
-    pub(crate) fn has_fresh_listing(&self) -> bool {
-        let age = self.state.borrow().registry.age(SystemClock.now().mono);
-        age.is_some_and(|age| age < MAX_UPDATE_AGE)
+    /// Whether there is a listing.
+    pub(crate) fn has_listing(&self) -> bool {
+        let state = self.state.borrow();
+        state.registry.age(SystemClock.now().mono).is_some()
     }
 
-    async fn read_operators(&self) -> Option<u64> {
+    async fn read_operators(&self) -> Option<StoreRevision> {
         let sent = SystemBootClock.uptime();
         match self.range(OPERATORS_PREFIX).await {
             Ok((items, as_of)) => {
@@ -373,7 +429,7 @@
                         StoreKey::Drain(centre) => Some(centre),
                         _ => None,
                     });
-                self.adopt_drained(drained.collect());
+                self.adopt_listed_drained(drained.collect());
                 for item in &items {
                     self.adopt_config(item);
                 }
@@ -388,16 +444,20 @@
         }
     }
 
-    async fn watch_operators(&self, after: u64) -> Option<u64> {
+    async fn watch_operators(&self, after: StoreRevision) -> Option<StoreRevision> {
         let sent = SystemBootClock.uptime();
         let wait = self.poll_intervals.watch_wait;
-        let path = store::watch_path(OPERATORS_PREFIX, after, wait);
+        let path = store::watch_path(OPERATORS_PREFIX, after.number(), wait);
         let response = self.get(&path, wait).await;
-        let changes = response.and_then(|body| {
-            store::parse_changes(&body).map_err(|error| CallError::Unreadable(error.to_string()))
+        let changes = response.and_then(|answer| {
+            let changes = store::parse_changes(&answer.body);
+            let changes = changes.map_err(|error| CallError::Unreadable(error.to_string()))?;
+            Ok((changes, answer.era))
         });
         let changes = match changes {
-            Ok(changes) => changes,
+            // The revision of the watch means nothing in another era.
+            Ok((_, era)) if era != after.era() => return self.read_operators().await,
+            Ok((changes, _)) => changes,
             Err(CallError::Status(HISTORY_LOST)) => {
                 event::log(Event::HistoryLost, &[("after", &after)]);
                 return self.read_operators().await;
@@ -420,7 +480,7 @@
         }
         // Peers derive the age of their confirmation from this router's datagrams.
         self.update_ready.notify_one();
-        Some(changes.as_of.max(after))
+        Some(StoreRevision::new(after.era(), changes.as_of).max(after))
     }
 
     fn confirm(&self, confirm: impl FnOnce(&mut Confirmation)) {
@@ -470,6 +530,33 @@
         self.adopt_drained(drained);
     }
 
+    /// Adopts a complete list of drained data centres. While the operators write again
+    /// what a store lost that came back from an older copy, known ones stay drained.
+    fn adopt_listed_drained(&self, mut drained: FxHashSet<Name>) {
+        let now = SystemClock.now().mono;
+        let mut state = self.state.borrow_mut();
+        match state.era.is_being_rewritten(now) {
+            true => drained.extend(state.registry.drained.iter().cloned()),
+            false => state.era.end_rewrite(),
+        }
+        drop(state);
+        self.adopt_drained(drained);
+    }
+
+    /// Records the era of an answer of the store or of a peer's listing.
+    fn observe_era(&self, era: u64) -> EraChange {
+        let now = SystemClock.now().mono;
+        let mut state = self.state.borrow_mut();
+        let change = state.era.observe(era, now);
+        if change == EraChange::Risen {
+            state.registry.expect_missing_entries();
+            // The operators' entries are read again, now and once they are complete.
+            self.digest_differs.notify_one();
+            event::log(Event::StoreEraRisen, &[("era", &era)]);
+        }
+        change
+    }
+
     fn adopt_drained(&self, drained: FxHashSet<Name>) {
         let mut state = self.state.borrow_mut();
         if state.registry.drained == drained {
@@ -484,7 +571,8 @@
         self.shared.registry.store(Arc::new(state.registry.clone()));
     }
 
-    fn adopt_items(&self, items: &[Item], as_of: u64, sent: Uptime) {
+    fn adopt_items(&self, items: &[Item], as_of: StoreRevision, sent: Uptime) {
+        let as_of = as_of.0;
         let mut state = self.state.borrow_mut();
         let mut targets = Vec::with_capacity(items.len());
         for item in items {
@@ -505,36 +593,30 @@
             }
         }
         sort_listing(&mut targets);
-        let (base, digest) = (state.digest, listing_digest(&targets));
-        let update = match (base == digest, state.listing.is_empty()) {
-            (true, _) => PeerUpdate::Unchanged(Unchanged {
+        let digest = listing_digest(&targets);
+        let is_first = state.listing.is_empty();
+        let update = match is_first || state.digest == digest {
+            true => PeerUpdate::Unchanged(Unchanged {
                 revision: as_of,
                 digest,
             }),
-            (false, true) => PeerUpdate::Full(as_of, targets.clone()),
-            (false, false) => {
-                let change = ListingChange::between(&state.listing, &targets);
-                PeerUpdate::Change(ChangedListing {
-                    base,
-                    digest,
-                    removed: change.removed,
-                    changed: VersionedListing::new(Listing {
-                        revision: as_of,
-                        part: 0,
-                        parts: 1,
-                        targets: change.changed,
-                    }),
-                })
-            }
+            false => PeerUpdate::Change {
+                revision: as_of,
+                old: state.listing.clone(),
+                new: targets.clone(),
+            },
         };
         state.pending_update = Some((sent, update));
         drop(state);
-        self.adopt_targets(targets, as_of);
+        self.adopt_targets(targets, as_of, Duration::ZERO);
         self.update_ready.notify_one();
     }
 
-    fn adopt_targets(&self, targets: Vec<Target>, revision: u64) {
+    /// Adopts a listing that was read `age` ago.
+    fn adopt_targets(&self, targets: Vec<Target>, revision: u64, age: Duration) {
+        self.observe_era(StoreRevision(revision).era());
         let now = SystemClock.now().mono;
+        let now = now.checked_sub(age).unwrap_or(now);
         let mut state = self.state.borrow_mut();
         state.targets_revision = revision;
         if state.listing != targets {
@@ -551,26 +633,32 @@
                 event::log(event, &[("target", name)]);
             }
         }
-        self.shared.publish_targets_read(SystemBootClock.uptime());
+        let read_at = SystemBootClock.uptime().0.saturating_sub(age);
+        self.shared.publish_targets_read(Uptime(read_at));
         self.shared.registry.store(Arc::new(state.registry.clone()));
     }
 
     /// Reads all pages of a prefix; returns the items and the revision of the first page.
-    async fn range(&self, prefix: &str) -> Result<(Vec<Item>, u64), CallError> {
+    async fn range(&self, prefix: &str) -> Result<(Vec<Item>, StoreRevision), CallError> {
         let mut items: Vec<Item> = Vec::new();
         let mut first = None;
         loop {
             let after = items.last().map(|item| &item.key);
-            let body = self
+            let answer = self
                 .get(&store::range_path(prefix, after), Duration::ZERO)
                 .await?;
-            let page = store::parse_page(&body);
+            let page = store::parse_page(&answer.body);
             let Page {
                 items: more_items,
                 more,
                 as_of,
             } = page.map_err(|error| CallError::Unreadable(error.to_string()))?;
+            let as_of = StoreRevision::new(answer.era, as_of);
             let as_of = *first.get_or_insert(as_of);
+            if as_of.era() != answer.era {
+                // Pages of two copies do not fit together.
+                return Err(CallError::OldEra(as_of.era()));
+            }
             let is_last = !more || more_items.is_empty();
             items.extend(more_items);
             if is_last {
@@ -579,7 +667,7 @@
         }
     }
 
-    async fn get(&self, path: &str, wait: Duration) -> Result<Vec<u8>, CallError> {
+    async fn get(&self, path: &str, wait: Duration) -> Result<Answer, CallError> {
         let call = async {
             let url = format!("{}{path}", self.base);
             let sent = self.client.get(url).send().await;
@@ -587,12 +675,17 @@
             if response.status() != StatusCode::OK {
                 return Err(CallError::Status(response.status().as_u16()));
             }
+            let era = store::parse_era(response.headers());
             let body = response.body().limit(MAX_RESPONSE_BYTES).await;
-            body.map(|body| body.to_vec())
-                .map_err(|_| CallError::Unreachable)
+            let body = body.map_err(|_| CallError::Unreachable)?.to_vec();
+            Ok(Answer { body, era })
         };
         let response = timeout(wait + RESPONSE_TIMEOUT, call).await;
-        response.unwrap_or(Err(CallError::Unreachable))
+        let answer = response.unwrap_or(Err(CallError::Unreachable))?;
+        match self.observe_era(answer.era) {
+            EraChange::Old => Err(CallError::OldEra(answer.era)),
+            EraChange::Same | EraChange::Risen => Ok(answer),
+        }
     }
 
     fn record_success(&self, read_loop: ReadLoop) {
