--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -9,67 +9,34 @@
 //! - An invalid entry does not affect other entries.
 //! - After an outage a missing target is kept until its entry had time to reappear.
 
+mod call;
+mod targets;
+
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use awc::http::StatusCode;
 use entity::{Clock, Name, SystemClock};
 use node::event::{self, Event};
 use platform::record::{self, StoreKey};
-use platform::store::{self, HISTORY_LOST, Item, OPERATORS_PREFIX, Page, TARGETS_PREFIX};
+use platform::store::{self, HISTORY_LOST, Item, OPERATORS_PREFIX};
 use policy::direct::confirmation::{Confirmation, Uptime};
-use policy::direct::listing::{ListingChange, sort_listing};
 use policy::direct::polling::{self, PollIntervals};
-use policy::direct::store_revision::{EraChange, StoreEra, StoreRevision};
+use policy::direct::store_revision::{StoreEra, StoreRevision};
 use policy::direct::target::{Target, TargetRegistry};
-use rand::{RngExt as _, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
-use wire::{Unchanged, listing_digest};
+use tokio::time::timeout;
+use wire::Unchanged;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{BootClock, SystemBootClock};
 use crate::shared::Shared;
-
-/// The time limit of a call, in addition to the requested watch wait.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
-
-/// The period at which a router that starts checks whether a peer has sent the targets.
-const FIRST_READ_CHECK_PERIOD: Duration = Duration::from_millis(20);
-
-/// The age at which a reading of the targets is no longer sent to peers.
-const MAX_UPDATE_AGE: Duration = Duration::from_millis(400);
-
-/// The maximum size of a response in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
-
-/// Why a call to the store failed.
-#[derive(Clone, PartialEq, Eq, Debug, derive_more::Display)]
-enum CallError {
-    /// No response in time, or a failed connection.
-    #[display("unreachable")]
-    Unreachable,
-    /// The store responded with another status than 200.
-    #[display("status {_0}")]
-    Status(u16),
-    /// The response cannot be decoded.
-    #[display("{_0}")]
-    Unreadable(String),
-    /// The response is of a copy of the store that was left behind.
-    #[display("era {_0}")]
-    OldEra(u64),
-}
-
-/// A response of the store.
-struct Answer {
-    body: Vec<u8>,
-    era: u64,
-}
+use call::CallError;
 
 /// Reads the store and publishes configuration and targets.
 pub(crate) struct StoreReader {
@@ -193,57 +160,6 @@
         }
     }
 
-    /// Reads the targets for as long as the process runs.
-    pub(crate) async fn follow_targets(self: Rc<Self>) {
-        self.wait_for_first_listing().await;
-        loop {
-            let due = self.targets_due();
-            if due > Duration::ZERO {
-                sleep(due).await;
-                continue;
-            }
-            let sent = SystemBootClock.uptime();
-            match self.range(TARGETS_PREFIX).await {
-                Ok((items, as_of)) => {
-                    self.record_success(ReadLoop::Targets);
-                    self.adopt_items(&items, as_of, sent);
-                }
-                Err(error) => {
-                    self.record_failure(ReadLoop::Targets, &error);
-                    self.wait_to_retry(ReadLoop::Targets).await;
-                }
-            }
-        }
-    }
-
-    /// Waits until a peer has sent the targets, or until this router should read them.
-    async fn wait_for_first_listing(&self) {
-        let started = SystemClock.now().mono;
-        while !self.has_listing() {
-            let elapsed = SystemClock.now().mono.saturating_duration_since(started);
-            let reachable = self.state.borrow().reachable_peers.clone();
-            let count = reachable.len();
-            let rank = polling::rank(self.address, reachable.into_iter());
-            if elapsed >= polling::first_read_delay(rank, count) {
-                return;
-            }
-            sleep(FIRST_READ_CHECK_PERIOD).await;
-        }
-    }
-
-    fn targets_due(&self) -> Duration {
-        let now = SystemClock.now().mono;
-        let rank = self.rank();
-        let state = self.state.borrow();
-        let due = self
-            .poll_intervals
-            .targets_due(rank, state.registry.age(now));
-        state
-            .registry
-            .next_removal(now)
-            .map_or(due, |removal| removal.min(due))
-    }
-
     /// Whether the operators had time to write again what the store had lost, and this
     /// router has not read it since.
     fn is_rewritten(&self) -> bool {
@@ -259,18 +175,6 @@
         !self.is_reader() && !due.is_zero() && self.shared.config.load().is_some()
     }
 
-    /// Waits until a failed call may be made again.
-    async fn wait_to_retry(&self, read_loop: ReadLoop) {
-        let delay = {
-            let state = self.state.borrow();
-            let rank = polling::rank(self.address, state.reachable_peers.iter().copied());
-            let routers = state.reachable_peers.len() + 1;
-            let random = self.rng.borrow_mut().random_range(0.0..1.0);
-            polling::retry_delay(rank, routers, state.failures[read_loop as usize], random)
-        };
-        sleep(delay).await;
-    }
-
     /// Waits until the operators' entries should be read; returns `false` if peers may
     /// have confirmed them in the meantime.
     async fn wait_for_changes(&self) -> bool {
@@ -349,75 +253,6 @@
         self.update_ready.notified().await;
     }
 
-    /// Takes the update about the targets that was not yet sent to peers.
-    ///
-    /// Peers count its age from its arrival, so an old update is discarded. It can be
-    /// old because there was no peer at the time or because this process was suspended.
-    pub(crate) fn take_peer_update(&self) -> Option<PeerUpdate> {
-        let (sent, update) = self.state.borrow_mut().pending_update.take()?;
-        let is_fresh = SystemBootClock.uptime().since(sent) < MAX_UPDATE_AGE;
-        is_fresh.then_some(update)
-    }
-
-    /// Adopts a peer's notice that the targets are unchanged; returns `false` if this
-    /// router has another listing.
-    pub(crate) fn adopt_unchanged(&self, unchanged: Unchanged) -> bool {
-        let Unchanged { revision, digest } = unchanged;
-        self.adopt_change(digest, digest, revision, &ListingChange::default())
-    }
-
-    /// Adopts a change of the listing with the digest `base`; returns `false` if this
-    /// router has neither that listing nor the one to which the change leads.
-    pub(crate) fn adopt_change(
-        &self,
-        base: u64,
-        digest: u64,
-        revision: u64,
-        change: &ListingChange,
-    ) -> bool {
-        let state = self.state.borrow();
-        if revision < state.targets_revision {
-            // It was overtaken by a later reading.
-            return true;
-        }
-        let targets = match state.digest {
-            known if known == digest => state.listing.clone(),
-            known if known == base => change.apply(&state.listing),
-            _ => return false,
-        };
-        drop(state);
-        if listing_digest(&targets) != digest {
-            return false;
-        }
-        self.adopt_targets(targets, revision, Duration::ZERO);
-        true
-    }
-
-    /// Adopts a peer's listing that was read `age` ago, unless a later one is known.
-    pub(crate) fn adopt_listing(&self, revision: u64, age: Duration, mut targets: Vec<Target>) {
-        let state = self.state.borrow();
-        let known_age = state.registry.age(SystemClock.now().mono);
-        let is_later = revision >= state.targets_revision && known_age.is_none_or(|it| it > age);
-        drop(state);
-        if is_later {
-            sort_listing(&mut targets);
-            self.adopt_targets(targets, revision, age);
-        }
-    }
-
-    /// Returns the revision, the age and the targets of the latest listing, if any.
-    pub(crate) fn listing(&self) -> Option<(u64, Duration, Vec<Target>)> {
-        let state = self.state.borrow();
-        let age = state.registry.age(SystemClock.now().mono)?;
-        Some((state.targets_revision, age, state.listing.clone()))
-    }
-
-    /// Whether there is a listing.
-    pub(crate) fn has_listing(&self) -> bool {
-        let state = self.state.borrow();
-        state.registry.age(SystemClock.now().mono).is_some()
-    }
-
     async fn read_operators(&self) -> Option<StoreRevision> {
         let sent = SystemBootClock.uptime();
         match self.range(OPERATORS_PREFIX).await {
@@ -543,20 +378,6 @@
         self.adopt_drained(drained);
     }
 
-    /// Records the era of an answer of the store or of a peer's listing.
-    fn observe_era(&self, era: u64) -> EraChange {
-        let now = SystemClock.now().mono;
-        let mut state = self.state.borrow_mut();
-        let change = state.era.observe(era, now);
-        if change == EraChange::Risen {
-            state.registry.expect_missing_entries();
-            // The operators' entries are read again, now and once they are complete.
-            self.digest_differs.notify_one();
-            event::log(Event::StoreEraRisen, &[("era", &era)]);
-        }
-        change
-    }
-
     fn adopt_drained(&self, drained: FxHashSet<Name>) {
         let mut state = self.state.borrow_mut();
         if state.registry.drained == drained {
@@ -570,149 +391,6 @@
         self.update_ready.notify_one();
         self.shared.registry.store(Arc::new(state.registry.clone()));
     }
-
-    fn adopt_items(&self, items: &[Item], as_of: StoreRevision, sent: Uptime) {
-        let as_of = as_of.0;
-        let mut state = self.state.borrow_mut();
-        let mut targets = Vec::with_capacity(items.len());
-        for item in items {
-            let StoreKey::Target(id) = record::parse_key(item.key.as_str()) else {
-                continue;
-            };
-            let read = match &item.value {
-                Some(value) => record::parse_target(&id, value).map_err(|error| error.to_string()),
-                None => Err("no value".to_owned()),
-            };
-            match read {
-                Ok(target) => targets.push(target),
-                Err(why) if state.rejected_keys.insert(item.key.clone()) => {
-                    let fields: [event::Field<'_>; 2] = [("key", &item.key), ("why", &why)];
-                    event::log(Event::EntryRefused, &fields);
-                }
-                Err(_) => {}
-            }
-        }
-        sort_listing(&mut targets);
-        let digest = listing_digest(&targets);
-        let is_first = state.listing.is_empty();
-        let update = match is_first || state.digest == digest {
-            true => PeerUpdate::Unchanged(Unchanged {
-                revision: as_of,
-                digest,
-            }),
-            false => PeerUpdate::Change {
-                revision: as_of,
-                old: state.listing.clone(),
-                new: targets.clone(),
-            },
-        };
-        state.pending_update = Some((sent, update));
-        drop(state);
-        self.adopt_targets(targets, as_of, Duration::ZERO);
-        self.update_ready.notify_one();
-    }
-
-    /// Adopts a listing that was read `age` ago.
-    fn adopt_targets(&self, targets: Vec<Target>, revision: u64, age: Duration) {
-        self.observe_era(StoreRevision(revision).era());
-        let now = SystemClock.now().mono;
-        let now = now.checked_sub(age).unwrap_or(now);
-        let mut state = self.state.borrow_mut();
-        state.targets_revision = revision;
-        if state.listing != targets {
-            state.digest = listing_digest(&targets);
-            state.listing.clone_from(&targets);
-        }
-        let change = state.registry.replace(targets, now);
-        for (event, names) in [
-            (Event::TargetAppeared, &change.added),
-            (Event::TargetLeaving, &change.leaving),
-            (Event::TargetGone, &change.removed),
-        ] {
-            for name in names {
-                event::log(event, &[("target", name)]);
-            }
-        }
-        let read_at = SystemBootClock.uptime().0.saturating_sub(age);
-        self.shared.publish_targets_read(Uptime(read_at));
-        self.shared.registry.store(Arc::new(state.registry.clone()));
-    }
-
-    /// Reads all pages of a prefix; returns the items and the revision of the first page.
-    async fn range(&self, prefix: &str) -> Result<(Vec<Item>, StoreRevision), CallError> {
-        let mut items: Vec<Item> = Vec::new();
-        let mut first = None;
-        loop {
-            let after = items.last().map(|item| &item.key);
-            let answer = self
-                .get(&store::range_path(prefix, after), Duration::ZERO)
-                .await?;
-            let page = store::parse_page(&answer.body);
-            let Page {
-                items: more_items,
-                more,
-                as_of,
-            } = page.map_err(|error| CallError::Unreadable(error.to_string()))?;
-            let as_of = StoreRevision::new(answer.era, as_of);
-            let as_of = *first.get_or_insert(as_of);
-            if as_of.era() != answer.era {
-                // Pages of two copies do not fit together.
-                return Err(CallError::OldEra(as_of.era()));
-            }
-            let is_last = !more || more_items.is_empty();
-            items.extend(more_items);
-            if is_last {
-                return Ok((items, as_of));
-            }
-        }
-    }
-
-    async fn get(&self, path: &str, wait: Duration) -> Result<Answer, CallError> {
-        let call = async {
-            let url = format!("{}{path}", self.base);
-            let sent = self.client.get(url).send().await;
-            let mut response = sent.map_err(|_| CallError::Unreachable)?;
-            if response.status() != StatusCode::OK {
-                return Err(CallError::Status(response.status().as_u16()));
-            }
-            let era = store::parse_era(response.headers());
-            let body = response.body().limit(MAX_RESPONSE_BYTES).await;
-            let body = body.map_err(|_| CallError::Unreachable)?.to_vec();
-            Ok(Answer { body, era })
-        };
-        let response = timeout(wait + RESPONSE_TIMEOUT, call).await;
-        let answer = response.unwrap_or(Err(CallError::Unreachable))?;
-        match self.observe_era(answer.era) {
-            EraChange::Old => Err(CallError::OldEra(answer.era)),
-            EraChange::Same | EraChange::Risen => Ok(answer),
-        }
-    }
-
-    fn record_success(&self, read_loop: ReadLoop) {
-        let mut state = self.state.borrow_mut();
-        state.failures[read_loop as usize] = 0;
-        if !std::mem::replace(&mut state.reachable[read_loop as usize], true) {
-            event::log(Event::ServiceReachable, &[("part", &read_loop.name())]);
-        }
-    }
-
-    fn record_failure(&self, read_loop: ReadLoop, error: &CallError) {
-        let mut state = self.state.borrow_mut();
-        state.failures[read_loop as usize] += 1;
-        if std::mem::replace(&mut state.reachable[read_loop as usize], false) {
-            let age = state.confirmation.age(SystemBootClock.uptime());
-            let age = age.map_or_else(
-                || "never".to_owned(),
-                |age| format!("{}ms", age.as_millis()),
-            );
-            let fields: [event::Field<'_>; 3] = [
-                ("part", &read_loop.name()),
-                ("why", error),
-                ("confirmed", &age),
-            ];
-            event::log(Event::ServiceUnreachable, &fields);
-        }
-    }
 }
 
 impl ReadLoop {
--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -20,8 +20,11 @@
 //!   passed.
 //! - A summary for a router leaves out what that router reported itself.
 
+mod beat;
+mod members;
 pub mod message;
 mod records;
+mod relay;
 mod summary;
 pub mod topology;
 
@@ -36,10 +39,10 @@
 use super::confirmation::Uptime;
 use super::fair_share::TeamRate;
 use super::target_table::{LoadReport, PeerLoadReport};
-use message::{Beat, CentreTag, CrashRow, Echo, LoadRow, Message, Place, Scope, TeamRow, Trouble};
+use message::{Beat, CentreTag, CrashRow, Message, Scope, TeamRow, Trouble};
 use records::RecordLog;
 use summary::{PartialSummary, ReceivedSummary};
-use topology::{Located, Topology};
+use topology::Topology;
 
 /// The time between two calls of [`Exchange::tick`].
 pub const PERIOD: Duration = Duration::from_millis(100);
@@ -54,54 +57,27 @@
 /// Like [`CONTACT_PERIODS`], during [`DISCOVERY_TIME`].
 const DISCOVERY_CONTACT_PERIODS: u32 = 2;
 
-/// The maximum number of unreachable members that get a heartbeat at once.
-const MAX_CONTACTED_MEMBERS: usize = 16;
-
 /// The time after its start in which a router discovers all others.
 pub const DISCOVERY_TIME: Duration = Duration::from_secs(3);
 
 /// The silence after which a router's own messages are no longer used.
 pub const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The time since it was last listed after which a router that does not send its
-/// heartbeats here is unreachable. Longer than [`PEER_TIMEOUT`], so that the replacement
-/// of a relay does not make the routers behind it unreachable.
-const LISTED_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// The time after which a silent router no longer counts as a member.
 pub const MEMBER_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// The silence after which a router reports to another relay.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// The age at which the summary of a group is no longer used: the routers of the group
 /// have reported to another relay by then.
 const GROUP_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// How long a router does not report again to a relay that fell silent.
-const RELAY_REST: Duration = Duration::from_secs(5);
-
-/// How long routers stay with a relay that is none any more.
-const TOPOLOGY_DELAY: Duration = Duration::from_secs(2);
-
 /// The gap between two ticks that shows that this process did not run, so that the
 /// silence of others means nothing.
 const MAX_TICK_GAP: Duration = Duration::from_millis(400);
 
-/// The age of a group member's last heartbeat from which on another relay's claim to it
-/// is believed.
-const HANDOVER_AGE: Duration = Duration::from_millis(350);
-
 /// How long a router that became a relay still uses its former relay's summary, and how
 /// long former partners are told of a change.
 const ROLE_CHANGE_TIME: Duration = Duration::from_millis(300);
 
-/// The minimum time between two replies to a router that does not know the fleet.
-const MIN_REPLY_INTERVAL: Duration = Duration::from_millis(500);
-
-/// The number of addresses in a heartbeat; successive heartbeats carry successive ones.
-const BEAT_ADDRESSES: usize = 16;
-
 /// The maximum number of members and contacts.
 const MAX_ROUTERS: usize = 4_096;
 
@@ -111,9 +87,6 @@
 /// The maximum number of leaving targets sent at once.
 const MAX_LEAVING_ROWS: usize = 512;
 
-/// The number of heartbeats whose send times are kept for matching echoes.
-const MAX_SENT_BEATS: usize = 64;
-
 /// The present, on both clocks that the exchange needs.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Moment {
@@ -514,264 +487,6 @@
         }
     }
 
-    fn receive_beat(&mut self, mut beat: Beat, now: Instant) -> Received {
-        let from = beat.from;
-        if from == self.own.address {
-            return Received::rejected(RejectReason::Own);
-        }
-        let previous = self.peers.remove(&from);
-        let latest = previous.as_ref().map(|it| (it.beat.life, it.beat.number));
-        if latest.is_some_and(|latest| (beat.life, beat.number) <= latest) {
-            self.peers.extend(previous.map(|peer| (from, peer)));
-            return Received::rejected(RejectReason::Old);
-        }
-        // A later incarnation knows nothing of what the former one was sent.
-        let previous = previous.filter(|it| it.beat.life == beat.life);
-        let reads = beat.confirmed.map(u64::from).map(Duration::from_millis);
-        let reads = !beat.leaving && reads.is_some_and(|age| age < self.lost_age);
-        let is_known = self.members.get(&from).is_some_and(|it| it.is_reachable);
-        self.see(
-            from,
-            Member {
-                centre: beat.place.map(|place| place.centre),
-                seen_at: now,
-                is_reachable: true,
-                is_steady: !beat.leaving && beat.place.is_none_or(|place| place.is_settled),
-                reads,
-            },
-        );
-        let crashes = self.crashes.add(beat.crashes.drain(..), now);
-        let confirmation = self.date_confirmation(&beat);
-        for address in beat.peers.drain(..) {
-            let has_room = self.contacts.len() < MAX_ROUTERS;
-            if address != self.own.address && has_room && !self.members.contains_key(&address) {
-                self.contacts.entry(address).or_insert(now);
-            }
-        }
-        let loads = PeerLoadReport {
-            received_at: now,
-            reports: beat
-                .loads
-                .drain(..)
-                .map(|row| LoadReport::from(&row))
-                .collect(),
-        };
-        let mut peer = previous.unwrap_or_else(|| Peer {
-            beat: beat.clone(),
-            heard_at: now,
-            loads: loads.clone(),
-            trouble: None,
-            summary: None,
-            partial: None,
-            replied_at: None,
-            summarized_at: None,
-            listed: None,
-        });
-        let knows_fleet = peer.listed.is_some()
-            || beat.place.is_none_or(|place| place.relay != from)
-            || self.topology.is_relay(from);
-        let may_reply = peer
-            .replied_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= MIN_REPLY_INTERVAL);
-        let wants_reply = may_reply && (!is_known || !knows_fleet);
-        if wants_reply {
-            peer.replied_at = Some(now);
-        }
-        (peer.beat, peer.heard_at, peer.loads) = (beat, now, loads);
-        self.peers.insert(from, peer);
-        Received {
-            confirmation,
-            crashes,
-            wants_reply,
-            is_new: !is_known,
-            ..Received::default()
-        }
-    }
-
-    /// Returns the digest of the sender's settings and when they were current, if its
-    /// echo shows that.
-    fn date_confirmation(&self, beat: &Beat) -> Option<(u64, Uptime)> {
-        let echo = beat.echo.filter(|echo| echo.life == self.own.incarnation)?;
-        let age = Duration::from_millis(beat.confirmed?.into());
-        let mut sent = self.sent_beats.iter();
-        let (_, at) = sent.find(|(number, _)| *number == echo.number)?;
-        Some((beat.digest, Uptime(at.0.checked_sub(age)?)))
-    }
-
-    /// Records that a router was heard or listed.
-    fn see(&mut self, address: SocketAddr, seen: Member) {
-        self.contacts.remove(&address);
-        if self.members.len() >= MAX_ROUTERS && !self.members.contains_key(&address) {
-            return;
-        }
-        let previous = self.members.insert(address, seen);
-        let is_same = |old: Member| {
-            Member {
-                seen_at: seen.seen_at,
-                ..old
-            } == seen
-        };
-        if !previous.is_some_and(is_same) {
-            self.roster += 1;
-        }
-        if !previous.is_some_and(|old| old.is_reachable) {
-            self.events.push(PeerEvent::Reachable(address));
-        }
-    }
-
-    fn expire(&mut self, now: Instant) {
-        let (own, relay) = (self.own.address, self.relay);
-        let count = self.members.len();
-        for (&address, member) in &mut self.members {
-            let peer = self.peers.get(&address);
-            let is_direct = peer.is_some_and(|peer| peer.reports_to(own, relay));
-            let limit = match is_direct {
-                true => PEER_TIMEOUT,
-                false => LISTED_TIMEOUT,
-            };
-            let silence = now.saturating_duration_since(member.seen_at);
-            if member.is_reachable && silence >= limit {
-                member.is_reachable = false;
-                self.roster += 1;
-                self.events.push(PeerEvent::Failed(address));
-            }
-        }
-        self.members
-            .retain(|_, member| now.saturating_duration_since(member.seen_at) < MEMBER_TIMEOUT);
-        if self.members.len() != count {
-            self.roster += 1;
-        }
-        let members = &self.members;
-        self.peers
-            .retain(|address, _| members.contains_key(address));
-        self.contacts
-            .retain(|_, &mut heard_at| now.saturating_duration_since(heard_at) < MEMBER_TIMEOUT);
-        self.resting_relays.retain(|_, &mut until| until > now);
-    }
-
-    /// Derives the relays anew if the members have changed.
-    fn update_topology(&mut self, now: Instant) {
-        let basis = (self.roster, self.is_settled(now), self.is_stopping);
-        if self.topology_basis.replace(basis) == Some(basis) {
-            return;
-        }
-        let own = Located {
-            address: self.own.address,
-            centre: self.own.centre,
-        };
-        let own_is_steady = self.is_settled(now) && !self.is_stopping;
-        let mut routers = vec![(own, own_is_steady)];
-        for (&address, member) in self.members.iter().filter(|(_, it)| it.is_reachable) {
-            if let Some(centre) = member.centre {
-                routers.push((Located { address, centre }, member.is_steady));
-            }
-        }
-        let topology = Topology::new(&routers);
-        if topology != self.topology {
-            self.topology = topology;
-            self.topology_since = now;
-            self.preferred = self.topology.preferred_relays(own);
-        }
-    }
-
-    /// Chooses the relay to which this router reports. A relay is kept while it is one.
-    fn choose_relay(&mut self, now: Instant) {
-        let mut silent = None;
-        if let Some(relay) = self.relay {
-            let heard_at = self.peers.get(&relay).map(|peer| peer.heard_at);
-            let since = heard_at.max(Some(self.relay_since)).unwrap_or(now);
-            if now.saturating_duration_since(since) >= RELAY_TIMEOUT {
-                self.resting_relays.insert(relay, now + RELAY_REST);
-                silent = Some(relay);
-            }
-        }
-        let is_rested = |relay: &SocketAddr| !self.resting_relays.contains_key(relay);
-        let is_near = |relay: SocketAddr| self.topology.centre_of(relay) == Some(self.own.centre);
-        let preferred = self.preferred.iter().copied().find(is_rested);
-        let age = now.saturating_duration_since(self.topology_since);
-        let may_stay = |&relay: &SocketAddr| match self.topology.is_relay(relay) {
-            // A relay of another data centre is left as soon as there is a near one.
-            true => is_near(relay) || !preferred.is_some_and(is_near),
-            // Members that come and go one after another would move routers each time.
-            false => age < TOPOLOGY_DELAY && self.is_eligible(relay),
-        };
-        let current = self.relay.filter(is_rested).filter(may_stay);
-        let relay = match () {
-            () if self.topology.is_relay(self.own.address) || self.has_group(now) => None,
-            () => current.or(preferred),
-        };
-        if relay != self.relay {
-            // They must not count this router, or its group, twice.
-            self.former_partners = self.partners(now);
-            self.relay = relay;
-            self.relay_since = now;
-            self.events.push(PeerEvent::RelayChosen { relay, silent });
-        }
-    }
-
-    /// Whether a router is known to be reachable and not to be stopping.
-    fn is_eligible(&self, relay: SocketAddr) -> bool {
-        let member = self.members.get(&relay);
-        member.is_some_and(|it| it.is_reachable && it.is_steady)
-    }
-
-    /// Whether other routers report to this one.
-    fn has_group(&self, now: Instant) -> bool {
-        self.group(now).next().is_some()
-    }
-
-    /// The routers that report to this one.
-    fn group(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        let own = Some(self.own.address);
-        let live = self.peers.values().filter(move |peer| peer.is_live(now));
-        live.filter(move |peer| peer.relay() == own)
-    }
-
-    /// The routers to which this one sends its heartbeats, in a fixed order.
-    fn partners(&self, now: Instant) -> Vec<SocketAddr> {
-        let own = self.own.address;
-        let live = self.peers.values().filter(|peer| peer.is_live(now));
-        // The earlier version knows no relays.
-        let mut partners: BTreeSet<SocketAddr> = live
-            .clone()
-            .filter(|peer| peer.beat.place.is_none())
-            .map(|peer| peer.beat.from)
-            .collect();
-        match self.relay {
-            Some(relay) => {
-                partners.insert(relay);
-            }
-            None => {
-                let reporting = live.filter(|it| it.is_relay() || it.relay() == Some(own));
-                partners.extend(reporting.map(|peer| peer.beat.from));
-                partners.extend(self.topology.relays().filter(|&relay| relay != own));
-            }
-        }
-        partners.into_iter().collect()
-    }
-
-    /// The addresses at which a router may be that does not know this one.
-    fn addresses_to_contact(&self) -> Vec<SocketAddr> {
-        let is_reachable =
-            |address: &SocketAddr| self.members.get(address).is_some_and(|it| it.is_reachable);
-        let unreachable: Vec<SocketAddr> = self
-            .members
-            .iter()
-            .filter(|(_, member)| !member.is_reachable)
-            .map(|(&address, _)| address)
-            .collect();
-        let first = match unreachable.len() {
-            0 => 0,
-            count => self.ticks as usize * MAX_CONTACTED_MEMBERS % count,
-        };
-        let rotated = unreachable.iter().cycle().skip(first);
-        let contacted = rotated.take(unreachable.len().min(MAX_CONTACTED_MEMBERS));
-        let mut addresses: BTreeSet<SocketAddr> = contacted.copied().collect();
-        addresses.extend(self.contacts.keys());
-        addresses.extend(self.seeds.iter().filter(|seed| !is_reachable(seed)));
-        addresses.into_iter().collect()
-    }
-
     /// Returns heartbeats and, from a relay, summaries.
     fn messages_to(
         &mut self,
@@ -794,93 +509,6 @@
         sent
     }
 
-    fn beats_to(
-        &mut self,
-        to: &[SocketAddr],
-        local: &LocalState<'_>,
-        now: Moment,
-    ) -> Vec<Outgoing> {
-        self.sequence += 1;
-        // The time is read before the heartbeat is sent, so that an echo never confirms
-        // a later time than the send time.
-        self.sent_beats.push_back((self.sequence, now.uptime));
-        if self.sent_beats.len() > MAX_SENT_BEATS {
-            self.sent_beats.pop_front();
-        }
-        let beat = self.build_beat(local, now.mono);
-        let trouble = (!local.problem_targets.is_empty()).then(|| {
-            Message::Trouble(Trouble {
-                from: self.own.address,
-                life: self.own.incarnation,
-                number: self.sequence,
-                targets: local.problem_targets.to_vec(),
-            })
-        });
-        let leaving = self.leaving.pending();
-        let leaving = (!leaving.is_empty()).then_some(Message::Leaving(leaving));
-        let has_group = self.has_group(now.mono);
-        let mut sent = Vec::new();
-        for &to in to {
-            let before = trouble.iter().chain(&leaving).cloned();
-            sent.extend(before.map(|message| Outgoing { to, message }));
-            let mut beat = beat.clone();
-            let peer = self.peers.get(&to);
-            beat.echo = peer.map(|peer| Echo {
-                life: peer.beat.life,
-                number: peer.beat.number,
-            });
-            // A summary contains the loads of its sender.
-            let gets_summary = has_group && peer.is_some_and(|it| it.beat.place.is_some());
-            if gets_summary {
-                (beat.loads, beat.teams) = (Vec::new(), Vec::new());
-            }
-            let message = Message::Beat(Box::new(beat));
-            sent.push(Outgoing { to, message });
-        }
-        sent
-    }
-
-    fn build_beat(&self, local: &LocalState<'_>, now: Instant) -> Beat {
-        let teams = local.teams.iter().map(|(team, rate)| TeamRow {
-            team: *team,
-            asked: rate.requested as u32,
-            placed: rate.admitted as u32,
-        });
-        Beat {
-            echo: None,
-            digest: local.digest,
-            // Rounded up, so that the confirmation never appears more recent than it is.
-            confirmed: local.confirmation_age.map(|age| age.as_millis() as u32 + 1),
-            from: self.own.address,
-            life: self.own.incarnation,
-            number: self.sequence,
-            leaving: local.is_stopping,
-            peers: self.sample_peers(),
-            loads: local.loads.iter().map(LoadRow::from).collect(),
-            teams: teams.collect(),
-            crashes: self.crashes.pending(),
-            place: Some(Place {
-                centre: self.own.centre,
-                relay: self.relay.unwrap_or(self.own.address),
-                is_settled: self.is_settled(now),
-            }),
-        }
-    }
-
-    /// Returns some of the reachable routers, different ones in successive heartbeats.
-    fn sample_peers(&self) -> Vec<SocketAddr> {
-        let reachable: Vec<SocketAddr> = self.reachable().collect();
-        let first = match reachable.len() {
-            0 => return reachable,
-            count => self.sequence as usize * BEAT_ADDRESSES % count,
-        };
-        let rotated = reachable.iter().cycle().skip(first);
-        rotated
-            .take(reachable.len().min(BEAT_ADDRESSES))
-            .copied()
-            .collect()
-    }
-
     /// The routers of which this one uses the heartbeats. Those of others are contained
     /// in a summary; they came before a change of relays, or to find this router.
     fn used_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
--- a/policy/src/direct/exchange/summary.rs
+++ b/policy/src/direct/exchange/summary.rs
@@ -6,7 +6,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::message::{LoadRow, MemberRow, Message, ProblemRow, Scope, Summary, TeamRow};
-use super::{Exchange, LocalState, Member, Outgoing, Peer, PeerEvent, Received, RejectReason};
+use super::{Exchange, LocalState, Outgoing, Peer, Received, RejectReason};
 use super::{add_teams, own_report};
 use crate::direct::fair_share::TeamRate;
 use crate::direct::target_table::{LoadReport, PeerLoadReport, TargetLoad, sum_loads};
@@ -383,59 +383,6 @@
         }
         Received::default()
     }
-
-    /// Marks routers that are missing from a complete list of this router's relay.
-    fn drop_unlisted(&mut self, listed: &FxHashSet<SocketAddr>, now: Instant) {
-        for (address, member) in &mut self.members {
-            let heard_at = self.peers.get(address).map(|peer| peer.heard_at);
-            let is_heard =
-                heard_at.is_some_and(|at| now.saturating_duration_since(at) < super::PEER_TIMEOUT);
-            // Routers without a data centre are not listed.
-            let is_gone = member.centre.is_some() && !is_heard && !listed.contains(address);
-            if is_gone && member.is_reachable {
-                member.is_reachable = false;
-                self.roster += 1;
-                self.events.push(PeerEvent::Failed(*address));
-            }
-        }
-    }
-
-    fn merge_members(&mut self, from: SocketAddr, scope: Scope, rows: &[MemberRow], now: Instant) {
-        let own = Some(self.own.address);
-        for row in rows.iter().filter(|row| Some(row.address) != own) {
-            if let Some(peer) = self.peers.get_mut(&row.address) {
-                let age = now.saturating_duration_since(peer.heard_at);
-                match &mut peer.beat.place {
-                    // It reports to the other relay now.
-                    Some(place)
-                        if scope == Scope::Group
-                            && row.address != from
-                            && age >= super::HANDOVER_AGE =>
-                    {
-                        place.relay = from;
-                    }
-                    // What it says of itself is later.
-                    _ if age < super::PEER_TIMEOUT => {
-                        if let Some(member) = self.members.get_mut(&row.address) {
-                            member.seen_at = now;
-                        }
-                        continue;
-                    }
-                    _ => {}
-                }
-            }
-            self.see(
-                row.address,
-                Member {
-                    centre: Some(row.centre),
-                    seen_at: now,
-                    is_reachable: true,
-                    is_steady: row.steady,
-                    reads: row.reads,
-                },
-            );
-        }
-    }
 }
 
 impl PartialSummary {
