--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -513,6 +513,7 @@
         serde_json::json!({
             "config": self.config().map(|config| config.version),
             "routers": self.shared.router_count(),
+            "relay": self.shared.peers.load().relay.map(|relay| relay.to_string()),
             "open": self.shared.open_requests.load(Ordering::Relaxed),
             "targets": targets.collect::<Vec<_>>(),
         })
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -339,6 +339,7 @@
             reports: view.reports,
             teams: view.teams,
             problem_counts: view.problem_counts,
+            relay: self.exchange.relay(),
         }));
         self.store.set_peers(
             self.exchange.readers().collect(),
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -3,6 +3,7 @@
 //! Each value has one writer and reaches the other thread as an immutable
 //! snapshot, so no request waits for control state.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -30,6 +31,8 @@
     pub(crate) problem_counts: FxHashMap<u64, u32>,
     /// The routers among which limits are divided.
     pub(crate) members: Members,
+    /// The relay to which this router reports, unless it is one itself.
+    pub(crate) relay: Option<SocketAddr>,
 }
 
 /// The report of the traffic thread for the peers.
--- a/livetests/tests/edge_faults.rs
+++ b/livetests/tests/edge_faults.rs
@@ -185,6 +185,19 @@
         })
         .await;
     }
+    // They are in one data centre, so all but one report to that one.
+    wait_until("all report to one relay", || async {
+        let mut relays = Vec::new();
+        for router in &fleet.routers {
+            let dump = http_get(router.address("operators"), "/dump").await?;
+            let relay = dump.lines().find(|line| line.contains("\"relay\": \""));
+            relays.extend(relay.map(str::to_owned));
+        }
+        let count = relays.len();
+        relays.dedup();
+        (count == ROUTERS - 1 && relays.len() == 1).then_some(())
+    })
+    .await;
     Ok(())
 }
 
