--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -14,6 +14,7 @@
 //! - [`listing`]: what changed between two listings of the targets;
 //! - [`target_table`]: the load of every target, caused by this router and its
 //!   peers;
+//! - [`prompt`]: the parts and the size of a prompt;
 //! - [`placement`]: which target a request is sent to, or why it is refused;
 //! - [`cold`]: which routers send to a cold target, and at which rate;
 //! - [`stall`]: which targets have stopped responding;
@@ -42,6 +43,7 @@
 pub mod placement;
 pub mod polling;
 pub mod prefill_rate;
+pub mod prompt;
 pub mod response;
 pub mod stall;
 pub mod store_revision;
