Listings: a part of a change does not count as a reading

Such a change was sent in two datagrams, and the first counted as a reading.

Now a change that fits is one datagram, as most do; of longer ones only the last step counts as a reading, and a router that lost one reads the store at the age that it did before. The property steps_lead_to_the_same_listing states the number of steps; the former split gave two for such a change.

--- a/edge/src/gossip/listing.rs
+++ b/edge/src/gossip/listing.rs
@@ -31,7 +31,7 @@
 const MIN_QUERY_INTERVAL: Duration = Duration::from_millis(250);
 
 impl Gossip {
-    /// Sends what changed between two listings, in steps that fit a datagram.
+    /// Sends what changed between two listings, in steps that fit a datagram; mostly in one.
     pub(super) fn send_change(
         &self,
         revision: u64,
@@ -39,31 +39,16 @@
         new: &[Target],
         to: &[SocketAddr],
     ) {
-        let change = ListingChange::between(old, new);
-        let mut steps: Vec<ListingChange> = change
-            .changed
-            .chunks(TARGETS_PER_PART)
-            .map(|changed| ListingChange {
-                changed: changed.to_vec(),
-                removed: Vec::new(),
-            })
-            .collect();
-        steps.extend(
-            change
-                .removed
-                .chunks(TARGETS_PER_PART)
-                .map(|removed| ListingChange {
-                    changed: Vec::new(),
-                    removed: removed.to_vec(),
-                }),
-        );
+        let steps = ListingChange::between(old, new).into_steps(TARGETS_PER_PART);
+        let count = steps.len();
         let mut listing = old.to_vec();
-        for step in steps {
+        for (index, step) in steps.into_iter().enumerate() {
             let base = listing_digest(&listing);
             listing = step.apply(&listing);
             let datagram = Datagram::ChangedListing(ChangedListing {
                 base,
                 digest: listing_digest(&listing),
+                is_last: index + 1 == count,
                 removed: step.removed,
                 changed: VersionedListing::new(Listing {
                     revision,
@@ -83,6 +68,7 @@
         let ChangedListing {
             base,
             digest,
+            is_last,
             removed,
             changed,
         } = change;
@@ -93,7 +79,11 @@
             changed: targets,
             removed,
         };
-        if !self.store.adopt_change(base, digest, revision, &change) {
+        let is_applied = match is_last {
+            true => self.store.adopt_change(base, digest, revision, &change),
+            false => self.store.stage_change(base, digest, &change),
+        };
+        if !is_applied {
             self.ask_for_listing(from);
         }
     }
--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -71,6 +71,8 @@
     /// The latest target listing, and its digest.
     listing: Vec<Target>,
     digest: u64,
+    /// A listing to which not all changes were applied yet, and its digest.
+    staged_listing: Option<(u64, Vec<Target>)>,
     /// The update not yet sent to peers, and when its call to the store was made.
     pending_update: Option<(Uptime, PeerUpdate)>,
     /// Whether the last call of each loop succeeded.
@@ -133,6 +135,7 @@
                 failures: [0; 2],
                 listing: Vec::new(),
                 digest: 0,
+                staged_listing: None,
                 pending_update: None,
                 reachable: [true; 2],
                 rejected_keys: FxHashSet::default(),
--- a/edge/src/store/targets.rs
+++ b/edge/src/store/targets.rs
@@ -108,9 +108,11 @@
             // It was overtaken by a later reading.
             return true;
         }
-        let targets = match state.digest {
-            known if known == digest => state.listing.clone(),
-            known if known == base => change.apply(&state.listing),
+        let staged = state.staged_listing.as_ref();
+        let targets = match (state.digest, staged) {
+            (known, _) if known == digest => state.listing.clone(),
+            (known, _) if known == base => change.apply(&state.listing),
+            (_, Some((known, targets))) if *known == base => change.apply(targets),
             _ => return false,
         };
         drop(state);
@@ -121,6 +123,19 @@
         true
     }
 
+    /// Applies a change that others follow. Until the last of them the listing is not
+    /// complete, and must not count as read.
+    pub(crate) fn stage_change(&self, base: u64, digest: u64, change: &ListingChange) -> bool {
+        let mut state = self.state.borrow_mut();
+        let targets = match &state.staged_listing {
+            _ if state.digest == base => change.apply(&state.listing),
+            Some((known, targets)) if *known == base => change.apply(targets),
+            _ => return state.digest == digest,
+        };
+        state.staged_listing = Some((digest, targets));
+        true
+    }
+
     /// Adopts a peer's listing that was read `age` ago, unless a later one is known.
     pub(crate) fn adopt_listing(&self, revision: u64, age: Duration, mut targets: Vec<Target>) {
         let state = self.state.borrow();
--- a/policy/src/direct/listing.rs
+++ b/policy/src/direct/listing.rs
@@ -51,6 +51,30 @@
         }
     }
 
+    /// Splits the change into steps of at most `limit` targets and names; there is at
+    /// least one.
+    pub fn into_steps(self, limit: usize) -> Vec<Self> {
+        let mut steps = vec![Self::default()];
+        let mut size = 0;
+        let mut step_for = |steps: &mut Vec<Self>| {
+            if size == limit {
+                size = 0;
+                steps.push(Self::default());
+            }
+            size += 1;
+            steps.len() - 1
+        };
+        for name in self.removed {
+            let step = step_for(&mut steps);
+            steps[step].removed.push(name);
+        }
+        for target in self.changed {
+            let step = step_for(&mut steps);
+            steps[step].changed.push(target);
+        }
+        steps
+    }
+
     /// Returns the listing to which the change leads.
     pub fn apply(&self, old: &[Target]) -> Vec<Target> {
         let is_replaced = |target: &Target| {
--- a/policy/tests/direct_listing.rs
+++ b/policy/tests/direct_listing.rs
@@ -48,6 +48,16 @@
         prop_assert_eq!(change.apply(&change.apply(&old)), new);
     }
 
+    #[test]
+    fn steps_lead_to_the_same_listing(old in listing(), new in listing(), limit in 1..9_usize) {
+        let change = ListingChange::between(&old, &new);
+        let size = change.changed.len() + change.removed.len();
+        let steps = change.into_steps(limit);
+        prop_assert_eq!(steps.len(), size.div_ceil(limit).max(1));
+        let reached = steps.iter().fold(old, |listing, step| step.apply(&listing));
+        prop_assert_eq!(reached, new);
+    }
+
     #[test]
     fn equal_listings_differ_in_nothing(listing in listing()) {
         let change = ListingChange::between(&listing, &listing);
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -68,6 +68,8 @@
     pub base: u64,
     /// The digest of the listing after the change.
     pub digest: u64,
+    /// Whether the listing is complete with this change, or further ones follow.
+    pub is_last: bool,
     /// The names of the targets that are gone.
     pub removed: Vec<Name>,
     /// The targets that are new or differ, as the only part.
