Events: what a router turns away is logged and counted by kind

Callers of a team whose only router is behind were refused for seconds, and the logs could not tell how: connections that are shed or not accepted write no line, lines of strained refusals are dropped (up to 653 a second at one router), and no line says how old the reports of peers are. KW1014 has these once a second while something is turned away: accepted, shed, strained (before the team is known), limited (by the limit on requests in progress), the greatest lag, pauses of the accept loop, open connections and requests, number and greatest age of the reports in use. knapweed_edge_rejections counts by kind. No decision changes.

Not added: the length of the accept queue (TCP_INFO of the listener needs unsafe code), the team of a connection that is shed (it is not parsed), and readiness of the data centre (no message states it).

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -28,8 +28,9 @@
 
 use crate::connection_limit::ConnectionLimit;
 use crate::latest::LatestSnapshot;
-use crate::metrics::TrafficMetrics;
+use crate::metrics::{Rejection, TrafficMetrics};
 use crate::refused_teams::RefusedTeams;
+use crate::rejections::{Rejections, RouterState};
 use crate::shared::{LocalReport, PeerState, Shared};
 use crate::target::{BodyFraming, ConnectionPool};
 
@@ -70,6 +71,7 @@
     pub(crate) target_table: RefCell<TargetTable>,
     pub(crate) fair_shares: RefCell<FairShares>,
     pub(crate) refused_teams: RefCell<RefusedTeams>,
+    pub(crate) rejections: Rejections,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crash_history: RefCell<CrashHistory>,
     pub(crate) rng: RefCell<ChaCha8Rng>,
@@ -128,6 +130,7 @@
             target_table: RefCell::default(),
             fair_shares: RefCell::new(FairShares::new(0.0)),
             refused_teams: RefCell::new(RefusedTeams::new(Instant::now())),
+            rejections: Rejections::new(Instant::now()),
             retry_budget: RefCell::new(RetryBudget::new(retry_limit)),
             crash_history: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -159,6 +162,7 @@
     /// An overloaded router, or one that runs out of connections, reports itself
     /// unready for a while, because the balancer does not know the capacity of VMs.
     pub(crate) fn record_lag(&self, lag: Duration, now: Instant) {
+        self.rejections.record_lag(lag);
         self.target_table
             .borrow_mut()
             .end_rate_interval(lag <= MAX_LAG);
@@ -203,6 +207,11 @@
         self.overload.borrow().rejects_connections(now)
     }
 
+    /// Counts what was turned away because this router is behind.
+    pub(crate) fn record_rejection(&self, rejection: Rejection) {
+        self.rejections.record(rejection, &self.metrics);
+    }
+
     /// Whether a generation request of a team may begin, given the requests in progress.
     pub(crate) fn allows_request(&self, team: &Name, now: Instant) -> bool {
         // The request itself is already counted.
@@ -282,6 +291,7 @@
         self.refused_teams
             .borrow_mut()
             .log_if_due(&mut self.fair_shares.borrow_mut(), now);
+        self.rejections.log_if_due(|| self.router_state(now), now);
         self.notify_stalled(now);
         let leaving = self.shared.take_peer_leaving();
         let leaving = self.target_table.borrow_mut().record_leaving_tags(&leaving);
@@ -301,6 +311,20 @@
             .record_connections(self.connection_pool.opened_count());
     }
 
+    fn router_state(&self, now: Instant) -> RouterState {
+        let peers = self.shared.peers.load();
+        let ages = peers.reports.iter().map(|it| it.received_at);
+        RouterState {
+            connections: self.connections.open_count(),
+            requests: self.shared.open_requests.load(Ordering::Relaxed),
+            reports: peers.reports.len(),
+            oldest_report: ages
+                .map(|at| now.saturating_duration_since(at))
+                .max()
+                .unwrap_or_default(),
+        }
+    }
+
     /// Updates the prefill rate from the rate observed at the engines.
     fn update_prefill_rate(&self) {
         let rate = self
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod operators;
 mod origin;
 mod refused_teams;
+mod rejections;
 mod request;
 pub mod run;
 mod serve;
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -13,11 +13,33 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 10.0,
 ];
 
+/// What an overloaded router turns away.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Rejection {
+    /// A connection whose request is not parsed.
+    Connection,
+    /// A request whose team is not looked up.
+    Request,
+    /// A request beyond the limit on requests in progress.
+    Limit,
+}
+
+impl Rejection {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Connection => "connection",
+            Self::Request => "request",
+            Self::Limit => "limit",
+        }
+    }
+}
+
 /// The instruments of the traffic thread.
 #[derive(Debug)]
 pub(crate) struct TrafficMetrics {
     requests: Counter<u64>,
     shed_connections: Counter<u64>,
+    rejections: Counter<u64>,
     attempts: Counter<u64>,
     first_event: Histogram<f64>,
     full_response: Histogram<f64>,
@@ -44,6 +66,7 @@
             first_event: histogram("knapweed_edge_first_event"),
             full_response: histogram("knapweed_edge_whole_answer"),
             shed_connections: meter.u64_counter("knapweed_edge_shed_connections").build(),
+            rejections: meter.u64_counter("knapweed_edge_rejections").build(),
             connections: meter
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
@@ -70,9 +93,13 @@
         self.full_response.record(elapsed.as_secs_f64(), &labels);
     }
 
-    /// Counts a connection rejected by load shedding.
-    pub(crate) fn record_shed(&self) {
-        self.shed_connections.add(1, &[]);
+    /// Counts what was turned away by load shedding.
+    pub(crate) fn record_rejection(&self, rejection: Rejection) {
+        if rejection == Rejection::Connection {
+            self.shed_connections.add(1, &[]);
+        }
+        self.rejections
+            .add(1, &[KeyValue::new("what", rejection.label())]);
     }
 
     /// Counts an attempt by its result.
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -250,12 +250,14 @@
         if accepted_count >= ACCEPT_BATCH {
             accepted_count = 0;
             if let Some(pause) = context.accept_pause(Instant::now()) {
+                context.rejections.record_pause(pause);
                 sleep(pause).await;
             }
         }
         tokio::select! {
             accepted = listener.accept() => match accepted.inspect(|_| accepted_count += 1) {
                 Ok((stream, _)) if context.connections.try_acquire() => {
+                    context.rejections.record_accepted();
                     let context = context.clone();
                     actix_rt::spawn(async move {
                         match context.rejects_connections(Instant::now()) {
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -21,6 +21,7 @@
 use crate::caller::{CallerConnection, INITIAL_LIMITS, ReadOutcome, ResponseFraming, run_until};
 use crate::context::Context;
 use crate::events::{EventSplitter, has_events};
+use crate::metrics::Rejection;
 use crate::origin;
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
 use crate::serve::{Dispatch, Outcome, StreamedResponse};
@@ -92,6 +93,7 @@
 ) -> RequestEnd {
     if context.rejects_connections(Instant::now()) {
         let refusal = Refusal::not_run("strained", OVERLOAD_RETRY_DELAY);
+        context.record_rejection(Rejection::Request);
         log_refused(&request, None, refusal);
         return refuse(context, caller, refusal).await;
     }
@@ -119,6 +121,7 @@
             .record_request(team.tag().0, tokens, now);
         if !context.allows_request(team, now) {
             let refusal = Refusal::not_run("strained", OVERLOAD_RETRY_DELAY);
+            context.record_rejection(Rejection::Limit);
             context.refused_teams.borrow_mut().record(team, tokens);
             let elapsed = request.received_at.elapsed();
             let kind = authorized.kind();
--- a/edge/src/shed.rs
+++ b/edge/src/shed.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::context::Context;
+use crate::metrics::Rejection;
 
 /// The response. The retry delay is 0.25 s: the balancer takes up to 2 s to notice
 /// the overload, and a caller's objective is not much longer.
@@ -28,7 +29,7 @@
 
 /// Sends the fixed response to whatever arrives on a connection, and closes it.
 pub(crate) async fn reject(context: &Context, mut stream: TcpStream) {
-    context.metrics.record_shed();
+    context.record_rejection(Rejection::Connection);
     // A timeout needs no log line: the caller disconnected or is too slow.
     if let Ok(Err(error)) = timeout(REJECT_TIMEOUT, respond(&mut stream)).await {
         log::debug!("caller's connection failed: {error}");
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -75,6 +75,8 @@
     SettingsRefused 1012 Error "settings-refused";
     /// Log lines were dropped to stay within the size limit.
     LinesDropped 1013 Warn "lines-dropped";
+    /// Connections or requests were turned away unread or before their team was known.
+    LoadRejected 1014 Warn "load-rejected";
 
     /// The configuration service responded again.
     ServiceReachable 1201 Info "service-reachable";
