Edge: the listening line follows the operators' listener; live tests probe the ports that routers bind

Its kept log says 'cannot serve operators at 127.0.0.1:21020: Address already in use': the router printed 'listening callers= operators=' after binding the callers' address only, and exited when the operators' address failed, so the test waited for a process that was gone.

Cause: the line stated an address that was not bound yet. It is now printed after all addresses are bound, with the address that was bound, so port 0 works, and tests let the system assign the port. A second cause in the harness: the control port was probed as a TCP port of 127.0.0.1, but routers bind it for UDP on 127.0.1.x.

Not shown: who held TCP port 21020; that port is assigned by the system now.

--- a/edge/src/operators.rs
+++ b/edge/src/operators.rs
@@ -7,6 +7,7 @@
 use actix_http::header::CONTENT_TYPE;
 use actix_http::{HttpService, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
+use eyre::WrapErr;
 use node::event::{self, Event};
 use node::metrics::Metrics;
 use tokio::net::TcpListener;
@@ -31,17 +32,17 @@
 }
 
 impl Operators {
-    /// Serves one address for as long as the process runs.
+    /// Serves one address for as long as the process runs. Returns the address that was
+    /// bound.
     ///
     /// # Errors
     ///
     /// Returns an error if the address cannot be bound.
-    pub(crate) async fn listen(self, address: SocketAddr) -> eyre::Result<()> {
-        let listener = TcpListener::bind(address).await?;
-        event::log(
-            Event::ListenerBound,
-            &[("operators", &listener.local_addr()?)],
-        );
+    pub(crate) async fn listen(self, address: SocketAddr) -> eyre::Result<SocketAddr> {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.wrap_err_with(|| format!("cannot serve operators at {address}"))?;
+        let address = listener.local_addr()?;
+        event::log(Event::ListenerBound, &[("operators", &address)]);
         let respond = move |request: Request| {
             let operators = self.clone();
             async move { Ok::<_, actix_http::Error>(operators.respond(&request).await) }
@@ -70,7 +71,7 @@
                 }
             }
         });
-        Ok(())
+        Ok(address)
     }
 
     async fn respond(&self, request: &Request) -> Response<String> {
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts the control thread and the traffic thread, and performs a planned stop.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -80,10 +81,6 @@
     let listener = bind(settings.listen)?;
     let callers = listener.local_addr()?;
     event::log(Event::ListenerBound, &[("callers", &callers)]);
-    println!(
-        "listening callers={callers} operators={}",
-        settings.operators
-    );
 
     let control = actix_rt::Arbiter::new();
     let operators = Operators {
@@ -99,12 +96,13 @@
         operators,
         incarnation,
     );
-    started.await.wrap_err("the control thread ended")??;
+    let operators = started.await.wrap_err("the control thread ended")??;
+    println!("listening callers={callers} operators={operators}");
     actix_rt::spawn(run_maintenance_loop(context.clone(), dump_receiver));
     accept(context, listener, &settings).await
 }
 
-fn bind(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket
@@ -113,7 +111,8 @@
     Ok(socket.listen(LISTEN_BACKLOG)?)
 }
 
-/// Starts the control loops on the control thread.
+/// Starts the control loops on the control thread. Returns the address for operators once
+/// all addresses are bound.
 fn start_control(
     control: &actix_rt::Arbiter,
     settings: EdgeSettings,
@@ -121,7 +120,7 @@
     shared: Arc<Shared>,
     operators: Operators,
     incarnation: u64,
-) -> tokio::sync::oneshot::Receiver<eyre::Result<()>> {
+) -> tokio::sync::oneshot::Receiver<eyre::Result<SocketAddr>> {
     let (done, started) = tokio::sync::oneshot::channel();
     control.spawn_fn(move || {
         actix_rt::spawn(async move {
@@ -139,11 +138,10 @@
     shared: Arc<Shared>,
     operators: Operators,
     incarnation: u64,
-) -> eyre::Result<()> {
-    let listeners = [Some(settings.operators), settings.metrics];
-    for address in listeners.into_iter().flatten() {
-        let listening = operators.clone().listen(address).await;
-        listening.wrap_err_with(|| format!("cannot serve operators at {address}"))?;
+) -> eyre::Result<SocketAddr> {
+    let operators_address = operators.clone().listen(settings.operators).await?;
+    if let Some(address) = settings.metrics {
+        operators.clone().listen(address).await?;
     }
     let revoke = settings.bounds.revoke;
     let poll_intervals = PollIntervals::new(settings.bounds.drain, settings.bounds.config);
@@ -171,14 +169,14 @@
     actix_rt::spawn(store.clone().follow_operators());
     actix_rt::spawn(store.follow_targets());
     actix_rt::spawn(follow_settings(path, settings, seeds));
-    Ok(())
+    Ok(operators_address)
 }
 
 /// Reloads the settings when the file has changed or on SIGHUP.
 async fn follow_settings(
     path: PathBuf,
     mut current: EdgeSettings,
-    seeds: watch::Sender<Vec<std::net::SocketAddr>>,
+    seeds: watch::Sender<Vec<SocketAddr>>,
 ) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
         event::log(Event::SettingsRefused, &[("why", &"cannot handle SIGHUP")]);
--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -1,6 +1,6 @@
 //! Edge routers as real processes, with a store and targets inside the test process.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
@@ -16,6 +16,12 @@
 /// The API key of the team `red`.
 pub const RED_KEY: &str = "key-of-red";
 
+/// A port that the system assigns.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// The address at which the first router of a fleet receives datagrams; the others follow.
+const FIRST_CONTROL_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 1, 1);
+
 /// The data centre of every process.
 const DATA_CENTRE: &str = "north";
 
@@ -130,7 +136,7 @@
             store,
             targets: Vec::new(),
             routers: Vec::new(),
-            control: free_port()?,
+            control: free_control_port()?,
             directory,
         };
         fleet
@@ -140,7 +146,7 @@
             fleet.add_target(version).await?;
         }
         for _ in 0..routers {
-            fleet.start_router()?;
+            fleet.start_router(ANY_PORT)?;
         }
         fleet.wait_until_ready().await;
         Ok(fleet)
@@ -152,7 +158,7 @@
     ///
     /// Returns an error if the process does not start.
     pub async fn add_router(&mut self) -> eyre::Result<()> {
-        self.start_router()?;
+        self.start_router(ANY_PORT)?;
         self.wait_until_ready().await;
         Ok(())
     }
@@ -170,14 +176,18 @@
         Ok(())
     }
 
-    fn start_router(&mut self) -> eyre::Result<()> {
+    /// Starts one more router that serves operators at this address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process exits before it listens.
+    pub fn start_router(&mut self, operators: SocketAddr) -> eyre::Result<()> {
         let (number, control) = (self.routers.len(), self.control);
         let ip = format!("127.0.1.{}", number + 1);
-        let operators = free_port()?;
         let store = self.store.address();
         let settings = format!(
             "name: edge-{number}\ndata_centre: {DATA_CENTRE}\nlisten: 127.0.0.1:0\n\
-             control: {ip}:{control}\noperators: 127.0.0.1:{operators}\nstore: {store}\n\
+             control: {ip}:{control}\noperators: {operators}\nstore: {store}\n\
              peers: [127.0.1.1:9, 127.0.1.2:9]\nstop_limit: 6s\nbounds:\n  revoke: 5s\n"
         );
         let file = self.directory.join(format!("edge-{number}.yaml"));
@@ -378,21 +388,22 @@
     answer.ok()?.ok()
 }
 
-/// The first port given to routers. It lies below the ports that the system assigns, so
-/// that no connection of a concurrent test takes it before the router binds it.
+/// The first port given to fleets. It lies below the ports that the system assigns, so that
+/// no connection of a concurrent test takes it before the routers bind it.
 const FIRST_PORT: u16 = 21_000;
 
-/// The number of ports given to routers.
+/// The number of ports given to fleets.
 const PORTS: u16 = 8_000;
 
 /// The number of ports given out so far.
 static PORTS_USED: AtomicU16 = AtomicU16::new(0);
 
-fn free_port() -> eyre::Result<u16> {
+/// Returns a port for the datagrams of a fleet that no other fleet uses.
+fn free_control_port() -> eyre::Result<u16> {
     for _ in 0..PORTS {
         let offset = PORTS_USED.fetch_add(1, Ordering::Relaxed) % PORTS;
         let port = FIRST_PORT + offset;
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+        if UdpSocket::bind((FIRST_CONTROL_IP, port)).is_ok() {
             return Ok(port);
         }
     }
--- a/livetests/tests/edge.rs
+++ b/livetests/tests/edge.rs
@@ -166,3 +166,13 @@
     assert!(fleet.arrivals("z").is_empty());
     Ok(())
 }
+
+/// Guards against a router that says that it listens, and then exits.
+#[actix_rt::test]
+async fn router_with_a_taken_operators_port_exits_before_it_says_that_it_listens()
+-> eyre::Result<()> {
+    let mut fleet = EdgeFleet::start("taken-port", 0, 0).await?;
+    let taken = std::net::TcpListener::bind("127.0.0.1:0")?;
+    assert!(fleet.start_router(taken.local_addr()?).is_err());
+    Ok(())
+}
