Policy: failing tests of shares that miss shed, unbegun and unreported work

The model of direct_load was kinder than the code: what router 0 could not send was still counted for its team, every sent request began to run, and reports always arrived.

No logic is changed.

--- a/policy/tests/direct_load/fairness.rs
+++ b/policy/tests/direct_load/fairness.rs
@@ -40,6 +40,11 @@
     }
 }
 
+/// The seconds of each [`SILENCE_PERIOD`] in which the reports of router 0 are lost.
+const SILENT_SECONDS: usize = 4;
+
+const SILENCE_PERIOD: usize = 6;
+
 /// How the two teams differ.
 #[derive(Clone, Copy)]
 struct Difference {
@@ -52,6 +57,13 @@
     limit_factor: u32,
     /// The requests that router 0 can send in a second.
     max_sent: u32,
+    /// Whether router 0 sheds what it cannot send, without reading it.
+    sheds: bool,
+    /// The fraction of sent requests of team 0 that end before they begin to run.
+    unbegun: f64,
+    /// Whether the reports of router 0 are lost for [`SILENT_SECONDS`] of every
+    /// [`SILENCE_PERIOD`].
+    loses_reports: bool,
 }
 
 const NO_DIFFERENCE: Difference = Difference {
@@ -59,6 +71,9 @@
     lag: Duration::ZERO,
     limit_factor: 1,
     max_sent: u32::MAX,
+    sheds: false,
+    unbegun: 0.0,
+    loses_reports: false,
 };
 
 /// Plays both teams and the small ones.
@@ -74,6 +89,8 @@
     for step in 0..SECONDS * 1_000 / STEP.as_millis() as usize {
         let now = start + STEP * step as u32;
         let second = (now - start).as_secs() as usize;
+        let is_silent = difference.loses_reports && second % SILENCE_PERIOD < SILENT_SECONDS;
+        pool.set_silent(0, is_silent, now);
         pool.begin_step(now);
         if sent.0 != second {
             sent = (second, 0);
@@ -106,10 +123,18 @@
                 service.record_request(tokens, second);
             }
             if router == 0 && sent.1 >= difference.max_sent {
-                pool.refuse(router, request, now);
+                match difference.sheds {
+                    true => pool.shed(router),
+                    false => pool.refuse(router, request, now),
+                }
                 continue;
             }
-            let is_sent = pool.offer(router, request, &prompt, &mut random, now);
+            let begins =
+                team != 0 || difference.unbegun == 0.0 || !random.random_bool(difference.unbegun);
+            let is_sent = match begins {
+                true => pool.offer(router, request, &prompt, &mut random, now),
+                false => pool.offer_unbegun(router, request, &prompt, &mut random, now),
+            };
             if router == 0 && is_sent {
                 sent.1 += 1;
             }
@@ -182,3 +207,34 @@
         ..NO_DIFFERENCE
     }));
 }
+
+/// Guards against load that is shed before its team is known counting for no team.
+#[test]
+fn a_team_whose_only_router_sheds_most_of_it_unread_gets_half_of_what_another_team_gets() {
+    assert_fair(&play(Difference {
+        reaches_one_router: true,
+        max_sent: 20,
+        sheds: true,
+        ..NO_DIFFERENCE
+    }));
+}
+
+/// Guards against charging a team for requests that do not begin to run.
+#[test]
+fn a_team_of_whose_requests_half_do_not_begin_gets_half_of_what_another_team_gets() {
+    assert_fair(&play(Difference {
+        unbegun: 0.5,
+        ..NO_DIFFERENCE
+    }));
+}
+
+/// Guards against a team's rates disappearing with the reports of its only router.
+#[test]
+fn a_team_whose_only_router_reports_late_gets_half_of_what_another_team_gets() {
+    assert_fair(&play(Difference {
+        reaches_one_router: true,
+        max_sent: 20,
+        loses_reports: true,
+        ..NO_DIFFERENCE
+    }));
+}
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -33,6 +33,9 @@
 /// The interval at which routers exchange reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long the last report of a silent router is used.
+const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The capacity of an engine's cache, in tokens.
 const CACHE_TOKENS: u32 = 120_000;
 
@@ -213,6 +216,10 @@
     lag: Duration,
     /// Responses not yet observed.
     responses: VecDeque<(Instant, Attempt, Response)>,
+    /// The last report of the teams' rates.
+    reported: Vec<(u64, TeamRate)>,
+    /// Since when no report has left the router.
+    silent_since: Option<Instant>,
 }
 
 impl Router {
@@ -272,6 +279,8 @@
                     settings,
                     lag,
                     responses: VecDeque::new(),
+                    reported: Vec::new(),
+                    silent_since: None,
                 }
             })
             .collect();
@@ -343,6 +352,50 @@
         random: &mut ChaCha8Rng,
         now: Instant,
     ) -> bool {
+        let attempt = self.begin_attempt(router, request, prompt, random, now);
+        let Some(attempt) = attempt else {
+            return false;
+        };
+        let mut targets = self.targets.iter();
+        let index = targets.position(|it| *it == attempt.target);
+        let engine = &mut self.engines[index.expect("a known target")];
+        let remaining_tokens = f64::from(engine.admit(prompt));
+        self.prefilled_tokens += remaining_tokens;
+        engine.queue.push_back(Running {
+            request,
+            arrived_at: now,
+            remaining_tokens,
+            until: None,
+            attempt,
+        });
+        true
+    }
+
+    /// Offers a request that its target does not run. Returns whether it was sent.
+    pub(crate) fn offer_unbegun(
+        &mut self,
+        router: usize,
+        request: Request,
+        prompt: &Prompt,
+        random: &mut ChaCha8Rng,
+        now: Instant,
+    ) -> bool {
+        let attempt = self.begin_attempt(router, request, prompt, random, now);
+        let Some(Attempt { target, cost, .. }) = attempt else {
+            return false;
+        };
+        self.routers[router].table.end_attempt(target, cost, false);
+        true
+    }
+
+    fn begin_attempt(
+        &mut self,
+        router: usize,
+        request: Request,
+        prompt: &Prompt,
+        random: &mut ChaCha8Rng,
+        now: Instant,
+    ) -> Option<Attempt> {
         let state = &mut self.routers[router];
         let team = request.team as u64;
         state
@@ -380,29 +433,16 @@
                 }
             }
         };
-        let Some(target) = chosen else {
-            return false;
-        };
+        let target = chosen?;
         state
             .shares
             .record_admitted(team, prompt.weighted_tokens(), now);
         let cost = state.table.begin_attempt(target, Some(prompt), 0, now);
-        let index = self.targets.iter().position(|it| *it == target);
-        let engine = &mut self.engines[index.expect("a known target")];
-        let remaining_tokens = f64::from(engine.admit(prompt));
-        self.prefilled_tokens += remaining_tokens;
-        engine.queue.push_back(Running {
-            request,
-            arrived_at: now,
-            remaining_tokens,
-            until: None,
-            attempt: Attempt {
-                router,
-                target,
-                cost,
-            },
-        });
-        true
+        Some(Attempt {
+            router,
+            target,
+            cost,
+        })
     }
 
     /// Refuses a request at a router without selecting a target.
@@ -411,7 +451,26 @@
         shares.record_request(request.team as u64, request.tokens, now);
     }
 
+    /// Sheds a connection at a router, which does not learn whose it is.
+    pub(crate) fn shed(&mut self, _router: usize) {}
+
+    /// Stops or resumes the reports of a router.
+    pub(crate) fn set_silent(&mut self, router: usize, is_silent: bool, now: Instant) {
+        let state = &mut self.routers[router];
+        state.silent_since = match is_silent {
+            true => state.silent_since.or(Some(now)),
+            false => None,
+        };
+    }
+
     fn exchange_reports(&mut self, now: Instant) {
+        for router in &mut self.routers {
+            match router.silent_since {
+                None => router.reported = router.shares.report(MAX_REPORTED_TEAMS, now),
+                Some(since) if now - since < PEER_TIMEOUT => {}
+                Some(_) => router.reported.clear(),
+            }
+        }
         let loads: Vec<PeerLoadReport> = self
             .routers
             .iter()
@@ -423,11 +482,8 @@
                     .into(),
             })
             .collect();
-        let rates: Vec<Vec<(u64, TeamRate)>> = self
-            .routers
-            .iter_mut()
-            .map(|router| router.shares.report(MAX_REPORTED_TEAMS, now))
-            .collect();
+        let reported = self.routers.iter().map(|router| router.reported.clone());
+        let rates: Vec<Vec<(u64, TeamRate)>> = reported.collect();
         for (index, router) in self.routers.iter_mut().enumerate() {
             let others = loads.iter().enumerate();
             let others = others.filter(|(other, _)| *other != index);
