Shares: a team is not charged for a request that ended before it began to run

Callers of a team whose targets answer "not run", are unreachable, or whose requests are left before their first event, got half of what another team with the same demand got. The team was charged for each send and stayed charged, so it looked as well served as the other (wait factors 0.24 to 0.37 for both), while runs count where they begin.

Now the charge is made and withdrawn by the attempt: dropped without a first event, it gives back what has not decayed. `admitted` keeps its meaning on the wire for what it was: work placed at targets.

--- a/edge/src/attempt.rs
+++ b/edge/src/attempt.rs
@@ -1,6 +1,8 @@
 //! The registration of attempts in the target table.
 //!
-//! Invariant: an attempt is ended when it is dropped, whatever the outcome of its request.
+//! Invariants:
+//! - An attempt is ended when it is dropped, whatever the outcome of its request.
+//! - A team is charged for an attempt, and no longer once it ended without a first event.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -19,6 +21,16 @@
     pub(crate) copy_source: Option<CopySource>,
     cost: AttemptCost,
     started: Cell<bool>,
+    charge: Option<Charge>,
+}
+
+/// The tokens that a team was charged for an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Charge {
+    /// The tag of the team's name.
+    pub(crate) team: u64,
+    pub(crate) tokens: f64,
+    pub(crate) charged_at: Instant,
 }
 
 impl Attempt {
@@ -27,8 +39,13 @@
         target_id: TargetEntryId,
         prompt: Option<&Prompt>,
         copy_source: Option<CopySource>,
+        charge: Option<Charge>,
         now: Instant,
     ) -> Self {
+        if let Some(Charge { team, tokens, .. }) = charge {
+            let mut fair_shares = context.fair_shares.borrow_mut();
+            fair_shares.record_admitted(team, tokens, now);
+        }
         let copied = copy_source.map_or(0, |copy_source| copy_source.tokens);
         let mut target_table = context.target_table.borrow_mut();
         let cost = target_table.begin_attempt(target_id, prompt, copied, now);
@@ -39,6 +56,7 @@
             copy_source,
             cost,
             started: Cell::new(false),
+            charge,
         }
     }
 
@@ -60,5 +78,14 @@
     fn drop(&mut self) {
         let mut target_table = self.context.target_table.borrow_mut();
         target_table.end_attempt(self.target_id, self.cost, self.started.get());
+        if let Some(charge) = self.charge.filter(|_| !self.started.get()) {
+            let mut fair_shares = self.context.fair_shares.borrow_mut();
+            fair_shares.record_unbegun(
+                charge.team,
+                charge.tokens,
+                charge.charged_at,
+                Instant::now(),
+            );
+        }
     }
 }
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -27,7 +27,7 @@
 use smallvec::SmallVec;
 use tokio::time::sleep;
 
-use crate::attempt::Attempt;
+use crate::attempt::{Attempt, Charge};
 use crate::context::Context;
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
 use crate::target::{Body, BodyFraming, SendError, TargetRequest, TargetResponse};
@@ -300,9 +300,9 @@
                 is_home,
                 copy_source,
             } => {
-                let attempt = Attempt::begin(context, target_id, prompt, copy_source, now);
+                let charge = self.charge(prompt, now);
+                let attempt = Attempt::begin(context, target_id, prompt, copy_source, charge, now);
                 self.log_sent(&attempt, wait, is_home, wait_factor);
-                self.record_admitted(prompt, now);
                 Ok(attempt)
             }
             Placement::Refused {
@@ -340,12 +340,13 @@
         fair_shares.wait_factor(team.tag().0, now)
     }
 
-    fn record_admitted(&self, prompt: Option<&Prompt>, now: Instant) {
-        let team = self.authorized.team_name();
-        if let (Some(team), Some(prompt)) = (team, prompt) {
-            let mut fair_shares = self.context.fair_shares.borrow_mut();
-            fair_shares.record_admitted(team.tag().0, prompt.weighted_tokens(), now);
-        }
+    fn charge(&self, prompt: Option<&Prompt>, now: Instant) -> Option<Charge> {
+        let team = self.authorized.team_name()?;
+        Some(Charge {
+            team: team.tag().0,
+            tokens: prompt?.weighted_tokens(),
+            charged_at: now,
+        })
     }
 
     /// Counts the request as refused for its team.
--- a/policy/src/direct/fair_share.rs
+++ b/policy/src/direct/fair_share.rs
@@ -47,7 +47,8 @@
 pub struct TeamRate {
     /// The rate of all requests.
     pub requested: f64,
-    /// The rate of requests that were sent to a target.
+    /// The rate of requests that were sent to a target, without those that ended before
+    /// they began to run.
     pub admitted: f64,
 }
 
@@ -118,6 +119,13 @@
         self.meter(team, now).rate.admitted += tokens / time_constant();
     }
 
+    /// Records that a request sent at `sent_at` ended before it began to run.
+    pub fn record_unbegun(&mut self, team: u64, tokens: f64, sent_at: Instant, now: Instant) {
+        let remaining = decay(now.saturating_duration_since(sent_at));
+        let admitted = &mut self.meter(team, now).rate.admitted;
+        *admitted = (*admitted - tokens / time_constant() * remaining).max(0.0);
+    }
+
     /// Replaces the sums of the rates that peers report.
     pub fn set_peers(&mut self, peers: FxHashMap<u64, TeamRate>) {
         self.peers = peers;
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -384,7 +384,10 @@
         let Some(Attempt { target, cost, .. }) = attempt else {
             return false;
         };
-        self.routers[router].table.end_attempt(target, cost, false);
+        let state = &mut self.routers[router];
+        state.table.end_attempt(target, cost, false);
+        let team = request.team as u64;
+        state.shares.record_unbegun(team, request.tokens, now, now);
         true
     }
 
