Shares: teams that get most are held while another team is refused without a pause

A share only scales the wait that is allowed, and most requests of the team that won were sent at a wait of zero (trace: 822 of 946, 1,114 of 1,357). A factor of zero would still place them.

`policy::direct::service_bound` compares teams as the rule does, with the best served one. A team is left behind if it was refused for 1.5 s, asks for over twice what it gets, and the best served team gets over 1.6 times as much, beyond the rate of three of the largest requests in six seconds. Requests of teams that get over 1.3 times as much are then held with a probability that reaches one at 1.8 times, with the time in which their rate decays to the bound as Retry-After. No team within its max-min share is held. What was asked and placed in the last half second is the difference of two decayed rates, so the bound ends with the flood. Rates fall no faster than they decay: a lower sum shows that reports are missing, and the team counts as refused for up to 3 s. New: KW1420, `why=held`, `knapweed_edge_held_requests`.

New tests: eight draws, three strengths of the router, a winner at all routers or in one data centre (red without the bound), and properties of the module.

The test with lost reports now loses them in the last four seconds of six, not the first: of a router that has not yet reported nothing can be known.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -26,6 +26,7 @@
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 
+use crate::bound_log::BoundLog;
 use crate::connection_limit::ConnectionLimit;
 use crate::latest::LatestSnapshot;
 use crate::metrics::TrafficMetrics;
@@ -70,6 +71,7 @@
     pub(crate) target_table: RefCell<TargetTable>,
     pub(crate) fair_shares: RefCell<FairShares>,
     pub(crate) refused_teams: RefCell<RefusedTeams>,
+    pub(crate) bound_log: RefCell<BoundLog>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crash_history: RefCell<CrashHistory>,
     pub(crate) rng: RefCell<ChaCha8Rng>,
@@ -128,6 +130,7 @@
             target_table: RefCell::default(),
             fair_shares: RefCell::new(FairShares::new(0.0)),
             refused_teams: RefCell::new(RefusedTeams::new(Instant::now())),
+            bound_log: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_limit)),
             crash_history: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -282,6 +285,10 @@
         self.refused_teams
             .borrow_mut()
             .log_if_due(&mut self.fair_shares.borrow_mut(), now);
+        if let Some(bound) = self.fair_shares.borrow_mut().bound(now) {
+            let mut bound_log = self.bound_log.borrow_mut();
+            bound_log.log_if_due(bound, self.config().as_deref(), now);
+        }
         self.notify_stalled(now);
         let leaving = self.shared.take_peer_leaving();
         let leaving = self.target_table.borrow_mut().record_leaving_tags(&leaving);
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -7,6 +7,7 @@
 //! `policy::direct`; names on the wire are decoded by `platform`.
 
 mod attempt;
+mod bound_log;
 mod caller;
 mod clock;
 mod connection_limit;
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -18,6 +18,7 @@
 pub(crate) struct TrafficMetrics {
     requests: Counter<u64>,
     shed_connections: Counter<u64>,
+    held_requests: Counter<u64>,
     attempts: Counter<u64>,
     first_event: Histogram<f64>,
     full_response: Histogram<f64>,
@@ -44,6 +45,7 @@
             first_event: histogram("knapweed_edge_first_event"),
             full_response: histogram("knapweed_edge_whole_answer"),
             shed_connections: meter.u64_counter("knapweed_edge_shed_connections").build(),
+            held_requests: meter.u64_counter("knapweed_edge_held_requests").build(),
             connections: meter
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
@@ -75,6 +77,11 @@
         self.shed_connections.add(1, &[]);
     }
 
+    /// Counts a request held because another team is left behind.
+    pub(crate) fn record_held(&self) {
+        self.held_requests.add(1, &[]);
+    }
+
     /// Counts an attempt by its result.
     pub(crate) fn record_attempt(&self, result: &'static str) {
         self.attempts.add(1, &[KeyValue::new("result", result)]);
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -273,6 +273,13 @@
             .as_ref()
             .filter(|_| service.engine.is_some());
         let wait_factor = self.wait_factor(prompt, now);
+        // What was sent already goes on, whatever its team gets.
+        if !is_retry && let Some(after) = self.held_for(prompt, now) {
+            return Err(Refusal {
+                favour: Some(wait_factor),
+                ..Refusal::not_run("held", after + self.retry_jitter())
+            });
+        }
         let placement_request = PlacementRequest {
             service,
             prompt,
@@ -310,10 +317,6 @@
                 retry_after,
                 exceeded,
             } => {
-                let jitter = context
-                    .rng
-                    .borrow_mut()
-                    .random_range(0..=MAX_RETRY_JITTER_MILLIS);
                 let reason = match reason {
                     placement::RefusalReason::NoTarget => "no target",
                     placement::RefusalReason::NoTargetOfVersion => "no target of its version",
@@ -321,7 +324,7 @@
                     placement::RefusalReason::Busy => "busy",
                     placement::RefusalReason::Full => "full",
                 };
-                let retry_after = retry_after + Duration::from_millis(jitter);
+                let retry_after = retry_after + self.retry_jitter();
                 Err(Refusal {
                     favour: Some(wait_factor),
                     exceeded,
@@ -331,6 +334,23 @@
         }
     }
 
+    /// How long to hold back the request because another team is left behind.
+    fn held_for(&self, prompt: Option<&Prompt>, now: Instant) -> Option<Duration> {
+        let team = self.authorized.team_name()?;
+        let tokens = prompt?.weighted_tokens();
+        let draw = self.context.rng.borrow_mut().random();
+        let mut fair_shares = self.context.fair_shares.borrow_mut();
+        let after = fair_shares.held_for(team.tag().0, draw, now)?;
+        self.context.metrics.record_held();
+        self.context.bound_log.borrow_mut().record_held(tokens);
+        Some(after)
+    }
+
+    fn retry_jitter(&self) -> Duration {
+        let mut rng = self.context.rng.borrow_mut();
+        Duration::from_millis(rng.random_range(0..=MAX_RETRY_JITTER_MILLIS))
+    }
+
     /// Returns the factor on the wait allowed to the request's team.
     fn wait_factor(&self, prompt: Option<&Prompt>, now: Instant) -> f64 {
         let Some(team) = self.authorized.team_name().filter(|_| prompt.is_some()) else {
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -166,6 +166,8 @@
     TargetSaidLeaving 1418 Info "target-said-leaving";
     /// A target turned a request away and wants no others for a while.
     TargetPaused 1419 Info "target-paused";
+    /// Teams are held to a multiple of what a team gets that is left behind.
+    RatesBounded 1420 Warn "rates-bounded";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -19,6 +19,7 @@
 //! - [`cold`]: which routers send to a cold target, and at which rate;
 //! - [`stall`]: which targets have stopped responding;
 //! - [`fair_share`]: which teams are beyond their fair share of the pool;
+//! - [`service_bound`]: which teams are held back while another is left behind;
 //! - [`prefill_rate`]: how many tokens engines prefill per millisecond;
 //! - [`overload`]: whether this router is overloaded;
 //! - [`outlier`]: which targets fail requests although their health checks pass;
@@ -45,6 +46,7 @@
 pub mod prefill_rate;
 pub mod prompt;
 pub mod response;
+pub mod service_bound;
 pub mod stall;
 pub mod store_revision;
 pub mod stream_origin;
--- a/policy/src/direct/config.rs
+++ b/policy/src/direct/config.rs
@@ -231,6 +231,12 @@
         self.objectives.get(service).copied()
     }
 
+    /// The name of the team with a tag, found by a search through all teams.
+    pub fn team_of_tag(&self, tag: u64) -> Option<&Name> {
+        let mut names = self.teams.values().map(|team| &team.name);
+        names.find(|name| name.tag().0 == tag)
+    }
+
     /// Whether any team is configured, so that some callers need an API key.
     pub fn has_teams(&self) -> bool {
         !self.teams.is_empty()
--- a/policy/src/direct/fair_share.rs
+++ b/policy/src/direct/fair_share.rs
@@ -14,14 +14,16 @@
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
+use crate::direct::service_bound::{Bound, ServiceBound};
+
 /// The half-life of a measured rate without new requests.
-const HALF_LIFE: Duration = Duration::from_millis(1500);
+pub(crate) const HALF_LIFE: Duration = Duration::from_millis(1500);
 
 /// The interval at which the fair share is recomputed.
 const FAIR_SHARE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The rate in tokens per second below which a team is no longer tracked.
-const MIN_TRACKED_RATE: f64 = 1.0;
+pub(crate) const MIN_TRACKED_RATE: f64 = 1.0;
 
 /// The factor on the admitted rate that allows for requests in flight.
 const IN_FLIGHT_FACTOR: f64 = 1.02;
@@ -42,6 +44,15 @@
 /// The maximum wait factor.
 const MAX_WAIT_FACTOR: f64 = 1.8;
 
+/// The half-life of the size of the largest requests, in half-lives of a rate.
+const LARGEST_REQUEST_HALF_LIVES: u32 = 4;
+
+/// The number of the largest requests in [`SPARED_WINDOW`] by which a team may fall
+/// short of what is fair.
+const SPARED_REQUESTS: f64 = 3.0;
+
+const SPARED_WINDOW: Duration = Duration::from_secs(6);
+
 /// The rates of one team, in tokens per second.
 #[derive(Clone, Copy, Default, PartialEq, Debug)]
 pub struct TeamRate {
@@ -88,6 +99,28 @@
     /// The admitted rate of an average team.
     mean_admitted: f64,
     computed_at: Option<Instant>,
+    largest_request: LargestRequest,
+    service_bound: ServiceBound,
+}
+
+/// The size of the largest requests seen, which falls slowly.
+#[derive(Clone, Copy, Debug, Default)]
+struct LargestRequest {
+    tokens: f64,
+    updated_at: Option<Instant>,
+}
+
+impl LargestRequest {
+    fn record(&mut self, tokens: f64, now: Instant) {
+        self.tokens = self.at(now).max(tokens);
+        self.updated_at = Some(now);
+    }
+
+    fn at(&self, now: Instant) -> f64 {
+        let updated_at = self.updated_at.unwrap_or(now);
+        let elapsed = now.saturating_duration_since(updated_at);
+        self.tokens * decay(elapsed / LARGEST_REQUEST_HALF_LIVES)
+    }
 }
 
 impl FairShares {
@@ -100,6 +133,8 @@
             fair_share: f64::INFINITY,
             mean_admitted: 0.0,
             computed_at: None,
+            largest_request: LargestRequest::default(),
+            service_bound: ServiceBound::default(),
         }
     }
 
@@ -111,6 +146,7 @@
 
     /// Records a request of `tokens` by a team.
     pub fn record_request(&mut self, team: u64, tokens: f64, now: Instant) {
+        self.largest_request.record(tokens, now);
         self.meter(team, now).rate.requested += tokens / time_constant();
     }
 
@@ -164,6 +200,20 @@
         }
     }
 
+    /// How long to hold back a request of a team while another team is left behind, if
+    /// it is held back; `draw` is a random number from 0 to 1.
+    pub fn held_for(&mut self, team: u64, draw: f64, now: Instant) -> Option<Duration> {
+        self.update_fair_share(now);
+        self.service_bound.bound()?;
+        self.service_bound.held_for(self.total(team, now), draw)
+    }
+
+    /// The bound on the rates of teams, while a team is left behind.
+    pub fn bound(&mut self, now: Instant) -> Option<Bound> {
+        self.update_fair_share(now);
+        self.service_bound.bound()
+    }
+
     /// The fair share in tokens per second of a team that requests more than it
     /// gets; infinite while no team does.
     pub fn fair_share(&self) -> f64 {
@@ -235,10 +285,10 @@
         let mut teams: SmallVec<[u64; 64]> = teams.copied().collect();
         teams.sort_unstable();
         teams.dedup();
-        let requested = teams.iter().map(|&team| self.total(team, now).requested);
-        let requested: Vec<f64> = requested.collect();
-        let admitted = teams.iter().map(|&team| self.total(team, now).admitted);
-        let admitted: f64 = admitted.sum();
+        let rates = teams.iter().map(|&team| (team, self.total(team, now)));
+        let rates: SmallVec<[(u64, TeamRate); 64]> = rates.collect();
+        let requested: Vec<f64> = rates.iter().map(|(_, rate)| rate.requested).collect();
+        let admitted: f64 = rates.iter().map(|(_, rate)| rate.admitted).sum();
         self.mean_admitted = admitted / requested.len().max(1) as f64;
         // While some requests are refused, the admitted rate shows the current
         // capacity of the pool.
@@ -249,6 +299,9 @@
             capacity
         };
         self.fair_share = max_min_share(requested, pool_rate);
+        let spared = self.largest_request.at(now) * SPARED_REQUESTS / SPARED_WINDOW.as_secs_f64();
+        self.service_bound
+            .update(&rates, self.fair_share, spared, now);
     }
 }
 
@@ -270,7 +323,8 @@
     f64::INFINITY
 }
 
-fn decay(elapsed: Duration) -> f64 {
+/// The factor by which a rate falls in a time without new requests.
+pub(crate) fn decay(elapsed: Duration) -> f64 {
     0.5_f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64())
 }
 
--- a/policy/tests/direct_load/fairness.rs
+++ b/policy/tests/direct_load/fairness.rs
@@ -4,11 +4,14 @@
 
 use rand::RngExt as _;
 
-use crate::pool::{KINDS, PREFILL_RATE, Policy, Pool, Request, STEP, prompt, seeded_random};
+use crate::pool::{KINDS, PREFILL_RATE, Policy, Pool, Request, SEED, STEP, prompt, random_of_seed};
 
 const ROUTERS: usize = 8;
 const TARGETS: usize = 12;
 
+/// The routers of the data centre of team 1.
+const CENTRE_ROUTERS: usize = 3;
+
 /// The teams that request little.
 const SMALL_TEAMS: usize = 8;
 
@@ -64,6 +67,10 @@
     /// Whether the reports of router 0 are lost for [`SILENT_SECONDS`] of every
     /// [`SILENCE_PERIOD`].
     loses_reports: bool,
+    /// Whether the callers of team 1 reach the last [`CENTRE_ROUTERS`] routers only.
+    reaches_one_centre: bool,
+    /// The seed of the load.
+    seed: u64,
 }
 
 const NO_DIFFERENCE: Difference = Difference {
@@ -74,12 +81,14 @@
     sheds: false,
     unbegun: 0.0,
     loses_reports: false,
+    reaches_one_centre: false,
+    seed: SEED,
 };
 
 /// Plays both teams and the small ones.
 fn play(difference: Difference) -> [Service; 2] {
     let start = Instant::now();
-    let mut random = seeded_random();
+    let mut random = random_of_seed(difference.seed);
     let mut lags = [Duration::ZERO; ROUTERS];
     lags[0] = difference.lag;
     let mut pool = Pool::new(Policy::Product, TARGETS, PREFILL_RATE, &lags, start);
@@ -89,7 +98,8 @@
     for step in 0..SECONDS * 1_000 / STEP.as_millis() as usize {
         let now = start + STEP * step as u32;
         let second = (now - start).as_secs() as usize;
-        let is_silent = difference.loses_reports && second % SILENCE_PERIOD < SILENT_SECONDS;
+        let is_silent =
+            difference.loses_reports && second % SILENCE_PERIOD >= SILENCE_PERIOD - SILENT_SECONDS;
         pool.set_silent(0, is_silent, now);
         pool.begin_step(now);
         if sent.0 != second {
@@ -107,6 +117,9 @@
             };
             let router = match (difference.reaches_one_router, team) {
                 (true, 0) => 0,
+                (_, 1) if difference.reaches_one_centre => {
+                    random.random_range(ROUTERS - CENTRE_ROUTERS..ROUTERS)
+                }
                 (true, _) => random.random_range(1..ROUTERS),
                 (false, _) => random.random_range(0..ROUTERS),
             };
@@ -238,3 +251,23 @@
         ..NO_DIFFERENCE
     }));
 }
+
+/// Guards against one draw of the load, one strength of the router or one spread of the
+/// other team being what makes the result.
+#[test]
+fn a_team_at_a_weak_router_gets_half_of_what_a_team_in_another_data_centre_gets() {
+    for seed in 0..8 {
+        for max_sent in [20, 30, 50] {
+            for reaches_one_centre in [false, true] {
+                println!("seed {seed}, {max_sent} sent, one centre: {reaches_one_centre}");
+                assert_fair(&play(Difference {
+                    reaches_one_router: true,
+                    max_sent,
+                    reaches_one_centre,
+                    seed,
+                    ..NO_DIFFERENCE
+                }));
+            }
+        }
+    }
+}
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -44,6 +44,9 @@
 
 const SLOTS: u32 = 48;
 
+/// The seed of a run.
+pub(crate) const SEED: u64 = 7;
+
 /// One kind of request.
 #[derive(Clone, Copy)]
 pub(crate) struct Kind {
@@ -246,6 +249,8 @@
     engines: Vec<EngineModel>,
     targets: Vec<TargetEntryId>,
     service: Service,
+    /// Decides which requests are held back.
+    held_random: ChaCha8Rng,
     /// The tokens that engines have prefilled.
     pub(crate) prefilled_tokens: f64,
     steps: u64,
@@ -292,6 +297,7 @@
             routers,
             engines: (0..targets).map(|_| EngineModel::default()).collect(),
             service: service(),
+            held_random: seeded_random(),
             prefilled_tokens: 0.0,
             steps: 0,
         }
@@ -404,6 +410,12 @@
         state
             .shares
             .record_request(team, prompt.weighted_tokens(), now);
+        if self.policy == Policy::Product {
+            let draw = self.held_random.random();
+            if state.shares.held_for(team, draw, now).is_some() {
+                return None;
+            }
+        }
         let chosen = match self.policy {
             Policy::Random => Some(self.targets[random.random_range(0..self.targets.len())]),
             Policy::LeastWaiting => {
@@ -570,5 +582,10 @@
 
 /// The random numbers of a run.
 pub(crate) fn seeded_random() -> ChaCha8Rng {
-    ChaCha8Rng::seed_from_u64(7)
+    random_of_seed(SEED)
+}
+
+/// The random numbers of a run with another seed.
+pub(crate) fn random_of_seed(seed: u64) -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(seed)
 }
