--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -26,6 +26,7 @@
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 
+use crate::bound_log::BoundLog;
 use crate::connection_limit::ConnectionLimit;
 use crate::latest::LatestSnapshot;
 use crate::metrics::{Rejection, TrafficMetrics};
@@ -72,6 +73,7 @@
     pub(crate) fair_shares: RefCell<FairShares>,
     pub(crate) refused_teams: RefCell<RefusedTeams>,
     pub(crate) rejections: Rejections,
+    pub(crate) bound_log: RefCell<BoundLog>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crash_history: RefCell<CrashHistory>,
     pub(crate) rng: RefCell<ChaCha8Rng>,
@@ -131,6 +133,7 @@
             fair_shares: RefCell::new(FairShares::new(0.0)),
             refused_teams: RefCell::new(RefusedTeams::new(Instant::now())),
             rejections: Rejections::new(Instant::now()),
+            bound_log: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_limit)),
             crash_history: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -292,6 +295,10 @@
             .borrow_mut()
             .log_if_due(&mut self.fair_shares.borrow_mut(), now);
         self.rejections.log_if_due(|| self.router_state(now), now);
+        if let Some(bound) = self.fair_shares.borrow_mut().bound(now) {
+            let mut bound_log = self.bound_log.borrow_mut();
+            bound_log.log_if_due(bound, self.config().as_deref(), now);
+        }
         self.notify_stalled(now);
         let leaving = self.shared.take_peer_leaving();
         let leaving = self.target_table.borrow_mut().record_leaving_tags(&leaving);
