--- a/livetests/src/process.rs
+++ b/livetests/src/process.rs
@@ -116,6 +116,11 @@
         self.addresses[name]
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     ///
     /// # Errors
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -34,6 +34,7 @@
 //! | `lost-N` | streams N events without framing and resets the connection; resumes on request |
 //! | `stall-N` | streams N events and then sends nothing; resumes on request |
 //! | `slow-N` | streams ten events, one every N milliseconds |
+//! | `pace-N` | streams 40 events, one every N milliseconds |
 
 use std::io;
 use std::net::SocketAddr;
@@ -59,9 +60,12 @@
 /// The delay of a reset, which may discard bytes that its receiver has not read.
 const RESET_DELAY: Duration = Duration::from_millis(200);
 
-/// The number of events of all streams but `stream` and `eof`.
+/// The number of events of all streams but `stream`, `eof` and `pace`.
 const DEFAULT_EVENT_COUNT: u64 = 10;
 
+/// The number of events of `pace`.
+const LONG_EVENT_COUNT: u64 = 40;
+
 /// A request that reached the target.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Arrival {
@@ -245,8 +249,8 @@
                 format!("{whole}{other}")
             }
             "unframed" => format!("HTTP/1.1 200 OK\r\n{identity_headers}\r\n{body}"),
-            "stream" | "slow" | "halt" | "stall" | "half" | "swap" | "huge" | "eof" | "torn"
-            | "mixed" | "lost" => {
+            "stream" | "slow" | "pace" | "halt" | "stall" | "half" | "swap" | "huge" | "eof"
+            | "torn" | "mixed" | "lost" => {
                 let after = request.header("last-event-id");
                 let after: Option<u64> = after.and_then(|id| id.parse().ok());
                 let fault = match name {
@@ -259,6 +263,7 @@
                 };
                 let last = match name {
                     "stream" | "eof" => number,
+                    "pace" => LONG_EVENT_COUNT,
                     _ => DEFAULT_EVENT_COUNT,
                 };
                 let options = StreamOptions {
@@ -272,7 +277,7 @@
                         _ => true,
                     },
                     pause: match name {
-                        "slow" => Duration::from_millis(number),
+                        "slow" | "pace" => Duration::from_millis(number),
                         _ => Duration::ZERO,
                     },
                 };
