--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -22,6 +22,7 @@
 //! - [`service_bound`]: which teams are held back while another is left behind;
 //! - [`prefill_rate`]: how many tokens engines prefill per millisecond;
 //! - [`overload`]: whether this router is overloaded;
+//! - [`admission`]: how many connections and requests it takes on;
 //! - [`outlier`]: which targets fail requests although their health checks pass;
 //! - [`budget`]: how many retries this router may send;
 //! - [`stream_origin`]: at which software version a stream began;
@@ -31,6 +32,7 @@
 //!
 //! Invariant: nothing here performs I/O or reads a clock.
 
+pub mod admission;
 pub mod budget;
 pub mod cold;
 pub mod config;
