Rotation: which overloaded routers leave is decided for the data centre

Cause: each router decided about its readiness alone, by its own late tasks, so that weak routers handed a flood round, and below half of a data centre the balancer used all routers again.

A heartbeat now states whether its sender is out, overloaded or strained, its requests in progress and the most that it carried without delay (6 to 9 bytes behind the place, where former versions do not look); relays list the routers of the receiver's data centre that have more than a few. Rotation decides on that: the weakest leave, only while at least half stay and never in place of one that is to give way; those that cannot be heard, start or stop count as gone; they return one at a time, the strongest first, once none that stayed is strained or has more requests than the returning one could carry, after 30 s at the latest. Strained refusals say 10 to 30 ms while another router has room, else 200 to 300 ms, both with jitter. Connections are closed only by a router that is out; the rule that closed them for the first 3 s of an overload is gone, and its test is replaced by connections_are_closed_only_where_that_moves_their_callers.

--- a/bench/benches/exchange.rs
+++ b/bench/benches/exchange.rs
@@ -14,6 +14,7 @@
 use policy::direct::confirmation::Uptime;
 use policy::direct::exchange::message::CentreTag;
 use policy::direct::exchange::{Exchange, Identity, LocalState, Moment, Outgoing, PERIOD};
+use policy::direct::rotation::Readiness;
 use policy::direct::target_table::{LoadReport, TargetLoad};
 use wire::Datagram;
 
@@ -116,6 +117,7 @@
         digest: 1,
         confirmation_age: Some(Duration::from_millis(50)),
         is_stopping: false,
+        readiness: Readiness::default(),
     }
 }
 
--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -17,11 +17,12 @@
 use policy::direct::config::Config;
 use policy::direct::crash::{CrashHistory, CrashRecord};
 use policy::direct::fair_share::FairShares;
-use policy::direct::overload::{MAX_LAG, OverloadState, RequestLimit};
+use policy::direct::overload::{MAX_LAG, OverloadState, RequestLimit, SUSPENSION_LAG};
 use policy::direct::placement::PlacementSettings;
+use policy::direct::rotation::{OwnLoad, Rotation};
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_table::{TargetEntryId, TargetTable};
-use rand::SeedableRng;
+use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
@@ -48,6 +49,16 @@
 /// The time after a broken attempt during which it is suspected of crashing its target.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
+/// The least retry delay of requests refused for strain while another router of the data
+/// centre has room, and what is added at random.
+const STRAINED_RETRY_DELAY: (Duration, Duration) =
+    (Duration::from_millis(10), Duration::from_millis(20));
+
+/// The same while none has room. The balancer takes up to 2 s to notice the overload, and
+/// a caller's objective is not much longer.
+const CENTRE_STRAINED_RETRY_DELAY: (Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_millis(100));
+
 /// The maximum number of teams in a report.
 const MAX_REPORTED_TEAMS: usize = 48;
 
@@ -87,6 +98,7 @@
     avoided: RefCell<FxHashSet<TargetEntryId>>,
     overload: RefCell<OverloadState>,
     request_limit: RefCell<RequestLimit>,
+    rotation: RefCell<Rotation>,
     /// The registry last applied to the target table.
     registry: LatestSnapshot<TargetRegistry>,
     /// The peer state that was last applied.
@@ -141,6 +153,7 @@
             avoided: RefCell::default(),
             overload: RefCell::default(),
             request_limit: RefCell::default(),
+            rotation: RefCell::new(Rotation::new(settings.control)),
             registry: LatestSnapshot::default(),
             peers: LatestSnapshot::default(),
             peers_summed_at: Cell::new(None),
@@ -151,7 +164,24 @@
     pub(crate) fn closes_after_response(&self) -> bool {
         self.shared.is_stopping()
             || self.connections.exceeds_keep_alive_share()
-            || self.overload.borrow().closes_connections(Instant::now())
+            || self.rotation.borrow().closes_connections(false)
+    }
+
+    /// Whether connections are closed after a refusal for strain.
+    pub(crate) fn closes_after_refusal(&self) -> bool {
+        self.closes_after_response() || self.rotation.borrow().closes_connections(true)
+    }
+
+    /// Records a refusal for strain, and returns when the caller should try again: at
+    /// once if another router has room, since its next try reaches another one.
+    pub(crate) fn strained_retry_delay(&self, now: Instant) -> Duration {
+        let mut rotation = self.rotation.borrow_mut();
+        rotation.record_refused(now);
+        let (least, spread) = match rotation.has_room_elsewhere() {
+            true => STRAINED_RETRY_DELAY,
+            false => CENTRE_STRAINED_RETRY_DELAY,
+        };
+        least + spread.mul_f64(self.rng.borrow_mut().random())
     }
 
     /// Records the delay of a maintenance tick and updates the readiness.
@@ -171,26 +201,45 @@
             .overload
             .borrow_mut()
             .record_lag(lag, is_nearly_full, now);
-        let was_overloaded = self
-            .shared
-            .overloaded
-            .swap(is_overloaded, Ordering::Relaxed);
-        if is_overloaded == was_overloaded {
-            return;
+        let was_held = self.is_held();
+        let load = OwnLoad {
+            is_late: lag > MAX_LAG && lag < SUSPENSION_LAG,
+            is_overloaded,
+            requests: open_requests,
+        };
+        let is_out = self.rotation.borrow_mut().update(load, now).is_out;
+        let was_out = self.shared.out.swap(is_out, Ordering::Relaxed);
+        match (was_out, is_out) {
+            (false, true) => self.log_rotation(Event::ProcessUnready, lag),
+            (true, false) => self.log_rotation(Event::ProcessReady, lag),
+            _ if !was_held && self.is_held() => self.log_rotation(Event::RotationHeld, lag),
+            _ => {}
         }
+    }
+
+    /// Whether this router is overloaded and stays in rotation for the data centre.
+    fn is_held(&self) -> bool {
+        let readiness = self.rotation.borrow().readiness();
+        readiness.is_overloaded && !readiness.is_out
+    }
+
+    /// Logs a decision with what was known of the data centre.
+    fn log_rotation(&self, event: Event, lag: Duration) {
+        let rotation = self.rotation.borrow();
+        let (counts, own) = (rotation.counts(), rotation.readiness());
         let open = self.connections.open_count();
         let lag = lag.as_millis();
-        let fields: [event::Field<'_>; 3] = [
+        let fields: [event::Field<'_>; 7] = [
             ("reason", &"strained"),
             ("lag_ms", &lag),
             ("connections", &open),
+            ("requests", &own.requests),
+            ("carried", &own.carried),
+            ("others_in", &counts.others_in),
+            ("others_out", &counts.others_out),
         ];
-        let event = if is_overloaded {
-            Event::ProcessUnready
-        } else {
-            Event::ProcessReady
-        };
         event::log(event, &fields);
+        self.metrics.record_rotation(event.name());
     }
 
     /// How long to wait after accepting a batch of connections.
@@ -255,6 +304,9 @@
         if let Some(peers) = new_peers {
             target_table.set_problem_reports(&peers.problem_counts);
             self.fair_shares.borrow_mut().set_peers(peers.teams.clone());
+            self.rotation
+                .borrow_mut()
+                .set_neighbours(&peers.neighbours, now);
         }
     }
 
@@ -275,6 +327,7 @@
                 .target_table
                 .borrow()
                 .problem_targets(self.placement.get().prefill_rate, now),
+            readiness: self.rotation.borrow().readiness(),
         };
         self.shared.local_report.store(Arc::new(local_report));
         self.log_avoided_targets(now);
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -202,6 +202,7 @@
             digest: self.store.digest(),
             confirmation_age: self.store.confirmation().age(SystemBootClock.uptime()),
             is_stopping: self.shared.is_stopping(),
+            readiness: report.readiness,
         }
     }
 
@@ -340,6 +341,7 @@
             teams: view.teams,
             problem_counts: view.problem_counts,
             relay: self.exchange.relay(),
+            neighbours: view.neighbours,
         }));
         self.store.set_peers(
             self.exchange.readers().collect(),
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -18,6 +18,7 @@
 pub(crate) struct TrafficMetrics {
     requests: Counter<u64>,
     shed_connections: Counter<u64>,
+    rotation_decisions: Counter<u64>,
     attempts: Counter<u64>,
     first_event: Histogram<f64>,
     full_response: Histogram<f64>,
@@ -44,6 +45,9 @@
             first_event: histogram("knapweed_edge_first_event"),
             full_response: histogram("knapweed_edge_whole_answer"),
             shed_connections: meter.u64_counter("knapweed_edge_shed_connections").build(),
+            rotation_decisions: meter
+                .u64_counter("knapweed_edge_rotation_decisions")
+                .build(),
             connections: meter
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
@@ -75,6 +79,12 @@
         self.shed_connections.add(1, &[]);
     }
 
+    /// Counts a decision on whether this router is in rotation.
+    pub(crate) fn record_rotation(&self, decision: &'static str) {
+        self.rotation_decisions
+            .add(1, &[KeyValue::new("decision", decision)]);
+    }
+
     /// Counts an attempt by its result.
     pub(crate) fn record_attempt(&self, result: &'static str) {
         self.attempts.add(1, &[KeyValue::new("result", result)]);
--- a/edge/src/operators.rs
+++ b/edge/src/operators.rs
@@ -98,7 +98,7 @@
             Some(_) if self.shared.targets_age(SystemBootClock.uptime()).is_none() => {
                 Some("no targets listed")
             }
-            Some(_) if self.shared.overloaded.load(Ordering::Relaxed) => Some("strained"),
+            Some(_) if self.shared.out.load(Ordering::Relaxed) => Some("strained"),
             Some(_) if !confirmation.allows_keys(SystemBootClock.uptime()) => {
                 Some("configuration not confirmed")
             }
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -33,10 +33,6 @@
 /// The retry delay of requests refused by a stopping router.
 const STOPPING_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// The retry delay of requests refused by an overloaded router, the same as in
-/// [`crate::shed`].
-const OVERLOAD_RETRY_DELAY: Duration = Duration::from_millis(250);
-
 /// How a request ended for its caller.
 enum RequestEnd {
     /// The caller received a complete response.
@@ -90,10 +86,11 @@
     caller: &mut CallerConnection,
     request: CallerRequest,
 ) -> RequestEnd {
-    if context.rejects_connections(Instant::now()) {
-        let refusal = Refusal::not_run("strained", OVERLOAD_RETRY_DELAY);
+    let now = Instant::now();
+    if context.rejects_connections(now) {
+        let refusal = Refusal::not_run("strained", context.strained_retry_delay(now));
         log_refused(&request, None, refusal);
-        return refuse(context, caller, refusal).await;
+        return refuse_strained(context, caller, refusal).await;
     }
     let authorized = request.authorize(&context.shared);
     let authorized = match authorized.and_then(|authorized| refuse_if_closing(context, authorized))
@@ -118,13 +115,13 @@
             .borrow_mut()
             .record_request(team.tag().0, tokens, now);
         if !context.allows_request(team, now) {
-            let refusal = Refusal::not_run("strained", OVERLOAD_RETRY_DELAY);
+            let refusal = Refusal::not_run("strained", context.strained_retry_delay(now));
             context.refused_teams.borrow_mut().record(team, tokens);
             let elapsed = request.received_at.elapsed();
             let kind = authorized.kind();
             context.metrics.record_request(kind, "strained", elapsed);
             log_refused(&request, Some(team), refusal);
-            return refuse(context, caller, refusal).await;
+            return refuse_strained(context, caller, refusal).await;
         }
     }
     let timeout = authorized.config.route_at(authorized.route).timeout;
@@ -438,6 +435,24 @@
     refusal: Refusal,
 ) -> RequestEnd {
     let close = context.closes_after_response();
+    respond_refusal(caller, refusal, close).await
+}
+
+/// Refuses a request for strain, and closes the connection if that moves the caller.
+async fn refuse_strained(
+    context: &Context,
+    caller: &mut CallerConnection,
+    refusal: Refusal,
+) -> RequestEnd {
+    let close = context.closes_after_refusal();
+    respond_refusal(caller, refusal, close).await
+}
+
+async fn respond_refusal(
+    caller: &mut CallerConnection,
+    refusal: Refusal,
+    close: bool,
+) -> RequestEnd {
     let Refusal {
         status, why, retry, ..
     } = refusal;
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -14,6 +14,7 @@
 use policy::direct::confirmation::{Confirmation, Uptime};
 use policy::direct::crash::CrashRecord;
 use policy::direct::fair_share::TeamRate;
+use policy::direct::rotation::{Neighbour, Readiness};
 use policy::direct::stream_origin::{StreamId, StreamOrigins};
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_table::{LoadReport, PeerLoadReport};
@@ -33,6 +34,8 @@
     pub(crate) members: Members,
     /// The relay to which this router reports, unless it is one itself.
     pub(crate) relay: Option<SocketAddr>,
+    /// The other routers of the data centre.
+    pub(crate) neighbours: Vec<Neighbour>,
 }
 
 /// The report of the traffic thread for the peers.
@@ -44,6 +47,8 @@
     pub(crate) teams: Vec<(u64, TeamRate)>,
     /// The targets with problems.
     pub(crate) problem_targets: Vec<u64>,
+    /// What it says of its readiness.
+    pub(crate) readiness: Readiness,
 }
 
 /// The state that both threads access.
@@ -59,8 +64,8 @@
     pub(crate) local_report: ArcSwap<LocalReport>,
     /// Whether a planned stop has begun.
     pub(crate) stopping: AtomicBool,
-    /// Whether this router is overloaded.
-    pub(crate) overloaded: AtomicBool,
+    /// Whether this router has left rotation because it is overloaded.
+    pub(crate) out: AtomicBool,
     /// Whether a planned stop has reached the phase in which new requests are refused.
     pub(crate) closing: AtomicBool,
     /// The number of requests in progress.
@@ -112,7 +117,7 @@
             local_report: ArcSwap::default(),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
-            overloaded: AtomicBool::new(false),
+            out: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
             confirmed_at_micros: AtomicU64::new(0),
             revocation_limit,
--- a/edge/src/shed.rs
+++ b/edge/src/shed.rs
@@ -7,7 +7,7 @@
 //! Invariant: no part of a rejected request was forwarded.
 
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -15,11 +15,6 @@
 
 use crate::context::Context;
 
-/// The response. The retry delay is 0.25 s: the balancer takes up to 2 s to notice
-/// the overload, and a caller's objective is not much longer.
-const RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.25\r\n\
-    Connection: close\r\nContent-Length: 9\r\n\r\nstrained\n";
-
 /// The time limit for the caller to send its request and close the connection.
 const REJECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -30,17 +25,22 @@
 pub(crate) async fn reject(context: &Context, mut stream: TcpStream) {
     context.metrics.record_shed();
     // A timeout needs no log line: the caller disconnected or is too slow.
-    if let Ok(Err(error)) = timeout(REJECT_TIMEOUT, respond(&mut stream)).await {
+    if let Ok(Err(error)) = timeout(REJECT_TIMEOUT, respond(context, &mut stream)).await {
         log::debug!("caller's connection failed: {error}");
     }
 }
 
-async fn respond(stream: &mut TcpStream) -> io::Result<()> {
+async fn respond(context: &Context, stream: &mut TcpStream) -> io::Result<()> {
     let mut buffer = [0; READ_BUFFER_BYTES];
     if stream.read(&mut buffer).await? == 0 {
         return Ok(());
     }
-    stream.write_all(RESPONSE).await?;
+    let delay = context.strained_retry_delay(Instant::now()).as_secs_f64();
+    let response = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nRetry-After: {delay:.3}\r\n\
+        Connection: close\r\nContent-Length: 9\r\n\r\nstrained\n"
+    );
+    stream.write_all(response.as_bytes()).await?;
     stream.shutdown().await?;
     // Closing with unread bytes resets the connection, and the response may be lost.
     while stream.read(&mut buffer).await? > 0 {}
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -75,6 +75,8 @@
     SettingsRefused 1012 Error "settings-refused";
     /// Log lines were dropped to stay within the size limit.
     LinesDropped 1013 Warn "lines-dropped";
+    /// The process is overloaded and stays ready, for the data centre.
+    RotationHeld 1015 Warn "rotation-held";
 
     /// The configuration service responded again.
     ServiceReachable 1201 Info "service-reachable";
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -21,6 +21,7 @@
 //! - [`fair_share`]: which teams are beyond their fair share of the pool;
 //! - [`prefill_rate`]: how many tokens engines prefill per millisecond;
 //! - [`overload`]: whether this router is overloaded;
+//! - [`rotation`]: which overloaded routers of a data centre report themselves unready;
 //! - [`outlier`]: which targets fail requests although their health checks pass;
 //! - [`budget`]: how many retries this router may send;
 //! - [`stream_origin`]: at which software version a stream began;
@@ -45,6 +46,7 @@
 pub mod prefill_rate;
 pub mod prompt;
 pub mod response;
+pub mod rotation;
 pub mod stall;
 pub mod store_revision;
 pub mod stream_origin;
--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -38,6 +38,7 @@
 
 use super::confirmation::Uptime;
 use super::fair_share::TeamRate;
+use super::rotation::{Neighbour, Readiness};
 use super::target_table::{LoadReport, PeerLoadReport};
 use message::{Beat, CentreTag, CrashRow, Message, Scope, TeamRow, Trouble};
 use records::RecordLog;
@@ -122,6 +123,8 @@
     pub confirmation_age: Option<Duration>,
     /// Whether a planned stop has begun.
     pub is_stopping: bool,
+    /// Its readiness.
+    pub readiness: Readiness,
 }
 
 /// A message to be sent.
@@ -192,6 +195,8 @@
     pub teams: FxHashMap<u64, TeamRate>,
     /// The number of routers that report problems with each target.
     pub problem_counts: FxHashMap<u64, u32>,
+    /// The other routers of the data centre.
+    pub neighbours: Vec<Neighbour>,
 }
 
 /// A router that sends its heartbeats here.
@@ -539,7 +544,10 @@
 
     /// What the other routers reported.
     pub fn view(&self, now: Instant) -> FleetView {
-        let mut view = FleetView::default();
+        let mut view = FleetView {
+            neighbours: self.neighbours(now),
+            ..FleetView::default()
+        };
         for peer in self.used_peers(now) {
             view.reports.push(peer.loads.clone());
             add_teams(&mut view.teams, &peer.beat.teams);
@@ -558,6 +566,28 @@
         }
         view
     }
+
+    /// The other routers of the data centre, with what they say of their readiness.
+    fn neighbours(&self, now: Instant) -> Vec<Neighbour> {
+        let own = Some(self.own.centre);
+        let stated = self.stated_readiness(now);
+        let members = self.members.iter().filter(|(_, it)| it.centre == own);
+        let neighbours = members.map(|(address, member)| Neighbour {
+            address: *address,
+            readiness: (member.is_reachable && member.is_steady)
+                .then(|| stated.get(address).copied().unwrap_or_default()),
+        });
+        neighbours.collect()
+    }
+
+    /// What routers say of their readiness, in their own heartbeats or through a relay.
+    fn stated_readiness(&self, now: Instant) -> BTreeMap<SocketAddr, Readiness> {
+        let rows = self.used_summaries(now).flat_map(|it| &it.readiness);
+        let listed = rows.map(|row| (row.address, row.readiness));
+        let peers = self.used_peers(now);
+        let heard = peers.filter_map(|it| Some((it.beat.from, it.beat.readiness?)));
+        listed.chain(heard).collect()
+    }
 }
 
 impl Received {
--- a/policy/src/direct/exchange/beat.rs
+++ b/policy/src/direct/exchange/beat.rs
@@ -175,6 +175,7 @@
                 relay: self.relay.unwrap_or(self.own.address),
                 is_settled: self.is_settled(now),
             }),
+            readiness: Some(local.readiness),
         }
     }
 
--- a/policy/src/direct/exchange/message.rs
+++ b/policy/src/direct/exchange/message.rs
@@ -9,6 +9,7 @@
 use entity::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::direct::rotation::Readiness;
 use crate::direct::target_table::{LoadReport, TargetLoad};
 
 /// The hash of a data centre's name.
@@ -67,6 +68,10 @@
     /// the encoding of the other fields, where that version does not look.
     #[serde(skip)]
     pub place: Option<Place>,
+    /// The sender's readiness, unless it runs a version that does not state it. It follows
+    /// the place, where that version does not look.
+    #[serde(skip)]
+    pub readiness: Option<Readiness>,
 }
 
 /// Identifies a heartbeat of the receiver.
@@ -186,6 +191,20 @@
     pub teams: Vec<TeamRow>,
     /// The number of routers for which a target currently fails.
     pub problems: Vec<ProblemRow>,
+    /// The readiness of routers of the receiver's data centre that have more than a few
+    /// requests, or are strained. It follows the encoding of the other fields, where
+    /// versions that do not know it do not look.
+    #[serde(skip)]
+    pub readiness: Vec<ReadinessRow>,
+}
+
+/// The readiness of a router.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct ReadinessRow {
+    /// The address at which it receives datagrams.
+    pub address: SocketAddr,
+    /// What it says.
+    pub readiness: Readiness,
 }
 
 /// A router that a relay holds reachable.
--- a/policy/src/direct/exchange/summary.rs
+++ b/policy/src/direct/exchange/summary.rs
@@ -5,7 +5,9 @@
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use super::message::{LoadRow, MemberRow, Message, ProblemRow, Scope, Summary, TeamRow};
+use super::message::{
+    LoadRow, MemberRow, Message, ProblemRow, ReadinessRow, Scope, Summary, TeamRow,
+};
 use super::{Exchange, LocalState, Outgoing, Peer, Received, RejectReason};
 use super::{add_teams, own_report};
 use crate::direct::fair_share::TeamRate;
@@ -19,6 +21,11 @@
 const TEAM_ROW_BYTES: usize = 20;
 const MEMBER_ROW_BYTES: usize = 27;
 const PROBLEM_ROW_BYTES: usize = 15;
+const READINESS_ROW_BYTES: usize = 29;
+
+/// The number of requests in progress up to which the readiness of a router that is not
+/// strained is not listed.
+const MAX_UNLISTED_REQUESTS: u16 = 32;
 
 /// The maximum number of teams in a summary, those that request most.
 const MAX_TEAM_ROWS: usize = 256;
@@ -37,6 +44,7 @@
     pub(super) loads: PeerLoadReport,
     pub(super) teams: Vec<TeamRow>,
     pub(super) problems: Vec<ProblemRow>,
+    pub(super) readiness: Vec<ReadinessRow>,
 }
 
 /// A summary of which parts are missing.
@@ -53,6 +61,7 @@
     loads: Vec<LoadRow>,
     teams: Vec<TeamRow>,
     problems: Vec<ProblemRow>,
+    readiness: Vec<ReadinessRow>,
 }
 
 impl Rows {
@@ -84,6 +93,10 @@
             let part = part_for(&mut parts, PROBLEM_ROW_BYTES);
             parts[part].problems.push(row);
         }
+        for row in self.readiness {
+            let part = part_for(&mut parts, READINESS_ROW_BYTES);
+            parts[part].readiness.push(row);
+        }
         parts
     }
 }
@@ -171,6 +184,7 @@
                 loads: rows.loads,
                 teams: rows.teams,
                 problems: rows.problems,
+                readiness: rows.readiness,
             };
             Outgoing {
                 to,
@@ -289,9 +303,31 @@
             loads: loads.collect(),
             teams,
             problems,
+            readiness: self.readiness_rows(to, scope, now),
         }
     }
 
+    fn readiness_rows(&self, to: SocketAddr, scope: Scope, now: Instant) -> Vec<ReadinessRow> {
+        let centre = self.members.get(&to).and_then(|it| it.centre);
+        let is_near = |address: &SocketAddr| {
+            let member = self.members.get(address);
+            *address != to && centre.is_some() && member.and_then(|it| it.centre) == centre
+        };
+        let covered = self.covered(scope, now);
+        let covered = covered.filter_map(|it| Some((it.beat.from, it.beat.readiness?)));
+        let summaries = self.used_summaries(now).filter(|_| scope == Scope::Fleet);
+        let listed = summaries.flat_map(|it| &it.readiness);
+        let listed = listed.map(|row| (row.address, row.readiness));
+        let all = listed
+            .chain(covered)
+            .filter(|(address, _)| is_near(address));
+        let notable = all.filter(|(_, it)| {
+            it.is_out || it.is_overloaded || it.is_strained || it.requests > MAX_UNLISTED_REQUESTS
+        });
+        let rows = notable.map(|(address, readiness)| ReadinessRow { address, readiness });
+        rows.collect()
+    }
+
     /// Whether the members are listed in the next summary for a router: they changed, or
     /// were not listed for a while.
     fn lists_members(&mut self, to: SocketAddr, now: Instant) -> bool {
@@ -361,6 +397,7 @@
             loads: summary.loads,
             teams: summary.teams,
             problems: summary.problems,
+            readiness: summary.readiness,
         });
         if partial.parts.iter().all(Option::is_some) {
             let received = ReceivedSummary::assemble(scope, &partial, now);
@@ -405,6 +442,7 @@
             },
             teams: parts().flat_map(|rows| &rows.teams).copied().collect(),
             problems: parts().flat_map(|rows| &rows.problems).copied().collect(),
+            readiness: parts().flat_map(|rows| &rows.readiness).copied().collect(),
         }
     }
 }
--- a/policy/src/direct/overload.rs
+++ b/policy/src/direct/overload.rs
@@ -2,13 +2,10 @@
 //!
 //! The load balancer distributes callers evenly over VMs of unequal capacity. An
 //! overloaded small VM delays all its callers while a larger one next to it has
-//! capacity to spare. A router whose periodic tasks run late therefore reports
-//! itself as not ready and closes connections after their responses, so that its
-//! callers reconnect elsewhere. It closes connections only for as long as that
-//! takes: if callers keep coming back, every router of the data centre is
-//! overloaded, and further connections only add load. Once ready, a router gets
-//! as many callers from the load balancer as before, so each relapse shortly
-//! after a recovery doubles the time for which it stays not ready.
+//! capacity to spare. A router whose periodic tasks run late is therefore overloaded
+//! for a while; [`super::rotation`] decides whether it leaves the balancer's rotation
+//! then. Once back, a router gets as many callers from the load balancer as before, so
+//! each relapse shortly after a recovery doubles the time of the overload.
 //!
 //! Connections that are already open stay. An overloaded router therefore also limits
 //! the number of requests in progress: each of them costs processor time as long as
@@ -24,10 +21,6 @@
 /// delayed by the lag at each of its steps.
 pub const MAX_LAG: Duration = Duration::from_millis(30);
 
-/// How long connections are closed after their responses. The load balancer
-/// notices within two of its health checks, one of which runs each second.
-pub const CLOSE_DURATION: Duration = Duration::from_secs(3);
-
 /// The lag of a periodic task above which new connections are rejected. Their
 /// requests would be delayed at each step and complete too late to be useful.
 pub const SHED_LAG: Duration = Duration::from_millis(150);
@@ -56,8 +49,6 @@
 pub struct OverloadState {
     unready_time: Duration,
     unready_until: Option<Instant>,
-    /// The start of the current overload.
-    overloaded_since: Option<Instant>,
     shed_until: Option<Instant>,
     /// The last lag above [`SHED_LAG`].
     shed_lag: Duration,
@@ -68,7 +59,6 @@
         Self {
             unready_time: MIN_UNREADY_TIME,
             unready_until: None,
-            overloaded_since: None,
             shed_until: None,
             shed_lag: Duration::ZERO,
         }
@@ -91,7 +81,6 @@
         }
         if is_late || is_near_connection_limit {
             if !self.is_overloaded(now) {
-                self.overloaded_since = Some(now);
                 let is_relapse = self
                     .unready_until
                     .is_some_and(|until| now < until + self.unready_time);
@@ -105,14 +94,6 @@
         self.is_overloaded(now)
     }
 
-    /// Whether connections are closed after their responses.
-    pub fn closes_connections(&self, now: Instant) -> bool {
-        self.is_overloaded(now)
-            && self
-                .overloaded_since
-                .is_some_and(|overloaded_since| now < overloaded_since + CLOSE_DURATION)
-    }
-
     /// Whether new connections, and requests on existing connections, are
     /// rejected.
     pub fn rejects_connections(&self, now: Instant) -> bool {
--- a/policy/tests/direct_exchange.rs
+++ b/policy/tests/direct_exchange.rs
@@ -10,6 +10,7 @@
 use knapweed_policy::direct::exchange::PEER_TIMEOUT;
 use knapweed_policy::direct::exchange::message::Scope;
 use knapweed_policy::direct::fair_share::TeamRate;
+use knapweed_policy::direct::rotation::Readiness;
 use knapweed_policy::direct::target_table::REPORT_TTL;
 use net::{Net, load};
 
@@ -101,6 +102,47 @@
     }
 }
 
+#[test]
+fn routers_know_the_readiness_of_their_data_centre_and_of_no_other() {
+    let said = Readiness {
+        is_out: true,
+        is_overloaded: true,
+        is_strained: true,
+        requests: 900,
+        carried: 40,
+    };
+    for (count, centres) in [(5, 1), (9, 3), (30, 4), (120, 3)] {
+        let mut net = settled(count, centres, 12);
+        net.routers[1].readiness = said;
+        net.run_for(REPORT_TTL / 2);
+        for router in 0..count {
+            let view = net.routers[router].exchange.view(net.now_mono());
+            let is_near = router % centres == 1 % centres;
+            let known = view
+                .neighbours
+                .iter()
+                .filter(|it| it.readiness == Some(said));
+            assert_eq!(
+                known.count(),
+                usize::from(is_near && router != 1),
+                "{router} of {count}"
+            );
+            let near = (0..count).filter(|it| it % centres == router % centres);
+            assert_eq!(view.neighbours.len(), near.count() - 1);
+        }
+        net.routers[1].readiness = Readiness::default();
+        net.run_for(millis(500));
+        net.routers[1].is_alive = false;
+        // A relay notices its silence, and another one that it is no longer listed.
+        net.run_for(PEER_TIMEOUT * 4);
+        for router in (0..count).filter(|it| *it != 1 && it % centres == 1 % centres) {
+            let view = net.routers[router].exchange.view(net.now_mono());
+            let unheard = view.neighbours.iter().filter(|it| it.readiness.is_none());
+            assert_eq!(unheard.count(), 1, "{router} of {count}");
+        }
+    }
+}
+
 #[test]
 fn routers_behind_a_relay_that_is_killed_cut_or_frozen_report_to_another() {
     for (count, centres) in [(30, 4), (120, 6), (350, 7)] {
--- a/policy/tests/direct_exchange/bad_input.rs
+++ b/policy/tests/direct_exchange/bad_input.rs
@@ -10,6 +10,7 @@
 use knapweed_policy::direct::exchange::{
     Exchange, Identity, LocalState, MEMBER_TIMEOUT, Moment, PERIOD, RejectReason,
 };
+use knapweed_policy::direct::rotation::Readiness;
 use knapweed_policy::direct::target_table::sum_loads;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -34,6 +35,7 @@
         digest: 1,
         confirmation_age: None,
         is_stopping: false,
+        readiness: Readiness::default(),
     }
 }
 
@@ -55,6 +57,7 @@
             relay: from,
             is_settled: true,
         }),
+        readiness: None,
     }
 }
 
@@ -75,6 +78,7 @@
         }],
         teams: Vec::new(),
         problems: Vec::new(),
+        readiness: Vec::new(),
     }
 }
 
--- a/policy/tests/direct_rotation.rs
+++ b/policy/tests/direct_rotation.rs
@@ -4,6 +4,14 @@
 #[path = "direct_rotation/centre.rs"]
 mod centre;
 
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use knapweed_policy::direct::overload::MAX_UNREADY_TIME;
+use knapweed_policy::direct::rotation::{Neighbour, OwnLoad, Readiness, Rotation};
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
 use centre::{Outcome, Play, carried, play};
 
 const WEAK: f64 = 0.09;
@@ -125,3 +133,207 @@
         assert_eq!(outcome.longest_below_half(), 0);
     }
 }
+
+#[test]
+fn a_flood_during_a_partition_of_the_routers_leaves_half_of_them_in_rotation() {
+    let strengths = [STRONG, STRONG, WEAK, WEAK, WEAK];
+    for partition in [0..40, 5..15, 12..14] {
+        let outcome = play(&Play {
+            partition: partition.clone(),
+            ..Play::new(&strengths, FLOOD)
+        });
+        let longest = outcome.longest_below_half();
+        assert!(
+            longest <= MAX_BELOW_HALF,
+            "{partition:?}: below half for {longest} s"
+        );
+    }
+}
+
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// The requests in progress that weak and strong routers carry.
+const FEW: usize = 80;
+const MANY: usize = 600;
+
+/// Routers that all know what the others said in the same step.
+struct Group {
+    routers: Vec<Rotation>,
+    now: Instant,
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index as u8], 7_400))
+}
+
+impl Group {
+    /// Routers that have carried these numbers of requests.
+    fn new(carried: &[usize]) -> Self {
+        let routers = (0..carried.len()).map(|it| Rotation::new(address(it)));
+        let mut group = Self {
+            routers: routers.collect(),
+            now: Instant::now(),
+        };
+        let loads: Vec<OwnLoad> = carried.iter().map(|&requests| calm(requests)).collect();
+        group.step(&loads);
+        group
+    }
+
+    /// One task at each router after the other.
+    fn step(&mut self, loads: &[OwnLoad]) {
+        self.now += PERIOD;
+        for (index, load) in loads.iter().enumerate() {
+            let others = self.routers.iter().enumerate();
+            let others = others.filter(|(other, _)| *other != index);
+            let neighbours = others.map(|(other, rotation)| Neighbour {
+                address: address(other),
+                readiness: Some(rotation.readiness()),
+            });
+            let neighbours: Vec<Neighbour> = neighbours.collect();
+            self.routers[index].set_neighbours(&neighbours, self.now);
+            self.routers[index].update(*load, self.now);
+        }
+    }
+
+    fn run(&mut self, loads: &[OwnLoad], time: Duration) {
+        for _ in 0..time.as_millis() / PERIOD.as_millis() {
+            self.step(loads);
+        }
+    }
+
+    fn out(&self) -> Vec<usize> {
+        let routers = self.routers.iter().enumerate();
+        let out = routers.filter(|(_, it)| it.readiness().is_out);
+        out.map(|(index, _)| index).collect()
+    }
+}
+
+fn calm(requests: usize) -> OwnLoad {
+    OwnLoad {
+        is_late: false,
+        is_overloaded: false,
+        requests,
+    }
+}
+
+fn overloaded(requests: usize) -> OwnLoad {
+    OwnLoad {
+        is_late: true,
+        is_overloaded: true,
+        requests,
+    }
+}
+
+#[test]
+fn at_least_half_of_the_routers_stay_in_rotation_if_all_know_the_same() {
+    let mut random = ChaCha8Rng::seed_from_u64(9);
+    for count in 1..=24 {
+        let carried: Vec<usize> = (0..count).map(|_| random.random_range(1..MANY)).collect();
+        let mut group = Group::new(&carried);
+        for _ in 0..300 {
+            let loads = carried
+                .iter()
+                .map(|&requests| match random.random_bool(0.5) {
+                    true => overloaded(requests),
+                    false => calm(requests),
+                });
+            let loads: Vec<OwnLoad> = loads.collect();
+            group.step(&loads);
+            let in_rotation = count - group.out().len();
+            assert!(in_rotation * 2 >= count, "{in_rotation} of {count}");
+        }
+    }
+}
+
+#[test]
+fn weak_routers_leave_in_turn_and_give_way_to_none_of_about_their_strength() {
+    let mut group = Group::new(&[MANY, MANY, FEW, FEW + 9, FEW + 5]);
+    let mut loads = [MANY, MANY, FEW, FEW, FEW].map(calm);
+    for (index, out) in [
+        (4, vec![4]),
+        (3, vec![3, 4]),
+        (2, vec![3, 4]),
+        (1, vec![3, 4]),
+    ] {
+        loads[index] = overloaded(loads[index].requests);
+        group.run(&loads, PERIOD * 5);
+        assert_eq!(group.out(), out, "{index} overloaded");
+    }
+}
+
+#[test]
+fn an_overloaded_strong_router_gives_way_to_a_weak_one() {
+    let mut group = Group::new(&[MANY, FEW, FEW]);
+    group.step(&[overloaded(MANY), calm(FEW), calm(FEW)]);
+    assert_eq!(group.out(), [0]);
+    let loads = [overloaded(MANY), overloaded(FEW), calm(FEW)];
+    group.run(&loads, PERIOD * 3);
+    assert_eq!(group.out(), [1]);
+}
+
+#[test]
+fn routers_return_one_at_a_time_and_the_strongest_first() {
+    let mut group = Group::new(&[MANY, MANY, FEW + 20, FEW]);
+    group.step(&[calm(FEW), calm(FEW), overloaded(FEW), overloaded(FEW)]);
+    assert_eq!(group.out(), [2, 3]);
+    let loads = [calm(FEW / 2), calm(FEW / 2), calm(0), calm(0)];
+    group.run(&loads, PERIOD);
+    assert_eq!(group.out(), [3]);
+    group.run(&loads, Duration::from_secs(2));
+    assert_eq!(group.out(), [3], "its return shows only after some seconds");
+    group.run(&loads, Duration::from_secs(2));
+    assert_eq!(group.out(), [0; 0]);
+}
+
+#[test]
+fn a_router_does_not_return_to_callers_that_it_could_not_carry() {
+    let mut group = Group::new(&[MANY, MANY, FEW]);
+    group.step(&[calm(MANY), calm(FEW), overloaded(FEW)]);
+    let loads = [calm(MANY), calm(FEW), calm(0)];
+    group.run(&loads, MAX_UNREADY_TIME - PERIOD);
+    assert_eq!(group.out(), [2]);
+    group.run(&loads, PERIOD);
+    assert_eq!(group.out(), [0; 0], "no longer than this");
+}
+
+#[test]
+fn routers_that_are_not_heard_count_as_having_left() {
+    let now = Instant::now();
+    let neighbour = |index, is_heard: bool| Neighbour {
+        address: address(index),
+        readiness: is_heard.then(Readiness::default),
+    };
+    let mut rotation = Rotation::new(address(0));
+    assert!(!rotation.update(overloaded(FEW), now).is_out, "alone");
+    rotation.set_neighbours(&[1, 2, 3].map(|it| neighbour(it, true)), now);
+    assert!(rotation.update(overloaded(FEW), now).is_out);
+    rotation.set_neighbours(&[1, 2, 3].map(|it| neighbour(it, it == 1)), now);
+    assert!(!rotation.update(overloaded(FEW), now).is_out);
+    // One that is no longer listed is still a part of the data centre.
+    rotation.set_neighbours(&[neighbour(1, true)], now);
+    assert!(!rotation.update(overloaded(FEW), now).is_out);
+}
+
+#[test]
+fn connections_are_closed_only_where_that_moves_their_callers() {
+    let now = Instant::now();
+    let say = |is_strained| {
+        let readiness = Readiness {
+            is_strained,
+            ..Readiness::default()
+        };
+        [1, 2].map(|index| Neighbour {
+            address: address(index),
+            readiness: Some(readiness),
+        })
+    };
+    let closes = |rotation: &Rotation| [false, true].map(|it| rotation.closes_connections(it));
+    let mut rotation = Rotation::new(address(0));
+    rotation.set_neighbours(&say(false), now);
+    rotation.update(calm(FEW), now);
+    assert_eq!(closes(&rotation), [false, false], "in rotation");
+    rotation.update(overloaded(FEW), now);
+    assert_eq!(closes(&rotation), [true, true]);
+    rotation.set_neighbours(&say(true), now);
+    assert_eq!(closes(&rotation), [false, true], "those served may stay");
+}
--- a/wire/tests/datagram.rs
+++ b/wire/tests/datagram.rs
@@ -4,7 +4,8 @@
 
 use entity::Name;
 use knapweed_wire::{Datagram, DatagramError, Listing, VersionedListing, listing_digest};
-use policy::direct::exchange::message::{Beat, CentreTag, Place};
+use policy::direct::exchange::message::{Beat, CentreTag, Place, ReadinessRow, Scope, Summary};
+use policy::direct::rotation::Readiness;
 use policy::direct::target::{SoftwareVersion, Target, TargetState};
 
 fn target(version: &str) -> Target {
@@ -68,6 +69,7 @@
         teams: Vec::new(),
         crashes: Vec::new(),
         place,
+        readiness: None,
     }
 }
 
@@ -89,3 +91,60 @@
     let cut = &new[..new.len() - 1];
     assert_eq!(Datagram::decode(cut), Err(DatagramError::Garbage));
 }
+
+#[test]
+fn readiness_follows_what_former_versions_read() {
+    let place = Place {
+        centre: CentreTag(9),
+        relay: "127.0.0.2:7400".parse().expect("an address"),
+        is_settled: true,
+    };
+    let readiness = Readiness {
+        is_out: true,
+        is_overloaded: false,
+        is_strained: true,
+        requests: 200,
+        carried: 300,
+    };
+    let former = Datagram::Beat(beat(Some(place))).encode();
+    let stated = Datagram::Beat(Beat {
+        readiness: Some(readiness),
+        ..beat(Some(place))
+    });
+    let bytes = stated.encode();
+    assert_eq!(bytes[..former.len()], former[..]);
+    assert_eq!(Datagram::decode(&bytes), Ok(stated));
+    assert_eq!(
+        Datagram::decode(&bytes[..bytes.len() - 1]),
+        Err(DatagramError::Garbage)
+    );
+    // What the former version does with the bytes after a heartbeat.
+    let bare = Datagram::Beat(beat(None)).encode();
+    assert_eq!(postcard::from_bytes(&bytes[bare.len()..]), Ok(place));
+
+    let summary = |readiness| {
+        Datagram::Summary(Summary {
+            from: place.relay,
+            life: 1,
+            number: 2,
+            part: 0,
+            parts: 1,
+            scope: Scope::Fleet,
+            members: Vec::new(),
+            loads: Vec::new(),
+            teams: Vec::new(),
+            problems: Vec::new(),
+            readiness,
+        })
+    };
+    let former = summary(Vec::new()).encode();
+    let row = ReadinessRow {
+        address: place.relay,
+        readiness,
+    };
+    let stated = summary(vec![row; 3]);
+    let bytes = stated.encode();
+    assert_eq!(bytes[..former.len()], former[..]);
+    assert_eq!(Datagram::decode(&former), Ok(summary(Vec::new())));
+    assert_eq!(Datagram::decode(&bytes), Ok(stated));
+}
