--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -41,6 +41,7 @@
     shed_connections: Counter<u64>,
     rejections: Counter<u64>,
     held_requests: Counter<u64>,
+    rotation_decisions: Counter<u64>,
     attempts: Counter<u64>,
     first_event: Histogram<f64>,
     full_response: Histogram<f64>,
@@ -69,6 +70,9 @@
             shed_connections: meter.u64_counter("knapweed_edge_shed_connections").build(),
             rejections: meter.u64_counter("knapweed_edge_rejections").build(),
             held_requests: meter.u64_counter("knapweed_edge_held_requests").build(),
+            rotation_decisions: meter
+                .u64_counter("knapweed_edge_rotation_decisions")
+                .build(),
             connections: meter
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
@@ -109,6 +113,12 @@
         self.held_requests.add(1, &[]);
     }
 
+    /// Counts a decision on whether this router is in rotation.
+    pub(crate) fn record_rotation(&self, decision: &'static str) {
+        self.rotation_decisions
+            .add(1, &[KeyValue::new("decision", decision)]);
+    }
+
     /// Counts an attempt by its result.
     pub(crate) fn record_attempt(&self, result: &'static str) {
         self.attempts.add(1, &[KeyValue::new("result", result)]);
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -77,6 +77,8 @@
     LinesDropped 1013 Warn "lines-dropped";
     /// Connections or requests were turned away unread or before their team was known.
     LoadRejected 1014 Warn "load-rejected";
+    /// The process is overloaded and stays ready, for the data centre.
+    RotationHeld 1015 Warn "rotation-held";
 
     /// The configuration service responded again.
     ServiceReachable 1201 Info "service-reachable";
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -23,6 +23,7 @@
 //! - [`prefill_rate`]: how many tokens engines prefill per millisecond;
 //! - [`overload`]: whether this router is overloaded;
 //! - [`admission`]: how many connections and requests it takes on;
+//! - [`rotation`]: which overloaded routers of a data centre report themselves unready;
 //! - [`outlier`]: which targets fail requests although their health checks pass;
 //! - [`budget`]: how many retries this router may send;
 //! - [`stream_origin`]: at which software version a stream began;
@@ -48,6 +49,7 @@
 pub mod prefill_rate;
 pub mod prompt;
 pub mod response;
+pub mod rotation;
 pub mod service_bound;
 pub mod stall;
 pub mod store_revision;
