Live tests: the listening line is found among lines of the log, and an early exit shows the log

broken_stream_goes_on_at_its_software_version failed once in a run of policy, edge, wire, node and live tests beside other load: the router 'exited with 101 before it listened'. Since the listening line follows the operators' listener, a line of the log, which goes to the same output, can come first. The harness took the first line for it, found no address and closed the pipe, so the router's println failed. Now lines are read until the listening line, and the error holds what the process wrote.

--- a/livetests/src/process.rs
+++ b/livetests/src/process.rs
@@ -10,6 +10,9 @@
 
 use eyre::{WrapErr, eyre};
 
+/// The begin of the line that states the addresses of a process.
+const LISTENING: &str = "listening ";
+
 /// The maximum time for a process to start listening.
 const START_LIMIT: Duration = Duration::from_secs(30);
 
@@ -46,23 +49,27 @@
     /// Returns an error if the program is missing or exits before it listens.
     pub fn start<S: AsRef<str>>(name: &str, args: &[S], log: &Path) -> eyre::Result<Self> {
         let program = program_path(name)?;
-        let log = File::create(log).wrap_err("cannot create the log file")?;
+        let file = File::create(log).wrap_err("cannot create the log file")?;
         let mut child = Command::new(&program)
             .args(args.iter().map(AsRef::as_ref))
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(log)
+            .stderr(file)
             .spawn()
             .wrap_err_with(|| format!("cannot start {}", program.display()))?;
         let stdout = child.stdout.take().expect("stdout is piped");
-        let mut line = String::new();
-        BufReader::new(stdout).read_line(&mut line)?;
-        let addresses = parse_addresses(&line);
+        // Lines of the log may come before it.
+        let mut lines = BufReader::new(stdout).lines().map_while(Result::ok);
+        let line = lines.find(|line| line.starts_with(LISTENING));
+        let addresses = parse_addresses(&line.unwrap_or_default());
         match addresses.is_empty() {
             false => Ok(Self { child, addresses }),
             true => {
                 let status = child.wait()?;
-                Err(eyre!("{name} exited with {status} before it listened"))
+                let text = std::fs::read_to_string(log).unwrap_or_default();
+                Err(eyre!(
+                    "{name} exited with {status} before it listened: {text}"
+                ))
             }
         }
     }
@@ -94,7 +101,7 @@
             let text = std::fs::read(log)?;
             let text = String::from_utf8_lossy(&text[offset.min(text.len())..]).into_owned();
             let mut lines = text.lines();
-            let line = lines.find(|line| line.starts_with("listening "));
+            let line = lines.find(|line| line.starts_with(LISTENING));
             let addresses = parse_addresses(line.unwrap_or_default());
             if !addresses.is_empty() && text.ends_with('\n') {
                 return Ok(Self { child, addresses });
@@ -173,7 +180,7 @@
 }
 
 fn parse_addresses(line: &str) -> BTreeMap<String, SocketAddr> {
-    let fields = line.trim().strip_prefix("listening ").unwrap_or_default();
+    let fields = line.trim().strip_prefix(LISTENING).unwrap_or_default();
     let parse = |field: &str| {
         let (name, address) = field.split_once('=').unwrap_or(("listen", field));
         Some((name.to_owned(), address.parse().ok()?))
