Shares: requests that are shed unread count as demand

Callers of a team whose router sheds most of its connections unread were not seen as refused: the team's requested rate held only what was read (15,000 to 22,000 tokens a second in the first two seconds of the test, of 770,000 asked), so it looked as if it got all that it asked, and the bound on other teams did not begin.

A router counts what it sheds, and adds it to the requested rates once a report, in the proportions of what it read lately. Connections that are never accepted remain uncounted.

--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -91,6 +91,7 @@
     request: CallerRequest,
 ) -> RequestEnd {
     if context.rejects_connections(Instant::now()) {
+        context.fair_shares.borrow_mut().record_shed();
         let refusal = Refusal::not_run("strained", OVERLOAD_RETRY_DELAY);
         log_refused(&request, None, refusal);
         return refuse(context, caller, refusal).await;
--- a/edge/src/shed.rs
+++ b/edge/src/shed.rs
@@ -29,6 +29,7 @@
 /// Sends the fixed response to whatever arrives on a connection, and closes it.
 pub(crate) async fn reject(context: &Context, mut stream: TcpStream) {
     context.metrics.record_shed();
+    context.fair_shares.borrow_mut().record_shed();
     // A timeout needs no log line: the caller disconnected or is too slow.
     if let Ok(Err(error)) = timeout(REJECT_TIMEOUT, respond(&mut stream)).await {
         log::debug!("caller's connection failed: {error}");
--- a/policy/src/direct/fair_share.rs
+++ b/policy/src/direct/fair_share.rs
@@ -56,7 +56,7 @@
 /// The rates of one team, in tokens per second.
 #[derive(Clone, Copy, Default, PartialEq, Debug)]
 pub struct TeamRate {
-    /// The rate of all requests.
+    /// The rate of all requests, with an estimate of those that were not read.
     pub requested: f64,
     /// The rate of requests that were sent to a target, without those that ended before
     /// they began to run.
@@ -77,14 +77,25 @@
 #[derive(Clone, Copy, Debug)]
 struct Meter {
     rate: TeamRate,
+    /// The part of the requested rate that was read.
+    read: Arrivals,
     updated_at: Instant,
 }
 
+/// A decaying sum of requests.
+#[derive(Clone, Copy, Default, Debug)]
+struct Arrivals {
+    tokens: f64,
+    requests: f64,
+}
+
 impl Meter {
     fn decay_to(&mut self, now: Instant) {
         let factor = decay(now.saturating_duration_since(self.updated_at));
         self.rate.requested *= factor;
         self.rate.admitted *= factor;
+        self.read.tokens *= factor;
+        self.read.requests *= factor;
         self.updated_at = now;
     }
 }
@@ -99,6 +110,8 @@
     /// The admitted rate of an average team.
     mean_admitted: f64,
     computed_at: Option<Instant>,
+    /// The requests shed since the last report.
+    shed: u32,
     largest_request: LargestRequest,
     service_bound: ServiceBound,
 }
@@ -133,6 +146,7 @@
             fair_share: f64::INFINITY,
             mean_admitted: 0.0,
             computed_at: None,
+            shed: 0,
             largest_request: LargestRequest::default(),
             service_bound: ServiceBound::default(),
         }
@@ -147,7 +161,15 @@
     /// Records a request of `tokens` by a team.
     pub fn record_request(&mut self, team: u64, tokens: f64, now: Instant) {
         self.largest_request.record(tokens, now);
-        self.meter(team, now).rate.requested += tokens / time_constant();
+        let meter = self.meter(team, now);
+        meter.rate.requested += tokens / time_constant();
+        meter.read.tokens += tokens;
+        meter.read.requests += 1.0;
+    }
+
+    /// Records a request that was shed before its team was known.
+    pub fn record_shed(&mut self) {
+        self.shed = self.shed.saturating_add(1);
     }
 
     /// Records that a request of a team was sent to a target.
@@ -232,10 +254,8 @@
 
     /// The rates measured by this router for at most `max_teams` teams, highest first.
     pub fn report(&mut self, max_teams: usize, now: Instant) -> Vec<(u64, TeamRate)> {
-        let meters = self.own.iter_mut().map(|(&team, meter)| {
-            meter.decay_to(now);
-            (team, meter.rate)
-        });
+        self.distribute_shed(now);
+        let meters = self.own.iter().map(|(&team, meter)| (team, meter.rate));
         let mut rates: Vec<_> = meters
             .filter(|(_, rate)| rate.requested > MIN_TRACKED_RATE)
             .collect();
@@ -246,9 +266,27 @@
         rates
     }
 
+    /// Adds the requests shed since the last report to the teams' requested work, as if
+    /// they were like those that were read lately.
+    fn distribute_shed(&mut self, now: Instant) {
+        for meter in self.own.values_mut() {
+            meter.decay_to(now);
+        }
+        let read: f64 = self.own.values().map(|meter| meter.read.requests).sum();
+        let shed = f64::from(std::mem::take(&mut self.shed));
+        if read <= 0.0 {
+            return;
+        }
+        for meter in self.own.values_mut() {
+            let tokens = meter.read.tokens * shed / read;
+            meter.rate.requested += tokens / time_constant();
+        }
+    }
+
     fn meter(&mut self, team: u64, now: Instant) -> &mut Meter {
         let new_meter = || Meter {
             rate: TeamRate::default(),
+            read: Arrivals::default(),
             updated_at: now,
         };
         let meter = self.own.entry(team).or_insert_with(new_meter);
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -467,7 +467,9 @@
     }
 
     /// Sheds a connection at a router, which does not learn whose it is.
-    pub(crate) fn shed(&mut self, _router: usize) {}
+    pub(crate) fn shed(&mut self, router: usize) {
+        self.routers[router].shares.record_shed();
+    }
 
     /// Stops or resumes the reports of a router.
     pub(crate) fn set_silent(&mut self, router: usize, is_silent: bool, now: Instant) {
