Shares: a limit on what is sent instead of a probability while a team is left behind

Now each router gets a part of the limit, in proportion to the team's demand there, and sends no more than that, whatever it knows of the others' work; the limit is 1.6 times the least rate, or the fair share if that is more, and falls to nothing at 1.85 times the least. Only what is placed counts against it, so requests that no target takes use up nothing. A team remains left behind until it is no longer refused or its demand is met. It is itself not held.

--- a/edge/src/bound_log.rs
+++ b/edge/src/bound_log.rs
@@ -45,8 +45,8 @@
             ("team", &team),
             ("requested", &whole(bound.rate.requested)),
             ("admitted", &whole(bound.rate.admitted)),
-            ("bound", &whole(bound.start)),
-            ("end", &whole(bound.end)),
+            ("limit", &whole(bound.limit)),
+            ("most", &whole(bound.max_rate)),
             ("held", &self.held),
             ("tokens", &whole(self.held_tokens)),
         ];
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -338,9 +338,8 @@
     fn held_for(&self, prompt: Option<&Prompt>, now: Instant) -> Option<Duration> {
         let team = self.authorized.team_name()?;
         let tokens = prompt?.weighted_tokens();
-        let draw = self.context.rng.borrow_mut().random();
         let mut fair_shares = self.context.fair_shares.borrow_mut();
-        let after = fair_shares.held_for(team.tag().0, draw, now)?;
+        let after = fair_shares.held_for(team.tag().0, now)?;
         self.context.metrics.record_held();
         self.context.bound_log.borrow_mut().record_held(tokens);
         Some(after)
--- a/policy/src/direct/fair_share.rs
+++ b/policy/src/direct/fair_share.rs
@@ -175,6 +175,7 @@
     /// Records that a request of a team was sent to a target.
     pub fn record_admitted(&mut self, team: u64, tokens: f64, now: Instant) {
         self.meter(team, now).rate.admitted += tokens / time_constant();
+        self.service_bound.record_sent(team, tokens);
     }
 
     /// Records that a request sent at `sent_at` ended before it began to run.
@@ -182,6 +183,7 @@
         let remaining = decay(now.saturating_duration_since(sent_at));
         let admitted = &mut self.meter(team, now).rate.admitted;
         *admitted = (*admitted - tokens / time_constant() * remaining).max(0.0);
+        self.service_bound.record_sent(team, -tokens);
     }
 
     /// Replaces the sums of the rates that peers report.
@@ -223,11 +225,12 @@
     }
 
     /// How long to hold back a request of a team while another team is left behind, if
-    /// it is held back; `draw` is a random number from 0 to 1.
-    pub fn held_for(&mut self, team: u64, draw: f64, now: Instant) -> Option<Duration> {
+    /// it is held.
+    pub fn held_for(&mut self, team: u64, now: Instant) -> Option<Duration> {
         self.update_fair_share(now);
         self.service_bound.bound()?;
-        self.service_bound.held_for(self.total(team, now), draw)
+        let (own, total) = (self.own_rate(team, now), self.total(team, now));
+        self.service_bound.held_for(team, own, total, now)
     }
 
     /// The bound on the rates of teams, while a team is left behind.
--- a/policy/src/direct/service_bound.rs
+++ b/policy/src/direct/service_bound.rs
@@ -8,8 +8,8 @@
 //!
 //! Invariants:
 //! - While no team is left behind, no team is held.
-//! - No team is held that gets less than the team that is left behind, or that is
-//!   within its fair share.
+//! - The team that is left behind is not held, and each other one may send as much as
+//!   that one gets, and its fair share.
 
 use std::time::{Duration, Instant};
 
@@ -44,20 +44,19 @@
 /// The ratio of the best served team's rate to its own at which a team is left behind.
 const BEHIND_RATIO: f64 = 1.6;
 
-/// The ratio at which requests of a team begin to be held, and below which no team is
-/// left behind any more.
-const HELD_RATIO: f64 = 1.3;
+/// The multiple of the least rate up to which others may send as much as that multiple.
+const HELD_RATIO: f64 = 1.6;
 
-/// The ratio at which all requests of a team are held. A ratio of two is unfair.
-const MAX_RATIO: f64 = 1.8;
+/// The multiple of the least rate at which others may send nothing. A ratio of two is
+/// unfair.
+const MAX_RATIO: f64 = 1.85;
 
-/// The largest part of a team's demand that is sent while it is held, as a multiple of
-/// [`MAX_RATIO`] times the least rate. Without it a team with a large demand swings
-/// between all and nothing, since routers hear of each other late.
-const MAX_SENT_RATIO: f64 = 2.0;
+/// The time for which unused work can be saved up. Short, since routers hear late of
+/// what others send.
+const BURST_TIME: Duration = Duration::from_millis(200);
 
-/// The part of the fair share below which no bound lies.
-const FLOOR_FRACTION: f64 = 0.5;
+/// The maximum time for which a request is held.
+const MAX_HELD_TIME: Duration = Duration::from_secs(1);
 
 /// What is known of one team.
 #[derive(Clone, Copy, Default, Debug)]
@@ -96,21 +95,25 @@
         };
     }
 
-    /// `spared` is the rate by which the team may fall short.
+    /// Once left behind, a team remains so until its demand is met: while the others are
+    /// held they are close to its rate. `spared` is the rate by which it may fall short.
     fn update_behind(&mut self, best: f64, spared: f64) {
         let is_refused = self
             .refused
             .is_some_and(|(from, last)| last.saturating_duration_since(from) >= ONSET_TIME);
         let rate = self.rate.admitted + spared;
-        let ratio = match self.is_behind {
-            true => HELD_RATIO,
-            false => BEHIND_RATIO,
-        };
-        self.is_behind =
-            is_refused && self.rate.requested > rate * DEMAND_RATIO && best > rate * ratio;
+        let lacks = self.rate.requested > rate * DEMAND_RATIO;
+        self.is_behind = is_refused && lacks && (self.is_behind || best > rate * BEHIND_RATIO);
     }
 }
 
+/// The work that a router may still send for a team.
+#[derive(Clone, Copy, Debug)]
+struct Allowance {
+    tokens: f64,
+    updated_at: Instant,
+}
+
 /// The bound that is in force.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct Bound {
@@ -118,10 +121,10 @@
     pub team: u64,
     /// The rates of that team.
     pub rate: TeamRate,
-    /// The rate in tokens per second at which requests of other teams begin to be held.
-    pub start: f64,
-    /// The rate at which all their requests are held.
-    pub end: f64,
+    /// The work in tokens per second that each other team may send.
+    pub limit: f64,
+    /// The rate at which another team may send nothing.
+    pub max_rate: f64,
 }
 
 /// Finds teams that are left behind, and holds the others.
@@ -130,8 +133,9 @@
     teams: FxHashMap<u64, TeamState>,
     updated_at: Option<Instant>,
     sampled_at: Option<Instant>,
-    fair_share: f64,
     bound: Option<Bound>,
+    /// What this router may send, by team.
+    allowances: FxHashMap<u64, Allowance>,
 }
 
 impl ServiceBound {
@@ -146,7 +150,6 @@
     ) {
         self.record_rates(rates, now);
         self.sample_if_due(now);
-        self.fair_share = fair_share;
         let admitted = self.teams.values().map(|team| team.rate.admitted);
         let best = admitted.fold(0.0, f64::max);
         for team in self.teams.values_mut() {
@@ -157,16 +160,20 @@
             let by_rate = x.rate.admitted.total_cmp(&y.rate.admitted);
             by_rate.then(a.cmp(b))
         });
+        // With an infinite share the pool covers all demand.
+        let least = least.filter(|_| fair_share.is_finite());
         self.bound = least.map(|(&team, state)| {
-            let floor = fair_share * FLOOR_FRACTION;
             let rate = state.rate.admitted + spared;
             Bound {
                 team,
                 rate: state.rate,
-                start: (rate * HELD_RATIO).max(floor),
-                end: (rate * MAX_RATIO).max(floor * MAX_RATIO / HELD_RATIO),
+                limit: (rate * HELD_RATIO).max(fair_share),
+                max_rate: (rate * MAX_RATIO).max(fair_share * (MAX_RATIO / HELD_RATIO)),
             }
         });
+        if self.bound.is_none() {
+            self.allowances.clear();
+        }
     }
 
     /// The bound, while a team is left behind.
@@ -174,19 +181,46 @@
         self.bound
     }
 
-    /// How long to hold back a request of a team with these rates, if it is held.
-    /// `draw` is a random number from 0 to 1: a bound that holds a part of the requests
-    /// is met in the mean by many routers that know of each other late.
-    pub fn held_for(&self, rate: TeamRate, draw: f64) -> Option<Duration> {
-        let bound = self.bound?;
-        let admitted = rate.admitted;
-        if admitted <= self.fair_share.max(bound.start) {
+    /// How long to hold back a request of a team, if it is held, given the team's rates
+    /// at this router and in the fleet.
+    ///
+    /// Routers share the limit in proportion to the team's demand at each, so that they
+    /// meet it although they hear late of what others send.
+    pub fn held_for(
+        &mut self,
+        team: u64,
+        own: TeamRate,
+        total: TeamRate,
+        now: Instant,
+    ) -> Option<Duration> {
+        let bound = self.bound.filter(|bound| bound.team != team)?;
+        let above = (total.admitted - bound.limit) / (bound.max_rate - bound.limit);
+        let limit = bound.limit * (1.0 - above).clamp(0.0, 1.0);
+        let own_part = own.requested / total.requested.max(MIN_TRACKED_RATE);
+        let own_limit = (limit * own_part.min(1.0)).max(MIN_TRACKED_RATE);
+        let full = own_limit * BURST_TIME.as_secs_f64();
+        let allowance = self.allowances.entry(team).or_insert(Allowance {
+            tokens: full,
+            updated_at: now,
+        });
+        let elapsed = now.saturating_duration_since(allowance.updated_at);
+        allowance.updated_at = now;
+        allowance.tokens = (allowance.tokens + own_limit * elapsed.as_secs_f64()).min(full);
+        if allowance.tokens > 0.0 && limit > 0.0 {
             return None;
         }
-        let below_end = (bound.end - admitted) / (bound.end - bound.start);
-        let sent = bound.end * MAX_SENT_RATIO / rate.requested.max(admitted);
-        let is_sent = draw < below_end.max(0.0) * sent.min(1.0);
-        (!is_sent).then(|| time_to_decay(admitted, bound.start))
+        let refilled = Duration::try_from_secs_f64(-allowance.tokens / own_limit);
+        let decayed = time_to_decay(total.admitted, bound.limit);
+        let after = refilled.unwrap_or(MAX_HELD_TIME).max(decayed);
+        Some(after.min(MAX_HELD_TIME))
+    }
+
+    /// Records work of a team that is sent from this router; negative for work that did
+    /// not begin.
+    pub fn record_sent(&mut self, team: u64, tokens: f64) {
+        if let Some(allowance) = self.allowances.get_mut(&team) {
+            allowance.tokens -= tokens;
+        }
     }
 
     fn record_rates(&mut self, rates: &[(u64, TeamRate)], now: Instant) {
