Shares: a request that no target could run is no demand

A team whose service has no target, none of its version, or only paused ones is refused whatever the load. Its requests counted as demand, so the bound would have held all other teams to 1.6 times the little that it gets, or to their fair share. They are now withdrawn from the requested rate when placement refuses them for another reason than load. Test of the module with and without the withdrawal; the former sets a bound, the latter none.

--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -317,6 +317,9 @@
                 retry_after,
                 exceeded,
             } => {
+                if !reason.is_for_load() {
+                    self.withdraw_request(prompt, now);
+                }
                 let reason = match reason {
                     placement::RefusalReason::NoTarget => "no target",
                     placement::RefusalReason::NoTargetOfVersion => "no target of its version",
@@ -345,6 +348,15 @@
         Some(after)
     }
 
+    /// Counts the request as none that could run; a team is not left behind for it.
+    fn withdraw_request(&self, prompt: Option<&Prompt>, now: Instant) {
+        let team = self.authorized.team_name();
+        if let (Some(team), Some(prompt)) = (team, prompt) {
+            let mut fair_shares = self.context.fair_shares.borrow_mut();
+            fair_shares.withdraw_request(team.tag().0, prompt.weighted_tokens(), now);
+        }
+    }
+
     fn retry_jitter(&self) -> Duration {
         let mut rng = self.context.rng.borrow_mut();
         Duration::from_millis(rng.random_range(0..=MAX_RETRY_JITTER_MILLIS))
--- a/policy/src/direct/fair_share.rs
+++ b/policy/src/direct/fair_share.rs
@@ -56,7 +56,8 @@
 /// The rates of one team, in tokens per second.
 #[derive(Clone, Copy, Default, PartialEq, Debug)]
 pub struct TeamRate {
-    /// The rate of all requests, with an estimate of those that were not read.
+    /// The rate of all requests that some target could run, with an estimate of those
+    /// that were not read.
     pub requested: f64,
     /// The rate of requests that were sent to a target, without those that ended before
     /// they began to run.
@@ -167,6 +168,12 @@
         meter.read.requests += 1.0;
     }
 
+    /// Records that a request cannot run for want of a target, whatever the load.
+    pub fn withdraw_request(&mut self, team: u64, tokens: f64, now: Instant) {
+        let requested = &mut self.meter(team, now).rate.requested;
+        *requested = (*requested - tokens / time_constant()).max(0.0);
+    }
+
     /// Records a request that was shed before its team was known.
     pub fn record_shed(&mut self) {
         self.shed = self.shed.saturating_add(1);
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -147,6 +147,13 @@
     Full,
 }
 
+impl RefusalReason {
+    /// Whether the request would run if its service had less load.
+    pub fn is_for_load(self) -> bool {
+        matches!(self, Self::Busy | Self::Full)
+    }
+}
+
 /// The shortest wait by which a request exceeded its limit.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct ExceededWait {
--- a/policy/tests/direct_service_bound.rs
+++ b/policy/tests/direct_service_bound.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use knapweed_policy::direct::fair_share::TeamRate;
+use knapweed_policy::direct::fair_share::{FairShares, TeamRate};
 use knapweed_policy::direct::service_bound::ServiceBound;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -169,6 +169,33 @@
     }
 }
 
+/// Plays a team without a target beside two others, of which one gets half of what it
+/// requests. Returns whether a bound was in force.
+fn is_bound_beside_a_team_without_target(is_withdrawn: bool) -> bool {
+    let mut shares = FairShares::new(0.0);
+    let start = Instant::now();
+    let mut is_bound = false;
+    for tick in 0..60 {
+        let now = start + TICK * tick;
+        for (team, is_admitted) in [(0, false), (1, tick % 2 == 0), (2, true)] {
+            shares.record_request(team, 1e4, now);
+            match is_admitted {
+                true => shares.record_admitted(team, 1e4, now),
+                false if team == 0 && is_withdrawn => shares.withdraw_request(team, 1e4, now),
+                false => {}
+            }
+        }
+        is_bound |= shares.bound(now).is_some();
+    }
+    is_bound
+}
+
+#[test]
+fn a_team_whose_service_has_no_target_holds_nobody() {
+    assert!(is_bound_beside_a_team_without_target(false));
+    assert!(!is_bound_beside_a_team_without_target(true));
+}
+
 /// Routers that hear of each other's work late do not swing between all and nothing.
 #[test]
 fn routers_that_hear_late_of_each_other_meet_the_bound_in_each_second() {
