--- a/policy/src/direct/service_bound.rs
+++ b/policy/src/direct/service_bound.rs
@@ -45,11 +45,11 @@
 const BEHIND_RATIO: f64 = 1.6;
 
 /// The multiple of the least rate up to which others may send as much as that multiple.
-const HELD_RATIO: f64 = 1.6;
+const HELD_RATIO: f64 = 1.4;
 
 /// The multiple of the least rate at which others may send nothing. A ratio of two is
 /// unfair.
-const MAX_RATIO: f64 = 1.85;
+const MAX_RATIO: f64 = 1.7;
 
 /// The time for which unused work can be saved up. Short, since routers hear late of
 /// what others send.
--- a/policy/tests/direct_service_bound.rs
+++ b/policy/tests/direct_service_bound.rs
@@ -14,7 +14,7 @@
 const TIME_CONSTANT: Duration = Duration::from_millis(2164);
 
 /// Above this ratio to the least served team nothing is sent.
-const MAX_RATIO: f64 = 1.85;
+const MAX_RATIO: f64 = 1.7;
 
 /// The size of a request.
 const REQUEST_TOKENS: f64 = 500.0;
