--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -278,6 +278,12 @@
     /// Counts what was turned away because this router is behind.
     pub(crate) fn record_rejection(&self, rejection: Rejection) {
         self.rejections.record(rejection, &self.metrics);
+        match rejection {
+            Rejection::Connection | Rejection::Request => {
+                self.fair_shares.borrow_mut().record_shed();
+            }
+            Rejection::Limit => {}
+        }
     }
 
     /// Whether a generation request of a team may begin, given the requests in progress.
