Edge: a request refused for strain closes its connection

Callers kept the connections on which they were refused, and sent 1,300 to 2,400 requests a second on 800 of them to a router of 0.09 cores: no accept rate bounds these, so the limit on requests in progress fell to 40. Once a limit is in force, refusals for strain close; others do not.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -213,6 +213,11 @@
         arrival_rate.pause(now)
     }
 
+    /// Whether the connection of a request refused for strain is closed.
+    pub(crate) fn closes_refused(&self) -> bool {
+        self.arrival_rate.borrow().closes_refused()
+    }
+
     /// How long to wait after accepting a batch of connections.
     pub(crate) fn accept_pause(&self, now: Instant) -> Option<Duration> {
         self.overload.borrow().accept_pause(now)
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -38,6 +38,9 @@
 /// [`crate::shed`].
 const OVERLOAD_RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// The reason of these refusals.
+const STRAINED: &str = "strained";
+
 /// How a request ended for its caller.
 enum RequestEnd {
     /// The caller received a complete response.
@@ -92,7 +95,7 @@
     request: CallerRequest,
 ) -> RequestEnd {
     if context.rejects_connections(Instant::now()) {
-        let refusal = Refusal::not_run("strained", OVERLOAD_RETRY_DELAY);
+        let refusal = Refusal::not_run(STRAINED, OVERLOAD_RETRY_DELAY);
         context.record_rejection(Rejection::Request);
         log_refused(&request, None, refusal);
         return refuse(context, caller, refusal).await;
@@ -120,7 +123,7 @@
             .borrow_mut()
             .record_request(team.tag().0, tokens, now);
         if !context.allows_request(team, now) {
-            let refusal = Refusal::not_run("strained", OVERLOAD_RETRY_DELAY);
+            let refusal = Refusal::not_run(STRAINED, OVERLOAD_RETRY_DELAY);
             context.record_rejection(Rejection::Limit);
             context.refused_teams.borrow_mut().record(team, tokens);
             let elapsed = request.received_at.elapsed();
@@ -440,7 +443,8 @@
     caller: &mut CallerConnection,
     refusal: Refusal,
 ) -> RequestEnd {
-    let close = context.closes_after_response();
+    let is_strained = refusal.why == STRAINED;
+    let close = context.closes_after_response() || (is_strained && context.closes_refused());
     let Refusal {
         status, why, retry, ..
     } = refusal;
--- a/policy/src/direct/admission.rs
+++ b/policy/src/direct/admission.rs
@@ -92,7 +92,7 @@
     /// The arrivals since the last recorded lag, and when that was.
     arrivals: u32,
     recorded_at: Instant,
-    /// Whether an arrival had to wait since then.
+    /// Whether a connection had to wait since then.
     was_reached: bool,
 }
 
@@ -147,6 +147,12 @@
         ))
     }
 
+    /// Whether the connection of a request that is refused for lack of processor time is
+    /// closed: no rate would bound what its caller sends next.
+    pub fn closes_refused(&self) -> bool {
+        self.limit.is_some()
+    }
+
     /// Whether the rate is at its minimum.
     pub fn is_at_minimum(&self) -> bool {
         self.limit.is_some_and(|limit| limit <= MIN_ARRIVAL_RATE)
--- a/policy/tests/direct_flood.rs
+++ b/policy/tests/direct_flood.rs
@@ -279,3 +279,83 @@
     }
     assert!(f64::from(accepted) >= MIN_ARRIVAL_RATE * f64::from(SECONDS) * 0.9);
 }
+
+/// The time after which a caller of a refused request sends the next one.
+const RETURN_STEPS: usize = 30;
+
+/// Plays callers of which each sends its next request soon after the last one ended, on
+/// the same connection unless a refusal closed it; returns the mean number of requests in
+/// progress.
+fn play_returning(callers: usize, closes_refused: impl Fn(&ArrivalRate) -> bool) -> f64 {
+    let start = Instant::now();
+    let mut overload = OverloadState::default();
+    let mut rate = ArrivalRate::new(start);
+    let mut limit = RequestLimit::default();
+    let mut backlog = 0_usize;
+    let mut work = 0.0;
+    let steps = (SECONDS * 100) as usize;
+    let mut ends = vec![0_usize; steps + REQUEST_STEPS + RETURN_STEPS];
+    // The requests sent on open connections, and the connections opened, in each step.
+    let mut kept = ends.clone();
+    let mut new = ends.clone();
+    for caller in 0..callers {
+        new[caller % RETURN_STEPS] += 1;
+    }
+    let (mut requests, mut sum) = (0_usize, 0.0);
+    for step in 0..steps {
+        let now = start + STEP * step as u32;
+        let lag = Duration::from_secs_f64(work / PROCESSOR_SHARE);
+        if (step as u32).is_multiple_of(TASK_STEPS) {
+            overload.record_lag(lag, false, now);
+            rate.record_lag(lag, now);
+            limit.record_lag(lag, requests, rate.is_at_minimum());
+        }
+        requests -= ends[step];
+        let waiting = new[step].min(BACKLOG - backlog);
+        new[step + RETURN_STEPS] += new[step] - waiting;
+        backlog += waiting;
+        let mut received = kept[step];
+        while work < TURN_SECONDS && backlog > 0 && rate.pause(now).is_none() {
+            rate.record_arrival(now);
+            work += CONNECTION_SECONDS;
+            backlog -= 1;
+            match overload.rejects_connections(now) {
+                true => new[step + RETURN_STEPS] += 1,
+                false => received += 1,
+            }
+        }
+        for _ in 0..received {
+            if !overload.rejects_connections(now) && limit.allows(requests, false) {
+                requests += 1;
+                ends[step + REQUEST_STEPS] += 1;
+                kept[step + REQUEST_STEPS + 1] += 1;
+                continue;
+            }
+            work += REFUSAL_SECONDS;
+            match closes_refused(&rate) {
+                true => new[step + RETURN_STEPS] += 1,
+                false => kept[step + RETURN_STEPS] += 1,
+            }
+        }
+        work += requests as f64 * REQUEST_LOAD * STEP.as_secs_f64();
+        work = f64::max(work - PROCESSOR_SHARE * STEP.as_secs_f64(), 0.0);
+        if step >= (ADAPTATION_SECONDS * 100) as usize {
+            sum += requests as f64;
+        }
+    }
+    sum / f64::from((SECONDS - ADAPTATION_SECONDS) * 100)
+}
+
+#[test]
+fn refused_callers_do_not_come_back_on_connections_that_no_rate_bounds() {
+    for callers in [500, 1_000, 2_000] {
+        let requests = play_returning(callers, ArrivalRate::closes_refused);
+        let arrivals = MIN_ARRIVAL_RATE * (CONNECTION_SECONDS + REFUSAL_SECONDS);
+        let carried = (PROCESSOR_SHARE - arrivals) / REQUEST_LOAD;
+        assert!(
+            requests >= carried / 2.0,
+            "{requests:.0} in progress of {carried:.0} with {callers} callers"
+        );
+    }
+    assert!(play_returning(1_000, |_| false) < play_returning(1_000, ArrivalRate::closes_refused));
+}
