--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -31,8 +31,9 @@
 use crate::store::StoreReader;
 
 /// The maximum number of connections waiting to be accepted: at the lowest rate, those of
-/// less than a second, after which callers leave. Further ones fail at once.
-const LISTEN_BACKLOG: u32 = 256;
+/// less than half a second, since callers leave after a second and objectives are not much
+/// longer. Further ones fail at once.
+const LISTEN_BACKLOG: u32 = 128;
 
 /// The maximum number of dump requests waiting for the traffic thread.
 const MAX_QUEUED_DUMPS: usize = 4;
