Admission: places of requests in progress are divided among teams by max-min demand

At a router whose limit on requests in progress is reached, teams got places by order of arrival: of two teams within their share, one of which sends ten times as much, the other had 9 requests in progress of the 41 that it asks for, the first 86 (300 connections a second in the model of direct_flood; fails without the division). Now a team's places are capped at the max-min level of what teams have in progress and were refused in the last second or two; without a limit nothing is divided.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -22,6 +22,7 @@
 use policy::direct::placement::PlacementSettings;
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_table::{TargetEntryId, TargetTable};
+use policy::direct::team_places::TeamPlaces;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashSet;
@@ -60,6 +61,18 @@
     broken_at: Instant,
 }
 
+/// A place of a team among the requests in progress; given back when dropped.
+pub(crate) struct Place {
+    context: Rc<Context>,
+    team: u64,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.context.team_places.borrow_mut().end(self.team);
+    }
+}
+
 /// The state of the traffic thread.
 pub(crate) struct Context {
     pub(crate) shared: Arc<Shared>,
@@ -91,6 +104,7 @@
     overload: RefCell<OverloadState>,
     arrival_rate: RefCell<ArrivalRate>,
     request_limit: RefCell<RequestLimit>,
+    team_places: RefCell<TeamPlaces>,
     /// The registry last applied to the target table.
     registry: LatestSnapshot<TargetRegistry>,
     /// The peer state that was last applied.
@@ -147,6 +161,7 @@
             overload: RefCell::default(),
             arrival_rate: RefCell::new(ArrivalRate::new(Instant::now())),
             request_limit: RefCell::default(),
+            team_places: RefCell::default(),
             registry: LatestSnapshot::default(),
             peers: LatestSnapshot::default(),
             peers_summed_at: Cell::new(None),
@@ -178,6 +193,8 @@
             arrival_rate.is_at_minimum(),
         );
         drop(arrival_rate);
+        let max_places = self.request_limit.borrow().max_places();
+        self.team_places.borrow_mut().divide(max_places, now);
         let is_nearly_full = self.connections.is_nearly_full();
         let is_overloaded = self
             .overload
@@ -233,8 +250,23 @@
         self.rejections.record(rejection, &self.metrics);
     }
 
-    /// Whether a generation request of a team may begin, given the requests in progress.
-    pub(crate) fn allows_request(&self, team: &Name, now: Instant) -> bool {
+    /// Takes a place for a generation request of a team, if it may begin, given the
+    /// requests in progress.
+    pub(crate) fn take_place(self: &Rc<Self>, team: &Name, now: Instant) -> Option<Place> {
+        let team = team.tag().0;
+        let mut team_places = self.team_places.borrow_mut();
+        if !team_places.allows(team) || !self.allows_request(team, now) {
+            team_places.record_refused(team);
+            return None;
+        }
+        team_places.begin(team);
+        Some(Place {
+            context: self.clone(),
+            team,
+        })
+    }
+
+    fn allows_request(&self, team: u64, now: Instant) -> bool {
         // The request itself is already counted.
         let requests = self.shared.open_requests.load(Ordering::Relaxed);
         let requests = requests.saturating_sub(1);
@@ -243,7 +275,7 @@
             return true;
         }
         let mut fair_shares = self.fair_shares.borrow_mut();
-        let is_within_share = fair_shares.share_usage(team.tag().0, now) <= 1.0;
+        let is_within_share = fair_shares.share_usage(team, now) <= 1.0;
         request_limit.allows(requests, is_within_share)
     }
 
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -116,13 +116,16 @@
         .retry_budget
         .borrow_mut()
         .record_request(&service, routers, now);
+    // Held to the end of the request.
+    let mut _place = None;
     if let (Some(team), Some(prompt)) = (authorized.team_name(), &request.caller_headers.prompt) {
         let tokens = prompt.weighted_tokens();
         context
             .fair_shares
             .borrow_mut()
             .record_request(team.tag().0, tokens, now);
-        if !context.allows_request(team, now) {
+        _place = context.take_place(team, now);
+        if _place.is_none() {
             let refusal = Refusal::not_run(STRAINED, OVERLOAD_RETRY_DELAY);
             context.record_rejection(Rejection::Limit);
             context.refused_teams.borrow_mut().record(team, tokens);
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -22,6 +22,7 @@
 //! - [`prefill_rate`]: how many tokens engines prefill per millisecond;
 //! - [`overload`]: whether this router is overloaded;
 //! - [`admission`]: how many connections and requests it takes on;
+//! - [`team_places`]: how these requests are divided among teams;
 //! - [`outlier`]: which targets fail requests although their health checks pass;
 //! - [`budget`]: how many retries this router may send;
 //! - [`stream_origin`]: at which software version a stream began;
@@ -52,3 +53,4 @@
 pub mod stream_origin;
 pub mod target;
 pub mod target_table;
+pub mod team_places;
--- a/policy/src/direct/admission.rs
+++ b/policy/src/direct/admission.rs
@@ -203,6 +203,11 @@
         };
     }
 
+    /// The greatest number of requests in progress, if there is a limit.
+    pub fn max_places(&self) -> Option<f64> {
+        self.limit.map(|limit| limit * WITHIN_SHARE_FACTOR)
+    }
+
     /// Whether a request may begin while `requests` others are in progress.
     pub fn allows(&self, requests: usize, is_within_share: bool) -> bool {
         let factor = match is_within_share {
--- a/policy/tests/direct_flood.rs
+++ b/policy/tests/direct_flood.rs
@@ -10,6 +10,7 @@
 
 use knapweed_policy::direct::admission::{ArrivalRate, LIMIT_LAG, MIN_ARRIVAL_RATE, RequestLimit};
 use knapweed_policy::direct::overload::{OverloadState, SHED_LAG};
+use knapweed_policy::direct::team_places::{DEMAND_TIME, TeamPlaces};
 
 /// The step of the model, and the period of the task whose lag is recorded.
 const STEP: Duration = Duration::from_millis(10);
@@ -48,14 +49,16 @@
 /// How long callers wait for a connection to be accepted.
 const PATIENCE: Duration = Duration::from_secs(1);
 
-/// The parts of the connections that two teams make.
-const TEAMS: [f64; 2] = [10.0 / 11.0, 1.0 / 11.0];
+/// The connections that the first team makes for each of the second.
+const TEAM_RATIO: u32 = 10;
 
 #[derive(Default)]
 struct Outcome {
     max_lag: Duration,
     /// The mean number of requests in progress.
     requests: f64,
+    /// The same by team.
+    by_team: [f64; 2],
     /// The part of the accepted connections whose callers had left.
     left: f64,
     min_limit: Option<usize>,
@@ -64,15 +67,26 @@
 /// Plays `per_second` new connections a second, each with a request; refusing it takes
 /// `refusal` seconds besides the connection.
 fn play(per_second: f64, refusal: f64, is_limited: bool) -> Outcome {
+    play_within_share(per_second, refusal, is_limited, false)
+}
+
+/// The same, where both teams are within their share of the fleet or beyond it.
+fn play_within_share(
+    per_second: f64,
+    refusal: f64,
+    is_limited: bool,
+    is_within_share: bool,
+) -> Outcome {
     let start = Instant::now();
     let mut overload = OverloadState::default();
     let mut rate = ArrivalRate::new(start);
     let mut limit = RequestLimit::default();
+    let mut places = TeamPlaces::default();
     let mut backlog = VecDeque::new();
     // In seconds of processor time.
     let mut work = 0.0;
-    let mut ends = vec![0_usize; (SECONDS * 100) as usize + REQUEST_STEPS + 1];
-    let mut requests = 0_usize;
+    let mut ends = vec![[0_usize; 2]; (SECONDS * 100) as usize + REQUEST_STEPS + 1];
+    let mut requests = [0_usize; 2];
     let mut outcome = Outcome::default();
     let (mut accepted, mut left) = (0_u32, 0_u32);
     for step in 0..SECONDS * 100 {
@@ -81,20 +95,22 @@
         if step.is_multiple_of(TASK_STEPS) {
             overload.record_lag(lag, false, now);
             rate.record_lag(lag, now);
-            limit.record_lag(lag, requests, rate.is_at_minimum());
+            limit.record_lag(lag, requests.iter().sum(), rate.is_at_minimum());
+            places.divide(limit.max_places(), now);
         }
-        requests -= ends[step as usize];
-        for (team, part) in TEAMS.into_iter().enumerate() {
-            let per_step = per_second * part * STEP.as_secs_f64();
-            let connections = |step: u32| (per_step * f64::from(step)) as u32;
-            for _ in connections(step)..connections(step + 1) {
-                if backlog.len() < BACKLOG {
-                    backlog.push_back((team, now));
-                }
+        for (team, ended) in ends[step as usize].into_iter().enumerate() {
+            requests[team] -= ended;
+            (0..ended).for_each(|_| places.end(team as u64));
+        }
+        let connections = |step: u32| (per_second * STEP.as_secs_f64() * f64::from(step)) as u32;
+        for number in connections(step)..connections(step + 1) {
+            if backlog.len() < BACKLOG {
+                let team = usize::from(number.is_multiple_of(TEAM_RATIO + 1));
+                backlog.push_back((team, now));
             }
         }
         while work < TURN_SECONDS && (!is_limited || rate.pause(now).is_none()) {
-            let Some((_, connected_at)) = backlog.pop_front() else {
+            let Some((team, connected_at)) = backlog.pop_front() else {
                 break;
             };
             rate.record_arrival(now);
@@ -104,25 +120,38 @@
                 left += 1;
                 continue;
             }
-            match !is_limited || limit.allows(requests, false) {
+            let in_progress: usize = requests.iter().sum();
+            let is_allowed =
+                limit.allows(in_progress, is_within_share) && places.allows(team as u64);
+            match !is_limited || is_allowed {
                 _ if overload.rejects_connections(now) => {}
                 true => {
-                    requests += 1;
-                    ends[step as usize + REQUEST_STEPS] += 1;
+                    requests[team] += 1;
+                    places.begin(team as u64);
+                    ends[step as usize + REQUEST_STEPS][team] += 1;
+                }
+                false => {
+                    places.record_refused(team as u64);
+                    work += refusal;
                 }
-                false => work += refusal,
             }
         }
-        work += requests as f64 * REQUEST_LOAD * STEP.as_secs_f64();
+        let in_progress: usize = requests.iter().sum();
+        work += in_progress as f64 * REQUEST_LOAD * STEP.as_secs_f64();
         work = f64::max(work - PROCESSOR_SHARE * STEP.as_secs_f64(), 0.0);
         if step >= ADAPTATION_SECONDS * 100 {
             outcome.max_lag = outcome.max_lag.max(lag);
-            outcome.requests += requests as f64;
+            outcome.requests += in_progress as f64;
+            for (sum, requests) in outcome.by_team.iter_mut().zip(requests) {
+                *sum += requests as f64;
+            }
             let allowed = (0..1_000).find(|&requests| !limit.allows(requests, false));
             outcome.min_limit = outcome.min_limit.min(allowed).or(allowed);
         }
     }
-    outcome.requests /= f64::from((SECONDS - ADAPTATION_SECONDS) * 100);
+    let steps = f64::from((SECONDS - ADAPTATION_SECONDS) * 100);
+    outcome.requests /= steps;
+    outcome.by_team.iter_mut().for_each(|sum| *sum /= steps);
     outcome.left = f64::from(left) / f64::from(accepted);
     outcome
 }
@@ -359,3 +388,53 @@
     }
     assert!(play_returning(1_000, |_| false) < play_returning(1_000, ArrivalRate::closes_refused));
 }
+
+#[test]
+fn a_team_gets_half_of_the_places_of_one_that_asks_for_ten_times_as_much() {
+    for per_second in [300.0, 600.0] {
+        let outcome = play_within_share(per_second, REFUSAL_SECONDS, true, true);
+        let [large, small] = outcome.by_team;
+        let per_second_small = per_second / f64::from(TEAM_RATIO + 1);
+        let asked = per_second_small * (STEP * REQUEST_STEPS as u32).as_secs_f64();
+        assert!(
+            small >= asked.min(large) / 2.0,
+            "{small:.0} of {asked:.0} at {per_second} a second, the other {large:.0}"
+        );
+    }
+}
+
+#[test]
+fn places_are_divided_evenly_only_while_teams_ask_for_more_than_there_are() {
+    let mut places = TeamPlaces::default();
+    let now = Instant::now();
+    let fill = |places: &mut TeamPlaces, team| {
+        let mut count = 0;
+        while places.allows(team) && count < 100 {
+            places.begin(team);
+            count += 1;
+        }
+        count
+    };
+    (0..90).for_each(|_| places.begin(0));
+    places.divide(Some(100.0), now);
+    assert!(places.allows(0));
+    (0..40).for_each(|_| places.record_refused(1));
+    places.divide(Some(100.0), now);
+    assert!(!places.allows(0));
+    assert_eq!(fill(&mut places, 1), 60);
+    // A team that asks for little leaves its part to the others.
+    let mut places = TeamPlaces::default();
+    (0..10).for_each(|_| places.begin(2));
+    (0..500).for_each(|_| places.record_refused(0));
+    (0..500).for_each(|_| places.record_refused(1));
+    places.divide(Some(100.0), now);
+    assert_eq!([fill(&mut places, 0), fill(&mut places, 1)], [45, 45]);
+    assert!(places.allows(2));
+    // Demand is forgotten, and without a limit nothing is divided.
+    places.divide(None, now);
+    assert!(places.allows(0));
+    for seconds in 1..=3 {
+        places.divide(Some(100.0), now + DEMAND_TIME * seconds);
+    }
+    assert!(places.allows(0));
+}
