Rotation: a rested router relieves one that must stay; refused callers come back when that helps

Cause: b-4 and b-5 waited until nobody was strained, and b-3 could not leave for them; and a Retry-After of 10 to 30 ms brought callers back to b-3 at once: the retries of a client with a flood reach the same router. Measured by request fingerprints in the log of all routers: of the next tries of tira860 after a refusal 1,409 came to the same router and 1 to another one; of other teams 2,088 and 1,800.

A router that left returns once none in rotation has more than 1.5 times the requests that it carried, so that one that must stay with few requests is relieved. A strained refusal says 10 to 30 ms only at a router that has been out for 2 s.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -49,14 +49,14 @@
 /// The time after a broken attempt during which it is suspected of crashing its target.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
-/// The least retry delay of requests refused for strain while another router of the data
-/// centre has room, and what is added at random.
-const STRAINED_RETRY_DELAY: (Duration, Duration) =
+/// The least retry delay of requests refused for strain whose callers reach another router
+/// that has room, and what is added at random.
+const MOVED_RETRY_DELAY: (Duration, Duration) =
     (Duration::from_millis(10), Duration::from_millis(20));
 
-/// The same while none has room. The balancer takes up to 2 s to notice the overload, and
+/// The same where callers come back to this router. The balancer takes up to 2 s to notice the overload, and
 /// a caller's objective is not much longer.
-const CENTRE_STRAINED_RETRY_DELAY: (Duration, Duration) =
+const STRAINED_RETRY_DELAY: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(100));
 
 /// The maximum number of teams in a report.
@@ -173,13 +173,13 @@
     }
 
     /// Records a refusal for strain, and returns when the caller should try again: at
-    /// once if another router has room, since its next try reaches another one.
+    /// once if its next try reaches another router that has room.
     pub(crate) fn strained_retry_delay(&self, now: Instant) -> Duration {
         let mut rotation = self.rotation.borrow_mut();
         rotation.record_refused(now);
-        let (least, spread) = match rotation.has_room_elsewhere() {
-            true => STRAINED_RETRY_DELAY,
-            false => CENTRE_STRAINED_RETRY_DELAY,
+        let (least, spread) = match rotation.moves_retries(now) {
+            true => MOVED_RETRY_DELAY,
+            false => STRAINED_RETRY_DELAY,
         };
         least + spread.mul_f64(self.rng.borrow_mut().random())
     }
--- a/policy/src/direct/rotation.rs
+++ b/policy/src/direct/rotation.rs
@@ -9,9 +9,9 @@
 //! - Routers that are overloaded leave in the order of what they carry, the weakest
 //!   first, and only while at least half of the data centre stays. Those that cannot be
 //!   reached, start or stop count as having left.
-//! - Those that left return one at a time, the strongest first, once none that stayed is
-//!   strained or has more requests than the returning one could carry: their callers
-//!   would return with it.
+//! - Those that left return one at a time, the strongest first, once none that stayed has
+//!   clearly more requests than the returning one could carry: their callers would return
+//!   with it. One that stayed and is overloaded by fewer is relieved by the return.
 //!
 //! Hysteresis keeps routers of nearly equal strength from taking turns: one that has left
 //! counts as weaker than it is.
@@ -36,6 +36,9 @@
 /// to send callers, and these need a second or two to show their load.
 const RETURN_INTERVAL: Duration = Duration::from_secs(3);
 
+/// The time in which the balancer notices that a router left: two of its checks.
+const NOTICE_TIME: Duration = Duration::from_secs(2);
+
 /// The time after which a router that is no longer known does not count as a part of the
 /// data centre. Longer than a restart or a partition lasts.
 const FORGET_TIME: Duration = Duration::from_secs(600);
@@ -201,6 +204,16 @@
         self.others_in().any(|(_, it)| !it.is_strained)
     }
 
+    /// Whether a refused caller that tries again reaches another router, one with room:
+    /// its next connection comes back here unless the balancer has noticed that this
+    /// router left.
+    pub fn moves_retries(&self, now: Instant) -> bool {
+        let is_noticed = self
+            .out_since
+            .is_some_and(|at| now.saturating_duration_since(at) >= NOTICE_TIME);
+        self.own.is_out && is_noticed && self.has_room_elsewhere()
+    }
+
     /// Whether connections are closed after a response, or after a refusal. Callers that
     /// reconnect while this router is in rotation come back to it.
     pub fn closes_connections(&self, is_refusal: bool) -> bool {
@@ -267,7 +280,7 @@
         }
         let is_calm = self
             .others_in()
-            .all(|(_, it)| !it.is_strained && it.requests <= self.own.carried);
+            .all(|(_, it)| it.requests <= self.own.carried / 2 * 3);
         is_calm || since(self.out_since).is_none_or(|it| it >= MAX_UNREADY_TIME)
     }
 }
--- a/policy/tests/direct_rotation.rs
+++ b/policy/tests/direct_rotation.rs
@@ -337,3 +337,31 @@
     rotation.set_neighbours(&say(true), now);
     assert_eq!(closes(&rotation), [false, true], "those served may stay");
 }
+
+#[test]
+fn a_rested_router_returns_to_relieve_one_that_had_to_stay() {
+    let mut group = Group::new(&[MANY, MANY, FEW, FEW, FEW]);
+    let mut loads = [FEW, FEW, FEW, FEW, FEW].map(calm);
+    for index in [4, 3, 2] {
+        loads[index] = overloaded(FEW);
+        group.run(&loads, PERIOD * 5);
+    }
+    assert_eq!(group.out(), [3, 4]);
+    // The callers of the others stay at the router that could not leave.
+    loads[3] = calm(0);
+    group.run(&loads, PERIOD * 3);
+    assert_eq!(group.out(), [2, 4]);
+}
+
+#[test]
+fn a_refused_caller_is_sent_on_at_once_only_where_its_next_try_reaches_another_router() {
+    let mut group = Group::new(&[MANY, FEW, FEW]);
+    let loads = [calm(FEW), calm(FEW), overloaded(FEW)];
+    group.step(&loads);
+    let moves = |group: &Group, index: usize| group.routers[index].moves_retries(group.now);
+    assert_eq!(group.out(), [2]);
+    assert!(!moves(&group, 2), "the balancer has not noticed yet");
+    group.run(&loads, Duration::from_secs(2));
+    assert!(moves(&group, 2));
+    assert!(!moves(&group, 1), "its callers come back to it");
+}
--- a/policy/tests/direct_rotation/centre.rs
+++ b/policy/tests/direct_rotation/centre.rs
@@ -63,7 +63,7 @@
 /// The maximum number of connections waiting to be accepted.
 const BACKLOG: usize = 1_024;
 
-/// The Retry-After of a refusal while another router has room, and otherwise.
+/// The Retry-After of a refusal if the next try reaches another router, and otherwise.
 const RETRY_STEPS: usize = 2;
 const STRAINED_RETRY_STEPS: usize = 25;
 
@@ -421,7 +421,7 @@
             }
             Answer::Refused { keep } => {
                 router.rotation.record_refused(now);
-                let delay = match router.rotation.has_room_elsewhere() {
+                let delay = match router.rotation.moves_retries(now) {
                     true => RETRY_STEPS,
                     false => STRAINED_RETRY_STEPS,
                 };
