--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -12,12 +12,13 @@
 use entity::{Fingerprint, Name};
 use node::event::{self, Event};
 use node::settings::EdgeSettings;
+use policy::direct::admission::{ArrivalRate, RequestLimit};
 use policy::direct::budget::{RetryBudget, RetryLimit};
 use policy::direct::cold::ColdLimit;
 use policy::direct::config::Config;
 use policy::direct::crash::{CrashHistory, CrashRecord};
 use policy::direct::fair_share::FairShares;
-use policy::direct::overload::{MAX_LAG, OverloadState, RequestLimit, SUSPENSION_LAG};
+use policy::direct::overload::{MAX_LAG, OverloadState, SUSPENSION_LAG};
 use policy::direct::placement::PlacementSettings;
 use policy::direct::rotation::{OwnLoad, Rotation};
 use policy::direct::target::TargetRegistry;
@@ -27,10 +28,12 @@
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 
+use crate::bound_log::BoundLog;
 use crate::connection_limit::ConnectionLimit;
 use crate::latest::LatestSnapshot;
-use crate::metrics::TrafficMetrics;
+use crate::metrics::{Rejection, TrafficMetrics};
 use crate::refused_teams::RefusedTeams;
+use crate::rejections::{Rejections, RouterState};
 use crate::shared::{LocalReport, PeerState, Shared};
 use crate::target::{BodyFraming, ConnectionPool};
 
@@ -81,6 +84,8 @@
     pub(crate) target_table: RefCell<TargetTable>,
     pub(crate) fair_shares: RefCell<FairShares>,
     pub(crate) refused_teams: RefCell<RefusedTeams>,
+    pub(crate) rejections: Rejections,
+    pub(crate) bound_log: RefCell<BoundLog>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crash_history: RefCell<CrashHistory>,
     pub(crate) rng: RefCell<ChaCha8Rng>,
@@ -97,6 +102,7 @@
     /// The targets last logged as avoided.
     avoided: RefCell<FxHashSet<TargetEntryId>>,
     overload: RefCell<OverloadState>,
+    arrival_rate: RefCell<ArrivalRate>,
     request_limit: RefCell<RequestLimit>,
     rotation: RefCell<Rotation>,
     /// The registry last applied to the target table.
@@ -140,6 +146,8 @@
             target_table: RefCell::default(),
             fair_shares: RefCell::new(FairShares::new(0.0)),
             refused_teams: RefCell::new(RefusedTeams::new(Instant::now())),
+            rejections: Rejections::new(Instant::now()),
+            bound_log: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_limit)),
             crash_history: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -152,6 +160,7 @@
             broken_attempts: RefCell::default(),
             avoided: RefCell::default(),
             overload: RefCell::default(),
+            arrival_rate: RefCell::new(ArrivalRate::new(Instant::now())),
             request_limit: RefCell::default(),
             rotation: RefCell::new(Rotation::new(settings.control)),
             registry: LatestSnapshot::default(),
@@ -189,13 +198,19 @@
     /// An overloaded router, or one that runs out of connections, reports itself
     /// unready for a while, because the balancer does not know the capacity of VMs.
     pub(crate) fn record_lag(&self, lag: Duration, now: Instant) {
+        self.rejections.record_lag(lag);
         self.target_table
             .borrow_mut()
             .end_rate_interval(lag <= MAX_LAG);
         let open_requests = self.shared.open_requests.load(Ordering::Relaxed);
-        self.request_limit
-            .borrow_mut()
-            .record_lag(lag, open_requests);
+        let mut arrival_rate = self.arrival_rate.borrow_mut();
+        arrival_rate.record_lag(lag, now);
+        self.request_limit.borrow_mut().record_lag(
+            lag,
+            open_requests,
+            arrival_rate.is_at_minimum(),
+        );
+        drop(arrival_rate);
         let is_nearly_full = self.connections.is_nearly_full();
         let is_overloaded = self
             .overload
@@ -242,6 +257,14 @@
         self.metrics.record_rotation(event.name());
     }
 
+    /// Records an accepted connection; returns how long to wait before the next one.
+    pub(crate) fn record_accepted(&self, now: Instant) -> Option<Duration> {
+        self.rejections.record_accepted();
+        let mut arrival_rate = self.arrival_rate.borrow_mut();
+        arrival_rate.record_arrival(now);
+        arrival_rate.pause(now)
+    }
+
     /// How long to wait after accepting a batch of connections.
     pub(crate) fn accept_pause(&self, now: Instant) -> Option<Duration> {
         self.overload.borrow().accept_pause(now)
@@ -252,6 +275,11 @@
         self.overload.borrow().rejects_connections(now)
     }
 
+    /// Counts what was turned away because this router is behind.
+    pub(crate) fn record_rejection(&self, rejection: Rejection) {
+        self.rejections.record(rejection, &self.metrics);
+    }
+
     /// Whether a generation request of a team may begin, given the requests in progress.
     pub(crate) fn allows_request(&self, team: &Name, now: Instant) -> bool {
         // The request itself is already counted.
@@ -335,6 +363,11 @@
         self.refused_teams
             .borrow_mut()
             .log_if_due(&mut self.fair_shares.borrow_mut(), now);
+        self.rejections.log_if_due(|| self.router_state(now), now);
+        if let Some(bound) = self.fair_shares.borrow_mut().bound(now) {
+            let mut bound_log = self.bound_log.borrow_mut();
+            bound_log.log_if_due(bound, self.config().as_deref(), now);
+        }
         self.notify_stalled(now);
         let leaving = self.shared.take_peer_leaving();
         let leaving = self.target_table.borrow_mut().record_leaving_tags(&leaving);
@@ -354,6 +387,20 @@
             .record_connections(self.connection_pool.opened_count());
     }
 
+    fn router_state(&self, now: Instant) -> RouterState {
+        let peers = self.shared.peers.load();
+        let ages = peers.reports.iter().map(|it| it.received_at);
+        RouterState {
+            connections: self.connections.open_count(),
+            requests: self.shared.open_requests.load(Ordering::Relaxed),
+            reports: peers.reports.len(),
+            oldest_report: ages
+                .map(|at| now.saturating_duration_since(at))
+                .max()
+                .unwrap_or_default(),
+        }
+    }
+
     /// Updates the prefill rate from the rate observed at the engines.
     fn update_prefill_rate(&self) {
         let rate = self
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -7,6 +7,7 @@
 //! `policy::direct`; names on the wire are decoded by `platform`.
 
 mod attempt;
+mod bound_log;
 mod caller;
 mod clock;
 mod connection_limit;
@@ -18,6 +19,7 @@
 mod operators;
 mod origin;
 mod refused_teams;
+mod rejections;
 mod request;
 pub mod run;
 mod serve;
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -21,6 +21,7 @@
 use crate::caller::{CallerConnection, INITIAL_LIMITS, ReadOutcome, ResponseFraming, run_until};
 use crate::context::Context;
 use crate::events::{EventSplitter, has_events};
+use crate::metrics::Rejection;
 use crate::origin;
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
 use crate::serve::{Dispatch, Outcome, StreamedResponse};
@@ -89,6 +90,7 @@
     let now = Instant::now();
     if context.rejects_connections(now) {
         let refusal = Refusal::not_run("strained", context.strained_retry_delay(now));
+        context.record_rejection(Rejection::Request);
         log_refused(&request, None, refusal);
         return refuse_strained(context, caller, refusal).await;
     }
@@ -116,6 +118,7 @@
             .record_request(team.tag().0, tokens, now);
         if !context.allows_request(team, now) {
             let refusal = Refusal::not_run("strained", context.strained_retry_delay(now));
+            context.record_rejection(Rejection::Limit);
             context.refused_teams.borrow_mut().record(team, tokens);
             let elapsed = request.received_at.elapsed();
             let kind = authorized.kind();
--- a/edge/src/shed.rs
+++ b/edge/src/shed.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::context::Context;
+use crate::metrics::Rejection;
 
 /// The time limit for the caller to send its request and close the connection.
 const REJECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -23,7 +24,7 @@
 
 /// Sends the fixed response to whatever arrives on a connection, and closes it.
 pub(crate) async fn reject(context: &Context, mut stream: TcpStream) {
-    context.metrics.record_shed();
+    context.record_rejection(Rejection::Connection);
     // A timeout needs no log line: the caller disconnected or is too slow.
     if let Ok(Err(error)) = timeout(REJECT_TIMEOUT, respond(context, &mut stream)).await {
         log::debug!("caller's connection failed: {error}");
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -75,6 +75,8 @@
     SettingsRefused 1012 Error "settings-refused";
     /// Log lines were dropped to stay within the size limit.
     LinesDropped 1013 Warn "lines-dropped";
+    /// Connections or requests were turned away unread or before their team was known.
+    LoadRejected 1014 Warn "load-rejected";
     /// The process is overloaded and stays ready, for the data centre.
     RotationHeld 1015 Warn "rotation-held";
 
@@ -168,6 +170,8 @@
     TargetSaidLeaving 1418 Info "target-said-leaving";
     /// A target turned a request away and wants no others for a while.
     TargetPaused 1419 Info "target-paused";
+    /// Teams are held to a multiple of what a team gets that is left behind.
+    RatesBounded 1420 Warn "rates-bounded";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -19,8 +19,10 @@
 //! - [`cold`]: which routers send to a cold target, and at which rate;
 //! - [`stall`]: which targets have stopped responding;
 //! - [`fair_share`]: which teams are beyond their fair share of the pool;
+//! - [`service_bound`]: which teams are held back while another is left behind;
 //! - [`prefill_rate`]: how many tokens engines prefill per millisecond;
 //! - [`overload`]: whether this router is overloaded;
+//! - [`admission`]: how many connections and requests it takes on;
 //! - [`rotation`]: which overloaded routers of a data centre report themselves unready;
 //! - [`outlier`]: which targets fail requests although their health checks pass;
 //! - [`budget`]: how many retries this router may send;
@@ -31,6 +33,7 @@
 //!
 //! Invariant: nothing here performs I/O or reads a clock.
 
+pub mod admission;
 pub mod budget;
 pub mod cold;
 pub mod config;
@@ -47,6 +50,7 @@
 pub mod prompt;
 pub mod response;
 pub mod rotation;
+pub mod service_bound;
 pub mod stall;
 pub mod store_revision;
 pub mod stream_origin;
