--- a/policy/src/direct/rotation.rs
+++ b/policy/src/direct/rotation.rs
@@ -51,6 +51,10 @@
 /// the router had.
 const MIN_CARRIED: f64 = 64.0;
 
+/// The part by which the record of what a router carried approaches the requests in
+/// progress at a late task: requests that just began have cost little yet.
+const LATE_WEIGHT: f64 = 0.2;
+
 /// A router that has left counts as weaker by this factor.
 const OUT_FACTOR: u16 = 3;
 
@@ -227,9 +231,11 @@
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let halvings = elapsed.as_secs_f64() / CARRIED_HALF_LIFE.as_secs_f64();
         let decayed = self.carried * (-halvings).exp2();
+        let requests = load.requests as f64;
         self.carried = match load.is_late {
+            true if requests < decayed => decayed + (requests - decayed) * LATE_WEIGHT,
             true => decayed,
-            false => decayed.max(load.requests as f64),
+            false => decayed.max(requests),
         };
         self.carried = self.carried.max(MIN_CARRIED);
     }
--- a/policy/tests/direct_rotation.rs
+++ b/policy/tests/direct_rotation.rs
@@ -113,6 +113,29 @@
     assert!(faults.is_empty(), "{faults}");
 }
 
+#[test]
+fn a_flood_whose_retries_stay_with_it_is_left_to_a_strong_router() {
+    let strengths: [&[f64]; 4] = [
+        &[STRONG, STRONG, STRONG, WEAK, WEAK],
+        &[STRONG, STRONG, STRONG, STRONG, WEAK],
+        &[STRONG, STRONG, STRONG, WEAK, WEAK, WEAK],
+        &[STRONG, STRONG, STRONG, STRONG, WEAK, WEAK, WEAK],
+    ];
+    let plays = strengths.iter().flat_map(|strengths| {
+        [1, 2, 3].map(|seed| Play {
+            seed,
+            retries_stay: true,
+            ..Play::new(strengths, FLOOD)
+        })
+    });
+    let faults = faults(plays.collect(), |flooded| {
+        let served = play(flooded).large.served as f64 / flooded.seconds as f64;
+        let due = carried(flooded) / 2.0;
+        (served < due).then(|| format!("{served:.0} a second served, {due:.0} due"))
+    });
+    assert!(faults.is_empty(), "{faults}");
+}
+
 #[test]
 fn one_late_task_and_a_restart_without_a_flood_delay_nobody() {
     let strengths = [STRONG, STRONG, WEAK, WEAK, WEAK];
@@ -296,6 +319,17 @@
     assert_eq!(group.out(), [0; 0], "no longer than this");
 }
 
+#[test]
+fn requests_that_make_a_router_late_do_not_count_as_carried() {
+    let mut group = Group::new(&[MANY, MANY, MANY]);
+    let calm_carried = group.routers[2].readiness().carried;
+    let loads = [calm(FEW), calm(FEW), overloaded(FEW)];
+    group.run(&loads, PERIOD * 20);
+    let carried = usize::from(group.routers[2].readiness().carried);
+    assert!(usize::from(calm_carried) >= MANY - 1);
+    assert!((FEW..FEW + FEW / 8).contains(&carried), "{carried}");
+}
+
 #[test]
 fn routers_that_are_not_heard_count_as_having_left() {
     let now = Instant::now();
--- a/policy/tests/direct_rotation/centre.rs
+++ b/policy/tests/direct_rotation/centre.rs
@@ -5,7 +5,8 @@
 //! takes it out after two misses, and uses all routers while fewer than half are in.
 //! An open connection stays, so callers move only if a router closes it. A caller that
 //! is not accepted or answered within a second gives the attempt up; a refused one
-//! waits for its Retry-After. Each request is tried once more at another router.
+//! waits for its Retry-After. Each request is tried once more, at another router unless
+//! retries stay where the hash sends them.
 //!
 //! A router works off processor time in order of arrival. Its lag is the time that the
 //! work already taken on needs.
@@ -89,6 +90,8 @@
     /// Whether the large client's order begins with the weakest routers; a random order
     /// otherwise.
     pub(crate) weak_first: bool,
+    /// Whether second tries reach the router that the balancer chooses for first ones.
+    pub(crate) retries_stay: bool,
     pub(crate) seed: u64,
     pub(crate) seconds: usize,
     /// A second in which one task of the last router is late once.
@@ -105,6 +108,7 @@
             strengths: strengths.to_vec(),
             flood,
             weak_first: true,
+            retries_stay: false,
             seed: 1,
             seconds: 40,
             late_once: None,
@@ -148,11 +152,12 @@
 }
 
 /// The requests a second of the large client that the two strongest routers could
-/// carry: each request is tried at two routers.
+/// carry, or the strongest if retries stay there: each request is tried twice.
 pub(crate) fn carried(play: &Play) -> f64 {
     let mut strengths = play.strengths.clone();
     strengths.sort_by(|a, b| b.total_cmp(a));
-    let left = strengths.iter().take(2).map(|strength| {
+    let count = if play.retries_stay { 1 } else { 2 };
+    let left = strengths.iter().take(count).map(|strength| {
         let others = OTHER_RATE * (REQUEST_SECONDS + CONNECTION_SECONDS);
         let connections = play.flood * CONNECTION_SECONDS;
         ((strength - others - connections) / REQUEST_SECONDS).max(0.0)
@@ -252,6 +257,7 @@
     retries: Vec<Vec<Attempt>>,
     ends: Vec<Vec<(usize, usize, bool)>>,
     random: ChaCha8Rng,
+    retries_stay: bool,
     outcome: Outcome,
 }
 
@@ -314,6 +320,7 @@
             retries: vec![Vec::new(); slots],
             ends: vec![Vec::new(); slots],
             random,
+            retries_stay: play.retries_stay,
             outcome: Outcome::default(),
         }
     }
@@ -344,7 +351,8 @@
         let order = self.clients[attempt.client].order.iter().copied();
         let usable = order.filter(|&it| uses_all || self.routers[it].is_in_rotation());
         let usable: Vec<usize> = usable.collect();
-        let untried = usable.iter().find(|&&it| Some(it) != attempt.tried);
+        let tried = attempt.tried.filter(|_| !self.retries_stay);
+        let untried = usable.iter().find(|&&it| Some(it) != tried);
         *untried.unwrap_or(&usable[0])
     }
 
@@ -375,7 +383,8 @@
         let waiting = self.routers[router].backlog.len() + self.routers[router].abandoned;
         match waiting < BACKLOG {
             true => self.routers[router].backlog.push_back(attempt),
-            false => self.retry(router, attempt, step + PATIENCE_STEPS),
+            // A full backlog is noticed at once.
+            false => self.retry(router, attempt, step + 1),
         }
     }
 
