--- a/policy/src/direct/rotation.rs
+++ b/policy/src/direct/rotation.rs
@@ -9,9 +9,9 @@
 //! - Routers that are overloaded leave in the order of what they carry, the weakest
 //!   first, and only while at least half of the data centre stays. Those that cannot be
 //!   reached, start or stop count as having left.
-//! - Those that left return one at a time, the strongest first, once none that stayed is
-//!   strained or has more requests than the returning one could carry: their callers
-//!   would return with it.
+//! - Those that left return one at a time, the strongest first, once none that stayed has
+//!   clearly more requests than the returning one could carry: their callers would return
+//!   with it. One that stayed and is overloaded by fewer is relieved by the return.
 //!
 //! Hysteresis keeps routers of nearly equal strength from taking turns: one that has left
 //! counts as weaker than it is.
@@ -36,6 +36,9 @@
 /// to send callers, and these need a second or two to show their load.
 const RETURN_INTERVAL: Duration = Duration::from_secs(3);
 
+/// The time in which the balancer notices that a router left: two of its checks.
+const NOTICE_TIME: Duration = Duration::from_secs(2);
+
 /// The time after which a router that is no longer known does not count as a part of the
 /// data centre. Longer than a restart or a partition lasts.
 const FORGET_TIME: Duration = Duration::from_secs(600);
@@ -48,6 +51,10 @@
 /// the router had.
 const MIN_CARRIED: f64 = 64.0;
 
+/// The part by which the record of what a router carried approaches the requests in
+/// progress at a late task: requests that just began have cost little yet.
+const LATE_WEIGHT: f64 = 0.2;
+
 /// A router that has left counts as weaker by this factor.
 const OUT_FACTOR: u16 = 3;
 
@@ -201,6 +208,16 @@
         self.others_in().any(|(_, it)| !it.is_strained)
     }
 
+    /// Whether a refused caller that tries again reaches another router, one with room:
+    /// its next connection comes back here unless the balancer has noticed that this
+    /// router left.
+    pub fn moves_retries(&self, now: Instant) -> bool {
+        let is_noticed = self
+            .out_since
+            .is_some_and(|at| now.saturating_duration_since(at) >= NOTICE_TIME);
+        self.own.is_out && is_noticed && self.has_room_elsewhere()
+    }
+
     /// Whether connections are closed after a response, or after a refusal. Callers that
     /// reconnect while this router is in rotation come back to it.
     pub fn closes_connections(&self, is_refusal: bool) -> bool {
@@ -214,9 +231,11 @@
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let halvings = elapsed.as_secs_f64() / CARRIED_HALF_LIFE.as_secs_f64();
         let decayed = self.carried * (-halvings).exp2();
+        let requests = load.requests as f64;
         self.carried = match load.is_late {
+            true if requests < decayed => decayed + (requests - decayed) * LATE_WEIGHT,
             true => decayed,
-            false => decayed.max(load.requests as f64),
+            false => decayed.max(requests),
         };
         self.carried = self.carried.max(MIN_CARRIED);
     }
@@ -267,7 +286,7 @@
         }
         let is_calm = self
             .others_in()
-            .all(|(_, it)| !it.is_strained && it.requests <= self.own.carried);
+            .all(|(_, it)| it.requests <= self.own.carried / 2 * 3);
         is_calm || since(self.out_since).is_none_or(|it| it >= MAX_UNREADY_TIME)
     }
 }
