--- a/policy/src/direct/service_bound.rs
+++ b/policy/src/direct/service_bound.rs
@@ -44,6 +44,14 @@
 /// The ratio of the best served team's rate to its own at which a team is left behind.
 const BEHIND_RATIO: f64 = 1.6;
 
+/// The ratio of the best served team's rate below which the others do not press against
+/// the limit.
+const NEAR_RATIO: f64 = 1.2;
+
+/// How long the others must not press against the limit until they are free. It spans a
+/// burst of the team that is left behind.
+const NEAR_TIME: Duration = Duration::from_secs(2);
+
 /// The multiple of the least rate up to which others may send as much as that multiple.
 const HELD_RATIO: f64 = 1.4;
 
@@ -71,6 +79,8 @@
     /// Whether reports on it are missing.
     is_missing: bool,
     is_behind: bool,
+    /// Since when no team gets more than [`NEAR_RATIO`] times as much.
+    near_since: Option<Instant>,
 }
 
 impl TeamState {
@@ -95,15 +105,24 @@
         };
     }
 
-    /// Once left behind, a team remains so until its demand is met: while the others are
-    /// held they are close to its rate. `spared` is the rate by which it may fall short.
-    fn update_behind(&mut self, best: f64, spared: f64) {
+    /// Once left behind, a team remains so until its demand is met or the others stay
+    /// below the limit by themselves: while they are held they are close to its rate.
+    /// `spared` is the rate by which it may fall short.
+    fn update_behind(&mut self, best: f64, spared: f64, now: Instant) {
         let is_refused = self
             .refused
             .is_some_and(|(from, last)| last.saturating_duration_since(from) >= ONSET_TIME);
         let rate = self.rate.admitted + spared;
         let lacks = self.rate.requested > rate * DEMAND_RATIO;
-        self.is_behind = is_refused && lacks && (self.is_behind || best > rate * BEHIND_RATIO);
+        self.near_since = match best < rate * NEAR_RATIO {
+            true => self.near_since.or(Some(now)),
+            false => None,
+        };
+        let is_near = self
+            .near_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= NEAR_TIME);
+        let was_behind = self.is_behind && !is_near;
+        self.is_behind = is_refused && lacks && (was_behind || best > rate * BEHIND_RATIO);
     }
 }
 
@@ -153,7 +172,7 @@
         let admitted = self.teams.values().map(|team| team.rate.admitted);
         let best = admitted.fold(0.0, f64::max);
         for team in self.teams.values_mut() {
-            team.update_behind(best, spared);
+            team.update_behind(best, spared, now);
         }
         let behind = self.teams.iter().filter(|(_, team)| team.is_behind);
         let least = behind.min_by(|(a, x), (b, y)| {
--- a/policy/tests/direct_service_bound.rs
+++ b/policy/tests/direct_service_bound.rs
@@ -154,6 +154,19 @@
     assert_eq!(fleet.bound.bound(), None);
 }
 
+#[test]
+fn others_are_free_once_they_stay_below_the_limit_by_themselves() {
+    let mut fleet = Fleet::new(2, 1e4);
+    fleet.play(&[flow(1e6, 2e4), flow(1e6, 2e5)], SECOND * 6);
+    assert!(fleet.bound.bound().is_some());
+    // The least served team gets a burst, and less again.
+    fleet.play(&[flow(1e6, 2e5), flow(1e6, 2e5)], SECOND);
+    fleet.play(&[flow(1e6, 2e4), flow(1e6, 2e5)], SECOND);
+    assert!(fleet.bound.bound().is_some());
+    fleet.play(&[flow(1e6, 2e5), flow(1e6, 2e5)], SECOND * 10);
+    assert_eq!(fleet.bound.bound(), None);
+}
+
 /// Guards against a team that asks little, or lacks a few requests, holding all others.
 #[test]
 fn a_team_that_lacks_less_than_the_spared_work_holds_nobody() {
