Listings: what is sent, asked and adopted is decided without I/O

The driver's staging of steps, questions, pace of answers and reassembly move to policy::direct::listing::exchange, so that a test can play a fleet in virtual time. The datagrams stay as they are, and behaviour is unchanged.

--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -21,17 +21,15 @@
 use policy::direct::exchange::{
     Exchange, Identity, LocalState, Moment, Outgoing, PERIOD, PeerEvent, Received,
 };
-use policy::direct::target::Target;
-use rustc_hash::FxHashMap;
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
-use wire::{AgedListing, Datagram, DatagramError, MAX_DATAGRAM_BYTES};
+use wire::{Datagram, DatagramError, MAX_DATAGRAM_BYTES};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{BootClock, SystemBootClock};
 use crate::metrics::ExchangeMetrics;
 use crate::shared::{LocalReport, PeerState, Shared};
-use crate::store::{PeerUpdate, StoreReader};
+use crate::store::StoreReader;
 
 /// The minimum time between two publications of the peers' state while there are many
 /// peers. A publication processes all reports of all peers, and many peers send
@@ -54,12 +52,6 @@
     is_stale: bool,
     /// The digest of the settings that was last announced to all routers.
     announced_digest: Option<u64>,
-    /// The received parts of incomplete listings.
-    partial_listings: FxHashMap<(SocketAddr, u64), Vec<Option<Vec<Target>>>>,
-    /// When a peer was last asked for the whole listing, and whether it was the relay.
-    listing_asked: Option<(Instant, bool)>,
-    /// The begin of a period, and the targets sent in it to routers that asked for them.
-    answered: (Instant, usize),
     store: Rc<StoreReader>,
     metrics: ExchangeMetrics,
     shared: Arc<Shared>,
@@ -98,9 +90,6 @@
             last_published: now,
             is_stale: false,
             announced_digest: None,
-            partial_listings: FxHashMap::default(),
-            listing_asked: None,
-            answered: (now, 0),
             store,
             metrics,
             shared,
@@ -183,14 +172,7 @@
                 let sent = self.exchange.announce(&local, to_all, now);
                 self.send_all(sent);
             }
-            Some(PeerUpdate::Change { revision, old, new }) => {
-                self.send_change(revision, &old, &new, &to);
-            }
-            Some(PeerUpdate::Unchanged(unchanged)) => {
-                for address in to {
-                    self.send(&Datagram::Unchanged(unchanged), address);
-                }
-            }
+            Some(messages) => self.send_listing(messages, &to),
         }
     }
 
@@ -224,19 +206,19 @@
             Ok(Datagram::Summary(summary)) => Message::Summary(Box::new(summary)),
             Ok(Datagram::Trouble(problems)) => Message::Trouble(problems),
             Ok(Datagram::Leaving(targets)) => Message::Leaving(targets),
-            Ok(Datagram::Listing(listing)) => {
-                return self.receive_listing(listing, Duration::ZERO, from);
-            }
-            Ok(Datagram::VersionedListing(listing)) => {
-                return self.receive_listing(listing.into_listing(), Duration::ZERO, from);
-            }
-            Ok(Datagram::AgedListing(AgedListing { age, listing })) => {
-                let age = Duration::from_millis(age.into());
-                return self.receive_listing(listing.into_listing(), age, from);
+            Ok(
+                datagram @ (Datagram::Listing(_)
+                | Datagram::VersionedListing(_)
+                | Datagram::AgedListing(_)
+                | Datagram::ChangedListing(_)
+                | Datagram::ListingQuery
+                | Datagram::Unchanged(_)),
+            ) => {
+                if let Some(message) = datagram.into_listing_message() {
+                    self.receive_listing(message, from);
+                }
+                return;
             }
-            Ok(Datagram::ChangedListing(change)) => return self.receive_change(change, from),
-            Ok(Datagram::ListingQuery) => return self.answer_listing_query(from),
-            Ok(Datagram::Unchanged(unchanged)) => return self.receive_unchanged(unchanged, from),
             Ok(Datagram::Origins(origins)) => return self.receive_origins(&origins),
             Ok(Datagram::OriginQuery(query)) => return self.answer_query(&query, from),
             Err(DatagramError::Version) => {
--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -23,15 +23,16 @@
 use platform::record::{self, StoreKey};
 use platform::store::{self, HISTORY_LOST, Item, OPERATORS_PREFIX};
 use policy::direct::confirmation::{Confirmation, Uptime};
+use policy::direct::listing::exchange::{ListingExchange, Update};
 use policy::direct::polling::{self, PollIntervals};
 use policy::direct::store_revision::{StoreEra, StoreRevision};
-use policy::direct::target::{Target, TargetRegistry};
+use policy::direct::target::TargetRegistry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 use tokio::time::timeout;
-use wire::Unchanged;
+use wire::listing_digest;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{BootClock, SystemBootClock};
@@ -58,8 +59,6 @@
     confirmation: Confirmation,
     registry: TargetRegistry,
     era: StoreEra,
-    /// The store revision of the targets in the registry.
-    targets_revision: u64,
     /// The last digest received from a peer that differed from this router's digest.
     peer_digest: Option<u64>,
     /// The other routers on which this one relies to read the store.
@@ -68,35 +67,16 @@
     reachable_peers: Vec<SocketAddr>,
     /// The number of failed calls in a row, of each loop.
     failures: [u32; 2],
-    /// The latest target listing, and its digest.
-    listing: Vec<Target>,
-    digest: u64,
-    /// A listing to which not all changes were applied yet, and its digest.
-    staged_listing: Option<(u64, Vec<Target>)>,
+    /// The latest target listing, and what is known of those of others.
+    listing: ListingExchange,
     /// The update not yet sent to peers, and when its call to the store was made.
-    pending_update: Option<(Uptime, PeerUpdate)>,
+    pending_update: Option<(Uptime, Update)>,
     /// Whether the last call of each loop succeeded.
     reachable: [bool; 2],
     /// The keys of rejected entries, to log each key once.
     rejected_keys: FxHashSet<Name>,
 }
 
-/// An update about the targets, for the peers.
-pub(crate) enum PeerUpdate {
-    /// The targets differ from those of the last listing.
-    Change {
-        /// The store revision.
-        revision: u64,
-        /// The last listing.
-        old: Vec<Target>,
-        /// The targets.
-        new: Vec<Target>,
-    },
-    /// The targets are the same as in the last listing, or are the first that this router
-    /// read: others that have a different listing ask for them.
-    Unchanged(Unchanged),
-}
-
 /// The two loops that read the store.
 #[derive(Clone, Copy)]
 enum ReadLoop {
@@ -128,14 +108,11 @@
                 confirmation: Confirmation::new(revoke),
                 registry: TargetRegistry::default(),
                 era: StoreEra::default(),
-                targets_revision: 0,
                 peer_digest: None,
                 readers: Vec::new(),
                 reachable_peers: Vec::new(),
                 failures: [0; 2],
-                listing: Vec::new(),
-                digest: 0,
-                staged_listing: None,
+                listing: ListingExchange::new(listing_digest, SystemClock.now().mono),
                 pending_update: None,
                 reachable: [true; 2],
                 rejected_keys: FxHashSet::default(),
--- a/edge/src/store/targets.rs
+++ b/edge/src/store/targets.rs
@@ -1,5 +1,6 @@
 //! The listing of the targets, from the store and from peers.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,14 +10,12 @@
 use platform::record::{self, StoreKey};
 use platform::store::{Item, TARGETS_PREFIX};
 use policy::direct::confirmation::Uptime;
-use policy::direct::listing::{ListingChange, sort_listing};
+use policy::direct::listing::exchange::{Adopted, ListingMessage};
 use policy::direct::polling;
 use policy::direct::store_revision::StoreRevision;
-use policy::direct::target::Target;
 use tokio::time::sleep;
-use wire::{Unchanged, listing_digest};
 
-use super::{PeerUpdate, ReadLoop, StoreReader};
+use super::{ReadLoop, StoreReader};
 use crate::clock::{BootClock, SystemBootClock};
 
 /// The period at which a router that starts checks whether a peer has sent the targets.
@@ -77,92 +76,56 @@
             .map_or(due, |removal| removal.min(due))
     }
 
-    /// Takes the update about the targets that was not yet sent to peers.
+    /// Takes the messages about the targets that were not yet sent to peers.
     ///
-    /// Peers count its age from its arrival, so an old update is discarded. It can be
+    /// Peers count their age from their arrival, so an old update is discarded. It can be
     /// old because there was no peer at the time or because this process was suspended.
-    pub(crate) fn take_peer_update(&self) -> Option<PeerUpdate> {
-        let (sent, update) = self.state.borrow_mut().pending_update.take()?;
+    pub(crate) fn take_peer_update(&self) -> Option<Vec<ListingMessage>> {
+        let mut state = self.state.borrow_mut();
+        let (sent, update) = state.pending_update.take()?;
         let is_fresh = SystemBootClock.uptime().since(sent) < MAX_UPDATE_AGE;
-        is_fresh.then_some(update)
-    }
-
-    /// Adopts a peer's notice that the targets are unchanged; returns `false` if this
-    /// router has another listing.
-    pub(crate) fn adopt_unchanged(&self, unchanged: Unchanged) -> bool {
-        let Unchanged { revision, digest } = unchanged;
-        self.adopt_change(digest, digest, revision, &ListingChange::default())
+        is_fresh.then(|| state.listing.messages(update))
     }
 
-    /// Adopts a change of the listing with the digest `base`; returns `false` if this
-    /// router has neither that listing nor the one to which the change leads.
-    pub(crate) fn adopt_change(
+    /// Applies a peer's message about the targets; returns what is to be sent. `relay` is
+    /// the router to which this one reports.
+    pub(crate) fn receive_listing(
         &self,
-        base: u64,
-        digest: u64,
-        revision: u64,
-        change: &ListingChange,
-    ) -> bool {
-        let state = self.state.borrow();
-        if revision < state.targets_revision {
-            // It was overtaken by a later reading.
-            return true;
-        }
-        let staged = state.staged_listing.as_ref();
-        let targets = match (state.digest, staged) {
-            (known, _) if known == digest => state.listing.clone(),
-            (known, _) if known == base => change.apply(&state.listing),
-            (_, Some((known, targets))) if *known == base => change.apply(targets),
-            _ => return false,
-        };
-        drop(state);
-        if listing_digest(&targets) != digest {
-            return false;
-        }
-        self.adopt_targets(targets, revision, Duration::ZERO);
-        true
-    }
-
-    /// Applies a change that others follow. Until the last of them the listing is not
-    /// complete, and must not count as read.
-    pub(crate) fn stage_change(&self, base: u64, digest: u64, change: &ListingChange) -> bool {
+        message: ListingMessage,
+        from: SocketAddr,
+        relay: Option<SocketAddr>,
+    ) -> Vec<(SocketAddr, ListingMessage)> {
+        let now = SystemClock.now().mono;
         let mut state = self.state.borrow_mut();
-        let targets = match &state.staged_listing {
-            _ if state.digest == base => change.apply(&state.listing),
-            Some((known, targets)) if *known == base => change.apply(targets),
-            _ => return state.digest == digest,
-        };
-        state.staged_listing = Some((digest, targets));
-        true
-    }
-
-    /// Adopts a peer's listing that was read `age` ago, unless a later one is known.
-    pub(crate) fn adopt_listing(&self, revision: u64, age: Duration, mut targets: Vec<Target>) {
-        let state = self.state.borrow();
-        let known_age = state.registry.age(SystemClock.now().mono);
-        let is_later = revision >= state.targets_revision && known_age.is_none_or(|it| it > age);
+        let received = state.listing.receive(message, from, relay, now);
         drop(state);
-        if is_later {
-            sort_listing(&mut targets);
-            self.adopt_targets(targets, revision, age);
+        if received.is_malformed {
+            event::log(Event::MessageRefused, &[("peer", &from)]);
         }
+        if let Some(adopted) = received.adopted {
+            self.adopt_targets(adopted);
+        }
+        received.sent
     }
 
-    /// Returns the revision, the age and the targets of the latest listing, if any.
-    pub(crate) fn listing(&self) -> Option<(u64, Duration, Vec<Target>)> {
-        let state = self.state.borrow();
-        let age = state.registry.age(SystemClock.now().mono)?;
-        Some((state.targets_revision, age, state.listing.clone()))
+    /// Returns the question for the listing if this router has none yet.
+    pub(crate) fn ask_for_first_listing(
+        &self,
+        from: SocketAddr,
+        relay: Option<SocketAddr>,
+    ) -> Option<(SocketAddr, ListingMessage)> {
+        let now = SystemClock.now().mono;
+        let mut state = self.state.borrow_mut();
+        state.listing.ask_for_first(from, relay, now)
     }
 
     /// Whether there is a listing.
-    pub(crate) fn has_listing(&self) -> bool {
+    fn has_listing(&self) -> bool {
         let state = self.state.borrow();
-        state.registry.age(SystemClock.now().mono).is_some()
+        state.listing.age(SystemClock.now().mono).is_some()
     }
 
     fn adopt_items(&self, items: &[Item], as_of: StoreRevision, sent: Uptime) {
-        let as_of = as_of.0;
         let mut state = self.state.borrow_mut();
         let mut targets = Vec::with_capacity(items.len());
         for item in items {
@@ -182,38 +145,22 @@
                 Err(_) => {}
             }
         }
-        sort_listing(&mut targets);
-        let digest = listing_digest(&targets);
-        let is_first = state.listing.is_empty();
-        let update = match is_first || state.digest == digest {
-            true => PeerUpdate::Unchanged(Unchanged {
-                revision: as_of,
-                digest,
-            }),
-            false => PeerUpdate::Change {
-                revision: as_of,
-                old: state.listing.clone(),
-                new: targets.clone(),
-            },
-        };
+        let (adopted, update) = state.listing.read(targets, as_of.0);
         state.pending_update = Some((sent, update));
         drop(state);
-        self.adopt_targets(targets, as_of, Duration::ZERO);
+        self.adopt_targets(adopted);
         self.update_ready.notify_one();
     }
 
-    /// Adopts a listing that was read `age` ago.
-    fn adopt_targets(&self, targets: Vec<Target>, revision: u64, age: Duration) {
-        self.observe_era(StoreRevision(revision).era());
+    fn adopt_targets(&self, adopted: Adopted) {
+        self.observe_era(StoreRevision(adopted.revision).era());
         let now = SystemClock.now().mono;
-        let now = now.checked_sub(age).unwrap_or(now);
         let mut state = self.state.borrow_mut();
-        state.targets_revision = revision;
-        if state.listing != targets {
-            state.digest = listing_digest(&targets);
-            state.listing.clone_from(&targets);
-        }
-        let change = state.registry.replace(targets, now);
+        state.listing.adopt(&adopted, now);
+        let Adopted { targets, age, .. } = adopted;
+        let change = state
+            .registry
+            .replace(targets, now.checked_sub(age).unwrap_or(now));
         for (event, names) in [
             (Event::TargetAppeared, &change.added),
             (Event::TargetLeaving, &change.leaving),
--- a/policy/src/direct/listing.rs
+++ b/policy/src/direct/listing.rs
@@ -1,11 +1,12 @@
 //! The differences between two listings of the targets.
 //!
 //! Load that it answers: thousands of targets of which a few change between two reads.
-//! The router that reads the store sends the others what changed; a router that has
-//! another listing than the one on which a change is based asks for the whole.
+//! The router that reads the store sends the others what changed ([`exchange`]).
 //!
 //! Invariant: a listing is ordered by name, so equal targets give equal listings.
 
+pub mod exchange;
+
 use std::cmp::Ordering;
 
 use entity::Name;
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -5,9 +5,13 @@
 //! not used here because a late message has no value and an unresponsive peer must
 //! not block the sender.
 
+use std::time::Duration;
+
 use derive_more::{Display, Error};
 use entity::Name;
 use policy::direct::exchange::message::{Beat, Message, Place, Summary, Trouble};
+use policy::direct::listing::ListingChange;
+use policy::direct::listing::exchange::{ListingMessage, Part, Step};
 use policy::direct::stream_origin::StreamId;
 use policy::direct::target::{SoftwareVersion, Target, VersionTag};
 use serde::{Deserialize, Serialize};
@@ -157,6 +161,39 @@
     }
 }
 
+impl From<ListingMessage> for Datagram {
+    fn from(message: ListingMessage) -> Self {
+        match message {
+            ListingMessage::Step(step) => Self::ChangedListing(ChangedListing {
+                base: step.base,
+                digest: step.digest,
+                is_last: step.is_last,
+                removed: step.change.removed,
+                changed: VersionedListing::new(Listing {
+                    revision: step.revision,
+                    part: 0,
+                    parts: 1,
+                    targets: step.change.changed,
+                }),
+            }),
+            ListingMessage::Unchanged { revision, digest } => {
+                Self::Unchanged(Unchanged { revision, digest })
+            }
+            ListingMessage::Query => Self::ListingQuery,
+            ListingMessage::Part(part) => Self::AgedListing(AgedListing {
+                // Rounded up, so that the listing never appears more recent than it is.
+                age: part.age.as_millis() as u32 + 1,
+                listing: VersionedListing::new(Listing {
+                    revision: part.revision,
+                    part: part.part,
+                    parts: part.parts,
+                    targets: part.targets,
+                }),
+            }),
+        }
+    }
+}
+
 /// An error from decoding a datagram.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Display, Error)]
 pub enum DatagramError {
@@ -169,6 +206,45 @@
 }
 
 impl Datagram {
+    /// Returns the message about the listing of targets, if it is one.
+    pub fn into_listing_message(self) -> Option<ListingMessage> {
+        let part = |listing: Listing, age| {
+            ListingMessage::Part(Part {
+                age,
+                revision: listing.revision,
+                part: listing.part,
+                parts: listing.parts,
+                targets: listing.targets,
+            })
+        };
+        match self {
+            Self::Listing(listing) => Some(part(listing, Duration::ZERO)),
+            Self::VersionedListing(listing) => Some(part(listing.into_listing(), Duration::ZERO)),
+            Self::AgedListing(AgedListing { age, listing }) => {
+                let age = Duration::from_millis(age.into());
+                Some(part(listing.into_listing(), age))
+            }
+            Self::ChangedListing(change) => {
+                let listing = change.changed.into_listing();
+                Some(ListingMessage::Step(Step {
+                    base: change.base,
+                    digest: change.digest,
+                    is_last: change.is_last,
+                    revision: listing.revision,
+                    change: ListingChange {
+                        changed: listing.targets,
+                        removed: change.removed,
+                    },
+                }))
+            }
+            Self::Unchanged(Unchanged { revision, digest }) => {
+                Some(ListingMessage::Unchanged { revision, digest })
+            }
+            Self::ListingQuery => Some(ListingMessage::Query),
+            _ => None,
+        }
+    }
+
     /// Encodes the datagram, starting with the version byte.
     ///
     /// # Panics
