--- a/policy/src/direct/listing.rs
+++ b/policy/src/direct/listing.rs
@@ -10,6 +10,7 @@
 use std::cmp::Ordering;
 
 use entity::Name;
+use rustc_hash::FxHashSet;
 
 use super::target::Target;
 
@@ -78,11 +79,9 @@
 
     /// Returns the listing to which the change leads.
     pub fn apply(&self, old: &[Target]) -> Vec<Target> {
-        let is_replaced = |target: &Target| {
-            let name = &target.name;
-            self.removed.contains(name) || self.changed.iter().any(|it| it.name == *name)
-        };
-        let kept = old.iter().filter(|target| !is_replaced(target));
+        let changed = self.changed.iter().map(|target| &target.name);
+        let replaced: FxHashSet<&Name> = changed.chain(&self.removed).collect();
+        let kept = old.iter().filter(|target| !replaced.contains(&target.name));
         let mut targets: Vec<Target> = kept.chain(&self.changed).cloned().collect();
         sort_listing(&mut targets);
         targets
