Listings: a router that lags behind doesn't send a large change to all again

Cause: since a part of a change doesn't count as a reading, a router that lost a step of one has 375 ms until its listing is so old (2.175 s) that it reads the store. What it reads differs from what it had, so it sent that change to all 299 others, in 12 datagrams each.

--- a/edge/src/store/targets.rs
+++ b/edge/src/store/targets.rs
@@ -126,6 +126,7 @@
     }
 
     fn adopt_items(&self, items: &[Item], as_of: StoreRevision, sent: Uptime) {
+        let rank = self.rank();
         let mut state = self.state.borrow_mut();
         let mut targets = Vec::with_capacity(items.len());
         for item in items {
@@ -145,7 +146,7 @@
                 Err(_) => {}
             }
         }
-        let (adopted, update) = state.listing.read(targets, as_of.0);
+        let (adopted, update) = state.listing.read(targets, as_of.0, rank);
         state.pending_update = Some((sent, update));
         drop(state);
         self.adopt_targets(adopted);
--- a/policy/src/direct/listing.rs
+++ b/policy/src/direct/listing.rs
@@ -53,6 +53,16 @@
         }
     }
 
+    /// The number of targets and names in which the listings differ.
+    pub fn len(&self) -> usize {
+        self.changed.len() + self.removed.len()
+    }
+
+    /// Whether the listings are equal.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Splits the change into steps of at most `limit` targets and names; there is at
     /// least one.
     pub fn into_steps(self, limit: usize) -> Vec<Self> {
--- a/policy/src/direct/listing/exchange.rs
+++ b/policy/src/direct/listing/exchange.rs
@@ -19,6 +19,9 @@
 /// The number of targets in a message, chosen so that a message fits a datagram.
 pub const TARGETS_PER_MESSAGE: usize = 64;
 
+/// The number of routers, the first in rank, that tell all others of changes of any size.
+const TELLING_ROUTERS: usize = 2;
+
 /// The maximum number of parts of a listing.
 const MAX_PARTS: u16 = 256;
 
@@ -91,8 +94,8 @@
         /// The targets.
         new: Vec<Target>,
     },
-    /// The targets are the same as in the last listing, or are the first that this router
-    /// read: others that have a different listing ask for them.
+    /// The targets are the same as in the last listing, or this router doesn't tell the
+    /// others of them: those that have a different listing ask.
     Unchanged {
         /// The store revision.
         revision: u64,
@@ -169,17 +172,30 @@
         &self.targets
     }
 
-    /// Records a reading of the store; returns what the others should be told.
-    pub fn read(&mut self, mut targets: Vec<Target>, revision: u64) -> (Adopted, Update) {
+    /// Records a reading of the store; returns what the others should be told. `rank` is
+    /// that of this router among those that read the store for the others.
+    ///
+    /// Load that it answers: many routers lack a step of one change, and each of them
+    /// reads the store for itself. Were each to tell all others what it read, the change
+    /// would be sent as often as datagrams are lost.
+    pub fn read(
+        &mut self,
+        mut targets: Vec<Target>,
+        revision: u64,
+        rank: usize,
+    ) -> (Adopted, Update) {
         sort_listing(&mut targets);
         let digest = (self.digest_of)(&targets);
-        let update = match self.targets.is_empty() || self.digest == digest {
-            true => Update::Unchanged { revision, digest },
-            false => Update::Change {
+        let change = ListingChange::between(&self.targets, &targets);
+        let may_tell = rank < TELLING_ROUTERS || change.len() <= TARGETS_PER_MESSAGE;
+        let is_known = self.targets.is_empty() || digest == self.digest;
+        let update = match may_tell && !is_known {
+            true => Update::Change {
                 revision,
                 old: self.targets.clone(),
                 new: targets.clone(),
             },
+            false => Update::Unchanged { revision, digest },
         };
         let adopted = Adopted {
             targets,
--- a/wire/tests/listing_traffic.rs
+++ b/wire/tests/listing_traffic.rs
@@ -52,18 +52,21 @@
     fleet.lose_centre(0);
     fleet.run_until(seconds(12));
     let lost = fleet.sent_bytes - before;
+    println!("{:?}", std::mem::take(&mut fleet.kinds));
     fleet.assert_current();
 
     let before = fleet.sent_bytes;
     fleet.return_targets(0);
     fleet.run_until(seconds(19));
     let returned = fleet.sent_bytes - before;
+    println!("{:?}", std::mem::take(&mut fleet.kinds));
     fleet.assert_current();
 
     let before = fleet.sent_bytes;
     fleet.start_routers(0);
     fleet.run_until(seconds(26));
     let started = fleet.sent_bytes - before;
+    println!("{:?}", std::mem::take(&mut fleet.kinds));
     fleet.assert_current();
 
     let centre = ROUTERS / CENTRES;
@@ -75,17 +78,16 @@
         "start {started} of {whole}; {} reads, oldest {:?}",
         fleet.reads, fleet.oldest
     );
-    let steady = STEADY_BYTES * ROUTERS * 7;
     assert!(
-        lost <= MAX_EXCESS * removal + steady,
+        lost <= MAX_EXCESS * removal,
         "{lost} of {removal} when it goes"
     );
     assert!(
-        returned <= MAX_EXCESS * addition + steady,
+        returned <= MAX_EXCESS * addition,
         "{returned} of {addition} when it comes"
     );
     assert!(
-        started <= MAX_EXCESS * whole + steady,
+        started <= MAX_EXCESS * whole,
         "{started} of {whole} when routers start"
     );
     assert!(fleet.oldest < DRAIN, "{:?}", fleet.oldest);
--- a/wire/tests/listing_traffic/net.rs
+++ b/wire/tests/listing_traffic/net.rs
@@ -73,6 +73,8 @@
     present: Vec<usize>,
     topology: Topology,
     pub(crate) sent_bytes: usize,
+    /// The sent bytes by kind of message.
+    pub(crate) kinds: BTreeMap<&'static str, usize>,
     /// The calls to the store.
     pub(crate) reads: usize,
     /// The greatest age of a listing.
@@ -133,6 +135,7 @@
             present: (0..CENTRES).collect(),
             topology: Topology::default(),
             sent_bytes: 0,
+            kinds: BTreeMap::new(),
             reads: 0,
             oldest: Duration::ZERO,
             now: DISCOVERY_TIME,
@@ -303,12 +306,13 @@
         let mono = self.mono();
         let targets = self.listing_of(&self.present);
         let revision = self.now.as_millis() as u64;
+        let rank = self.rank(index);
         let router = &mut self.routers[index];
         router.is_reading = false;
         if !router.is_alive {
             return;
         }
-        let (adopted, update) = router.listing.read(targets, revision);
+        let (adopted, update) = router.listing.read(targets, revision, rank);
         router.listing.adopt(&adopted, mono);
         let messages = router.listing.messages(update);
         for message in messages {
@@ -347,6 +351,13 @@
 
     fn send(&mut self, from: usize, to: usize, message: ListingMessage, size: usize) {
         self.sent_bytes += size;
+        let kind = match &message {
+            ListingMessage::Step(_) => "changes",
+            ListingMessage::Unchanged { .. } => "notices",
+            ListingMessage::Query => "questions",
+            ListingMessage::Part(_) => "answers",
+        };
+        *self.kinds.entry(kind).or_default() += size;
         let random = self.rng.random_range(0.0..1.0);
         let delay = match random {
             lost if lost < LOSS => return,
