Listings: only what a router lacks is sent to it again

Cause, the second: of a change in 12 steps a router that lost one, or got two in the other order, threw the others away and asked for the whole listing, 210 kB in 47 datagrams; if one of these was lost, for all again. Two in five such answers miss a part at 1 % loss.

Now steps are staged in any order and the listing is adopted once it has the digest that the last step states; a part still counts as no reading. 50 ms after the last message of an incomplete change its router states the digests of ranges of names, and gets the ranges that differ: its relay twice, then the router that told of the change, then, for earlier versions, by the former question for all. Routers without the asked revision don't answer. Two datagrams are new, at the end of the enumeration; earlier versions count them as garbage and get changes as before.

--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -137,6 +137,7 @@
         self.publish_if_stale(now.mono);
         self.send_origins(now.mono);
         self.send_all(sent);
+        self.ask_for_rest();
     }
 
     fn send_all(&self, messages: Vec<Outgoing>) {
@@ -212,6 +213,8 @@
                 | Datagram::AgedListing(_)
                 | Datagram::ChangedListing(_)
                 | Datagram::ListingQuery
+                | Datagram::ListingRangeQuery(_)
+                | Datagram::ListingRanges(_)
                 | Datagram::Unchanged(_)),
             ) => {
                 if let Some(message) = datagram.into_listing_message() {
--- a/edge/src/gossip/listing.rs
+++ b/edge/src/gossip/listing.rs
@@ -19,8 +19,14 @@
     }
 
     pub(super) fn receive_listing(&self, message: ListingMessage, from: SocketAddr) {
-        let relay = self.exchange.relay();
-        for (to, message) in self.store.receive_listing(message, from, relay) {
+        for (to, message) in self.store.receive_listing(message, from) {
+            self.send(&Datagram::from(message), to);
+        }
+    }
+
+    /// Asks for what was lost of a change.
+    pub(super) fn ask_for_rest(&self) {
+        if let Some((to, message)) = self.store.ask_for_rest(self.exchange.relay()) {
             self.send(&Datagram::from(message), to);
         }
     }
--- a/edge/src/store/targets.rs
+++ b/edge/src/store/targets.rs
@@ -87,17 +87,15 @@
         is_fresh.then(|| state.listing.messages(update))
     }
 
-    /// Applies a peer's message about the targets; returns what is to be sent. `relay` is
-    /// the router to which this one reports.
+    /// Applies a peer's message about the targets; returns what is to be sent.
     pub(crate) fn receive_listing(
         &self,
         message: ListingMessage,
         from: SocketAddr,
-        relay: Option<SocketAddr>,
     ) -> Vec<(SocketAddr, ListingMessage)> {
         let now = SystemClock.now().mono;
         let mut state = self.state.borrow_mut();
-        let received = state.listing.receive(message, from, relay, now);
+        let received = state.listing.receive(message, from, now);
         drop(state);
         if received.is_malformed {
             event::log(Event::MessageRefused, &[("peer", &from)]);
@@ -108,6 +106,16 @@
         received.sent
     }
 
+    /// Returns the question for what was lost of a change. `relay` is the router to which
+    /// this one reports.
+    pub(crate) fn ask_for_rest(
+        &self,
+        relay: Option<SocketAddr>,
+    ) -> Option<(SocketAddr, ListingMessage)> {
+        let now = SystemClock.now().mono;
+        self.state.borrow_mut().listing.ask_for_rest(relay, now)
+    }
+
     /// Returns the question for the listing if this router has none yet.
     pub(crate) fn ask_for_first_listing(
         &self,
--- a/policy/src/direct/listing.rs
+++ b/policy/src/direct/listing.rs
@@ -6,6 +6,7 @@
 //! Invariant: a listing is ordered by name, so equal targets give equal listings.
 
 pub mod exchange;
+mod ranges;
 
 use std::cmp::Ordering;
 
@@ -64,8 +65,10 @@
     }
 
     /// Splits the change into steps of at most `limit` targets and names; there is at
-    /// least one.
-    pub fn into_steps(self, limit: usize) -> Vec<Self> {
+    /// least one. Each concerns few ranges, so that one that is lost is soon replaced.
+    pub fn into_steps(mut self, limit: usize) -> Vec<Self> {
+        self.removed.sort_by_key(|name| name.tag().0);
+        self.changed.sort_by_key(|target| target.name.tag().0);
         let mut steps = vec![Self::default()];
         let mut size = 0;
         let mut step_for = |steps: &mut Vec<Self>| {
--- a/policy/src/direct/listing/exchange.rs
+++ b/policy/src/direct/listing/exchange.rs
@@ -1,7 +1,9 @@
 //! The exchange of the listing of targets among routers.
 //!
-//! The router that reads the store sends what changed to all others. One that has another
-//! listing than that on which a change is based asks for the whole, its relay first.
+//! The router that reads the store sends what changed to all others, in steps if it does
+//! not fit one message. Steps are staged in any order until the listing has the digest
+//! that the last of them states. A router that lacks something states the digests of
+//! ranges of its listing, and gets the ranges that differ, its relay's first.
 //!
 //! Invariants:
 //! - A listing is adopted as a whole. A part of a change does not count as a reading.
@@ -10,9 +12,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
-use super::{ListingChange, sort_listing};
+use super::{ListingChange, ranges, sort_listing};
 use crate::direct::exchange::PERIOD;
 use crate::direct::target::Target;
 
@@ -31,9 +33,17 @@
 /// The maximum number of targets sent in one period to routers that asked for the listing.
 const MAX_ANSWERED_TARGETS: usize = 8_000;
 
-/// The minimum time between two questions for the whole listing.
+/// The minimum time between two questions.
 const MIN_QUERY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The time after the last message of a change before the rest is asked for; datagrams
+/// may overtake each other.
+const SETTLING_TIME: Duration = Duration::from_millis(50);
+
+/// The number of questions in a row of which one is put to the router that told of the
+/// change, and one more asks for the whole listing, which earlier versions answer.
+const QUESTION_CYCLE: u32 = 4;
+
 /// A step of a change.
 #[derive(Clone, PartialEq, Debug)]
 pub struct Step {
@@ -64,6 +74,32 @@
     pub targets: Vec<Target>,
 }
 
+/// A question for the ranges of the listing that differ from those of the sender.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct RangeQuery {
+    /// The revision that the listing must have at least.
+    pub revision: u64,
+    /// The digests of the sender's ranges; none if it has no targets.
+    pub digests: Vec<u32>,
+}
+
+/// Some ranges of a listing with all their targets.
+#[derive(Clone, PartialEq, Debug)]
+pub struct RangeAnswer {
+    /// The time since the listing was read from the store.
+    pub age: Duration,
+    /// The revision of the store at the time of the read.
+    pub revision: u64,
+    /// The digest of the listing.
+    pub digest: u64,
+    /// The number of ranges of the listing.
+    pub count: u16,
+    /// The ranges in this message.
+    pub ranges: Vec<u16>,
+    /// The targets in these ranges.
+    pub targets: Vec<Target>,
+}
+
 /// A message about the listing.
 #[derive(Clone, PartialEq, Debug)]
 pub enum ListingMessage {
@@ -80,6 +116,10 @@
     Query,
     /// A part of the answer.
     Part(Part),
+    /// A question for what differs.
+    RangeQuery(RangeQuery),
+    /// A part of the answer.
+    RangeAnswer(RangeAnswer),
 }
 
 /// What a reading of the store says to the other routers.
@@ -126,6 +166,19 @@
     pub is_malformed: bool,
 }
 
+/// A listing of which parts are missing.
+#[derive(Clone, Debug)]
+struct Staged {
+    targets: Vec<Target>,
+    /// The latest revision of the messages that led to it.
+    revision: u64,
+    /// The digest of the complete listing, once known, and when it was read.
+    complete: Option<(u64, Instant)>,
+    /// The router that sent the latest message, and when it arrived.
+    from: SocketAddr,
+    heard_at: Instant,
+}
+
 /// The listing as known to one router.
 #[derive(Clone, Debug)]
 pub struct ListingExchange {
@@ -134,12 +187,11 @@
     digest: u64,
     revision: u64,
     read_at: Option<Instant>,
-    /// A listing to which not all steps were applied yet, and its digest.
-    staged: Option<(u64, Vec<Target>)>,
+    staged: Option<Staged>,
     /// The received parts of incomplete listings.
     partial: FxHashMap<(SocketAddr, u64), Vec<Option<Vec<Target>>>>,
-    /// When a router was last asked for the whole listing, and whether it was the relay.
-    asked: Option<(Instant, bool)>,
+    /// When a router was last asked, and the number of questions in a row.
+    asked: Option<(Instant, u32)>,
     /// The begin of a period, and the targets sent in it to routers that asked for them.
     answered: (Instant, usize),
 }
@@ -151,7 +203,7 @@
         Self {
             digest_of,
             targets: Vec::new(),
-            digest: 0,
+            digest: digest_of(&[]),
             revision: 0,
             read_at: None,
             staged: None,
@@ -209,6 +261,11 @@
     pub fn adopt(&mut self, adopted: &Adopted, now: Instant) {
         self.read_at = Some(now.checked_sub(adopted.age).unwrap_or(now));
         self.revision = adopted.revision;
+        self.staged
+            .take_if(|staged| staged.revision <= adopted.revision);
+        if self.staged.is_none() {
+            self.asked = None;
+        }
         if self.targets != adopted.targets {
             self.digest = (self.digest_of)(&adopted.targets);
             self.targets.clone_from(&adopted.targets);
@@ -242,16 +299,16 @@
         messages
     }
 
-    /// Applies a message. `relay` is the router to which this one reports.
+    /// Applies a message.
     pub fn receive(
         &mut self,
         message: ListingMessage,
         from: SocketAddr,
-        relay: Option<SocketAddr>,
         now: Instant,
     ) -> ReceivedListing {
+        let mut received = ReceivedListing::default();
         match message {
-            ListingMessage::Step(step) => self.receive_step(&step, from, relay, now),
+            ListingMessage::Step(step) => received.adopted = self.receive_step(&step, from, now),
             ListingMessage::Unchanged { revision, digest } => {
                 let step = Step {
                     base: digest,
@@ -260,69 +317,95 @@
                     revision,
                     change: ListingChange::default(),
                 };
-                self.receive_step(&step, from, relay, now)
+                received.adopted = self.receive_step(&step, from, now);
+            }
+            ListingMessage::Query => received.sent = self.answers(from, now),
+            ListingMessage::Part(part) => return self.receive_part(part, from, now),
+            ListingMessage::RangeQuery(query) => {
+                received.sent = self.range_answers(&query, from, now);
             }
-            ListingMessage::Query => ReceivedListing {
-                sent: self.answers(from, now),
-                ..ReceivedListing::default()
+            ListingMessage::RangeAnswer(answer) => match ranges::is_valid(answer.count.into()) {
+                true => received.adopted = self.receive_ranges(answer, from, now),
+                false => received.is_malformed = true,
             },
-            ListingMessage::Part(part) => self.receive_part(part, from, now),
         }
+        received
     }
 
-    fn receive_step(
-        &mut self,
-        step: &Step,
-        from: SocketAddr,
-        relay: Option<SocketAddr>,
-        now: Instant,
-    ) -> ReceivedListing {
-        let mut received = ReceivedListing::default();
-        let is_applied = match step.is_last {
+    /// Applies a step; returns the listing if it is complete.
+    fn receive_step(&mut self, step: &Step, from: SocketAddr, now: Instant) -> Option<Adopted> {
+        let staged_revision = self.staged.as_ref().map_or(0, |staged| staged.revision);
+        if step.revision < self.revision.max(staged_revision) {
             // It was overtaken by a later reading.
-            true if step.revision < self.revision => true,
-            true => {
-                received.adopted = self.last_step(step);
-                received.adopted.is_some()
-            }
-            false => self.stage(step),
-        };
-        if !is_applied {
-            received.sent.extend(self.ask(from, relay, now));
+            return None;
         }
-        received
+        if step.revision == self.revision && !step.is_last {
+            // It was overtaken by an answer.
+            return None;
+        }
+        if step.digest == self.digest {
+            // A step that leads to the known listing says nothing new unless it is the last.
+            return step.is_last.then(|| Adopted {
+                targets: self.targets.clone(),
+                revision: step.revision,
+                age: Duration::ZERO,
+            });
+        }
+        let complete = step.is_last.then_some((step.digest, now));
+        self.stage(step.revision, complete, from, now, |targets| {
+            *targets = step.change.apply(targets);
+        })
     }
 
-    /// Returns the listing to which a last step leads, if its base is known.
-    fn last_step(&self, step: &Step) -> Option<Adopted> {
-        let targets = match (self.digest, &self.staged) {
-            (known, _) if known == step.digest => self.targets.clone(),
-            (known, _) if known == step.base => step.change.apply(&self.targets),
-            (_, Some((known, targets))) if *known == step.base => step.change.apply(targets),
-            _ => return None,
-        };
-        let adopted = Adopted {
-            targets,
-            revision: step.revision,
-            age: Duration::ZERO,
-        };
-        ((self.digest_of)(&adopted.targets) == step.digest).then_some(adopted)
+    /// Changes the staged listing; returns it if it is complete then.
+    fn stage(
+        &mut self,
+        revision: u64,
+        complete: Option<(u64, Instant)>,
+        from: SocketAddr,
+        now: Instant,
+        change: impl FnOnce(&mut Vec<Target>),
+    ) -> Option<Adopted> {
+        let staged = self.staged.get_or_insert_with(|| Staged {
+            targets: self.targets.clone(),
+            revision,
+            complete: None,
+            from,
+            heard_at: now,
+        });
+        change(&mut staged.targets);
+        if revision > staged.revision {
+            // Steps of the later change are still to come.
+            staged.complete = None;
+        }
+        staged.complete = complete.or(staged.complete);
+        (staged.revision, staged.from, staged.heard_at) = (revision, from, now);
+        let (digest, read_at) = staged.complete?;
+        let age = now.saturating_duration_since(read_at);
+        let is_later = self.read_at.is_none_or(|known| known < read_at);
+        let is_complete = is_later && (self.digest_of)(&staged.targets) == digest;
+        is_complete.then(|| Adopted {
+            targets: staged.targets.clone(),
+            revision,
+            age,
+        })
     }
 
-    /// Applies a step that others follow. Until the last of them the listing is not
-    /// complete, and must not count as read.
-    fn stage(&mut self, step: &Step) -> bool {
-        let targets = match &self.staged {
-            _ if self.digest == step.base => step.change.apply(&self.targets),
-            Some((known, targets)) if *known == step.base => step.change.apply(targets),
-            _ => return self.digest == step.digest,
-        };
-        self.staged = Some((step.digest, targets));
-        true
+    /// Asks for what this router lacks, if messages of a change were lost. To be called in
+    /// each period.
+    pub fn ask_for_rest(
+        &mut self,
+        relay: Option<SocketAddr>,
+        now: Instant,
+    ) -> Option<(SocketAddr, ListingMessage)> {
+        let staged = self.staged.as_ref()?;
+        let is_settled = now.saturating_duration_since(staged.heard_at) >= SETTLING_TIME;
+        let from = staged.from;
+        is_settled.then(|| self.ask(from, relay, now)).flatten()
     }
 
-    /// Asks for the whole listing: the relay of this router, since the reader has many to
-    /// answer, and by turns the router that has it for certain.
+    /// Asks for what this router lacks: its relay, since the reader has many to answer,
+    /// and now and then the router that has it for certain.
     fn ask(
         &mut self,
         from: SocketAddr,
@@ -330,13 +413,27 @@
         now: Instant,
     ) -> Option<(SocketAddr, ListingMessage)> {
         let is_recent = |at| now.saturating_duration_since(at) < MIN_QUERY_INTERVAL;
-        if self.asked.is_some_and(|(at, _)| is_recent(at)) {
-            return None;
+        let count = match self.asked {
+            Some((at, _)) if is_recent(at) => return None,
+            Some((_, count)) => count + 1,
+            None => 0,
+        };
+        self.asked = Some((now, count));
+        let turn = count % QUESTION_CYCLE;
+        let to = relay.filter(|_| turn + 2 < QUESTION_CYCLE).unwrap_or(from);
+        if turn + 1 == QUESTION_CYCLE {
+            return Some((to, ListingMessage::Query));
         }
-        let asked_relay = self.asked.is_some_and(|(_, relay)| relay);
-        let relay = relay.filter(|_| !asked_relay);
-        self.asked = Some((now, relay.is_some()));
-        Some((relay.unwrap_or(from), ListingMessage::Query))
+        let (revision, targets) = match &self.staged {
+            Some(staged) => (staged.revision, &staged.targets),
+            None => (self.revision, &self.targets),
+        };
+        let digests = match targets.as_slice() {
+            [] => Vec::new(),
+            targets => ranges::digests(targets, ranges::count(targets.len()), self.digest_of),
+        };
+        let query = RangeQuery { revision, digests };
+        Some((to, ListingMessage::RangeQuery(query)))
     }
 
     /// Asks a router for the listing if this one has none yet.
@@ -352,15 +449,95 @@
         }
     }
 
+    /// Whether this router may send targets, unless it sent many just now.
+    fn may_answer(&mut self, now: Instant) -> bool {
+        if now.saturating_duration_since(self.answered.0) >= PERIOD {
+            self.answered = (now, 0);
+        }
+        self.answered.1 < MAX_ANSWERED_TARGETS
+    }
+
+    /// Returns the ranges that differ from those of a router that has not everything of
+    /// this listing, if this router has it.
+    fn range_answers(
+        &mut self,
+        query: &RangeQuery,
+        to: SocketAddr,
+        now: Instant,
+    ) -> Vec<(SocketAddr, ListingMessage)> {
+        let Some(age) = self.age(now).filter(|_| self.revision >= query.revision) else {
+            return Vec::new();
+        };
+        let count = match query.digests.len() {
+            0 => ranges::count(self.targets.len()),
+            count => count,
+        };
+        if !ranges::is_valid(count) || !self.may_answer(now) {
+            return Vec::new();
+        }
+        let own = ranges::digests(&self.targets, count, self.digest_of);
+        let differs = |range: usize| query.digests.get(range) != Some(&own[range]);
+        let differing = ranges::split(&self.targets, count).into_iter().enumerate();
+        let mut answers = Vec::new();
+        let mut answer = RangeAnswer {
+            age,
+            revision: self.revision,
+            digest: self.digest,
+            count: count as u16,
+            ranges: Vec::new(),
+            targets: Vec::new(),
+        };
+        let empty = answer.clone();
+        for (range, targets) in differing.filter(|(range, _)| differs(*range)) {
+            self.answered.1 += targets.len();
+            let size = answer.targets.len() + targets.len();
+            if size > TARGETS_PER_MESSAGE && !answer.ranges.is_empty() {
+                answers.push(std::mem::replace(&mut answer, empty.clone()));
+            }
+            answer.ranges.push(range as u16);
+            answer.targets.extend(targets.into_iter().cloned());
+        }
+        // Without any range it says that nothing is missing.
+        answers.push(answer);
+        let message = |answer| (to, ListingMessage::RangeAnswer(answer));
+        answers.into_iter().map(message).collect()
+    }
+
+    /// Replaces ranges of the staged listing; returns it if it is complete then.
+    fn receive_ranges(
+        &mut self,
+        answer: RangeAnswer,
+        from: SocketAddr,
+        now: Instant,
+    ) -> Option<Adopted> {
+        let RangeAnswer {
+            age,
+            revision,
+            digest,
+            count,
+            ranges,
+            targets,
+        } = answer;
+        let staged_revision = self.staged.as_ref().map_or(0, |staged| staged.revision);
+        let is_later = self.age(now).is_none_or(|known| known > age);
+        if !is_later || revision < self.revision.max(staged_revision) {
+            return None;
+        }
+        let read_at = now.checked_sub(age).unwrap_or(now);
+        let ranges: FxHashSet<usize> = ranges.into_iter().map(usize::from).collect();
+        self.stage(revision, Some((digest, read_at)), from, now, |known| {
+            known.retain(|it| !ranges.contains(&ranges::range_of(&it.name, count.into())));
+            known.extend(targets);
+            sort_listing(known);
+        })
+    }
+
     /// Returns the whole listing with its age, unless many others were sent it just now.
     fn answers(&mut self, to: SocketAddr, now: Instant) -> Vec<(SocketAddr, ListingMessage)> {
         let Some(age) = self.age(now) else {
             return Vec::new();
         };
-        if now.saturating_duration_since(self.answered.0) >= PERIOD {
-            self.answered = (now, 0);
-        }
-        if self.answered.1 >= MAX_ANSWERED_TARGETS {
+        if !self.may_answer(now) {
             return Vec::new();
         }
         self.answered.1 += self.targets.len();
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -11,7 +11,7 @@
 use entity::Name;
 use policy::direct::exchange::message::{Beat, Message, Place, Summary, Trouble};
 use policy::direct::listing::ListingChange;
-use policy::direct::listing::exchange::{ListingMessage, Part, Step};
+use policy::direct::listing::exchange::{ListingMessage, Part, RangeAnswer, RangeQuery, Step};
 use policy::direct::stream_origin::StreamId;
 use policy::direct::target::{SoftwareVersion, Target, VersionTag};
 use serde::{Deserialize, Serialize};
@@ -89,6 +89,30 @@
     pub listing: VersionedListing,
 }
 
+/// Asks for the ranges of the listing that differ from those of the sender.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct ListingRangeQuery {
+    /// The revision that the listing must have at least.
+    pub revision: u64,
+    /// The digests of the sender's ranges; none if it has no targets.
+    pub digests: Vec<u32>,
+}
+
+/// Ranges of a listing, sent to a router that asked for those that differ.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct ListingRanges {
+    /// The time since the listing was read from the store, in milliseconds.
+    pub age: u32,
+    /// The digest of the listing.
+    pub digest: u64,
+    /// The number of ranges of the listing.
+    pub count: u16,
+    /// The ranges in this datagram.
+    pub ranges: Vec<u16>,
+    /// All targets of these ranges, as the only part.
+    pub listing: VersionedListing,
+}
+
 /// Streams that began at one software version, sent to their holders and in response to
 /// an [`OriginQuery`].
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
@@ -148,6 +172,10 @@
     ListingQuery,
     /// A part of the whole listing.
     AgedListing(AgedListing),
+    /// Asks for the ranges of the listing that differ.
+    ListingRangeQuery(ListingRangeQuery),
+    /// Some ranges of the listing.
+    ListingRanges(ListingRanges),
 }
 
 impl From<Message> for Datagram {
@@ -163,26 +191,30 @@
 
 impl From<ListingMessage> for Datagram {
     fn from(message: ListingMessage) -> Self {
+        let single = |revision, targets| {
+            VersionedListing::new(Listing {
+                revision,
+                part: 0,
+                parts: 1,
+                targets,
+            })
+        };
+        // Rounded up, so that the listing never appears more recent than it is.
+        let age = |age: Duration| age.as_millis() as u32 + 1;
         match message {
             ListingMessage::Step(step) => Self::ChangedListing(ChangedListing {
                 base: step.base,
                 digest: step.digest,
                 is_last: step.is_last,
                 removed: step.change.removed,
-                changed: VersionedListing::new(Listing {
-                    revision: step.revision,
-                    part: 0,
-                    parts: 1,
-                    targets: step.change.changed,
-                }),
+                changed: single(step.revision, step.change.changed),
             }),
             ListingMessage::Unchanged { revision, digest } => {
                 Self::Unchanged(Unchanged { revision, digest })
             }
             ListingMessage::Query => Self::ListingQuery,
             ListingMessage::Part(part) => Self::AgedListing(AgedListing {
-                // Rounded up, so that the listing never appears more recent than it is.
-                age: part.age.as_millis() as u32 + 1,
+                age: age(part.age),
                 listing: VersionedListing::new(Listing {
                     revision: part.revision,
                     part: part.part,
@@ -190,6 +222,16 @@
                     targets: part.targets,
                 }),
             }),
+            ListingMessage::RangeQuery(RangeQuery { revision, digests }) => {
+                Self::ListingRangeQuery(ListingRangeQuery { revision, digests })
+            }
+            ListingMessage::RangeAnswer(answer) => Self::ListingRanges(ListingRanges {
+                age: age(answer.age),
+                digest: answer.digest,
+                count: answer.count,
+                ranges: answer.ranges,
+                listing: single(answer.revision, answer.targets),
+            }),
         }
     }
 }
@@ -241,6 +283,20 @@
                 Some(ListingMessage::Unchanged { revision, digest })
             }
             Self::ListingQuery => Some(ListingMessage::Query),
+            Self::ListingRangeQuery(ListingRangeQuery { revision, digests }) => {
+                Some(ListingMessage::RangeQuery(RangeQuery { revision, digests }))
+            }
+            Self::ListingRanges(answer) => {
+                let listing = answer.listing.into_listing();
+                Some(ListingMessage::RangeAnswer(RangeAnswer {
+                    age: Duration::from_millis(answer.age.into()),
+                    revision: listing.revision,
+                    digest: answer.digest,
+                    count: answer.count,
+                    ranges: answer.ranges,
+                    targets: listing.targets,
+                }))
+            }
             _ => None,
         }
     }
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -15,7 +15,8 @@
 
 pub use datagram::{
     AgedListing, ChangedListing, DATAGRAM_VERSION, Datagram, DatagramError, Listing,
-    MAX_DATAGRAM_BYTES, OriginQuery, Origins, Unchanged, VersionedListing, listing_digest,
+    ListingRangeQuery, ListingRanges, MAX_DATAGRAM_BYTES, OriginQuery, Origins, Unchanged,
+    VersionedListing, listing_digest,
 };
 pub use envelope::{Envelope, EnvelopeError, MAX_ENVELOPE_BYTES, Message, PROTOCOL_VERSION};
 pub use fact::{decode_fact, encode_fact};
--- a/wire/tests/datagram.rs
+++ b/wire/tests/datagram.rs
@@ -3,8 +3,12 @@
 use std::time::Duration;
 
 use entity::Name;
-use knapweed_wire::{Datagram, DatagramError, Listing, VersionedListing, listing_digest};
+use knapweed_wire::{
+    Datagram, DatagramError, Listing, ListingRangeQuery, VersionedListing, listing_digest,
+};
 use policy::direct::exchange::message::{Beat, CentreTag, Place};
+use policy::direct::listing::ListingChange;
+use policy::direct::listing::exchange::{ListingMessage, RangeAnswer, RangeQuery, Step};
 use policy::direct::target::{SoftwareVersion, Target, TargetState};
 
 fn target(version: &str) -> Target {
@@ -89,3 +93,60 @@
     let cut = &new[..new.len() - 1];
     assert_eq!(Datagram::decode(cut), Err(DatagramError::Garbage));
 }
+
+#[test]
+fn messages_about_the_listing_survive_the_encoding() {
+    let change = ListingChange {
+        changed: vec![target("v1")],
+        removed: vec![Name::new("i-2")],
+    };
+    let messages = [
+        ListingMessage::Step(Step {
+            base: 1,
+            digest: 2,
+            is_last: true,
+            revision: 3,
+            change,
+        }),
+        ListingMessage::Unchanged {
+            revision: 3,
+            digest: 2,
+        },
+        ListingMessage::Query,
+        ListingMessage::RangeQuery(RangeQuery {
+            revision: 3,
+            digests: vec![4, 5],
+        }),
+        ListingMessage::RangeAnswer(RangeAnswer {
+            age: Duration::from_millis(6),
+            revision: 3,
+            digest: 2,
+            count: 2,
+            ranges: vec![1],
+            targets: vec![target("v1")],
+        }),
+    ];
+    for message in messages {
+        let bytes = Datagram::from(message.clone()).encode();
+        let decoded = Datagram::decode(&bytes).map(Datagram::into_listing_message);
+        let expected = match message {
+            ListingMessage::RangeAnswer(answer) => ListingMessage::RangeAnswer(RangeAnswer {
+                age: Duration::from_millis(7),
+                ..answer
+            }),
+            other => other,
+        };
+        assert_eq!(decoded, Ok(Some(expected)));
+    }
+}
+
+#[test]
+fn questions_for_ranges_come_after_all_datagrams_of_earlier_versions() {
+    let query = ListingRangeQuery {
+        revision: 3,
+        digests: vec![4],
+    };
+    let bytes = Datagram::ListingRangeQuery(query).encode();
+    assert_eq!(bytes, b"\x01\x0c\x03\x01\x04");
+    assert_eq!(Datagram::ListingQuery.encode(), b"\x01\x0a");
+}
--- a/wire/tests/listing_traffic/net.rs
+++ b/wire/tests/listing_traffic/net.rs
@@ -283,7 +283,8 @@
         // Each heartbeat leads to this question.
         let relay = router.relay;
         let question = match is_tick {
-            true => router.listing.ask_for_first(heard, relay, mono),
+            true => (router.listing.ask_for_rest(relay, mono))
+                .or_else(|| router.listing.ask_for_first(heard, relay, mono)),
             false => None,
         };
         if is_due && !router.is_reading {
@@ -329,9 +330,7 @@
         if !router.is_alive {
             return;
         }
-        let received = router
-            .listing
-            .receive(message, address(from), router.relay, mono);
+        let received = router.listing.receive(message, address(from), mono);
         if let Some(adopted) = received.adopted {
             router.listing.adopt(&adopted, mono);
         }
@@ -354,8 +353,9 @@
         let kind = match &message {
             ListingMessage::Step(_) => "changes",
             ListingMessage::Unchanged { .. } => "notices",
-            ListingMessage::Query => "questions",
-            ListingMessage::Part(_) => "answers",
+            ListingMessage::Query | ListingMessage::RangeQuery(_) => "questions",
+            ListingMessage::Part(_) => "whole listings",
+            ListingMessage::RangeAnswer(_) => "ranges",
         };
         *self.kinds.entry(kind).or_default() += size;
         let random = self.rng.random_range(0.0..1.0);
