--- a/edge/src/gossip/listing.rs
+++ b/edge/src/gossip/listing.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use policy::direct::listing::exchange::ListingMessage;
+use policy::direct::listing::message::ListingMessage;
 use wire::Datagram;
 
 use super::Gossip;
--- a/edge/src/store/targets.rs
+++ b/edge/src/store/targets.rs
@@ -10,7 +10,7 @@
 use platform::record::{self, StoreKey};
 use platform::store::{Item, TARGETS_PREFIX};
 use policy::direct::confirmation::Uptime;
-use policy::direct::listing::exchange::{Adopted, ListingMessage};
+use policy::direct::listing::message::{Adopted, ListingMessage};
 use policy::direct::polling;
 use policy::direct::store_revision::StoreRevision;
 use tokio::time::sleep;
--- a/policy/src/direct/listing.rs
+++ b/policy/src/direct/listing.rs
@@ -6,6 +6,7 @@
 //! Invariant: a listing is ordered by name, so equal targets give equal listings.
 
 pub mod exchange;
+pub mod message;
 mod ranges;
 
 use std::cmp::Ordering;
--- a/policy/tests/direct_listing.rs
+++ b/policy/tests/direct_listing.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use entity::Name;
-use knapweed_policy::direct::listing::exchange::{
-    Adopted, ListingExchange, ListingMessage, RangeAnswer, RangeQuery, TARGETS_PER_MESSAGE, Update,
+use knapweed_policy::direct::listing::exchange::{ListingExchange, TARGETS_PER_MESSAGE};
+use knapweed_policy::direct::listing::message::{
+    Adopted, ListingMessage, RangeAnswer, RangeQuery, Update,
 };
 use knapweed_policy::direct::listing::{ListingChange, sort_listing};
 use knapweed_policy::direct::target::{SoftwareVersion, Target, TargetState};
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -11,7 +11,7 @@
 use entity::Name;
 use policy::direct::exchange::message::{Beat, Message, Place, Summary, Trouble};
 use policy::direct::listing::ListingChange;
-use policy::direct::listing::exchange::{ListingMessage, Part, RangeAnswer, RangeQuery, Step};
+use policy::direct::listing::message::{ListingMessage, Part, RangeAnswer, RangeQuery, Step};
 use policy::direct::stream_origin::StreamId;
 use policy::direct::target::{SoftwareVersion, Target, VersionTag};
 use serde::{Deserialize, Serialize};
--- a/wire/tests/datagram.rs
+++ b/wire/tests/datagram.rs
@@ -8,7 +8,7 @@
 };
 use policy::direct::exchange::message::{Beat, CentreTag, Place};
 use policy::direct::listing::ListingChange;
-use policy::direct::listing::exchange::{ListingMessage, RangeAnswer, RangeQuery, Step};
+use policy::direct::listing::message::{ListingMessage, RangeAnswer, RangeQuery, Step};
 use policy::direct::target::{SoftwareVersion, Target, TargetState};
 
 fn target(version: &str) -> Target {
