--- a/policy/src/direct/listing.rs
+++ b/policy/src/direct/listing.rs
@@ -1,14 +1,18 @@
 //! The differences between two listings of the targets.
 //!
 //! Load that it answers: thousands of targets of which a few change between two reads.
-//! The router that reads the store sends the others what changed; a router that has
-//! another listing than the one on which a change is based asks for the whole.
+//! The router that reads the store sends the others what changed ([`exchange`]).
 //!
 //! Invariant: a listing is ordered by name, so equal targets give equal listings.
 
+pub mod exchange;
+pub mod message;
+mod ranges;
+
 use std::cmp::Ordering;
 
 use entity::Name;
+use rustc_hash::FxHashSet;
 
 use super::target::Target;
 
@@ -51,9 +55,21 @@
         }
     }
 
+    /// The number of targets and names in which the listings differ.
+    pub fn len(&self) -> usize {
+        self.changed.len() + self.removed.len()
+    }
+
+    /// Whether the listings are equal.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Splits the change into steps of at most `limit` targets and names; there is at
-    /// least one.
-    pub fn into_steps(self, limit: usize) -> Vec<Self> {
+    /// least one. Each concerns few ranges, so that one that is lost is soon replaced.
+    pub fn into_steps(mut self, limit: usize) -> Vec<Self> {
+        self.removed.sort_by_key(|name| name.tag().0);
+        self.changed.sort_by_key(|target| target.name.tag().0);
         let mut steps = vec![Self::default()];
         let mut size = 0;
         let mut step_for = |steps: &mut Vec<Self>| {
@@ -77,11 +93,9 @@
 
     /// Returns the listing to which the change leads.
     pub fn apply(&self, old: &[Target]) -> Vec<Target> {
-        let is_replaced = |target: &Target| {
-            let name = &target.name;
-            self.removed.contains(name) || self.changed.iter().any(|it| it.name == *name)
-        };
-        let kept = old.iter().filter(|target| !is_replaced(target));
+        let changed = self.changed.iter().map(|target| &target.name);
+        let replaced: FxHashSet<&Name> = changed.chain(&self.removed).collect();
+        let kept = old.iter().filter(|target| !replaced.contains(&target.name));
         let mut targets: Vec<Target> = kept.chain(&self.changed).cloned().collect();
         sort_listing(&mut targets);
         targets
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -5,9 +5,13 @@
 //! not used here because a late message has no value and an unresponsive peer must
 //! not block the sender.
 
+use std::time::Duration;
+
 use derive_more::{Display, Error};
 use entity::Name;
 use policy::direct::exchange::message::{Beat, Message, Place, ReadinessRow, Summary, Trouble};
+use policy::direct::listing::ListingChange;
+use policy::direct::listing::message::{ListingMessage, Part, RangeAnswer, RangeQuery, Step};
 use policy::direct::rotation::Readiness;
 use policy::direct::stream_origin::StreamId;
 use policy::direct::target::{SoftwareVersion, Target, VersionTag};
@@ -86,6 +90,30 @@
     pub listing: VersionedListing,
 }
 
+/// Asks for the ranges of the listing that differ from those of the sender.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct ListingRangeQuery {
+    /// The revision that the listing must have at least.
+    pub revision: u64,
+    /// The digests of the sender's ranges; none if it has no targets.
+    pub digests: Vec<u32>,
+}
+
+/// Ranges of a listing, sent to a router that asked for those that differ.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct ListingRanges {
+    /// The time since the listing was read from the store, in milliseconds.
+    pub age: u32,
+    /// The digest of the listing.
+    pub digest: u64,
+    /// The number of ranges of the listing.
+    pub count: u16,
+    /// The ranges in this datagram.
+    pub ranges: Vec<u16>,
+    /// All targets of these ranges, as the only part.
+    pub listing: VersionedListing,
+}
+
 /// Streams that began at one software version, sent to their holders and in response to
 /// an [`OriginQuery`].
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
@@ -145,6 +173,10 @@
     ListingQuery,
     /// A part of the whole listing.
     AgedListing(AgedListing),
+    /// Asks for the ranges of the listing that differ.
+    ListingRangeQuery(ListingRangeQuery),
+    /// Some ranges of the listing.
+    ListingRanges(ListingRanges),
 }
 
 impl From<Message> for Datagram {
@@ -158,6 +190,53 @@
     }
 }
 
+impl From<ListingMessage> for Datagram {
+    fn from(message: ListingMessage) -> Self {
+        let single = |revision, targets| {
+            VersionedListing::new(Listing {
+                revision,
+                part: 0,
+                parts: 1,
+                targets,
+            })
+        };
+        // Rounded up, so that the listing never appears more recent than it is.
+        let age = |age: Duration| age.as_millis() as u32 + 1;
+        match message {
+            ListingMessage::Step(step) => Self::ChangedListing(ChangedListing {
+                base: step.base,
+                digest: step.digest,
+                is_last: step.is_last,
+                removed: step.change.removed,
+                changed: single(step.revision, step.change.changed),
+            }),
+            ListingMessage::Unchanged { revision, digest } => {
+                Self::Unchanged(Unchanged { revision, digest })
+            }
+            ListingMessage::Query => Self::ListingQuery,
+            ListingMessage::Part(part) => Self::AgedListing(AgedListing {
+                age: age(part.age),
+                listing: VersionedListing::new(Listing {
+                    revision: part.revision,
+                    part: part.part,
+                    parts: part.parts,
+                    targets: part.targets,
+                }),
+            }),
+            ListingMessage::RangeQuery(RangeQuery { revision, digests }) => {
+                Self::ListingRangeQuery(ListingRangeQuery { revision, digests })
+            }
+            ListingMessage::RangeAnswer(answer) => Self::ListingRanges(ListingRanges {
+                age: age(answer.age),
+                digest: answer.digest,
+                count: answer.count,
+                ranges: answer.ranges,
+                listing: single(answer.revision, answer.targets),
+            }),
+        }
+    }
+}
+
 /// An error from decoding a datagram.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Display, Error)]
 pub enum DatagramError {
@@ -170,6 +249,59 @@
 }
 
 impl Datagram {
+    /// Returns the message about the listing of targets, if it is one.
+    pub fn into_listing_message(self) -> Option<ListingMessage> {
+        let part = |listing: Listing, age| {
+            ListingMessage::Part(Part {
+                age,
+                revision: listing.revision,
+                part: listing.part,
+                parts: listing.parts,
+                targets: listing.targets,
+            })
+        };
+        match self {
+            Self::Listing(listing) => Some(part(listing, Duration::ZERO)),
+            Self::VersionedListing(listing) => Some(part(listing.into_listing(), Duration::ZERO)),
+            Self::AgedListing(AgedListing { age, listing }) => {
+                let age = Duration::from_millis(age.into());
+                Some(part(listing.into_listing(), age))
+            }
+            Self::ChangedListing(change) => {
+                let listing = change.changed.into_listing();
+                Some(ListingMessage::Step(Step {
+                    base: change.base,
+                    digest: change.digest,
+                    is_last: change.is_last,
+                    revision: listing.revision,
+                    change: ListingChange {
+                        changed: listing.targets,
+                        removed: change.removed,
+                    },
+                }))
+            }
+            Self::Unchanged(Unchanged { revision, digest }) => {
+                Some(ListingMessage::Unchanged { revision, digest })
+            }
+            Self::ListingQuery => Some(ListingMessage::Query),
+            Self::ListingRangeQuery(ListingRangeQuery { revision, digests }) => {
+                Some(ListingMessage::RangeQuery(RangeQuery { revision, digests }))
+            }
+            Self::ListingRanges(answer) => {
+                let listing = answer.listing.into_listing();
+                Some(ListingMessage::RangeAnswer(RangeAnswer {
+                    age: Duration::from_millis(answer.age.into()),
+                    revision: listing.revision,
+                    digest: answer.digest,
+                    count: answer.count,
+                    ranges: answer.ranges,
+                    targets: listing.targets,
+                }))
+            }
+            _ => None,
+        }
+    }
+
     /// Encodes the datagram, starting with the version byte.
     ///
     /// # Panics
