--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -111,15 +111,15 @@
         .borrow_mut()
         .record_request(&service, routers, now);
     // Held to the end of the request.
-    let mut _place = None;
+    let mut place = None;
     if let (Some(team), Some(prompt)) = (authorized.team_name(), &request.caller_headers.prompt) {
         let tokens = prompt.weighted_tokens();
         context
             .fair_shares
             .borrow_mut()
             .record_request(team.tag().0, tokens, now);
-        _place = context.take_place(team, now);
-        if _place.is_none() {
+        place = context.take_place(team, now);
+        if place.is_none() {
             let refusal = Refusal::not_run("strained", context.strained_retry_delay(now));
             context.record_rejection(Rejection::Limit);
             context.refused_teams.borrow_mut().record(team, tokens);
