--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -111,7 +111,7 @@
         .borrow_mut()
         .record_request(&service, routers, now);
     // Held to the end of the request.
-    let mut place = None;
+    let place;
     if let (Some(team), Some(prompt)) = (authorized.team_name(), &request.caller_headers.prompt) {
         let tokens = prompt.weighted_tokens();
         context
