--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -12,20 +12,24 @@
 use entity::{Fingerprint, Name};
 use node::event::{self, Event};
 use node::settings::EdgeSettings;
+use policy::direct::admission::{ArrivalRate, RequestLimit};
 use policy::direct::budget::{RetryBudget, RetryLimit};
 use policy::direct::cold::ColdLimit;
 use policy::direct::config::Config;
 use policy::direct::crash::{CrashHistory, CrashRecord};
 use policy::direct::fair_share::FairShares;
-use policy::direct::overload::{MAX_LAG, OverloadState, RequestLimit};
+use policy::direct::overload::{MAX_LAG, OverloadState, SUSPENSION_LAG};
 use policy::direct::placement::PlacementSettings;
+use policy::direct::rotation::{OwnLoad, Rotation};
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_table::{TargetEntryId, TargetTable};
-use rand::SeedableRng;
+use policy::direct::team_places::TeamPlaces;
+use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 
+use crate::bound_log::BoundLog;
 use crate::connection_limit::ConnectionLimit;
 use crate::latest::LatestSnapshot;
 use crate::metrics::{Rejection, TrafficMetrics};
@@ -49,6 +53,16 @@
 /// The time after a broken attempt during which it is suspected of crashing its target.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
+/// The least retry delay of requests refused for strain whose callers reach another router
+/// that has room, and what is added at random.
+const MOVED_RETRY_DELAY: (Duration, Duration) =
+    (Duration::from_millis(10), Duration::from_millis(20));
+
+/// The same where callers come back to this router. The balancer takes up to 2 s to notice the overload, and
+/// a caller's objective is not much longer.
+const STRAINED_RETRY_DELAY: (Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_millis(100));
+
 /// The maximum number of teams in a report.
 const MAX_REPORTED_TEAMS: usize = 48;
 
@@ -59,6 +73,18 @@
     broken_at: Instant,
 }
 
+/// A place of a team among the requests in progress; given back when dropped.
+pub(crate) struct Place {
+    context: Rc<Context>,
+    team: u64,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.context.team_places.borrow_mut().end(self.team);
+    }
+}
+
 /// The state of the traffic thread.
 pub(crate) struct Context {
     pub(crate) shared: Arc<Shared>,
@@ -72,6 +98,7 @@
     pub(crate) fair_shares: RefCell<FairShares>,
     pub(crate) refused_teams: RefCell<RefusedTeams>,
     pub(crate) rejections: Rejections,
+    pub(crate) bound_log: RefCell<BoundLog>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crash_history: RefCell<CrashHistory>,
     pub(crate) rng: RefCell<ChaCha8Rng>,
@@ -88,7 +115,10 @@
     /// The targets last logged as avoided.
     avoided: RefCell<FxHashSet<TargetEntryId>>,
     overload: RefCell<OverloadState>,
+    arrival_rate: RefCell<ArrivalRate>,
     request_limit: RefCell<RequestLimit>,
+    rotation: RefCell<Rotation>,
+    team_places: RefCell<TeamPlaces>,
     /// The registry last applied to the target table.
     registry: LatestSnapshot<TargetRegistry>,
     /// The peer state that was last applied.
@@ -131,6 +161,7 @@
             fair_shares: RefCell::new(FairShares::new(0.0)),
             refused_teams: RefCell::new(RefusedTeams::new(Instant::now())),
             rejections: Rejections::new(Instant::now()),
+            bound_log: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_limit)),
             crash_history: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -143,7 +174,10 @@
             broken_attempts: RefCell::default(),
             avoided: RefCell::default(),
             overload: RefCell::default(),
+            arrival_rate: RefCell::new(ArrivalRate::new(Instant::now())),
             request_limit: RefCell::default(),
+            rotation: RefCell::new(Rotation::new(settings.control)),
+            team_places: RefCell::default(),
             registry: LatestSnapshot::default(),
             peers: LatestSnapshot::default(),
             peers_summed_at: Cell::new(None),
@@ -154,7 +188,26 @@
     pub(crate) fn closes_after_response(&self) -> bool {
         self.shared.is_stopping()
             || self.connections.exceeds_keep_alive_share()
-            || self.overload.borrow().closes_connections(Instant::now())
+            || self.rotation.borrow().closes_connections(false)
+    }
+
+    /// Whether connections are closed after a refusal for strain.
+    pub(crate) fn closes_after_refusal(&self) -> bool {
+        self.closes_after_response()
+            || self.arrival_rate.borrow().closes_refused()
+            || self.rotation.borrow().closes_connections(true)
+    }
+
+    /// Records a refusal for strain, and returns when the caller should try again: at
+    /// once if its next try reaches another router that has room.
+    pub(crate) fn strained_retry_delay(&self, now: Instant) -> Duration {
+        let mut rotation = self.rotation.borrow_mut();
+        rotation.record_refused(now);
+        let (least, spread) = match rotation.moves_retries(now) {
+            true => MOVED_RETRY_DELAY,
+            false => STRAINED_RETRY_DELAY,
+        };
+        least + spread.mul_f64(self.rng.borrow_mut().random())
     }
 
     /// Records the delay of a maintenance tick and updates the readiness.
@@ -167,34 +220,68 @@
             .borrow_mut()
             .end_rate_interval(lag <= MAX_LAG);
         let open_requests = self.shared.open_requests.load(Ordering::Relaxed);
-        self.request_limit
-            .borrow_mut()
-            .record_lag(lag, open_requests);
+        let mut arrival_rate = self.arrival_rate.borrow_mut();
+        arrival_rate.record_lag(lag, now);
+        self.request_limit.borrow_mut().record_lag(
+            lag,
+            open_requests,
+            arrival_rate.is_at_minimum(),
+        );
+        drop(arrival_rate);
+        let max_places = self.request_limit.borrow().max_places();
+        self.team_places.borrow_mut().divide(max_places, now);
         let is_nearly_full = self.connections.is_nearly_full();
         let is_overloaded = self
             .overload
             .borrow_mut()
             .record_lag(lag, is_nearly_full, now);
-        let was_overloaded = self
-            .shared
-            .overloaded
-            .swap(is_overloaded, Ordering::Relaxed);
-        if is_overloaded == was_overloaded {
-            return;
+        let was_held = self.is_held();
+        let load = OwnLoad {
+            is_late: lag > MAX_LAG && lag < SUSPENSION_LAG,
+            is_overloaded,
+            requests: open_requests,
+        };
+        let is_out = self.rotation.borrow_mut().update(load, now).is_out;
+        let was_out = self.shared.out.swap(is_out, Ordering::Relaxed);
+        match (was_out, is_out) {
+            (false, true) => self.log_rotation(Event::ProcessUnready, lag),
+            (true, false) => self.log_rotation(Event::ProcessReady, lag),
+            _ if !was_held && self.is_held() => self.log_rotation(Event::RotationHeld, lag),
+            _ => {}
         }
+    }
+
+    /// Whether this router is overloaded and stays in rotation for the data centre.
+    fn is_held(&self) -> bool {
+        let readiness = self.rotation.borrow().readiness();
+        readiness.is_overloaded && !readiness.is_out
+    }
+
+    /// Logs a decision with what was known of the data centre.
+    fn log_rotation(&self, event: Event, lag: Duration) {
+        let rotation = self.rotation.borrow();
+        let (counts, own) = (rotation.counts(), rotation.readiness());
         let open = self.connections.open_count();
         let lag = lag.as_millis();
-        let fields: [event::Field<'_>; 3] = [
+        let fields: [event::Field<'_>; 7] = [
             ("reason", &"strained"),
             ("lag_ms", &lag),
             ("connections", &open),
+            ("requests", &own.requests),
+            ("carried", &own.carried),
+            ("others_in", &counts.others_in),
+            ("others_out", &counts.others_out),
         ];
-        let event = if is_overloaded {
-            Event::ProcessUnready
-        } else {
-            Event::ProcessReady
-        };
         event::log(event, &fields);
+        self.metrics.record_rotation(event.name());
+    }
+
+    /// Records an accepted connection; returns how long to wait before the next one.
+    pub(crate) fn record_accepted(&self, now: Instant) -> Option<Duration> {
+        self.rejections.record_accepted();
+        let mut arrival_rate = self.arrival_rate.borrow_mut();
+        arrival_rate.record_arrival(now);
+        arrival_rate.pause(now)
     }
 
     /// How long to wait after accepting a batch of connections.
@@ -210,10 +297,31 @@
     /// Counts what was turned away because this router is behind.
     pub(crate) fn record_rejection(&self, rejection: Rejection) {
         self.rejections.record(rejection, &self.metrics);
+        match rejection {
+            Rejection::Connection | Rejection::Request => {
+                self.fair_shares.borrow_mut().record_shed();
+            }
+            Rejection::Limit => {}
+        }
     }
 
-    /// Whether a generation request of a team may begin, given the requests in progress.
-    pub(crate) fn allows_request(&self, team: &Name, now: Instant) -> bool {
+    /// Takes a place for a generation request of a team, if it may begin, given the
+    /// requests in progress.
+    pub(crate) fn take_place(self: &Rc<Self>, team: &Name, now: Instant) -> Option<Place> {
+        let team = team.tag().0;
+        let mut team_places = self.team_places.borrow_mut();
+        if !team_places.allows(team) || !self.allows_request(team, now) {
+            team_places.record_refused(team);
+            return None;
+        }
+        team_places.begin(team);
+        Some(Place {
+            context: self.clone(),
+            team,
+        })
+    }
+
+    fn allows_request(&self, team: u64, now: Instant) -> bool {
         // The request itself is already counted.
         let requests = self.shared.open_requests.load(Ordering::Relaxed);
         let requests = requests.saturating_sub(1);
@@ -222,7 +330,7 @@
             return true;
         }
         let mut fair_shares = self.fair_shares.borrow_mut();
-        let is_within_share = fair_shares.share_usage(team.tag().0, now) <= 1.0;
+        let is_within_share = fair_shares.share_usage(team, now) <= 1.0;
         request_limit.allows(requests, is_within_share)
     }
 
@@ -264,6 +372,9 @@
         if let Some(peers) = new_peers {
             target_table.set_problem_reports(&peers.problem_counts);
             self.fair_shares.borrow_mut().set_peers(peers.teams.clone());
+            self.rotation
+                .borrow_mut()
+                .set_neighbours(&peers.neighbours, now);
         }
     }
 
@@ -284,6 +395,7 @@
                 .target_table
                 .borrow()
                 .problem_targets(self.placement.get().prefill_rate, now),
+            readiness: self.rotation.borrow().readiness(),
         };
         self.shared.local_report.store(Arc::new(local_report));
         self.log_avoided_targets(now);
@@ -292,6 +404,10 @@
             .borrow_mut()
             .log_if_due(&mut self.fair_shares.borrow_mut(), now);
         self.rejections.log_if_due(|| self.router_state(now), now);
+        if let Some(bound) = self.fair_shares.borrow_mut().bound(now) {
+            let mut bound_log = self.bound_log.borrow_mut();
+            bound_log.log_if_due(bound, self.config().as_deref(), now);
+        }
         self.notify_stalled(now);
         let leaving = self.shared.take_peer_leaving();
         let leaving = self.target_table.borrow_mut().record_leaving_tags(&leaving);
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -40,6 +40,8 @@
     requests: Counter<u64>,
     shed_connections: Counter<u64>,
     rejections: Counter<u64>,
+    held_requests: Counter<u64>,
+    rotation_decisions: Counter<u64>,
     attempts: Counter<u64>,
     first_event: Histogram<f64>,
     full_response: Histogram<f64>,
@@ -67,6 +69,10 @@
             full_response: histogram("knapweed_edge_whole_answer"),
             shed_connections: meter.u64_counter("knapweed_edge_shed_connections").build(),
             rejections: meter.u64_counter("knapweed_edge_rejections").build(),
+            held_requests: meter.u64_counter("knapweed_edge_held_requests").build(),
+            rotation_decisions: meter
+                .u64_counter("knapweed_edge_rotation_decisions")
+                .build(),
             connections: meter
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
@@ -102,6 +108,17 @@
             .add(1, &[KeyValue::new("what", rejection.label())]);
     }
 
+    /// Counts a request held because another team is left behind.
+    pub(crate) fn record_held(&self) {
+        self.held_requests.add(1, &[]);
+    }
+
+    /// Counts a decision on whether this router is in rotation.
+    pub(crate) fn record_rotation(&self, decision: &'static str) {
+        self.rotation_decisions
+            .add(1, &[KeyValue::new("decision", decision)]);
+    }
+
     /// Counts an attempt by its result.
     pub(crate) fn record_attempt(&self, result: &'static str) {
         self.attempts.add(1, &[KeyValue::new("result", result)]);
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -27,7 +27,7 @@
 use smallvec::SmallVec;
 use tokio::time::sleep;
 
-use crate::attempt::Attempt;
+use crate::attempt::{Attempt, Charge};
 use crate::context::Context;
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
 use crate::target::{Body, BodyFraming, SendError, TargetRequest, TargetResponse};
@@ -273,6 +273,13 @@
             .as_ref()
             .filter(|_| service.engine.is_some());
         let wait_factor = self.wait_factor(prompt, now);
+        // What was sent already goes on, whatever its team gets.
+        if !is_retry && let Some(after) = self.held_for(prompt, now) {
+            return Err(Refusal {
+                favour: Some(wait_factor),
+                ..Refusal::not_run("held", after + self.retry_jitter())
+            });
+        }
         let placement_request = PlacementRequest {
             service,
             prompt,
@@ -300,9 +307,9 @@
                 is_home,
                 copy_source,
             } => {
-                let attempt = Attempt::begin(context, target_id, prompt, copy_source, now);
+                let charge = self.charge(prompt, now);
+                let attempt = Attempt::begin(context, target_id, prompt, copy_source, charge, now);
                 self.log_sent(&attempt, wait, is_home, wait_factor);
-                self.record_admitted(prompt, now);
                 Ok(attempt)
             }
             Placement::Refused {
@@ -310,10 +317,9 @@
                 retry_after,
                 exceeded,
             } => {
-                let jitter = context
-                    .rng
-                    .borrow_mut()
-                    .random_range(0..=MAX_RETRY_JITTER_MILLIS);
+                if !reason.is_for_load() {
+                    self.withdraw_request(prompt, now);
+                }
                 let reason = match reason {
                     placement::RefusalReason::NoTarget => "no target",
                     placement::RefusalReason::NoTargetOfVersion => "no target of its version",
@@ -321,7 +327,7 @@
                     placement::RefusalReason::Busy => "busy",
                     placement::RefusalReason::Full => "full",
                 };
-                let retry_after = retry_after + Duration::from_millis(jitter);
+                let retry_after = retry_after + self.retry_jitter();
                 Err(Refusal {
                     favour: Some(wait_factor),
                     exceeded,
@@ -331,6 +337,31 @@
         }
     }
 
+    /// How long to hold back the request because another team is left behind.
+    fn held_for(&self, prompt: Option<&Prompt>, now: Instant) -> Option<Duration> {
+        let team = self.authorized.team_name()?;
+        let tokens = prompt?.weighted_tokens();
+        let mut fair_shares = self.context.fair_shares.borrow_mut();
+        let after = fair_shares.held_for(team.tag().0, now)?;
+        self.context.metrics.record_held();
+        self.context.bound_log.borrow_mut().record_held(tokens);
+        Some(after)
+    }
+
+    /// Counts the request as none that could run; a team is not left behind for it.
+    fn withdraw_request(&self, prompt: Option<&Prompt>, now: Instant) {
+        let team = self.authorized.team_name();
+        if let (Some(team), Some(prompt)) = (team, prompt) {
+            let mut fair_shares = self.context.fair_shares.borrow_mut();
+            fair_shares.withdraw_request(team.tag().0, prompt.weighted_tokens(), now);
+        }
+    }
+
+    fn retry_jitter(&self) -> Duration {
+        let mut rng = self.context.rng.borrow_mut();
+        Duration::from_millis(rng.random_range(0..=MAX_RETRY_JITTER_MILLIS))
+    }
+
     /// Returns the factor on the wait allowed to the request's team.
     fn wait_factor(&self, prompt: Option<&Prompt>, now: Instant) -> f64 {
         let Some(team) = self.authorized.team_name().filter(|_| prompt.is_some()) else {
@@ -340,12 +371,13 @@
         fair_shares.wait_factor(team.tag().0, now)
     }
 
-    fn record_admitted(&self, prompt: Option<&Prompt>, now: Instant) {
-        let team = self.authorized.team_name();
-        if let (Some(team), Some(prompt)) = (team, prompt) {
-            let mut fair_shares = self.context.fair_shares.borrow_mut();
-            fair_shares.record_admitted(team.tag().0, prompt.weighted_tokens(), now);
-        }
+    fn charge(&self, prompt: Option<&Prompt>, now: Instant) -> Option<Charge> {
+        let team = self.authorized.team_name()?;
+        Some(Charge {
+            team: team.tag().0,
+            tokens: prompt?.weighted_tokens(),
+            charged_at: now,
+        })
     }
 
     /// Counts the request as refused for its team.
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -19,8 +19,12 @@
 //! - [`cold`]: which routers send to a cold target, and at which rate;
 //! - [`stall`]: which targets have stopped responding;
 //! - [`fair_share`]: which teams are beyond their fair share of the pool;
+//! - [`service_bound`]: which teams are held back while another is left behind;
 //! - [`prefill_rate`]: how many tokens engines prefill per millisecond;
 //! - [`overload`]: whether this router is overloaded;
+//! - [`admission`]: how many connections and requests it takes on;
+//! - [`rotation`]: which overloaded routers of a data centre report themselves unready;
+//! - [`team_places`]: how these requests are divided among teams;
 //! - [`outlier`]: which targets fail requests although their health checks pass;
 //! - [`budget`]: how many retries this router may send;
 //! - [`stream_origin`]: at which software version a stream began;
@@ -30,6 +34,7 @@
 //!
 //! Invariant: nothing here performs I/O or reads a clock.
 
+pub mod admission;
 pub mod budget;
 pub mod cold;
 pub mod config;
@@ -45,8 +50,11 @@
 pub mod prefill_rate;
 pub mod prompt;
 pub mod response;
+pub mod rotation;
+pub mod service_bound;
 pub mod stall;
 pub mod store_revision;
 pub mod stream_origin;
 pub mod target;
 pub mod target_table;
+pub mod team_places;
--- a/policy/src/direct/fair_share.rs
+++ b/policy/src/direct/fair_share.rs
@@ -14,14 +14,16 @@
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
+use crate::direct::service_bound::{Bound, ServiceBound};
+
 /// The half-life of a measured rate without new requests.
-const HALF_LIFE: Duration = Duration::from_millis(1500);
+pub(crate) const HALF_LIFE: Duration = Duration::from_millis(1500);
 
 /// The interval at which the fair share is recomputed.
 const FAIR_SHARE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The rate in tokens per second below which a team is no longer tracked.
-const MIN_TRACKED_RATE: f64 = 1.0;
+pub(crate) const MIN_TRACKED_RATE: f64 = 1.0;
 
 /// The factor on the admitted rate that allows for requests in flight.
 const IN_FLIGHT_FACTOR: f64 = 1.02;
@@ -42,12 +44,23 @@
 /// The maximum wait factor.
 const MAX_WAIT_FACTOR: f64 = 1.8;
 
+/// The half-life of the size of the largest requests, in half-lives of a rate.
+const LARGEST_REQUEST_HALF_LIVES: u32 = 4;
+
+/// The number of the largest requests in [`SPARED_WINDOW`] by which a team may fall
+/// short of what is fair.
+const SPARED_REQUESTS: f64 = 3.0;
+
+const SPARED_WINDOW: Duration = Duration::from_secs(6);
+
 /// The rates of one team, in tokens per second.
 #[derive(Clone, Copy, Default, PartialEq, Debug)]
 pub struct TeamRate {
-    /// The rate of all requests.
+    /// The rate of all requests that some target could run, with an estimate of those
+    /// that were not read.
     pub requested: f64,
-    /// The rate of requests that were sent to a target.
+    /// The rate of requests that were sent to a target, without those that ended before
+    /// they began to run.
     pub admitted: f64,
 }
 
@@ -65,14 +78,25 @@
 #[derive(Clone, Copy, Debug)]
 struct Meter {
     rate: TeamRate,
+    /// The part of the requested rate that was read.
+    read: Arrivals,
     updated_at: Instant,
 }
 
+/// A decaying sum of requests.
+#[derive(Clone, Copy, Default, Debug)]
+struct Arrivals {
+    tokens: f64,
+    requests: f64,
+}
+
 impl Meter {
     fn decay_to(&mut self, now: Instant) {
         let factor = decay(now.saturating_duration_since(self.updated_at));
         self.rate.requested *= factor;
         self.rate.admitted *= factor;
+        self.read.tokens *= factor;
+        self.read.requests *= factor;
         self.updated_at = now;
     }
 }
@@ -87,6 +111,30 @@
     /// The admitted rate of an average team.
     mean_admitted: f64,
     computed_at: Option<Instant>,
+    /// The requests shed since the last report.
+    shed: u32,
+    largest_request: LargestRequest,
+    service_bound: ServiceBound,
+}
+
+/// The size of the largest requests seen, which falls slowly.
+#[derive(Clone, Copy, Debug, Default)]
+struct LargestRequest {
+    tokens: f64,
+    updated_at: Option<Instant>,
+}
+
+impl LargestRequest {
+    fn record(&mut self, tokens: f64, now: Instant) {
+        self.tokens = self.at(now).max(tokens);
+        self.updated_at = Some(now);
+    }
+
+    fn at(&self, now: Instant) -> f64 {
+        let updated_at = self.updated_at.unwrap_or(now);
+        let elapsed = now.saturating_duration_since(updated_at);
+        self.tokens * decay(elapsed / LARGEST_REQUEST_HALF_LIVES)
+    }
 }
 
 impl FairShares {
@@ -99,6 +147,9 @@
             fair_share: f64::INFINITY,
             mean_admitted: 0.0,
             computed_at: None,
+            shed: 0,
+            largest_request: LargestRequest::default(),
+            service_bound: ServiceBound::default(),
         }
     }
 
@@ -110,12 +161,36 @@
 
     /// Records a request of `tokens` by a team.
     pub fn record_request(&mut self, team: u64, tokens: f64, now: Instant) {
-        self.meter(team, now).rate.requested += tokens / time_constant();
+        self.largest_request.record(tokens, now);
+        let meter = self.meter(team, now);
+        meter.rate.requested += tokens / time_constant();
+        meter.read.tokens += tokens;
+        meter.read.requests += 1.0;
+    }
+
+    /// Records that a request cannot run for want of a target, whatever the load.
+    pub fn withdraw_request(&mut self, team: u64, tokens: f64, now: Instant) {
+        let requested = &mut self.meter(team, now).rate.requested;
+        *requested = (*requested - tokens / time_constant()).max(0.0);
+    }
+
+    /// Records a request that was shed before its team was known.
+    pub fn record_shed(&mut self) {
+        self.shed = self.shed.saturating_add(1);
     }
 
     /// Records that a request of a team was sent to a target.
     pub fn record_admitted(&mut self, team: u64, tokens: f64, now: Instant) {
         self.meter(team, now).rate.admitted += tokens / time_constant();
+        self.service_bound.record_sent(team, tokens);
+    }
+
+    /// Records that a request sent at `sent_at` ended before it began to run.
+    pub fn record_unbegun(&mut self, team: u64, tokens: f64, sent_at: Instant, now: Instant) {
+        let remaining = decay(now.saturating_duration_since(sent_at));
+        let admitted = &mut self.meter(team, now).rate.admitted;
+        *admitted = (*admitted - tokens / time_constant() * remaining).max(0.0);
+        self.service_bound.record_sent(team, -tokens);
     }
 
     /// Replaces the sums of the rates that peers report.
@@ -156,6 +231,21 @@
         }
     }
 
+    /// How long to hold back a request of a team while another team is left behind, if
+    /// it is held.
+    pub fn held_for(&mut self, team: u64, now: Instant) -> Option<Duration> {
+        self.update_fair_share(now);
+        self.service_bound.bound()?;
+        let (own, total) = (self.own_rate(team, now), self.total(team, now));
+        self.service_bound.held_for(team, own, total, now)
+    }
+
+    /// The bound on the rates of teams, while a team is left behind.
+    pub fn bound(&mut self, now: Instant) -> Option<Bound> {
+        self.update_fair_share(now);
+        self.service_bound.bound()
+    }
+
     /// The fair share in tokens per second of a team that requests more than it
     /// gets; infinite while no team does.
     pub fn fair_share(&self) -> f64 {
@@ -174,10 +264,8 @@
 
     /// The rates measured by this router for at most `max_teams` teams, highest first.
     pub fn report(&mut self, max_teams: usize, now: Instant) -> Vec<(u64, TeamRate)> {
-        let meters = self.own.iter_mut().map(|(&team, meter)| {
-            meter.decay_to(now);
-            (team, meter.rate)
-        });
+        self.distribute_shed(now);
+        let meters = self.own.iter().map(|(&team, meter)| (team, meter.rate));
         let mut rates: Vec<_> = meters
             .filter(|(_, rate)| rate.requested > MIN_TRACKED_RATE)
             .collect();
@@ -188,9 +276,27 @@
         rates
     }
 
+    /// Adds the requests shed since the last report to the teams' requested work, as if
+    /// they were like those that were read lately.
+    fn distribute_shed(&mut self, now: Instant) {
+        for meter in self.own.values_mut() {
+            meter.decay_to(now);
+        }
+        let read: f64 = self.own.values().map(|meter| meter.read.requests).sum();
+        let shed = f64::from(std::mem::take(&mut self.shed));
+        if read <= 0.0 {
+            return;
+        }
+        for meter in self.own.values_mut() {
+            let tokens = meter.read.tokens * shed / read;
+            meter.rate.requested += tokens / time_constant();
+        }
+    }
+
     fn meter(&mut self, team: u64, now: Instant) -> &mut Meter {
         let new_meter = || Meter {
             rate: TeamRate::default(),
+            read: Arrivals::default(),
             updated_at: now,
         };
         let meter = self.own.entry(team).or_insert_with(new_meter);
@@ -227,10 +333,10 @@
         let mut teams: SmallVec<[u64; 64]> = teams.copied().collect();
         teams.sort_unstable();
         teams.dedup();
-        let requested = teams.iter().map(|&team| self.total(team, now).requested);
-        let requested: Vec<f64> = requested.collect();
-        let admitted = teams.iter().map(|&team| self.total(team, now).admitted);
-        let admitted: f64 = admitted.sum();
+        let rates = teams.iter().map(|&team| (team, self.total(team, now)));
+        let rates: SmallVec<[(u64, TeamRate); 64]> = rates.collect();
+        let requested: Vec<f64> = rates.iter().map(|(_, rate)| rate.requested).collect();
+        let admitted: f64 = rates.iter().map(|(_, rate)| rate.admitted).sum();
         self.mean_admitted = admitted / requested.len().max(1) as f64;
         // While some requests are refused, the admitted rate shows the current
         // capacity of the pool.
@@ -241,6 +347,9 @@
             capacity
         };
         self.fair_share = max_min_share(requested, pool_rate);
+        let spared = self.largest_request.at(now) * SPARED_REQUESTS / SPARED_WINDOW.as_secs_f64();
+        self.service_bound
+            .update(&rates, self.fair_share, spared, now);
     }
 }
 
@@ -262,7 +371,8 @@
     f64::INFINITY
 }
 
-fn decay(elapsed: Duration) -> f64 {
+/// The factor by which a rate falls in a time without new requests.
+pub(crate) fn decay(elapsed: Duration) -> f64 {
     0.5_f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64())
 }
 
