--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -208,6 +208,8 @@
             Ok(Datagram::Summary(summary)) => Message::Summary(Box::new(summary)),
             Ok(Datagram::Trouble(problems)) => Message::Trouble(problems),
             Ok(Datagram::Leaving(targets)) => Message::Leaving(targets),
+            Ok(Datagram::Kept(update)) => Message::Kept(update),
+            Ok(Datagram::Rates(rows)) => Message::Rates(rows),
             Ok(
                 datagram @ (Datagram::Listing(_)
                 | Datagram::VersionedListing(_)
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -20,7 +20,7 @@
 use derive_more::Display;
 
 pub use agent::{AgentLimits, AgentSettings};
-pub use edge::{EdgeBounds, EdgeSettings, EngineSettings};
+pub use edge::{EdgeBounds, EdgeSettings, EngineSettings, RoutingSettings};
 pub use read::Section;
 pub use router::{RouterLimits, RouterSettings};
 
--- a/node/src/settings/edge.rs
+++ b/node/src/settings/edge.rs
@@ -32,6 +32,8 @@
     pub bounds: EdgeBounds,
     /// Performance parameters of the engines.
     pub engine: EngineSettings,
+    /// Decisions under load that operators turn on.
+    pub routing: RoutingSettings,
 }
 
 /// Limits that operators set for all routers together.
@@ -68,6 +70,34 @@
     pub yielding: f64,
 }
 
+/// Decisions under load that operators turn on; all are off by default.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
+pub struct RoutingSettings {
+    /// Whether the rate of each target is learned and shared.
+    pub target_rates: bool,
+    /// Whether routers share which prompt parts targets keep, and weigh what that saves.
+    pub kept_parts: bool,
+    /// Whether teams beyond their share may use targets that would be idle.
+    pub spare_capacity: bool,
+    /// Whether requests may wait in the router for a slot of a target without an engine.
+    pub slot_queue: bool,
+}
+
+impl Settings for RoutingSettings {
+    fn read(section: &mut Section<'_>) -> Option<Self> {
+        let target_rates = section.value_or("target_rates", false, value::boolean);
+        let kept_parts = section.value_or("kept_parts", false, value::boolean);
+        let spare_capacity = section.value_or("spare_capacity", false, value::boolean);
+        let slot_queue = section.value_or("slot_queue", false, value::boolean);
+        Some(Self {
+            target_rates: target_rates?,
+            kept_parts: kept_parts?,
+            spare_capacity: spare_capacity?,
+            slot_queue: slot_queue?,
+        })
+    }
+}
+
 impl Settings for EdgeSettings {
     fn read(section: &mut Section<'_>) -> Option<Self> {
         let name = section.require("name", value::name);
@@ -82,6 +112,7 @@
         let descriptors = section.value_or("descriptors", 4_096, value::count);
         let bounds = section.section("bounds");
         let engine = section.section("engine");
+        let routing = section.section("routing");
         check_distinct_addresses(section, &[("listen", listen), ("operators", operators)]);
         Some(Self {
             name: name?,
@@ -96,6 +127,7 @@
             descriptors: descriptors?,
             bounds: bounds?,
             engine: engine?,
+            routing: routing?,
         })
     }
 }
--- a/node/src/settings/value.rs
+++ b/node/src/settings/value.rs
@@ -129,6 +129,14 @@
         .ok_or_else(|| "a number of at least 0".to_owned())
 }
 
+/// Parses whether something is turned on.
+pub(crate) fn boolean(node: &Node) -> Result<bool, Expected> {
+    match node {
+        Node::Bool(value) => Ok(*value),
+        _ => Err("`true` or `false`".to_owned()),
+    }
+}
+
 /// Parses a number of threads.
 pub(crate) fn threads(node: &Node) -> Result<usize, Expected> {
     integer_in_range(node, 1, MAX_THREADS)
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -15,6 +15,7 @@
 //! - [`target_table`]: the load of every target, caused by this router and its
 //!   peers;
 //! - [`prompt`]: the parts and the size of a prompt;
+//! - [`kept`]: which prompt parts targets keep;
 //! - [`placement`]: which target a request is sent to, or why it is refused;
 //! - [`cold`]: which routers send to a cold target, and at which rate;
 //! - [`stall`]: which targets have stopped responding;
@@ -42,6 +43,7 @@
 pub mod crash;
 pub mod exchange;
 pub mod fair_share;
+pub mod kept;
 pub mod listing;
 pub mod outlier;
 pub mod overload;
--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -38,9 +38,10 @@
 
 use super::confirmation::Uptime;
 use super::fair_share::TeamRate;
+use super::kept::KeptRow;
 use super::rotation::{Neighbour, Readiness};
 use super::target_table::{LoadReport, PeerLoadReport};
-use message::{Beat, CentreTag, CrashRow, Message, Scope, TeamRow, Trouble};
+use message::{Beat, CentreTag, CrashRow, Message, RateRow, Scope, TeamRow, Trouble};
 use records::RecordLog;
 use summary::{PartialSummary, ReceivedSummary};
 use topology::Topology;
@@ -164,6 +165,10 @@
     pub crashes: Vec<CrashRow>,
     /// Leaving targets that were not known.
     pub leaving: Vec<u64>,
+    /// Uses of prompt parts at targets.
+    pub kept: Vec<KeptRow>,
+    /// The rates of targets, as learned by the sender.
+    pub rates: Vec<RateRow>,
     /// Whether the sender should get a reply at once; see [`Exchange::replies`].
     pub wants_reply: bool,
     /// Whether the sender was not reachable before.
@@ -489,6 +494,14 @@
                 leaving: self.leaving.add(targets, now.mono),
                 ..Received::default()
             },
+            Message::Kept(update) => Received {
+                kept: update.rows,
+                ..Received::default()
+            },
+            Message::Rates(rates) => Received {
+                rates,
+                ..Received::default()
+            },
         }
     }
 
--- a/policy/src/direct/exchange/message.rs
+++ b/policy/src/direct/exchange/message.rs
@@ -9,6 +9,7 @@
 use entity::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::direct::kept::KeptRow;
 use crate::direct::rotation::Readiness;
 use crate::direct::target_table::{LoadReport, TargetLoad};
 
@@ -229,6 +230,30 @@
     pub count: u32,
 }
 
+/// Uses of prompt parts at targets.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct KeptUpdate {
+    /// The number of routers that passed the rows on; 0 for rows of the sender itself.
+    pub hops: u8,
+    /// The rows.
+    pub rows: Vec<KeptRow>,
+}
+
+/// The learned rates of one target.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct RateRow {
+    /// The tag of the target's incarnation.
+    pub target: u64,
+    /// The prefill rate, in tokens per second.
+    pub prefill: u32,
+    /// The time between two events of a stream, in microseconds; 0 if not known.
+    pub step: u32,
+    /// The number of observations, which is the weight of the row.
+    pub weight: u16,
+    /// The age of the latest observation, in milliseconds.
+    pub age: u32,
+}
+
 /// A message between two routers.
 #[derive(Clone, PartialEq, Debug)]
 pub enum Message {
@@ -240,4 +265,8 @@
     Trouble(Trouble),
     /// The tags of target incarnations that said that they are leaving.
     Leaving(Vec<u64>),
+    /// Uses of prompt parts at targets.
+    Kept(KeptUpdate),
+    /// The rates of targets, as learned by the sender.
+    Rates(Vec<RateRow>),
 }
--- a/policy/tests/direct_exchange/net.rs
+++ b/policy/tests/direct_exchange/net.rs
@@ -338,6 +338,8 @@
         }
         Message::Trouble(trouble) => postcard::to_stdvec(trouble).expect("encodes").len(),
         Message::Leaving(targets) => postcard::to_stdvec(targets).expect("encodes").len(),
+        Message::Kept(update) => postcard::to_stdvec(update).expect("encodes").len(),
+        Message::Rates(rows) => postcard::to_stdvec(rows).expect("encodes").len(),
     };
     encoded + 2
 }
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -9,7 +9,9 @@
 
 use derive_more::{Display, Error};
 use entity::Name;
-use policy::direct::exchange::message::{Beat, Message, Place, ReadinessRow, Summary, Trouble};
+use policy::direct::exchange::message::{
+    Beat, KeptUpdate, Message, Place, RateRow, ReadinessRow, Summary, Trouble,
+};
 use policy::direct::listing::ListingChange;
 use policy::direct::listing::message::{ListingMessage, Part, RangeAnswer, RangeQuery, Step};
 use policy::direct::rotation::Readiness;
@@ -177,6 +179,10 @@
     ListingRangeQuery(ListingRangeQuery),
     /// Some ranges of the listing.
     ListingRanges(ListingRanges),
+    /// Uses of prompt parts at targets.
+    Kept(KeptUpdate),
+    /// The rates of targets.
+    Rates(Vec<RateRow>),
 }
 
 impl From<Message> for Datagram {
@@ -186,6 +192,8 @@
             Message::Summary(summary) => Self::Summary(*summary),
             Message::Trouble(trouble) => Self::Trouble(trouble),
             Message::Leaving(targets) => Self::Leaving(targets),
+            Message::Kept(update) => Self::Kept(update),
+            Message::Rates(rows) => Self::Rates(rows),
         }
     }
 }
