Capacity in use: teams beyond their share use idle targets, where `routing.spare_capacity` asks for it

A request of a team beyond its share may run where it delays whoever arrives next by at most a tenth of the least objective; taken back when requests within shares are refused.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -36,6 +36,7 @@
 use crate::refused_teams::RefusedTeams;
 use crate::rejections::{Rejections, RouterState};
 use crate::shared::{LocalReport, PeerState, Shared};
+use crate::spare_log::SpareLog;
 use crate::target::{BodyFraming, ConnectionPool};
 
 /// The period of the traffic thread's maintenance: publishing its load report and
@@ -99,6 +100,7 @@
     pub(crate) refused_teams: RefCell<RefusedTeams>,
     pub(crate) rejections: Rejections,
     pub(crate) bound_log: RefCell<BoundLog>,
+    pub(crate) spare_log: RefCell<SpareLog>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crash_history: RefCell<CrashHistory>,
     pub(crate) rng: RefCell<ChaCha8Rng>,
@@ -141,6 +143,10 @@
             slack: settings.bounds.retry_slack,
             window: settings.bounds.retry_window,
         };
+        let mut fair_shares = FairShares::new(0.0);
+        if settings.routing.spare_capacity {
+            fair_shares.use_spare_capacity(Instant::now());
+        }
         Rc::new(Self {
             shared,
             data_centre: Name::new(&settings.data_centre),
@@ -158,10 +164,11 @@
             configured_rate,
             logged_rate: Cell::new(configured_rate),
             target_table: RefCell::default(),
-            fair_shares: RefCell::new(FairShares::new(0.0)),
+            fair_shares: RefCell::new(fair_shares),
             refused_teams: RefCell::new(RefusedTeams::new(Instant::now())),
             rejections: Rejections::new(Instant::now()),
             bound_log: RefCell::default(),
+            spare_log: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_limit)),
             crash_history: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -404,6 +411,9 @@
             .borrow_mut()
             .log_if_due(&mut self.fair_shares.borrow_mut(), now);
         self.rejections.log_if_due(|| self.router_state(now), now);
+        if let Some(fraction) = self.fair_shares.borrow_mut().spare_fraction(now) {
+            self.spare_log.borrow_mut().log_if_changed(fraction, now);
+        }
         if let Some(bound) = self.fair_shares.borrow_mut().bound(now) {
             let mut bound_log = self.bound_log.borrow_mut();
             bound_log.log_if_due(bound, self.config().as_deref(), now);
@@ -655,6 +665,7 @@
             "routers": self.shared.router_count(),
             "relay": self.shared.peers.load().relay.map(|relay| relay.to_string()),
             "open": self.shared.open_requests.load(Ordering::Relaxed),
+            "spare_fraction": self.fair_shares.borrow_mut().spare_fraction(now),
             "targets": targets.collect::<Vec<_>>(),
         })
     }
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod session;
 mod shared;
 mod shed;
+mod spare_log;
 mod store;
 mod target;
 mod tcp;
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -41,6 +41,7 @@
     shed_connections: Counter<u64>,
     rejections: Counter<u64>,
     held_requests: Counter<u64>,
+    excess_requests: Counter<u64>,
     rotation_decisions: Counter<u64>,
     attempts: Counter<u64>,
     first_event: Histogram<f64>,
@@ -70,6 +71,7 @@
             shed_connections: meter.u64_counter("knapweed_edge_shed_connections").build(),
             rejections: meter.u64_counter("knapweed_edge_rejections").build(),
             held_requests: meter.u64_counter("knapweed_edge_held_requests").build(),
+            excess_requests: meter.u64_counter("knapweed_edge_excess_requests").build(),
             rotation_decisions: meter
                 .u64_counter("knapweed_edge_rotation_decisions")
                 .build(),
@@ -108,6 +110,11 @@
             .add(1, &[KeyValue::new("what", rejection.label())]);
     }
 
+    /// Counts a request that was sent although its team is beyond its share.
+    pub(crate) fn record_excess(&self) {
+        self.excess_requests.add(1, &[]);
+    }
+
     /// Counts a request held because another team is left behind.
     pub(crate) fn record_held(&self) {
         self.held_requests.add(1, &[]);
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -280,14 +280,17 @@
                 ..Refusal::not_run("held", after + self.retry_jitter())
             });
         }
+        let min_objective = config
+            .min_objective(service.name.as_str())
+            .unwrap_or(route.objective);
+        let excess_delay = self.excess_delay(prompt, min_objective, now);
         let placement_request = PlacementRequest {
             service,
             prompt,
             objective: route.objective,
-            min_objective: config
-                .min_objective(service.name.as_str())
-                .unwrap_or(route.objective),
+            min_objective,
             wait_factor,
+            excess_delay,
             centre: &context.data_centre,
             version: self.version,
             tried: &self.tried,
@@ -307,6 +310,10 @@
                 is_home,
                 copy_source,
             } => {
+                if excess_delay.is_some() {
+                    context.metrics.record_excess();
+                    context.spare_log.borrow_mut().record_excess();
+                }
                 let charge = self.charge(prompt, now);
                 let attempt = Attempt::begin(context, target_id, prompt, copy_source, charge, now);
                 self.log_sent(&attempt, wait, is_home, wait_factor);
@@ -317,8 +324,9 @@
                 retry_after,
                 exceeded,
             } => {
-                if !reason.is_for_load() {
-                    self.withdraw_request(prompt, now);
+                match reason.is_for_load() {
+                    true => self.record_refused_for_load(prompt, now),
+                    false => self.withdraw_request(prompt, now),
                 }
                 let reason = match reason {
                     placement::RefusalReason::NoTarget => "no target",
@@ -348,6 +356,27 @@
         Some(after)
     }
 
+    /// Returns the time by which the request may delay others although its team is beyond
+    /// its share.
+    fn excess_delay(
+        &self,
+        prompt: Option<&Prompt>,
+        min_objective: Duration,
+        now: Instant,
+    ) -> Option<Duration> {
+        let team = self.authorized.team_name().filter(|_| prompt.is_some())?;
+        let mut fair_shares = self.context.fair_shares.borrow_mut();
+        fair_shares.excess_delay(team.tag().0, min_objective, now)
+    }
+
+    /// Records for what may be used beyond the shares that the request was refused.
+    fn record_refused_for_load(&self, prompt: Option<&Prompt>, now: Instant) {
+        if let Some(team) = self.authorized.team_name().filter(|_| prompt.is_some()) {
+            let mut fair_shares = self.context.fair_shares.borrow_mut();
+            fair_shares.record_refused(team.tag().0, now);
+        }
+    }
+
     /// Counts the request as none that could run; a team is not left behind for it.
     fn withdraw_request(&self, prompt: Option<&Prompt>, now: Instant) {
         let team = self.authorized.team_name();
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -20,6 +20,7 @@
 //! - [`cold`]: which routers send to a cold target, and at which rate;
 //! - [`stall`]: which targets have stopped responding;
 //! - [`fair_share`]: which teams are beyond their fair share of the pool;
+//! - [`spare_capacity`]: how much capacity teams beyond their share may use;
 //! - [`service_bound`]: which teams are held back while another is left behind;
 //! - [`prefill_rate`]: how many tokens engines prefill per millisecond;
 //! - [`overload`]: whether this router is overloaded;
@@ -54,6 +55,7 @@
 pub mod response;
 pub mod rotation;
 pub mod service_bound;
+pub mod spare_capacity;
 pub mod stall;
 pub mod store_revision;
 pub mod stream_origin;
--- a/policy/src/direct/fair_share.rs
+++ b/policy/src/direct/fair_share.rs
@@ -15,6 +15,7 @@
 use smallvec::SmallVec;
 
 use crate::direct::service_bound::{Bound, ServiceBound};
+use crate::direct::spare_capacity::SpareCapacity;
 
 /// The half-life of a measured rate without new requests.
 pub(crate) const HALF_LIFE: Duration = Duration::from_millis(1500);
@@ -115,6 +116,8 @@
     shed: u32,
     largest_request: LargestRequest,
     service_bound: ServiceBound,
+    /// What teams beyond their share may use, if they may.
+    spare_capacity: Option<SpareCapacity>,
 }
 
 /// The size of the largest requests seen, which falls slowly.
@@ -150,9 +153,15 @@
             shed: 0,
             largest_request: LargestRequest::default(),
             service_bound: ServiceBound::default(),
+            spare_capacity: None,
         }
     }
 
+    /// Lets teams beyond their share use capacity that would be idle.
+    pub fn use_spare_capacity(&mut self, now: Instant) {
+        self.spare_capacity = Some(SpareCapacity::new(now));
+    }
+
     /// Sets the configured rate of the pool in tokens per second; 0 if not
     /// configured.
     pub fn set_pool_rate(&mut self, pool_rate: f64) {
@@ -231,6 +240,34 @@
         }
     }
 
+    /// The time by which a request of a team beyond its share may delay others; `None` if
+    /// the team is within its share, or must not use spare capacity.
+    pub fn excess_delay(
+        &mut self,
+        team: u64,
+        min_objective: Duration,
+        now: Instant,
+    ) -> Option<Duration> {
+        let is_beyond = self.share_usage(team, now) > 1.0;
+        let spare_capacity = self.spare_capacity.filter(|_| is_beyond)?;
+        Some(spare_capacity.max_delay(min_objective, now))
+    }
+
+    /// The part of the spare capacity that may be used at the moment, from 0 to 1; `None` if
+    /// none is ever used.
+    pub fn spare_fraction(&mut self, now: Instant) -> Option<f64> {
+        self.update_fair_share(now);
+        self.spare_capacity.map(|it| it.fraction(now))
+    }
+
+    /// Records that a request of a team was refused for load.
+    pub fn record_refused(&mut self, team: u64, now: Instant) {
+        let is_within = self.share_usage(team, now) <= 1.0;
+        if let Some(spare_capacity) = self.spare_capacity.as_mut().filter(|_| is_within) {
+            spare_capacity.record_refused(now);
+        }
+    }
+
     /// How long to hold back a request of a team while another team is left behind, if
     /// it is held.
     pub fn held_for(&mut self, team: u64, now: Instant) -> Option<Duration> {
@@ -350,6 +387,9 @@
         let spared = self.largest_request.at(now) * SPARED_REQUESTS / SPARED_WINDOW.as_secs_f64();
         self.service_bound
             .update(&rates, self.fair_share, spared, now);
+        if let Some(spare_capacity) = &mut self.spare_capacity {
+            spare_capacity.update(rates.iter().map(|&(_, rate)| rate), self.fair_share);
+        }
     }
 }
 
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -90,6 +90,8 @@
     /// The factor by which the allowed wait of its team is multiplied; 1 for a
     /// team within its share.
     pub wait_factor: f64,
+    /// The time by which it may delay others although its team is beyond its share.
+    pub excess_delay: Option<Duration>,
     /// The data centre of this router.
     pub centre: &'a Name,
     /// The only software version at which the request may run, if it continues a stream.
--- a/policy/src/direct/placement/engine.rs
+++ b/policy/src/direct/placement/engine.rs
@@ -30,6 +30,9 @@
 /// long to be prefilled within their objective.
 const MIN_LIMIT_FRACTION: f64 = 0.4;
 
+/// The fraction of a target's slots and memory up to which it counts as idle.
+const MAX_SPARE_FRACTION: f64 = 0.5;
+
 /// The minimum time after which a refused caller is asked to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(40);
 
@@ -98,7 +101,9 @@
             wait_millis: wait_millis.max(mean_wait),
             limit_millis: wait_limit,
         };
-        if exceeded.excess_millis() > 0.0 {
+        let added_millis = mean_wait.max(wait_millis + prefill_millis);
+        let is_spare = || has_spare_capacity(entry, engine, request, added_millis);
+        if exceeded.excess_millis() > 0.0 && !is_spare() {
             let is_less = |it: ExceededWait| exceeded.excess_millis() < it.excess_millis();
             if min_exceeded.is_none_or(is_less) {
                 min_exceeded = Some(exceeded);
@@ -173,6 +178,24 @@
         * request.wait_factor
 }
 
+/// Whether a target runs so little that a request of a team beyond its share, which takes
+/// `added_millis` until its first event, delays others by no more than allowed.
+fn has_spare_capacity(
+    entry: &TargetEntry,
+    engine: Engine,
+    request: &PlacementRequest<'_>,
+    added_millis: f64,
+) -> bool {
+    let Some(max_delay) = request.excess_delay else {
+        return false;
+    };
+    let load = entry.load();
+    let slots = f64::from(entry.slots.min(engine.slots));
+    added_millis <= max_delay.as_secs_f64() * 1e3
+        && f64::from(load.attempts) < slots * MAX_SPARE_FRACTION
+        && load.memory_tokens < engine.memory as f64 * MAX_SPARE_FRACTION
+}
+
 /// The cost of concurrent attempts in milliseconds, since each of them makes the
 /// decoding steps of all others longer.
 fn concurrency_cost(entry: &TargetEntry) -> f64 {
--- a/policy/tests/direct_connections.rs
+++ b/policy/tests/direct_connections.rs
@@ -153,6 +153,7 @@
             min_objective: Duration::from_millis(600),
             objective: Duration::from_millis(600),
             wait_factor: 1.0,
+            excess_delay: None,
             centre: &centre,
             version: None,
             tried: &[],
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -300,6 +300,17 @@
         }
     }
 
+    /// Sets the configured rate of the pool, in tokens per second, and whether teams beyond
+    /// their share use spare capacity.
+    pub(crate) fn configure_shares(&mut self, pool_rate: f64, is_spare_used: bool, now: Instant) {
+        for router in &mut self.routers {
+            router.shares.set_pool_rate(pool_rate);
+            if is_spare_used {
+                router.shares.use_spare_capacity(now);
+            }
+        }
+    }
+
     /// Begins a step: routers observe what is due, and exchange reports at the end of
     /// an interval.
     pub(crate) fn begin_step(&mut self, now: Instant) {
@@ -424,12 +435,14 @@
             }
             Policy::Unlimited | Policy::Configured | Policy::Product => {
                 let objective = KINDS[request.kind].objective_millis;
+                let min_objective = Duration::from_millis(600);
                 let placement_request = PlacementRequest {
                     service: &self.service,
                     prompt: Some(prompt),
-                    min_objective: Duration::from_millis(600),
+                    min_objective,
                     objective: Duration::from_millis(objective),
                     wait_factor: state.shares.wait_factor(team, now),
+                    excess_delay: state.shares.excess_delay(team, min_objective, now),
                     centre: &Name::new("north"),
                     version: None,
                     tried: &[],
@@ -438,7 +451,10 @@
                 let settings = &state.settings;
                 match select_target(&mut state.table, settings, &placement_request, &(), now) {
                     Placement::Target { target, .. } => Some(target),
-                    Placement::Refused { .. } => None,
+                    Placement::Refused { .. } => {
+                        state.shares.record_refused(team, now);
+                        None
+                    }
                 }
             }
         };
--- a/policy/tests/direct_stall.rs
+++ b/policy/tests/direct_stall.rs
@@ -70,6 +70,7 @@
         min_objective: Duration::from_millis(600),
         objective: Duration::from_millis(600),
         wait_factor: 1.0,
+        excess_delay: None,
         centre: &Name::new("north"),
         version: None,
         tried: &[],
