Admission: the limit and the rate rise with the headroom of the processor, no longer until a task is late

What callers saw: a strong router that gets a flood served 0 to 800 requests of it in a second, in turns.

Relative rises now end at a lag of 10 ms; what remains is the least rise, 2 requests a task and 10 % of the rate, as before. Without lag the rate rises by 30 % a task.

--- a/policy/src/direct/admission.rs
+++ b/policy/src/direct/admission.rs
@@ -27,8 +27,10 @@
 /// The factor by which the rate of arrivals falls at each late task.
 const RATE_DECREASE: f64 = 0.7;
 
-/// The factor by which the rate of arrivals rises at each task that is on time.
-const RATE_INCREASE: f64 = 1.1;
+/// The relative rise of the rate of arrivals at each task that is on time, and what is
+/// added to it at each without lag.
+const RATE_INCREASE: f64 = 0.1;
+const RATE_GROWTH: f64 = 0.2;
 
 /// The rate of arrivals that is unused, as a time. Longer bursts are spread out.
 const MAX_BURST: Duration = Duration::from_millis(30);
@@ -39,10 +41,16 @@
 /// The factor by which the limit falls at each late task.
 const LIMIT_DECREASE: f64 = 0.8;
 
-/// The least and the relative rise of the limit at each task that is on time.
+/// The least rise of the limit at each task that is on time, and the relative rise at each
+/// without lag.
 const LIMIT_INCREASE: f64 = 2.0;
 const LIMIT_GROWTH: f64 = 0.08;
 
+/// The lag at which relative rises end: about what one rise of the limit beyond the
+/// processor adds by the next task. Requests in progress last for several tasks, so a
+/// limit that rises until a task is late is far too high by then.
+const MAX_GROWTH_LAG: Duration = Duration::from_millis(10);
+
 /// The part of the limit that must be in use for it to rise: a limit that is not reached
 /// says nothing about the processor.
 const MIN_LIMIT_USE: f64 = 0.8;
@@ -79,6 +87,11 @@
     }
 }
 
+/// The part of a relative rise that a task with this lag allows.
+fn headroom(lag: Duration) -> f64 {
+    (1.0 - lag.as_secs_f64() / MAX_GROWTH_LAG.as_secs_f64()).max(0.0)
+}
+
 /// The rate at which connections are accepted.
 ///
 /// There is no limit before the first late task.
@@ -121,7 +134,9 @@
                 let current = limit.map_or(rate, |limit| limit.min(rate));
                 Some((current * RATE_DECREASE).max(MIN_ARRIVAL_RATE))
             }
-            (Lateness::OnTime, Some(limit)) if was_reached => Some(limit * RATE_INCREASE),
+            (Lateness::OnTime, Some(limit)) if was_reached => {
+                Some(limit * (1.0 + RATE_INCREASE + RATE_GROWTH * headroom(lag)))
+            }
             (_, limit) => limit,
         };
     }
@@ -197,7 +212,7 @@
             }
             None if lateness == Lateness::Late => Some((requests * LIMIT_DECREASE).max(min_limit)),
             Some(limit) if lateness == Lateness::OnTime && requests >= limit * MIN_LIMIT_USE => {
-                Some(limit + (limit * LIMIT_GROWTH).max(LIMIT_INCREASE))
+                Some(limit + (limit * LIMIT_GROWTH * headroom(lag)).max(LIMIT_INCREASE))
             }
             limit => limit,
         };
--- a/policy/tests/direct_flood.rs
+++ b/policy/tests/direct_flood.rs
@@ -279,6 +279,20 @@
     assert!(allowed(&limit) >= Some(lowest * 4), "{:?}", allowed(&limit));
 }
 
+#[test]
+fn a_limit_rises_more_slowly_while_its_requests_wait() {
+    let risen = |lag| {
+        let mut limit = RequestLimit::default();
+        limit.record_lag(LIMIT_LAG + STEP, 1_000, true);
+        let allowed = |limit: &RequestLimit| (0..).find(|&requests| !limit.allows(requests, false));
+        let before = allowed(&limit).expect("a limit");
+        limit.record_lag(lag, before, false);
+        allowed(&limit).expect("a limit") - before
+    };
+    let (without, with) = (risen(Duration::ZERO), risen(STEP));
+    assert!(0 < with && with < without, "{with}, {without} without lag");
+}
+
 #[test]
 fn a_late_task_does_not_lower_the_limit_far_below_what_was_carried_on_time() {
     let mut limit = RequestLimit::default();
