Targets without an engine are selected by the wait for their slots, where `routing.slot_queue` asks for it

From 6 s on 1,306 of 1,853 refusals as `full` came from a router that rested exactly one of the remaining targets (872 for failures, 434 on the word of peers), 362 from one that rested none. Targets are rested since they turned requests away while full (445 attempts) and since they failed requests that fail everywhere (312). Each rest sends everything to the other target, which is then full. Not the cause: slots (12 suffice on average), new connections, weak routers (all have 100 to 158 ms at the median).

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -12,6 +12,7 @@
 use entity::{Fingerprint, Name};
 use node::event::{self, Event};
 use node::settings::EdgeSettings;
+use platform::response::ReportedLoad;
 use policy::direct::admission::{ArrivalRate, RequestLimit};
 use policy::direct::budget::{RetryBudget, RetryLimit};
 use policy::direct::cold::ColdLimit;
@@ -21,6 +22,7 @@
 use policy::direct::overload::{MAX_LAG, OverloadState, SUSPENSION_LAG};
 use policy::direct::placement::PlacementSettings;
 use policy::direct::rotation::{OwnLoad, Rotation};
+use policy::direct::slots::PlainResult;
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_table::{TargetEntryId, TargetTable};
 use policy::direct::team_places::TeamPlaces;
@@ -153,6 +155,7 @@
                     rate_multiple: settings.bounds.cold_over,
                     extra_requests: settings.bounds.cold_slack,
                 },
+                uses_slots: settings.routing.slot_queue,
                 ..PlacementSettings::default()
             }),
             configured_rate,
@@ -621,6 +624,76 @@
         event::log(Event::TargetSaidLeaving, &fields);
     }
 
+    /// Records a complete response. With `routing.slot_queue`, a failure that a target
+    /// without an engine states counts against it only if other targets fail less.
+    pub(crate) fn record_answer(
+        &self,
+        target_id: TargetEntryId,
+        succeeded: bool,
+        is_plain: bool,
+        now: Instant,
+    ) {
+        if !(is_plain && self.placement.get().uses_slots) {
+            return self.record_result(target_id, succeeded, now);
+        }
+        let result = match succeeded {
+            true => PlainResult::Answered,
+            false => PlainResult::Failed,
+        };
+        let mut target_table = self.target_table.borrow_mut();
+        target_table.record_plain_result(target_id, result, now);
+    }
+
+    /// Records what a response says of the slots of a target without an engine: the reported
+    /// load, and the time since the request was sent if the target ran it. `met` holds that
+    /// moment and the number of requests that were at the target.
+    pub(crate) fn record_slots(
+        &self,
+        target_id: TargetEntryId,
+        load: Option<ReportedLoad>,
+        met: Option<(Instant, f64)>,
+        now: Instant,
+    ) {
+        if !self.placement.get().uses_slots {
+            return;
+        }
+        let mut target_table = self.target_table.borrow_mut();
+        if let Some((sent_at, ahead)) = met {
+            let slots = target_table.target(target_id).slots;
+            let elapsed = now.saturating_duration_since(sent_at);
+            let state = target_table.slot_state(target_id);
+            state.record_time(elapsed, ahead, slots);
+        }
+        if let Some(load) = load {
+            let reported = load.running.saturating_add(load.waiting);
+            target_table.record_slot_report(target_id, reported, now);
+        }
+    }
+
+    /// Records a request that a target turned away.
+    pub(crate) fn record_turned_away(
+        &self,
+        target_id: TargetEntryId,
+        is_plain: bool,
+        load: Option<ReportedLoad>,
+        now: Instant,
+    ) {
+        let uses_slots = is_plain && self.placement.get().uses_slots;
+        let Some(load) = load.filter(|load| uses_slots && load.running >= load.slots) else {
+            return self.record_result(target_id, false, now);
+        };
+        self.metrics.record_full_target();
+        let mut target_table = self.target_table.borrow_mut();
+        target_table.record_plain_result(target_id, PlainResult::Full, now);
+        let fields: [event::Field<'_>; 4] = [
+            ("target", &target_table.target(target_id).name),
+            ("running", &load.running),
+            ("waiting", &load.waiting),
+            ("slots", &load.slots),
+        ];
+        event::log(Event::TargetFull, &fields);
+    }
+
     /// Records the result of an attempt for outlier detection.
     pub(crate) fn record_result(&self, target_id: TargetEntryId, good: bool, now: Instant) {
         let mut target_table = self.target_table.borrow_mut();
@@ -646,6 +719,8 @@
                 "open": target.accepts_requests,
                 "trouble": target.avoid_reason(self.placement.get().prefill_rate, now).map(|it| it.to_string()),
                 "cold": target.is_cold(now),
+                "requests": target.occupancy(now),
+                "request_ms": target.slot_state().learned_time().map(|time| time.as_secs_f64() * 1e3),
                 "own": { "count": target.own_load().attempts, "waiting": target.own_load().waiting_tokens },
                 "all": { "count": target.load().attempts, "waiting": target.load().waiting_tokens },
             })
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -50,6 +50,7 @@
     stream_origins: Counter<u64>,
     leaving_targets: Counter<u64>,
     pauses: Counter<u64>,
+    full_targets: Counter<u64>,
     reported_connections: Cell<u64>,
 }
 
@@ -76,6 +77,7 @@
             connections: meter
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
+            full_targets: meter.u64_counter("knapweed_edge_full_targets").build(),
             pauses: meter.u64_counter("knapweed_edge_target_pauses").build(),
             leaving_targets: meter.u64_counter("knapweed_edge_leaving_targets").build(),
             stream_origins: meter.u64_counter("knapweed_edge_stream_origins").build(),
@@ -145,6 +147,11 @@
             .add(1, &[KeyValue::new("origin", origin)]);
     }
 
+    /// Counts a request that a target turned away since all its slots were in use.
+    pub(crate) fn record_full_target(&self) {
+        self.full_targets.add(1, &[]);
+    }
+
     /// Counts a target that said that it is leaving, to this router or to a peer.
     pub(crate) fn record_leaving(&self, from: &'static str) {
         self.leaving_targets.add(1, &[KeyValue::new("from", from)]);
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -229,6 +229,13 @@
         route.retry_policy.is_idempotent() && self.runs < route.attempts
     }
 
+    /// Whether the service of the request has no engine.
+    fn is_plain(&self) -> bool {
+        let config = &self.authorized.config;
+        let service = config.services.get(&self.authorized.service);
+        service.is_some_and(|service| service.engine.is_none())
+    }
+
     /// Selects a target, after checking everything that must hold right before a request
     /// is sent.
     pub(crate) fn next_attempt(&mut self) -> Result<Attempt, Refusal> {
@@ -428,12 +435,20 @@
         let (request, shared, sent) = (self.request, &self.context.shared, &self.sent);
         let config = &self.authorized.config;
         let config_changed = Cell::new(false);
+        let is_plain = self.is_plain();
+        // When the request was sent, and how many others were at its target.
+        let met = Cell::new(None);
         // Authorizes again: the key may have been revoked while the connection was opened.
         let may_send = || {
             let authorized = request.authorize(shared);
             let is_same = authorized.is_ok_and(|it| it.config.version == config.version);
             config_changed.set(!is_same);
             sent.set(sent.get() || is_same);
+            let target_table = self.context.target_table.borrow();
+            let now = Instant::now();
+            // The attempt itself is counted.
+            let ahead = target_table.target(attempt.target_id).occupancy(now) - 1.0;
+            met.set(Some((now, ahead)));
             is_same
         };
         let on_head = |head: &ResponseHead<'_>| {
@@ -447,6 +462,12 @@
                 let mut target_table = self.context.target_table.borrow_mut();
                 target_table.record_pace(attempt.target_id, pace, Instant::now());
             }
+            if is_plain && !is_other {
+                let has_run = !head.facts.not_run;
+                let met = met.get().filter(|_| has_run);
+                self.context
+                    .record_slots(attempt.target_id, head.load, met, Instant::now());
+            }
         };
         let pool = &self.context.connection_pool;
         let exchange = pool.send(
--- a/edge/src/serve/response.rs
+++ b/edge/src/serve/response.rs
@@ -56,7 +56,9 @@
                         .borrow_mut()
                         .stop_requests(target_id);
                 } else if head.pause.is_none() {
-                    self.context.record_result(target_id, false, now);
+                    let is_plain = self.is_plain();
+                    self.context
+                        .record_turned_away(target_id, is_plain, head.load, now);
                 }
                 self.tried.push(target_id);
                 ResponseAction::TryAnother
@@ -82,8 +84,9 @@
                     Ok(first) => first,
                     Err(()) => return ResponseAction::Broken("cut"),
                 };
+                let is_plain = self.is_plain();
                 self.context
-                    .record_result(target_id, succeeded, Instant::now());
+                    .record_answer(target_id, succeeded, is_plain, Instant::now());
                 let headers = returned_headers(&headers);
                 if !body.is_complete() || is_stream {
                     return ResponseAction::Respond(Outcome::Streamed(Box::new(
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -205,6 +205,8 @@
     StreamOrigin 1515 Info "stream-origin";
     /// A peer asked for the versions at which streams began.
     OriginsAsked 1516 Info "origins-asked";
+    /// A target turned a request away since all its slots were in use.
+    TargetFull 1517 Info "target-full";
 }
 
 impl Display for Event {
--- a/node/src/settings/edge.rs
+++ b/node/src/settings/edge.rs
@@ -79,7 +79,7 @@
     pub kept_parts: bool,
     /// Whether teams beyond their share may use targets that would be idle.
     pub spare_capacity: bool,
-    /// Whether requests may wait in the router for a slot of a target without an engine.
+    /// Whether targets without an engine are selected by the wait for their slots.
     pub slot_queue: bool,
 }
 
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -17,6 +17,7 @@
 //! - [`prompt`]: the parts and the size of a prompt;
 //! - [`kept`]: which prompt parts targets keep;
 //! - [`placement`]: which target a request is sent to, or why it is refused;
+//! - [`slots`]: how many requests targets without an engine have, and how long they take;
 //! - [`cold`]: which routers send to a cold target, and at which rate;
 //! - [`stall`]: which targets have stopped responding;
 //! - [`fair_share`]: which teams are beyond their fair share of the pool;
@@ -54,6 +55,7 @@
 pub mod response;
 pub mod rotation;
 pub mod service_bound;
+pub mod slots;
 pub mod stall;
 pub mod store_revision;
 pub mod stream_origin;
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -17,6 +17,7 @@
 mod engine;
 mod home;
 mod plain;
+mod plain_slots;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -30,6 +31,7 @@
 use super::target_table::{Prompt, TargetEntry, TargetEntryId, TargetTable};
 use engine::select_engine_target;
 use plain::select_plain_target;
+use plain_slots::select_by_slots;
 
 /// The settings of placement.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -53,6 +55,8 @@
     pub connection_cost_millis: f64,
     /// The fleet-wide limit on requests to cold targets.
     pub cold_limit: ColdLimit,
+    /// Whether targets without an engine are selected by the wait for their slots.
+    pub uses_slots: bool,
 }
 
 impl Default for PlacementSettings {
@@ -67,6 +71,7 @@
             remote_cost_millis: 4.0,
             connection_cost_millis: 8.0,
             cold_limit: ColdLimit::default(),
+            uses_slots: false,
         }
     }
 }
@@ -206,6 +211,7 @@
         (Some(engine), Some(prompt)) => {
             select_engine_target(table, settings, request, connections, (engine, prompt), now)
         }
+        _ if settings.uses_slots => select_by_slots(table, settings, request, now),
         _ => select_plain_target(table, settings, request, connections, now),
     };
     if let Placement::Target { target, .. } = placement
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -17,6 +17,7 @@
 use super::outlier::OutlierDetector;
 use super::prefill_rate::PrefillRate;
 pub use super::prompt::{Prompt, PromptPart};
+use super::slots::{PlainResult, SlotState};
 use super::stall::MIN_REPORTING_PEERS;
 use super::target::{TargetRegistry, TargetState};
 pub use entry::{AvoidReason, TargetEntry, TargetEntryId};
@@ -150,6 +151,50 @@
         self.entries[id].stated_pace = Some((pace, now));
     }
 
+    /// Returns the state of a target's slots for updating.
+    pub fn slot_state(&mut self, id: TargetEntryId) -> &mut SlotState {
+        &mut self.entries[id].slot_state
+    }
+
+    /// Records the number of requests that a target reported in a response.
+    pub fn record_slot_report(&mut self, id: TargetEntryId, reported: u32, now: Instant) {
+        let entry = &mut self.entries[id];
+        let own = entry.own_load.attempts;
+        entry.slot_state.record_report(reported, own, now);
+    }
+
+    /// Records the result of a request to a target without an engine.
+    pub fn record_plain_result(&mut self, id: TargetEntryId, result: PlainResult, now: Instant) {
+        let entry = &mut self.entries[id];
+        match result {
+            PlainResult::Full => return,
+            PlainResult::Answered => {
+                entry.slot_state.record_answer(false, now);
+                entry.outlier_detector.record_success(now);
+                return;
+            }
+            PlainResult::Failed => entry.slot_state.record_answer(true, now),
+        }
+        let others = self.failure_fraction_beside(id);
+        let entry = &mut self.entries[id];
+        if entry.slot_state.fails_more_than(others) {
+            entry.outlier_detector.record_failure(now);
+        }
+    }
+
+    /// The fraction of failures of the other targets of a target's service.
+    fn failure_fraction_beside(&self, id: TargetEntryId) -> f64 {
+        let siblings = self.targets_of_service(&self.entries[id].service).iter();
+        let siblings = siblings.filter(|&&sibling| sibling != id);
+        let counts = siblings.map(|&sibling| self.entries[sibling].slot_state.failures());
+        let (failures, answers) = counts.fold((0.0, 0.0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+        if answers > 0.0 {
+            failures / answers
+        } else {
+            0.0
+        }
+    }
+
     /// Like [`Self::record_leaving`], for the targets with these tags, as heard from a peer;
     /// returns those for which this is new.
     pub fn record_leaving_tags(&mut self, tags: &[u64]) -> Vec<TargetEntryId> {
--- a/policy/src/direct/target_table/entry.rs
+++ b/policy/src/direct/target_table/entry.rs
@@ -12,6 +12,7 @@
 use super::load::TargetLoad;
 use crate::direct::outlier::OutlierDetector;
 use crate::direct::prompt::Prompt;
+use crate::direct::slots::SlotState;
 use crate::direct::stall::{Activity, OldestAttempt, STREAM_STALL_TIMEOUT};
 use crate::direct::target::{SoftwareVersion, Target};
 
@@ -85,6 +86,8 @@
     pub(super) stated_pace: Option<(f64, Instant)>,
     pub(super) cached_parts: FxHashMap<u64, Instant>,
     pub(super) activity: Activity,
+    /// Its slots, if it has no engine.
+    pub(super) slot_state: SlotState,
     /// Whether several peers report a problem with it.
     pub(super) reported_by_peers: bool,
 }
@@ -128,6 +131,7 @@
             stated_pace: None,
             cached_parts: FxHashMap::default(),
             activity: Activity::default(),
+            slot_state: SlotState::default(),
             reported_by_peers: false,
         }
     }
@@ -236,6 +240,17 @@
         })
     }
 
+    /// The state of its slots.
+    pub fn slot_state(&self) -> &SlotState {
+        &self.slot_state
+    }
+
+    /// The number of requests at the target, by all that is known.
+    pub fn occupancy(&self, now: Instant) -> f64 {
+        let (known, own) = (self.load().attempts, self.own_load.attempts);
+        self.slot_state.occupancy(known, own, now)
+    }
+
     /// Whether the target is cold at `now`.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| until > now)
