--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -646,23 +646,23 @@
 
     /// Records what a response says of the slots of a target without an engine: the reported
     /// load, and the time since the request was sent if the target ran it. `met` holds that
-    /// moment and the number of requests that were at the target.
+    /// moment and the number of requests that routers had at the target.
     pub(crate) fn record_slots(
         &self,
         target_id: TargetEntryId,
         load: Option<ReportedLoad>,
-        met: Option<(Instant, f64)>,
+        met: Option<(Instant, u32)>,
         now: Instant,
     ) {
         if !self.placement.get().uses_slots {
             return;
         }
         let mut target_table = self.target_table.borrow_mut();
-        if let Some((sent_at, ahead)) = met {
+        if let Some((sent_at, known)) = met {
             let slots = target_table.target(target_id).slots;
             let elapsed = now.saturating_duration_since(sent_at);
             let state = target_table.slot_state(target_id);
-            state.record_time(elapsed, ahead, slots);
+            state.record_time(elapsed, known, slots);
         }
         if let Some(load) = load {
             let reported = load.running.saturating_add(load.waiting);
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -447,8 +447,8 @@
             let target_table = self.context.target_table.borrow();
             let now = Instant::now();
             // The attempt itself is counted.
-            let ahead = target_table.target(attempt.target_id).occupancy(now) - 1.0;
-            met.set(Some((now, ahead)));
+            let known = target_table.target(attempt.target_id).load().attempts;
+            met.set(Some((now, known.saturating_sub(1))));
             is_same
         };
         let on_head = |head: &ResponseHead<'_>| {
--- a/policy/src/direct/slots.rs
+++ b/policy/src/direct/slots.rs
@@ -59,12 +59,20 @@
     received_at: Instant,
 }
 
+/// Means of recent responses.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    /// The time to a response in seconds, with its wait for a slot.
+    elapsed: f64,
+    /// The same time as a multiple of the time without the wait, by the counts of routers.
+    crowd: f64,
+}
+
 /// The requests at one target, their time and their failures.
 #[derive(Clone, Copy, Default, Debug)]
 pub struct SlotState {
     report: Option<Report>,
-    /// The learned time of a request in seconds.
-    seconds: Option<f64>,
+    pace: Option<Pace>,
     failed: f64,
     answered: f64,
     answered_at: Option<Instant>,
@@ -90,8 +98,7 @@
         let occupancy = self.report.map_or(known, |report| {
             let age = now.saturating_duration_since(report.received_at);
             let (min, max) = REPORT_HALF_LIFE;
-            let half_life = Duration::from_secs_f64(self.seconds.unwrap_or_default());
-            let half_life = half_life.clamp(min, max);
+            let half_life = self.learned_time().unwrap_or_default().clamp(min, max);
             let weight = 0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64());
             let reported = report.count + own - report.own;
             reported * weight + known * (1.0 - weight)
@@ -99,26 +106,31 @@
         occupancy.max(own)
     }
 
-    /// Records the time to a response of a request that met `ahead` requests at a target
-    /// of `slots` slots.
-    pub fn record_time(&mut self, elapsed: Duration, ahead: f64, slots: u32) {
-        let queued = queue_rounds(ahead, slots);
-        let sample = elapsed.as_secs_f64() / (1.0 + queued);
-        self.seconds = Some(self.seconds.map_or(sample, |seconds| {
-            let step = (sample - seconds) * TIME_WEIGHT;
-            seconds + step.clamp(-seconds * MAX_STEP, seconds * MAX_STEP)
-        }));
+    /// Records the time to a response of a request that met `known` requests of all routers
+    /// at a target of `slots` slots.
+    ///
+    /// The counts of routers are old, so one response says little of its wait; their mean
+    /// is right, and a target can't falsify it.
+    pub fn record_time(&mut self, elapsed: Duration, known: u32, slots: u32) {
+        let elapsed = elapsed.as_secs_f64();
+        let crowd = 1.0 + queue_rounds(f64::from(known), slots);
+        let pace = self.pace.get_or_insert(Pace { elapsed, crowd });
+        let step = (elapsed - pace.elapsed) * TIME_WEIGHT;
+        let max_step = pace.elapsed * MAX_STEP;
+        pace.elapsed += step.clamp(-max_step, max_step);
+        pace.crowd += (crowd - pace.crowd) * TIME_WEIGHT;
     }
 
     /// The learned time of a request, if there was a response.
     pub fn learned_time(&self) -> Option<Duration> {
-        self.seconds.map(Duration::from_secs_f64)
+        let pace = self.pace?;
+        Some(Duration::from_secs_f64(pace.elapsed / pace.crowd))
     }
 
     /// The learned time of a request, or a part of its objective.
     pub fn request_time(&self, objective: Duration) -> Duration {
-        self.seconds
-            .map_or(objective.mul_f64(ASSUMED_TIME), Duration::from_secs_f64)
+        self.learned_time()
+            .unwrap_or_else(|| objective.mul_f64(ASSUMED_TIME))
     }
 
     /// The time that a request waits for a slot behind `ahead` others.
--- a/policy/tests/direct_plain.rs
+++ b/policy/tests/direct_plain.rs
@@ -93,7 +93,7 @@
     router: usize,
     millis: f64,
     sent_at: u64,
-    ahead: f64,
+    ahead: u32,
     cost: AttemptCost,
 }
 
@@ -282,7 +282,7 @@
             table.outlier_detector(target).record_connect_failure(now);
             return self.try_another(router, target, caller, millis);
         }
-        let ahead = table.target(target).occupancy(now);
+        let ahead = table.target(target).load().attempts;
         let cost = table.begin_attempt(target, None, 0, now);
         let model = &mut self.targets[index];
         let count = model.running.len() + model.queue.len();
