--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -14,6 +14,7 @@
 use entity::Name;
 use rustc_hash::FxHashMap;
 
+use super::kept::KeptParts;
 use super::outlier::OutlierDetector;
 use super::prefill_rate::PrefillRate;
 pub use super::prompt::{Prompt, PromptPart};
@@ -42,6 +43,7 @@
     by_service: FxHashMap<Name, Vec<TargetEntryId>>,
     attempts_begun: u64,
     observed_rate: PrefillRate,
+    kept: KeptParts,
 }
 
 impl TargetTable {
@@ -84,6 +86,16 @@
         }
     }
 
+    /// The prompt parts that targets keep, by the tag of the target.
+    pub fn kept(&self) -> &KeptParts {
+        &self.kept
+    }
+
+    /// The same, for updating.
+    pub fn kept_mut(&mut self) -> &mut KeptParts {
+        &mut self.kept
+    }
+
     /// The prefill rate observed on the engines.
     pub fn observed_rate(&self) -> &PrefillRate {
         &self.observed_rate
