Kept parts: how long a target keeps a part, and what that saves against the wait

Cause: a router remembered for 60 s what it had sent to a target, whatever the target's memory; the home was assumed to keep its parts; copies came from the home alone at a fixed cost; the memory of an attempt was its prompt and greatest output.

With routing.kept_parts: the horizon of an unused part follows from memory, running attempts and new tokens a second of all routers, and first events that come too late or too early correct it. Each target's cost is what it lacks, read or copied from any target that keeps it (own data centre first), and what that evicts, beside the wait. Room counts expected output, shared parts once, and a margin by the greatest spread that the expected output allows. KW1422, a counter, /dump.

Routers don't tell each other yet.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -31,6 +31,7 @@
 
 use crate::bound_log::BoundLog;
 use crate::connection_limit::ConnectionLimit;
+use crate::kept_log::KeptLog;
 use crate::latest::LatestSnapshot;
 use crate::metrics::{Rejection, TrafficMetrics};
 use crate::refused_teams::RefusedTeams;
@@ -99,6 +100,7 @@
     pub(crate) refused_teams: RefCell<RefusedTeams>,
     pub(crate) rejections: Rejections,
     pub(crate) bound_log: RefCell<BoundLog>,
+    kept_log: RefCell<KeptLog>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crash_history: RefCell<CrashHistory>,
     pub(crate) rng: RefCell<ChaCha8Rng>,
@@ -141,6 +143,10 @@
             slack: settings.bounds.retry_slack,
             window: settings.bounds.retry_window,
         };
+        let mut target_table = TargetTable::default();
+        if settings.routing.kept_parts {
+            target_table.weigh_kept_parts(configured_rate);
+        }
         Rc::new(Self {
             shared,
             data_centre: Name::new(&settings.data_centre),
@@ -157,11 +163,12 @@
             }),
             configured_rate,
             logged_rate: Cell::new(configured_rate),
-            target_table: RefCell::default(),
+            target_table: RefCell::new(target_table),
             fair_shares: RefCell::new(FairShares::new(0.0)),
             refused_teams: RefCell::new(RefusedTeams::new(Instant::now())),
             rejections: Rejections::new(Instant::now()),
             bound_log: RefCell::default(),
+            kept_log: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_limit)),
             crash_history: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -382,6 +389,7 @@
     pub(crate) fn run_maintenance(&self, now: Instant) {
         self.refresh(now);
         self.update_prefill_rate();
+        self.update_memory(now);
         let local_report = LocalReport {
             loads: self
                 .target_table
@@ -441,6 +449,17 @@
         }
     }
 
+    /// Updates what is known of the targets' memory.
+    fn update_memory(&self, now: Instant) {
+        let mut target_table = self.target_table.borrow_mut();
+        if let Some(config) = self.config().filter(|_| target_table.weighs_kept_parts()) {
+            let engine = |service: &Name| config.services.get(service)?.engine;
+            target_table.update_memory(engine, self.placement.get().prefill_rate, now);
+            let mut kept_log = self.kept_log.borrow_mut();
+            kept_log.log_if_due(&target_table, &self.metrics, now);
+        }
+    }
+
     /// Updates the prefill rate from the rate observed at the engines.
     fn update_prefill_rate(&self) {
         let rate = self
@@ -647,6 +666,11 @@
                 "trouble": target.avoid_reason(self.placement.get().prefill_rate, now).map(|it| it.to_string()),
                 "cold": target.is_cold(now),
                 "own": { "count": target.own_load().attempts, "waiting": target.own_load().waiting_tokens },
+                "memory": target_table.weighs_kept_parts().then(|| serde_json::json!({
+                    "horizon_ms": target.memory.horizon(now).as_millis() as u64,
+                    "turnover": target.memory.turnover(),
+                    "shared_fraction": target.memory.shared_fraction(),
+                })),
                 "all": { "count": target.load().attempts, "waiting": target.load().waiting_tokens },
             })
         });
@@ -655,6 +679,14 @@
             "routers": self.shared.router_count(),
             "relay": self.shared.peers.load().relay.map(|relay| relay.to_string()),
             "open": self.shared.open_requests.load(Ordering::Relaxed),
+            "kept": target_table.weighs_kept_parts().then(|| {
+                let (targets, parts) = target_table.kept().counts();
+                serde_json::json!({
+                    "targets": targets,
+                    "parts": parts,
+                    "evicted": target_table.evicted_count(),
+                })
+            }),
             "targets": targets.collect::<Vec<_>>(),
         })
     }
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -50,6 +50,7 @@
     stream_origins: Counter<u64>,
     leaving_targets: Counter<u64>,
     pauses: Counter<u64>,
+    evicted_parts: Counter<u64>,
     reported_connections: Cell<u64>,
 }
 
@@ -77,6 +78,7 @@
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
             pauses: meter.u64_counter("knapweed_edge_target_pauses").build(),
+            evicted_parts: meter.u64_counter("knapweed_edge_evicted_parts").build(),
             leaving_targets: meter.u64_counter("knapweed_edge_leaving_targets").build(),
             stream_origins: meter.u64_counter("knapweed_edge_stream_origins").build(),
             body_ends: meter.u64_counter("knapweed_edge_body_ends").build(),
@@ -155,6 +157,11 @@
         self.pauses.add(1, &[]);
     }
 
+    /// Counts targets that had evicted parts which they were expected to keep.
+    pub(crate) fn record_evicted_parts(&self, count: u64) {
+        self.evicted_parts.add(count, &[]);
+    }
+
     /// Updates the counter of connections to targets from the number opened so far.
     pub(crate) fn record_connections(&self, opened: u64) {
         self.connections
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -172,6 +172,8 @@
     TargetPaused 1419 Info "target-paused";
     /// Teams are held to a multiple of what a team gets that is left behind.
     RatesBounded 1420 Warn "rates-bounded";
+    /// Targets had evicted prompt parts that they were expected to keep.
+    PartsEvicted 1422 Info "parts-evicted";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -45,6 +45,7 @@
 pub mod fair_share;
 pub mod kept;
 pub mod listing;
+pub mod memory;
 pub mod outlier;
 pub mod overload;
 pub mod placement;
--- a/policy/src/direct/kept.rs
+++ b/policy/src/direct/kept.rs
@@ -240,6 +240,15 @@
         tokens.min(prompt.input_tokens)
     }
 
+    /// The tokens of the shared parts that a target keeps, if it keeps an unused part for
+    /// `horizon`.
+    pub fn shared_tokens(&self, target: u64, horizon: Duration, now: Instant) -> u64 {
+        let parts = self.targets.get(&target).into_iter();
+        let parts = parts.flat_map(|parts| parts.values());
+        let kept = parts.filter(|kept| kept.is_shared && kept.is_kept(horizon, now));
+        kept.map(|kept| u64::from(kept.tokens)).sum()
+    }
+
     /// The last use of a part at a target, unless its eviction is known.
     pub fn last_use(&self, target: u64, part: u64) -> Option<KeptPart> {
         self.part((target, part)).filter(|kept| !kept.is_evicted)
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -17,6 +17,7 @@
 mod engine;
 mod home;
 mod plain;
+mod saving;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/policy/src/direct/placement/engine.rs
+++ b/policy/src/direct/placement/engine.rs
@@ -5,24 +5,15 @@
 
 use std::time::{Duration, Instant};
 
-use super::home::home_targets;
+use super::saving::{Reading, Saving};
 use super::{
-    Candidate, CopySource, ExceededWait, IdleConnections, Placement, PlacementRequest,
-    PlacementSettings, RefusalReason, eligible_targets, is_cold_rate_used_up,
-    refuse_without_target,
+    Candidate, ExceededWait, IdleConnections, Placement, PlacementRequest, PlacementSettings,
+    RefusalReason, eligible_targets, is_cold_rate_used_up, refuse_without_target,
 };
 use crate::direct::config::Engine;
+use crate::direct::memory::{Needed, Running};
 use crate::direct::target_table::{Prompt, TargetEntry, TargetTable};
 
-/// The minimum number of tokens for which a copy from another target is
-/// worthwhile.
-const MIN_COPY_TOKENS: u32 = 64;
-
-/// The time to prefill the shared parts, in milliseconds, above which a request
-/// is sent only to targets that have the parts cached, can copy them, or are one
-/// of their two homes.
-const MAX_UNCACHED_PREFILL_MILLIS: f64 = 25.0;
-
 /// The fraction of a target's memory that may be in use.
 const MAX_MEMORY_FRACTION: f64 = 0.9;
 
@@ -45,11 +36,7 @@
     if eligible.is_empty() {
         return refuse_without_target(table, request, now);
     }
-    let (home, second_home) = home_targets(table, prompt, &eligible);
-    let memory_tokens = f64::from(prompt.input_tokens + prompt.max_output_tokens);
-    let own_tokens = prompt.own_tokens();
-    let copy_source =
-        home.filter(|&home| table.target(home).prefill_tokens(prompt, now) <= own_tokens);
+    let saving = Saving::new(table, settings, &eligible, (engine, prompt), now);
     let base_limit = wait_limit(settings, request);
     let objective = request.objective.as_secs_f64() * 1e3;
     let waiting_tokens = eligible.iter().map(|&target| {
@@ -60,37 +47,21 @@
     let mean_wait = waiting_tokens.sum::<f64>() / eligible.len() as f64 / settings.prefill_rate;
     let mut best: Option<Candidate> = None;
     let mut min_exceeded: Option<ExceededWait> = None;
-    for &target in &eligible {
+    for (index, &target) in eligible.iter().enumerate() {
         let entry = table.target(target);
         if is_cold_rate_used_up(entry, settings, request, now) {
             continue;
         }
-        let load = entry.load();
-        let is_home = home == Some(target);
-        let uncached_tokens = entry.prefill_tokens(prompt, now).saturating_sub(own_tokens);
-        let can_copy = engine.copy_rate > 0.0 && uncached_tokens >= MIN_COPY_TOKENS;
-        let copy_source = copy_source.filter(|copy_source| can_copy && *copy_source != target);
-        let copy_source = copy_source.map(|target| CopySource {
-            target,
-            tokens: uncached_tokens,
-        });
-        let must_prefill = copy_source.is_none() && !is_home;
-        let prefill_tokens = own_tokens + if must_prefill { uncached_tokens } else { 0 };
-        if must_prefill
-            && f64::from(uncached_tokens) / settings.prefill_rate > MAX_UNCACHED_PREFILL_MILLIS
-            && second_home != Some(target)
-        {
+        let Some(reading) = saving.reading(index, target) else {
             continue;
-        }
-        let has_room = load.attempts < entry.slots.min(engine.slots)
-            && load.memory_tokens + memory_tokens <= engine.memory as f64 * MAX_MEMORY_FRACTION;
-        if !has_room {
+        };
+        if !has_room(table, entry, &reading, (engine, prompt)) {
             continue;
         }
         let rate = settings.prefill_rate / entry.pace(now);
         let wait_millis = entry.waiting_tokens(settings.prefill_rate, now) / rate;
         // A long prompt meets its objective only if little waits before it.
-        let prefill_millis = f64::from(prefill_tokens) / rate;
+        let prefill_millis = f64::from(reading.prefill_tokens) / rate;
         let wait_limit = base_limit * (1.0 - prefill_millis / objective).max(MIN_LIMIT_FRACTION);
         // Frequent requests find each target just when nothing waits there, so
         // the mean wait of the pool is taken into account as well.
@@ -105,14 +76,6 @@
             }
             continue;
         }
-        let is_home = home == Some(target);
-        let copy_cost = match copy_source {
-            Some(_) => {
-                settings.eviction_cost_millis
-                    + settings.copy_cost * f64::from(uncached_tokens) / engine.copy_rate
-            }
-            None => 0.0,
-        };
         let remote_cost = match entry.centre == *request.centre {
             true => 0.0,
             false => settings.remote_cost_millis,
@@ -121,10 +84,10 @@
             true => 0.0,
             false => settings.connection_cost_millis,
         };
-        let prefill_millis = settings.prefill_cost * f64::from(prefill_tokens) / rate;
+        let prefill_millis = settings.prefill_cost * f64::from(reading.prefill_tokens) / rate;
         let cost = wait_millis
             + prefill_millis
-            + copy_cost
+            + reading.cost_millis
             + remote_cost
             + connection_cost
             + concurrency_cost(entry);
@@ -133,8 +96,8 @@
                 target,
                 wait_millis,
                 cost,
-                is_home,
-                copy_source,
+                is_home: saving.is_home(target),
+                copy_source: reading.copy_source,
             });
         }
     }
@@ -154,6 +117,38 @@
     }
 }
 
+/// Whether a target has a free slot and memory for the request.
+fn has_room(
+    table: &TargetTable,
+    entry: &TargetEntry,
+    reading: &Reading,
+    (engine, prompt): (Engine, &Prompt),
+) -> bool {
+    let load = entry.load();
+    let has_slot = load.attempts < entry.slots.min(engine.slots);
+    let memory_tokens = table.memory_tokens(prompt, reading.new_tokens);
+    let has_memory = match table.weighs_kept_parts() {
+        true => {
+            let running = Running {
+                attempts: load.attempts,
+                tokens: load.memory_tokens,
+            };
+            let missing_tokens = reading.new_tokens.saturating_sub(prompt.own_tokens());
+            let needed = Needed {
+                new_tokens: memory_tokens + missing_tokens,
+                kept_tokens: prompt.input_tokens.saturating_sub(reading.new_tokens),
+                spread: prompt.output_spread(),
+            };
+            entry.memory.has_room(engine.memory, running, &needed)
+        }
+        false => {
+            load.memory_tokens + f64::from(memory_tokens)
+                <= engine.memory as f64 * MAX_MEMORY_FRACTION
+        }
+    };
+    has_slot && has_memory
+}
+
 /// The maximum wait at a target to which a request is sent, in milliseconds.
 ///
 /// Under load, requests with a longer objective are refused before those with a
--- a/policy/src/direct/prompt.rs
+++ b/policy/src/direct/prompt.rs
@@ -39,6 +39,14 @@
             .map_or(self.input_tokens, |part| part.tokens)
     }
 
+    /// The greatest standard deviation that the output can have, in tokens, as it lies
+    /// between 0 and its maximum and has the expected length in the mean.
+    pub fn output_spread(&self) -> f64 {
+        let expected = f64::from(self.expected_output_tokens.min(self.max_output_tokens));
+        let remaining = f64::from(self.max_output_tokens) - expected;
+        (expected * remaining).sqrt()
+    }
+
     /// The cost that is charged to a team's share, in tokens.
     ///
     /// Limits on the output are often far above what is generated, by different
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -6,6 +6,7 @@
 //! - A new incarnation of a target starts without load and with an empty cache.
 
 mod entry;
+mod kept;
 mod load;
 
 use std::time::{Duration, Instant};
@@ -22,6 +23,7 @@
 use super::target::{TargetRegistry, TargetState};
 pub use entry::{AvoidReason, TargetEntry, TargetEntryId};
 use entry::{ColdBucket, PART_CACHE_TTL, PendingPrefill};
+use kept::Weighing;
 pub use load::{AttemptCost, LoadReport, PeerLoadReport, REPORT_TTL, TargetLoad, sum_loads};
 
 /// The maximum number of cached parts tracked for one target.
@@ -44,6 +46,8 @@
     attempts_begun: u64,
     observed_rate: PrefillRate,
     kept: KeptParts,
+    /// What is needed to weigh kept parts, if they are weighed.
+    weighing: Option<Weighing>,
 }
 
 impl TargetTable {
@@ -84,6 +88,7 @@
                 .or_default()
                 .push(id);
         }
+        self.retain_kept_parts();
     }
 
     /// The prompt parts that targets keep, by the tag of the target.
@@ -186,18 +191,22 @@
     ) -> AttemptCost {
         self.attempts_begun += 1;
         let sequence = self.attempts_begun;
-        let entry = &mut self.entries[id];
         let cost = prompt.map_or(AttemptCost::default(), |prompt| {
-            let prefill_tokens = entry.prefill_tokens(prompt, now);
+            let prefill_tokens = self.prefill_tokens(id, prompt, now);
             AttemptCost {
                 prefill_tokens: prefill_tokens.saturating_sub(copied_tokens),
-                memory_tokens: prompt.input_tokens + prompt.max_output_tokens,
+                memory_tokens: self.memory_tokens(prompt, prefill_tokens),
                 sequence,
                 // Another router may have caused the target to cache the shared parts.
                 certain_tokens: prefill_tokens.min(prompt.own_tokens()),
                 sent: Some(now),
+                belief: self.belief(id, prompt, copied_tokens, now),
             }
         });
+        if let Some(prompt) = prompt {
+            self.record_kept_use(id, prompt, cost, now);
+        }
+        let entry = &mut self.entries[id];
         if cost.prefill_tokens > 0 {
             entry.pending_prefills.push_back(PendingPrefill {
                 sequence,
@@ -234,6 +243,7 @@
             self.observed_rate
                 .record_prefill(f64::from(cost.certain_tokens), elapsed);
         }
+        self.check_belief(id, cost, now);
         self.finish_prefill(id, cost);
     }
 
--- a/policy/src/direct/target_table/entry.rs
+++ b/policy/src/direct/target_table/entry.rs
@@ -10,6 +10,7 @@
 use rustc_hash::FxHashMap;
 
 use super::load::TargetLoad;
+use crate::direct::memory::MemoryUse;
 use crate::direct::outlier::OutlierDetector;
 use crate::direct::prompt::Prompt;
 use crate::direct::stall::{Activity, OldestAttempt, STREAM_STALL_TIMEOUT};
@@ -84,6 +85,8 @@
     /// The time that work took there as a multiple of the usual time, and when it said so.
     pub(super) stated_pace: Option<(f64, Instant)>,
     pub(super) cached_parts: FxHashMap<u64, Instant>,
+    /// The use of its memory, if kept parts are weighed.
+    pub memory: MemoryUse,
     pub(super) activity: Activity,
     /// Whether several peers report a problem with it.
     pub(super) reported_by_peers: bool,
@@ -127,6 +130,7 @@
             paused_until: None,
             stated_pace: None,
             cached_parts: FxHashMap::default(),
+            memory: MemoryUse::default(),
             activity: Activity::default(),
             reported_by_peers: false,
         }
--- a/policy/src/direct/target_table/load.rs
+++ b/policy/src/direct/target_table/load.rs
@@ -22,6 +22,21 @@
     /// Tokens that the target cannot have cached.
     pub(super) certain_tokens: u32,
     pub(super) sent: Option<Instant>,
+    /// What the target was believed to keep, if kept parts are weighed.
+    pub(super) belief: Option<Belief>,
+}
+
+/// What a router believed of a target when it sent an attempt.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub(super) struct Belief {
+    /// The tokens that the target was believed to keep.
+    pub(super) kept_tokens: u32,
+    /// The tokens of parts that it once had and was believed to have evicted.
+    pub(super) evicted_tokens: u32,
+    /// The time since the least recent use of one of its parts.
+    pub(super) age: Duration,
+    /// The tokens that waited at the target, with those of the attempt that it reads.
+    pub(super) waiting_tokens: f64,
 }
 
 /// The load of a target.
--- a/policy/tests/direct_load.rs
+++ b/policy/tests/direct_load.rs
@@ -18,6 +18,9 @@
 #[path = "direct_load/fairness.rs"]
 mod fairness;
 
+#[path = "direct_load/kept.rs"]
+mod kept;
+
 const ROUTERS: usize = 3;
 const TARGETS: usize = 6;
 
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -5,7 +5,7 @@
 //! exchange reports with a delay. A router can be late: it then observes responses
 //! some time after they arrive.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use entity::Name;
@@ -14,7 +14,7 @@
 use knapweed_policy::direct::fair_share::{FairShares, TeamRate};
 use knapweed_policy::direct::overload::MAX_LAG;
 use knapweed_policy::direct::placement::{
-    Placement, PlacementRequest, PlacementSettings, select_target,
+    CopySource, Placement, PlacementRequest, PlacementSettings, select_target,
 };
 use knapweed_policy::direct::target::{SoftwareVersion, Target, TargetRegistry, TargetState};
 use knapweed_policy::direct::target_table::{
@@ -44,6 +44,9 @@
 
 const SLOTS: u32 = 48;
 
+/// The maximum number of rows about kept parts in a report.
+const MAX_SENT_ROWS: usize = 256;
+
 /// The seed of a run.
 pub(crate) const SEED: u64 = 7;
 
@@ -126,6 +129,7 @@
     router: usize,
     target: TargetEntryId,
     cost: AttemptCost,
+    copy_source: Option<CopySource>,
 }
 
 /// What an engine sends to a router.
@@ -135,14 +139,31 @@
     End,
 }
 
-#[derive(Default)]
 struct EngineModel {
+    /// The capacity of the cache, in tokens.
+    memory: u32,
     queue: VecDeque<Running>,
     running: Vec<Running>,
     cache: VecDeque<(u64, u32)>,
 }
 
 impl EngineModel {
+    fn new(memory: u32) -> Self {
+        Self {
+            memory,
+            queue: VecDeque::new(),
+            running: Vec::new(),
+            cache: VecDeque::new(),
+        }
+    }
+
+    /// The tokens of a prompt that are cached.
+    fn cached_tokens(&self, prompt: &Prompt) -> u32 {
+        let is_cached = |part: &&PromptPart| self.cache.iter().any(|(id, _)| *id == part.id);
+        let prefix = prompt.parts.iter().take_while(is_cached);
+        prefix.map(|part| part.tokens).sum()
+    }
+
     /// Caches the parts of a prompt and returns the tokens to prefill.
     fn admit(&mut self, prompt: &Prompt) -> u32 {
         let mut uncached = 0;
@@ -158,7 +179,7 @@
             }
             self.cache.push_back((part.id, part.tokens));
         }
-        while self.cache.iter().map(|(_, tokens)| tokens).sum::<u32>() > CACHE_TOKENS {
+        while self.cache.iter().map(|(_, tokens)| tokens).sum::<u32>() > self.memory {
             self.cache.pop_front();
         }
         uncached
@@ -251,6 +272,9 @@
     service: Service,
     /// The tokens that engines have prefilled.
     pub(crate) prefilled_tokens: f64,
+    /// Those of shared parts that an engine had prefilled before.
+    pub(crate) reread_tokens: u64,
+    seen_parts: BTreeSet<u64>,
     steps: u64,
 }
 
@@ -293,13 +317,49 @@
             rate,
             targets: target_ids.to_vec(),
             routers,
-            engines: (0..targets).map(|_| EngineModel::default()).collect(),
+            engines: (0..targets)
+                .map(|_| EngineModel::new(CACHE_TOKENS))
+                .collect(),
             service: service(),
             prefilled_tokens: 0.0,
+            reread_tokens: 0,
+            seen_parts: BTreeSet::new(),
             steps: 0,
         }
     }
 
+    /// Lets engines copy at `copy_rate` tokens per millisecond and keep `memory` tokens.
+    pub(crate) fn set_engines(&mut self, copy_rate: f64, memory: u32) {
+        let engine = self.service.engine.as_mut().expect("an engine");
+        engine.copy_rate = copy_rate;
+        engine.memory = memory.into();
+        for engine in &mut self.engines {
+            engine.memory = memory;
+        }
+    }
+
+    /// Lets the routers weigh what targets keep, and tell each other of it.
+    pub(crate) fn weigh_kept_parts(&mut self) {
+        for router in &mut self.routers {
+            router.table.weigh_kept_parts(PREFILL_RATE);
+        }
+    }
+
+    fn exchange_kept_parts(&mut self, now: Instant) {
+        let tables = self.routers.iter_mut().map(|it| it.table.kept_mut());
+        let rows = tables.map(|kept| kept.take_new_rows(MAX_SENT_ROWS, now));
+        let rows: Vec<_> = rows.collect();
+        let engine = self.service.engine;
+        for (index, router) in self.routers.iter_mut().enumerate() {
+            let others = rows.iter().enumerate().filter(|(it, _)| *it != index);
+            for row in others.flat_map(|(_, rows)| rows) {
+                router.table.kept_mut().apply(row, now);
+            }
+            let rate = router.settings.prefill_rate;
+            router.table.update_memory(|_| engine, rate, now);
+        }
+    }
+
     /// Begins a step: routers observe what is due, and exchange reports at the end of
     /// an interval.
     pub(crate) fn begin_step(&mut self, now: Instant) {
@@ -309,6 +369,7 @@
         let interval = (REPORT_INTERVAL.as_millis() / STEP.as_millis()) as u64;
         if self.steps.is_multiple_of(interval) {
             self.exchange_reports(now);
+            self.exchange_kept_parts(now);
             if self.policy == Policy::Product {
                 self.update_rates();
             }
@@ -359,11 +420,25 @@
         let Some(attempt) = attempt else {
             return false;
         };
-        let mut targets = self.targets.iter();
-        let index = targets.position(|it| *it == attempt.target);
-        let engine = &mut self.engines[index.expect("a known target")];
-        let remaining_tokens = f64::from(engine.admit(prompt));
-        self.prefilled_tokens += remaining_tokens;
+        let source_tokens = attempt.copy_source.map_or(0, |source| {
+            let source = self.engine_index(source.target);
+            self.engines[source].cached_tokens(prompt)
+        });
+        let index = self.engine_index(attempt.target);
+        let engine = &mut self.engines[index];
+        let cached_tokens = engine.cached_tokens(prompt);
+        let copied_tokens = source_tokens.saturating_sub(cached_tokens);
+        let prefilled_tokens = engine.admit(prompt) - copied_tokens;
+        self.prefilled_tokens += f64::from(prefilled_tokens);
+        let copy_rate = self.service.engine.map_or(0.0, |engine| engine.copy_rate);
+        let copy_time = f64::from(copied_tokens) / copy_rate.max(1.0);
+        let remaining_tokens = f64::from(prefilled_tokens) + copy_time * self.rate;
+        let shared_tokens = prompt.input_tokens - prompt.own_tokens();
+        let is_reread = prompt
+            .shared_part()
+            .is_some_and(|part| !self.seen_parts.insert(part.id));
+        let reread_tokens = shared_tokens.saturating_sub(cached_tokens + copied_tokens);
+        self.reread_tokens += u64::from(if is_reread { reread_tokens } else { 0 });
         engine.queue.push_back(Running {
             request,
             arrived_at: now,
@@ -374,6 +449,12 @@
         true
     }
 
+    fn engine_index(&self, target: TargetEntryId) -> usize {
+        let mut targets = self.targets.iter();
+        let index = targets.position(|it| *it == target);
+        index.expect("a known target")
+    }
+
     /// Offers a request that its target does not run. Returns whether it was sent.
     pub(crate) fn offer_unbegun(
         &mut self,
@@ -411,7 +492,10 @@
             return None;
         }
         let chosen = match self.policy {
-            Policy::Random => Some(self.targets[random.random_range(0..self.targets.len())]),
+            Policy::Random => {
+                let index = random.random_range(0..self.targets.len());
+                Some((self.targets[index], None))
+            }
             Policy::LeastWaiting => {
                 let waiting = |target: &TargetEntryId| {
                     state
@@ -420,7 +504,8 @@
                         .waiting_tokens(PREFILL_RATE, now)
                 };
                 let targets = self.targets.iter().copied();
-                targets.min_by(|a, b| waiting(a).total_cmp(&waiting(b)))
+                let least = targets.min_by(|a, b| waiting(a).total_cmp(&waiting(b)));
+                least.map(|target| (target, None))
             }
             Policy::Unlimited | Policy::Configured | Policy::Product => {
                 let objective = KINDS[request.kind].objective_millis;
@@ -437,20 +522,26 @@
                 };
                 let settings = &state.settings;
                 match select_target(&mut state.table, settings, &placement_request, &(), now) {
-                    Placement::Target { target, .. } => Some(target),
+                    Placement::Target {
+                        target,
+                        copy_source,
+                        ..
+                    } => Some((target, copy_source)),
                     Placement::Refused { .. } => None,
                 }
             }
         };
-        let target = chosen?;
+        let (target, copy_source) = chosen?;
         state
             .shares
             .record_admitted(team, prompt.weighted_tokens(), now);
-        let cost = state.table.begin_attempt(target, Some(prompt), 0, now);
+        let copied = copy_source.map_or(0, |source| source.tokens);
+        let cost = state.table.begin_attempt(target, Some(prompt), copied, now);
         Some(Attempt {
             router,
             target,
             cost,
+            copy_source,
         })
     }
 
