Kept parts: uses older than 120 s are removed, and at most 100,000 parts are tracked

Cause: 4,096 parts of each of 2,048 targets would exceed the memory of a small router, and parts of single requests stayed until their target was gone. Every 10 s what no row may tell of any more is removed; a new part beyond the limit is not tracked.

--- a/policy/src/direct/kept.rs
+++ b/policy/src/direct/kept.rs
@@ -24,6 +24,9 @@
 /// The maximum number of parts tracked for one target.
 pub const MAX_PARTS: usize = 4_096;
 
+/// The maximum number of parts tracked for all targets: about 8 MB.
+pub const MAX_ALL_PARTS: usize = 100_000;
+
 /// The maximum number of uses that wait to be sent to peers.
 pub const MAX_PENDING_ROWS: usize = 4_096;
 
@@ -106,6 +109,8 @@
 #[derive(Clone, Default, Debug)]
 pub struct KeptParts {
     targets: FxHashMap<u64, FxHashMap<u64, KeptPart>>,
+    /// At least the number of parts of all targets.
+    part_count: usize,
     /// Parts of whose last use peers are to be told.
     pending: FxHashSet<PartKey>,
 }
@@ -177,6 +182,15 @@
         }
     }
 
+    /// Removes what was used longer than [`MAX_ROW_AGE`] ago.
+    pub fn remove_old(&mut self, now: Instant) {
+        for parts in self.targets.values_mut() {
+            parts.retain(|_, kept| now.saturating_duration_since(kept.used_at) <= MAX_ROW_AGE);
+        }
+        self.targets.retain(|_, parts| !parts.is_empty());
+        self.part_count = self.targets.values().map(FxHashMap::len).sum();
+    }
+
     /// Removes the targets for which the function returns false.
     pub fn retain_targets(&mut self, mut is_used: impl FnMut(u64) -> bool) {
         self.targets.retain(|&target, _| is_used(target));
@@ -266,9 +280,11 @@
 
     /// What is known of a part, or `None` if there is no room for it.
     fn slot(&mut self, target: u64, part: u64, now: Instant) -> Option<Option<KeptPart>> {
-        let is_full = self.targets.len() >= MAX_TARGETS;
+        let is_full = self.part_count >= MAX_ALL_PARTS;
+        let has_room = !is_full && self.targets.len() < MAX_TARGETS;
         match self.targets.get_mut(&target) {
-            None => (!is_full).then_some(None),
+            None => has_room.then_some(None),
+            Some(parts) if is_full && !parts.contains_key(&part) => None,
             Some(parts) => {
                 if parts.len() >= MAX_PARTS && !parts.contains_key(&part) {
                     evict_oldest_half(parts, now);
@@ -279,7 +295,8 @@
     }
 
     fn store(&mut self, target: u64, part: u64, kept: KeptPart) {
-        self.targets.entry(target).or_default().insert(part, kept);
+        let parts = self.targets.entry(target).or_default();
+        self.part_count += usize::from(parts.insert(part, kept).is_none());
     }
 }
 
--- a/policy/src/direct/target_table/kept.rs
+++ b/policy/src/direct/target_table/kept.rs
@@ -13,6 +13,9 @@
 use crate::direct::memory::{HorizonScale, MAX_HORIZON, MemoryReading, TokenStay};
 use crate::direct::prompt::Prompt;
 
+/// The interval at which uses that are too old are removed.
+const REMOVAL_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The least number of kept tokens whose eviction shows in the time to the first event.
 const MIN_EVIDENT_TOKENS: u32 = 1_000;
 
@@ -27,6 +30,7 @@
 pub(super) struct Weighing {
     stay: TokenStay,
     updated_at: Option<Instant>,
+    removed_at: Option<Instant>,
     prefill_rate: f64,
     evicted_count: u64,
     scale: HorizonScale,
@@ -39,6 +43,7 @@
         self.weighing = Some(Weighing {
             stay: TokenStay::default(),
             updated_at: None,
+            removed_at: None,
             prefill_rate,
             evicted_count: 0,
             scale: HorizonScale::default(),
@@ -69,6 +74,11 @@
         weighing.prefill_rate = prefill_rate;
         let updated_at = weighing.updated_at.replace(now).unwrap_or(now);
         let elapsed = now.saturating_duration_since(updated_at);
+        let is_recent = |at| now.saturating_duration_since(at) < REMOVAL_INTERVAL;
+        if !weighing.removed_at.is_some_and(is_recent) {
+            weighing.removed_at = Some(now);
+            self.kept.remove_old(now);
+        }
         let own_tokens = self.entries.values().map(|it| it.own_load.memory_tokens);
         weighing.stay.record_occupied(own_tokens.sum(), elapsed);
         let stay = weighing.stay.seconds();
--- a/policy/tests/direct_kept.rs
+++ b/policy/tests/direct_kept.rs
@@ -5,7 +5,9 @@
 use entity::Name;
 use knapweed_policy::direct::cold::Members;
 use knapweed_policy::direct::config::{Engine, Service};
-use knapweed_policy::direct::kept::{KeptParts, KeptRow, MAX_PARTS, MAX_ROW_AGE, MAX_TARGETS};
+use knapweed_policy::direct::kept::{
+    KeptParts, KeptRow, MAX_ALL_PARTS, MAX_PARTS, MAX_ROW_AGE, MAX_TARGETS,
+};
 use knapweed_policy::direct::memory::{MAX_HORIZON, MemoryReading, MemoryUse, Needed, Running};
 use knapweed_policy::direct::placement::{
     Placement, PlacementRequest, PlacementSettings, select_target,
@@ -223,8 +225,23 @@
     }
     let (targets, parts) = kept.counts();
     assert!(targets <= MAX_TARGETS && parts <= MAX_PARTS + MAX_TARGETS);
+    for number in 0..2 * MAX_ALL_PARTS as u64 {
+        let (target, part) = (number % 100, number / 100);
+        kept.apply(
+            &KeptRow {
+                target,
+                ..row(part, 0)
+            },
+            now,
+        );
+    }
+    assert!(kept.counts().1 <= MAX_ALL_PARTS);
     kept.retain_targets(|target| target == TARGET);
     assert_eq!(kept.counts().0, 1);
+    kept.remove_old(now + MAX_ROW_AGE + millis(1));
+    assert_eq!(kept.counts(), (0, 0));
+    kept.apply(&row(1, 0), now + MAX_ROW_AGE + millis(2));
+    assert_eq!(kept.counts(), (1, 1));
 }
 
 /// An unused part stays for as long as it takes to fill the rest of the memory.
