--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -174,6 +174,8 @@
     RatesBounded 1420 Warn "rates-bounded";
     /// Teams beyond their share may use idle targets, or no longer.
     SpareCapacity 1425 Info "spare-capacity";
+    /// Targets had evicted prompt parts that they were expected to keep.
+    PartsEvicted 1422 Info "parts-evicted";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -18,6 +18,7 @@
 mod home;
 mod plain;
 mod plain_slots;
+mod saving;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/policy/tests/direct_load.rs
+++ b/policy/tests/direct_load.rs
@@ -18,6 +18,8 @@
 #[path = "direct_load/fairness.rs"]
 mod fairness;
 
+#[path = "direct_load/kept.rs"]
+mod kept;
 #[path = "direct_load/spare.rs"]
 mod spare;
 
