Kept parts: rows travel between routers, and one relay asks each target

Cause: a router knows only of what it sent to a target itself, about one request of n, and one that starts knows nothing.

exchange::kept sends a router's own new uses to its relay, which passes them to the other relays and its group; a router that reports to a relay for the first time is told everything. Nothing is sent until something is added, so nothing changes where the setting is off.

--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -16,6 +16,7 @@
 //!   peers;
 //! - [`prompt`]: the parts and the size of a prompt;
 //! - [`kept`]: which prompt parts targets keep;
+//! - [`kept_watch`]: which targets this router asks what they keep;
 //! - [`placement`]: which target a request is sent to, or why it is refused;
 //! - [`cold`]: which routers send to a cold target, and at which rate;
 //! - [`stall`]: which targets have stopped responding;
@@ -44,6 +45,7 @@
 pub mod exchange;
 pub mod fair_share;
 pub mod kept;
+pub mod kept_watch;
 pub mod listing;
 pub mod outlier;
 pub mod overload;
--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -21,6 +21,7 @@
 //! - A summary for a router leaves out what that router reported itself.
 
 mod beat;
+pub mod kept;
 mod members;
 pub mod message;
 mod records;
@@ -41,6 +42,7 @@
 use super::kept::KeptRow;
 use super::rotation::{Neighbour, Readiness};
 use super::target_table::{LoadReport, PeerLoadReport};
+use kept::KeptLog;
 use message::{Beat, CentreTag, CrashRow, Message, RateRow, Scope, TeamRow, Trouble};
 use records::RecordLog;
 use summary::{PartialSummary, ReceivedSummary};
@@ -218,6 +220,8 @@
     summarized_at: Option<u32>,
     /// The roster that was last sent to it, and when.
     listed: Option<(u64, Instant)>,
+    /// Whether it was told which parts targets keep, since it reports here.
+    is_told_kept: bool,
 }
 
 impl Peer {
@@ -300,6 +304,7 @@
     sent_beats: VecDeque<(u32, Uptime)>,
     crashes: RecordLog<CrashRow>,
     leaving: RecordLog<u64>,
+    kept: KeptLog,
     events: Vec<PeerEvent>,
 }
 
@@ -334,6 +339,7 @@
             sent_beats: VecDeque::new(),
             crashes: RecordLog::new(MAX_CRASH_ROWS),
             leaving: RecordLog::new(MAX_LEAVING_ROWS),
+            kept: KeptLog::default(),
             events: Vec::new(),
         };
         exchange.set_seeds(seeds);
@@ -435,10 +441,12 @@
         if self.ticks.is_multiple_of(contact_periods) {
             due.extend(self.addresses_to_contact());
         }
+        let kept = self.kept_messages(now);
         if due.is_empty() {
-            return Vec::new();
+            return kept;
         }
-        let sent = self.messages_to(&due, local, now);
+        let mut sent = self.messages_to(&due, local, now);
+        sent.extend(kept);
         if turn + 1 == rounds {
             self.crashes.count_repeat(now.mono);
             self.leaving.count_repeat(now.mono);
@@ -495,7 +503,7 @@
                 ..Received::default()
             },
             Message::Kept(update) => Received {
-                kept: update.rows,
+                kept: self.receive_kept(update, now),
                 ..Received::default()
             },
             Message::Rates(rates) => Received {
--- a/policy/src/direct/exchange/beat.rs
+++ b/policy/src/direct/exchange/beat.rs
@@ -73,6 +73,7 @@
             replied_at: None,
             summarized_at: None,
             listed: None,
+            is_told_kept: false,
         });
         let knows_fleet = peer.listed.is_some()
             || beat.place.is_none_or(|place| place.relay != from)
--- a/policy/src/direct/exchange/members.rs
+++ b/policy/src/direct/exchange/members.rs
@@ -76,23 +76,33 @@
         if self.topology_basis.replace(basis) == Some(basis) {
             return;
         }
-        let own = Located {
+        let topology = self.topology_of(|_| true);
+        if topology != self.topology {
+            self.topology = topology;
+            self.topology_since = now;
+            self.preferred = self.topology.preferred_relays(self.located());
+        }
+    }
+
+    fn located(&self) -> Located {
+        Located {
             address: self.own.address,
             centre: self.own.centre,
-        };
-        let own_is_steady = self.is_settled(now) && !self.is_stopping;
-        let mut routers = vec![(own, own_is_steady)];
-        for (&address, member) in self.members.iter().filter(|(_, it)| it.is_reachable) {
+        }
+    }
+
+    /// Derives the relays among this router and the reachable ones that the function
+    /// accepts.
+    pub(super) fn topology_of(&self, accepts: impl Fn(&SocketAddr) -> bool) -> Topology {
+        let own_is_steady = self.is_settled(self.ticked_at) && !self.is_stopping;
+        let mut routers = vec![(self.located(), own_is_steady)];
+        let reachable = self.members.iter().filter(|(_, it)| it.is_reachable);
+        for (&address, member) in reachable.filter(|(address, _)| accepts(address)) {
             if let Some(centre) = member.centre {
                 routers.push((Located { address, centre }, member.is_steady));
             }
         }
-        let topology = Topology::new(&routers);
-        if topology != self.topology {
-            self.topology = topology;
-            self.topology_since = now;
-            self.preferred = self.topology.preferred_relays(own);
-        }
+        Topology::new(&routers)
     }
 
     /// Marks routers that are missing from a complete list of this router's relay.
--- a/policy/src/direct/exchange/topology.rs
+++ b/policy/src/direct/exchange/topology.rs
@@ -100,7 +100,7 @@
 }
 
 /// Returns the hash by which all routers rank a router.
-fn address_hash(address: SocketAddr) -> u64 {
+pub(super) fn address_hash(address: SocketAddr) -> u64 {
     let mut bytes = [0; 18];
     match address {
         SocketAddr::V4(it) => bytes[..4].copy_from_slice(&it.ip().octets()),
--- a/policy/tests/direct_exchange/net.rs
+++ b/policy/tests/direct_exchange/net.rs
@@ -42,6 +42,10 @@
     pub(crate) is_old: bool,
     pub(crate) sent_bytes: usize,
     pub(crate) sent_datagrams: usize,
+    /// The bytes of rows about prompt parts that arrived, with headers, if measured.
+    pub(crate) kept_bytes: usize,
+    /// The rows about prompt parts that were news here, and when each use happened by its age.
+    pub(crate) kept: BTreeMap<(u64, u64), (u32, Duration)>,
     /// Messages that arrived while it was frozen.
     held: VecDeque<Message>,
 }
@@ -72,6 +76,10 @@
     SocketAddr::from(([10, bytes[1], bytes[2], bytes[3]], 7_400))
 }
 
+fn millis(millis: u32) -> Duration {
+    Duration::from_millis(millis.into())
+}
+
 fn number(address: SocketAddr) -> usize {
     match address {
         SocketAddr::V4(it) => {
@@ -141,6 +149,8 @@
             is_old: false,
             sent_bytes: 0,
             sent_datagrams: 0,
+            kept_bytes: 0,
+            kept: BTreeMap::new(),
             held: VecDeque::new(),
         }
     }
@@ -253,7 +263,17 @@
             Message::Beat(beat) => Some(beat.from),
             _ => None,
         };
+        if let Message::Kept(_) = &message
+            && self.is_measured
+        {
+            router.kept_bytes += encoded_bytes(&message) + HEADER_BYTES;
+        }
         let received = router.exchange.receive(message, moment);
+        for row in received.kept {
+            let used_at = self.now.saturating_sub(millis(row.age));
+            let last_use = (row.tokens, used_at);
+            router.kept.insert((row.target, row.part), last_use);
+        }
         if let Some((_, at)) = received.confirmation {
             router.confirmed_at = router.confirmed_at.max(Some(at.0));
         }
