Edge: routers tell each other what targets keep, and relays ask targets

Cause: nothing sent the rows that policy::direct::exchange::kept decides on, and nobody asked targets.

Rows go from the traffic thread to the control thread and back as crash records do, within 16,384 rows; edge::kept_events makes the calls of kept_watch with connections of its own, 2 s and 1 MB an answer. KW1423, KW1424, counters of calls and rows, kept_exchange in /dump. Targets that leave, are cold, or in an evacuated data centre are not asked. Off unless routing.kept_parts is set. A listed part is dated 2 s back instead of 30: it is held, or its eviction is under way, and targets may keep an unused part for less than 30 s.

The tests of node and edge were not run yet when this was written. The bench of the exchange counts uses of parts as well; not built yet.

--- a/bench/benches/exchange.rs
+++ b/bench/benches/exchange.rs
@@ -14,6 +14,7 @@
 use policy::direct::confirmation::Uptime;
 use policy::direct::exchange::message::CentreTag;
 use policy::direct::exchange::{Exchange, Identity, LocalState, Moment, Outgoing, PERIOD};
+use policy::direct::kept::KeptRow;
 use policy::direct::rotation::Readiness;
 use policy::direct::target_table::{LoadReport, TargetLoad};
 use wire::Datagram;
@@ -25,6 +26,12 @@
 const TARGETS: usize = 600;
 const TARGETS_IN_USE: usize = 12;
 
+/// The number of parts that a target keeps and that requests use.
+const KEPT_PARTS: u64 = 50;
+
+/// The uses of prompt parts at a router in a period: those of 20 requests a second.
+const KEPT_USES: u32 = 4;
+
 /// The number of periods in which a fleet settles.
 const SETTLING_PERIODS: u32 = 140;
 
@@ -42,6 +49,8 @@
     periods: u32,
     /// The encoded bytes sent so far, if they are counted.
     sent_bytes: Option<usize>,
+    /// The uses of prompt parts of each router in a period.
+    kept_uses: u32,
 }
 
 impl Fleet {
@@ -71,6 +80,7 @@
             origin,
             periods: 0,
             sent_bytes: None,
+            kept_uses: 0,
         };
         for _ in 0..SETTLING_PERIODS {
             fleet.play_period();
@@ -89,6 +99,9 @@
         };
         let mut under_way: VecDeque<(SocketAddr, Outgoing)> = VecDeque::new();
         for (router, (exchange, loads)) in self.routers.iter_mut().enumerate() {
+            let first = self.periods * self.kept_uses;
+            let uses = (first..first + self.kept_uses).map(|it| kept_use(router, it));
+            exchange.add_kept(uses, now);
             let sent = exchange.tick(&local_state(loads), now);
             under_way.extend(sent.into_iter().map(|it| (address(router), it)));
         }
@@ -109,6 +122,24 @@
     }
 }
 
+/// Spreads numbers over all values, as hashes are.
+fn mix(number: u64) -> u64 {
+    let number = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    number ^ (number >> 29)
+}
+
+/// A use of one of the parts that targets keep.
+fn kept_use(router: usize, number: u32) -> KeptRow {
+    let used = mix(router as u64 + (u64::from(number) << 32));
+    let (target, part) = (used % TARGETS as u64, used / TARGETS as u64 % KEPT_PARTS);
+    KeptRow {
+        target: mix(target + 1),
+        part: mix(target * KEPT_PARTS + part + 1),
+        tokens: 500,
+        age: 0,
+    }
+}
+
 fn local_state(loads: &[LoadReport]) -> LocalState<'_> {
     LocalState {
         loads,
@@ -124,19 +155,31 @@
 fn exchange(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("period of the exchange");
     group.sample_size(10);
-    for (count, centres) in FLEETS {
+    let plays = FLEETS
+        .into_iter()
+        .flat_map(|fleet| [(fleet, 0), (fleet, KEPT_USES)]);
+    for ((count, centres), kept_uses) in plays {
         let mut fleet = Fleet::settled(count, centres);
+        fleet.kept_uses = kept_uses;
+        for _ in 0..COUNTED_PERIODS {
+            fleet.play_period();
+        }
         fleet.sent_bytes = Some(0);
         for _ in 0..COUNTED_PERIODS {
             fleet.play_period();
         }
         let bytes = fleet.sent_bytes.take().unwrap_or_default();
         let per_second = bytes as f64 / count as f64 / (PERIOD * COUNTED_PERIODS).as_secs_f64();
-        println!("{count} routers: a router sends {per_second:.0} bytes/s without headers");
+        println!(
+            "{count} routers, {kept_uses} uses of parts a period: a router sends {per_second:.0} bytes/s without headers"
+        );
         group.throughput(Throughput::Elements(count as u64));
-        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
-            bencher.iter(|| black_box(&mut fleet).play_period());
-        });
+        group.bench_function(
+            BenchmarkId::new(format!("{kept_uses} uses"), count),
+            |bencher| {
+                bencher.iter(|| black_box(&mut fleet).play_period());
+            },
+        );
     }
     group.finish();
 }
--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -63,6 +63,9 @@
 const STRAINED_RETRY_DELAY: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(100));
 
+/// The maximum number of uses of prompt parts handed to the control thread in a period.
+const MAX_KEPT_ROWS: usize = 256;
+
 /// The maximum number of teams in a report.
 const MAX_REPORTED_TEAMS: usize = 48;
 
@@ -125,6 +128,8 @@
     peers: LatestSnapshot<PeerState>,
     /// When the peers' load reports were last summed up.
     peers_summed_at: Cell<Option<Instant>>,
+    /// Whether routers tell each other which prompt parts targets keep.
+    shares_kept: bool,
 }
 
 impl Context {
@@ -181,6 +186,7 @@
             registry: LatestSnapshot::default(),
             peers: LatestSnapshot::default(),
             peers_summed_at: Cell::new(None),
+            shares_kept: settings.routing.kept_parts,
         })
     }
 
@@ -408,6 +414,9 @@
             let mut bound_log = self.bound_log.borrow_mut();
             bound_log.log_if_due(bound, self.config().as_deref(), now);
         }
+        if self.shares_kept {
+            self.exchange_kept(now);
+        }
         self.notify_stalled(now);
         let leaving = self.shared.take_peer_leaving();
         let leaving = self.target_table.borrow_mut().record_leaving_tags(&leaving);
@@ -631,6 +640,36 @@
         target_table.outlier_detector(target_id).record_failure(now);
     }
 
+    /// Tells the control thread which parts were used, and applies what peers and targets told.
+    fn exchange_kept(&self, now: Instant) {
+        let mut target_table = self.target_table.borrow_mut();
+        let kept = target_table.kept_mut();
+        self.shared
+            .add_local_kept(kept.take_new_rows(MAX_KEPT_ROWS, now));
+        for row in self.shared.take_peer_kept() {
+            let evicted_at = now.checked_sub(Duration::from_millis(row.age.into()));
+            match kept.last_use(row.target, row.part) {
+                _ if row.tokens > 0 => kept.apply(&row, now),
+                Some(part) if Some(part.used_at) < evicted_at => kept.forget(row.target, row.part),
+                _ => {}
+            }
+        }
+    }
+
+    fn dump_kept(&self) -> serde_json::Value {
+        let counts = self.shared.peers.load().kept;
+        let (targets, parts) = self.target_table.borrow().kept().counts();
+        serde_json::json!({
+            "targets": targets,
+            "parts": parts,
+            "exchanged": counts.known,
+            "waiting": counts.waiting,
+            "watched": counts.watched,
+            "calls": counts.calls,
+            "held": counts.held,
+        })
+    }
+
     /// Returns the state of the traffic thread for operators.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let now = Instant::now();
@@ -653,6 +692,7 @@
         serde_json::json!({
             "config": self.config().map(|config| config.version),
             "routers": self.shared.router_count(),
+            "kept_exchange": self.dump_kept(),
             "relay": self.shared.peers.load().relay.map(|relay| relay.to_string()),
             "open": self.shared.open_requests.load(Ordering::Relaxed),
             "targets": targets.collect::<Vec<_>>(),
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -5,6 +5,7 @@
 //!
 //! Invariant: a datagram that cannot be decoded or is ignored is counted with its reason.
 
+mod kept;
 mod listing;
 mod origins;
 
@@ -17,6 +18,7 @@
 use node::event::{self, Event};
 use policy::direct::cold::Members;
 use policy::direct::crash::CrashRecord;
+use policy::direct::exchange::kept::Roster;
 use policy::direct::exchange::message::{CentreTag, CrashRow, Message};
 use policy::direct::exchange::{
     Exchange, Identity, LocalState, Moment, Outgoing, PERIOD, PeerEvent, Received,
@@ -27,6 +29,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{BootClock, SystemBootClock};
+use crate::kept_events::KeptEvents;
 use crate::metrics::ExchangeMetrics;
 use crate::shared::{LocalReport, PeerState, Shared};
 use crate::store::StoreReader;
@@ -54,6 +57,12 @@
     announced_digest: Option<u64>,
     store: Rc<StoreReader>,
     metrics: ExchangeMetrics,
+    /// The calls to targets, if the settings ask for them.
+    kept_events: Option<KeptEvents>,
+    started: Instant,
+    /// The roster for which the targets were last divided among routers, and when.
+    divided_by: Option<Roster>,
+    divided_at: Instant,
     shared: Arc<Shared>,
 }
 
@@ -72,6 +81,7 @@
         shared: Arc<Shared>,
         store: Rc<StoreReader>,
         metrics: ExchangeMetrics,
+        kept_events: Option<KeptEvents>,
     ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
         let address = socket.local_addr()?;
@@ -92,6 +102,10 @@
             announced_digest: None,
             store,
             metrics,
+            kept_events,
+            started: now,
+            divided_by: None,
+            divided_at: now,
             shared,
         };
         gossip.set_seeds(seeds);
@@ -131,6 +145,7 @@
     fn tick(&mut self) {
         let now = present();
         self.add_local_records(now.mono);
+        self.update_kept(now);
         let report = self.shared.local_report.load_full();
         let sent = self.exchange.tick(&self.local_state(&report), now);
         self.log_events();
@@ -264,6 +279,7 @@
         if !received.leaving.is_empty() {
             self.shared.add_peer_leaving(received.leaving);
         }
+        self.receive_kept(received.kept, now);
         if received.wants_reply {
             let report = self.shared.local_report.load_full();
             let local = self.local_state(&report);
@@ -329,6 +345,7 @@
             problem_counts: view.problem_counts,
             relay: self.exchange.relay(),
             neighbours: view.neighbours,
+            kept: self.kept_counts(),
         }));
         self.store.set_peers(
             self.exchange.readers().collect(),
--- /dev/null
+++ b/edge/src/kept_events.rs
@@ -0,0 +1,209 @@
+//! Asks targets which prompt parts they keep.
+//!
+//! `policy::direct::kept_watch` decides whom this router asks and when. The calls run on
+//! the control thread with connections of their own, so that no request waits for one.
+//!
+//! Invariant: an answer that is too long, too late or cannot be read changes nothing but
+//! the time of the next call, and is counted.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use awc::http::StatusCode;
+use entity::Name;
+use node::event::{self, Event};
+use platform::kept;
+use policy::direct::config::Config;
+use policy::direct::kept::KeptRow;
+use policy::direct::kept_watch::{
+    Answer, CALL_TIMEOUT, CALL_WAIT, Call, KeptWatch, KnownParts, is_watcher,
+};
+use policy::direct::target::{TargetRegistry, TargetState};
+use policy::direct::target_table::incarnation_tag;
+use rustc_hash::{FxHashMap, FxHashSet};
+use tokio::time::timeout;
+
+use crate::metrics::KeptMetrics;
+
+/// The maximum size of an answer in bytes.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// The answers that arrived since the last period.
+type Answers = Rc<RefCell<Vec<Arrived>>>;
+
+struct Arrived {
+    target: u64,
+    call: Call,
+    /// What arrived, and how it is counted.
+    answer: Answer,
+    result: &'static str,
+}
+
+/// A target that this router may ask.
+#[derive(Clone)]
+struct Askable {
+    name: Name,
+    address: SocketAddr,
+}
+
+/// The calls to the targets.
+pub(crate) struct KeptEvents {
+    client: awc::Client,
+    watch: KeptWatch,
+    answers: Answers,
+    askable: FxHashMap<u64, Askable>,
+    metrics: KeptMetrics,
+}
+
+impl KeptEvents {
+    pub(crate) fn new(metrics: KeptMetrics) -> Self {
+        let client = awc::Client::builder().disable_redirects().disable_timeout();
+        Self {
+            client: client.finish(),
+            watch: KeptWatch::default(),
+            answers: Answers::default(),
+            askable: FxHashMap::default(),
+            metrics,
+        }
+    }
+
+    /// The number of targets asked, of calls under way, and of parts believed held.
+    pub(crate) fn counts(&self) -> (usize, usize, usize) {
+        self.watch.counts()
+    }
+
+    pub(crate) fn metrics(&self) -> &KeptMetrics {
+        &self.metrics
+    }
+
+    /// Takes over the targets with engines that accept requests.
+    pub(crate) fn set_registry(
+        &mut self,
+        registry: &TargetRegistry,
+        config: Option<&Arc<Config>>,
+        now: Instant,
+    ) {
+        let has_engine = |service: &Name| {
+            let service = config.and_then(|config| config.services.get(service));
+            service.is_some_and(|service| service.engine.is_some())
+        };
+        let targets = registry.targets.values().filter(|(target, reported_at)| {
+            let is_cold = reported_at.is_some_and(|at| now < at + target.cold);
+            // Nothing may be sent to a drained data centre, and little to a cold target.
+            target.state == TargetState::Ready
+                && !is_cold
+                && !registry.drained.contains(&target.centre)
+                && has_engine(&target.service)
+        });
+        let askable = targets.map(|(target, _)| {
+            let (name, address) = (target.name.clone(), target.address);
+            let tag = incarnation_tag(&name, target.born);
+            (tag, Askable { name, address })
+        });
+        self.askable = askable.collect();
+    }
+
+    /// Sets this router and the others among which the targets are divided, if this router
+    /// is one of those that ask.
+    pub(crate) fn set_watchers(&mut self, watchers: Option<(u64, &[u64])>) {
+        let is_own =
+            |target: u64| watchers.is_some_and(|(own, others)| is_watcher(target, own, others));
+        let targets = self.askable.keys().copied();
+        let targets: FxHashSet<u64> = targets.filter(|&target| is_own(target)).collect();
+        self.watch.set_targets(&targets);
+    }
+
+    /// Starts the calls that are due.
+    pub(crate) fn start_calls(&mut self, now: Instant) {
+        for (target, call) in self.watch.due(now) {
+            let Some(askable) = self.askable.get(&target) else {
+                continue;
+            };
+            let url = format!("http://{}{}", askable.address, kept::path(call));
+            let mut request = self.client.get(url);
+            if let Some(wait) = kept::wait(call, CALL_WAIT) {
+                request = request.insert_header((kept::WAIT, wait));
+            }
+            let answers = self.answers.clone();
+            actix_rt::spawn(async move {
+                let (answer, result) = match timeout(CALL_TIMEOUT, ask(request, call)).await {
+                    Ok(Ok(answer)) => (answer, "answered"),
+                    Ok(Err(failure)) => failure,
+                    Err(_) => (Answer::Failed, "late"),
+                };
+                answers.borrow_mut().push(Arrived {
+                    target,
+                    call,
+                    answer,
+                    result,
+                });
+            });
+        }
+    }
+
+    /// Applies the answers that arrived; returns rows for the other routers.
+    pub(crate) fn take_rows(
+        &mut self,
+        known: impl Fn(u64) -> KnownParts,
+        now: Instant,
+    ) -> Vec<KeptRow> {
+        let arrived = std::mem::take(&mut *self.answers.borrow_mut());
+        let mut rows = Vec::new();
+        for Arrived {
+            target,
+            call,
+            answer,
+            result,
+        } in arrived
+        {
+            self.metrics.record_call(call, result);
+            let parts = match &answer {
+                Answer::List { held, .. } => Some(held.len()),
+                _ => None,
+            };
+            let new = self.watch.record(target, answer, &known(target), now);
+            let name = self.askable.get(&target).map(|it| it.name.as_str());
+            let name = name.unwrap_or_default();
+            match parts {
+                Some(parts) => {
+                    let fields: [event::Field<'_>; 3] =
+                        [("target", &name), ("parts", &parts), ("rows", &new.len())];
+                    event::log(Event::KeptListed, &fields);
+                }
+                None if result != "answered" => {
+                    let fields: [event::Field<'_>; 3] =
+                        [("target", &name), ("call", &call), ("why", &result)];
+                    event::log(Event::KeptUnknown, &fields);
+                }
+                None => {}
+            }
+            rows.extend(new);
+        }
+        rows
+    }
+
+    /// Returns rows of targets that hold parts which another router has begun to use.
+    pub(crate) fn rows_of_used(&mut self, rows: &[KeptRow]) -> Vec<KeptRow> {
+        let used = rows.iter().filter(|row| row.tokens > 0);
+        self.watch.rows_of_used(used.map(|row| row.part))
+    }
+}
+
+/// Makes a call; a failure comes with how it is counted.
+async fn ask(request: awc::ClientRequest, call: Call) -> Result<Answer, (Answer, &'static str)> {
+    let sent = request.send().await;
+    let mut response = sent.map_err(|_| (Answer::Failed, "unreachable"))?;
+    match response.status() {
+        StatusCode::OK => {}
+        status if status.as_u16() == kept::TOO_MANY_CALLS => {
+            return Err((Answer::Refused, "refused"));
+        }
+        _ => return Err((Answer::Failed, "status")),
+    }
+    let body = response.body().limit(MAX_ANSWER_BYTES).await;
+    let body = body.map_err(|_| (Answer::Failed, "too-long"))?;
+    kept::parse(call, &body).map_err(|_| (Answer::Failed, "malformed"))
+}
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod context;
 pub mod events;
 mod gossip;
+mod kept_events;
 pub mod latest;
 mod metrics;
 mod operators;
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -6,6 +6,8 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
+use policy::direct::kept_watch::Call;
+
 use crate::target::BodyFraming;
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -200,3 +202,34 @@
             .add(1, &[KeyValue::new("reason", reason.to_owned())]);
     }
 }
+
+/// The instruments of what is known of prompt parts that targets keep.
+#[derive(Debug)]
+pub(crate) struct KeptMetrics {
+    calls: Counter<u64>,
+    rows: Counter<u64>,
+}
+
+impl KeptMetrics {
+    pub(crate) fn new(meter: &Meter) -> Self {
+        Self {
+            calls: meter.u64_counter("knapweed_edge_kept_calls").build(),
+            rows: meter.u64_counter("knapweed_edge_kept_rows").build(),
+        }
+    }
+
+    /// Counts a call to a target by its result.
+    pub(crate) fn record_call(&self, call: Call, result: &'static str) {
+        let call = match call {
+            Call::Events { .. } => "events",
+            Call::List => "list",
+        };
+        let labels = [KeyValue::new("call", call), KeyValue::new("result", result)];
+        self.calls.add(1, &labels);
+    }
+
+    /// Counts rows by where they come from.
+    pub(crate) fn record_rows(&self, from: &'static str, count: usize) {
+        self.rows.add(count as u64, &[KeyValue::new("from", from)]);
+    }
+}
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -23,7 +23,8 @@
 
 use crate::context::{Context, MAINTENANCE_PERIOD};
 use crate::gossip::Gossip;
-use crate::metrics::{ExchangeMetrics, TrafficMetrics};
+use crate::kept_events::KeptEvents;
+use crate::metrics::{ExchangeMetrics, KeptMetrics, TrafficMetrics};
 use crate::operators::{DumpRequest, Operators};
 use crate::session;
 use crate::shared::Shared;
@@ -157,6 +158,8 @@
         shared_store,
         incarnation,
     );
+    let kept_events = settings.routing.kept_parts;
+    let kept_events = kept_events.then(|| KeptEvents::new(KeptMetrics::new(&meter)));
     let gossip = Gossip::bind(
         settings.control,
         &settings.peers,
@@ -164,6 +167,7 @@
         shared.clone(),
         store.clone(),
         ExchangeMetrics::new(&meter),
+        kept_events,
     );
     let gossip = gossip.await.wrap_err("cannot bind the control address")?;
     let (seeds, changed) = watch::channel(settings.peers.clone());
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -14,6 +14,7 @@
 use policy::direct::confirmation::{Confirmation, Uptime};
 use policy::direct::crash::CrashRecord;
 use policy::direct::fair_share::TeamRate;
+use policy::direct::kept::KeptRow;
 use policy::direct::rotation::{Neighbour, Readiness};
 use policy::direct::stream_origin::{StreamId, StreamOrigins};
 use policy::direct::target::TargetRegistry;
@@ -36,8 +37,29 @@
     pub(crate) relay: Option<SocketAddr>,
     /// The other routers of the data centre.
     pub(crate) neighbours: Vec<Neighbour>,
+    /// What is known of prompt parts that targets keep.
+    pub(crate) kept: KeptCounts,
 }
 
+/// How much is known of prompt parts that targets keep.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct KeptCounts {
+    /// The parts at targets that are known to the exchange.
+    pub(crate) known: usize,
+    /// The rows that wait to be sent.
+    pub(crate) waiting: usize,
+    /// The targets that this router asks.
+    pub(crate) watched: usize,
+    /// The calls under way.
+    pub(crate) calls: usize,
+    /// The parts that these targets said they hold.
+    pub(crate) held: usize,
+}
+
+/// The maximum number of rows about prompt parts that wait for a thread; if it falls
+/// behind further, rows are lost as datagrams are.
+const MAX_KEPT_QUEUE: usize = 16_384;
+
 /// The report of the traffic thread for the peers.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LocalReport {
@@ -78,6 +100,8 @@
     crash_queues: Mutex<CrashQueues>,
     /// Tags of leaving targets that one thread hands to the other.
     leaving_queues: Mutex<LeavingQueues>,
+    /// Rows about prompt parts that one thread hands to the other.
+    kept_queues: Mutex<KeptQueues>,
     origins: Mutex<StreamOrigins>,
     /// Streams whose origin the traffic thread asks the peers for.
     origin_questions: Mutex<Vec<OriginQuestion>>,
@@ -101,6 +125,12 @@
     peers: Vec<CrashRecord>,
 }
 
+#[derive(Debug, Default)]
+struct KeptQueues {
+    local: Vec<KeptRow>,
+    peers: Vec<KeptRow>,
+}
+
 #[derive(Debug, Default)]
 struct LeavingQueues {
     local: Vec<u64>,
@@ -124,6 +154,7 @@
             targets_read_at_micros: AtomicU64::new(0),
             crash_queues: Mutex::default(),
             leaving_queues: Mutex::default(),
+            kept_queues: Mutex::default(),
             origins: Mutex::default(),
             origin_questions: Mutex::default(),
             origin_asked: Notify::new(),
@@ -217,6 +248,31 @@
         queues.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds uses of prompt parts by this router, to be sent to the peers.
+    pub(crate) fn add_local_kept(&self, rows: Vec<KeptRow>) {
+        push_bounded(&mut self.kept_queues().local, rows);
+    }
+
+    /// Adds what peers and targets told of kept prompt parts.
+    pub(crate) fn add_peer_kept(&self, rows: Vec<KeptRow>) {
+        push_bounded(&mut self.kept_queues().peers, rows);
+    }
+
+    /// Takes the uses to be sent to the peers.
+    pub(crate) fn take_local_kept(&self) -> Vec<KeptRow> {
+        std::mem::take(&mut self.kept_queues().local)
+    }
+
+    /// Takes what peers and targets told.
+    pub(crate) fn take_peer_kept(&self) -> Vec<KeptRow> {
+        std::mem::take(&mut self.kept_queues().peers)
+    }
+
+    fn kept_queues(&self) -> MutexGuard<'_, KeptQueues> {
+        let queues = self.kept_queues.lock();
+        queues.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adds crash records of this router, to be sent to the peers.
     pub(crate) fn add_local_crashes(&self, crashes: impl IntoIterator<Item = CrashRecord>) {
         self.crash_queues().local.extend(crashes);
@@ -243,3 +299,8 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn push_bounded(queue: &mut Vec<KeptRow>, rows: Vec<KeptRow>) {
+    let room = MAX_KEPT_QUEUE.saturating_sub(queue.len());
+    queue.extend(rows.into_iter().take(room));
+}
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -172,6 +172,10 @@
     TargetPaused 1419 Info "target-paused";
     /// Teams are held to a multiple of what a team gets that is left behind.
     RatesBounded 1420 Warn "rates-bounded";
+    /// This router read the list of prompt parts that a target keeps.
+    KeptListed 1423 Info "kept-listed";
+    /// A target did not say what it keeps.
+    KeptUnknown 1424 Warn "kept-unknown";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct/exchange/kept.rs
+++ b/policy/src/direct/exchange/kept.rs
@@ -101,7 +101,8 @@
 impl Use {
     fn row(self, (target, part): PartKey, now: Duration) -> KeptRow {
         // Rounded up, so that the use never appears more recent than it is.
-        let age = now.saturating_sub(self.at).as_millis() as u32 + 1;
+        let age = now.saturating_sub(self.at).as_millis();
+        let age = u32::try_from(age).unwrap_or(u32::MAX).saturating_add(1);
         let tokens = self.tokens;
         KeptRow {
             target,
--- a/policy/src/direct/kept_watch.rs
+++ b/policy/src/direct/kept_watch.rs
@@ -48,9 +48,9 @@
 /// How late a target's events are taken to arrive.
 pub const EVENT_DELAY: Duration = Duration::from_secs(1);
 
-/// The age of a part's last use when only a list tells of it: it is held, and the use may
-/// have been anywhere in the time for which uses count.
-pub const LISTED_AGE: Duration = Duration::from_secs(30);
+/// The age that is stated for a part of a list, whose last use is not known: it is held, or
+/// was evicted so recently that the event has not arrived.
+pub const LISTED_AGE: Duration = EVENT_DELAY.saturating_add(CALL_PERIOD);
 
 /// The longest time between two calls to a target that fails or refuses them.
 const MAX_PAUSE: Duration = Duration::from_secs(16);
