--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 mod gossip;
 mod kept_events;
+mod kept_log;
 pub mod latest;
 mod metrics;
 mod operators;
