--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -176,6 +176,10 @@
     SpareCapacity 1425 Info "spare-capacity";
     /// Targets had evicted prompt parts that they were expected to keep.
     PartsEvicted 1422 Info "parts-evicted";
+    /// This router read the list of prompt parts that a target keeps.
+    KeptListed 1423 Info "kept-listed";
+    /// A target did not say what it keeps.
+    KeptUnknown 1424 Warn "kept-unknown";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -16,6 +16,7 @@
 //!   peers;
 //! - [`prompt`]: the parts and the size of a prompt;
 //! - [`kept`]: which prompt parts targets keep;
+//! - [`kept_watch`]: which targets this router asks what they keep;
 //! - [`placement`]: which target a request is sent to, or why it is refused;
 //! - [`slots`]: how many requests targets without an engine have, and how long they take;
 //! - [`cold`]: which routers send to a cold target, and at which rate;
@@ -46,6 +47,7 @@
 pub mod exchange;
 pub mod fair_share;
 pub mod kept;
+pub mod kept_watch;
 pub mod listing;
 pub mod memory;
 pub mod outlier;
