--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -172,14 +172,14 @@
     TargetPaused 1419 Info "target-paused";
     /// Teams are held to a multiple of what a team gets that is left behind.
     RatesBounded 1420 Warn "rates-bounded";
-    /// Teams beyond their share may use idle targets, or no longer.
-    SpareCapacity 1425 Info "spare-capacity";
     /// Targets had evicted prompt parts that they were expected to keep.
     PartsEvicted 1422 Info "parts-evicted";
     /// This router read the list of prompt parts that a target keeps.
     KeptListed 1423 Info "kept-listed";
     /// A target did not say what it keeps.
     KeptUnknown 1424 Warn "kept-unknown";
+    /// Teams beyond their share may use idle targets, or no longer.
+    SpareCapacity 1425 Info "spare-capacity";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
