--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -172,7 +172,7 @@
                     rate_multiple: settings.bounds.cold_over,
                     extra_requests: settings.bounds.cold_slack,
                 },
-                uses_slots: settings.routing.slot_queue,
+                uses_slots: settings.routing.slot_counts,
                 ..PlacementSettings::default()
             }),
             configured_rate,
@@ -662,7 +662,7 @@
         event::log(Event::TargetSaidLeaving, &fields);
     }
 
-    /// Records a complete response. With `routing.slot_queue`, a failure that a target
+    /// Records a complete response. With `routing.slot_counts`, a failure that a target
     /// without an engine states counts against it only if other targets fail less.
     pub(crate) fn record_answer(
         &self,
--- a/node/src/settings/edge.rs
+++ b/node/src/settings/edge.rs
@@ -80,7 +80,7 @@
     /// Whether teams beyond their share may use targets that would be idle.
     pub spare_capacity: bool,
     /// Whether targets without an engine are selected by the wait for their slots.
-    pub slot_queue: bool,
+    pub slot_counts: bool,
 }
 
 impl Settings for RoutingSettings {
@@ -88,12 +88,12 @@
         let target_rates = section.value_or("target_rates", false, value::boolean);
         let kept_parts = section.value_or("kept_parts", false, value::boolean);
         let spare_capacity = section.value_or("spare_capacity", false, value::boolean);
-        let slot_queue = section.value_or("slot_queue", false, value::boolean);
+        let slot_counts = section.value_or("slot_counts", false, value::boolean);
         Some(Self {
             target_rates: target_rates?,
             kept_parts: kept_parts?,
             spare_capacity: spare_capacity?,
-            slot_queue: slot_queue?,
+            slot_counts: slot_counts?,
         })
     }
 }
--- a/policy/src/direct/slots.rs
+++ b/policy/src/direct/slots.rs
@@ -8,7 +8,7 @@
 //!
 //! Invariants:
 //! - The count is never below this router's own requests.
-//! - One response changes the mean time to a response by at most [`MAX_STEP`] of it.
+//! - One response changes the mean time to a response by at most a fifth of it.
 //! - A reported count that is false fades; it cannot exclude a target for good.
 
 use std::time::{Duration, Instant};
--- a/policy/tests/direct_plain.rs
+++ b/policy/tests/direct_plain.rs
@@ -51,7 +51,7 @@
 /// What refused callers and routers do.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Policy {
-    /// The rule without `routing.slot_queue`.
+    /// The rule without `routing.slot_counts`.
     Before,
     /// The implementation under test.
     Slots,
