Plain services: one failure excludes no target, failures at once say nothing of the time, full targets get a pause

A target whose first response stated a failure had a part of 0 until it answered again, which nobody asked it for; fast failures made a target look fast; a target of short requests that said it was full still had room; Retry-After could be near 0; requests without a prompt to a service with an engine were selected by slots; KW1517 had no bound. Two sums of memory tokens saturate.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -70,6 +70,9 @@
 /// The maximum number of uses of prompt parts handed to the control thread in a period.
 const MAX_KEPT_ROWS: usize = 256;
 
+/// The time between two lines on requests that full targets turned away.
+const FULL_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The maximum number of teams in a report.
 const MAX_REPORTED_TEAMS: usize = 48;
 
@@ -108,6 +111,9 @@
     pub(crate) bound_log: RefCell<BoundLog>,
     pub(crate) spare_log: RefCell<SpareLog>,
     kept_log: RefCell<KeptLog>,
+    /// The requests that full targets turned away since the last line, and when that was.
+    turned_away: Cell<u32>,
+    full_logged_at: Cell<Option<Instant>>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crash_history: RefCell<CrashHistory>,
     pub(crate) rng: RefCell<ChaCha8Rng>,
@@ -184,6 +190,8 @@
             bound_log: RefCell::default(),
             spare_log: RefCell::default(),
             kept_log: RefCell::default(),
+            turned_away: Cell::new(0),
+            full_logged_at: Cell::new(None),
             retry_budget: RefCell::new(RetryBudget::new(retry_limit)),
             crash_history: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -722,9 +730,19 @@
         };
         self.metrics.record_full_target();
         let mut target_table = self.target_table.borrow_mut();
-        target_table.record_plain_result(target_id, PlainResult::Full, now);
-        let fields: [event::Field<'_>; 4] = [
+        let reported = load.running.saturating_add(load.waiting);
+        target_table.record_plain_result(target_id, PlainResult::Full { reported }, now);
+        let turned_away = self.turned_away.get() + 1;
+        let is_recent = |at| now.saturating_duration_since(at) < FULL_LOG_INTERVAL;
+        if self.full_logged_at.get().is_some_and(is_recent) {
+            self.turned_away.set(turned_away);
+            return;
+        }
+        self.full_logged_at.set(Some(now));
+        self.turned_away.set(0);
+        let fields: [event::Field<'_>; 5] = [
             ("target", &target_table.target(target_id).name),
+            ("count", &turned_away),
             ("running", &load.running),
             ("waiting", &load.waiting),
             ("slots", &load.slots),
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -492,7 +492,8 @@
                 target_table.record_pace(attempt.target_id, pace, Instant::now());
             }
             if is_plain && !is_other {
-                let has_run = !head.facts.not_run;
+                // A failure may come at once, which says nothing of the time of a request.
+                let has_run = !head.facts.not_run && head.facts.status < 500;
                 let met = met.get().filter(|_| has_run);
                 self.context
                     .record_slots(attempt.target_id, head.load, met, Instant::now());
--- a/policy/src/direct/memory.rs
+++ b/policy/src/direct/memory.rs
@@ -185,7 +185,8 @@
 
     /// Whether there is room for a request beside running attempts.
     pub fn has_room(&self, capacity: u64, running: Running, needed: &Needed) -> bool {
-        let margin = SPREAD_MARGIN * needed.spread * f64::from(running.attempts + 1).sqrt();
+        let margin =
+            SPREAD_MARGIN * needed.spread * f64::from(running.attempts.saturating_add(1)).sqrt();
         // The kept parts of the request may be in use by others already.
         let pinned = self.pinned_tokens.max(f64::from(needed.kept_tokens));
         let used = running.tokens + pinned + f64::from(needed.new_tokens) + margin;
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -80,6 +80,9 @@
 /// The time after which a caller is asked to retry if no target may run its request.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
 
+/// The minimum time after which a refused caller is asked to retry.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(40);
+
 /// A request for which a target is selected.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
@@ -214,7 +217,7 @@
         (Some(engine), Some(prompt)) => {
             select_engine_target(table, settings, request, connections, (engine, prompt), now)
         }
-        _ if settings.uses_slots => select_by_slots(table, settings, request, now),
+        (None, _) if settings.uses_slots => select_by_slots(table, settings, request, now),
         _ => select_plain_target(table, settings, request, connections, now),
     };
     if let Placement::Target { target, .. } = placement
--- a/policy/src/direct/placement/engine.rs
+++ b/policy/src/direct/placement/engine.rs
@@ -7,8 +7,9 @@
 
 use super::saving::{Reading, Saving};
 use super::{
-    Candidate, ExceededWait, IdleConnections, Placement, PlacementRequest, PlacementSettings,
-    RefusalReason, eligible_targets, is_cold_rate_used_up, refuse_without_target,
+    Candidate, ExceededWait, IdleConnections, MIN_RETRY_AFTER, Placement, PlacementRequest,
+    PlacementSettings, RefusalReason, eligible_targets, is_cold_rate_used_up,
+    refuse_without_target,
 };
 use crate::direct::config::Engine;
 use crate::direct::memory::{Needed, Running};
@@ -24,9 +25,6 @@
 /// The fraction of a target's slots and memory up to which it counts as idle.
 const MAX_SPARE_FRACTION: f64 = 0.5;
 
-/// The minimum time after which a refused caller is asked to retry.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(40);
-
 pub(super) fn select_engine_target(
     table: &TargetTable,
     settings: &PlacementSettings,
@@ -140,7 +138,7 @@
             };
             let missing_tokens = reading.new_tokens.saturating_sub(prompt.own_tokens());
             let needed = Needed {
-                new_tokens: memory_tokens + missing_tokens,
+                new_tokens: memory_tokens.saturating_add(missing_tokens),
                 kept_tokens: prompt.input_tokens.saturating_sub(reading.new_tokens),
                 spread: prompt.output_spread(),
             };
--- a/policy/src/direct/placement/plain_slots.rs
+++ b/policy/src/direct/placement/plain_slots.rs
@@ -1,10 +1,9 @@
 //! Selection among targets without an engine by the wait for their slots.
 //!
-//! The queue of a target is shared by all routers, so a request that waits there gets the
-//! next free slot; one that waits in a router would let slots idle until the router hears
-//! of them. Nothing is therefore held: a request is sent while some target has a free slot
-//! or a wait within the limit of its objective, and refused at once otherwise, with the
-//! time after which the shortest wait has fallen to the limit.
+//! A request is sent while some target has a free slot or a wait within the limit of its
+//! objective, and refused at once otherwise, with the time after which the shortest wait
+//! has fallen to the limit. Requests wait in the queues of targets only, which all routers
+//! share.
 //!
 //! Invariants:
 //! - A target with a free slot is never full, however long its requests take.
@@ -13,8 +12,8 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    ExceededWait, Placement, PlacementRequest, PlacementSettings, RefusalReason, eligible_targets,
-    is_cold_rate_used_up, refuse_without_target,
+    ExceededWait, MIN_RETRY_AFTER, Placement, PlacementRequest, PlacementSettings, RefusalReason,
+    eligible_targets, is_cold_rate_used_up, refuse_without_target,
 };
 use crate::direct::target_table::{TargetEntry, TargetEntryId, TargetTable};
 
@@ -33,6 +32,7 @@
     target: TargetEntryId,
     wait: Duration,
     limit: Duration,
+    is_full: bool,
     has_slot: bool,
     weight: f64,
 }
@@ -54,20 +54,22 @@
             false => REMOTE_TIME,
         };
         let seconds = (wait + time + distance).as_secs_f64().max(MIN_SECONDS);
-        let (failed, answered) = state.failures();
-        let answers = 1.0 - failed / answered.max(1.0);
+        let (failed, answered) = state.failures(now);
+        // One failure alone must not exclude a target.
+        let answers = 1.0 - failed / (answered + 1.0);
         let left = objective.saturating_sub(time + distance);
         Self {
             target,
             wait,
             limit: left.mul_f64(settings.max_wait_fraction.min(1.0)),
+            is_full: state.is_full(ahead, now),
             has_slot: ahead < f64::from(entry.slots),
             weight: answers / seconds.powi(TIME_POWER),
         }
     }
 
     fn has_room(&self) -> bool {
-        self.has_slot || self.wait <= self.limit
+        !self.is_full && (self.has_slot || self.wait <= self.limit)
     }
 }
 
@@ -123,7 +125,8 @@
         reason: RefusalReason::Full,
         retry_after: shortest
             .map_or(request.objective / 2, excess)
-            .min(request.objective),
+            .min(request.objective)
+            .max(MIN_RETRY_AFTER),
         exceeded: shortest.map(|it| ExceededWait {
             wait_millis: it.wait.as_secs_f64() * 1e3,
             limit_millis: it.limit.as_secs_f64() * 1e3,
--- a/policy/src/direct/slots.rs
+++ b/policy/src/direct/slots.rs
@@ -19,6 +19,9 @@
 /// The largest change of the mean time to a response by one response, as a fraction of it.
 const MAX_STEP: f64 = 0.2;
 
+/// The change that is always allowed, in seconds.
+const MIN_STEP_SECONDS: f64 = 1e-3;
+
 /// The part of an objective that a request is assumed to take until a response shows it.
 const ASSUMED_TIME: f64 = 0.25;
 
@@ -47,7 +50,10 @@
     Failed,
     /// The target turned the request away since all its slots were in use, which says
     /// nothing of its health.
-    Full,
+    Full {
+        /// The number of requests there, as it says.
+        reported: u32,
+    },
 }
 
 /// The number of requests that a target reported.
@@ -73,6 +79,8 @@
 pub struct SlotState {
     report: Option<Report>,
     pace: Option<Pace>,
+    /// The number of requests with which the target turned one away, and when.
+    full: Option<(f64, Instant)>,
     failed: f64,
     answered: f64,
     answered_at: Option<Instant>,
@@ -116,7 +124,7 @@
         let crowd = 1.0 + queue_rounds(f64::from(known), slots);
         let pace = self.pace.get_or_insert(Pace { elapsed, crowd });
         let step = (elapsed - pace.elapsed) * TIME_WEIGHT;
-        let max_step = pace.elapsed * MAX_STEP;
+        let max_step = (pace.elapsed * MAX_STEP).max(MIN_STEP_SECONDS);
         pace.elapsed += step.clamp(-max_step, max_step);
         pace.crowd += (crowd - pace.crowd) * TIME_WEIGHT;
     }
@@ -147,8 +155,22 @@
     }
 
     /// The number of failures and of responses, weighted by age.
-    pub fn failures(&self) -> (f64, f64) {
-        (self.failed, self.answered)
+    pub fn failures(&self, now: Instant) -> (f64, f64) {
+        let remaining = self.remaining_weight(now);
+        (self.failed * remaining, self.answered * remaining)
+    }
+
+    /// Records that the target turned a request away with this many requests there.
+    pub fn record_full(&mut self, reported: u32, now: Instant) {
+        self.full = Some((f64::from(reported), now));
+    }
+
+    /// Whether the target would turn a request away behind `ahead` others.
+    pub fn is_full(&self, ahead: f64, now: Instant) -> bool {
+        let (_, duration) = REPORT_HALF_LIFE;
+        self.full.is_some_and(|(count, at)| {
+            ahead >= count && now.saturating_duration_since(at) < duration
+        })
     }
 
     /// Whether the target fails more requests than the other targets of its service, of
@@ -173,14 +195,19 @@
     }
 
     fn decay(&mut self, now: Instant) {
-        if let Some(at) = self.answered_at {
-            let age = now.saturating_duration_since(at).as_secs_f64();
-            let factor = 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64());
-            self.answered *= factor;
-            self.failed *= factor;
-        }
+        let remaining = self.remaining_weight(now);
+        self.answered *= remaining;
+        self.failed *= remaining;
         self.answered_at = Some(now);
     }
+
+    /// The part of the weight of earlier responses that is left.
+    fn remaining_weight(&self, now: Instant) -> f64 {
+        self.answered_at.map_or(1.0, |at| {
+            let age = now.saturating_duration_since(at).as_secs_f64();
+            0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
+        })
+    }
 }
 
 /// How often all slots are used again before a request behind `ahead` others gets one.
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -184,7 +184,10 @@
     pub fn record_plain_result(&mut self, id: TargetEntryId, result: PlainResult, now: Instant) {
         let entry = &mut self.entries[id];
         match result {
-            PlainResult::Full => return,
+            PlainResult::Full { reported } => {
+                entry.slot_state.record_full(reported, now);
+                return;
+            }
             PlainResult::Answered => {
                 entry.slot_state.record_answer(false, now);
                 entry.outlier_detector.record_success(now);
@@ -192,7 +195,7 @@
             }
             PlainResult::Failed => entry.slot_state.record_answer(true, now),
         }
-        let others = self.failure_fraction_beside(id);
+        let others = self.failure_fraction_beside(id, now);
         let entry = &mut self.entries[id];
         if entry.slot_state.fails_more_than(others) {
             entry.outlier_detector.record_failure(now);
@@ -200,10 +203,10 @@
     }
 
     /// The fraction of failures of the other targets of a target's service.
-    fn failure_fraction_beside(&self, id: TargetEntryId) -> f64 {
+    fn failure_fraction_beside(&self, id: TargetEntryId, now: Instant) -> f64 {
         let siblings = self.targets_of_service(&self.entries[id].service).iter();
         let siblings = siblings.filter(|&&sibling| sibling != id);
-        let counts = siblings.map(|&sibling| self.entries[sibling].slot_state.failures());
+        let counts = siblings.map(|&sibling| self.entries[sibling].slot_state.failures(now));
         let (failures, answers) = counts.fold((0.0, 0.0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
         if answers > 0.0 {
             failures / answers
--- a/policy/tests/direct_plain.rs
+++ b/policy/tests/direct_plain.rs
@@ -298,7 +298,8 @@
                 }
                 Policy::Slots | Policy::Held => {
                     table.record_slot_report(target, count as u32, now);
-                    table.record_plain_result(target, PlainResult::Full, now);
+                    let reported = count as u32;
+                    table.record_plain_result(target, PlainResult::Full { reported }, now);
                 }
             }
             return self.try_another(router, target, caller, millis);
