--- a/policy/src/retry.rs
+++ b/policy/src/retry.rs
@@ -1,8 +1,7 @@
 //! Retry budget and backoff.
 //!
 //! Each arrival adds a fraction of a token to the bucket of its team and to that of the
-//! router; a retry takes one token from both. Buckets start full, so that a router that
-//! just started retries its first requests. Because every router limits its retries to
+//! router; a retry takes one token from both. Because every router limits its retries to
 //! a fraction of its own arrivals, retries across the fleet stay within the same fraction
 //! of all arrivals plus one burst per router, without coordination.
 //!
@@ -49,16 +48,12 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Default, Debug)]
 struct Bucket(u32);
 
 impl Bucket {
-    fn full(burst: u32) -> Self {
-        Self(burst * RETRY_PRICE)
-    }
-
     fn credit(&mut self, share: u32, burst: u32) {
-        self.0 = (self.0 + share).min(Self::full(burst).0);
+        self.0 = (self.0 + share).min(burst * RETRY_PRICE);
     }
 }
 
@@ -72,13 +67,12 @@
 }
 
 impl RetryBudget {
-    /// Creates a budget whose buckets are full.
+    /// Creates an empty budget.
     pub fn new(settings: RetrySettings, seed: u64) -> Self {
-        let full = Bucket::full(settings.burst);
         Self {
             settings,
-            teams: SecondaryMap::with_default(full),
-            total: full,
+            teams: SecondaryMap::new(),
+            total: Bucket::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
--- a/policy/tests/retry.rs
+++ b/policy/tests/retry.rs
@@ -158,25 +158,6 @@
     }
 }
 
-#[test]
-fn first_request_of_a_router_is_sent_again_after_a_failed_attempt() {
-    let now = start();
-    let refusal = Refusal::new(Reason::TargetDied, RetryAdvice::VerifyFirst);
-    for result in [
-        AttemptResult::Unsent,
-        AttemptResult::Broken { delivered: false },
-        AttemptResult::Unknown(refusal),
-    ] {
-        let mut attempts = Attempts::new(RetrySettings::default(), 1);
-        attempts.admit(spec(now, 1, Delivery::Repeatable));
-        let attempt = attempts
-            .start(now, RequestId(1), TargetId::new(0))
-            .expect("starts");
-        let next = describe(&attempts.record_end(now, attempt, result));
-        assert_eq!(next, "retry, avoid [target0]");
-    }
-}
-
 #[test]
 fn retries_are_limited_by_number_deadline_and_saved_tokens() {
     let now = start();
