Interface: placement asks each target for its own prefill rate

TargetEntry::usual_rate (without the stated pace) and TargetEntry::prefill_rate (with it) take the place of settings.prefill_rate in placement/engine.rs and in what waits at a target; the mean wait of the pool divides by the sum of the rates. Nothing sets a rate of a target yet, so each uses the rate of the settings and decisions are as before.

--- a/policy/src/direct/placement/engine.rs
+++ b/policy/src/direct/placement/engine.rs
@@ -57,7 +57,11 @@
             .target(target)
             .waiting_tokens(settings.prefill_rate, now)
     });
-    let mean_wait = waiting_tokens.sum::<f64>() / eligible.len() as f64 / settings.prefill_rate;
+    let rates = eligible.iter().map(|&target| {
+        let entry = table.target(target);
+        entry.usual_rate(settings.prefill_rate)
+    });
+    let mean_wait = waiting_tokens.sum::<f64>() / rates.sum::<f64>();
     let mut best: Option<Candidate> = None;
     let mut min_exceeded: Option<ExceededWait> = None;
     for &target in &eligible {
@@ -74,10 +78,12 @@
             target,
             tokens: uncached_tokens,
         });
+        let rate = entry.prefill_rate(settings.prefill_rate, now);
         let must_prefill = copy_source.is_none() && !is_home;
         let prefill_tokens = own_tokens + if must_prefill { uncached_tokens } else { 0 };
         if must_prefill
-            && f64::from(uncached_tokens) / settings.prefill_rate > MAX_UNCACHED_PREFILL_MILLIS
+            && f64::from(uncached_tokens) / entry.usual_rate(settings.prefill_rate)
+                > MAX_UNCACHED_PREFILL_MILLIS
             && second_home != Some(target)
         {
             continue;
@@ -87,7 +93,6 @@
         if !has_room {
             continue;
         }
-        let rate = settings.prefill_rate / entry.pace(now);
         let wait_millis = entry.waiting_tokens(settings.prefill_rate, now) / rate;
         // A long prompt meets its objective only if little waits before it.
         let prefill_millis = f64::from(prefill_tokens) / rate;
--- a/policy/src/direct/target_table/entry.rs
+++ b/policy/src/direct/target_table/entry.rs
@@ -83,6 +83,8 @@
     pub(super) paused_until: Option<Instant>,
     /// The time that work took there as a multiple of the usual time, and when it said so.
     pub(super) stated_pace: Option<(f64, Instant)>,
+    /// The prefill rate learned for this target, in tokens per millisecond.
+    pub(super) learned_rate: Option<f64>,
     pub(super) cached_parts: FxHashMap<u64, Instant>,
     pub(super) activity: Activity,
     /// Whether several peers report a problem with it.
@@ -126,6 +128,7 @@
             cold_bucket: None,
             paused_until: None,
             stated_pace: None,
+            learned_rate: None,
             cached_parts: FxHashMap::default(),
             activity: Activity::default(),
             reported_by_peers: false,
@@ -151,7 +154,7 @@
 
     /// The waiting tokens of all routers, less what has been prefilled of this
     /// router's oldest prompt. `rate` is the prefill rate in tokens per
-    /// millisecond.
+    /// millisecond that is assumed for targets whose own rate is not known.
     pub fn waiting_tokens(&self, rate: f64, now: Instant) -> f64 {
         self.peer_load.waiting_tokens + self.own_waiting_tokens(rate, now)
     }
@@ -166,7 +169,8 @@
             .map_or(first.sent, |last_first_event| {
                 last_first_event.max(first.sent)
             });
-        let prefilled = now.saturating_duration_since(since).as_secs_f64() * 1e3 * rate;
+        let prefilled = now.saturating_duration_since(since).as_secs_f64() * 1e3;
+        let prefilled = prefilled * self.usual_rate(rate);
         self.own_load.waiting_tokens - prefilled.min(f64::from(first.prefill_tokens))
     }
 
@@ -202,7 +206,7 @@
     pub fn is_stalled(&self, rate: f64, now: Instant) -> bool {
         let oldest = self.pending_prefills.front().map(|first| OldestAttempt {
             sent: first.sent,
-            prefill_millis: self.load().waiting_tokens / rate,
+            prefill_millis: self.load().waiting_tokens / self.usual_rate(rate),
         });
         self.activity.is_stalled(oldest, now)
     }
@@ -236,6 +240,18 @@
         })
     }
 
+    /// The rate at which the target prefills prompts at its usual pace, in tokens per
+    /// millisecond; `fallback` if its own rate is not known.
+    pub fn usual_rate(&self, fallback: f64) -> f64 {
+        self.learned_rate.unwrap_or(fallback)
+    }
+
+    /// The rate at which the target prefills prompts at the moment, in tokens per
+    /// millisecond: [`TargetEntry::usual_rate`] at the pace that it states.
+    pub fn prefill_rate(&self, fallback: f64, now: Instant) -> f64 {
+        self.usual_rate(fallback) / self.pace(now)
+    }
+
     /// Whether the target is cold at `now`.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| until > now)
