The rate of each target, learned, shared among routers, homes weighted by it (routing.target_rates, off by default)

One learned rate stood for all engines of a service, so at engines of 0.7 and 1.7 each wait was wrong. Now the prefill rate and the decode step of each target are learned (target_rate), passed on as loads are (exchange/rates) and used for the waits; a target is the home of parts in proportion to its rate, in steps of 2^(1/2) with hysteresis (placement/home).

Tests of edge were not run.

--- a/edge/src/attempt.rs
+++ b/edge/src/attempt.rs
@@ -21,6 +21,8 @@
     pub(crate) copy_source: Option<CopySource>,
     cost: AttemptCost,
     started: Cell<bool>,
+    /// When the last bytes of the response were received.
+    last_byte: Cell<Option<Instant>>,
     charge: Option<Charge>,
 }
 
@@ -56,6 +58,7 @@
             copy_source,
             cost,
             started: Cell::new(false),
+            last_byte: Cell::new(None),
             charge,
         }
     }
@@ -65,6 +68,18 @@
         self.cost.prefill_tokens
     }
 
+    /// Records received bytes of the response.
+    pub(crate) fn record_byte(&self) {
+        let now = Instant::now();
+        let previous = self.last_byte.replace(Some(now));
+        let mut target_table = self.context.target_table.borrow_mut();
+        target_table.record_byte(self.target_id, now);
+        if let Some(previous) = previous.filter(|_| self.started.get()) {
+            let step = now.saturating_duration_since(previous);
+            target_table.record_step(self.target_id, step, now);
+        }
+    }
+
     /// Records the first event of the response.
     pub(crate) fn record_started(&self) {
         if !self.started.replace(true) {
--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -22,6 +22,7 @@
 use policy::direct::placement::PlacementSettings;
 use policy::direct::rotation::{OwnLoad, Rotation};
 use policy::direct::target::TargetRegistry;
+use policy::direct::target_rate::RateRow;
 use policy::direct::target_table::{TargetEntryId, TargetTable};
 use policy::direct::team_places::TeamPlaces;
 use rand::{RngExt as _, SeedableRng};
@@ -125,6 +126,8 @@
     peers: LatestSnapshot<PeerState>,
     /// When the peers' load reports were last summed up.
     peers_summed_at: Cell<Option<Instant>>,
+    /// The rates of targets that peers observed, as last applied.
+    peer_rates: LatestSnapshot<Vec<RateRow>>,
 }
 
 impl Context {
@@ -141,6 +144,10 @@
             slack: settings.bounds.retry_slack,
             window: settings.bounds.retry_window,
         };
+        let mut target_table = TargetTable::default();
+        if settings.routing.target_rates {
+            target_table.learn_rates();
+        }
         Rc::new(Self {
             shared,
             data_centre: Name::new(&settings.data_centre),
@@ -157,7 +164,7 @@
             }),
             configured_rate,
             logged_rate: Cell::new(configured_rate),
-            target_table: RefCell::default(),
+            target_table: RefCell::new(target_table),
             fair_shares: RefCell::new(FairShares::new(0.0)),
             refused_teams: RefCell::new(RefusedTeams::new(Instant::now())),
             rejections: Rejections::new(Instant::now()),
@@ -181,6 +188,7 @@
             registry: LatestSnapshot::default(),
             peers: LatestSnapshot::default(),
             peers_summed_at: Cell::new(None),
+            peer_rates: LatestSnapshot::default(),
         })
     }
 
@@ -219,6 +227,7 @@
         self.target_table
             .borrow_mut()
             .end_rate_interval(lag <= MAX_LAG);
+        self.update_target_rates(lag <= MAX_LAG, now);
         let open_requests = self.shared.open_requests.load(Ordering::Relaxed);
         let mut arrival_rate = self.arrival_rate.borrow_mut();
         arrival_rate.record_lag(lag, now);
@@ -396,6 +405,7 @@
                 .borrow()
                 .problem_targets(self.placement.get().prefill_rate, now),
             readiness: self.rotation.borrow().readiness(),
+            rates: self.target_table.borrow().rate_rows(now),
         };
         self.shared.local_report.store(Arc::new(local_report));
         self.log_avoided_targets(now);
@@ -462,6 +472,26 @@
         }
     }
 
+    /// Updates the rate of each target from what was observed here and by the peers.
+    fn update_target_rates(&self, is_on_time: bool, now: Instant) {
+        let mut target_table = self.target_table.borrow_mut();
+        if let Some(rows) = self.peer_rates.take_if_new(&self.shared.peer_rates) {
+            target_table.set_peer_rates(&rows, now);
+        }
+        for id in target_table.update_rates(is_on_time, self.configured_rate, now) {
+            let target = target_table.target(id);
+            let rate = target.usual_rate(self.configured_rate);
+            let (rate, weight) = (format!("{rate:.1}"), format!("{:.2}", target.home_weight()));
+            let fields: [event::Field<'_>; 3] = [
+                ("target", &target.name),
+                ("rate", &rate),
+                ("weight", &weight),
+            ];
+            event::log(Event::TargetRateLearned, &fields);
+            self.metrics.record_rate_change();
+        }
+    }
+
     /// Waits until a target has stalled.
     pub(crate) async fn wait_until_stalled(&self, target_id: TargetEntryId) {
         loop {
@@ -646,6 +676,9 @@
                 "open": target.accepts_requests,
                 "trouble": target.avoid_reason(self.placement.get().prefill_rate, now).map(|it| it.to_string()),
                 "cold": target.is_cold(now),
+                "rate": target.learned_rate(),
+                "step_ms": target.learned_step().map(|step| step.as_secs_f64() * 1e3),
+                "home_weight": target.home_weight(),
                 "own": { "count": target.own_load().attempts, "waiting": target.own_load().waiting_tokens },
                 "all": { "count": target.load().attempts, "waiting": target.load().waiting_tokens },
             })
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -36,6 +36,9 @@
 /// heartbeats continuously.
 const MIN_PUBLISH_INTERVAL: Duration = Duration::from_millis(80);
 
+/// The time between two publications of the rates of targets.
+const RATE_PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The number of peers up to which each heartbeat is published at once.
 const MAX_IMMEDIATE_PEERS: usize = 8;
 
@@ -48,6 +51,8 @@
     was_settled: bool,
     /// When the peers' state was last published.
     last_published: Instant,
+    /// When the rates of targets were last published.
+    rates_published: Instant,
     /// Whether a message was received since then.
     is_stale: bool,
     /// The digest of the settings that was last announced to all routers.
@@ -88,6 +93,7 @@
             exchange: Exchange::new(own, &[], lost_age, now),
             was_settled: false,
             last_published: now,
+            rates_published: now,
             is_stale: false,
             announced_digest: None,
             store,
@@ -132,9 +138,11 @@
         let now = present();
         self.add_local_records(now.mono);
         let report = self.shared.local_report.load_full();
+        self.exchange.set_own_rates(report.rates.clone());
         let sent = self.exchange.tick(&self.local_state(&report), now);
         self.log_events();
         self.publish_if_stale(now.mono);
+        self.publish_rates(now.mono);
         self.send_origins(now.mono);
         self.send_all(sent);
         self.ask_for_rest();
@@ -209,7 +217,7 @@
             Ok(Datagram::Trouble(problems)) => Message::Trouble(problems),
             Ok(Datagram::Leaving(targets)) => Message::Leaving(targets),
             Ok(Datagram::Kept(update)) => Message::Kept(update),
-            Ok(Datagram::Rates(rows)) => Message::Rates(rows),
+            Ok(Datagram::Rates(update)) => Message::Rates(update),
             Ok(
                 datagram @ (Datagram::Listing(_)
                 | Datagram::VersionedListing(_)
@@ -314,6 +322,19 @@
         }
     }
 
+    /// Publishes the rates of targets that peers observed, if that is due.
+    fn publish_rates(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.rates_published);
+        if elapsed < RATE_PUBLISH_INTERVAL {
+            return;
+        }
+        self.rates_published = now;
+        let rates = self.exchange.peer_rates(now);
+        if !rates.is_empty() {
+            self.shared.peer_rates.store(Arc::new(rates));
+        }
+    }
+
     fn publish(&mut self, now: Instant) {
         self.last_published = now;
         self.is_stale = false;
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -48,6 +48,7 @@
     connections: Counter<u64>,
     body_ends: Counter<u64>,
     stream_origins: Counter<u64>,
+    rate_changes: Counter<u64>,
     leaving_targets: Counter<u64>,
     pauses: Counter<u64>,
     reported_connections: Cell<u64>,
@@ -77,6 +78,9 @@
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
             pauses: meter.u64_counter("knapweed_edge_target_pauses").build(),
+            rate_changes: meter
+                .u64_counter("knapweed_edge_target_rate_changes")
+                .build(),
             leaving_targets: meter.u64_counter("knapweed_edge_leaving_targets").build(),
             stream_origins: meter.u64_counter("knapweed_edge_stream_origins").build(),
             body_ends: meter.u64_counter("knapweed_edge_body_ends").build(),
@@ -150,6 +154,11 @@
         self.leaving_targets.add(1, &[KeyValue::new("from", from)]);
     }
 
+    /// Counts a target whose learned rate reached another level.
+    pub(crate) fn record_rate_change(&self) {
+        self.rate_changes.add(1, &[]);
+    }
+
     /// Counts a response in which a target asked for a pause.
     pub(crate) fn record_pause(&self) {
         self.pauses.add(1, &[]);
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -320,10 +320,7 @@
         };
         match next {
             Ok(StreamInput::Bytes(bytes)) => {
-                context
-                    .target_table
-                    .borrow_mut()
-                    .record_byte(attempt.target_id, Instant::now());
+                attempt.record_byte();
                 let chunk = if is_events { events.push(bytes) } else { bytes };
                 if is_resumable && !chunk.is_empty() {
                     dispatch.record_stream_begun(attempt.target_id);
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -17,6 +17,7 @@
 use policy::direct::rotation::{Neighbour, Readiness};
 use policy::direct::stream_origin::{StreamId, StreamOrigins};
 use policy::direct::target::TargetRegistry;
+use policy::direct::target_rate::RateRow;
 use policy::direct::target_table::{LoadReport, PeerLoadReport};
 use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
@@ -49,6 +50,8 @@
     pub(crate) problem_targets: Vec<u64>,
     /// What it says of its readiness.
     pub(crate) readiness: Readiness,
+    /// The rates that it observed at targets.
+    pub(crate) rates: Vec<RateRow>,
 }
 
 /// The state that both threads access.
@@ -60,6 +63,8 @@
     pub(crate) registry: ArcSwap<TargetRegistry>,
     /// The state of the peers; written by the control thread.
     pub(crate) peers: ArcSwap<PeerState>,
+    /// The rates of targets that peers observed; written by the control thread.
+    pub(crate) peer_rates: ArcSwap<Vec<RateRow>>,
     /// The report of this router; written by the traffic thread.
     pub(crate) local_report: ArcSwap<LocalReport>,
     /// Whether a planned stop has begun.
@@ -114,6 +119,7 @@
             config: ArcSwapOption::empty(),
             registry: ArcSwap::default(),
             peers: ArcSwap::default(),
+            peer_rates: ArcSwap::default(),
             local_report: ArcSwap::default(),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -172,6 +172,8 @@
     TargetPaused 1419 Info "target-paused";
     /// Teams are held to a multiple of what a team gets that is left behind.
     RatesBounded 1420 Warn "rates-bounded";
+    /// The learned rate of a target reached another level.
+    TargetRateLearned 1421 Info "target-rate-learned";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -22,6 +22,7 @@
 //! - [`fair_share`]: which teams are beyond their fair share of the pool;
 //! - [`service_bound`]: which teams are held back while another is left behind;
 //! - [`prefill_rate`]: how many tokens engines prefill per millisecond;
+//! - [`target_rate`]: the same for each target;
 //! - [`overload`]: whether this router is overloaded;
 //! - [`admission`]: how many connections and requests it takes on;
 //! - [`rotation`]: which overloaded routers of a data centre report themselves unready;
@@ -58,5 +59,6 @@
 pub mod store_revision;
 pub mod stream_origin;
 pub mod target;
+pub mod target_rate;
 pub mod target_table;
 pub mod team_places;
--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -23,6 +23,7 @@
 mod beat;
 mod members;
 pub mod message;
+pub mod rates;
 mod records;
 mod relay;
 mod summary;
@@ -41,7 +42,8 @@
 use super::kept::KeptRow;
 use super::rotation::{Neighbour, Readiness};
 use super::target_table::{LoadReport, PeerLoadReport};
-use message::{Beat, CentreTag, CrashRow, Message, RateRow, Scope, TeamRow, Trouble};
+use message::{Beat, CentreTag, CrashRow, Message, Scope, TeamRow, Trouble};
+use rates::RateBook;
 use records::RecordLog;
 use summary::{PartialSummary, ReceivedSummary};
 use topology::Topology;
@@ -167,8 +169,6 @@
     pub leaving: Vec<u64>,
     /// Uses of prompt parts at targets.
     pub kept: Vec<KeptRow>,
-    /// The rates of targets, as learned by the sender.
-    pub rates: Vec<RateRow>,
     /// Whether the sender should get a reply at once; see [`Exchange::replies`].
     pub wants_reply: bool,
     /// Whether the sender was not reachable before.
@@ -300,6 +300,7 @@
     sent_beats: VecDeque<(u32, Uptime)>,
     crashes: RecordLog<CrashRow>,
     leaving: RecordLog<u64>,
+    rates: RateBook,
     events: Vec<PeerEvent>,
 }
 
@@ -334,6 +335,7 @@
             sent_beats: VecDeque::new(),
             crashes: RecordLog::new(MAX_CRASH_ROWS),
             leaving: RecordLog::new(MAX_LEAVING_ROWS),
+            rates: RateBook::default(),
             events: Vec::new(),
         };
         exchange.set_seeds(seeds);
@@ -423,6 +425,7 @@
             partners.sort_unstable();
             partners.dedup();
         }
+        let rates = self.rates_to(&partners, now.mono);
         let rounds = partners.len().div_ceil(MAX_BEATS_PER_PERIOD).max(1);
         let turn = self.ticks as usize % rounds;
         let due = partners.into_iter().enumerate();
@@ -436,9 +439,10 @@
             due.extend(self.addresses_to_contact());
         }
         if due.is_empty() {
-            return Vec::new();
+            return rates;
         }
-        let sent = self.messages_to(&due, local, now);
+        let mut sent = self.messages_to(&due, local, now);
+        sent.extend(rates);
         if turn + 1 == rounds {
             self.crashes.count_repeat(now.mono);
             self.leaving.count_repeat(now.mono);
@@ -475,6 +479,7 @@
             }
             sent.extend(self.summaries(&[(to, Scope::Fleet)], local, now.mono));
         }
+        sent.extend(self.all_rates_to(to, now.mono));
         sent
     }
 
@@ -498,10 +503,7 @@
                 kept: update.rows,
                 ..Received::default()
             },
-            Message::Rates(rates) => Received {
-                rates,
-                ..Received::default()
-            },
+            Message::Rates(update) => self.receive_rates(update, now.mono),
         }
     }
 
--- a/policy/src/direct/exchange/message.rs
+++ b/policy/src/direct/exchange/message.rs
@@ -11,6 +11,7 @@
 
 use crate::direct::kept::KeptRow;
 use crate::direct::rotation::Readiness;
+pub use crate::direct::target_rate::RateRow;
 use crate::direct::target_table::{LoadReport, TargetLoad};
 
 /// The hash of a data centre's name.
@@ -239,19 +240,26 @@
     pub rows: Vec<KeptRow>,
 }
 
-/// The learned rates of one target.
+/// Whose observations the rates in a message are.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub struct RateRow {
-    /// The tag of the target's incarnation.
-    pub target: u64,
-    /// The prefill rate, in tokens per second.
-    pub prefill: u32,
-    /// The time between two events of a stream, in microseconds; 0 if not known.
-    pub step: u32,
-    /// The number of observations, which is the weight of the row.
-    pub weight: u16,
-    /// The age of the latest observation, in milliseconds.
-    pub age: u32,
+pub enum RateSource {
+    /// The sender's.
+    Router,
+    /// Those of the sender and the routers that report to it.
+    Group,
+    /// Those of all routers known to the sender.
+    Fleet,
+}
+
+/// Learned rates of some targets.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct RateUpdate {
+    /// The sender's address, as in its heartbeats.
+    pub from: SocketAddr,
+    /// Whose observations they are.
+    pub source: RateSource,
+    /// The rows.
+    pub rows: Vec<RateRow>,
 }
 
 /// A message between two routers.
@@ -267,6 +275,6 @@
     Leaving(Vec<u64>),
     /// Uses of prompt parts at targets.
     Kept(KeptUpdate),
-    /// The rates of targets, as learned by the sender.
-    Rates(Vec<RateRow>),
+    /// The rates of targets.
+    Rates(RateUpdate),
 }
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -7,6 +7,7 @@
 
 mod entry;
 mod load;
+mod rates;
 
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,7 @@
 pub use super::prompt::{Prompt, PromptPart};
 use super::stall::MIN_REPORTING_PEERS;
 use super::target::{TargetRegistry, TargetState};
+use super::target_rate::PrefillTime;
 pub use entry::{AvoidReason, TargetEntry, TargetEntryId};
 use entry::{ColdBucket, PART_CACHE_TTL, PendingPrefill};
 pub use load::{AttemptCost, LoadReport, PeerLoadReport, REPORT_TTL, TargetLoad, sum_loads};
@@ -42,6 +44,10 @@
     by_service: FxHashMap<Name, Vec<TargetEntryId>>,
     attempts_begun: u64,
     observed_rate: PrefillRate,
+    /// Whether the rate of each target is learned.
+    learns_rates: bool,
+    /// When the rates of targets were last updated.
+    rates_at: Option<Instant>,
 }
 
 impl TargetTable {
@@ -215,12 +221,21 @@
     /// Records the first event of an attempt.
     pub fn record_first_event(&mut self, id: TargetEntryId, cost: AttemptCost, now: Instant) {
         let entry = &mut self.entries[id];
-        entry.last_first_event = Some(now);
+        let previous = entry.last_first_event.replace(now);
         entry.activity.record_start(now);
         if let Some(sent) = cost.sent {
             let elapsed = now.saturating_duration_since(sent);
-            self.observed_rate
-                .record_prefill(f64::from(cost.certain_tokens), elapsed);
+            let tokens = f64::from(cost.certain_tokens);
+            self.observed_rate.record_prefill(tokens, elapsed);
+            if self.learns_rates {
+                let since = previous.filter(|&it| it > sent);
+                let prefill = PrefillTime {
+                    tokens,
+                    elapsed: since.map_or(elapsed, |it| now.saturating_duration_since(it)),
+                    is_queued: since.is_some(),
+                };
+                entry.rate.record_prefill(prefill, entry.pace(now), now);
+            }
         }
         self.finish_prefill(id, cost);
     }
--- a/policy/src/direct/target_table/entry.rs
+++ b/policy/src/direct/target_table/entry.rs
@@ -14,6 +14,7 @@
 use crate::direct::prompt::Prompt;
 use crate::direct::stall::{Activity, OldestAttempt, STREAM_STALL_TIMEOUT};
 use crate::direct::target::{SoftwareVersion, Target};
+use crate::direct::target_rate::{TargetRate, level_weight};
 
 /// How long a prompt part is assumed to stay in a target's cache after its last
 /// use.
@@ -85,6 +86,10 @@
     pub(super) stated_pace: Option<(f64, Instant)>,
     /// The prefill rate learned for this target, in tokens per millisecond.
     pub(super) learned_rate: Option<f64>,
+    pub(super) rate: TargetRate,
+    /// The level of its rate by which homes are weighted; of the middle one if its own is
+    /// not known.
+    pub(super) home_level: i8,
     pub(super) cached_parts: FxHashMap<u64, Instant>,
     pub(super) activity: Activity,
     /// Whether several peers report a problem with it.
@@ -129,6 +134,8 @@
             paused_until: None,
             stated_pace: None,
             learned_rate: None,
+            rate: TargetRate::default(),
+            home_level: 0,
             cached_parts: FxHashMap::default(),
             activity: Activity::default(),
             reported_by_peers: false,
@@ -252,6 +259,22 @@
         self.usual_rate(fallback) / self.pace(now)
     }
 
+    /// The prefill rate that was learned for this target, in tokens per millisecond.
+    pub fn learned_rate(&self) -> Option<f64> {
+        self.learned_rate
+    }
+
+    /// The learned time between two events of a stream.
+    pub fn learned_step(&self) -> Option<Duration> {
+        self.rate.step()
+    }
+
+    /// The weight with which the target is the home of shared parts, in coarse steps of
+    /// its rate.
+    pub fn home_weight(&self) -> f64 {
+        level_weight(self.home_level)
+    }
+
     /// Whether the target is cold at `now`.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| until > now)
--- a/policy/tests/direct_exchange.rs
+++ b/policy/tests/direct_exchange.rs
@@ -7,8 +7,10 @@
 
 use std::time::Duration;
 
-use knapweed_policy::direct::exchange::PEER_TIMEOUT;
+use knapweed_policy::direct::exchange::message::RateRow;
 use knapweed_policy::direct::exchange::message::Scope;
+use knapweed_policy::direct::exchange::rates::RATE_PERIODS;
+use knapweed_policy::direct::exchange::{PEER_TIMEOUT, PERIOD};
 use knapweed_policy::direct::fair_share::TeamRate;
 use knapweed_policy::direct::rotation::Readiness;
 use knapweed_policy::direct::target_table::REPORT_TTL;
@@ -253,6 +255,37 @@
     }
 }
 
+/// A target that one router observed is known to one that starts as soon as it knows the
+/// others, in fleets without and with relays, and to all within two rounds of three hops.
+#[test]
+fn rates_reach_all_routers_and_one_that_starts() {
+    for (count, centres) in [(6, 2), (40, 3)] {
+        let mut net = settled(count, centres, 1);
+        let row = RateRow {
+            target: 9,
+            prefill: 70_000,
+            step: 4_000,
+            weight: 20,
+            age: 0,
+            level: Some(1),
+        };
+        net.routers[count / 2].exchange.set_own_rates(vec![row]);
+        net.run_for(PERIOD * RATE_PERIODS * 3 * 2);
+        let known = |net: &Net, router: usize| {
+            let rates = net.routers[router].exchange.peer_rates(net.now_mono());
+            rates
+                .iter()
+                .any(|it| it.prefill == 70_000 && it.level == Some(1))
+        };
+        for router in (0..count).filter(|&it| it != count / 2) {
+            assert!(known(&net, router), "{router} of {count}");
+        }
+        net.restart(1);
+        net.run_for(millis(500));
+        assert!(known(&net, 1), "the one that starts, of {count}");
+    }
+}
+
 #[test]
 fn rolling_restarts_leave_every_router_with_all_sums() {
     let mut net = settled(68, 6, 9);
--- a/policy/tests/direct_exchange/bad_input.rs
+++ b/policy/tests/direct_exchange/bad_input.rs
@@ -5,17 +5,21 @@
 
 use knapweed_policy::direct::confirmation::Uptime;
 use knapweed_policy::direct::exchange::message::{
-    Beat, CentreTag, Echo, LoadRow, MemberRow, Message, Place, ProblemRow, Scope, Summary, TeamRow,
+    Beat, CentreTag, Echo, LoadRow, MemberRow, Message, Place, ProblemRow, RateRow, RateSource,
+    RateUpdate, Scope, Summary, TeamRow,
 };
+use knapweed_policy::direct::exchange::rates::{MAX_RATE_ROWS, MAX_RATED_TARGETS};
 use knapweed_policy::direct::exchange::{
     Exchange, Identity, LocalState, MEMBER_TIMEOUT, Moment, PERIOD, RejectReason,
 };
+use knapweed_policy::direct::prefill_rate::{MAX_RATE_FACTOR, MIN_RATE_FACTOR};
 use knapweed_policy::direct::rotation::Readiness;
+use knapweed_policy::direct::target_rate::{RATE_TTL, TargetRate};
 use knapweed_policy::direct::target_table::sum_loads;
 use proptest::collection::vec;
 use proptest::prelude::*;
 
-use super::net::address;
+use super::net::{address, encoded_bytes};
 
 const LOST_AGE: Duration = Duration::from_secs(3);
 
@@ -273,11 +277,102 @@
     prop_oneof![
         beats,
         summaries,
+        any_rates().prop_map(Message::Rates),
         vec(0..9_u64, 0..4).prop_map(Message::Leaving)
     ]
 }
 
+fn any_rates() -> impl Strategy<Value = RateUpdate> {
+    let values = (any::<u32>(), any::<u32>(), any::<u16>());
+    let row = (0..6_u64, values, any::<u32>(), any::<Option<i8>>());
+    let row = row.prop_map(|(target, (prefill, step, weight), age, level)| RateRow {
+        target,
+        prefill,
+        step,
+        weight,
+        age,
+        level,
+    });
+    let source = prop_oneof![
+        Just(RateSource::Router),
+        Just(RateSource::Group),
+        Just(RateSource::Fleet)
+    ];
+    let from = (0..6_usize).prop_map(address);
+    (from, source, vec(row, 0..MAX_RATE_ROWS + 9)).prop_map(|(from, source, rows)| RateUpdate {
+        from,
+        source,
+        rows,
+    })
+}
+
+/// The configured rate of engines, in tokens per millisecond.
+const CONFIGURED_RATE: f64 = 50.0;
+
+#[test]
+fn rates_of_strangers_and_of_too_many_targets_are_not_kept() {
+    let mut fixture = Fixture::new();
+    let (peer, now) = (address(1), Duration::from_millis(10));
+    let update = |first: u64, count: u64| {
+        let rows = (first..first + count).map(|target| RateRow {
+            target,
+            prefill: 70_000,
+            step: 0,
+            weight: u16::MAX,
+            age: 0,
+            level: None,
+        });
+        Message::Rates(RateUpdate {
+            from: peer,
+            source: RateSource::Router,
+            rows: rows.collect(),
+        })
+    };
+    let unknown = fixture.receive(update(0, 1), now);
+    assert_eq!(unknown, Some(RejectReason::UnknownSender));
+    fixture.receive(Message::Beat(Box::new(beat(peer, 7, 1))), now);
+    let count = MAX_RATE_ROWS as u64;
+    let long = fixture.receive(update(0, count + 1), now);
+    assert_eq!(long, Some(RejectReason::Malformed));
+    for part in 0..20 {
+        assert_eq!(fixture.receive(update(part * count, count), now), None);
+    }
+    let rates = fixture.exchange.peer_rates(fixture.origin + now);
+    assert_eq!(rates.len(), MAX_RATED_TARGETS);
+    assert!(rates.iter().all(|row| row.weight <= 32));
+}
+
 proptest! {
+    /// Whatever peers say, the rate of a target stays within the bounds of the settings, no
+    /// message is larger than a datagram, and no row becomes younger.
+    #[test]
+    fn absurd_rates_are_bounded(updates in vec((any_rates(), 0..9_000_u64), 1..20)) {
+        let mut fixture = Fixture::new();
+        let mut now = Duration::ZERO;
+        let mut rate = TargetRate::default();
+        for (update, pause) in updates {
+            now += Duration::from_millis(pause);
+            fixture.receive(Message::Beat(Box::new(beat(update.from, 1, now.as_millis() as u32 + 1))), now);
+            fixture.receive(Message::Rates(update), now);
+            let moment = fixture.moment(now);
+            let rows = fixture.exchange.peer_rates(moment.mono);
+            for row in &rows {
+                prop_assert!(Duration::from_millis(row.age.into()) < RATE_TTL);
+                rate.set_peers(*row, moment.mono);
+                let learned = rate.prefill(CONFIGURED_RATE, moment.mono);
+                if let Some(learned) = learned {
+                    let factor = learned / CONFIGURED_RATE;
+                    prop_assert!((MIN_RATE_FACTOR..=MAX_RATE_FACTOR).contains(&factor));
+                }
+                prop_assert!(rate.update_level(learned, CONFIGURED_RATE).is_none_or(|it| it.abs() <= 8));
+                prop_assert!(rate.step().is_none_or(|it| it <= Duration::from_secs(1)));
+            }
+            for sent in fixture.exchange.tick(&local(), moment) {
+                prop_assert!(encoded_bytes(&sent.message) <= 8 * 1024);
+            }
+        }
+    }
+
     /// Whatever arrives, a router that was heard stays a member for its time: the limits of
     /// the fleet are divided by no fewer routers than exist.
     #[test]
--- a/policy/tests/direct_load.rs
+++ b/policy/tests/direct_load.rs
@@ -5,6 +5,7 @@
 //! implementation under test last.
 
 #[path = "direct_load/pool.rs"]
+#[allow(dead_code, reason = "direct_rates uses the rest")]
 mod pool;
 
 use std::collections::BTreeMap;
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -5,7 +5,7 @@
 //! exchange reports with a delay. A router can be late: it then observes responses
 //! some time after they arrive.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use entity::Name;
@@ -17,6 +17,7 @@
     Placement, PlacementRequest, PlacementSettings, select_target,
 };
 use knapweed_policy::direct::target::{SoftwareVersion, Target, TargetRegistry, TargetState};
+use knapweed_policy::direct::target_rate::{RateRow, merge_rows};
 use knapweed_policy::direct::target_table::{
     AttemptCost, PeerLoadReport, Prompt, PromptPart, TargetEntryId, TargetTable,
 };
@@ -107,6 +108,8 @@
     Configured,
     /// The implementation under test.
     Product,
+    /// The same, with the rate of each target.
+    PerTarget,
 }
 
 /// A request inside an engine.
@@ -243,8 +246,10 @@
 /// The engines and their routers.
 pub(crate) struct Pool {
     policy: Policy,
-    /// The actual prefill rate of an engine, in tokens per millisecond.
-    rate: f64,
+    /// The actual prefill rate of each engine, in tokens per millisecond.
+    rates: Vec<f64>,
+    /// The requests that each engine got.
+    pub(crate) requests: Vec<u32>,
     routers: Vec<Router>,
     engines: Vec<EngineModel>,
     targets: Vec<TargetEntryId>,
@@ -276,6 +281,9 @@
             .map(|&lag| {
                 let mut table = TargetTable::default();
                 table.apply_registry(&registry(targets, now), now);
+                if policy == Policy::PerTarget {
+                    table.learn_rates();
+                }
                 Router {
                     table,
                     shares: FairShares::new(0.0),
@@ -290,7 +298,8 @@
         let target_ids = routers[0].table.targets_of_service(&Name::new("pool"));
         Self {
             policy,
-            rate,
+            rates: vec![rate; targets],
+            requests: vec![0; targets],
             targets: target_ids.to_vec(),
             routers,
             engines: (0..targets).map(|_| EngineModel::default()).collect(),
@@ -309,15 +318,41 @@
         let interval = (REPORT_INTERVAL.as_millis() / STEP.as_millis()) as u64;
         if self.steps.is_multiple_of(interval) {
             self.exchange_reports(now);
-            if self.policy == Policy::Product {
-                self.update_rates();
+            if matches!(self.policy, Policy::Product | Policy::PerTarget) {
+                self.update_rates(now);
             }
         }
         self.steps += 1;
     }
 
-    fn update_rates(&mut self) {
-        for router in &mut self.routers {
+    /// Gives each engine its own prefill rate.
+    pub(crate) fn set_rates(&mut self, rates: &[f64]) {
+        self.rates = rates.to_vec();
+    }
+
+    /// The rate of each target that a router learned, if it did.
+    pub(crate) fn learned_rates(&self, router: usize) -> Vec<Option<f64>> {
+        let table = &self.routers[router].table;
+        let targets = self.targets.iter();
+        targets.map(|&it| table.target(it).learned_rate()).collect()
+    }
+
+    fn update_rates(&mut self, now: Instant) {
+        let rows = self.routers.iter().map(|it| it.table.rate_rows(now));
+        let rows: Vec<Vec<RateRow>> = rows.collect();
+        for (index, router) in self.routers.iter_mut().enumerate() {
+            let others = rows.iter().enumerate().filter(|(it, _)| *it != index);
+            let mut by_target: BTreeMap<u64, Vec<RateRow>> = BTreeMap::new();
+            for row in others.flat_map(|(_, rows)| rows) {
+                by_target.entry(row.target).or_default().push(*row);
+            }
+            let merged = by_target.values_mut().filter_map(|rows| merge_rows(rows));
+            router
+                .table
+                .set_peer_rates(&merged.collect::<Vec<_>>(), now);
+            router
+                .table
+                .update_rates(router.lag <= MAX_LAG, PREFILL_RATE, now);
             router.table.end_rate_interval(router.lag <= MAX_LAG);
             let observed = router.table.observed_rate();
             router.settings.prefill_rate = observed.tokens_per_milli(PREFILL_RATE);
@@ -327,7 +362,7 @@
     /// Ends a step: engines prefill. Returns the requests that began to run.
     pub(crate) fn end_step(&mut self, now: Instant) -> Vec<Begun> {
         let mut all_begun = Vec::new();
-        for engine in &mut self.engines {
+        for (engine, &rate) in self.engines.iter_mut().zip(&self.rates) {
             let is_done = |it: &mut Running| it.until.is_some_and(|until| until <= now);
             for it in engine.running.extract_if(.., is_done) {
                 respond(&mut self.routers, it.attempt, Response::End, now);
@@ -337,7 +372,7 @@
                 let Attempt { router, target, .. } = it.attempt;
                 self.routers[router].table.record_byte(target, now);
             }
-            let begun = engine.prefill(self.rate, now);
+            let begun = engine.prefill(rate, now);
             for it in &begun {
                 respond(&mut self.routers, it.attempt, Response::FirstEvent, now);
             }
@@ -361,7 +396,9 @@
         };
         let mut targets = self.targets.iter();
         let index = targets.position(|it| *it == attempt.target);
-        let engine = &mut self.engines[index.expect("a known target")];
+        let index = index.expect("a known target");
+        self.requests[index] += 1;
+        let engine = &mut self.engines[index];
         let remaining_tokens = f64::from(engine.admit(prompt));
         self.prefilled_tokens += remaining_tokens;
         engine.queue.push_back(Running {
@@ -407,7 +444,9 @@
         state
             .shares
             .record_request(team, prompt.weighted_tokens(), now);
-        if self.policy == Policy::Product && state.shares.held_for(team, now).is_some() {
+        if matches!(self.policy, Policy::Product | Policy::PerTarget)
+            && state.shares.held_for(team, now).is_some()
+        {
             return None;
         }
         let chosen = match self.policy {
@@ -422,7 +461,7 @@
                 let targets = self.targets.iter().copied();
                 targets.min_by(|a, b| waiting(a).total_cmp(&waiting(b)))
             }
-            Policy::Unlimited | Policy::Configured | Policy::Product => {
+            Policy::Unlimited | Policy::Configured | Policy::Product | Policy::PerTarget => {
                 let objective = KINDS[request.kind].objective_millis;
                 let placement_request = PlacementRequest {
                     service: &self.service,
@@ -514,6 +553,37 @@
     }
 }
 
+/// A table of idle targets, and their service.
+pub(crate) fn empty_table(targets: usize, now: Instant) -> (TargetTable, Service) {
+    let mut table = TargetTable::default();
+    table.apply_registry(&registry(targets, now), now);
+    (table, service())
+}
+
+/// The target that is chosen for a prompt of a team within its share.
+pub(crate) fn place(
+    table: &mut TargetTable,
+    service: &Service,
+    prompt: &Prompt,
+    now: Instant,
+) -> Option<TargetEntryId> {
+    let request = PlacementRequest {
+        service,
+        prompt: Some(prompt),
+        min_objective: Duration::from_millis(600),
+        objective: Duration::from_millis(600),
+        wait_factor: 1.0,
+        centre: &Name::new("north"),
+        version: None,
+        tried: &[],
+        members: &Members::default(),
+    };
+    match select_target(table, &PlacementSettings::default(), &request, &(), now) {
+        Placement::Target { target, .. } => Some(target),
+        Placement::Refused { .. } => None,
+    }
+}
+
 /// Delivers a response to its router, at once unless the router is late.
 fn respond(routers: &mut [Router], attempt: Attempt, response: Response, now: Instant) {
     let router = &mut routers[attempt.router];
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -10,7 +10,7 @@
 use derive_more::{Display, Error};
 use entity::Name;
 use policy::direct::exchange::message::{
-    Beat, KeptUpdate, Message, Place, RateRow, ReadinessRow, Summary, Trouble,
+    Beat, KeptUpdate, Message, Place, RateUpdate, ReadinessRow, Summary, Trouble,
 };
 use policy::direct::listing::ListingChange;
 use policy::direct::listing::message::{ListingMessage, Part, RangeAnswer, RangeQuery, Step};
@@ -182,7 +182,7 @@
     /// Uses of prompt parts at targets.
     Kept(KeptUpdate),
     /// The rates of targets.
-    Rates(Vec<RateRow>),
+    Rates(RateUpdate),
 }
 
 impl From<Message> for Datagram {
