Exchange of rates: nothing is looked up while no rate is known

With the setting off in the whole fleet a relay searched its group for each partner in each period, for nothing. Found by reading; no time was measured.

--- a/policy/src/direct/exchange/rates.rs
+++ b/policy/src/direct/exchange/rates.rs
@@ -137,6 +137,9 @@
 
     /// The rates for the partners that are due in this period.
     pub(super) fn rates_to(&mut self, partners: &[SocketAddr], now: Instant) -> Vec<Outgoing> {
+        if self.rates.own.is_empty() && self.rates.heard.is_empty() {
+            return Vec::new();
+        }
         if self.ticks.is_multiple_of(RATE_PERIODS) {
             self.rates.expire(partners, now);
         }
