Test of the work of targets in proportion to their speed

Beside the requests of a target, the prompt tokens of these are held to 1.3 times what its speed gives it.

--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -250,6 +250,8 @@
     rates: Vec<f64>,
     /// The requests that each engine got.
     pub(crate) requests: Vec<u32>,
+    /// The prompt tokens of these requests.
+    pub(crate) tokens: Vec<u32>,
     routers: Vec<Router>,
     engines: Vec<EngineModel>,
     targets: Vec<TargetEntryId>,
@@ -300,6 +302,7 @@
             policy,
             rates: vec![rate; targets],
             requests: vec![0; targets],
+            tokens: vec![0; targets],
             targets: target_ids.to_vec(),
             routers,
             engines: (0..targets).map(|_| EngineModel::default()).collect(),
@@ -398,6 +401,7 @@
         let index = targets.position(|it| *it == attempt.target);
         let index = index.expect("a known target");
         self.requests[index] += 1;
+        self.tokens[index] += prompt.input_tokens;
         let engine = &mut self.engines[index];
         let remaining_tokens = f64::from(engine.admit(prompt));
         self.prefilled_tokens += remaining_tokens;
--- a/policy/tests/direct_rates.rs
+++ b/policy/tests/direct_rates.rs
@@ -30,6 +30,8 @@
     late: u32,
     /// The requests of each target, as a multiple of what its speed gives it.
     shares: Vec<f64>,
+    /// The same of prompt tokens.
+    work: Vec<f64>,
     learned: Vec<Option<f64>>,
 }
 
@@ -65,18 +67,24 @@
             }
         }
     }
-    let sum: u32 = pool.requests.iter().sum();
-    let speeds: f64 = SPEEDS.iter().sum();
-    let requests = pool.requests.iter().zip(SPEEDS);
-    let share = |(&count, speed): (&u32, f64)| f64::from(count) / f64::from(sum) / (speed / speeds);
     Outcome {
         in_time,
         late,
-        shares: requests.map(share).collect(),
+        shares: shares(&pool.requests),
+        work: shares(&pool.tokens),
         learned: pool.learned_rates(0),
     }
 }
 
+/// The part of each target, as a multiple of what its speed gives it.
+fn shares(counts: &[u32]) -> Vec<f64> {
+    let sum: u32 = counts.iter().sum();
+    let speeds: f64 = SPEEDS.iter().sum();
+    let parts = counts.iter().map(|&it| f64::from(it) / f64::from(sum));
+    let shares = parts.zip(SPEEDS).map(|(part, speed)| part * speeds / speed);
+    shares.collect()
+}
+
 /// The stated target: no target gets more than 1.3 times the share of its speed.
 #[test]
 fn targets_get_requests_in_proportion_to_their_speed() {
@@ -86,6 +94,15 @@
     assert!(most <= 1.3, "{most:.2} of {shares:.2?}");
 }
 
+/// The same bound for the tokens of the requests, which differ in length.
+#[test]
+fn targets_get_work_in_proportion_to_their_speed() {
+    let work = (1..=4).map(|seed| play(Policy::PerTarget, seed).work);
+    let work: Vec<Vec<f64>> = work.collect();
+    let most = work.iter().flatten().copied().fold(0.0, f64::max);
+    assert!(most <= 1.3, "{most:.2} of {work:.2?}");
+}
+
 #[test]
 fn with_the_rate_of_each_target_more_requests_are_in_time() {
     let results = (1..=4).map(|seed| {
