--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -12,6 +12,7 @@
 use entity::{Fingerprint, Name};
 use node::event::{self, Event};
 use node::settings::EdgeSettings;
+use platform::response::ReportedLoad;
 use policy::direct::admission::{ArrivalRate, RequestLimit};
 use policy::direct::budget::{RetryBudget, RetryLimit};
 use policy::direct::cold::ColdLimit;
@@ -21,6 +22,7 @@
 use policy::direct::overload::{MAX_LAG, OverloadState, SUSPENSION_LAG};
 use policy::direct::placement::PlacementSettings;
 use policy::direct::rotation::{OwnLoad, Rotation};
+use policy::direct::slots::PlainResult;
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_rate::RateRow;
 use policy::direct::target_table::{TargetEntryId, TargetTable};
@@ -32,11 +34,13 @@
 
 use crate::bound_log::BoundLog;
 use crate::connection_limit::ConnectionLimit;
+use crate::kept_log::KeptLog;
 use crate::latest::LatestSnapshot;
 use crate::metrics::{Rejection, TrafficMetrics};
 use crate::refused_teams::RefusedTeams;
 use crate::rejections::{Rejections, RouterState};
 use crate::shared::{LocalReport, PeerState, Shared};
+use crate::spare_log::SpareLog;
 use crate::target::{BodyFraming, ConnectionPool};
 
 /// The period of the traffic thread's maintenance: publishing its load report and
@@ -64,6 +68,9 @@
 const STRAINED_RETRY_DELAY: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(100));
 
+/// The maximum number of uses of prompt parts handed to the control thread in a period.
+const MAX_KEPT_ROWS: usize = 256;
+
 /// The maximum number of teams in a report.
 const MAX_REPORTED_TEAMS: usize = 48;
 
@@ -100,6 +107,8 @@
     pub(crate) refused_teams: RefCell<RefusedTeams>,
     pub(crate) rejections: Rejections,
     pub(crate) bound_log: RefCell<BoundLog>,
+    pub(crate) spare_log: RefCell<SpareLog>,
+    kept_log: RefCell<KeptLog>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crash_history: RefCell<CrashHistory>,
     pub(crate) rng: RefCell<ChaCha8Rng>,
@@ -128,6 +137,8 @@
     peers_summed_at: Cell<Option<Instant>>,
     /// The rates of targets that peers observed, as last applied.
     peer_rates: LatestSnapshot<Vec<RateRow>>,
+    /// Whether routers tell each other which prompt parts targets keep.
+    shares_kept: bool,
 }
 
 impl Context {
@@ -144,10 +155,17 @@
             slack: settings.bounds.retry_slack,
             window: settings.bounds.retry_window,
         };
+        let mut fair_shares = FairShares::new(0.0);
+        if settings.routing.spare_capacity {
+            fair_shares.use_spare_capacity(Instant::now());
+        }
         let mut target_table = TargetTable::default();
         if settings.routing.target_rates {
             target_table.learn_rates();
         }
+        if settings.routing.kept_parts {
+            target_table.weigh_kept_parts(configured_rate);
+        }
         Rc::new(Self {
             shared,
             data_centre: Name::new(&settings.data_centre),
@@ -160,15 +178,18 @@
                     rate_multiple: settings.bounds.cold_over,
                     extra_requests: settings.bounds.cold_slack,
                 },
+                uses_slots: settings.routing.slot_queue,
                 ..PlacementSettings::default()
             }),
             configured_rate,
             logged_rate: Cell::new(configured_rate),
             target_table: RefCell::new(target_table),
-            fair_shares: RefCell::new(FairShares::new(0.0)),
+            fair_shares: RefCell::new(fair_shares),
             refused_teams: RefCell::new(RefusedTeams::new(Instant::now())),
             rejections: Rejections::new(Instant::now()),
             bound_log: RefCell::default(),
+            spare_log: RefCell::default(),
+            kept_log: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_limit)),
             crash_history: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -189,6 +210,7 @@
             peers: LatestSnapshot::default(),
             peers_summed_at: Cell::new(None),
             peer_rates: LatestSnapshot::default(),
+            shares_kept: settings.routing.kept_parts,
         })
     }
 
@@ -391,6 +413,7 @@
     pub(crate) fn run_maintenance(&self, now: Instant) {
         self.refresh(now);
         self.update_prefill_rate();
+        self.update_memory(now);
         let local_report = LocalReport {
             loads: self
                 .target_table
@@ -414,10 +437,16 @@
             .borrow_mut()
             .log_if_due(&mut self.fair_shares.borrow_mut(), now);
         self.rejections.log_if_due(|| self.router_state(now), now);
+        if let Some(fraction) = self.fair_shares.borrow_mut().spare_fraction(now) {
+            self.spare_log.borrow_mut().log_if_changed(fraction, now);
+        }
         if let Some(bound) = self.fair_shares.borrow_mut().bound(now) {
             let mut bound_log = self.bound_log.borrow_mut();
             bound_log.log_if_due(bound, self.config().as_deref(), now);
         }
+        if self.shares_kept {
+            self.exchange_kept(now);
+        }
         self.notify_stalled(now);
         let leaving = self.shared.take_peer_leaving();
         let leaving = self.target_table.borrow_mut().record_leaving_tags(&leaving);
@@ -451,6 +480,17 @@
         }
     }
 
+    /// Updates what is known of the targets' memory.
+    fn update_memory(&self, now: Instant) {
+        let mut target_table = self.target_table.borrow_mut();
+        if let Some(config) = self.config().filter(|_| target_table.weighs_kept_parts()) {
+            let engine = |service: &Name| config.services.get(service)?.engine;
+            target_table.update_memory(engine, self.placement.get().prefill_rate, now);
+            let mut kept_log = self.kept_log.borrow_mut();
+            kept_log.log_if_due(&target_table, &self.metrics, now);
+        }
+    }
+
     /// Updates the prefill rate from the rate observed at the engines.
     fn update_prefill_rate(&self) {
         let rate = self
@@ -651,6 +691,76 @@
         event::log(Event::TargetSaidLeaving, &fields);
     }
 
+    /// Records a complete response. With `routing.slot_queue`, a failure that a target
+    /// without an engine states counts against it only if other targets fail less.
+    pub(crate) fn record_answer(
+        &self,
+        target_id: TargetEntryId,
+        succeeded: bool,
+        is_plain: bool,
+        now: Instant,
+    ) {
+        if !(is_plain && self.placement.get().uses_slots) {
+            return self.record_result(target_id, succeeded, now);
+        }
+        let result = match succeeded {
+            true => PlainResult::Answered,
+            false => PlainResult::Failed,
+        };
+        let mut target_table = self.target_table.borrow_mut();
+        target_table.record_plain_result(target_id, result, now);
+    }
+
+    /// Records what a response says of the slots of a target without an engine: the reported
+    /// load, and the time since the request was sent if the target ran it. `met` holds that
+    /// moment and the number of requests that routers had at the target.
+    pub(crate) fn record_slots(
+        &self,
+        target_id: TargetEntryId,
+        load: Option<ReportedLoad>,
+        met: Option<(Instant, u32)>,
+        now: Instant,
+    ) {
+        if !self.placement.get().uses_slots {
+            return;
+        }
+        let mut target_table = self.target_table.borrow_mut();
+        if let Some((sent_at, known)) = met {
+            let slots = target_table.target(target_id).slots;
+            let elapsed = now.saturating_duration_since(sent_at);
+            let state = target_table.slot_state(target_id);
+            state.record_time(elapsed, known, slots);
+        }
+        if let Some(load) = load {
+            let reported = load.running.saturating_add(load.waiting);
+            target_table.record_slot_report(target_id, reported, now);
+        }
+    }
+
+    /// Records a request that a target turned away.
+    pub(crate) fn record_turned_away(
+        &self,
+        target_id: TargetEntryId,
+        is_plain: bool,
+        load: Option<ReportedLoad>,
+        now: Instant,
+    ) {
+        let uses_slots = is_plain && self.placement.get().uses_slots;
+        let Some(load) = load.filter(|load| uses_slots && load.running >= load.slots) else {
+            return self.record_result(target_id, false, now);
+        };
+        self.metrics.record_full_target();
+        let mut target_table = self.target_table.borrow_mut();
+        target_table.record_plain_result(target_id, PlainResult::Full, now);
+        let fields: [event::Field<'_>; 4] = [
+            ("target", &target_table.target(target_id).name),
+            ("running", &load.running),
+            ("waiting", &load.waiting),
+            ("slots", &load.slots),
+        ];
+        event::log(Event::TargetFull, &fields);
+    }
+
     /// Records the result of an attempt for outlier detection.
     pub(crate) fn record_result(&self, target_id: TargetEntryId, good: bool, now: Instant) {
         let mut target_table = self.target_table.borrow_mut();
@@ -661,6 +771,36 @@
         target_table.outlier_detector(target_id).record_failure(now);
     }
 
+    /// Tells the control thread which parts were used, and applies what peers and targets told.
+    fn exchange_kept(&self, now: Instant) {
+        let mut target_table = self.target_table.borrow_mut();
+        let kept = target_table.kept_mut();
+        self.shared
+            .add_local_kept(kept.take_new_rows(MAX_KEPT_ROWS, now));
+        for row in self.shared.take_peer_kept() {
+            let evicted_at = now.checked_sub(Duration::from_millis(row.age.into()));
+            match kept.last_use(row.target, row.part) {
+                _ if row.tokens > 0 => kept.apply(&row, now),
+                Some(part) if Some(part.used_at) < evicted_at => kept.forget(row.target, row.part),
+                _ => {}
+            }
+        }
+    }
+
+    fn dump_kept(&self) -> serde_json::Value {
+        let counts = self.shared.peers.load().kept;
+        let (targets, parts) = self.target_table.borrow().kept().counts();
+        serde_json::json!({
+            "targets": targets,
+            "parts": parts,
+            "exchanged": counts.known,
+            "waiting": counts.waiting,
+            "watched": counts.watched,
+            "calls": counts.calls,
+            "held": counts.held,
+        })
+    }
+
     /// Returns the state of the traffic thread for operators.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let now = Instant::now();
@@ -679,15 +819,32 @@
                 "rate": target.learned_rate(),
                 "step_ms": target.learned_step().map(|step| step.as_secs_f64() * 1e3),
                 "home_weight": target.home_weight(),
+                "requests": target.occupancy(now),
+                "request_ms": target.slot_state().learned_time().map(|time| time.as_secs_f64() * 1e3),
                 "own": { "count": target.own_load().attempts, "waiting": target.own_load().waiting_tokens },
+                "memory": target_table.weighs_kept_parts().then(|| serde_json::json!({
+                    "horizon_ms": target.memory.horizon(now).as_millis() as u64,
+                    "turnover": target.memory.turnover(),
+                    "shared_fraction": target.memory.shared_fraction(),
+                })),
                 "all": { "count": target.load().attempts, "waiting": target.load().waiting_tokens },
             })
         });
         serde_json::json!({
             "config": self.config().map(|config| config.version),
             "routers": self.shared.router_count(),
+            "kept_exchange": self.dump_kept(),
             "relay": self.shared.peers.load().relay.map(|relay| relay.to_string()),
             "open": self.shared.open_requests.load(Ordering::Relaxed),
+            "spare_fraction": self.fair_shares.borrow_mut().spare_fraction(now),
+            "kept": target_table.weighs_kept_parts().then(|| {
+                let (targets, parts) = target_table.kept().counts();
+                serde_json::json!({
+                    "targets": targets,
+                    "parts": parts,
+                    "evicted": target_table.evicted_count(),
+                })
+            }),
             "targets": targets.collect::<Vec<_>>(),
         })
     }
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -6,6 +6,8 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
+use policy::direct::kept_watch::Call;
+
 use crate::target::BodyFraming;
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -41,6 +43,7 @@
     shed_connections: Counter<u64>,
     rejections: Counter<u64>,
     held_requests: Counter<u64>,
+    excess_requests: Counter<u64>,
     rotation_decisions: Counter<u64>,
     attempts: Counter<u64>,
     first_event: Histogram<f64>,
@@ -51,6 +54,8 @@
     rate_changes: Counter<u64>,
     leaving_targets: Counter<u64>,
     pauses: Counter<u64>,
+    full_targets: Counter<u64>,
+    evicted_parts: Counter<u64>,
     reported_connections: Cell<u64>,
 }
 
@@ -71,16 +76,19 @@
             shed_connections: meter.u64_counter("knapweed_edge_shed_connections").build(),
             rejections: meter.u64_counter("knapweed_edge_rejections").build(),
             held_requests: meter.u64_counter("knapweed_edge_held_requests").build(),
+            excess_requests: meter.u64_counter("knapweed_edge_excess_requests").build(),
             rotation_decisions: meter
                 .u64_counter("knapweed_edge_rotation_decisions")
                 .build(),
             connections: meter
                 .u64_counter("knapweed_edge_target_connections")
                 .build(),
+            full_targets: meter.u64_counter("knapweed_edge_full_targets").build(),
             pauses: meter.u64_counter("knapweed_edge_target_pauses").build(),
             rate_changes: meter
                 .u64_counter("knapweed_edge_target_rate_changes")
                 .build(),
+            evicted_parts: meter.u64_counter("knapweed_edge_evicted_parts").build(),
             leaving_targets: meter.u64_counter("knapweed_edge_leaving_targets").build(),
             stream_origins: meter.u64_counter("knapweed_edge_stream_origins").build(),
             body_ends: meter.u64_counter("knapweed_edge_body_ends").build(),
@@ -112,6 +120,11 @@
             .add(1, &[KeyValue::new("what", rejection.label())]);
     }
 
+    /// Counts a request that was sent although its team is beyond its share.
+    pub(crate) fn record_excess(&self) {
+        self.excess_requests.add(1, &[]);
+    }
+
     /// Counts a request held because another team is left behind.
     pub(crate) fn record_held(&self) {
         self.held_requests.add(1, &[]);
@@ -149,6 +162,11 @@
             .add(1, &[KeyValue::new("origin", origin)]);
     }
 
+    /// Counts a request that a target turned away since all its slots were in use.
+    pub(crate) fn record_full_target(&self) {
+        self.full_targets.add(1, &[]);
+    }
+
     /// Counts a target that said that it is leaving, to this router or to a peer.
     pub(crate) fn record_leaving(&self, from: &'static str) {
         self.leaving_targets.add(1, &[KeyValue::new("from", from)]);
@@ -164,6 +182,11 @@
         self.pauses.add(1, &[]);
     }
 
+    /// Counts targets that had evicted parts which they were expected to keep.
+    pub(crate) fn record_evicted_parts(&self, count: u64) {
+        self.evicted_parts.add(count, &[]);
+    }
+
     /// Updates the counter of connections to targets from the number opened so far.
     pub(crate) fn record_connections(&self, opened: u64) {
         self.connections
@@ -209,3 +232,34 @@
             .add(1, &[KeyValue::new("reason", reason.to_owned())]);
     }
 }
+
+/// The instruments of what is known of prompt parts that targets keep.
+#[derive(Debug)]
+pub(crate) struct KeptMetrics {
+    calls: Counter<u64>,
+    rows: Counter<u64>,
+}
+
+impl KeptMetrics {
+    pub(crate) fn new(meter: &Meter) -> Self {
+        Self {
+            calls: meter.u64_counter("knapweed_edge_kept_calls").build(),
+            rows: meter.u64_counter("knapweed_edge_kept_rows").build(),
+        }
+    }
+
+    /// Counts a call to a target by its result.
+    pub(crate) fn record_call(&self, call: Call, result: &'static str) {
+        let call = match call {
+            Call::Events { .. } => "events",
+            Call::List => "list",
+        };
+        let labels = [KeyValue::new("call", call), KeyValue::new("result", result)];
+        self.calls.add(1, &labels);
+    }
+
+    /// Counts rows by where they come from.
+    pub(crate) fn record_rows(&self, from: &'static str, count: usize) {
+        self.rows.add(count as u64, &[KeyValue::new("from", from)]);
+    }
+}
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -229,6 +229,13 @@
         route.retry_policy.is_idempotent() && self.runs < route.attempts
     }
 
+    /// Whether the service of the request has no engine.
+    fn is_plain(&self) -> bool {
+        let config = &self.authorized.config;
+        let service = config.services.get(&self.authorized.service);
+        service.is_some_and(|service| service.engine.is_none())
+    }
+
     /// Selects a target, after checking everything that must hold right before a request
     /// is sent.
     pub(crate) fn next_attempt(&mut self) -> Result<Attempt, Refusal> {
@@ -280,14 +287,17 @@
                 ..Refusal::not_run("held", after + self.retry_jitter())
             });
         }
+        let min_objective = config
+            .min_objective(service.name.as_str())
+            .unwrap_or(route.objective);
+        let excess_delay = self.excess_delay(prompt, min_objective, now);
         let placement_request = PlacementRequest {
             service,
             prompt,
             objective: route.objective,
-            min_objective: config
-                .min_objective(service.name.as_str())
-                .unwrap_or(route.objective),
+            min_objective,
             wait_factor,
+            excess_delay,
             centre: &context.data_centre,
             version: self.version,
             tried: &self.tried,
@@ -307,6 +317,10 @@
                 is_home,
                 copy_source,
             } => {
+                if excess_delay.is_some() {
+                    context.metrics.record_excess();
+                    context.spare_log.borrow_mut().record_excess();
+                }
                 let charge = self.charge(prompt, now);
                 let attempt = Attempt::begin(context, target_id, prompt, copy_source, charge, now);
                 self.log_sent(&attempt, wait, is_home, wait_factor);
@@ -317,8 +331,9 @@
                 retry_after,
                 exceeded,
             } => {
-                if !reason.is_for_load() {
-                    self.withdraw_request(prompt, now);
+                match reason.is_for_load() {
+                    true => self.record_refused_for_load(prompt, now),
+                    false => self.withdraw_request(prompt, now),
                 }
                 let reason = match reason {
                     placement::RefusalReason::NoTarget => "no target",
@@ -348,6 +363,27 @@
         Some(after)
     }
 
+    /// Returns the time by which the request may delay others although its team is beyond
+    /// its share.
+    fn excess_delay(
+        &self,
+        prompt: Option<&Prompt>,
+        min_objective: Duration,
+        now: Instant,
+    ) -> Option<Duration> {
+        let team = self.authorized.team_name().filter(|_| prompt.is_some())?;
+        let mut fair_shares = self.context.fair_shares.borrow_mut();
+        fair_shares.excess_delay(team.tag().0, min_objective, now)
+    }
+
+    /// Records for what may be used beyond the shares that the request was refused.
+    fn record_refused_for_load(&self, prompt: Option<&Prompt>, now: Instant) {
+        if let Some(team) = self.authorized.team_name().filter(|_| prompt.is_some()) {
+            let mut fair_shares = self.context.fair_shares.borrow_mut();
+            fair_shares.record_refused(team.tag().0, now);
+        }
+    }
+
     /// Counts the request as none that could run; a team is not left behind for it.
     fn withdraw_request(&self, prompt: Option<&Prompt>, now: Instant) {
         let team = self.authorized.team_name();
@@ -428,12 +464,20 @@
         let (request, shared, sent) = (self.request, &self.context.shared, &self.sent);
         let config = &self.authorized.config;
         let config_changed = Cell::new(false);
+        let is_plain = self.is_plain();
+        // When the request was sent, and how many others were at its target.
+        let met = Cell::new(None);
         // Authorizes again: the key may have been revoked while the connection was opened.
         let may_send = || {
             let authorized = request.authorize(shared);
             let is_same = authorized.is_ok_and(|it| it.config.version == config.version);
             config_changed.set(!is_same);
             sent.set(sent.get() || is_same);
+            let target_table = self.context.target_table.borrow();
+            let now = Instant::now();
+            // The attempt itself is counted.
+            let known = target_table.target(attempt.target_id).load().attempts;
+            met.set(Some((now, known.saturating_sub(1))));
             is_same
         };
         let on_head = |head: &ResponseHead<'_>| {
@@ -447,6 +491,12 @@
                 let mut target_table = self.context.target_table.borrow_mut();
                 target_table.record_pace(attempt.target_id, pace, Instant::now());
             }
+            if is_plain && !is_other {
+                let has_run = !head.facts.not_run;
+                let met = met.get().filter(|_| has_run);
+                self.context
+                    .record_slots(attempt.target_id, head.load, met, Instant::now());
+            }
         };
         let pool = &self.context.connection_pool;
         let exchange = pool.send(
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -174,6 +174,14 @@
     RatesBounded 1420 Warn "rates-bounded";
     /// The learned rate of a target reached another level.
     TargetRateLearned 1421 Info "target-rate-learned";
+    /// Targets had evicted prompt parts that they were expected to keep.
+    PartsEvicted 1422 Info "parts-evicted";
+    /// This router read the list of prompt parts that a target keeps.
+    KeptListed 1423 Info "kept-listed";
+    /// A target did not say what it keeps.
+    KeptUnknown 1424 Warn "kept-unknown";
+    /// Teams beyond their share may use idle targets, or no longer.
+    SpareCapacity 1425 Info "spare-capacity";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
@@ -207,6 +215,8 @@
     StreamOrigin 1515 Info "stream-origin";
     /// A peer asked for the versions at which streams began.
     OriginsAsked 1516 Info "origins-asked";
+    /// A target turned a request away since all its slots were in use.
+    TargetFull 1517 Info "target-full";
 }
 
 impl Display for Event {
--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -21,6 +21,7 @@
 //! - A summary for a router leaves out what that router reported itself.
 
 mod beat;
+pub mod kept;
 mod members;
 pub mod message;
 pub mod rates;
@@ -42,6 +43,7 @@
 use super::kept::KeptRow;
 use super::rotation::{Neighbour, Readiness};
 use super::target_table::{LoadReport, PeerLoadReport};
+use kept::KeptLog;
 use message::{Beat, CentreTag, CrashRow, Message, Scope, TeamRow, Trouble};
 use rates::RateBook;
 use records::RecordLog;
@@ -218,6 +220,8 @@
     summarized_at: Option<u32>,
     /// The roster that was last sent to it, and when.
     listed: Option<(u64, Instant)>,
+    /// Whether it was told which parts targets keep, since it reports here.
+    is_told_kept: bool,
 }
 
 impl Peer {
@@ -301,6 +305,7 @@
     crashes: RecordLog<CrashRow>,
     leaving: RecordLog<u64>,
     rates: RateBook,
+    kept: KeptLog,
     events: Vec<PeerEvent>,
 }
 
@@ -336,6 +341,7 @@
             crashes: RecordLog::new(MAX_CRASH_ROWS),
             leaving: RecordLog::new(MAX_LEAVING_ROWS),
             rates: RateBook::default(),
+            kept: KeptLog::default(),
             events: Vec::new(),
         };
         exchange.set_seeds(seeds);
@@ -425,7 +431,7 @@
             partners.sort_unstable();
             partners.dedup();
         }
-        let rates = self.rates_to(&partners, now.mono);
+        let mut records = self.rates_to(&partners, now.mono);
         let rounds = partners.len().div_ceil(MAX_BEATS_PER_PERIOD).max(1);
         let turn = self.ticks as usize % rounds;
         let due = partners.into_iter().enumerate();
@@ -438,11 +444,12 @@
         if self.ticks.is_multiple_of(contact_periods) {
             due.extend(self.addresses_to_contact());
         }
+        records.extend(self.kept_messages(now));
         if due.is_empty() {
-            return rates;
+            return records;
         }
         let mut sent = self.messages_to(&due, local, now);
-        sent.extend(rates);
+        sent.extend(records);
         if turn + 1 == rounds {
             self.crashes.count_repeat(now.mono);
             self.leaving.count_repeat(now.mono);
@@ -500,7 +507,7 @@
                 ..Received::default()
             },
             Message::Kept(update) => Received {
-                kept: update.rows,
+                kept: self.receive_kept(update, now),
                 ..Received::default()
             },
             Message::Rates(update) => self.receive_rates(update, now.mono),
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -17,6 +17,8 @@
 mod engine;
 mod home;
 mod plain;
+mod plain_slots;
+mod saving;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -30,6 +32,7 @@
 use super::target_table::{Prompt, TargetEntry, TargetEntryId, TargetTable};
 use engine::select_engine_target;
 use plain::select_plain_target;
+use plain_slots::select_by_slots;
 
 /// The settings of placement.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -53,6 +56,8 @@
     pub connection_cost_millis: f64,
     /// The fleet-wide limit on requests to cold targets.
     pub cold_limit: ColdLimit,
+    /// Whether targets without an engine are selected by the wait for their slots.
+    pub uses_slots: bool,
 }
 
 impl Default for PlacementSettings {
@@ -67,6 +72,7 @@
             remote_cost_millis: 4.0,
             connection_cost_millis: 8.0,
             cold_limit: ColdLimit::default(),
+            uses_slots: false,
         }
     }
 }
@@ -90,6 +96,8 @@
     /// The factor by which the allowed wait of its team is multiplied; 1 for a
     /// team within its share.
     pub wait_factor: f64,
+    /// The time by which it may delay others although its team is beyond its share.
+    pub excess_delay: Option<Duration>,
     /// The data centre of this router.
     pub centre: &'a Name,
     /// The only software version at which the request may run, if it continues a stream.
@@ -206,6 +214,7 @@
         (Some(engine), Some(prompt)) => {
             select_engine_target(table, settings, request, connections, (engine, prompt), now)
         }
+        _ if settings.uses_slots => select_by_slots(table, settings, request, now),
         _ => select_plain_target(table, settings, request, connections, now),
     };
     if let Placement::Target { target, .. } = placement
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -6,6 +6,7 @@
 //! - A new incarnation of a target starts without load and with an empty cache.
 
 mod entry;
+mod kept;
 mod load;
 mod rates;
 
@@ -15,14 +16,17 @@
 use entity::Name;
 use rustc_hash::FxHashMap;
 
+use super::kept::KeptParts;
 use super::outlier::OutlierDetector;
 use super::prefill_rate::PrefillRate;
 pub use super::prompt::{Prompt, PromptPart};
+use super::slots::{PlainResult, SlotState};
 use super::stall::MIN_REPORTING_PEERS;
 use super::target::{TargetRegistry, TargetState};
 use super::target_rate::PrefillTime;
 pub use entry::{AvoidReason, TargetEntry, TargetEntryId};
 use entry::{ColdBucket, PART_CACHE_TTL, PendingPrefill};
+use kept::Weighing;
 pub use load::{AttemptCost, LoadReport, PeerLoadReport, REPORT_TTL, TargetLoad, sum_loads};
 
 /// The maximum number of cached parts tracked for one target.
@@ -48,6 +52,9 @@
     learns_rates: bool,
     /// When the rates of targets were last updated.
     rates_at: Option<Instant>,
+    kept: KeptParts,
+    /// What is needed to weigh kept parts, if they are weighed.
+    weighing: Option<Weighing>,
 }
 
 impl TargetTable {
@@ -88,6 +95,17 @@
                 .or_default()
                 .push(id);
         }
+        self.retain_kept_parts();
+    }
+
+    /// The prompt parts that targets keep, by the tag of the target.
+    pub fn kept(&self) -> &KeptParts {
+        &self.kept
+    }
+
+    /// The same, for updating.
+    pub fn kept_mut(&mut self) -> &mut KeptParts {
+        &mut self.kept
     }
 
     /// The prefill rate observed on the engines.
@@ -156,6 +174,50 @@
         self.entries[id].stated_pace = Some((pace, now));
     }
 
+    /// Returns the state of a target's slots for updating.
+    pub fn slot_state(&mut self, id: TargetEntryId) -> &mut SlotState {
+        &mut self.entries[id].slot_state
+    }
+
+    /// Records the number of requests that a target reported in a response.
+    pub fn record_slot_report(&mut self, id: TargetEntryId, reported: u32, now: Instant) {
+        let entry = &mut self.entries[id];
+        let own = entry.own_load.attempts;
+        entry.slot_state.record_report(reported, own, now);
+    }
+
+    /// Records the result of a request to a target without an engine.
+    pub fn record_plain_result(&mut self, id: TargetEntryId, result: PlainResult, now: Instant) {
+        let entry = &mut self.entries[id];
+        match result {
+            PlainResult::Full => return,
+            PlainResult::Answered => {
+                entry.slot_state.record_answer(false, now);
+                entry.outlier_detector.record_success(now);
+                return;
+            }
+            PlainResult::Failed => entry.slot_state.record_answer(true, now),
+        }
+        let others = self.failure_fraction_beside(id);
+        let entry = &mut self.entries[id];
+        if entry.slot_state.fails_more_than(others) {
+            entry.outlier_detector.record_failure(now);
+        }
+    }
+
+    /// The fraction of failures of the other targets of a target's service.
+    fn failure_fraction_beside(&self, id: TargetEntryId) -> f64 {
+        let siblings = self.targets_of_service(&self.entries[id].service).iter();
+        let siblings = siblings.filter(|&&sibling| sibling != id);
+        let counts = siblings.map(|&sibling| self.entries[sibling].slot_state.failures());
+        let (failures, answers) = counts.fold((0.0, 0.0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+        if answers > 0.0 {
+            failures / answers
+        } else {
+            0.0
+        }
+    }
+
     /// Like [`Self::record_leaving`], for the targets with these tags, as heard from a peer;
     /// returns those for which this is new.
     pub fn record_leaving_tags(&mut self, tags: &[u64]) -> Vec<TargetEntryId> {
@@ -180,18 +242,22 @@
     ) -> AttemptCost {
         self.attempts_begun += 1;
         let sequence = self.attempts_begun;
-        let entry = &mut self.entries[id];
         let cost = prompt.map_or(AttemptCost::default(), |prompt| {
-            let prefill_tokens = entry.prefill_tokens(prompt, now);
+            let prefill_tokens = self.prefill_tokens(id, prompt, now);
             AttemptCost {
                 prefill_tokens: prefill_tokens.saturating_sub(copied_tokens),
-                memory_tokens: prompt.input_tokens + prompt.max_output_tokens,
+                memory_tokens: self.memory_tokens(prompt, prefill_tokens),
                 sequence,
                 // Another router may have caused the target to cache the shared parts.
                 certain_tokens: prefill_tokens.min(prompt.own_tokens()),
                 sent: Some(now),
+                belief: self.belief(id, prompt, copied_tokens, now),
             }
         });
+        if let Some(prompt) = prompt {
+            self.record_kept_use(id, prompt, cost, now);
+        }
+        let entry = &mut self.entries[id];
         if cost.prefill_tokens > 0 {
             entry.pending_prefills.push_back(PendingPrefill {
                 sequence,
@@ -237,6 +303,7 @@
                 entry.rate.record_prefill(prefill, entry.pace(now), now);
             }
         }
+        self.check_belief(id, cost, now);
         self.finish_prefill(id, cost);
     }
 
--- a/policy/src/direct/target_table/entry.rs
+++ b/policy/src/direct/target_table/entry.rs
@@ -10,8 +10,10 @@
 use rustc_hash::FxHashMap;
 
 use super::load::TargetLoad;
+use crate::direct::memory::MemoryUse;
 use crate::direct::outlier::OutlierDetector;
 use crate::direct::prompt::Prompt;
+use crate::direct::slots::SlotState;
 use crate::direct::stall::{Activity, OldestAttempt, STREAM_STALL_TIMEOUT};
 use crate::direct::target::{SoftwareVersion, Target};
 use crate::direct::target_rate::{TargetRate, level_weight};
@@ -91,7 +93,11 @@
     /// not known.
     pub(super) home_level: i8,
     pub(super) cached_parts: FxHashMap<u64, Instant>,
+    /// The use of its memory, if kept parts are weighed.
+    pub memory: MemoryUse,
     pub(super) activity: Activity,
+    /// Its slots, if it has no engine.
+    pub(super) slot_state: SlotState,
     /// Whether several peers report a problem with it.
     pub(super) reported_by_peers: bool,
 }
@@ -137,7 +143,9 @@
             rate: TargetRate::default(),
             home_level: 0,
             cached_parts: FxHashMap::default(),
+            memory: MemoryUse::default(),
             activity: Activity::default(),
+            slot_state: SlotState::default(),
             reported_by_peers: false,
         }
     }
@@ -275,6 +283,17 @@
         level_weight(self.home_level)
     }
 
+    /// The state of its slots.
+    pub fn slot_state(&self) -> &SlotState {
+        &self.slot_state
+    }
+
+    /// The number of requests at the target, by all that is known.
+    pub fn occupancy(&self, now: Instant) -> f64 {
+        let (known, own) = (self.load().attempts, self.own_load.attempts);
+        self.slot_state.occupancy(known, own, now)
+    }
+
     /// Whether the target is cold at `now`.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| until > now)
