--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -25,6 +25,7 @@
 //! - [`spare_capacity`]: how much capacity teams beyond their share may use;
 //! - [`service_bound`]: which teams are held back while another is left behind;
 //! - [`prefill_rate`]: how many tokens engines prefill per millisecond;
+//! - [`target_rate`]: the same for each target;
 //! - [`overload`]: whether this router is overloaded;
 //! - [`admission`]: how many connections and requests it takes on;
 //! - [`rotation`]: which overloaded routers of a data centre report themselves unready;
@@ -65,5 +66,6 @@
 pub mod store_revision;
 pub mod stream_origin;
 pub mod target;
+pub mod target_rate;
 pub mod target_table;
 pub mod team_places;
--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -24,6 +24,7 @@
 pub mod kept;
 mod members;
 pub mod message;
+pub mod rates;
 mod records;
 mod relay;
 mod summary;
@@ -43,7 +44,8 @@
 use super::rotation::{Neighbour, Readiness};
 use super::target_table::{LoadReport, PeerLoadReport};
 use kept::KeptLog;
-use message::{Beat, CentreTag, CrashRow, Message, RateRow, Scope, TeamRow, Trouble};
+use message::{Beat, CentreTag, CrashRow, Message, Scope, TeamRow, Trouble};
+use rates::RateBook;
 use records::RecordLog;
 use summary::{PartialSummary, ReceivedSummary};
 use topology::Topology;
@@ -169,8 +171,6 @@
     pub leaving: Vec<u64>,
     /// Uses of prompt parts at targets.
     pub kept: Vec<KeptRow>,
-    /// The rates of targets, as learned by the sender.
-    pub rates: Vec<RateRow>,
     /// Whether the sender should get a reply at once; see [`Exchange::replies`].
     pub wants_reply: bool,
     /// Whether the sender was not reachable before.
@@ -304,6 +304,7 @@
     sent_beats: VecDeque<(u32, Uptime)>,
     crashes: RecordLog<CrashRow>,
     leaving: RecordLog<u64>,
+    rates: RateBook,
     kept: KeptLog,
     events: Vec<PeerEvent>,
 }
@@ -339,6 +340,7 @@
             sent_beats: VecDeque::new(),
             crashes: RecordLog::new(MAX_CRASH_ROWS),
             leaving: RecordLog::new(MAX_LEAVING_ROWS),
+            rates: RateBook::default(),
             kept: KeptLog::default(),
             events: Vec::new(),
         };
@@ -429,6 +431,7 @@
             partners.sort_unstable();
             partners.dedup();
         }
+        let mut records = self.rates_to(&partners, now.mono);
         let rounds = partners.len().div_ceil(MAX_BEATS_PER_PERIOD).max(1);
         let turn = self.ticks as usize % rounds;
         let due = partners.into_iter().enumerate();
@@ -441,12 +444,12 @@
         if self.ticks.is_multiple_of(contact_periods) {
             due.extend(self.addresses_to_contact());
         }
-        let kept = self.kept_messages(now);
+        records.extend(self.kept_messages(now));
         if due.is_empty() {
-            return kept;
+            return records;
         }
         let mut sent = self.messages_to(&due, local, now);
-        sent.extend(kept);
+        sent.extend(records);
         if turn + 1 == rounds {
             self.crashes.count_repeat(now.mono);
             self.leaving.count_repeat(now.mono);
@@ -483,6 +486,7 @@
             }
             sent.extend(self.summaries(&[(to, Scope::Fleet)], local, now.mono));
         }
+        sent.extend(self.all_rates_to(to, now.mono));
         sent
     }
 
@@ -506,10 +510,7 @@
                 kept: self.receive_kept(update, now),
                 ..Received::default()
             },
-            Message::Rates(rates) => Received {
-                rates,
-                ..Received::default()
-            },
+            Message::Rates(update) => self.receive_rates(update, now.mono),
         }
     }
 
--- a/policy/src/direct/placement/engine.rs
+++ b/policy/src/direct/placement/engine.rs
@@ -45,7 +45,11 @@
             .target(target)
             .waiting_tokens(settings.prefill_rate, now)
     });
-    let mean_wait = waiting_tokens.sum::<f64>() / eligible.len() as f64 / settings.prefill_rate;
+    let rates = eligible.iter().map(|&target| {
+        let entry = table.target(target);
+        entry.usual_rate(settings.prefill_rate)
+    });
+    let mean_wait = waiting_tokens.sum::<f64>() / rates.sum::<f64>();
     let mut best: Option<Candidate> = None;
     let mut min_exceeded: Option<ExceededWait> = None;
     for (index, &target) in eligible.iter().enumerate() {
@@ -59,7 +63,7 @@
         if !has_room(table, entry, &reading, (engine, prompt)) {
             continue;
         }
-        let rate = settings.prefill_rate / entry.pace(now);
+        let rate = entry.prefill_rate(settings.prefill_rate, now);
         let wait_millis = entry.waiting_tokens(settings.prefill_rate, now) / rate;
         // A long prompt meets its objective only if little waits before it.
         let prefill_millis = f64::from(reading.prefill_tokens) / rate;
--- a/policy/src/direct/placement/saving.rs
+++ b/policy/src/direct/placement/saving.rs
@@ -127,7 +127,7 @@
             Keepers::Known { sources, kept } => self.known_reading(target, kept[index], sources),
         };
         let shared_tokens = reading.prefill_tokens.saturating_sub(self.own_tokens);
-        let shared_millis = f64::from(shared_tokens) / self.settings.prefill_rate;
+        let shared_millis = f64::from(shared_tokens) / self.usual_rate(target);
         let is_home = [self.home, self.second_home].contains(&Some(target));
         (is_home || shared_millis <= MAX_UNCACHED_PREFILL_MILLIS).then_some(reading)
     }
@@ -191,6 +191,7 @@
         sources: &[Source<'_>],
     ) -> Option<(CopySource, f64)> {
         let centre = &self.table.target(target).centre;
+        let rate = self.usual_rate(target);
         let copies = sources.iter().filter_map(|source| {
             let tokens = source.tokens.saturating_sub(kept);
             let is_possible = source.target != target && self.can_copy(tokens);
@@ -200,7 +201,7 @@
                     false => REMOTE_COPY_FACTOR,
                 };
                 let millis = factor * f64::from(tokens) / self.engine.copy_rate;
-                let saved = f64::from(tokens) / self.settings.prefill_rate - millis;
+                let saved = f64::from(tokens) / rate - millis;
                 let target = source.target;
                 (saved, (CopySource { target, tokens }, millis))
             })
@@ -210,6 +211,12 @@
         best.map(|(_, copy)| copy)
     }
 
+    /// The rate at which a target prefills at its usual pace, in tokens per millisecond.
+    fn usual_rate(&self, target: TargetEntryId) -> f64 {
+        let entry = self.table.target(target);
+        entry.usual_rate(self.settings.prefill_rate)
+    }
+
     fn can_copy(&self, tokens: u32) -> bool {
         self.engine.copy_rate > 0.0 && tokens >= MIN_COPY_TOKENS
     }
@@ -218,7 +225,7 @@
     /// may have to be read again.
     fn eviction_millis(&self, target: TargetEntryId, tokens: u32) -> f64 {
         let shared_fraction = self.table.target(target).memory.shared_fraction();
-        let read_millis = f64::from(tokens) / self.settings.prefill_rate;
+        let read_millis = f64::from(tokens) / self.usual_rate(target);
         self.settings.prefill_cost * read_millis * shared_fraction * REUSE_PROBABILITY
     }
 }
--- a/policy/src/direct/target_table/entry.rs
+++ b/policy/src/direct/target_table/entry.rs
@@ -16,6 +16,7 @@
 use crate::direct::slots::SlotState;
 use crate::direct::stall::{Activity, OldestAttempt, STREAM_STALL_TIMEOUT};
 use crate::direct::target::{SoftwareVersion, Target};
+use crate::direct::target_rate::{TargetRate, level_weight};
 
 /// How long a prompt part is assumed to stay in a target's cache after its last
 /// use.
@@ -85,6 +86,12 @@
     pub(super) paused_until: Option<Instant>,
     /// The time that work took there as a multiple of the usual time, and when it said so.
     pub(super) stated_pace: Option<(f64, Instant)>,
+    /// The prefill rate learned for this target, in tokens per millisecond.
+    pub(super) learned_rate: Option<f64>,
+    pub(super) rate: TargetRate,
+    /// The level of its rate by which homes are weighted; of the middle one if its own is
+    /// not known.
+    pub(super) home_level: i8,
     pub(super) cached_parts: FxHashMap<u64, Instant>,
     /// The use of its memory, if kept parts are weighed.
     pub memory: MemoryUse,
@@ -132,6 +139,9 @@
             cold_bucket: None,
             paused_until: None,
             stated_pace: None,
+            learned_rate: None,
+            rate: TargetRate::default(),
+            home_level: 0,
             cached_parts: FxHashMap::default(),
             memory: MemoryUse::default(),
             activity: Activity::default(),
@@ -159,7 +169,7 @@
 
     /// The waiting tokens of all routers, less what has been prefilled of this
     /// router's oldest prompt. `rate` is the prefill rate in tokens per
-    /// millisecond.
+    /// millisecond that is assumed for targets whose own rate is not known.
     pub fn waiting_tokens(&self, rate: f64, now: Instant) -> f64 {
         self.peer_load.waiting_tokens + self.own_waiting_tokens(rate, now)
     }
@@ -174,7 +184,8 @@
             .map_or(first.sent, |last_first_event| {
                 last_first_event.max(first.sent)
             });
-        let prefilled = now.saturating_duration_since(since).as_secs_f64() * 1e3 * rate;
+        let prefilled = now.saturating_duration_since(since).as_secs_f64() * 1e3;
+        let prefilled = prefilled * self.usual_rate(rate);
         self.own_load.waiting_tokens - prefilled.min(f64::from(first.prefill_tokens))
     }
 
@@ -210,7 +221,7 @@
     pub fn is_stalled(&self, rate: f64, now: Instant) -> bool {
         let oldest = self.pending_prefills.front().map(|first| OldestAttempt {
             sent: first.sent,
-            prefill_millis: self.load().waiting_tokens / rate,
+            prefill_millis: self.load().waiting_tokens / self.usual_rate(rate),
         });
         self.activity.is_stalled(oldest, now)
     }
@@ -244,6 +255,34 @@
         })
     }
 
+    /// The rate at which the target prefills prompts at its usual pace, in tokens per
+    /// millisecond; `fallback` if its own rate is not known.
+    pub fn usual_rate(&self, fallback: f64) -> f64 {
+        self.learned_rate.unwrap_or(fallback)
+    }
+
+    /// The rate at which the target prefills prompts at the moment, in tokens per
+    /// millisecond: [`TargetEntry::usual_rate`] at the pace that it states.
+    pub fn prefill_rate(&self, fallback: f64, now: Instant) -> f64 {
+        self.usual_rate(fallback) / self.pace(now)
+    }
+
+    /// The prefill rate that was learned for this target, in tokens per millisecond.
+    pub fn learned_rate(&self) -> Option<f64> {
+        self.learned_rate
+    }
+
+    /// The learned time between two events of a stream.
+    pub fn learned_step(&self) -> Option<Duration> {
+        self.rate.step()
+    }
+
+    /// The weight with which the target is the home of shared parts, in coarse steps of
+    /// its rate.
+    pub fn home_weight(&self) -> f64 {
+        level_weight(self.home_level)
+    }
+
     /// The state of its slots.
     pub fn slot_state(&self) -> &SlotState {
         &self.slot_state
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -5,7 +5,7 @@
 //! exchange reports with a delay. A router can be late: it then observes responses
 //! some time after they arrive.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use entity::Name;
@@ -17,6 +17,7 @@
     CopySource, Placement, PlacementRequest, PlacementSettings, select_target,
 };
 use knapweed_policy::direct::target::{SoftwareVersion, Target, TargetRegistry, TargetState};
+use knapweed_policy::direct::target_rate::{RateRow, merge_rows};
 use knapweed_policy::direct::target_table::{
     AttemptCost, PeerLoadReport, Prompt, PromptPart, TargetEntryId, TargetTable,
 };
@@ -110,6 +111,8 @@
     Configured,
     /// The implementation under test.
     Product,
+    /// The same, with the rate of each target.
+    PerTarget,
 }
 
 /// A request inside an engine.
@@ -264,8 +267,12 @@
 /// The engines and their routers.
 pub(crate) struct Pool {
     policy: Policy,
-    /// The actual prefill rate of an engine, in tokens per millisecond.
-    rate: f64,
+    /// The actual prefill rate of each engine, in tokens per millisecond.
+    rates: Vec<f64>,
+    /// The requests that each engine got.
+    pub(crate) requests: Vec<u32>,
+    /// The prompt tokens of these requests.
+    pub(crate) tokens: Vec<u32>,
     routers: Vec<Router>,
     engines: Vec<EngineModel>,
     targets: Vec<TargetEntryId>,
@@ -300,6 +307,9 @@
             .map(|&lag| {
                 let mut table = TargetTable::default();
                 table.apply_registry(&registry(targets, now), now);
+                if policy == Policy::PerTarget {
+                    table.learn_rates();
+                }
                 Router {
                     table,
                     shares: FairShares::new(0.0),
@@ -314,7 +324,9 @@
         let target_ids = routers[0].table.targets_of_service(&Name::new("pool"));
         Self {
             policy,
-            rate,
+            rates: vec![rate; targets],
+            requests: vec![0; targets],
+            tokens: vec![0; targets],
             targets: target_ids.to_vec(),
             routers,
             engines: (0..targets)
@@ -381,15 +393,41 @@
         if self.steps.is_multiple_of(interval) {
             self.exchange_reports(now);
             self.exchange_kept_parts(now);
-            if self.policy == Policy::Product {
-                self.update_rates();
+            if matches!(self.policy, Policy::Product | Policy::PerTarget) {
+                self.update_rates(now);
             }
         }
         self.steps += 1;
     }
 
-    fn update_rates(&mut self) {
-        for router in &mut self.routers {
+    /// Gives each engine its own prefill rate.
+    pub(crate) fn set_rates(&mut self, rates: &[f64]) {
+        self.rates = rates.to_vec();
+    }
+
+    /// The rate of each target that a router learned, if it did.
+    pub(crate) fn learned_rates(&self, router: usize) -> Vec<Option<f64>> {
+        let table = &self.routers[router].table;
+        let targets = self.targets.iter();
+        targets.map(|&it| table.target(it).learned_rate()).collect()
+    }
+
+    fn update_rates(&mut self, now: Instant) {
+        let rows = self.routers.iter().map(|it| it.table.rate_rows(now));
+        let rows: Vec<Vec<RateRow>> = rows.collect();
+        for (index, router) in self.routers.iter_mut().enumerate() {
+            let others = rows.iter().enumerate().filter(|(it, _)| *it != index);
+            let mut by_target: BTreeMap<u64, Vec<RateRow>> = BTreeMap::new();
+            for row in others.flat_map(|(_, rows)| rows) {
+                by_target.entry(row.target).or_default().push(*row);
+            }
+            let merged = by_target.values_mut().filter_map(|rows| merge_rows(rows));
+            router
+                .table
+                .set_peer_rates(&merged.collect::<Vec<_>>(), now);
+            router
+                .table
+                .update_rates(router.lag <= MAX_LAG, PREFILL_RATE, now);
             router.table.end_rate_interval(router.lag <= MAX_LAG);
             let observed = router.table.observed_rate();
             router.settings.prefill_rate = observed.tokens_per_milli(PREFILL_RATE);
@@ -399,7 +437,7 @@
     /// Ends a step: engines prefill. Returns the requests that began to run.
     pub(crate) fn end_step(&mut self, now: Instant) -> Vec<Begun> {
         let mut all_begun = Vec::new();
-        for engine in &mut self.engines {
+        for (engine, &rate) in self.engines.iter_mut().zip(&self.rates) {
             let is_done = |it: &mut Running| it.until.is_some_and(|until| until <= now);
             for it in engine.running.extract_if(.., is_done) {
                 respond(&mut self.routers, it.attempt, Response::End, now);
@@ -409,7 +447,7 @@
                 let Attempt { router, target, .. } = it.attempt;
                 self.routers[router].table.record_byte(target, now);
             }
-            let begun = engine.prefill(self.rate, now);
+            let begun = engine.prefill(rate, now);
             for it in &begun {
                 respond(&mut self.routers, it.attempt, Response::FirstEvent, now);
             }
@@ -436,6 +474,8 @@
             self.engines[source].cached_tokens(prompt)
         });
         let index = self.engine_index(attempt.target);
+        self.requests[index] += 1;
+        self.tokens[index] += prompt.input_tokens;
         let engine = &mut self.engines[index];
         let cached_tokens = engine.cached_tokens(prompt);
         let copied_tokens = source_tokens.saturating_sub(cached_tokens);
@@ -443,7 +483,7 @@
         self.prefilled_tokens += f64::from(prefilled_tokens);
         let copy_rate = self.service.engine.map_or(0.0, |engine| engine.copy_rate);
         let copy_time = f64::from(copied_tokens) / copy_rate.max(1.0);
-        let remaining_tokens = f64::from(prefilled_tokens) + copy_time * self.rate;
+        let remaining_tokens = f64::from(prefilled_tokens) + copy_time * self.rates[index];
         let shared_tokens = prompt.input_tokens - prompt.own_tokens();
         let is_reread = prompt
             .shared_part()
@@ -499,7 +539,9 @@
         state
             .shares
             .record_request(team, prompt.weighted_tokens(), now);
-        if self.policy == Policy::Product && state.shares.held_for(team, now).is_some() {
+        if matches!(self.policy, Policy::Product | Policy::PerTarget)
+            && state.shares.held_for(team, now).is_some()
+        {
             return None;
         }
         let chosen = match self.policy {
@@ -518,7 +560,7 @@
                 let least = targets.min_by(|a, b| waiting(a).total_cmp(&waiting(b)));
                 least.map(|target| (target, None))
             }
-            Policy::Unlimited | Policy::Configured | Policy::Product => {
+            Policy::Unlimited | Policy::Configured | Policy::Product | Policy::PerTarget => {
                 let objective = KINDS[request.kind].objective_millis;
                 let min_objective = Duration::from_millis(600);
                 let placement_request = PlacementRequest {
@@ -621,6 +663,38 @@
     }
 }
 
+/// A table of idle targets, and their service.
+pub(crate) fn empty_table(targets: usize, now: Instant) -> (TargetTable, Service) {
+    let mut table = TargetTable::default();
+    table.apply_registry(&registry(targets, now), now);
+    (table, service())
+}
+
+/// The target that is chosen for a prompt of a team within its share.
+pub(crate) fn place(
+    table: &mut TargetTable,
+    service: &Service,
+    prompt: &Prompt,
+    now: Instant,
+) -> Option<TargetEntryId> {
+    let request = PlacementRequest {
+        service,
+        prompt: Some(prompt),
+        min_objective: Duration::from_millis(600),
+        objective: Duration::from_millis(600),
+        wait_factor: 1.0,
+        centre: &Name::new("north"),
+        version: None,
+        tried: &[],
+        members: &Members::default(),
+        excess_delay: None,
+    };
+    match select_target(table, &PlacementSettings::default(), &request, &(), now) {
+        Placement::Target { target, .. } => Some(target),
+        Placement::Refused { .. } => None,
+    }
+}
+
 /// Delivers a response to its router, at once unless the router is late.
 fn respond(routers: &mut [Router], attempt: Attempt, response: Response, now: Instant) {
     let router = &mut routers[attempt.router];
