--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -7,7 +7,7 @@
 
 use eyre::WrapErr;
 use serde_json::{Value, json};
-use standins::platform::{Arrival, ScriptedTarget, Store, raw_exchange};
+use standins::platform::{Arrival, ScriptedTarget, Store, StoreMode, raw_exchange};
 pub use standins::platform::{RawResponse, raw_call};
 
 use crate::process::{Process, Signal};
@@ -163,6 +163,17 @@
         Ok(())
     }
 
+    /// Starts one more router, with a store of its own that answers no call.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process does not start.
+    pub async fn add_router_without_store(&mut self) -> eyre::Result<()> {
+        let silent = Store::start().await?;
+        silent.set_mode(StoreMode::Silent);
+        self.start_router_at(silent.address(), ANY_PORT)
+    }
+
     /// Starts and registers a target of a software version.
     ///
     /// # Errors
@@ -182,9 +193,21 @@
     ///
     /// Returns an error if the process exits before it listens.
     pub fn start_router(&mut self, operators: SocketAddr) -> eyre::Result<()> {
+        self.start_router_at(self.store.address(), operators)
+    }
+
+    /// Starts one more router, which reads the store at this address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process exits before it listens.
+    pub fn start_router_at(
+        &mut self,
+        store: SocketAddr,
+        operators: SocketAddr,
+    ) -> eyre::Result<()> {
         let (number, control) = (self.routers.len(), self.control);
         let ip = format!("127.0.1.{}", number + 1);
-        let store = self.store.address();
         let settings = format!(
             "name: edge-{number}\ndata_centre: {DATA_CENTRE}\nlisten: 127.0.0.1:0\n\
              control: {ip}:{control}\noperators: {operators}\nstore: {store}\n\
