--- a/livetests/tests/configuration.rs
+++ b/livetests/tests/configuration.rs
@@ -74,7 +74,7 @@
 
 #[actix_rt::test]
 async fn change_during_an_outage_reaches_all_routers_in_time_after_it() -> eyre::Result<()> {
-    const ROUTERS: usize = 24;
+    const ROUTERS: usize = 36;
     let fleet = EdgeFleet::start("config-outage", ROUTERS, 1).await?;
     fleet.store.set_mode(StoreMode::Silent);
     sleep(Duration::from_secs(6)).await;
