Operators' entries come from peers too, and their failure ends the pause before the store is called again

Cause: a router learned the configuration from the store alone. Where the store does not serve a router, its next call comes after a pause that grows with the fleet (0.1 s for each router, up to 4 s, a quarter more or less, and 0.9 s for the call), and no sign of recovery ends it. Class of fault: a wait whose length comes from the cost of calls, not from the promise, and that evidence at hand does not end. Ruled out: a change that the watch misses (the late routers log service-unreachable, their neighbours have the version in time).

Why this works: digests are in each heartbeat, so a router knows within an exchange that it is behind; while the store does not serve it, or gives it the same entries again, it asks the peer whose digest differs and adopts what is newer. If the peer fails, the pause ends. While the store serves all routers, nothing is asked, and calls to the store stay as they were.

--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -277,7 +277,7 @@
             return;
         }
         if let Some((digest, at)) = received.confirmation {
-            self.store.record_peer_confirmation(digest, at);
+            self.store.record_peer_confirmation(sender, digest, at);
         }
         let crashes = received.crashes.into_iter().map(|row| CrashRecord {
             request: Fingerprint(row.request),
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod context;
 pub mod events;
 mod gossip;
+mod http_listener;
 mod kept_events;
 mod kept_log;
 pub mod latest;
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
 use policy::direct::kept_watch::Call;
+use policy::direct::operator_entries::AskOutcome;
 
 use crate::target::BodyFraming;
 
@@ -263,3 +264,23 @@
         self.rows.add(count as u64, &[KeyValue::new("from", from)]);
     }
 }
+
+/// The instruments of the store's reader.
+#[derive(Debug)]
+pub(crate) struct EntriesMetrics {
+    asked: Counter<u64>,
+}
+
+impl EntriesMetrics {
+    pub(crate) fn new(meter: &Meter) -> Self {
+        Self {
+            asked: meter.u64_counter("knapweed_edge_entries_asked").build(),
+        }
+    }
+
+    /// Counts a question to a peer for the operators' entries.
+    pub(crate) fn record_asked(&self, outcome: AskOutcome) {
+        let label = KeyValue::new("outcome", outcome.to_string());
+        self.asked.add(1, &[label]);
+    }
+}
--- a/edge/src/operators.rs
+++ b/edge/src/operators.rs
@@ -5,8 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use actix_http::header::CONTENT_TYPE;
-use actix_http::{HttpService, Request, Response, StatusCode};
-use actix_service::{Service, ServiceFactory, fn_service};
+use actix_http::{Request, Response, StatusCode};
 use eyre::WrapErr;
 use node::event::{self, Event};
 use node::metrics::Metrics;
@@ -15,6 +14,7 @@
 use tokio::time::{Duration, timeout};
 
 use crate::clock::{BootClock, SystemBootClock};
+use crate::http_listener;
 use crate::shared::Shared;
 
 /// The time limit for the state dump of the traffic thread.
@@ -43,34 +43,11 @@
         let listener = listener.wrap_err_with(|| format!("cannot serve operators at {address}"))?;
         let address = listener.local_addr()?;
         event::log(Event::ListenerBound, &[("operators", &address)]);
-        let respond = move |request: Request| {
+        http_listener::serve(listener, move |request| {
             let operators = self.clone();
-            async move { Ok::<_, actix_http::Error>(operators.respond(&request).await) }
-        };
-        let factory = HttpService::build().finish(fn_service(respond)).tcp();
-        let service = factory
-            .new_service(())
-            .await
-            .map_err(|()| eyre::eyre!("cannot serve operators"))?;
-        let service = std::rc::Rc::new(service);
-        actix_rt::spawn(async move {
-            loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => {
-                        let service = service.clone();
-                        actix_rt::spawn(async move {
-                            if let Err(error) = service.call(stream).await {
-                                log::debug!("operator's connection failed: {error}");
-                            }
-                        });
-                    }
-                    Err(error) => {
-                        event::log(Event::ListenerFailed, &[("why", &error)]);
-                        actix_rt::time::sleep(Duration::from_millis(100)).await;
-                    }
-                }
-            }
-        });
+            async move { operators.respond(&request).await }
+        })
+        .await?;
         Ok(address)
     }
 
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -24,7 +24,7 @@
 use crate::context::{Context, MAINTENANCE_PERIOD};
 use crate::gossip::Gossip;
 use crate::kept_events::KeptEvents;
-use crate::metrics::{ExchangeMetrics, KeptMetrics, TrafficMetrics};
+use crate::metrics::{EntriesMetrics, ExchangeMetrics, KeptMetrics, TrafficMetrics};
 use crate::operators::{DumpRequest, Operators};
 use crate::session;
 use crate::shared::Shared;
@@ -156,8 +156,10 @@
         revoke,
         poll_intervals,
         shared_store,
+        EntriesMetrics::new(&meter),
         incarnation,
     );
+    store.clone().serve_peers().await?;
     let kept_events = settings.routing.kept_parts;
     let kept_events = kept_events.then(|| KeptEvents::new(KeptMetrics::new(&meter)));
     let gossip = Gossip::bind(
@@ -173,6 +175,7 @@
     let (seeds, changed) = watch::channel(settings.peers.clone());
     actix_rt::spawn(gossip.run(changed));
     actix_rt::spawn(store.clone().follow_operators());
+    actix_rt::spawn(store.clone().follow_peers());
     actix_rt::spawn(store.follow_targets());
     actix_rt::spawn(follow_settings(path, settings, seeds));
     Ok(operators_address)
--- a/edge/src/store.rs
+++ b/edge/src/store.rs
@@ -7,9 +7,11 @@
 //! Invariants:
 //! - A configuration is replaced only by one with a higher version.
 //! - An invalid entry does not affect other entries.
+//! - Entries of a peer are adopted under the same rules as those of the store.
 //! - After an outage a missing target is kept until its entry had time to reappear.
 
 mod call;
+mod peers;
 mod targets;
 
 use std::cell::RefCell;
@@ -25,6 +27,7 @@
 use policy::direct::confirmation::{Confirmation, Uptime};
 use policy::direct::listing::exchange::ListingExchange;
 use policy::direct::listing::message::Update;
+use policy::direct::operator_entries::PeerEntries;
 use policy::direct::polling::{self, PollIntervals};
 use policy::direct::store_revision::{StoreEra, StoreRevision};
 use policy::direct::target::TargetRegistry;
@@ -37,6 +40,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{BootClock, SystemBootClock};
+use crate::metrics::EntriesMetrics;
 use crate::shared::Shared;
 use call::CallError;
 
@@ -50,8 +54,11 @@
     shared: Arc<Shared>,
     state: RefCell<State>,
     rng: RefCell<ChaCha8Rng>,
-    /// Wakes the operators' loop when a peer knows different operators' entries.
-    digest_differs: Notify,
+    metrics: EntriesMetrics,
+    /// Wakes the operators' loop to read the store.
+    read_due: Notify,
+    /// Wakes the task that asks peers for the operators' entries.
+    ask_due: Notify,
     /// Wakes the gossip task when there is an update to send to peers at once.
     update_ready: Notify,
 }
@@ -60,8 +67,12 @@
     confirmation: Confirmation,
     registry: TargetRegistry,
     era: StoreEra,
-    /// The last digest received from a peer that differed from this router's digest.
-    peer_digest: Option<u64>,
+    /// What is known of operators' entries of peers.
+    peer_entries: PeerEntries,
+    /// The configuration as it is in the store, and its revision.
+    config_value: Option<(Arc<[u8]>, u64)>,
+    /// A revision of the store at which the known operators' entries were complete.
+    entries_as_of: StoreRevision,
     /// The other routers on which this one relies to read the store.
     readers: Vec<SocketAddr>,
     /// The other reachable routers.
@@ -78,6 +89,15 @@
     rejected_keys: FxHashSet<Name>,
 }
 
+/// Where a configuration came from.
+#[derive(Clone, Copy, Debug, derive_more::Display)]
+enum ConfigSource {
+    #[display("store")]
+    Store,
+    #[display("{_0}")]
+    Peer(SocketAddr),
+}
+
 /// The two loops that read the store.
 #[derive(Clone, Copy)]
 enum ReadLoop {
@@ -93,6 +113,7 @@
         revoke: Option<Duration>,
         poll_intervals: PollIntervals,
         shared: Arc<Shared>,
+        metrics: EntriesMetrics,
         seed: u64,
     ) -> Rc<Self> {
         let client = awc::Client::builder().disable_redirects().disable_timeout();
@@ -102,14 +123,18 @@
             poll_intervals,
             address,
             shared,
-            digest_differs: Notify::new(),
+            metrics,
+            read_due: Notify::new(),
+            ask_due: Notify::new(),
             update_ready: Notify::new(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
             state: RefCell::new(State {
                 confirmation: Confirmation::new(revoke),
                 registry: TargetRegistry::default(),
                 era: StoreEra::default(),
-                peer_digest: None,
+                peer_entries: PeerEntries::new(),
+                config_value: None,
+                entries_as_of: StoreRevision::default(),
                 readers: Vec::new(),
                 reachable_peers: Vec::new(),
                 failures: [0; 2],
@@ -166,7 +191,7 @@
         if due.is_zero() {
             return true;
         }
-        timeout(due, self.digest_differs.notified()).await.is_ok()
+        timeout(due, self.read_due.notified()).await.is_ok()
     }
 
     /// Returns this router's rank among those on which others rely to read the store.
@@ -197,14 +222,15 @@
         self.state.borrow().confirmation
     }
 
+    /// The version of the configuration; 0 if there is none.
+    fn version(&self) -> u64 {
+        let config = self.shared.config.load();
+        config.as_ref().map_or(0, |config| config.version)
+    }
+
     /// Returns the digest of the operators' entries; equal on routers with equal entries.
     pub(crate) fn digest(&self) -> u64 {
-        let version = self
-            .shared
-            .config
-            .load()
-            .as_ref()
-            .map_or(0, |config| config.version);
+        let version = self.version();
         let state = self.state.borrow();
         let mut drained: Vec<&str> = state.registry.drained.iter().map(Name::as_str).collect();
         drained.sort_unstable();
@@ -216,19 +242,6 @@
         xxh3_64(format!("{version} {}{era}", drained.join(" ")).as_bytes())
     }
 
-    /// Records that a peer knew the operators' entries with this digest to be current at `at`.
-    pub(crate) fn record_peer_confirmation(&self, digest: u64, at: Uptime) {
-        if digest == self.digest() {
-            self.confirm(|confirmation| confirmation.record_read(at));
-            return;
-        }
-        // Digests have no order, so each new one causes one read of the store.
-        let previous = self.state.borrow_mut().peer_digest.replace(digest);
-        if previous != Some(digest) {
-            self.digest_differs.notify_one();
-        }
-    }
-
     /// Waits until there is an update to send to peers at once.
     pub(crate) async fn wait_for_update(&self) {
         self.update_ready.notified().await;
@@ -247,19 +260,33 @@
                     });
                 self.adopt_listed_drained(drained.collect());
                 for item in &items {
-                    self.adopt_config(item);
+                    self.adopt_item(item);
                 }
+                self.record_entries_as_of(as_of);
                 self.confirm(|confirmation| confirmation.record_read(sent));
+                self.record_read(true);
                 Some(as_of)
             }
             Err(error) => {
                 self.record_failure(ReadLoop::Operators, &error);
+                self.record_read(false);
                 self.wait_to_retry(ReadLoop::Operators).await;
                 None
             }
         }
     }
 
+    /// Records that a call for the operators' entries ended.
+    fn record_read(&self, is_success: bool) {
+        self.state.borrow_mut().peer_entries.record_read(is_success);
+        self.ask_due.notify_one();
+    }
+
+    fn record_entries_as_of(&self, as_of: StoreRevision) {
+        let mut state = self.state.borrow_mut();
+        state.entries_as_of = state.entries_as_of.max(as_of);
+    }
+
     async fn watch_operators(&self, after: StoreRevision) -> Option<StoreRevision> {
         let sent = SystemBootClock.uptime();
         let wait = self.poll_intervals.watch_wait;
@@ -280,23 +307,29 @@
             }
             Err(error) => {
                 self.record_failure(ReadLoop::Operators, &error);
+                self.record_read(false);
                 self.wait_to_retry(ReadLoop::Operators).await;
                 return None;
             }
         };
         self.record_success(ReadLoop::Operators);
+        let as_of = StoreRevision::new(after.era(), changes.as_of).max(after);
         for item in &changes.items {
-            self.adopt_config(item);
+            self.adopt_item(item);
             self.adopt_drain(item);
         }
         let now = SystemBootClock.uptime();
         match changes.items.is_empty() {
             true => self.confirm(|it| it.record_unchanged(sent, wait, now)),
-            false => self.confirm(|it| it.record_read(sent)),
+            false => {
+                self.record_entries_as_of(as_of);
+                self.confirm(|it| it.record_read(sent));
+            }
         }
+        self.record_read(true);
         // Peers derive the age of their confirmation from this router's datagrams.
         self.update_ready.notify_one();
-        Some(StoreRevision::new(after.era(), changes.as_of).max(after))
+        Some(as_of)
     }
 
     fn confirm(&self, confirm: impl FnOnce(&mut Confirmation)) {
@@ -305,11 +338,15 @@
         self.shared.publish_confirmation(&state.confirmation);
     }
 
-    fn adopt_config(&self, item: &Item) {
-        let (StoreKey::Config, Some(value)) = (record::parse_key(item.key.as_str()), &item.value)
-        else {
-            return;
-        };
+    /// Adopts the configuration if the item is that.
+    fn adopt_item(&self, item: &Item) {
+        if let (StoreKey::Config, Some(value)) = (record::parse_key(item.key.as_str()), &item.value)
+        {
+            self.adopt_config((value, item.revision), ConfigSource::Store);
+        }
+    }
+
+    fn adopt_config(&self, (value, revision): (&[u8], u64), source: ConfigSource) {
         let current = self.shared.config.load();
         match record::parse_config(value) {
             Ok(config)
@@ -318,17 +355,23 @@
                     .is_some_and(|old| old.version >= config.version) => {}
             Ok(config) => {
                 let (version, routes) = (config.version, config.route_count());
-                let fields: [event::Field<'_>; 3] = [
+                let fields: [event::Field<'_>; 4] = [
                     ("version", &version),
-                    ("revision", &item.revision),
+                    ("revision", &revision),
                     ("routes", &routes),
+                    ("source", &source),
                 ];
                 event::log(Event::ConfigAdopted, &fields);
+                self.state.borrow_mut().config_value = Some((Arc::from(value), revision));
                 self.shared.config.store(Some(Arc::new(config)));
                 self.update_ready.notify_one();
             }
             Err(error) => {
-                let fields: [event::Field<'_>; 2] = [("revision", &item.revision), ("why", &error)];
+                let fields: [event::Field<'_>; 3] = [
+                    ("revision", &revision),
+                    ("source", &source),
+                    ("why", &error),
+                ];
                 event::log(Event::ConfigRefused, &fields);
             }
         }
--- a/edge/src/store/call.rs
+++ b/edge/src/store/call.rs
@@ -18,7 +18,7 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// The maximum size of a response in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+pub(super) const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
 /// Why a call to the store failed.
 #[derive(Clone, PartialEq, Eq, Debug, derive_more::Display)]
@@ -105,7 +105,7 @@
         if change == EraChange::Risen {
             state.registry.expect_missing_entries();
             // The operators' entries are read again, now and once they are complete.
-            self.digest_differs.notify_one();
+            self.read_due.notify_one();
             event::log(Event::StoreEraRisen, &[("era", &era)]);
         }
         change
@@ -146,6 +146,12 @@
             let random = self.rng.borrow_mut().random_range(0.0..1.0);
             polling::retry_delay(rank, routers, state.failures[read_loop as usize], random)
         };
-        sleep(delay).await;
+        match read_loop {
+            // Peers that know better end the pause.
+            ReadLoop::Operators => {
+                let _elapsed = timeout(delay, self.read_due.notified()).await;
+            }
+            ReadLoop::Targets => sleep(delay).await,
+        }
     }
 }
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -111,6 +111,8 @@
     CentreDrained 1214 Info "centre-drained";
     /// The store came back from an older copy of itself; everything is read again.
     StoreEraRisen 1215 Warn "store-era-risen";
+    /// A peer that knows other operators' entries was asked for them.
+    EntriesAsked 1216 Info "entries-asked";
 
     /// A peer was reached for the first time or again.
     PeerReachable 1301 Info "peer-reachable";
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -51,6 +51,7 @@
 pub mod kept_watch;
 pub mod listing;
 pub mod memory;
+pub mod operator_entries;
 pub mod outlier;
 pub mod overload;
 pub mod placement;
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -8,6 +8,7 @@
 //! never stops the receiving process.
 
 mod datagram;
+mod entries;
 mod envelope;
 mod fact;
 mod header;
@@ -18,6 +19,7 @@
     ListingRangeQuery, ListingRanges, MAX_DATAGRAM_BYTES, OriginQuery, Origins, Unchanged,
     VersionedListing, listing_digest,
 };
+pub use entries::{EntriesQuery, OperatorEntries};
 pub use envelope::{Envelope, EnvelopeError, MAX_ENVELOPE_BYTES, Message, PROTOCOL_VERSION};
 pub use fact::{decode_fact, encode_fact};
 pub use header::{
