--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -187,6 +187,22 @@
         Ok(())
     }
 
+    /// Starts and registers targets that crash on a request with a part in its prompt.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn add_fragile_targets(&mut self, count: usize, part: &str) -> eyre::Result<()> {
+        for _ in 0..count {
+            let id = format!("t{}", self.targets.len());
+            let target = ScriptedTarget::start_fragile(&id, Some(part)).await?;
+            self.store
+                .put(&target.key(), &target.entry("desk", "ready"));
+            self.targets.push(target);
+        }
+        Ok(())
+    }
+
     /// Starts one more router that serves operators at this address.
     ///
     /// # Errors
@@ -255,6 +271,18 @@
         raw_call(address, &request).await.unwrap_or_default()
     }
 
+    /// Sends a generation request with [`RED_KEY`] and these prompt parts to a router and
+    /// returns the raw response; empty on an I/O error.
+    pub async fn send_prompt(&self, router: usize, path: &str, id: &str, parts: &str) -> String {
+        let address = self.routers[router].address("callers");
+        let request = request_text("GET", path, id, Some(RED_KEY));
+        let headers = format!(
+            "X-Knapweedgate-Token-Usage: 900,80\r\nX-Knapweedgate-Prompt-Prefix: {parts}\r\n\r\n"
+        );
+        let request = request.replacen("\r\n\r\n", &format!("\r\n{headers}"), 1);
+        raw_call(address, &request).await.unwrap_or_default()
+    }
+
     /// Sends a request with [`RED_KEY`] to the first router and returns everything received.
     ///
     /// # Errors
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -36,6 +36,7 @@
 //! | `slow-N` | streams ten events, one every N milliseconds |
 //! | `pace-N` | streams 40 events, one every N milliseconds |
 
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -46,6 +47,7 @@
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use super::http::{self, RawRequest};
@@ -60,6 +62,9 @@
 /// The delay of a reset, which may discard bytes that its receiver has not read.
 const RESET_DELAY: Duration = Duration::from_millis(200);
 
+/// The time from reading a request that crashes the target to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
 /// The number of events of all streams but `stream`, `eof` and `pace`.
 const DEFAULT_EVENT_COUNT: u64 = 10;
 
@@ -99,6 +104,9 @@
     id: Arc<str>,
     address: SocketAddr,
     log: Arc<Mutex<RequestLog>>,
+    /// The part of a prompt that crashes the target.
+    fatal_part: Option<Arc<str>>,
+    crashed: watch::Sender<bool>,
 }
 
 impl ScriptedTarget {
@@ -108,26 +116,62 @@
     ///
     /// Returns an error if no port can be bound.
     pub async fn start(id: &str) -> io::Result<Self> {
+        Self::start_fragile(id, None).await
+    }
+
+    /// Starts a target that crashes once it begins to answer a request with a part in its
+    /// prompt: it closes all connections and accepts no others.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn start_fragile(id: &str, fatal_part: Option<&str>) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let target = Self {
             id: id.into(),
             address: listener.local_addr()?,
             log: Arc::default(),
+            fatal_part: fatal_part.map(Arc::from),
+            crashed: watch::Sender::new(false),
         };
         let server = target.clone();
-        tokio::spawn(async move {
+        let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 server.lock().connections += 1;
-                let server = server.clone();
-                tokio::spawn(async move {
+                let connection = server.clone();
+                tokio::spawn(server.until_crash(async move {
                     // Some scripts break the connection on purpose.
-                    let _ended = server.serve(stream).await;
-                });
+                    let _ended = connection.serve(stream).await;
+                }));
             }
-        });
+        };
+        tokio::spawn(target.until_crash(accept));
         Ok(target)
     }
 
+    /// Whether the target has crashed.
+    pub fn has_crashed(&self) -> bool {
+        *self.crashed.borrow()
+    }
+
+    /// Runs a task until the target crashes.
+    fn until_crash<F: Future<Output = ()>>(&self, task: F) -> impl Future<Output = ()> + use<F> {
+        let mut crashed = self.crashed.subscribe();
+        async move {
+            tokio::select! {
+                () = task => {}
+                _ = crashed.wait_for(|crashed| *crashed) => {}
+            }
+        }
+    }
+
+    fn is_fatal(&self, request: &RawRequest) -> bool {
+        let parts = request.header("x-knapweedgate-prompt-prefix");
+        let mut ids = parts.unwrap_or_default().split(',');
+        let fatal_part = self.fatal_part.as_deref();
+        ids.any(|part| part.split_once(':').map(|(id, _)| id) == fatal_part && fatal_part.is_some())
+    }
+
     /// The address that it listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -191,6 +235,11 @@
                 request: request.clone(),
                 at: Instant::now(),
             });
+            if self.is_fatal(&request) {
+                sleep(CRASH_DELAY).await;
+                self.crashed.send_replace(true);
+                return Ok(());
+            }
             if !self.run_script(&mut stream, &request).await? {
                 return Ok(());
             }
