Crashes: prompt parts that crash targets are rejected, by evidence that routers share

Cause: a crash was recorded for the fingerprint of the whole request, so requests that are never alike met in no record. Class of fault: a record whose key is finer than the cause.

Fix: shared parts of the requests that were waiting or had just begun at a target that died are suspects; a part is rejected after four crashes in sequence without a completed run; the part in most crashes explains them. A broken attempt is followed by a look at the target's idle connections, or a new one that is kept. Rows with ages travel with beats. KW1518 to KW1520, /dump, a counter.

--- a/edge/src/attempt.rs
+++ b/edge/src/attempt.rs
@@ -20,12 +20,21 @@
     /// The target from which cached prompt parts are copied.
     pub(crate) copy_source: Option<CopySource>,
     cost: AttemptCost,
-    started: Cell<bool>,
+    sent_at: Instant,
+    /// When the first byte of the response was received.
+    started_at: Cell<Option<Instant>>,
     /// When the last bytes of the response were received.
     last_byte: Cell<Option<Instant>>,
     charge: Option<Charge>,
 }
 
+/// When an attempt was sent and began to be answered.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptTimes {
+    pub(crate) sent_at: Instant,
+    pub(crate) started_at: Option<Instant>,
+}
+
 /// The tokens that a team was charged for an attempt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Charge {
@@ -57,7 +66,8 @@
             target_id,
             copy_source,
             cost,
-            started: Cell::new(false),
+            sent_at: now,
+            started_at: Cell::new(None),
             last_byte: Cell::new(None),
             charge,
         }
@@ -74,7 +84,7 @@
         let previous = self.last_byte.replace(Some(now));
         let mut target_table = self.context.target_table.borrow_mut();
         target_table.record_byte(self.target_id, now);
-        if let Some(previous) = previous.filter(|_| self.started.get()) {
+        if let Some(previous) = previous.filter(|_| self.has_started()) {
             let step = now.saturating_duration_since(previous);
             target_table.record_step(self.target_id, step, now);
         }
@@ -82,9 +92,23 @@
 
     /// Records the first event of the response.
     pub(crate) fn record_started(&self) {
-        if !self.started.replace(true) {
+        if !self.has_started() {
+            let now = Instant::now();
+            self.started_at.set(Some(now));
             let mut target_table = self.context.target_table.borrow_mut();
-            target_table.record_first_event(self.target_id, self.cost, Instant::now());
+            target_table.record_first_event(self.target_id, self.cost, now);
+        }
+    }
+
+    fn has_started(&self) -> bool {
+        self.started_at.get().is_some()
+    }
+
+    /// Returns when it was sent and began to be answered.
+    pub(crate) fn times(&self) -> AttemptTimes {
+        AttemptTimes {
+            sent_at: self.sent_at,
+            started_at: self.started_at.get(),
         }
     }
 }
@@ -92,8 +116,8 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         let mut target_table = self.context.target_table.borrow_mut();
-        target_table.end_attempt(self.target_id, self.cost, self.started.get());
-        if let Some(charge) = self.charge.filter(|_| !self.started.get()) {
+        target_table.end_attempt(self.target_id, self.cost, self.has_started());
+        if let Some(charge) = self.charge.filter(|_| !self.has_started()) {
             let mut fair_shares = self.context.fair_shares.borrow_mut();
             fair_shares.record_unbegun(
                 charge.team,
--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -8,8 +8,8 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use actix_http::ServiceConfig;
-use entity::{Fingerprint, Name};
+use actix_http::{ServiceConfig, StatusCode};
+use entity::Name;
 use node::event::{self, Event};
 use node::settings::EdgeSettings;
 use platform::response::ReportedLoad;
@@ -17,7 +17,6 @@
 use policy::direct::budget::{RetryBudget, RetryLimit};
 use policy::direct::cold::ColdLimit;
 use policy::direct::config::Config;
-use policy::direct::crash::{CrashHistory, CrashRecord};
 use policy::direct::fair_share::FairShares;
 use policy::direct::overload::{MAX_LAG, OverloadState, SUSPENSION_LAG};
 use policy::direct::placement::PlacementSettings;
@@ -32,13 +31,16 @@
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 
+use crate::attempt::AttemptTimes;
 use crate::bound_log::BoundLog;
 use crate::connection_limit::ConnectionLimit;
+use crate::crashes::Crashes;
 use crate::kept_log::KeptLog;
 use crate::latest::LatestSnapshot;
 use crate::metrics::{Rejection, TrafficMetrics};
 use crate::refused_teams::RefusedTeams;
 use crate::rejections::{Rejections, RouterState};
+use crate::request::CallerRequest;
 use crate::shared::{LocalReport, PeerState, Shared};
 use crate::spare_log::SpareLog;
 use crate::target::{BodyFraming, ConnectionPool};
@@ -55,9 +57,6 @@
 /// about a fifth.
 const LOGGED_RATE_CHANGE: f64 = 0.2;
 
-/// The time after a broken attempt during which it is suspected of crashing its target.
-const CRASH_WINDOW: Duration = Duration::from_secs(2);
-
 /// The least retry delay of requests refused for strain whose callers reach another router
 /// that has room, and what is added at random.
 const MOVED_RETRY_DELAY: (Duration, Duration) =
@@ -77,13 +76,6 @@
 /// The maximum number of teams in a report.
 const MAX_REPORTED_TEAMS: usize = 48;
 
-/// A broken attempt that may have crashed its target.
-struct BrokenAttempt {
-    target_id: TargetEntryId,
-    fingerprint: Fingerprint,
-    broken_at: Instant,
-}
-
 /// A place of a team among the requests in progress; given back when dropped.
 pub(crate) struct Place {
     context: Rc<Context>,
@@ -116,7 +108,7 @@
     turned_away: Cell<u32>,
     full_logged_at: Cell<Option<Instant>>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
-    pub(crate) crash_history: RefCell<CrashHistory>,
+    pub(crate) crashes: Crashes,
     pub(crate) rng: RefCell<ChaCha8Rng>,
     pub(crate) connection_pool: ConnectionPool,
     pub(crate) http: ServiceConfig,
@@ -127,7 +119,6 @@
     pub(crate) closing: Notify,
     /// Notifies waiting requests that some target has stalled.
     target_stalled: Notify,
-    broken_attempts: RefCell<Vec<BrokenAttempt>>,
     /// The targets last logged as avoided.
     avoided: RefCell<FxHashSet<TargetEntryId>>,
     overload: RefCell<OverloadState>,
@@ -199,7 +190,7 @@
             turned_away: Cell::new(0),
             full_logged_at: Cell::new(None),
             retry_budget: RefCell::new(RetryBudget::new(retry_limit)),
-            crash_history: RefCell::default(),
+            crashes: Crashes::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
             connection_pool: ConnectionPool::new(http.clone()),
             http,
@@ -207,7 +198,6 @@
             connections: ConnectionLimit::new(settings.descriptors),
             closing: Notify::new(),
             target_stalled: Notify::new(),
-            broken_attempts: RefCell::default(),
             avoided: RefCell::default(),
             overload: RefCell::default(),
             arrival_rate: RefCell::new(ArrivalRate::new(Instant::now())),
@@ -461,14 +451,8 @@
         for target_id in leaving {
             self.log_leaving(target_id, "peer");
         }
-        let mut crash_history = self.crash_history.borrow_mut();
-        for record in self.shared.take_peer_crashes() {
-            crash_history.add(record, now);
-        }
-        let is_recent = |at| now.saturating_duration_since(at) < CRASH_WINDOW;
-        self.broken_attempts
-            .borrow_mut()
-            .retain(|it| is_recent(it.broken_at));
+        self.crashes
+            .run_maintenance(&self.shared, &self.metrics, now);
         self.connection_pool.close_expired(now);
         self.metrics
             .record_connections(self.connection_pool.opened_count());
@@ -620,17 +604,30 @@
         event::log(Event::BodyEnded, &fields);
     }
 
-    /// Records an attempt that broke while its target was processing it.
+    /// Records an attempt that broke while its target was processing it, and finds out
+    /// whether the target is still there.
     pub(crate) fn record_broken_attempt(
-        &self,
+        self: &Rc<Self>,
         target_id: TargetEntryId,
-        fingerprint: Fingerprint,
+        request: &CallerRequest,
+        times: AttemptTimes,
         now: Instant,
     ) {
-        self.broken_attempts.borrow_mut().push(BrokenAttempt {
-            target_id,
-            fingerprint,
-            broken_at: now,
+        let target_table = self.target_table.borrow();
+        let (target, address) = {
+            let target = target_table.target(target_id);
+            (target.tag, target.address)
+        };
+        drop(target_table);
+        self.crashes.record_broken(target, request, times, now);
+        if !self.crashes.begin_probe(target, now) {
+            return;
+        }
+        let context = self.clone();
+        actix_rt::spawn(async move {
+            if !context.connection_pool.is_reachable(address).await {
+                context.record_unreachable(target_id, Instant::now());
+            }
         });
     }
 
@@ -642,29 +639,16 @@
             .outlier_detector(target_id)
             .record_connect_failure(now);
         let target = target_table.target(target_id).tag;
-        let mut broken_attempts = self.broken_attempts.borrow_mut();
-        let is_recent = |at| now.saturating_duration_since(at) < CRASH_WINDOW;
-        let suspected = broken_attempts.extract_if(.., |it| {
-            it.target_id == target_id && is_recent(it.broken_at)
-        });
-        let records: Vec<CrashRecord> = suspected
-            .map(|it| CrashRecord {
-                request: it.fingerprint,
-                target,
-            })
-            .collect();
-        let mut crash_history = self.crash_history.borrow_mut();
-        let new = records
-            .into_iter()
-            .filter(|&record| crash_history.add(record, now));
-        self.shared.add_local_crashes(new.collect::<Vec<_>>());
+        drop(target_table);
+        self.crashes
+            .record_unreachable(target, "self", &self.shared, now);
     }
 
     /// Records that a request ran to the marked end of its response.
-    pub(crate) fn record_completed(&self, fingerprint: Fingerprint) {
-        self.crash_history
-            .borrow_mut()
-            .record_completed(fingerprint);
+    pub(crate) fn record_completed(&self, request: &CallerRequest, status: StatusCode) {
+        let now = Instant::now();
+        self.crashes
+            .record_completed(request, status.is_success(), &self.shared, now);
     }
 
     /// Records that a target told this router that it is leaving.
@@ -854,6 +838,7 @@
             "kept_exchange": self.dump_kept(),
             "relay": self.shared.peers.load().relay.map(|relay| relay.to_string()),
             "open": self.shared.open_requests.load(Ordering::Relaxed),
+            "rejected_parts": self.crashes.rejected_parts(),
             "spare_fraction": self.fair_shares.borrow_mut().spare_fraction(now),
             "kept": target_table.weighs_kept_parts().then(|| {
                 let (targets, parts) = target_table.kept().counts();
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -150,7 +150,7 @@
 
     fn tick(&mut self) {
         let now = present();
-        self.add_local_records(now.mono);
+        self.add_local_records(now);
         self.update_kept(now);
         let report = self.shared.local_report.load_full();
         self.exchange.set_own_rates(report.rates.clone());
@@ -213,15 +213,19 @@
     }
 
     /// Hands records of the traffic thread to the exchange.
-    fn add_local_records(&mut self, now: Instant) {
+    fn add_local_records(&mut self, now: Moment) {
         let crashes = self.shared.take_local_crashes().into_iter();
         let rows = crashes.map(|crash| CrashRow {
             request: crash.request.0,
             target: crash.target,
         });
-        self.exchange.add_crashes(rows, now);
+        self.exchange.add_crashes(rows, now.mono);
         let leaving = self.shared.take_local_leaving();
-        self.exchange.add_leaving(leaving, now);
+        self.exchange.add_leaving(leaving, now.mono);
+        for (at, news) in self.shared.take_local_parts() {
+            let waited = now.mono.saturating_duration_since(at);
+            self.exchange.add_parts(news.aged(waited), now);
+        }
     }
 
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
@@ -233,6 +237,7 @@
             Ok(Datagram::Leaving(targets)) => Message::Leaving(targets),
             Ok(Datagram::Kept(update)) => Message::Kept(update),
             Ok(Datagram::Rates(update)) => Message::Rates(update),
+            Ok(Datagram::Parts(news)) => Message::Parts(news),
             Ok(
                 datagram @ (Datagram::Listing(_)
                 | Datagram::VersionedListing(_)
@@ -287,6 +292,7 @@
         if !received.leaving.is_empty() {
             self.shared.add_peer_leaving(received.leaving);
         }
+        self.shared.add_peer_parts(received.parts, now.mono);
         self.receive_kept(received.kept, now);
         if received.wants_reply {
             let report = self.shared.local_report.load_full();
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod connection_limit;
 mod context;
+mod crashes;
 pub mod events;
 mod gossip;
 mod http_listener;
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -57,6 +57,7 @@
     pauses: Counter<u64>,
     full_targets: Counter<u64>,
     evicted_parts: Counter<u64>,
+    part_verdicts: Counter<u64>,
     reported_connections: Cell<u64>,
 }
 
@@ -90,6 +91,7 @@
                 .u64_counter("knapweed_edge_target_rate_changes")
                 .build(),
             evicted_parts: meter.u64_counter("knapweed_edge_evicted_parts").build(),
+            part_verdicts: meter.u64_counter("knapweed_edge_part_verdicts").build(),
             leaving_targets: meter.u64_counter("knapweed_edge_leaving_targets").build(),
             stream_origins: meter.u64_counter("knapweed_edge_stream_origins").build(),
             body_ends: meter.u64_counter("knapweed_edge_body_ends").build(),
@@ -183,6 +185,13 @@
         self.pauses.add(1, &[]);
     }
 
+    /// Counts prompt parts that are rejected, or are accepted again.
+    pub(crate) fn record_part_verdict(&self, is_rejected: bool) {
+        let verdict = if is_rejected { "rejected" } else { "cleared" };
+        self.part_verdicts
+            .add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+
     /// Counts targets that had evicted parts which they were expected to keep.
     pub(crate) fn record_evicted_parts(&self, count: u64) {
         self.evicted_parts.add(count, &[]);
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -145,10 +145,11 @@
                 Err(SendFailure::ConfigChanged) => continue,
                 Err(SendFailure::Broken(why)) => {
                     self.record_failure(target_id, why);
+                    let times = attempt.times();
                     drop(attempt);
                     self.context.record_result(target_id, false, now);
                     self.context
-                        .record_broken_attempt(target_id, self.request.fingerprint, now);
+                        .record_broken_attempt(target_id, self.request, times, now);
                     self.tried.push(target_id);
                     match self.may_run_again() {
                         true => continue,
@@ -255,12 +256,8 @@
         let Some(service) = config.services.get(&self.authorized.service) else {
             return Err(Refusal::not_run("unknown service", Duration::from_secs(1)));
         };
-        if let Some(after) = context
-            .crash_history
-            .borrow()
-            .rejected_for(self.request.fingerprint, now)
-        {
-            return Err(Refusal::not_run("crashes its targets", after));
+        if let Some((why, after)) = context.crashes.rejected_for(self.request, now) {
+            return Err(Refusal::not_run(why, after));
         }
         let peers = context.shared.peers.load();
         let routers = peers.members.count();
--- a/edge/src/serve/response.rs
+++ b/edge/src/serve/response.rs
@@ -108,7 +108,8 @@
                 if body.framing() == BodyFraming::Close {
                     self.context.record_broken_attempt(
                         target_id,
-                        self.request.fingerprint,
+                        self.request,
+                        attempt.times(),
                         Instant::now(),
                     );
                 }
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -210,7 +210,7 @@
             let close = context.closes_after_response();
             let framing = match response.framing {
                 BodyFraming::Framed => {
-                    context.record_completed(dispatch.request.fingerprint);
+                    context.record_completed(dispatch.request, response.status);
                     ResponseFraming::Length(response.body.len() as u64)
                 }
                 BodyFraming::Close => ResponseFraming::Close,
@@ -273,7 +273,6 @@
         return RequestEnd::Truncated("unwritable head");
     }
     let request_id = &dispatch.request.caller_headers.id;
-    let fingerprint = dispatch.request.fingerprint;
     let mut events = EventSplitter::resume_after(dispatch.request.caller_headers.last_event);
     let mut pending = Some(first).filter(|it| !it.is_empty());
     let is_resumable =
@@ -339,11 +338,17 @@
                 match end {
                     BodyFraming::Framed => {
                         context.record_result(attempt.target_id, true, now);
-                        context.record_completed(fingerprint);
+                        context.record_completed(dispatch.request, status);
                     }
                     // The target may have crashed, which shows once it is unreachable.
                     BodyFraming::Close => {
-                        context.record_broken_attempt(attempt.target_id, fingerprint, now);
+                        let times = attempt.times();
+                        context.record_broken_attempt(
+                            attempt.target_id,
+                            dispatch.request,
+                            times,
+                            now,
+                        );
                     }
                 }
                 if end == BodyFraming::Close && framing != ResponseFraming::Close {
@@ -354,11 +359,11 @@
             Err(BodyTruncated) => {
                 events.discard_partial();
                 drop(body);
-                let target_id = attempt.target_id;
+                let (target_id, times) = (attempt.target_id, attempt.times());
                 drop(attempt);
                 let now = Instant::now();
                 context.record_result(target_id, false, now);
-                context.record_broken_attempt(target_id, fingerprint, now);
+                context.record_broken_attempt(target_id, dispatch.request, times, now);
                 if !is_resumable || !events.is_resumable() || !dispatch.may_resume(target_id) {
                     return RequestEnd::Truncated("target broke the stream");
                 }
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -6,13 +6,14 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use policy::direct::cold::Members;
 use policy::direct::config::Config;
 use policy::direct::confirmation::{Confirmation, Uptime};
 use policy::direct::crash::CrashRecord;
+use policy::direct::exchange::message::PartNews;
 use policy::direct::fair_share::TeamRate;
 use policy::direct::kept::KeptRow;
 use policy::direct::rotation::{Neighbour, Readiness};
@@ -61,6 +62,9 @@
 /// behind further, rows are lost as datagrams are.
 const MAX_KEPT_QUEUE: usize = 16_384;
 
+/// The maximum number of messages about crashes under prompt parts that wait for a thread.
+const MAX_PART_QUEUE: usize = 256;
+
 /// The report of the traffic thread for the peers.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LocalReport {
@@ -107,6 +111,8 @@
     leaving_queues: Mutex<LeavingQueues>,
     /// Rows about prompt parts that one thread hands to the other.
     kept_queues: Mutex<KeptQueues>,
+    /// Crashes under prompt parts that one thread hands to the other.
+    part_queues: Mutex<PartQueues>,
     origins: Mutex<StreamOrigins>,
     /// Streams whose origin the traffic thread asks the peers for.
     origin_questions: Mutex<Vec<OriginQuestion>>,
@@ -136,6 +142,15 @@
     peers: Vec<KeptRow>,
 }
 
+/// Rows with the time at which they were handed over.
+type TimedNews = (Instant, PartNews);
+
+#[derive(Debug, Default)]
+struct PartQueues {
+    local: Vec<TimedNews>,
+    peers: Vec<TimedNews>,
+}
+
 #[derive(Debug, Default)]
 struct LeavingQueues {
     local: Vec<u64>,
@@ -161,6 +176,7 @@
             crash_queues: Mutex::default(),
             leaving_queues: Mutex::default(),
             kept_queues: Mutex::default(),
+            part_queues: Mutex::default(),
             origins: Mutex::default(),
             origin_questions: Mutex::default(),
             origin_asked: Notify::new(),
@@ -279,6 +295,31 @@
         queues.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds what this router saw of prompt parts, to be sent to the peers.
+    pub(crate) fn add_local_parts(&self, news: PartNews, now: Instant) {
+        push_news(&mut self.part_queues().local, news, now);
+    }
+
+    /// Adds what peers saw of prompt parts.
+    pub(crate) fn add_peer_parts(&self, news: PartNews, now: Instant) {
+        push_news(&mut self.part_queues().peers, news, now);
+    }
+
+    /// Takes what is to be sent to the peers.
+    pub(crate) fn take_local_parts(&self) -> Vec<TimedNews> {
+        std::mem::take(&mut self.part_queues().local)
+    }
+
+    /// Takes what peers saw.
+    pub(crate) fn take_peer_parts(&self) -> Vec<TimedNews> {
+        std::mem::take(&mut self.part_queues().peers)
+    }
+
+    fn part_queues(&self) -> MutexGuard<'_, PartQueues> {
+        let queues = self.part_queues.lock();
+        queues.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adds crash records of this router, to be sent to the peers.
     pub(crate) fn add_local_crashes(&self, crashes: impl IntoIterator<Item = CrashRecord>) {
         self.crash_queues().local.extend(crashes);
@@ -306,6 +347,12 @@
     }
 }
 
+fn push_news(queue: &mut Vec<TimedNews>, news: PartNews, now: Instant) {
+    if !news.is_empty() && queue.len() < MAX_PART_QUEUE {
+        queue.push((now, news));
+    }
+}
+
 fn push_bounded(queue: &mut Vec<KeptRow>, rows: Vec<KeptRow>) {
     let room = MAX_KEPT_QUEUE.saturating_sub(queue.len());
     queue.extend(rows.into_iter().take(room));
--- a/edge/src/target.rs
+++ b/edge/src/target.rs
@@ -210,6 +210,34 @@
         None
     }
 
+    /// Whether a target accepts connections; keeps a connection that is opened to find out.
+    pub(crate) async fn is_reachable(&self, address: SocketAddr) -> bool {
+        let has_usable = |idle: &Vec<IdleConnection>| idle.iter().any(|it| is_usable(&it.stream));
+        if self
+            .idle_connections
+            .borrow()
+            .get(&address)
+            .is_some_and(has_usable)
+        {
+            return true;
+        }
+        let Ok(stream) = self.connect(address).await else {
+            return false;
+        };
+        let now = Instant::now();
+        let connection = IdleConnection {
+            stream,
+            idle_since: now,
+            expires_at: now + DEFAULT_IDLE_TIME,
+        };
+        let mut idle_connections = self.idle_connections.borrow_mut();
+        idle_connections
+            .entry(address)
+            .or_default()
+            .push(connection);
+        true
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<TcpStream, SendError> {
         self.opened_count.set(self.opened_count.get() + 1);
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -219,6 +219,12 @@
     OriginsAsked 1516 Info "origins-asked";
     /// A target turned a request away since all its slots were in use.
     TargetFull 1517 Info "target-full";
+    /// A target died; requests that were waiting or had just begun there are suspects.
+    TargetCrashed 1518 Warn "target-crashed";
+    /// Requests with these prompt parts are rejected, since targets crash under them.
+    PartRejected 1519 Error "part-rejected";
+    /// Requests with these prompt parts are accepted again.
+    PartCleared 1520 Info "part-cleared";
 }
 
 impl Display for Event {
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -54,6 +54,7 @@
 pub mod operator_entries;
 pub mod outlier;
 pub mod overload;
+pub mod part_crash;
 pub mod placement;
 pub mod polling;
 pub mod prefill_rate;
--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -24,6 +24,7 @@
 pub mod kept;
 mod members;
 pub mod message;
+pub mod parts;
 pub mod rates;
 mod records;
 mod relay;
@@ -44,7 +45,8 @@
 use super::rotation::{Neighbour, Readiness};
 use super::target_table::{LoadReport, PeerLoadReport};
 use kept::KeptLog;
-use message::{Beat, CentreTag, CrashRow, Message, Scope, TeamRow, Trouble};
+use message::{Beat, CentreTag, CrashRow, Message, PartNews, Scope, TeamRow, Trouble};
+use parts::PartLog;
 use rates::RateBook;
 use records::RecordLog;
 use summary::{PartialSummary, ReceivedSummary};
@@ -171,6 +173,8 @@
     pub leaving: Vec<u64>,
     /// Uses of prompt parts at targets.
     pub kept: Vec<KeptRow>,
+    /// Crashes under prompt parts, and runs that clear parts, that were not known.
+    pub parts: PartNews,
     /// Whether the sender should get a reply at once; see [`Exchange::replies`].
     pub wants_reply: bool,
     /// Whether the sender was not reachable before.
@@ -304,6 +308,7 @@
     sent_beats: VecDeque<(u32, Uptime)>,
     crashes: RecordLog<CrashRow>,
     leaving: RecordLog<u64>,
+    parts: PartLog,
     rates: RateBook,
     kept: KeptLog,
     events: Vec<PeerEvent>,
@@ -340,6 +345,7 @@
             sent_beats: VecDeque::new(),
             crashes: RecordLog::new(MAX_CRASH_ROWS),
             leaving: RecordLog::new(MAX_LEAVING_ROWS),
+            parts: PartLog::default(),
             rates: RateBook::default(),
             kept: KeptLog::default(),
             events: Vec::new(),
@@ -412,6 +418,11 @@
         self.leaving.add(targets, now)
     }
 
+    /// Adds crashes under prompt parts, and runs that clear parts, to be sent to the others.
+    pub fn add_parts(&mut self, news: PartNews, now: Moment) {
+        self.parts.add(news, now.uptime.0);
+    }
+
     /// Returns the messages of one period.
     pub fn tick(&mut self, local: &LocalState<'_>, now: Moment) -> Vec<Outgoing> {
         let gap = now.mono.saturating_duration_since(self.ticked_at);
@@ -453,6 +464,7 @@
         if turn + 1 == rounds {
             self.crashes.count_repeat(now.mono);
             self.leaving.count_repeat(now.mono);
+            self.parts.count_repeat(now.uptime.0);
         }
         sent
     }
@@ -511,6 +523,10 @@
                 ..Received::default()
             },
             Message::Rates(update) => self.receive_rates(update, now.mono),
+            Message::Parts(news) => Received {
+                parts: self.parts.add(news, now.uptime.0),
+                ..Received::default()
+            },
         }
     }
 
--- a/policy/src/direct/exchange/beat.rs
+++ b/policy/src/direct/exchange/beat.rs
@@ -130,10 +130,11 @@
         });
         let leaving = self.leaving.pending();
         let leaving = (!leaving.is_empty()).then_some(Message::Leaving(leaving));
+        let parts = self.parts.pending(now.uptime.0).map(Message::Parts);
         let has_group = self.has_group(now.mono);
         let mut sent = Vec::new();
         for &to in to {
-            let before = trouble.iter().chain(&leaving).cloned();
+            let before = trouble.iter().chain(&leaving).chain(&parts).cloned();
             sent.extend(before.map(|message| Outgoing { to, message }));
             let mut beat = beat.clone();
             let peer = self.peers.get(&to);
--- a/policy/src/direct/exchange/message.rs
+++ b/policy/src/direct/exchange/message.rs
@@ -4,6 +4,7 @@
 //! relay knows of the routers behind it.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use derive_more::{Display, From};
 use entity::Name;
@@ -145,6 +146,57 @@
     pub target: u64,
 }
 
+/// A crash of a target while it ran a request with a prompt part, or before.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct PartCrashRow {
+    /// The hash of the part.
+    pub part: u64,
+    /// The tag of the target's incarnation.
+    pub target: u64,
+    /// The time since the request was sent, in milliseconds.
+    pub sent: u32,
+    /// The time since the connection to the target broke, in milliseconds.
+    pub broken: u32,
+}
+
+/// A completed run of a request with a prompt part against which crashes had been counted.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct PartRunRow {
+    /// The hash of the part.
+    pub part: u64,
+    /// The time since the run completed, in milliseconds.
+    pub age: u32,
+}
+
+/// Crashes under prompt parts, and runs that clear parts.
+#[derive(Clone, Default, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct PartNews {
+    /// The crashes.
+    pub crashes: Vec<PartCrashRow>,
+    /// The runs.
+    pub runs: Vec<PartRunRow>,
+}
+
+impl PartNews {
+    /// Returns the rows after some more time.
+    pub fn aged(mut self, time: Duration) -> Self {
+        let millis = u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        for row in &mut self.crashes {
+            row.sent = row.sent.saturating_add(millis);
+            row.broken = row.broken.saturating_add(millis);
+        }
+        for row in &mut self.runs {
+            row.age = row.age.saturating_add(millis);
+        }
+        self
+    }
+
+    /// Whether there are no rows.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.runs.is_empty()
+    }
+}
+
 /// The targets that currently fail for a router, sent before a heartbeat.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Trouble {
@@ -277,4 +329,6 @@
     Kept(KeptUpdate),
     /// The rates of targets.
     Rates(RateUpdate),
+    /// Crashes under prompt parts, and runs that clear parts.
+    Parts(PartNews),
 }
--- a/policy/tests/direct_exchange.rs
+++ b/policy/tests/direct_exchange.rs
@@ -7,8 +7,9 @@
 
 use std::time::Duration;
 
-use knapweed_policy::direct::exchange::message::RateRow;
-use knapweed_policy::direct::exchange::message::Scope;
+use knapweed_policy::direct::exchange::message::{
+    PartCrashRow, PartNews, PartRunRow, RateRow, Scope,
+};
 use knapweed_policy::direct::exchange::rates::RATE_PERIODS;
 use knapweed_policy::direct::exchange::{PEER_TIMEOUT, PERIOD};
 use knapweed_policy::direct::fair_share::TeamRate;
@@ -396,3 +397,55 @@
         ["group", "fleet"]
     );
 }
+
+/// The time in which all routers are to know: the users grant 3 s, in which a crash must
+/// be noticed as well.
+const PART_NEWS_TIME: Duration = Duration::from_secs(2);
+
+/// The number of crashes of targets of which routers tell each other.
+const CRASHES: u64 = 5;
+
+#[test]
+fn crashes_under_a_part_and_runs_that_clear_it_reach_every_router_in_time() {
+    for (count, centres) in FLEETS {
+        let mut net = settled(count, centres, 4);
+        net.loss = 0.05;
+        let moment = net.moment();
+        for target in 0..CRASHES {
+            // Each router lost other requests when the target died.
+            for router in 0..4 {
+                let crashes = (0..20).map(|part| PartCrashRow {
+                    part: if part == 0 {
+                        7
+                    } else {
+                        part + 100 * router as u64
+                    },
+                    target,
+                    sent: 150,
+                    broken: 100,
+                });
+                let news = PartNews {
+                    crashes: crashes.collect(),
+                    runs: Vec::new(),
+                };
+                net.routers[router].exchange.add_parts(news, moment);
+            }
+        }
+        let run = PartNews {
+            crashes: Vec::new(),
+            runs: vec![PartRunRow { part: 9, age: 0 }],
+        };
+        net.routers[count - 1].exchange.add_parts(run, moment);
+        net.run_for(PART_NEWS_TIME);
+        for (index, router) in net.routers.iter().enumerate() {
+            if index >= 4 {
+                let known = router.crashed_parts.iter().filter(|(part, _)| *part == 7);
+                assert_eq!(known.count() as u64, CRASHES, "{count} routers: {index}");
+            }
+            if index != count - 1 {
+                assert!(router.run_parts.contains(&9), "{count} routers: {index}");
+            }
+        }
+        assert!(net.largest_datagram <= MAX_DATAGRAM_BYTES);
+    }
+}
--- a/policy/tests/direct_exchange/net.rs
+++ b/policy/tests/direct_exchange/net.rs
@@ -46,6 +46,10 @@
     pub(crate) kept_bytes: usize,
     /// The rows about prompt parts that were news here, and when each use happened by its age.
     pub(crate) kept: BTreeMap<(u64, u64), (u32, Duration)>,
+    /// The parts and targets of crashes that were news here.
+    pub(crate) crashed_parts: BTreeSet<(u64, u64)>,
+    /// The parts that completed runs cleared here.
+    pub(crate) run_parts: BTreeSet<u64>,
     /// Messages that arrived while it was frozen.
     held: VecDeque<Message>,
 }
@@ -151,6 +155,8 @@
             sent_datagrams: 0,
             kept_bytes: 0,
             kept: BTreeMap::new(),
+            crashed_parts: BTreeSet::new(),
+            run_parts: BTreeSet::new(),
             held: VecDeque::new(),
         }
     }
@@ -162,7 +168,7 @@
     }
 
     /// The present of all routers; their clocks count no suspension here.
-    fn moment(&self) -> Moment {
+    pub(crate) fn moment(&self) -> Moment {
         Moment {
             mono: self.origin + self.now,
             uptime: Uptime(self.now),
@@ -274,6 +280,11 @@
             let last_use = (row.tokens, used_at);
             router.kept.insert((row.target, row.part), last_use);
         }
+        let crashes = received.parts.crashes.iter();
+        let crashes = crashes.map(|row| (row.part, row.target));
+        router.crashed_parts.extend(crashes);
+        let runs = received.parts.runs.iter().map(|row| row.part);
+        router.run_parts.extend(runs);
         if let Some((_, at)) = received.confirmation {
             router.confirmed_at = router.confirmed_at.max(Some(at.0));
         }
@@ -360,6 +371,7 @@
         Message::Leaving(targets) => postcard::to_stdvec(targets).expect("encodes").len(),
         Message::Kept(update) => postcard::to_stdvec(update).expect("encodes").len(),
         Message::Rates(rows) => postcard::to_stdvec(rows).expect("encodes").len(),
+        Message::Parts(news) => postcard::to_stdvec(news).expect("encodes").len(),
     };
     encoded + 2
 }
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -10,7 +10,7 @@
 use derive_more::{Display, Error};
 use entity::Name;
 use policy::direct::exchange::message::{
-    Beat, KeptUpdate, Message, Place, RateUpdate, ReadinessRow, Summary, Trouble,
+    Beat, KeptUpdate, Message, PartNews, Place, RateUpdate, ReadinessRow, Summary, Trouble,
 };
 use policy::direct::listing::ListingChange;
 use policy::direct::listing::message::{ListingMessage, Part, RangeAnswer, RangeQuery, Step};
@@ -183,6 +183,8 @@
     Kept(KeptUpdate),
     /// The rates of targets.
     Rates(RateUpdate),
+    /// Crashes under prompt parts, and runs that clear parts.
+    Parts(PartNews),
 }
 
 impl From<Message> for Datagram {
@@ -194,6 +196,7 @@
             Message::Leaving(targets) => Self::Leaving(targets),
             Message::Kept(update) => Self::Kept(update),
             Message::Rates(rows) => Self::Rates(rows),
+            Message::Parts(news) => Self::Parts(news),
         }
     }
 }
