--- a/policy/tests/direct_part_crash.rs
+++ b/policy/tests/direct_part_crash.rs
@@ -5,7 +5,7 @@
 use knapweed_policy::direct::part_crash::{MIN_ROUNDS, PART_TTL, PartCrash, PartHistory};
 use knapweed_policy::direct::prompt::{Prompt, PromptPart};
 use proptest::prelude::*;
-use rand::{RngExt as _, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 /// The first part of all prompts, the part that crashes targets, and a sound neighbour.
