--- a/livetests/tests/versions.rs
+++ b/livetests/tests/versions.rs
@@ -1,9 +1,10 @@
 //! Streams while targets of several software versions serve one service.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use futures::future::join_all;
 use knapweed_livetests::edge::{EdgeFleet, body_of, looks_complete, status_of};
+use serde_json::json;
 use tokio::time::sleep;
 
 /// The versions of the targets of a fleet, by the number in their ids.
@@ -148,3 +149,34 @@
     assert_eq!(status_of(&response.text), 200, "{response:?}");
     Ok(())
 }
+
+/// Registers a target of a version whose software was started just now.
+async fn add_new_target(fleet: &mut EdgeFleet, version: &str) -> eyre::Result<()> {
+    fleet.add_target(version).await?;
+    let target = fleet.targets.last().expect("a target was added");
+    let mut entry = target.versioned_entry("desk", "ready", version);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH)?;
+    entry["born"] = json!(now.as_millis() as u64);
+    fleet.store.put(&target.key(), &entry);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn stream_does_not_go_on_at_a_new_version_after_all_routers_were_killed() -> eyre::Result<()>
+{
+    let mut fleet = EdgeFleet::start_versions("version-herd", 2, &VERSIONS[..1]).await?;
+    let response = fleet.receive("GET", SLOW_STREAM, "begin").await?;
+    assert!(looks_complete(&response), "{response:?}");
+    add_new_target(&mut fleet, VERSIONS[1]).await?;
+    let old = fleet.targets[0].key();
+    fleet.store.delete(&old);
+    for router in &mut fleet.routers {
+        router.kill()?;
+    }
+    fleet.routers.clear();
+    fleet.add_router().await?;
+    let response = fleet.take_up(0, SLOW_STREAM, "again", "begin", 4).await?;
+    assert_eq!(status_of(&response.text), 503, "{response:?}");
+    assert!(fleet.arrivals("again").is_empty());
+    Ok(())
+}
