Crashes: routers that start are told under which parts targets died

Cause, shown by a test: crashes travel when they are news, so a router that starts later knows of none and tries the part anew. Class of fault: state that is passed on only when it changes.

--- a/policy/src/direct/exchange/beat.rs
+++ b/policy/src/direct/exchange/beat.rs
@@ -34,6 +34,9 @@
         }
         // A later incarnation knows nothing of what the former one was sent.
         let previous = previous.filter(|it| it.beat.life == beat.life);
+        if previous.is_none() {
+            self.parts.resend();
+        }
         let reads = beat.confirmed.map(u64::from).map(Duration::from_millis);
         let reads = !beat.leaving && reads.is_some_and(|age| age < self.lost_age);
         let is_known = self.members.get(&from).is_some_and(|it| it.is_reachable);
--- a/policy/src/direct/exchange/parts.rs
+++ b/policy/src/direct/exchange/parts.rs
@@ -13,6 +13,7 @@
 use rustc_hash::FxHashMap;
 
 use super::message::{PartCrashRow, PartNews, PartRunRow};
+use crate::direct::part_crash::{MIN_ROUNDS, PART_TTL};
 
 /// The maximum number of rows of each kind in a message.
 pub const MAX_ROWS: usize = 64;
@@ -20,8 +21,8 @@
 /// The number of rounds of heartbeats with which a row is sent, since datagrams may be lost.
 const REPEATS: u8 = 4;
 
-/// How long a row is remembered; longer than it travels through a fleet.
-const ROW_TTL: Duration = Duration::from_secs(60);
+/// The number of crashes under a part from which routers that start are told of it.
+const MIN_TOLD_CRASHES: u32 = MIN_ROUNDS as u32;
 
 /// The maximum number of rows of each kind that are remembered.
 const MAX_KNOWN: usize = 8_192;
@@ -88,6 +89,23 @@
         new
     }
 
+    /// Sends the rows of parts that may be rejected once more, since a router has started.
+    pub(super) fn resend(&mut self) {
+        let is_told = |part: &u64| {
+            let count = self.counts.get(part);
+            count.is_some_and(|&count| count >= MIN_TOLD_CRASHES)
+        };
+        let crashes = self.crashes.keys().filter(|(part, _)| is_told(part));
+        let crashes: Vec<((u64, u64), u8)> = crashes.map(|&key| (key, 0)).collect();
+        let runs = self.runs.keys().filter(|part| is_told(part));
+        let runs: Vec<(u64, u8)> = runs.map(|&part| (part, 0)).collect();
+        self.pending_crashes.retain(|(key, _)| !is_told(&key.0));
+        self.pending_runs.retain(|(part, _)| !is_told(part));
+        self.pending_crashes.extend(crashes);
+        self.pending_runs.splice(0..0, runs);
+        self.sort_crashes();
+    }
+
     /// Orders the crashes: first those that were sent least often, and of these those of the
     /// parts under which most targets died.
     fn sort_crashes(&mut self) {
@@ -130,7 +148,7 @@
         }
         count(&mut self.pending_runs);
         self.pending_runs.sort_by_key(|(_, sent)| *sent);
-        let is_recent = |at: Duration| now.saturating_sub(at) < ROW_TTL;
+        let is_recent = |at: Duration| now.saturating_sub(at) < PART_TTL;
         let counts = &mut self.counts;
         self.crashes.retain(|(part, _), crash| {
             let is_kept = is_recent(crash.broken_at);
--- a/policy/tests/direct_exchange.rs
+++ b/policy/tests/direct_exchange.rs
@@ -449,3 +449,35 @@
         assert!(net.largest_datagram <= MAX_DATAGRAM_BYTES);
     }
 }
+
+#[test]
+fn a_router_that_restarts_learns_under_which_part_targets_died() {
+    for (count, centres) in FLEETS {
+        let mut net = settled(count, centres, 6);
+        net.loss = 0.05;
+        for target in 0..CRASHES {
+            let crash = PartCrashRow {
+                part: 7,
+                target,
+                sent: 150,
+                broken: 100,
+            };
+            let news = PartNews {
+                crashes: vec![crash],
+                runs: Vec::new(),
+            };
+            let moment = net.moment();
+            net.routers[0].exchange.add_parts(news, moment);
+            net.run_for(millis(500));
+        }
+        net.run_for(Duration::from_secs(5));
+        for restarted in [1, count / 2, count - 1] {
+            net.restart(restarted);
+        }
+        net.run_for(PART_NEWS_TIME);
+        for restarted in [1, count / 2, count - 1] {
+            let known = net.routers[restarted].crashed_parts.len();
+            assert_eq!(known as u64, CRASHES, "{count} routers: {restarted}");
+        }
+    }
+}
