Crashes: a target is looked at 20 ms after an attempt broke there

The connections to a target that dies are closed one after the other, so a look at an idle one in the moment of the first break may find it open; the next look comes 500 ms later, when another process may listen at the address.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -30,6 +30,7 @@
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
+use tokio::time::sleep;
 
 use crate::attempt::AttemptTimes;
 use crate::bound_log::BoundLog;
@@ -57,6 +58,10 @@
 /// about a fifth.
 const LOGGED_RATE_CHANGE: f64 = 0.2;
 
+/// The time from a broken attempt to the look at its target, in which the other connections
+/// to a target that died are closed as well.
+const PROBE_DELAY: Duration = Duration::from_millis(20);
+
 /// The least retry delay of requests refused for strain whose callers reach another router
 /// that has room, and what is added at random.
 const MOVED_RETRY_DELAY: (Duration, Duration) =
@@ -625,6 +630,7 @@
         }
         let context = self.clone();
         actix_rt::spawn(async move {
+            sleep(PROBE_DELAY).await;
             if !context.connection_pool.is_reachable(address).await {
                 context.record_unreachable(target_id, Instant::now());
             }
