Streams: a router that has just started does not take the version that it sees for the only one

Cause: 'the service had a single version' was decided from what this router had seen since its start, which may be a second. Class of fault: an observation is used without the span that it covers.

Fix: a single version counts if this router watched the service for as long as a stream can be taken up (30 s), if a router that did so vouches for it (a new answer to the question for an origin), or if half of the targets or more are older than 20 s, so that they do not replace others. Else the caller gets 503 with a time, as for any unknown version. What remains: a version with few targets that left less than 20 s before all routers were killed, beside a majority of settled targets of another one, is not seen.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use actix_http::{ServiceConfig, StatusCode};
-use entity::Name;
+use entity::{Clock, Name, SystemClock};
 use node::event::{self, Event};
 use node::settings::EdgeSettings;
 use platform::response::ReportedLoad;
@@ -22,6 +22,7 @@
 use policy::direct::placement::PlacementSettings;
 use policy::direct::rotation::{OwnLoad, Rotation};
 use policy::direct::slots::PlainResult;
+use policy::direct::stream_origin::{SETTLED_AGE, VersionSighting};
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_rate::RateRow;
 use policy::direct::target_table::{TargetEntryId, TargetTable};
@@ -379,8 +380,18 @@
             self.target_table
                 .borrow_mut()
                 .apply_registry(&registry, now);
+            let wall = SystemClock.now().wall;
+            let is_settled = |born: u64| {
+                let born = UNIX_EPOCH + Duration::from_millis(born);
+                wall.duration_since(born)
+                    .is_ok_and(|age| age >= SETTLED_AGE)
+            };
             let targets = registry.targets.values().map(|(target, _)| target);
-            let versions = targets.map(|target| (&target.service, target.version.tag()));
+            let versions = targets.map(|target| VersionSighting {
+                service: &target.service,
+                version: target.version.tag(),
+                is_settled: is_settled(target.born),
+            });
             self.shared.origins().observe_versions(versions, now);
             if let Some(config) = self.config() {
                 self.fair_shares
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -255,6 +255,7 @@
             }
             Ok(Datagram::Origins(origins)) => return self.receive_origins(&origins),
             Ok(Datagram::OriginQuery(query)) => return self.answer_query(&query, from),
+            Ok(Datagram::SingleVersions(single)) => return self.receive_single(&single),
             Err(DatagramError::Version) => {
                 event::log(Event::VersionRefused, &[("peer", &from)]);
                 return;
--- a/edge/src/gossip/origins.rs
+++ b/edge/src/gossip/origins.rs
@@ -1,19 +1,20 @@
 //! The exchange of the software versions at which streams began.
 //!
-//! Invariant: a question is answered only with recorded versions, never with a version
-//! that is inferred.
+//! Invariant: a question is answered with recorded versions, and with the services that had
+//! a single version throughout, never with a version that is inferred for a stream.
 
 use std::net::SocketAddr;
 use std::time::Instant;
 
 use entity::{Clock, SystemClock};
 use node::event::{self, Event};
-use policy::direct::stream_origin::{HOLDERS, StreamId, holders};
-use policy::direct::target::VersionTag;
+use policy::direct::stream_origin::{HOLDERS, SingleVersion, StreamId, holders};
+use policy::direct::target::{MIN_OUTAGE, VersionTag};
 use rustc_hash::FxHashMap;
 use wire::{Datagram, OriginQuery, Origins};
 
 use super::{Gossip, member_tag};
+use crate::clock::{BootClock, SystemBootClock};
 
 /// The maximum number of streams in a datagram; each takes up to ten bytes.
 const MAX_STREAMS: usize = 700;
@@ -99,6 +100,10 @@
                 known.entry(version).or_default().push(stream);
             }
         }
+        let single = match self.is_listing_current() {
+            true => records.single_versions(now),
+            false => Vec::new(),
+        };
         drop(records);
         let found: usize = known.values().map(Vec::len).sum();
         let fields: [event::Field<'_>; 3] = [
@@ -110,6 +115,21 @@
         for (version, streams) in known {
             self.send_streams(version, &streams, from);
         }
+        if found < query.streams.len() && !single.is_empty() {
+            self.send(&Datagram::SingleVersions(single), from);
+        }
+    }
+
+    /// Takes over what a router with a longer watch says of the versions of services.
+    pub(super) fn receive_single(&self, single: &[SingleVersion]) {
+        if self.shared.origins().record_single(single) {
+            self.shared.origin_learned.notify_waiters();
+        }
+    }
+
+    fn is_listing_current(&self) -> bool {
+        let age = self.shared.targets_age(SystemBootClock.uptime());
+        age.is_some_and(|age| age < MIN_OUTAGE)
     }
 
     /// The members and whether they are reachable, in the order of the exchange.
--- a/policy/src/direct/stream_origin.rs
+++ b/policy/src/direct/stream_origin.rs
@@ -8,8 +8,9 @@
 //! stream and the members; the router at which the caller returns asks them.
 //!
 //! Invariants:
-//! - A version is stated only if a record says so, or if the service had a single one for
-//!   as long as a stream can be taken up.
+//! - A version is stated only if a record says so, or if the service is known to have had a
+//!   single one for as long as a stream can be taken up: from this router's own watch, from
+//!   a router that watched for so long, or from the age of the targets.
 //! - Records are kept for [`ORIGIN_TTL`], and at most [`MAX_ORIGINS`] of them.
 
 use std::collections::VecDeque;
@@ -27,6 +28,11 @@
 /// How long after its begin a stream can be taken up; longer than any caller waits.
 pub const ORIGIN_TTL: Duration = Duration::from_secs(30);
 
+/// The age of a target from which it shows that its version served when a stream began that
+/// can still be taken up: longer than a caller waits and a target that is replaced takes to
+/// leave.
+pub const SETTLED_AGE: Duration = Duration::from_secs(20);
+
 /// The maximum number of streams whose origin is kept; the oldest are evicted.
 pub const MAX_ORIGINS: usize = 65_536;
 
@@ -75,16 +81,50 @@
     at: Instant,
 }
 
+/// A registered target, as far as it tells which versions a service has had.
+#[derive(Clone, Copy, Debug)]
+pub struct VersionSighting<'a> {
+    /// The service.
+    pub service: &'a Name,
+    /// The version of the target's software.
+    pub version: VersionTag,
+    /// Whether the target is older than [`SETTLED_AGE`].
+    pub is_settled: bool,
+}
+
+/// A service that had a single version for as long as a stream can be taken up.
+pub type SingleVersion = (u64, VersionTag);
+
+/// The registered targets of one service.
+#[derive(Default)]
+struct Sighted {
+    versions: SmallVec<[VersionTag; 2]>,
+    targets: usize,
+    settled: usize,
+}
+
 /// The versions of the targets of one service.
 #[derive(Clone, Default, Debug)]
 struct VersionHistory {
     current: SmallVec<[VersionTag; 2]>,
+    /// When this router first saw the service.
+    watched_since: Option<Instant>,
+    /// Whether no other version served shortly before that.
+    is_single_before: bool,
     /// Versions without a target, with the time at which the last one was gone.
     past: SmallVec<[(VersionTag, Instant); 2]>,
 }
 
 impl VersionHistory {
-    fn update(&mut self, current: SmallVec<[VersionTag; 2]>, now: Instant) {
+    fn update(&mut self, sighted: Sighted, now: Instant) {
+        let Sighted {
+            versions: current,
+            targets,
+            settled,
+        } = sighted;
+        if !current.is_empty() {
+            self.watched_since.get_or_insert(now);
+        }
         let gone = self.current.iter().filter(|it| !current.contains(it));
         let gone: SmallVec<[_; 2]> = gone.map(|&version| (version, now)).collect();
         self.past.extend(gone);
@@ -92,14 +132,26 @@
             !current.contains(version) && now.saturating_duration_since(*gone_at) < ORIGIN_TTL
         });
         self.current = current;
+        // A version that has just replaced another one has new targets for the most part.
+        if settled * 2 >= targets {
+            self.confirm_single_before();
+        }
+    }
+
+    /// Records that only the present version served before this router began to watch.
+    fn confirm_single_before(&mut self) {
+        self.is_single_before |= self.current.len() == 1 && self.past.is_empty();
     }
 
     /// Returns the only version that streams can have begun at, if there is one.
     fn single(&self, now: Instant) -> Option<VersionTag> {
         let is_recent = |gone_at| now.saturating_duration_since(gone_at) < ORIGIN_TTL;
         let has_past = self.past.iter().any(|&(_, gone_at)| is_recent(gone_at));
+        let has_watched = self
+            .watched_since
+            .is_some_and(|at| now.saturating_duration_since(at) >= ORIGIN_TTL);
         match self.current.as_slice() {
-            &[version] if !has_past => Some(version),
+            &[version] if !has_past && (has_watched || self.is_single_before) => Some(version),
             _ => None,
         }
     }
@@ -117,17 +169,19 @@
 }
 
 impl StreamOrigins {
-    /// Updates the versions of the registered targets, as pairs of service and version.
+    /// Updates the versions of the registered targets.
     pub fn observe_versions<'a>(
         &mut self,
-        targets: impl Iterator<Item = (&'a Name, VersionTag)>,
+        targets: impl Iterator<Item = VersionSighting<'a>>,
         now: Instant,
     ) {
-        let mut current: FxHashMap<&Name, SmallVec<[VersionTag; 2]>> = FxHashMap::default();
-        for (service, version) in targets {
-            let versions = current.entry(service).or_default();
-            if !versions.contains(&version) {
-                versions.push(version);
+        let mut current: FxHashMap<&Name, Sighted> = FxHashMap::default();
+        for target in targets {
+            let sighted = current.entry(target.service).or_default();
+            sighted.targets += 1;
+            sighted.settled += usize::from(target.is_settled);
+            if !sighted.versions.contains(&target.version) {
+                sighted.versions.push(target.version);
             }
         }
         for service in current.keys() {
@@ -141,6 +195,32 @@
         }
     }
 
+    /// The services that had a single version for as long as a stream can be taken up.
+    pub fn single_versions(&self, now: Instant) -> Vec<SingleVersion> {
+        let versions = self.versions.iter();
+        let single =
+            versions.filter_map(|(service, history)| Some((service.tag().0, history.single(now)?)));
+        let mut single: Vec<SingleVersion> = single.collect();
+        single.sort_unstable();
+        single
+    }
+
+    /// Records that a router which has watched for so long saw a single version. Returns
+    /// whether that is news.
+    pub fn record_single(&mut self, single: &[SingleVersion]) -> bool {
+        let mut is_news = false;
+        for (service, history) in &mut self.versions {
+            let is_same = |it: &&SingleVersion| {
+                it.0 == service.tag().0 && history.current.as_slice() == [it.1]
+            };
+            if !history.is_single_before && single.iter().any(|it| is_same(&it)) {
+                history.confirm_single_before();
+                is_news |= history.is_single_before;
+            }
+        }
+        is_news
+    }
+
     /// Records a stream that this router began.
     pub fn record_begun(&mut self, stream: StreamId, version: VersionTag, now: Instant) {
         self.record(stream, version, now);
--- a/policy/tests/direct_stream_origin.rs
+++ b/policy/tests/direct_stream_origin.rs
@@ -4,7 +4,7 @@
 
 use entity::Name;
 use knapweed_policy::direct::stream_origin::{
-    HOLDERS, MAX_ORIGINS, ORIGIN_TTL, Origin, StreamId, StreamOrigins, holders,
+    HOLDERS, MAX_ORIGINS, ORIGIN_TTL, Origin, StreamId, StreamOrigins, VersionSighting, holders,
 };
 use knapweed_policy::direct::target::{SoftwareVersion, VersionTag};
 use proptest::prelude::*;
@@ -17,9 +17,20 @@
     Name::new("pool")
 }
 
+/// Lets a router see settled targets of these versions.
 fn observe(origins: &mut StreamOrigins, versions: &[&str], now: Instant) {
+    let targets: Vec<_> = versions.iter().map(|&text| (text, true)).collect();
+    observe_targets(origins, &targets, now);
+}
+
+/// Lets a router see targets of these versions, which are settled or new.
+fn observe_targets(origins: &mut StreamOrigins, targets: &[(&str, bool)], now: Instant) {
     let service = service();
-    let targets = versions.iter().map(|text| (&service, version(text)));
+    let targets = targets.iter().map(|&(text, is_settled)| VersionSighting {
+        service: &service,
+        version: version(text),
+        is_settled,
+    });
     origins.observe_versions(targets, now);
 }
 
@@ -48,6 +59,46 @@
     assert_eq!(origin(&origins, true, later), Origin::Single(version("v2")));
 }
 
+#[test]
+fn a_router_that_has_just_started_infers_no_version_from_new_targets() {
+    let now = Instant::now();
+    let origin = |origins: &StreamOrigins, now| origins.origin(UNRECORDED, &service(), true, now);
+    let mut origins = StreamOrigins::default();
+    let targets = [("v2", false), ("v2", false), ("v2", true)];
+    observe_targets(&mut origins, &targets, now);
+    let later = now + ORIGIN_TTL - Duration::from_millis(1);
+    assert_eq!(origin(&origins, later), Origin::Unknown);
+    assert!(origins.single_versions(later).is_empty());
+    let later = now + ORIGIN_TTL;
+    assert_eq!(origin(&origins, later), Origin::Single(version("v2")));
+    // Few targets that crashed and came back do not hide the others.
+    let mut origins = StreamOrigins::default();
+    observe_targets(&mut origins, &[("v2", true), ("v2", false)], now);
+    assert_eq!(origin(&origins, now), Origin::Single(version("v2")));
+}
+
+#[test]
+fn a_router_that_has_watched_for_longer_vouches_for_the_single_version() {
+    let now = Instant::now();
+    let origin = |origins: &StreamOrigins, now| origins.origin(UNRECORDED, &service(), true, now);
+    let mut watching = StreamOrigins::default();
+    observe(&mut watching, &["v1"], now);
+    let single = watching.single_versions(now);
+    assert_eq!(single.len(), 1);
+    for (seen, expected) in [
+        (["v1"].as_slice(), Origin::Single(version("v1"))),
+        (&["v2"], Origin::Unknown),
+        (&["v1", "v2"], Origin::Unknown),
+    ] {
+        let mut started = StreamOrigins::default();
+        let targets: Vec<_> = seen.iter().map(|&text| (text, false)).collect();
+        observe_targets(&mut started, &targets, now);
+        assert_eq!(origin(&started, now), Origin::Unknown);
+        started.record_single(&single);
+        assert_eq!(origin(&started, now), expected, "{seen:?}");
+    }
+}
+
 #[test]
 fn a_recorded_stream_keeps_its_version_until_the_record_expires() {
     let mut origins = StreamOrigins::default();
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -15,7 +15,7 @@
 use policy::direct::listing::ListingChange;
 use policy::direct::listing::message::{ListingMessage, Part, RangeAnswer, RangeQuery, Step};
 use policy::direct::rotation::Readiness;
-use policy::direct::stream_origin::StreamId;
+use policy::direct::stream_origin::{SingleVersion, StreamId};
 use policy::direct::target::{SoftwareVersion, Target, VersionTag};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -185,6 +185,9 @@
     Rates(RateUpdate),
     /// Crashes under prompt parts, and runs that clear parts.
     Parts(PartNews),
+    /// The services that had a single software version for as long as a stream can be taken
+    /// up, sent in response to an [`OriginQuery`].
+    SingleVersions(Vec<SingleVersion>),
 }
 
 impl From<Message> for Datagram {
