--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -34,6 +34,8 @@
     pub keys: Vec<&'static str>,
     /// The timeout of all routes, in milliseconds.
     pub timeout_ms: u64,
+    /// Whether the targets have engines that keep prompts.
+    pub has_engine: bool,
 }
 
 impl Default for EdgeConfig {
@@ -42,6 +44,7 @@
             version: 1,
             keys: vec![RED_KEY],
             timeout_ms: 5_000,
+            has_engine: false,
         }
     }
 }
@@ -49,6 +52,7 @@
 impl EdgeConfig {
     /// The configuration with the routes `/safe/`, `/once/`, `/open/`, `/stream/` and `/resume/`.
     pub fn to_json(&self) -> Value {
+        let engine = json!({ "slots": 8, "kvCapacity": 100_000 });
         let route = |name: &str, kind: &str, resumable: bool, open: bool| {
             json!({
                 "name": name,
@@ -80,6 +84,7 @@
                 "maxConns": 100,
                 "coldStartS": 0.0,
                 "coldPerS": 0.0,
+                "engine": self.has_engine.then_some(engine),
             }],
             "limits": {
                 "maxHeaderBytes": 16384,
@@ -105,6 +110,8 @@
     /// The port for datagrams, the same on all routers.
     control: u16,
     directory: PathBuf,
+    /// Lines at the end of the settings of routers that are started.
+    pub more_settings: &'static str,
 }
 
 impl EdgeFleet {
@@ -138,6 +145,7 @@
             routers: Vec::new(),
             control: free_control_port()?,
             directory,
+            more_settings: "",
         };
         fleet
             .store
@@ -227,7 +235,8 @@
         let settings = format!(
             "name: edge-{number}\ndata_centre: {DATA_CENTRE}\nlisten: 127.0.0.1:0\n\
              control: {ip}:{control}\noperators: {operators}\nstore: {store}\n\
-             peers: [127.0.1.1:9, 127.0.1.2:9]\nstop_limit: 6s\nbounds:\n  revoke: 5s\n"
+             peers: [127.0.1.1:9, 127.0.1.2:9]\nstop_limit: 6s\nbounds:\n  revoke: 5s\n{}",
+            self.more_settings
         );
         let file = self.directory.join(format!("edge-{number}.yaml"));
         std::fs::write(&file, settings)?;
@@ -294,6 +303,24 @@
         Ok(raw_exchange(address, &request).await?)
     }
 
+    /// Takes a stream with these prompt parts up again, like [`Self::take_up`].
+    pub async fn take_up_prompt(
+        &self,
+        router: usize,
+        path: &str,
+        (id, began): (&str, &str),
+        parts: &str,
+    ) -> String {
+        let address = self.routers[router].address("callers");
+        let request = request_text("GET", path, id, Some(RED_KEY));
+        let headers = format!(
+            "Last-Event-Id: 4\r\nResumes: {began}\r\nX-Knapweedgate-Token-Usage: 900,80\r\n\
+             X-Knapweedgate-Prompt-Prefix: {parts}\r\n\r\n"
+        );
+        let request = request.replacen("\r\n\r\n", &format!("\r\n{headers}"), 1);
+        raw_call(address, &request).await.unwrap_or_default()
+    }
+
     /// Takes a stream up again at a router after an event, as the caller whose attempt
     /// `began` brought its first event.
     ///
--- a/livetests/tests/versions.rs
+++ b/livetests/tests/versions.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use futures::future::join_all;
-use knapweed_livetests::edge::{EdgeFleet, body_of, looks_complete, status_of};
+use knapweed_livetests::edge::{EdgeConfig, EdgeFleet, body_of, looks_complete, status_of};
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -180,3 +180,44 @@
     assert!(fleet.arrivals("again").is_empty());
     Ok(())
 }
+
+#[actix_rt::test]
+async fn stream_goes_on_at_its_version_after_all_routers_were_killed() -> eyre::Result<()> {
+    let mut fleet = EdgeFleet::start("version-kept-parts", 2, 0).await?;
+    let config = EdgeConfig {
+        version: 2,
+        has_engine: true,
+        ..EdgeConfig::default()
+    };
+    fleet.store.put("op/config", &config.to_json());
+    for version in VERSIONS {
+        add_new_target(&mut fleet, version).await?;
+    }
+    sleep(Duration::from_secs(3)).await;
+    let parts = |number: usize| format!("a1:500,b{number}:300,c{number}:100");
+    let mut begun = Vec::new();
+    for number in 0..STREAMS {
+        let id = format!("begin{number}");
+        let parts = parts(number);
+        let answer = fleet.send_prompt(number % 2, SLOW_STREAM, &id, &parts);
+        assert_eq!(status_of(&answer.await), 200);
+        begun.extend(versions_of(&fleet, &id));
+    }
+    for router in &mut fleet.routers {
+        router.kill()?;
+    }
+    fleet.routers.clear();
+    fleet.more_settings = "routing:\n  kept_parts: true\n";
+    fleet.add_router().await?;
+    // The router asks each target once what it keeps, one every 250 ms.
+    sleep(Duration::from_secs(3)).await;
+    for (number, version) in begun.into_iter().enumerate() {
+        let (id, began) = (format!("again{number}"), format!("begin{number}"));
+        let names = (id.as_str(), began.as_str());
+        let parts = parts(number);
+        let answer = fleet.take_up_prompt(0, SLOW_STREAM, names, &parts).await;
+        assert_eq!(status_of(&answer), 200, "{answer}");
+        assert_eq!(versions_of(&fleet, &id), [version]);
+    }
+    Ok(())
+}
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -165,6 +165,23 @@
         }
     }
 
+    /// The answer to a call for the list of prompt parts that the target keeps: those of all
+    /// requests that it received.
+    fn kept_parts(&self, request: &RawRequest) -> Option<String> {
+        if request.path() != "/kv-list" {
+            return None;
+        }
+        let log = self.lock();
+        let prompts = log.arrivals.iter();
+        let prompts = prompts.filter_map(|it| it.request.header("x-knapweedgate-prompt-prefix"));
+        let parts = prompts.flat_map(|parts| parts.split(','));
+        let parts = parts.filter_map(|part| part.split_once(':'));
+        let held: Vec<Value> = parts
+            .map(|(id, tokens)| json!(["", id, tokens.parse::<u32>().unwrap_or(1), "m"]))
+            .collect();
+        Some(json!({ "epoch": 1, "next": 1, "held": held }).to_string())
+    }
+
     fn is_fatal(&self, request: &RawRequest) -> bool {
         let parts = request.header("x-knapweedgate-prompt-prefix");
         let mut ids = parts.unwrap_or_default().split(',');
@@ -230,6 +247,11 @@
                 stream.write_all(head.as_bytes()).await?;
                 continue;
             }
+            if let Some(kept) = self.kept_parts(&request) {
+                let head = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\r\n", kept.len());
+                stream.write_all((head + &kept).as_bytes()).await?;
+                continue;
+            }
             self.lock().arrivals.push(Arrival {
                 target: self.id.to_string(),
                 request: request.clone(),
