Streams: after the loss of all routers, the targets that keep a stream's prompt tell its version

Weighed: a process beside each target (survives the loss of all routers, but is a role of its own that is priced and can be lost too); what the caller brings back (its own id, which names nothing of the target; event ids are the target's and may not be changed); choosing the version of a stream by a hash of its id (needs the set of versions at its begin, and splits the prompts of a service among versions); the targets themselves, which keep the own part of each prompt and are asked for what they keep already. The last one needs no new state: it survives the loss of all routers, not that of the target, nor an eviction.

A false word needs a prompt part that two streams of one session share, kept at a target of another version and at none of the stream's own; if targets of two versions keep it, the stream is refused. Answers are used for 1 s.

--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -256,6 +256,8 @@
             Ok(Datagram::Origins(origins)) => return self.receive_origins(&origins),
             Ok(Datagram::OriginQuery(query)) => return self.answer_query(&query, from),
             Ok(Datagram::SingleVersions(single)) => return self.receive_single(&single),
+            Ok(Datagram::HolderQuery(parts)) => return self.answer_holder_query(&parts, from),
+            Ok(Datagram::Holders(rows)) => return self.receive_holders(&rows),
             Err(DatagramError::Version) => {
                 event::log(Event::VersionRefused, &[("peer", &from)]);
                 return;
--- a/edge/src/gossip/origins.rs
+++ b/edge/src/gossip/origins.rs
@@ -19,6 +19,9 @@
 /// The maximum number of streams in a datagram; each takes up to ten bytes.
 const MAX_STREAMS: usize = 700;
 
+/// The maximum number of prompt parts with versions in a datagram; each takes up to 20 bytes.
+const MAX_HOLDER_ROWS: usize = 350;
+
 impl Gossip {
     /// Sends the streams that this router began to their holders, once it knows enough
     /// peers to derive them.
@@ -61,7 +64,10 @@
     pub(super) fn send_origin_queries(&self) {
         let members = self.ranked_members();
         let mut queries: FxHashMap<SocketAddr, Vec<StreamId>> = FxHashMap::default();
-        for question in self.shared.take_origin_questions() {
+        let questions = self.shared.take_origin_questions();
+        let unheld = questions.iter().filter(|question| question.asks_all);
+        self.ask_for_holders(unheld.filter_map(|question| question.part).collect());
+        for question in questions {
             let addresses = match question.asks_all {
                 true => self.exchange.reachable().collect(),
                 false => self.holder_addresses(question.stream, &members),
@@ -127,6 +133,48 @@
         }
     }
 
+    /// Asks all routers for the versions of the targets that keep some prompt parts.
+    fn ask_for_holders(&self, parts: Vec<u64>) {
+        if parts.is_empty() {
+            return;
+        }
+        self.receive_holders(&self.holder_rows(&parts));
+        for parts in parts.chunks(MAX_STREAMS) {
+            let query = Datagram::HolderQuery(parts.to_vec());
+            for address in self.exchange.reachable() {
+                self.send(&query, address);
+            }
+        }
+    }
+
+    pub(super) fn answer_holder_query(&self, parts: &[u64], from: SocketAddr) {
+        let rows = self.holder_rows(parts);
+        for rows in rows.chunks(MAX_HOLDER_ROWS) {
+            self.send(&Datagram::Holders(rows.to_vec()), from);
+        }
+    }
+
+    /// The versions of the targets that this router watches and that keep some parts.
+    fn holder_rows(&self, parts: &[u64]) -> Vec<(u64, VersionTag)> {
+        let kept_events = self.kept_events.iter();
+        let rows = kept_events.flat_map(|kept_events| {
+            let versions = |part| kept_events.versions_of_holders(part);
+            let rows = parts
+                .iter()
+                .flat_map(move |&part| versions(part).map(move |it| (part, it)));
+            rows.collect::<Vec<_>>()
+        });
+        rows.collect()
+    }
+
+    pub(super) fn receive_holders(&self, rows: &[(u64, VersionTag)]) {
+        let now = SystemClock.now().mono;
+        let mut origins = self.shared.origins();
+        for &(part, version) in rows {
+            origins.record_holder(part, version, now);
+        }
+    }
+
     fn is_listing_current(&self) -> bool {
         let age = self.shared.targets_age(SystemBootClock.uptime());
         age.is_some_and(|age| age < MIN_OUTAGE)
--- a/edge/src/kept_events.rs
+++ b/edge/src/kept_events.rs
@@ -21,7 +21,7 @@
 use policy::direct::kept_watch::{
     Answer, CALL_TIMEOUT, CALL_WAIT, Call, KeptWatch, KnownParts, is_watcher,
 };
-use policy::direct::target::{TargetRegistry, TargetState};
+use policy::direct::target::{TargetRegistry, TargetState, VersionTag};
 use policy::direct::target_table::incarnation_tag;
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::time::timeout;
@@ -47,6 +47,7 @@
 struct Askable {
     name: Name,
     address: SocketAddr,
+    version: VersionTag,
 }
 
 /// The calls to the targets.
@@ -99,9 +100,12 @@
                 && has_engine(&target.service)
         });
         let askable = targets.map(|(target, _)| {
-            let (name, address) = (target.name.clone(), target.address);
-            let tag = incarnation_tag(&name, target.born);
-            (tag, Askable { name, address })
+            let askable = Askable {
+                name: target.name.clone(),
+                address: target.address,
+                version: target.version.tag(),
+            };
+            (incarnation_tag(&target.name, target.born), askable)
         });
         self.askable = askable.collect();
     }
@@ -185,6 +189,12 @@
         rows
     }
 
+    /// The software versions of the targets that said that they hold a part.
+    pub(crate) fn versions_of_holders(&self, part: u64) -> impl Iterator<Item = VersionTag> {
+        let holders = self.watch.holders(part);
+        holders.filter_map(|target| Some(self.askable.get(&target)?.version))
+    }
+
     /// Returns rows of targets that hold parts which another router has begun to use.
     pub(crate) fn rows_of_used(&mut self, rows: &[KeptRow]) -> Vec<KeptRow> {
         let used = rows.iter().filter(|row| row.tokens > 0);
--- a/edge/src/origin.rs
+++ b/edge/src/origin.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use node::event::{self, Event, Field};
+use policy::direct::prompt::Prompt;
 use policy::direct::stream_origin::{Origin, StreamId};
 use policy::direct::target::{MIN_OUTAGE, VersionTag};
 use tokio::time::timeout_at;
@@ -41,10 +42,13 @@
         return Ok(None);
     }
     let stream = headers.resumes.as_deref().map(StreamId::of_attempt);
-    let (origin, asked) = find_origin(context, stream, authorized).await;
+    let part = headers.prompt.as_ref().and_then(Prompt::own_part);
+    let part = part.map(|part| part.id);
+    let (origin, asked) = find_origin(context, (stream, part), authorized).await;
     let name = match origin {
         Origin::Recorded(_) => "recorded",
         Origin::Single(_) => "single",
+        Origin::Kept(_) => "kept",
         Origin::Unknown => "unknown",
     };
     let build = origin.version();
@@ -72,7 +76,7 @@
 /// they were asked.
 async fn find_origin(
     context: &Context,
-    stream: Option<StreamId>,
+    (stream, part): (Option<StreamId>, Option<u64>),
     authorized: &AuthorizedRequest,
 ) -> (Origin, usize) {
     context.refresh(Instant::now());
@@ -99,7 +103,11 @@
                 return (origin, asked + usize::from(is_asked));
             }
             if !std::mem::replace(&mut is_asked, true) {
-                shared.ask_origin(OriginQuestion { stream, asks_all });
+                shared.ask_origin(OriginQuestion {
+                    stream,
+                    asks_all,
+                    part,
+                });
             }
             // Answers to other questions wake this one as well.
             if timeout_at(until.into(), learned).await.is_err() {
@@ -107,5 +115,13 @@
             }
         }
     }
-    (look_up(), QUESTIONS.len())
+    // All routers had time to answer, so targets of several versions would have shown.
+    let kept = part.map_or(Origin::Unknown, |part| {
+        let origins = shared.origins();
+        origins.version_of_holders(part, Instant::now())
+    });
+    match look_up() {
+        Origin::Unknown => (kept, QUESTIONS.len()),
+        origin => (origin, QUESTIONS.len()),
+    }
 }
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -128,6 +128,8 @@
     pub(crate) stream: StreamId,
     /// Whether all peers are asked instead of the holders.
     pub(crate) asks_all: bool,
+    /// The part of the prompt that no other stream shares.
+    pub(crate) part: Option<u64>,
 }
 
 #[derive(Debug, Default)]
--- a/policy/src/direct/kept_watch.rs
+++ b/policy/src/direct/kept_watch.rs
@@ -56,7 +56,7 @@
 const MAX_PAUSE: Duration = Duration::from_secs(16);
 
 /// The time after its start at which a router asks; the first heartbeats have passed.
-pub const START_DELAY: Duration = Duration::from_secs(1);
+pub const START_DELAY: Duration = Duration::from_millis(500);
 
 /// The maximum number of parts that one target is believed to hold.
 pub const MAX_HELD: usize = 4_096;
@@ -261,6 +261,13 @@
         }
     }
 
+    /// The watched targets that hold a part.
+    pub fn holders(&self, part: u64) -> impl Iterator<Item = u64> {
+        let targets = self.targets.iter();
+        let holding = targets.filter(move |(_, watched)| watched.held.contains_key(&part));
+        holding.map(|(&target, _)| target)
+    }
+
     /// Returns rows of the watched targets that hold parts which another router has just
     /// begun to use.
     pub fn rows_of_used(&mut self, parts: impl IntoIterator<Item = u64>) -> Vec<KeptRow> {
--- a/policy/src/direct/prompt.rs
+++ b/policy/src/direct/prompt.rs
@@ -32,6 +32,11 @@
         self.parts.get(index).copied()
     }
 
+    /// The part that no other request shares, but those of its session.
+    pub fn own_part(&self) -> Option<PromptPart> {
+        self.parts.last().copied()
+    }
+
     /// The tokens of the last part, which no other request shares.
     pub fn own_tokens(&self) -> u32 {
         self.parts
--- a/policy/src/direct/stream_origin.rs
+++ b/policy/src/direct/stream_origin.rs
@@ -11,6 +11,8 @@
 //! - A version is stated only if a record says so, or if the service is known to have had a
 //!   single one for as long as a stream can be taken up: from this router's own watch, from
 //!   a router that watched for so long, or from the age of the targets.
+//! - The version of a target that keeps the own part of a stream's prompt is taken for the
+//!   stream's only if all targets that keep it have that version.
 //! - Records are kept for [`ORIGIN_TTL`], and at most [`MAX_ORIGINS`] of them.
 
 use std::collections::VecDeque;
@@ -36,6 +38,12 @@
 /// The maximum number of streams whose origin is kept; the oldest are evicted.
 pub const MAX_ORIGINS: usize = 65_536;
 
+/// How long the answers on the targets that keep a prompt part are used.
+const HOLDER_TTL: Duration = Duration::from_secs(1);
+
+/// The maximum number of prompt parts of which such answers are kept.
+const MAX_HOLDERS: usize = 16_384;
+
 /// The number of routers that hold the origin of a stream besides the one that began it.
 pub const HOLDERS: usize = 3;
 
@@ -61,6 +69,8 @@
     Recorded(VersionTag),
     /// The service has had no other version.
     Single(VersionTag),
+    /// The targets that keep the own part of its prompt have this version.
+    Kept(VersionTag),
     /// Other routers may know it.
     Unknown,
 }
@@ -69,7 +79,7 @@
     /// Returns the version, if it is known.
     pub fn version(self) -> Option<VersionTag> {
         match self {
-            Self::Recorded(version) | Self::Single(version) => Some(version),
+            Self::Recorded(version) | Self::Single(version) | Self::Kept(version) => Some(version),
             Self::Unknown => None,
         }
     }
@@ -166,6 +176,9 @@
     /// Streams begun by this router that were not yet sent to their holders.
     unsent: VecDeque<(StreamId, VersionTag, Instant)>,
     versions: FxHashMap<Name, VersionHistory>,
+    /// The version of the targets that keep a prompt part, and when that was last heard; no
+    /// version if they have several.
+    holders: FxHashMap<u64, (Option<VersionTag>, Instant)>,
 }
 
 impl StreamOrigins {
@@ -221,6 +234,33 @@
         is_news
     }
 
+    /// Records that a target of a version keeps a prompt part.
+    pub fn record_holder(&mut self, part: u64, version: VersionTag, now: Instant) {
+        if self.holders.len() >= MAX_HOLDERS {
+            let is_recent = |at: &Instant| now.saturating_duration_since(*at) < HOLDER_TTL;
+            self.holders.retain(|_, (_, at)| is_recent(at));
+        }
+        if self.holders.len() >= MAX_HOLDERS {
+            return;
+        }
+        let (known, at) = self.holders.entry(part).or_insert((Some(version), now));
+        match known {
+            _ if now.saturating_duration_since(*at) >= HOLDER_TTL => *known = Some(version),
+            Some(known_version) if *known_version != version => *known = None,
+            _ => {}
+        }
+        *at = now;
+    }
+
+    /// Returns the version of all targets that are known to keep a prompt part.
+    pub fn version_of_holders(&self, part: u64, now: Instant) -> Origin {
+        let known = self.holders.get(&part);
+        let known = known.filter(|(_, at)| now.saturating_duration_since(*at) < HOLDER_TTL);
+        known
+            .and_then(|(version, _)| *version)
+            .map_or(Origin::Unknown, Origin::Kept)
+    }
+
     /// Records a stream that this router began.
     pub fn record_begun(&mut self, stream: StreamId, version: VersionTag, now: Instant) {
         self.record(stream, version, now);
--- a/policy/tests/direct_stream_origin.rs
+++ b/policy/tests/direct_stream_origin.rs
@@ -166,3 +166,27 @@
         prop_assert!(live.any(|member| *member == 1 || asked.contains(member)));
     }
 }
+
+#[test]
+fn targets_of_two_versions_that_keep_a_part_tell_no_version() {
+    let now = Instant::now();
+    let mut origins = StreamOrigins::default();
+    for (part, text) in [(1, "v1"), (1, "v1"), (2, "v1"), (2, "v2"), (2, "v1")] {
+        origins.record_holder(part, version(text), now);
+    }
+    let kept = |part, now| origins.version_of_holders(part, now);
+    assert_eq!(kept(1, now), Origin::Kept(version("v1")));
+    assert_eq!(kept(2, now), Origin::Unknown);
+    assert_eq!(kept(3, now), Origin::Unknown);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(
+        kept(1, later),
+        Origin::Unknown,
+        "targets evict what they keep"
+    );
+    origins.record_holder(2, version("v2"), later);
+    assert_eq!(
+        origins.version_of_holders(2, later),
+        Origin::Kept(version("v2"))
+    );
+}
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -188,6 +188,10 @@
     /// The services that had a single software version for as long as a stream can be taken
     /// up, sent in response to an [`OriginQuery`].
     SingleVersions(Vec<SingleVersion>),
+    /// Asks for the software versions of the targets that keep these prompt parts.
+    HolderQuery(Vec<u64>),
+    /// Prompt parts, each with the software version of a target that keeps it.
+    Holders(Vec<(u64, VersionTag)>),
 }
 
 impl From<Message> for Datagram {
