--- a/policy/src/direct/exchange/parts.rs
+++ b/policy/src/direct/exchange/parts.rs
@@ -1,10 +1,11 @@
 //! Crashes under prompt parts, and runs that clear parts, on their way through the fleet.
 //!
-//! A router passes on what is news to it, as it does with other records
-//! ([`super::records`]); a row states its age, since runs clear only what was before.
+//! A router passes on what is news to it, as it does with other records; a row states its
+//! age, since runs clear only what was before.
 //!
 //! Invariants:
-//! - A message has at most [`MAX_ROWS`] rows of each kind, and a row is sent [`REPEATS`] times.
+//! - A message has at most [`MAX_ROWS`] rows of each kind, and a row is sent a fixed
+//!   number of times.
 //! - A row never appears more recent than it is by more than the delay of the network.
 
 use std::cmp::Reverse;
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -340,6 +340,7 @@
             version: config.version,
             keys: vec![RED_KEY],
             timeout_ms: ROUTE_TIMEOUT.as_millis() as u64,
+            ..EdgeConfig::default()
         };
         let mut value = edge_config.to_json();
         let keys: Value = if config.has_revocable_key {
