Crashes: rejected parts are derived once for many records, rows are ordered once a message

A data centre that loses power brings thousands of records at once, and each of them derived the rejected parts from all of them, and each message ordered all rows that wait.

--- a/edge/src/crashes.rs
+++ b/edge/src/crashes.rs
@@ -61,7 +61,7 @@
             return Some(("crashes its targets", after));
         }
         let prompt = request.caller_headers.prompt.as_ref()?;
-        let after = self.parts.borrow().rejected_for(prompt, now)?;
+        let after = self.parts.borrow_mut().rejected_for(prompt, now)?;
         Some(("a part crashes its targets", after))
     }
 
@@ -210,7 +210,7 @@
         probed.retain(|_, at| now.saturating_duration_since(*at) < PROBE_INTERVAL);
         let mut parts = self.parts.borrow_mut();
         parts.expire(now);
-        for change in parts.take_changes() {
+        for change in parts.take_changes(now) {
             log_change(&change);
             metrics.record_part_verdict(change.crashes > 0);
         }
--- a/policy/src/direct/exchange/parts.rs
+++ b/policy/src/direct/exchange/parts.rs
@@ -50,6 +50,8 @@
     pending_runs: Vec<(u64, u8)>,
     /// The number of crashes known under each part.
     counts: FxHashMap<u64, u32>,
+    /// Whether crashes were added or sent since they were ordered.
+    is_unordered: bool,
 }
 
 impl PartLog {
@@ -70,9 +72,7 @@
             self.pending_crashes.push((key, 0));
             new.crashes.push(row);
         }
-        if !new.crashes.is_empty() {
-            self.sort_crashes();
-        }
+        self.is_unordered |= !new.crashes.is_empty();
         for row in news.runs {
             let at = now.saturating_sub(millis(row.age));
             let has_room = self.runs.len() < MAX_KNOWN || self.runs.contains_key(&row.part);
@@ -104,12 +104,15 @@
         self.pending_runs.retain(|(part, _)| !is_told(part));
         self.pending_crashes.extend(crashes);
         self.pending_runs.splice(0..0, runs);
-        self.sort_crashes();
+        self.is_unordered = true;
     }
 
     /// Orders the crashes: first those that were sent least often, and of these those of the
     /// parts under which most targets died.
     fn sort_crashes(&mut self) {
+        if self.pending_crashes.len() <= MAX_ROWS {
+            return;
+        }
         let counts = &self.counts;
         let rank = |key: &(u64, u64)| Reverse(counts.get(&key.0).copied().unwrap_or_default());
         self.pending_crashes
@@ -117,7 +120,10 @@
     }
 
     /// The rows for the next message; `None` if there are none.
-    pub(super) fn pending(&self, now: Duration) -> Option<PartNews> {
+    pub(super) fn pending(&mut self, now: Duration) -> Option<PartNews> {
+        if std::mem::take(&mut self.is_unordered) {
+            self.sort_crashes();
+        }
         let crashes = self.pending_crashes.iter().take(MAX_ROWS);
         let crashes = crashes.filter_map(|(key, _)| {
             let crash = self.crashes.get(key)?;
@@ -143,10 +149,8 @@
 
     /// Counts one repeat of the rows in a message, and forgets old ones.
     pub(super) fn count_repeat(&mut self, now: Duration) {
-        if !self.pending_crashes.is_empty() {
-            count(&mut self.pending_crashes);
-            self.sort_crashes();
-        }
+        count(&mut self.pending_crashes);
+        self.is_unordered = true;
         count(&mut self.pending_runs);
         self.pending_runs.sort_by_key(|(_, sent)| *sent);
         let is_recent = |at: Duration| now.saturating_sub(at) < PART_TTL;
--- a/policy/src/direct/part_crash.rs
+++ b/policy/src/direct/part_crash.rs
@@ -111,6 +111,9 @@
     records: FxHashMap<u64, PartRecord>,
     verdicts: Vec<Verdict>,
     changes: Vec<VerdictChange>,
+    /// Whether records have changed since the rejected parts were derived. A target that dies
+    /// brings many records at once.
+    is_stale: bool,
 }
 
 impl PartHistory {
@@ -126,7 +129,7 @@
             let broken_at = known.broken_at.min(crash.broken_at);
             if (sent_at, broken_at) != (known.sent_at, known.broken_at) {
                 (known.sent_at, known.broken_at) = (sent_at, broken_at);
-                self.judge(now);
+                self.is_stale = true;
             }
             return false;
         }
@@ -138,7 +141,7 @@
             sent_at: crash.sent_at,
             broken_at: crash.broken_at,
         });
-        self.judge(now);
+        self.is_stale = true;
         true
     }
 
@@ -166,13 +169,14 @@
         };
         if record.completed_at < Some(at) {
             record.completed_at = Some(at);
-            self.judge(now);
+            self.is_stale = true;
         }
     }
 
     /// Returns the remaining time for which a prompt is rejected, or `None` if it is
     /// accepted.
-    pub fn rejected_for(&self, prompt: &Prompt, now: Instant) -> Option<Duration> {
+    pub fn rejected_for(&mut self, prompt: &Prompt, now: Instant) -> Option<Duration> {
+        self.judge_if_stale(now);
         if self.verdicts.is_empty() {
             return None;
         }
@@ -189,7 +193,8 @@
     }
 
     /// Takes the changes of rejected parts since the last call.
-    pub fn take_changes(&mut self) -> Vec<VerdictChange> {
+    pub fn take_changes(&mut self, now: Instant) -> Vec<VerdictChange> {
+        self.judge_if_stale(now);
         std::mem::take(&mut self.changes)
     }
 
@@ -199,9 +204,7 @@
         let is_recent = |at| now.saturating_duration_since(at) < PART_TTL;
         self.records
             .retain(|_, record| record.last_change().is_some_and(is_recent));
-        if self.records.len() < count {
-            self.judge(now);
-        }
+        self.is_stale |= self.records.len() < count;
     }
 
     fn record_mut(&mut self, part: u64, now: Instant) -> Option<&mut PartRecord> {
@@ -212,6 +215,12 @@
         has_room.then(|| self.records.entry(part).or_default())
     }
 
+    fn judge_if_stale(&mut self, now: Instant) {
+        if std::mem::take(&mut self.is_stale) {
+            self.judge(now);
+        }
+    }
+
     /// Derives the rejected parts from the records.
     fn judge(&mut self, now: Instant) {
         let mut explained = FxHashSet::default();
@@ -246,7 +255,9 @@
     /// The part, or the parts that cannot be told apart, with the most crashes that are
     /// not yet explained.
     fn next_verdict(&self, explained: &FxHashSet<u64>) -> Option<Verdict> {
-        let candidates = self.records.iter().filter_map(|(&part, record)| {
+        let records = self.records.iter();
+        let records = records.filter(|(_, record)| record.crashes.len() >= MIN_ROUNDS);
+        let candidates = records.filter_map(|(&part, record)| {
             let counted = record.counted(explained);
             let rounds = count_rounds(&counted);
             (rounds >= MIN_ROUNDS).then_some((counted, part))
--- a/policy/tests/direct_part_crash.rs
+++ b/policy/tests/direct_part_crash.rs
@@ -148,7 +148,7 @@
         let prompt = prompt(&[FATAL, 77]);
         let now = start + millis(6_000);
         assert!(history.rejected_for(&prompt, now).is_some());
-        let changes = history.take_changes();
+        let changes = history.take_changes(now);
         assert_eq!(changes[0].parts.as_slice(), [FATAL]);
         let later = match is_cleared {
             true => {
@@ -159,8 +159,9 @@
         };
         assert_eq!(history.rejected_for(&prompt, later), None);
         history.expire(later);
+        let changes = history.take_changes(later);
+        assert_eq!(changes.last().map(|it| it.crashes), Some(0));
         assert_eq!(history.rejected_count(), 0);
-        assert_eq!(history.take_changes().last().map(|it| it.crashes), Some(0));
     }
 }
 
@@ -289,7 +290,7 @@
             shuffled.swap(index, rng.random_range(0..=index));
         }
         shuffled.extend(records.clone());
-        let (first, second) = (fill(&records), fill(&shuffled));
+        let (mut first, mut second) = (fill(&records), fill(&shuffled));
         for a in 0..4 {
             for b in 0..4 {
                 let prompt = prompt(&[a, b, 99]);
