--- a/edge/src/store/call.rs
+++ b/edge/src/store/call.rs
@@ -6,6 +6,7 @@
 use entity::{Clock, SystemClock};
 use node::event::{self, Event};
 use platform::store::{self, Item, Page};
+use policy::direct::confirmation::Confirmation;
 use policy::direct::polling;
 use policy::direct::store_revision::{EraChange, StoreRevision};
 use rand::RngExt as _;
@@ -43,6 +44,15 @@
     pub(super) era: u64,
 }
 
+/// The time since a confirmation, for the log.
+pub(super) fn age_text(confirmation: Confirmation) -> String {
+    let age = confirmation.age(SystemBootClock.uptime());
+    age.map_or_else(
+        || "never".to_owned(),
+        |age| format!("{}ms", age.as_millis()),
+    )
+}
+
 impl StoreReader {
     /// Reads all pages of a prefix; returns the items and the revision of the first page.
     pub(super) async fn range(
@@ -123,11 +133,7 @@
         let mut state = self.state.borrow_mut();
         state.failures[read_loop as usize] += 1;
         if std::mem::replace(&mut state.reachable[read_loop as usize], false) {
-            let age = state.confirmation.age(SystemBootClock.uptime());
-            let age = age.map_or_else(
-                || "never".to_owned(),
-                |age| format!("{}ms", age.as_millis()),
-            );
+            let age = age_text(state.confirmation);
             let fields: [event::Field<'_>; 3] = [
                 ("part", &read_loop.name()),
                 ("why", error),
--- a/edge/src/store/peers.rs
+++ b/edge/src/store/peers.rs
@@ -15,9 +15,8 @@
 use tokio::time::{sleep, timeout};
 use wire::{EntriesQuery, OperatorEntries};
 
-use super::call::MAX_RESPONSE_BYTES;
+use super::call::{MAX_RESPONSE_BYTES, age_text};
 use super::{ConfigSource, StoreReader};
-use crate::clock::{BootClock, SystemBootClock};
 use crate::http_listener;
 
 /// The time limit of a question to a peer.
@@ -135,11 +134,7 @@
             Err(_) => AskOutcome::Failed,
         };
         self.metrics.record_asked(outcome);
-        let age = self.confirmation().age(SystemBootClock.uptime());
-        let age = age.map_or_else(
-            || "never".to_owned(),
-            |age| format!("{}ms", age.as_millis()),
-        );
+        let age = age_text(self.confirmation());
         let fields: [event::Field<'_>; 4] = [
             ("peer", &peer),
             ("outcome", &outcome),
