Settings: an edge router's addresses are checked to be distinct, the control address included

Found by the soak: since routers accept TCP at the control address, a file in which operators has the same address and port stopped the router at its start with 'cannot serve peers'. Test: settings addresses_at_which_an_edge_router_listens_are_distinct.

--- a/node/src/settings/edge.rs
+++ b/node/src/settings/edge.rs
@@ -113,7 +113,13 @@
         let bounds = section.section("bounds");
         let engine = section.section("engine");
         let routing = section.section("routing");
-        check_distinct_addresses(section, &[("listen", listen), ("operators", operators)]);
+        let listeners = [
+            ("listen", listen),
+            ("operators", operators),
+            ("metrics", metrics.flatten()),
+            ("control", control),
+        ];
+        check_distinct_addresses(section, &listeners);
         Some(Self {
             name: name?,
             data_centre: data_centre?,
--- a/node/tests/settings.rs
+++ b/node/tests/settings.rs
@@ -131,3 +131,19 @@
         assert!(errors.contains("stop_limit: found"), "{time}: {errors}");
     }
 }
+
+#[test]
+fn addresses_at_which_an_edge_router_listens_are_distinct() {
+    for (control, operators, is_valid) in [
+        ("10.0.0.1:7400", "10.0.0.1:81", true),
+        ("10.0.0.1:7400", "10.0.0.1:7400", false),
+        ("10.0.0.1:80", "10.0.0.1:81", false),
+    ] {
+        let text = format!(
+            "name: a\ndata_centre: north\nlisten: 10.0.0.1:80\ncontrol: {control}\n\
+             operators: {operators}\nstore: 10.0.0.9:8500\n"
+        );
+        let settings = parse::<EdgeSettings>(&text);
+        assert_eq!(settings.is_ok(), is_valid, "{control} {operators}");
+    }
+}
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -124,7 +124,7 @@
             let store = Proxy::start(fleet.store.address()).await?;
             let settings = format!(
                 "name: edge-{number}\ndata_centre: north\nlisten: 127.0.0.1:0\n\
-                 control: 127.1.{subnet}.{}:{control}\noperators: 127.1.{subnet}.{}:{control}\nstore: {}\n\
+                 control: 127.1.{subnet}.{}:{control}\noperators: 127.2.{subnet}.{}:{control}\nstore: {}\n\
                  peers: [127.1.{subnet}.1:9, 127.1.{subnet}.2:9]\nstop_limit: {}s\nbounds:\n  revoke: 5s\n\
                  \x20 cold_over: {}\n  cold_slack: {}\n",
                 number + 1,
