Targets: the limit that a target names is decoded, kept and logged

KW1426 and KW1427 state when a limit is named, changes by a fifth, or ends, and from whom; a counter has the same by change and source. policy::direct::target_limit keeps what was said and computes the part of a router; no decision uses it yet.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -24,6 +24,7 @@
 use policy::direct::slots::PlainResult;
 use policy::direct::stream_origin::{SETTLED_AGE, VersionSighting};
 use policy::direct::target::TargetRegistry;
+use policy::direct::target_limit::{LimitChange, StatedLimit};
 use policy::direct::target_rate::RateRow;
 use policy::direct::target_table::{TargetEntryId, TargetTable};
 use policy::direct::team_places::TeamPlaces;
@@ -690,6 +691,38 @@
         event::log(Event::TargetPaused, &fields);
     }
 
+    /// Records what a target says of a limit on its requests; `sent_at` is when the request
+    /// was sent to which it responds, if that is known.
+    pub(crate) fn record_limit(
+        &self,
+        target_id: TargetEntryId,
+        stated: StatedLimit,
+        sent_at: Option<Instant>,
+        now: Instant,
+    ) {
+        let mut target_table = self.target_table.borrow_mut();
+        if let Some(change) = target_table.record_limit(target_id, stated, sent_at, now) {
+            self.log_limit(&target_table.target(target_id).name, change, "self");
+        }
+    }
+
+    fn log_limit(&self, target: &Name, change: LimitChange, from: &'static str) {
+        match change {
+            LimitChange::Named(rate) => {
+                self.metrics.record_limit("named", from);
+                let rate = format!("{rate:.2}");
+                let fields: [event::Field<'_>; 3] =
+                    [("target", target), ("per_second", &rate), ("from", &from)];
+                event::log(Event::TargetLimited, &fields);
+            }
+            LimitChange::Ended => {
+                self.metrics.record_limit("ended", from);
+                let fields: [event::Field<'_>; 2] = [("target", target), ("from", &from)];
+                event::log(Event::TargetUnlimited, &fields);
+            }
+        }
+    }
+
     fn log_leaving(&self, target_id: TargetEntryId, from: &'static str) {
         self.metrics.record_leaving(from);
         let target_table = self.target_table.borrow();
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -55,6 +55,7 @@
     rate_changes: Counter<u64>,
     leaving_targets: Counter<u64>,
     pauses: Counter<u64>,
+    limits: Counter<u64>,
     full_targets: Counter<u64>,
     evicted_parts: Counter<u64>,
     part_verdicts: Counter<u64>,
@@ -87,6 +88,7 @@
                 .build(),
             full_targets: meter.u64_counter("knapweed_edge_full_targets").build(),
             pauses: meter.u64_counter("knapweed_edge_target_pauses").build(),
+            limits: meter.u64_counter("knapweed_edge_target_limits").build(),
             rate_changes: meter
                 .u64_counter("knapweed_edge_target_rate_changes")
                 .build(),
@@ -185,6 +187,12 @@
         self.pauses.add(1, &[]);
     }
 
+    /// Counts a change of a limit that a target names, to this router or to a peer.
+    pub(crate) fn record_limit(&self, change: &'static str, from: &'static str) {
+        let labels = [KeyValue::new("change", change), KeyValue::new("from", from)];
+        self.limits.add(1, &labels);
+    }
+
     /// Counts prompt parts that are rejected, or are accepted again.
     pub(crate) fn record_part_verdict(&self, is_rejected: bool) {
         let verdict = if is_rejected { "rejected" } else { "cleared" };
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -484,6 +484,16 @@
             if head.is_leaving && !is_other {
                 self.context.record_leaving(attempt.target_id);
             }
+            if !is_other {
+                // A response to another request may be old.
+                let is_own = head
+                    .request
+                    .is_none_or(|id| id == request.caller_headers.id);
+                let sent_at = met.get().filter(|_| is_own).map(|(sent_at, _)| sent_at);
+                let now = Instant::now();
+                self.context
+                    .record_limit(attempt.target_id, head.limit, sent_at, now);
+            }
             if let Some(pace) = head.load.and_then(|load| load.pace).filter(|_| !is_other) {
                 let mut target_table = self.context.target_table.borrow_mut();
                 target_table.record_pace(attempt.target_id, pace, Instant::now());
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -184,6 +184,10 @@
     KeptUnknown 1424 Warn "kept-unknown";
     /// Teams beyond their share may use idle targets, or no longer.
     SpareCapacity 1425 Info "spare-capacity";
+    /// A target named a limit on the requests that it takes from all routers together.
+    TargetLimited 1426 Warn "target-limited";
+    /// A target names no limit on its requests any more.
+    TargetUnlimited 1427 Info "target-unlimited";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct/cold.rs
+++ b/policy/src/direct/cold.rs
@@ -53,6 +53,8 @@
 pub struct Members {
     own: u64,
     others: Vec<u64>,
+    /// How many of the others are not heard at the moment.
+    silent: usize,
     settled: bool,
 }
 
@@ -65,10 +67,28 @@
         Self {
             own,
             others,
+            silent: 0,
             settled,
         }
     }
 
+    /// Sets how many of the others are not heard at the moment.
+    #[must_use]
+    pub fn with_silent(self, silent: usize) -> Self {
+        Self { silent, ..self }
+    }
+
+    /// Whether this router had time to discover all others.
+    pub fn is_settled(&self) -> bool {
+        self.settled
+    }
+
+    /// The fraction of all routers that are heard, this one included.
+    pub fn heard_fraction(&self) -> f64 {
+        let count = self.count();
+        (count - self.silent.min(count - 1)) as f64 / count as f64
+    }
+
     /// The number of routers, this one included.
     pub fn count(&self) -> usize {
         self.others.len() + 1
@@ -87,6 +107,12 @@
         others.filter(|&&other| score(other) < own).count()
     }
 
+    /// Whether this router is among the first `senders` to `target`, by a hash on which all
+    /// routers agree.
+    pub fn is_sender(&self, target: u64, senders: usize) -> bool {
+        self.rank(target) < senders
+    }
+
     /// The requests per second that this router may send to a cold target that
     /// advertises `rate`, or `None` if other routers use up the limit.
     pub fn cold_rate_share(&self, target: u64, rate: f64, limit: ColdLimit) -> Option<f64> {
@@ -97,7 +123,7 @@
             .floor()
             .max(1.0);
         let senders = (max_senders as usize).min(self.count());
-        let is_sender = self.settled && self.rank(target) < senders;
+        let is_sender = self.settled && self.is_sender(target, senders);
         is_sender.then(|| usable_rate / senders as f64)
     }
 }
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -23,6 +23,7 @@
 use super::slots::{PlainResult, SlotState};
 use super::stall::MIN_REPORTING_PEERS;
 use super::target::{TargetRegistry, TargetState};
+use super::target_limit::{LimitChange, StatedLimit};
 use super::target_rate::PrefillTime;
 pub use entry::{AvoidReason, TargetEntry, TargetEntryId};
 use entry::{ColdBucket, PART_CACHE_TTL, PendingPrefill};
@@ -167,6 +168,18 @@
         entry.paused_until = entry.paused_until.max(Some(now + pause.min(MAX_PAUSE)));
     }
 
+    /// Records what a response says of a limit on the target's requests; `sent_at` as in
+    /// [`TargetLimit::record`](super::target_limit::TargetLimit::record).
+    pub fn record_limit(
+        &mut self,
+        id: TargetEntryId,
+        stated: StatedLimit,
+        sent_at: Option<Instant>,
+        now: Instant,
+    ) -> Option<LimitChange> {
+        self.entries[id].limit.record(stated, sent_at, now)
+    }
+
     /// Records how long work takes at a target, in percent of the usual time.
     pub fn record_pace(&mut self, id: TargetEntryId, percent: u32, now: Instant) {
         let (min, max) = PACE_BOUNDS;
--- a/policy/src/direct/target_table/entry.rs
+++ b/policy/src/direct/target_table/entry.rs
@@ -16,6 +16,7 @@
 use crate::direct::slots::SlotState;
 use crate::direct::stall::{Activity, OldestAttempt, STREAM_STALL_TIMEOUT};
 use crate::direct::target::{SoftwareVersion, Target};
+use crate::direct::target_limit::TargetLimit;
 use crate::direct::target_rate::{TargetRate, level_weight};
 
 /// How long a prompt part is assumed to stay in a target's cache after its last
@@ -84,6 +85,7 @@
     pub(super) cold_bucket: Option<ColdBucket>,
     /// The time until which the target wants no requests.
     pub(super) paused_until: Option<Instant>,
+    pub(super) limit: TargetLimit,
     /// The time that work took there as a multiple of the usual time, and when it said so.
     pub(super) stated_pace: Option<(f64, Instant)>,
     /// The prefill rate learned for this target, in tokens per millisecond.
@@ -138,6 +140,7 @@
             peer_load: TargetLoad::default(),
             cold_bucket: None,
             paused_until: None,
+            limit: TargetLimit::default(),
             stated_pace: None,
             learned_rate: None,
             rate: TargetRate::default(),
@@ -247,6 +250,11 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
+    /// The limit on its requests, as far as it is known.
+    pub fn limit(&self) -> &TargetLimit {
+        &self.limit
+    }
+
     /// The time that work takes at the target, as a multiple of the usual time.
     pub fn pace(&self, now: Instant) -> f64 {
         self.stated_pace.map_or(1.0, |(pace, stated_at)| {
