--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -11,6 +11,7 @@
 //! | `leave` | answers and says that the target is leaving |
 //! | `shed-leave` | like `shed`, and says that the target is leaving |
 //! | `pause-N` | like `shed`, and wants no requests for N seconds |
+//! | `limit-N` | answers, and names a limit of N requests a second |
 //! | `unsigned` | answers 200 without its identity headers |
 //! | `encoded` | answers with a `Content-Encoding` |
 //! | `reset` | closes the connection after reading the request |
@@ -287,6 +288,7 @@
             format!("HTTP/1.1 200 OK\r\n{identity_headers}Content-Length: {length}\r\n\r\n{body}");
         let bytes = match name {
             "ok" => whole,
+            "limit" => whole.replacen("\r\n", &format!("\r\nServer-Limit: {number}\r\n"), 1),
             "leave" => whole.replacen("\r\n", "\r\nServer-Leaving: 1\r\n", 1),
             "shed" if script == "shed-leave" => "HTTP/1.1 503 X\r\nServer-Leaving: 1\r\n\
                  X-Knapweedgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
