--- a/livetests/tests/target_signals.rs
+++ b/livetests/tests/target_signals.rs
@@ -1,8 +1,9 @@
 //! What targets say of themselves in their responses, and responses without end.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use knapweed_livetests::edge::{EdgeFleet, RED_KEY, status_of};
+use knapweed_livetests::edge::{EdgeConfig, EdgeFleet, RED_KEY, status_of};
+use knapweed_livetests::wait_until;
 use tokio::time::sleep;
 
 /// The time within which routers exchange what targets said.
@@ -71,6 +72,67 @@
     Ok(())
 }
 
+/// The time after a target asked for a pause in which calls may still arrive.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// Starts a router that asks its only target which prompt parts it keeps, and waits for the
+/// first call.
+async fn start_with_kept_calls(name: &str) -> eyre::Result<EdgeFleet> {
+    let mut fleet = EdgeFleet::start(name, 0, 1).await?;
+    let config = EdgeConfig {
+        version: 2,
+        has_engine: true,
+        ..EdgeConfig::default()
+    };
+    fleet.store.put("op/config", &config.to_json());
+    fleet.more_settings = "routing:\n  kept_parts: true\n";
+    fleet.add_router().await?;
+    let target = fleet.targets[0].clone();
+    wait_until("the target is asked what it keeps", || async {
+        (!target.kept_calls().is_empty()).then_some(())
+    })
+    .await;
+    Ok(fleet)
+}
+
+#[actix_rt::test]
+async fn pause_that_a_target_asks_for_in_another_call_holds_for_requests() -> eyre::Result<()> {
+    let fleet = start_with_kept_calls("pause-kept").await?;
+    let target = &fleet.targets[0];
+    let before = target.kept_calls().len();
+    target.pause_kept_calls(3);
+    wait_until("a call is turned away", || async {
+        (target.kept_calls().len() > before).then_some(())
+    })
+    .await;
+    sleep(GRACE).await;
+    for _ in 0..5 {
+        let answer = fleet.send("GET", "/safe/ok", "held").await;
+        assert_eq!(status_of(&answer), 503, "{answer}");
+        sleep(GRACE / 2).await;
+    }
+    assert!(fleet.arrivals("held").is_empty());
+    sleep(Duration::from_secs(2)).await;
+    let answer = fleet.send("GET", "/safe/ok", "after").await;
+    assert_eq!(status_of(&answer), 200, "{answer}");
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn target_is_not_asked_what_it_keeps_in_a_pause_or_while_it_leaves() -> eyre::Result<()> {
+    for (name, path) in [("pause", "/once/pause-4"), ("leave", "/once/leave")] {
+        let fleet = start_with_kept_calls(&format!("kept-{name}")).await?;
+        fleet.send("POST", path, "asks").await;
+        sleep(GRACE).await;
+        let from = Instant::now();
+        sleep(Duration::from_secs(3)).await;
+        let calls = fleet.targets[0].kept_calls();
+        let late = calls.iter().filter(|&&at| at > from).count();
+        assert_eq!(late, 0, "{name}");
+    }
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn response_without_end_is_given_up_before_the_deadline() -> eyre::Result<()> {
     let fleet = EdgeFleet::start("endless", 1, 1).await?;
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -97,6 +97,8 @@
     arrivals: Vec<Arrival>,
     disconnects: Vec<ClientDisconnect>,
     connections: u64,
+    /// When calls about kept parts arrived.
+    kept_calls: Vec<Instant>,
 }
 
 /// A handle to a running target.
@@ -108,6 +110,8 @@
     /// The part of a prompt that crashes the target.
     fatal_part: Option<Arc<str>>,
     crashed: watch::Sender<bool>,
+    /// The seconds for which it asks when it turns a call about kept parts away, if it does.
+    kept_pause: Arc<Mutex<Option<u32>>>,
 }
 
 impl ScriptedTarget {
@@ -134,6 +138,7 @@
             log: Arc::default(),
             fatal_part: fatal_part.map(Arc::from),
             crashed: watch::Sender::new(false),
+            kept_pause: Arc::default(),
         };
         let server = target.clone();
         let accept = async move {
@@ -166,10 +171,35 @@
         }
     }
 
-    /// The answer to a call for the list of prompt parts that the target keeps: those of all
-    /// requests that it received.
+    /// Turns calls about kept parts away from now on, and asks for a pause of some seconds.
+    pub fn pause_kept_calls(&self, seconds: u32) {
+        let pause = self.kept_pause.lock();
+        *pause.unwrap_or_else(PoisonError::into_inner) = Some(seconds);
+    }
+
+    /// The times at which calls about kept parts arrived.
+    pub fn kept_calls(&self) -> Vec<Instant> {
+        self.lock().kept_calls.clone()
+    }
+
+    /// The response that turns a call about kept parts away, if the target does that.
+    fn refused_kept_call(&self) -> Option<String> {
+        let pause = self.kept_pause.lock();
+        let seconds = (*pause.unwrap_or_else(PoisonError::into_inner))?;
+        Some(format!(
+            "HTTP/1.1 503 X\r\nRetry-After: {seconds}\r\nContent-Length: 0\r\n\r\n"
+        ))
+    }
+
+    /// The answer to a call about the prompt parts that the target keeps: those of all requests
+    /// that it received, and no events.
     fn kept_parts(&self, request: &RawRequest) -> Option<String> {
-        if request.path() != "/kv-list" {
+        let path = request.path();
+        if path.starts_with("/kv-events") {
+            let events = json!({ "epoch": 1, "next": 1, "lost": false, "events": [] });
+            return Some(events.to_string());
+        }
+        if path != "/kv-list" {
             return None;
         }
         let log = self.lock();
@@ -249,8 +279,10 @@
                 continue;
             }
             if let Some(kept) = self.kept_parts(&request) {
+                self.lock().kept_calls.push(Instant::now());
                 let head = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\r\n", kept.len());
-                stream.write_all((head + &kept).as_bytes()).await?;
+                let answer = self.refused_kept_call().unwrap_or(head + &kept);
+                stream.write_all(answer.as_bytes()).await?;
                 continue;
             }
             self.lock().arrivals.push(Arrival {
