Responses: what a target says of itself is one value, taken over from the head in one place

Leaving and limits were taken over from every head, the pause only where a request went on with its response. No change for callers; the pause of a response to another request on the same connection counts as well now, as its leaving did.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -25,6 +25,7 @@
 use policy::direct::stream_origin::{SETTLED_AGE, VersionSighting};
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_limit::{LimitChange, LimitReport, StatedLimit};
+use policy::direct::target_notice::TargetNotice;
 use policy::direct::target_rate::RateRow;
 use policy::direct::target_table::{TargetEntryId, TargetTable};
 use policy::direct::team_places::TeamPlaces;
@@ -675,8 +676,26 @@
             .record_completed(request, status.is_success(), &self.shared, now);
     }
 
+    /// Records what a target says of itself; `sent_at` is when the request was sent to which
+    /// it responds, if that is known.
+    pub(crate) fn record_notice(
+        &self,
+        target_id: TargetEntryId,
+        notice: TargetNotice,
+        sent_at: Option<Instant>,
+        now: Instant,
+    ) {
+        if notice.is_leaving {
+            self.record_leaving(target_id);
+        }
+        if let Some(pause) = notice.pause {
+            self.record_pause(target_id, pause, now);
+        }
+        self.record_limit(target_id, notice.limit, sent_at, now);
+    }
+
     /// Records that a target told this router that it is leaving.
-    pub(crate) fn record_leaving(&self, target_id: TargetEntryId) {
+    fn record_leaving(&self, target_id: TargetEntryId) {
         if self.target_table.borrow_mut().record_leaving(target_id) {
             let tag = self.target_table.borrow().target(target_id).tag;
             self.shared.add_local_leaving(tag);
@@ -685,7 +704,7 @@
     }
 
     /// Records that a target wants no requests for a while.
-    pub(crate) fn record_pause(&self, target_id: TargetEntryId, pause: Duration, now: Instant) {
+    fn record_pause(&self, target_id: TargetEntryId, pause: Duration, now: Instant) {
         self.metrics.record_pause();
         let mut target_table = self.target_table.borrow_mut();
         target_table.record_pause(target_id, pause, now);
@@ -697,9 +716,7 @@
         event::log(Event::TargetPaused, &fields);
     }
 
-    /// Records what a target says of a limit on its requests; `sent_at` is when the request
-    /// was sent to which it responds, if that is known.
-    pub(crate) fn record_limit(
+    fn record_limit(
         &self,
         target_id: TargetEntryId,
         stated: StatedLimit,
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -482,9 +482,6 @@
             // Another instance at the same address speaks for itself only.
             let is_other = head.facts.status == StatusCode::MISDIRECTED_REQUEST.as_u16()
                 || head.target.is_some_and(|target| target != name.as_str());
-            if head.is_leaving && !is_other {
-                self.context.record_leaving(attempt.target_id);
-            }
             if !is_other {
                 // A response to another request may be old.
                 let is_own = head
@@ -493,7 +490,7 @@
                 let sent_at = met.get().filter(|_| is_own).map(|(sent_at, _)| sent_at);
                 let now = Instant::now();
                 self.context
-                    .record_limit(attempt.target_id, head.limit, sent_at, now);
+                    .record_notice(attempt.target_id, head.notice, sent_at, now);
             }
             if let Some(pace) = head.load.and_then(|load| load.pace).filter(|_| !is_other) {
                 let mut target_table = self.context.target_table.borrow_mut();
--- a/edge/src/serve/response.rs
+++ b/edge/src/serve/response.rs
@@ -39,9 +39,6 @@
                 .borrow_mut()
                 .extend_cold(target_id, cold, now);
         }
-        if let Some(pause) = head.pause {
-            self.context.record_pause(target_id, pause, now);
-        }
         match classify(head.facts) {
             ResponseClass::NotRun => {
                 let why = if status == StatusCode::MISDIRECTED_REQUEST {
@@ -55,7 +52,7 @@
                         .target_table
                         .borrow_mut()
                         .stop_requests(target_id);
-                } else if head.pause.is_none() {
+                } else if head.notice.pause.is_none() {
                     let is_plain = self.is_plain();
                     self.context
                         .record_turned_away(target_id, is_plain, head.load, now);
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -20,6 +20,7 @@
 //! - [`placement`]: which target a request is sent to, or why it is refused;
 //! - [`slots`]: how many requests targets without an engine have, and how long they take;
 //! - [`cold`]: which routers send to a cold target, and at which rate;
+//! - [`target_notice`]: what targets say of themselves in responses;
 //! - [`target_limit`]: how much of a limit that a target names this router may use;
 //! - [`stall`]: which targets have stopped responding;
 //! - [`fair_share`]: which teams are beyond their fair share of the pool;
@@ -70,6 +71,7 @@
 pub mod stream_origin;
 pub mod target;
 pub mod target_limit;
+pub mod target_notice;
 pub mod target_rate;
 pub mod target_table;
 pub mod team_places;
