Pauses: what a target says of itself counts from every call to it, and holds for every call

A target that turned a call about kept prompt parts away with Retry-After got requests of that router within the time, as those were the first that the router understood; each of them lost a send, and a caller could be refused though other targets serve. Such calls also went on in a pause that a request had brought, and to targets that had said they leave.

Cause: the pause belonged to the path of a caller's request, not to the target. The head of each answer to a call about kept parts is now read for what the target says of itself; the traffic thread publishes the targets that want nothing from this router, and no others are called. A pause is no failure, so the calls go on after it where they were.

The stand-in turns one call away now, as it asks for one pause; before, it asked again at the end of each.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -25,7 +25,7 @@
 use policy::direct::stream_origin::{SETTLED_AGE, VersionSighting};
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_limit::{LimitChange, LimitReport, StatedLimit};
-use policy::direct::target_notice::TargetNotice;
+use policy::direct::target_notice::{CallNotice, TargetNotice};
 use policy::direct::target_rate::RateRow;
 use policy::direct::target_table::{TargetEntryId, TargetTable};
 use policy::direct::team_places::TeamPlaces;
@@ -432,6 +432,8 @@
     pub(crate) fn run_maintenance(&self, now: Instant) {
         self.refresh(now);
         self.apply_peer_limits(now);
+        self.apply_call_notices();
+        self.publish_withheld(now);
         self.update_prefill_rate();
         self.update_memory(now);
         let limits = self.target_table.borrow_mut().limit_reports(now);
@@ -729,6 +731,24 @@
         }
     }
 
+    /// Applies what targets said in responses to calls of the control thread.
+    fn apply_call_notices(&self) {
+        for CallNotice { target, notice, at } in self.shared.take_call_notices() {
+            let target_id = self.target_table.borrow().target_of_tag(target);
+            if let Some(target_id) = target_id {
+                self.record_notice(target_id, notice, None, at);
+            }
+        }
+    }
+
+    /// Publishes the targets that want nothing from this router.
+    fn publish_withheld(&self, now: Instant) {
+        let withheld = self.target_table.borrow().withheld(now);
+        if withheld != **self.shared.withheld.load() {
+            self.shared.withheld.store(Arc::new(withheld));
+        }
+    }
+
     /// Applies what peers report of limits of targets.
     fn apply_peer_limits(&self, now: Instant) {
         let Some(reports) = self.peer_limits.take_if_new(&self.shared.peer_limits) else {
--- a/edge/src/kept_events.rs
+++ b/edge/src/kept_events.rs
@@ -3,8 +3,11 @@
 //! `policy::direct::kept_watch` decides whom this router asks and when. The calls run on
 //! the control thread with connections of their own, so that no request waits for one.
 //!
-//! Invariant: an answer that is too long, too late or cannot be read changes nothing but
-//! the time of the next call, and is counted.
+//! Invariants:
+//! - An answer that is too long, too late or cannot be read changes nothing but the time of
+//!   the next call, and is counted.
+//! - A target that wants nothing from this router is not asked, and what it says of itself in
+//!   the head of an answer counts as in the response to a request.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -16,17 +19,20 @@
 use entity::Name;
 use node::event::{self, Event};
 use platform::kept;
+use platform::response::parse_notice;
 use policy::direct::config::Config;
 use policy::direct::kept::KeptRow;
 use policy::direct::kept_watch::{
     Answer, CALL_TIMEOUT, CALL_WAIT, Call, KeptWatch, KnownParts, is_watcher,
 };
 use policy::direct::target::{TargetRegistry, TargetState, VersionTag};
+use policy::direct::target_notice::{CallNotice, TargetNotice};
 use policy::direct::target_table::incarnation_tag;
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::time::timeout;
 
 use crate::metrics::KeptMetrics;
+use crate::shared::Shared;
 
 /// The maximum size of an answer in bytes.
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
@@ -57,10 +63,11 @@
     answers: Answers,
     askable: FxHashMap<u64, Askable>,
     metrics: KeptMetrics,
+    shared: Arc<Shared>,
 }
 
 impl KeptEvents {
-    pub(crate) fn new(metrics: KeptMetrics) -> Self {
+    pub(crate) fn new(metrics: KeptMetrics, shared: Arc<Shared>) -> Self {
         let client = awc::Client::builder().disable_redirects().disable_timeout();
         Self {
             client: client.finish(),
@@ -68,6 +75,7 @@
             answers: Answers::default(),
             askable: FxHashMap::default(),
             metrics,
+            shared,
         }
     }
 
@@ -122,7 +130,9 @@
 
     /// Starts the calls that are due.
     pub(crate) fn start_calls(&mut self, now: Instant) {
-        for (target, call) in self.watch.due(now) {
+        let withheld = self.shared.withheld.load();
+        let may_call = |target| !withheld.contains(&target);
+        for (target, call) in self.watch.due(may_call, now) {
             let Some(askable) = self.askable.get(&target) else {
                 continue;
             };
@@ -132,8 +142,17 @@
                 request = request.insert_header((kept::WAIT, wait));
             }
             let answers = self.answers.clone();
+            let shared = self.shared.clone();
+            let on_notice = move |notice| {
+                shared.add_call_notice(CallNotice {
+                    target,
+                    notice,
+                    at: Instant::now(),
+                });
+            };
             actix_rt::spawn(async move {
-                let (answer, result) = match timeout(CALL_TIMEOUT, ask(request, call)).await {
+                let asked = timeout(CALL_TIMEOUT, ask(request, call, on_notice));
+                let (answer, result) = match asked.await {
                     Ok(Ok(answer)) => (answer, "answered"),
                     Ok(Err(failure)) => failure,
                     Err(_) => (Answer::Failed, "late"),
@@ -202,12 +221,22 @@
     }
 }
 
-/// Makes a call; a failure comes with how it is counted.
-async fn ask(request: awc::ClientRequest, call: Call) -> Result<Answer, (Answer, &'static str)> {
+/// Makes a call; a failure comes with how it is counted. `on_notice` is called with what the
+/// head of the answer says of the target, if that is something.
+async fn ask(
+    request: awc::ClientRequest,
+    call: Call,
+    on_notice: impl FnOnce(TargetNotice),
+) -> Result<Answer, (Answer, &'static str)> {
     let sent = request.send().await;
     let mut response = sent.map_err(|_| (Answer::Failed, "unreachable"))?;
+    let notice = parse_notice(response.status().as_u16(), response.headers());
+    if notice.is_leaving || notice.pause.is_some() {
+        on_notice(notice);
+    }
     match response.status() {
         StatusCode::OK => {}
+        _ if notice.pause.is_some() => return Err((Answer::Paused, "paused")),
         status if status.as_u16() == kept::TOO_MANY_CALLS => {
             return Err((Answer::Refused, "refused"));
         }
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -161,7 +161,8 @@
     );
     store.clone().serve_peers().await?;
     let kept_events = settings.routing.kept_parts;
-    let kept_events = kept_events.then(|| KeptEvents::new(KeptMetrics::new(&meter)));
+    let kept_events =
+        kept_events.then(|| KeptEvents::new(KeptMetrics::new(&meter), shared.clone()));
     let gossip = Gossip::bind(
         settings.control,
         &settings.peers,
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -20,9 +20,10 @@
 use policy::direct::stream_origin::{StreamId, StreamOrigins};
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_limit::LimitReport;
+use policy::direct::target_notice::CallNotice;
 use policy::direct::target_rate::RateRow;
 use policy::direct::target_table::{LoadReport, PeerLoadReport};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::Notify;
 
 /// The latest reports of the peers.
@@ -96,6 +97,8 @@
     pub(crate) peer_rates: ArcSwap<Vec<RateRow>>,
     /// The limits of targets that peers report; written by the control thread.
     pub(crate) peer_limits: ArcSwap<Vec<LimitReport>>,
+    /// The tags of targets that want nothing from this router; written by the traffic thread.
+    pub(crate) withheld: ArcSwap<FxHashSet<u64>>,
     /// The report of this router; written by the traffic thread.
     pub(crate) local_report: ArcSwap<LocalReport>,
     /// Whether a planned stop has begun.
@@ -114,6 +117,8 @@
     crash_queues: Mutex<CrashQueues>,
     /// Tags of leaving targets that one thread hands to the other.
     leaving_queues: Mutex<LeavingQueues>,
+    /// What targets said in responses to calls of the control thread.
+    call_notices: Mutex<Vec<CallNotice>>,
     /// Rows about prompt parts that one thread hands to the other.
     kept_queues: Mutex<KeptQueues>,
     /// Crashes under prompt parts that one thread hands to the other.
@@ -173,6 +178,7 @@
             peers: ArcSwap::default(),
             peer_rates: ArcSwap::default(),
             peer_limits: ArcSwap::default(),
+            withheld: ArcSwap::default(),
             local_report: ArcSwap::default(),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
@@ -183,6 +189,7 @@
             targets_read_at_micros: AtomicU64::new(0),
             crash_queues: Mutex::default(),
             leaving_queues: Mutex::default(),
+            call_notices: Mutex::default(),
             kept_queues: Mutex::default(),
             part_queues: Mutex::default(),
             origins: Mutex::default(),
@@ -278,6 +285,21 @@
         queues.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds what a target said in the response to a call of the control thread.
+    pub(crate) fn add_call_notice(&self, notice: CallNotice) {
+        self.call_notices().push(notice);
+    }
+
+    /// Takes what targets said in responses to calls of the control thread.
+    pub(crate) fn take_call_notices(&self) -> Vec<CallNotice> {
+        std::mem::take(&mut self.call_notices())
+    }
+
+    fn call_notices(&self) -> MutexGuard<'_, Vec<CallNotice>> {
+        let notices = self.call_notices.lock();
+        notices.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adds uses of prompt parts by this router, to be sent to the peers.
     pub(crate) fn add_local_kept(&self, rows: Vec<KeptRow>) {
         push_bounded(&mut self.kept_queues().local, rows);
--- a/livetests/tests/target_signals.rs
+++ b/livetests/tests/target_signals.rs
@@ -100,7 +100,7 @@
     let fleet = start_with_kept_calls("pause-kept").await?;
     let target = &fleet.targets[0];
     let before = target.kept_calls().len();
-    target.pause_kept_calls(3);
+    target.pause_next_kept_call(3);
     wait_until("a call is turned away", || async {
         (target.kept_calls().len() > before).then_some(())
     })
--- a/policy/src/direct/kept_watch.rs
+++ b/policy/src/direct/kept_watch.rs
@@ -113,6 +113,8 @@
     },
     /// The target keeps as many calls waiting as it may.
     Refused,
+    /// The target wants nothing from this router for a while.
+    Paused,
     /// No answer in time, or one that cannot be read.
     Failed,
 }
@@ -180,8 +182,9 @@
         self.targets.values().filter(|it| it.call.is_some()).count()
     }
 
-    /// Returns the calls to make now; each is followed by one [`Self::record`].
-    pub fn due(&mut self, now: Instant) -> Vec<(u64, Call)> {
+    /// Returns the calls to make now, to targets that `may_call` accepts; each is followed by
+    /// one [`Self::record`].
+    pub fn due(&mut self, may_call: impl Fn(u64) -> bool, now: Instant) -> Vec<(u64, Call)> {
         let mut room = MAX_CALLS.saturating_sub(self.calls());
         let is_spaced = |at: Option<Instant>, period: Duration| {
             at.is_none_or(|at| now.saturating_duration_since(at) >= period)
@@ -189,7 +192,7 @@
         let mut due = Vec::new();
         for (&target, watched) in &mut self.targets {
             let is_due = watched.due_at.is_none_or(|at| now >= at);
-            if watched.call.is_some() || !is_due || room == 0 {
+            if watched.call.is_some() || !is_due || room == 0 || !may_call(target) {
                 continue;
             }
             let call = match watched.position {
@@ -252,6 +255,8 @@
                 watched.position = Some((epoch, next));
                 watched.replace(target, &held, known)
             }
+            // No failure: the time of the next call is up to `may_call`.
+            (_, Answer::Paused) => Vec::new(),
             _ => {
                 watched.failures = watched.failures.saturating_add(1);
                 let pause = CALL_PERIOD * 2_u32.saturating_pow(watched.failures.min(8));
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -14,7 +14,7 @@
 
 use cranelift_entity::PrimaryMap;
 use entity::Name;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::kept::KeptParts;
 use super::outlier::OutlierDetector;
@@ -217,6 +217,20 @@
         self.entries[id].limit.spend(part, now);
     }
 
+    /// The targets that want nothing from this router at the moment, by tag.
+    pub fn withheld(&self, now: Instant) -> FxHashSet<u64> {
+        let registered = self.by_service.values().flatten();
+        let registered = registered.map(|&id| &self.entries[id]);
+        let withheld = registered.filter(|entry| entry.is_withheld(now));
+        withheld.map(|entry| entry.tag).collect()
+    }
+
+    /// The registered target with this tag, if there is one.
+    pub fn target_of_tag(&self, tag: u64) -> Option<TargetEntryId> {
+        let mut registered = self.by_service.values().flatten();
+        registered.find(|&&id| self.entries[id].tag == tag).copied()
+    }
+
     /// Records how long work takes at a target, in percent of the usual time.
     pub fn record_pace(&mut self, id: TargetEntryId, percent: u32, now: Instant) {
         let (min, max) = PACE_BOUNDS;
--- a/policy/src/direct/target_table/entry.rs
+++ b/policy/src/direct/target_table/entry.rs
@@ -250,6 +250,11 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
+    /// Whether the target wants nothing from this router.
+    pub fn is_withheld(&self, now: Instant) -> bool {
+        self.said_leaving || self.remaining_pause(now).is_some()
+    }
+
     /// The limit on its requests, as far as it is known.
     pub fn limit(&self) -> &TargetLimit {
         &self.limit
--- a/policy/tests/direct_kept_watch.rs
+++ b/policy/tests/direct_kept_watch.rs
@@ -129,7 +129,7 @@
     }
 
     fn due(&mut self) -> Vec<(u64, Call)> {
-        self.watch.due(self.start + self.now)
+        self.watch.due(|_| true, self.start + self.now)
     }
 
     fn record(&mut self, target: u64, answer: Answer, known: &KnownParts) -> Vec<KeptRow> {
@@ -250,6 +250,7 @@
         }),
         (0_u64..3, 0_u64..50, parts()).prop_map(|it| list(it.0, it.1, it.2)),
         Just(Answer::Refused),
+        Just(Answer::Paused),
         Just(Answer::Failed),
     ]
 }
@@ -297,7 +298,7 @@
             let rows = play.record(target, answer.clone(), &known(&[1, 2, 3]));
             prop_assert!(rows.len() <= MAX_LISTED_ROWS + 50);
             prop_assert!(play.watch.counts().2 <= MAX_HELD * targets as usize);
-            if matches!(answer, Answer::Refused | Answer::Failed) {
+            if matches!(answer, Answer::Refused | Answer::Paused | Answer::Failed) {
                 prop_assert!(rows.is_empty());
             }
         }
@@ -327,6 +328,28 @@
     );
 }
 
+#[test]
+fn a_target_in_a_pause_is_not_asked_and_goes_on_where_it_was_after_it() {
+    let mut play = Play::new(2);
+    let nothing = KnownParts::default();
+    play.answer(list(1, 10, Vec::new()), &nothing);
+    for _ in 0..50 {
+        play.now += millis(100);
+        let due = play.watch.due(|target| target != 0, play.start + play.now);
+        assert!(due.iter().all(|(target, _)| *target != 0));
+        for (target, _) in due {
+            play.record(target, Answer::Paused, &nothing);
+        }
+    }
+    play.now += CALL_PERIOD;
+    let due = play.due();
+    assert!(due.contains(&(0, Call::Events { since: 10 })), "{due:?}");
+    assert!(
+        due.iter().any(|(target, _)| *target == 1),
+        "a pause is no failure"
+    );
+}
+
 #[test]
 fn an_endless_list_is_cut_at_the_longest_parts() {
     let mut play = Play::new(1);
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -110,7 +110,7 @@
     /// The part of a prompt that crashes the target.
     fatal_part: Option<Arc<str>>,
     crashed: watch::Sender<bool>,
-    /// The seconds for which it asks when it turns a call about kept parts away, if it does.
+    /// The seconds for which it asks when it turns the next call about kept parts away.
     kept_pause: Arc<Mutex<Option<u32>>>,
 }
 
@@ -171,8 +171,8 @@
         }
     }
 
-    /// Turns calls about kept parts away from now on, and asks for a pause of some seconds.
-    pub fn pause_kept_calls(&self, seconds: u32) {
+    /// Turns the next call about kept parts away, and asks for a pause of some seconds.
+    pub fn pause_next_kept_call(&self, seconds: u32) {
         let pause = self.kept_pause.lock();
         *pause.unwrap_or_else(PoisonError::into_inner) = Some(seconds);
     }
@@ -182,10 +182,10 @@
         self.lock().kept_calls.clone()
     }
 
-    /// The response that turns a call about kept parts away, if the target does that.
+    /// The response that turns a call about kept parts away, if that is due.
     fn refused_kept_call(&self) -> Option<String> {
         let pause = self.kept_pause.lock();
-        let seconds = (*pause.unwrap_or_else(PoisonError::into_inner))?;
+        let seconds = pause.unwrap_or_else(PoisonError::into_inner).take()?;
         Some(format!(
             "HTTP/1.1 503 X\r\nRetry-After: {seconds}\r\nContent-Length: 0\r\n\r\n"
         ))
