Limits: a target that names one is not asked what it keeps, and may name one in such an answer

Calls about kept prompt parts passed by the limit: one or two routers call each target once a second, which is as much as a fifth of the least limits seen. They stop while a limit holds; the routers' own uses still tell what lies there.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -741,7 +741,7 @@
         }
     }
 
-    /// Publishes the targets that want nothing from this router.
+    /// Publishes the targets that are not called beside requests.
     fn publish_withheld(&self, now: Instant) {
         let withheld = self.target_table.borrow().withheld(now);
         if withheld != **self.shared.withheld.load() {
--- a/edge/src/kept_events.rs
+++ b/edge/src/kept_events.rs
@@ -6,7 +6,7 @@
 //! Invariants:
 //! - An answer that is too long, too late or cannot be read changes nothing but the time of
 //!   the next call, and is counted.
-//! - A target that wants nothing from this router is not asked, and what it says of itself in
+//! - A target that is leaving, wants a pause or names a limit is not asked, and what it says of itself in
 //!   the head of an answer counts as in the response to a request.
 
 use std::cell::RefCell;
@@ -26,6 +26,7 @@
     Answer, CALL_TIMEOUT, CALL_WAIT, Call, KeptWatch, KnownParts, is_watcher,
 };
 use policy::direct::target::{TargetRegistry, TargetState, VersionTag};
+use policy::direct::target_limit::StatedLimit;
 use policy::direct::target_notice::{CallNotice, TargetNotice};
 use policy::direct::target_table::incarnation_tag;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -231,7 +232,7 @@
     let sent = request.send().await;
     let mut response = sent.map_err(|_| (Answer::Failed, "unreachable"))?;
     let notice = parse_notice(response.status().as_u16(), response.headers());
-    if notice.is_leaving || notice.pause.is_some() {
+    if notice.is_leaving || notice.pause.is_some() || notice.limit != StatedLimit::Absent {
         on_notice(notice);
     }
     match response.status() {
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -97,7 +97,7 @@
     pub(crate) peer_rates: ArcSwap<Vec<RateRow>>,
     /// The limits of targets that peers report; written by the control thread.
     pub(crate) peer_limits: ArcSwap<Vec<LimitReport>>,
-    /// The tags of targets that want nothing from this router; written by the traffic thread.
+    /// The tags of targets that are not called beside requests; written by the traffic thread.
     pub(crate) withheld: ArcSwap<FxHashSet<u64>>,
     /// The report of this router; written by the traffic thread.
     pub(crate) local_report: ArcSwap<LocalReport>,
--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -402,6 +402,30 @@
     )
 }
 
+/// Starts a router that asks its only target which prompt parts it keeps, and waits for the
+/// first call.
+///
+/// # Errors
+///
+/// Returns an error if a process does not start.
+pub async fn start_with_kept_calls(name: &str) -> eyre::Result<EdgeFleet> {
+    let mut fleet = EdgeFleet::start(name, 0, 1).await?;
+    let config = EdgeConfig {
+        version: 2,
+        has_engine: true,
+        ..EdgeConfig::default()
+    };
+    fleet.store.put("op/config", &config.to_json());
+    fleet.more_settings = "routing:\n  kept_parts: true\n";
+    fleet.add_router().await?;
+    let target = fleet.targets[0].clone();
+    wait_until("the target is asked what it keeps", || async {
+        (!target.kept_calls().is_empty()).then_some(())
+    })
+    .await;
+    Ok(fleet)
+}
+
 /// The status of a raw response; 0 if there is none.
 pub fn status_of(answer: &str) -> u16 {
     let status = answer.split(' ').nth(1);
--- a/livetests/tests/target_limits.rs
+++ b/livetests/tests/target_limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use knapweed_livetests::edge::{EdgeFleet, RED_KEY, status_of};
+use knapweed_livetests::edge::{EdgeFleet, RED_KEY, start_with_kept_calls, status_of};
 use knapweed_livetests::wait_until;
 use tokio::time::{interval, sleep};
 
@@ -94,3 +94,25 @@
     assert!(answers.iter().all(|answer| status_of(answer) == 200));
     Ok(())
 }
+
+#[actix_rt::test]
+async fn target_that_names_a_limit_is_not_asked_what_it_keeps() -> eyre::Result<()> {
+    let fleet = start_with_kept_calls("limit-kept").await?;
+    fleet.send("GET", "/safe/limit-5", "limit").await;
+    sleep(Duration::from_millis(500)).await;
+    let from = Instant::now();
+    sleep(Duration::from_secs(3)).await;
+    let calls = fleet.targets[0].kept_calls();
+    assert_eq!(calls.iter().filter(|&&at| at > from).count(), 0);
+    // The limit ends, and the calls go on.
+    wait_until("a response names no limit", || async {
+        let answer = fleet.send("GET", "/safe/ok", "end").await;
+        (status_of(&answer) == 200).then_some(())
+    })
+    .await;
+    wait_until("the target is asked what it keeps", || async {
+        (fleet.targets[0].kept_calls().len() > calls.len()).then_some(())
+    })
+    .await;
+    Ok(())
+}
--- a/livetests/tests/target_signals.rs
+++ b/livetests/tests/target_signals.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use knapweed_livetests::edge::{EdgeConfig, EdgeFleet, RED_KEY, status_of};
+use knapweed_livetests::edge::{EdgeFleet, RED_KEY, start_with_kept_calls, status_of};
 use knapweed_livetests::wait_until;
 use tokio::time::sleep;
 
@@ -75,26 +75,6 @@
 /// The time after a target asked for a pause in which calls may still arrive.
 const GRACE: Duration = Duration::from_millis(500);
 
-/// Starts a router that asks its only target which prompt parts it keeps, and waits for the
-/// first call.
-async fn start_with_kept_calls(name: &str) -> eyre::Result<EdgeFleet> {
-    let mut fleet = EdgeFleet::start(name, 0, 1).await?;
-    let config = EdgeConfig {
-        version: 2,
-        has_engine: true,
-        ..EdgeConfig::default()
-    };
-    fleet.store.put("op/config", &config.to_json());
-    fleet.more_settings = "routing:\n  kept_parts: true\n";
-    fleet.add_router().await?;
-    let target = fleet.targets[0].clone();
-    wait_until("the target is asked what it keeps", || async {
-        (!target.kept_calls().is_empty()).then_some(())
-    })
-    .await;
-    Ok(fleet)
-}
-
 #[actix_rt::test]
 async fn pause_that_a_target_asks_for_in_another_call_holds_for_requests() -> eyre::Result<()> {
     let fleet = start_with_kept_calls("pause-kept").await?;
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -217,7 +217,7 @@
         self.entries[id].limit.spend(part, now);
     }
 
-    /// The targets that want nothing from this router at the moment, by tag.
+    /// The targets that are not to be called beside requests at the moment, by tag.
     pub fn withheld(&self, now: Instant) -> FxHashSet<u64> {
         let registered = self.by_service.values().flatten();
         let registered = registered.map(|&id| &self.entries[id]);
--- a/policy/src/direct/target_table/entry.rs
+++ b/policy/src/direct/target_table/entry.rs
@@ -250,9 +250,10 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
-    /// Whether the target wants nothing from this router.
+    /// Whether the target gets nothing but requests, or nothing at all, from this router: it is
+    /// leaving, wants a pause or names a limit.
     pub fn is_withheld(&self, now: Instant) -> bool {
-        self.said_leaving || self.remaining_pause(now).is_some()
+        self.said_leaving || self.remaining_pause(now).is_some() || self.limit.rate().is_some()
     }
 
     /// The limit on its requests, as far as it is known.
