--- a/edge/src/kept_events.rs
+++ b/edge/src/kept_events.rs
@@ -6,8 +6,8 @@
 //! Invariants:
 //! - An answer that is too long, too late or cannot be read changes nothing but the time of
 //!   the next call, and is counted.
-//! - A target that is leaving, wants a pause or names a limit is not asked, and what it says of itself in
-//!   the head of an answer counts as in the response to a request.
+//! - A target that is leaving, wants a pause or names a limit is not asked, and what it says
+//!   of itself in the head of an answer counts as in the response to a request.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -11,8 +11,8 @@
 //! sending it could not shorten the wait.
 //!
 //! Invariant: a target that accepts no requests, is full, has used up its cold rate, or of
-//! whose named limit this router has used up its part is never chosen. A target that is avoided is chosen only if most of the
-//! available ones are avoided.
+//! whose named limit this router has used up its part is never chosen. A target that is
+//! avoided is chosen only if most of the available ones are avoided.
 
 mod engine;
 mod home;
