Limits: idle targets with a limit do not count in the mean wait of the pool

While some targets name limits, routers sent more to the others than these could carry: the mean wait that protects a pool was taken over all targets, and those with a limit are idle by their own wish. The mean is of the targets without a limit now, unless all have one.

idle_targets_with_a_limit_do_not_hide_that_the_others_are_overloaded failed before.

--- a/policy/src/direct/placement/engine.rs
+++ b/policy/src/direct/placement/engine.rs
@@ -13,7 +13,7 @@
 };
 use crate::direct::config::Engine;
 use crate::direct::memory::{Needed, Running};
-use crate::direct::target_table::{Prompt, TargetEntry, TargetTable};
+use crate::direct::target_table::{Prompt, TargetEntry, TargetEntryId, TargetTable};
 
 /// The fraction of a target's memory that may be in use.
 const MAX_MEMORY_FRACTION: f64 = 0.9;
@@ -40,16 +40,7 @@
     let saving = Saving::new(table, settings, &eligible, (engine, prompt), now);
     let base_limit = wait_limit(settings, request);
     let objective = request.objective.as_secs_f64() * 1e3;
-    let waiting_tokens = eligible.iter().map(|&target| {
-        table
-            .target(target)
-            .waiting_tokens(settings.prefill_rate, now)
-    });
-    let rates = eligible.iter().map(|&target| {
-        let entry = table.target(target);
-        entry.usual_rate(settings.prefill_rate)
-    });
-    let mean_wait = waiting_tokens.sum::<f64>() / rates.sum::<f64>();
+    let mean_wait = mean_wait(table, settings, &eligible, now);
     let mut best = BestCandidates::default();
     let mut min_exceeded: Option<ExceededWait> = None;
     for (index, &target) in eligible.iter().enumerate() {
@@ -120,6 +111,26 @@
     })
 }
 
+/// The mean wait at the targets that take what they can carry, in milliseconds; at all of them
+/// if each names a limit, which keeps them idle while requests wait for others.
+fn mean_wait(
+    table: &TargetTable,
+    settings: &PlacementSettings,
+    eligible: &[TargetEntryId],
+    now: Instant,
+) -> f64 {
+    let entries = || eligible.iter().map(|&target| table.target(target));
+    let all_limited = entries().all(|entry| entry.limit().rate().is_some());
+    let counted = entries().filter(|entry| all_limited || entry.limit().rate().is_none());
+    let (tokens, rates) = counted.fold((0.0, 0.0), |(tokens, rates), entry| {
+        (
+            tokens + entry.waiting_tokens(settings.prefill_rate, now),
+            rates + entry.usual_rate(settings.prefill_rate),
+        )
+    });
+    tokens / rates
+}
+
 /// Whether a target has a free slot and memory for the request.
 fn has_room(
     table: &TargetTable,
--- a/policy/tests/direct_target_limit.rs
+++ b/policy/tests/direct_target_limit.rs
@@ -3,11 +3,18 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use entity::Name;
 use knapweed_policy::direct::cold::Members;
+use knapweed_policy::direct::config::{Engine, Service};
+use knapweed_policy::direct::placement::{
+    Placement, PlacementRequest, PlacementSettings, RefusalReason, select_target,
+};
+use knapweed_policy::direct::target::{SoftwareVersion, Target, TargetRegistry, TargetState};
 use knapweed_policy::direct::target_limit::{
     LIMIT_WINDOW, LimitChange, LimitReport, LimitStatement, RATE_BOUNDS, StatedLimit, TargetLimit,
     merge_reports,
 };
+use knapweed_policy::direct::target_table::{Prompt, PromptPart, TargetEntryId, TargetTable};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -286,3 +293,109 @@
         assert!(busiest <= allowed(rate), "seed {seed}: {busiest}");
     }
 }
+
+/// A service of four engines, of which the first two name a limit and have no part free.
+fn half_limited(now: Instant) -> (TargetTable, Service, Vec<TargetEntryId>) {
+    let service = Service {
+        name: Name::new("pool"),
+        connections: 100,
+        cold_rate: 0.0,
+        engine: Some(Engine {
+            slots: 48,
+            memory: 10_000_000,
+            copy_rate: 0.0,
+        }),
+    };
+    let targets = (0..4).map(|number| Target {
+        name: Name::new(&format!("t{number}")),
+        service: service.name.clone(),
+        address: ([10, 0, 0, number], 80).into(),
+        centre: Name::new("north"),
+        slots: 48,
+        state: TargetState::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+        version: SoftwareVersion::default(),
+    });
+    let mut registry = TargetRegistry::default();
+    registry.replace(targets.collect(), now);
+    let mut table = TargetTable::default();
+    table.apply_registry(&registry, now);
+    let ids = table.targets_of_service(&service.name).to_vec();
+    for &id in &ids[..2] {
+        table.record_limit(id, StatedLimit::Named(5.0), None, now);
+    }
+    (table, service, ids)
+}
+
+fn prompt(tokens: u32) -> Prompt {
+    Prompt {
+        parts: [PromptPart {
+            id: tokens.into(),
+            tokens,
+        }]
+        .into_iter()
+        .collect(),
+        input_tokens: tokens,
+        max_output_tokens: 10,
+        expected_output_tokens: 10,
+    }
+}
+
+fn select(table: &mut TargetTable, service: &Service, now: Instant) -> Placement {
+    let prompt = prompt(1_000);
+    let request = PlacementRequest {
+        service,
+        prompt: Some(&prompt),
+        min_objective: millis(400),
+        objective: millis(400),
+        wait_factor: 1.0,
+        excess_delay: None,
+        centre: &Name::new("north"),
+        version: None,
+        tried: &[],
+        members: &Members::new(1, vec![2, 3], true),
+    };
+    select_target(table, &PlacementSettings::default(), &request, &(), now)
+}
+
+#[test]
+fn idle_targets_with_a_limit_do_not_hide_that_the_others_are_overloaded() {
+    let now = Instant::now();
+    let (mut table, service, ids) = half_limited(now);
+    assert!(matches!(
+        select(&mut table, &service, now),
+        Placement::Target { .. }
+    ));
+    // 800 ms of work at the third target: a mean of 400 ms with the fourth, 200 ms with all.
+    table.begin_attempt(ids[2], Some(&prompt(40_000)), 0, now);
+    let refused = select(&mut table, &service, now);
+    let Placement::Refused { reason, .. } = refused else {
+        panic!("{refused:?}");
+    };
+    assert_eq!(reason, RefusalReason::Busy);
+}
+
+#[test]
+fn refusal_states_when_a_part_of_a_limit_is_free() {
+    let now = Instant::now();
+    let (mut table, service, ids) = half_limited(now);
+    for &id in &ids[2..] {
+        table.stop_requests(id);
+    }
+    let Placement::Refused {
+        reason,
+        retry_after,
+        ..
+    } = select(&mut table, &service, now)
+    else {
+        panic!("no part is free");
+    };
+    assert_eq!(reason, RefusalReason::Limited);
+    let at = now + retry_after;
+    let placed = select(&mut table, &service, at);
+    let Placement::Target { target, .. } = placed else {
+        panic!("{placed:?}");
+    };
+    assert!(ids[..2].contains(&target));
+}
