--- a/policy/tests/direct_exchange/limits.rs
+++ b/policy/tests/direct_exchange/limits.rs
@@ -5,6 +5,7 @@
 use knapweed_policy::direct::exchange::RejectReason;
 use knapweed_policy::direct::exchange::limits::{MAX_LIMIT_ROWS, NEED_TTL};
 use knapweed_policy::direct::exchange::message::{LimitRow, LimitUpdate, Message, Source};
+use knapweed_policy::direct::exchange::topology::MAX_DIRECT_ROUTERS;
 use knapweed_policy::direct::target_limit::{LimitReport, LimitStatement};
 
 use super::net::{Net, address};
@@ -14,9 +15,26 @@
 /// 200 ms, and there are up to three on the way.
 const NOTICE: Duration = Duration::from_secs(1);
 
+/// The largest encoding of a row, and of what comes before the rows with the headers of the
+/// network, in bytes.
+const ROW_BYTES: usize = 25;
+const HEADER_BYTES: usize = 64;
+
 /// The number of targets that name a limit.
 const TARGETS: u64 = 40;
 
+/// The number of partners of an average router, rounded up: all others in a small fleet, else
+/// a relay, which has a group and the other relays for partners.
+fn mean_partners(net: &Net) -> usize {
+    let count = net.routers.len();
+    if count <= MAX_DIRECT_ROUTERS {
+        return count - 1;
+    }
+    let relays = net.relays().len();
+    let links = 2 * (count - relays) + relays * (relays - 1);
+    links.div_ceil(count)
+}
+
 fn set_needs(net: &mut Net, needed: f64) {
     let at = net.now_mono();
     for (index, router) in net.routers.iter_mut().enumerate() {
@@ -57,6 +75,34 @@
     }
 }
 
+#[test]
+fn bytes_of_limits_are_bounded() {
+    for (count, centres) in FLEETS {
+        let mut net = settled(count, centres, 5);
+        net.is_measured = true;
+        let sent = |net: &mut Net| {
+            for router in &mut net.routers {
+                router.sent_bytes = 0;
+            }
+            net.run_for(Duration::from_secs(2));
+            let bytes = net.routers.iter().map(|it| it.sent_bytes / 2);
+            let bytes: Vec<usize> = bytes.collect();
+            let mean = bytes.iter().sum::<usize>() / count;
+            (mean, bytes.into_iter().max().expect("routers"))
+        };
+        let without = sent(&mut net);
+        set_needs(&mut net, 2.0);
+        let with = sent(&mut net);
+        println!("{count} routers, {TARGETS} limits: {without:?} {with:?} bytes a second");
+        // Five datagrams a second to a partner, of a row for each target.
+        let datagram = TARGETS as usize * ROW_BYTES + HEADER_BYTES;
+        assert!(
+            with.0 <= without.0 + 5 * datagram * mean_partners(&net),
+            "{count}"
+        );
+    }
+}
+
 #[test]
 fn need_of_a_silent_router_is_dropped() {
     let mut net = settled(5, 2, 5);
