--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -452,7 +452,7 @@
         fleet.add_worker(
             "desk",
             12,
-            &[("queue", 24), ("work", 20), ("tolerated", 5 * COLD_PER_S)],
+            &[("queue", 24), ("work", 20), ("tolerated", 15)],
         );
     }
     fleet.add_routers(2);
