Review, case 4: one entry of another writer stops all routers

A sum of an instant and a duration from the entry panics in the traffic thread's maintenance, in requests and in the exchange with other routers (policy/src/direct/target_table.rs, edge/src/kept_events.rs).

--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -11,9 +11,12 @@
         // For comparison: the workers crash before the head of the answer.
         "fatal-early" => fatal(fleet, trouble, "fatal", false),
         "forgotten" => fatal(fleet, true, "fatal", trouble),
+        // Found besides, see REPORT.md.
         "reborn" => reborn(fleet, trouble, true),
         "cold" => reborn(fleet, trouble, false),
         "extra" => extra(fleet, trouble),
+        "entry" => entry(fleet, trouble, false),
+        "entry-later" => entry(fleet, trouble, true),
         _ => 2,
     }
 }
@@ -559,7 +562,7 @@
     for (id, born) in &cold {
         let runs = logged
             .iter()
-            .filter(|it| it.worker == *id && it.event != "end" && it.event != "other");
+            .filter(|it| it.worker == *id && matches!(it.event.as_str(), "run" | "full"));
         let times: Vec<u64> = runs
             .map(|it| it.at)
             .filter(|at| (*born..born + COLD_MS).contains(at))
@@ -687,3 +690,73 @@
     };
     fleet.end(code)
 }
+
+// --- an entry of another writer --------------------------------------------------------------
+
+/// Another writer has left an entry that names no worker to use: of a service that isn't named,
+/// with a number that only a floating-point field can hold. With `later`, it comes in mid-day.
+fn entry(mut fleet: Fleet, trouble: bool, later: bool) -> i32 {
+    const OTHER: &str = "{\"service\":\"other\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\
+                         \"version\":\"v1\",\"slots\":1,\"state\":\"ready\",\"coldRemainingMs\":1e22,\"seq\":1}";
+    const REQUESTS: usize = 200;
+    fleet.store.put("op/config", &config(7, 0));
+    for _ in 0..4 {
+        fleet.add_worker("desk", 6, &[("queue", 24), ("work", 20)]);
+    }
+    let write = |fleet: &Fleet| {
+        fleet.store.put("servers/a-1", OTHER);
+        fleet.note(&format!("another writer: servers/a-1 {OTHER}"));
+    };
+    if trouble && !later {
+        write(&fleet);
+    }
+    fleet.add_routers(2);
+    for number in 0..2 {
+        fleet.start_router(number);
+    }
+    for number in 0..2 {
+        let is_ready = fleet.wait_ready(number);
+        fleet.note(&format!("router {number} ready: {is_ready}"));
+    }
+    thread::sleep(Duration::from_millis(STABLE_MS));
+    // In mid-day, or all day, the same.
+    let mut served = [0, 0];
+    for index in 0..REQUESTS {
+        let half = index * 2 / REQUESTS;
+        if trouble && later && index == REQUESTS / 2 {
+            write(&fleet);
+            thread::sleep(Duration::from_secs(4));
+        }
+        let id = format!("ok-{index}");
+        let address = fleet.routers[index % 2].callers;
+        let (method, path) = if index % 4 < 2 {
+            ("POST", "/book/ok")
+        } else {
+            ("GET", "/lookup/ok")
+        };
+        let text = request_text(method, path, &id, 1000, "");
+        let status = Conn::open(address).map_or(0, |mut conn| call(&mut conn, &text, 1000).0);
+        fleet.note(&format!(
+            "client: {id} at router {} answered {status}",
+            index % 2
+        ));
+        served[half] += u32::from(status == 200);
+        thread::sleep(Duration::from_millis(100));
+    }
+    let [first, second] = served;
+    let half = REQUESTS / 2;
+    fleet.note(&format!(
+        "Fault: served {first} of {half} and {second} of {half} requests; none served at all is a fault"
+    ));
+    let is_broken = if later {
+        second == 0
+    } else {
+        first + second == 0
+    };
+    let code = match (trouble, is_broken) {
+        (_, false) => 0,
+        (true, true) => 1,
+        (false, true) => 2,
+    };
+    fleet.end(code)
+}
--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -153,9 +153,9 @@
                 "router {} gets SIG{signal}",
                 self.routers[number].name
             ));
-            let _ = Command::new("kill")
-                .arg(format!("-{signal}"))
-                .arg(child.id().to_string())
+            // The shell's own command, which is there on every machine.
+            let _ = Command::new("sh")
+                .args(["-c", &format!("kill -{signal} {}", child.id())])
                 .status();
         }
     }
