An entry with an impossible cold time no longer stops the routers

Cause: the number fits a Duration, and Instant + Duration panics, in TargetTable::apply_registry (requests and maintenance) and in KeptEvents::set_registry (exchange). The loops that panic end for good. Ruled out: that parsing one entry hides the others.

--- a/edge/src/kept_events.rs
+++ b/edge/src/kept_events.rs
@@ -101,7 +101,7 @@
             service.is_some_and(|service| service.engine.is_some())
         };
         let targets = registry.targets.values().filter(|(target, reported_at)| {
-            let is_cold = reported_at.is_some_and(|at| now < at + target.cold);
+            let is_cold = reported_at.is_some_and(|at| now < target.cold_until(at));
             // Nothing may be sent to a drained data centre, and little to a cold target.
             target.state == TargetState::Ready
                 && !is_cold
--- a/livetests/tests/edge_faults.rs
+++ b/livetests/tests/edge_faults.rs
@@ -265,6 +265,26 @@
     Ok(())
 }
 
+/// A cold time that overflows the clock ended the loops of every router.
+#[actix_rt::test]
+async fn entry_with_an_impossible_cold_time_stops_no_router() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start("impossible", 2, 1).await?;
+    let mut entry = fleet.targets[0].entry("another", "ready");
+    entry["coldRemainingMs"] = serde_json::json!(1e22);
+    fleet.store.put("servers/a", &entry);
+    sleep(PROPAGATION_TIME).await;
+    for router in 0..2 {
+        for number in 0..5 {
+            let id = format!("i-{router}-{number}");
+            let answer = fleet
+                .send_to(router, "GET", "/safe/ok", &id, api_key(RED_KEY))
+                .await;
+            assert_eq!(status_of(&answer), 200, "{answer}");
+        }
+    }
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn requests_for_a_former_target_do_not_run_at_a_reused_address() -> eyre::Result<()> {
     let fleet = EdgeFleet::start("reuse", 1, 2).await?;
--- a/policy/src/direct/target.rs
+++ b/policy/src/direct/target.rs
@@ -78,6 +78,17 @@
     pub version: SoftwareVersion,
 }
 
+/// The longest time for which a target counts as cold, so that a wrong value neither keeps it
+/// out of full use for good nor exceeds what the clock can express.
+pub const MAX_COLD: Duration = Duration::from_secs(3_600);
+
+impl Target {
+    /// The time until which the target is cold, given when its registration was read.
+    pub fn cold_until(&self, read_at: Instant) -> Instant {
+        read_at + self.cold.min(MAX_COLD)
+    }
+}
+
 /// The time without a successful read after which registrations may have expired.
 /// It is shorter than three heartbeats of a target.
 pub const MIN_OUTAGE: Duration = Duration::from_millis(2_500);
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -22,7 +22,7 @@
 pub use super::prompt::{Prompt, PromptPart};
 use super::slots::{PlainResult, SlotState};
 use super::stall::MIN_REPORTING_PEERS;
-use super::target::{TargetRegistry, TargetState};
+use super::target::{MAX_COLD, TargetRegistry, TargetState};
 use super::target_limit::{LimitChange, LimitReport, StatedLimit};
 use super::target_rate::PrefillTime;
 pub use entry::{AvoidReason, TargetEntry, TargetEntryId};
@@ -86,7 +86,7 @@
             entry.slots = target.slots;
             entry.address = target.address;
             entry.service = target.service.clone();
-            let reported_until = reported_at.map(|reported_at| reported_at + target.cold);
+            let reported_until = reported_at.map(|reported_at| target.cold_until(reported_at));
             entry.cold_until = entry
                 .cold_until
                 .max(reported_until)
@@ -141,10 +141,10 @@
     }
 
     /// Extends a target's cold time: the target reported that it stays cold for
-    /// `remaining`.
+    /// `remaining`, of which at most [`MAX_COLD`] counts.
     pub fn extend_cold(&mut self, id: TargetEntryId, remaining: Duration, now: Instant) {
         let entry = &mut self.entries[id];
-        entry.cold_until = entry.cold_until.max(Some(now + remaining));
+        entry.cold_until = entry.cold_until.max(Some(now + remaining.min(MAX_COLD)));
     }
 
     /// Marks a target as accepting no requests. A draining target reports this in
--- a/policy/tests/direct_cold.rs
+++ b/policy/tests/direct_cold.rs
@@ -167,3 +167,21 @@
     let unsettled = Members::new(1, Vec::new(), false);
     assert_eq!(place(&mut table, &unsettled, now), None);
 }
+
+/// One entry with an enormous cold time stopped the loops that apply the list of targets.
+#[test]
+fn an_entry_that_is_cold_for_ever_leaves_the_other_targets_in_use() {
+    let now = Instant::now();
+    for cold in [Duration::from_secs(10_u64.pow(19)), Duration::MAX] {
+        let targets = [target("a", cold), target("warm", Duration::ZERO)];
+        let mut table = table(&targets, now);
+        let at = now + COLD_TIME;
+        assert!(place(&mut table, &members(0, 2), at).is_some(), "{cold:?}");
+        let service = Name::new("pool");
+        for id in table.targets_of_service(&service).to_vec() {
+            // The health responses of a target state the same.
+            table.extend_cold(id, cold, at);
+            assert!(table.target(id).is_cold(at + SECOND), "{cold:?}");
+        }
+    }
+}
