A silent stream is kept until another target has taken it over

Cause: on silence the session dropped the running stream first and asked another target then; a refusal ended the answer. Ruled out: the planned stop (the test fails without a signal) and the socket options (3 s, no lines).

Fix: the other target is asked while the stream is kept. Whoever sends first has it; an attempt that is given up then counts as one that may have run, so that no more targets than the route allows run the request. If nobody takes it, the stream is kept until its deadline. A stream that breaks meanwhile is recorded at once, so that crashes are found as before.

--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -207,14 +207,23 @@
         if !self.may_run_again() {
             return None;
         }
-        self.tried.push(target_id);
+        let is_tried = self.tried.contains(&target_id);
+        if !is_tried {
+            self.tried.push(target_id);
+        }
         let attempt = self.next_attempt().ok();
-        if attempt.is_none() {
+        if attempt.is_none() && !is_tried {
             self.tried.pop();
         }
         attempt
     }
 
+    /// Counts an attempt that was given up before its response; its target may run it.
+    pub(crate) fn record_abandoned(&mut self) {
+        self.sends += 1;
+        self.runs += 1;
+    }
+
     fn give_up(&self, fallback: Option<BufferedResponse>, refusal: Refusal) -> Outcome {
         match fallback {
             Some(buffered) => Outcome::Buffered(buffered),
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -6,6 +6,8 @@
 //!   before the end of the body is marked, or reset if nothing else marks it.
 //! - The end of a body is marked only if its target marked it.
 
+mod resume;
+
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -17,7 +19,6 @@
 use policy::direct::config::RetryPolicy;
 use tokio::net::TcpStream;
 
-use crate::attempt::Attempt;
 use crate::caller::{CallerConnection, INITIAL_LIMITS, ReadOutcome, ResponseFraming, run_until};
 use crate::context::Context;
 use crate::events::{EventSplitter, has_events};
@@ -26,6 +27,7 @@
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
 use crate::serve::{Dispatch, Outcome, StreamedResponse};
 use crate::target::{BodyFraming, BodyTruncated};
+use resume::{Resumed, TakeOver, record_broken, resume_stream, take_over};
 
 /// How long before its deadline a request without a response is abandoned, so that
 /// the error response arrives in time.
@@ -288,19 +290,19 @@
                     let Some(placed) = dispatch.place_on_other_target(attempt.target_id) else {
                         continue;
                     };
-                    events.discard_partial();
-                    drop(body);
-                    context.record_result(attempt.target_id, false, Instant::now());
-                    drop(attempt);
-                    match resume_stream(dispatch, caller, events.last_id(), Some(placed)).await {
-                        Resumed::Stream(stream) => {
+                    let silent = (&mut body, &attempt);
+                    match take_over(dispatch, caller, silent, events.last_id(), placed).await {
+                        TakeOver::Continued(next) => Ok(next),
+                        TakeOver::Resumed(stream) => {
+                            events.discard_partial();
                             body = stream.body;
                             attempt = stream.attempt;
                             pending = Some(stream.first).filter(|it| !it.is_empty());
                             continue;
                         }
-                        Resumed::Impossible => return RequestEnd::Truncated("quiet target"),
-                        Resumed::Disconnected => return RequestEnd::Disconnected,
+                        TakeOver::Impossible => continue,
+                        TakeOver::Broken => return RequestEnd::Truncated("target broke the stream"),
+                        TakeOver::Disconnected => return RequestEnd::Disconnected,
                     }
                 }
             },
@@ -359,11 +361,9 @@
             Err(BodyTruncated) => {
                 events.discard_partial();
                 drop(body);
-                let (target_id, times) = (attempt.target_id, attempt.times());
+                let target_id = attempt.target_id;
+                record_broken(context, dispatch.request, &attempt);
                 drop(attempt);
-                let now = Instant::now();
-                context.record_result(target_id, false, now);
-                context.record_broken_attempt(target_id, dispatch.request, times, now);
                 if !is_resumable || !events.is_resumable() || !dispatch.may_resume(target_id) {
                     return RequestEnd::Truncated("target broke the stream");
                 }
@@ -388,48 +388,6 @@
     End(Bytes),
 }
 
-enum Resumed {
-    Stream(Box<StreamedResponse>),
-    Impossible,
-    Disconnected,
-}
-
-/// Resumes a stream at another target after the last event that was delivered.
-async fn resume_stream(
-    dispatch: &mut Dispatch<'_>,
-    caller: &mut CallerConnection,
-    last: Option<u64>,
-    placed: Option<Attempt>,
-) -> Resumed {
-    let fields: [Field<'_>; 2] = [
-        ("request", &dispatch.request.caller_headers.id),
-        ("after", &last.unwrap_or(0)),
-    ];
-    event::log(Event::StreamResumed, &fields);
-    let outcome = tokio::select! {
-        biased;
-        () = caller.disconnected() => return Resumed::Disconnected,
-        outcome = dispatch.run(last, placed) => outcome,
-    };
-    let why = match outcome {
-        Outcome::Streamed(stream) if stream.status == StatusCode::OK => {
-            if has_events(&stream.headers) {
-                return Resumed::Stream(stream);
-            }
-            "no events".to_owned()
-        }
-        Outcome::Streamed(stream) => format!("status {}", stream.status.as_u16()),
-        Outcome::Buffered(response) => format!("status {}", response.status.as_u16()),
-        Outcome::Refused(refusal) => refusal.to_string(),
-    };
-    let fields: [Field<'_>; 2] = [
-        ("request", &dispatch.request.caller_headers.id),
-        ("why", &why),
-    ];
-    event::log(Event::ResumeFailed, &fields);
-    Resumed::Impossible
-}
-
 fn response_end(status: StatusCode, written: std::io::Result<bool>) -> RequestEnd {
     match written {
         Ok(keep) => RequestEnd::Answered { status, keep },
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -34,6 +34,9 @@
 //! | `swap-N` | like `halt-N`; answers the resumption with JSON |
 //! | `lost-N` | streams N events without framing and resets the connection; resumes on request |
 //! | `stall-N` | streams N events and then sends nothing; resumes on request |
+//! | `doze-N` | streams N events, pauses for 1.5 s and streams the rest; sheds the resumption |
+//! | `nap-N` | like `doze-N`; never answers the resumption |
+//! | `fade-N` | streams N events, pauses for 0.8 s and closes the connection; resumes after 0.5 s |
 //! | `slow-N` | streams ten events, one every N milliseconds |
 //! | `pace-N` | streams 40 events, one every N milliseconds |
 
@@ -66,6 +69,12 @@
 /// The time from reading a request that crashes the target to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
+/// The pause in the middle of `doze` and `nap`.
+const DOZE_TIME: Duration = Duration::from_millis(1_500);
+
+/// The pause of `fade` before it closes the connection, and before it resumes.
+const FADE_TIMES: (Duration, Duration) = (Duration::from_millis(800), Duration::from_millis(500));
+
 /// The number of events of all streams but `stream`, `eof` and `pace`.
 const DEFAULT_EVENT_COUNT: u64 = 10;
 
@@ -318,6 +327,8 @@
         let length = body.len();
         let whole =
             format!("HTTP/1.1 200 OK\r\n{identity_headers}Content-Length: {length}\r\n\r\n{body}");
+        let is_resumption = request.header("last-event-id").is_some();
+        let shed = "HTTP/1.1 503 X\r\nX-Knapweedgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
         let bytes = match name {
             "ok" => whole,
             "limit" => whole.replacen("\r\n", &format!("\r\nServer-Limit: {number}\r\n"), 1),
@@ -325,15 +336,13 @@
             "shed" if script == "shed-leave" => "HTTP/1.1 503 X\r\nServer-Leaving: 1\r\n\
                  X-Knapweedgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
                 .to_owned(),
-            "swap" if request.header("last-event-id").is_some() => format!(
+            "swap" if is_resumption => format!(
                 "HTTP/1.1 200 OK\r\n{identity_headers}Content-Type: application/json\r\n\
                  Content-Length: 4\r\n\r\n{{}}\n\n"
             ),
             "error" => format!("HTTP/1.1 500 X\r\n{identity_headers}Content-Length: 4\r\n\r\noops"),
-            "shed" => {
-                "HTTP/1.1 503 X\r\nX-Knapweedgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-                    .to_owned()
-            }
+            "shed" => shed.to_owned(),
+            "doze" if is_resumption => shed.to_owned(),
             "pause" => format!(
                 "HTTP/1.1 503 X\r\nRetry-After: {number}\r\n\
                  X-Knapweedgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -354,8 +363,17 @@
                 format!("{whole}{other}")
             }
             "unframed" => format!("HTTP/1.1 200 OK\r\n{identity_headers}\r\n{body}"),
+            "mute" | "nap" if name == "mute" || is_resumption => {
+                // Becomes readable when the client closes the connection.
+                stream.readable().await?;
+                self.record_disconnect(request);
+                return Ok(false);
+            }
             "stream" | "slow" | "pace" | "halt" | "stall" | "half" | "swap" | "huge" | "eof"
-            | "torn" | "mixed" | "lost" => {
+            | "torn" | "mixed" | "lost" | "doze" | "nap" | "fade" => {
+                if name == "fade" && is_resumption {
+                    sleep(FADE_TIMES.1).await;
+                }
                 let after = request.header("last-event-id");
                 let after: Option<u64> = after.and_then(|id| id.parse().ok());
                 let fault = match name {
@@ -364,6 +382,8 @@
                     "half" => Some(StreamFault::End(number)),
                     "lost" => Some(StreamFault::Reset(number)),
                     "stall" => Some(StreamFault::Stall(number)),
+                    "doze" | "nap" => Some(StreamFault::Doze(number)),
+                    "fade" => Some(StreamFault::Fade(number)),
                     _ => None,
                 };
                 let last = match name {
@@ -414,12 +434,6 @@
                     sleep(ENDLESS_PAUSE).await;
                 }
             }
-            "mute" => {
-                // Becomes readable when the client closes the connection.
-                stream.readable().await?;
-                self.record_disconnect(request);
-                return Ok(false);
-            }
             _ => return Ok(false),
         };
         stream.write_all(bytes.as_bytes()).await?;
@@ -486,6 +500,11 @@
                     SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
                     return Ok(false);
                 }
+                Some(StreamFault::Doze(at)) if at == number => sleep(DOZE_TIME).await,
+                Some(StreamFault::Fade(at)) if at == number => {
+                    sleep(FADE_TIMES.0).await;
+                    return Ok(false);
+                }
                 _ => {}
             }
             sleep(options.pause).await;
@@ -510,6 +529,10 @@
     Reset(u64),
     /// Sends nothing more after this event.
     Stall(u64),
+    /// Pauses after this event.
+    Doze(u64),
+    /// Pauses after this event and closes the connection.
+    Fade(u64),
 }
 
 /// What a stream sends.
