An attempt that breaks within its answer counts as evidence of a crash

Cause: of the places at which an attempt ends without a valid response, those found while the body is read ("cut", "garbled") left no record, so the crash of the target matched no request. Ruled out: differing fingerprints (a crash before the head is refused after the third).

Fix: Dispatch::record_broken, through which all of them pass. The same for a stream that is taken from a silent target, which may have lost power.

--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -27,7 +27,7 @@
 use smallvec::SmallVec;
 use tokio::time::sleep;
 
-use crate::attempt::{Attempt, Charge};
+use crate::attempt::{Attempt, AttemptTimes, Charge};
 use crate::context::Context;
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
 use crate::target::{Body, BodyFraming, SendError, TargetRequest, TargetResponse};
@@ -144,13 +144,9 @@
                 }
                 Err(SendFailure::ConfigChanged) => continue,
                 Err(SendFailure::Broken(why)) => {
-                    self.record_failure(target_id, why);
                     let times = attempt.times();
                     drop(attempt);
-                    self.context.record_result(target_id, false, now);
-                    self.context
-                        .record_broken_attempt(target_id, self.request, times, now);
-                    self.tried.push(target_id);
+                    self.record_broken(target_id, why, times);
                     match self.may_run_again() {
                         true => continue,
                         false => return self.give_up(fallback, Refusal::unknown("attempt broken")),
@@ -164,10 +160,8 @@
                     true => fallback = Some(buffered),
                     false => return Outcome::Buffered(buffered),
                 },
-                ResponseAction::Broken(why) => {
-                    self.record_failure(target_id, why);
-                    self.context.record_result(target_id, false, now);
-                    self.tried.push(target_id);
+                ResponseAction::Broken { why, times } => {
+                    self.record_broken(target_id, why, times);
                     if !self.may_run_again() {
                         return self.give_up(fallback, Refusal::unknown(why));
                     }
@@ -600,6 +594,16 @@
         event::log(Event::RequestSent, &fields);
     }
 
+    /// Records an attempt without a valid response, which may have crashed its target.
+    fn record_broken(&mut self, target_id: TargetEntryId, why: &'static str, times: AttemptTimes) {
+        let now = Instant::now();
+        self.record_failure(target_id, why);
+        self.context.record_result(target_id, false, now);
+        self.context
+            .record_broken_attempt(target_id, self.request, times, now);
+        self.tried.push(target_id);
+    }
+
     fn record_failure(&self, target_id: TargetEntryId, why: &'static str) {
         self.context.metrics.record_attempt(why);
         let target_table = self.context.target_table.borrow();
@@ -639,5 +643,8 @@
     /// The target ran the request and reported a failure.
     Failed(BufferedResponse),
     /// The target may have run the request, but there is no valid response.
-    Broken(&'static str),
+    Broken {
+        why: &'static str,
+        times: AttemptTimes,
+    },
 }
--- a/edge/src/serve/response.rs
+++ b/edge/src/serve/response.rs
@@ -62,7 +62,10 @@
             }
             ResponseClass::Garbled => {
                 self.runs += 1;
-                ResponseAction::Broken("garbled")
+                ResponseAction::Broken {
+                    why: "garbled",
+                    times: attempt.times(),
+                }
             }
             class => {
                 self.runs += 1;
@@ -79,7 +82,12 @@
                 let limit = if is_stream { 0 } else { MAX_BUFFERED_BYTES };
                 let first = match read_body(&mut body, limit).await {
                     Ok(first) => first,
-                    Err(()) => return ResponseAction::Broken("cut"),
+                    Err(()) => {
+                        return ResponseAction::Broken {
+                            why: "cut",
+                            times: attempt.times(),
+                        };
+                    }
                 };
                 let is_plain = self.is_plain();
                 self.context
--- a/edge/src/session/resume.rs
+++ b/edge/src/session/resume.rs
@@ -58,7 +58,7 @@
             biased;
             resumed = &mut resumed => {
                 if let Resumed::Stream(_) = &resumed {
-                    context.record_result(attempt.target_id, false, Instant::now());
+                    record_broken(context, request, attempt);
                 }
                 return resumed.into_take_over(TakeOver::Impossible);
             }
@@ -76,7 +76,7 @@
     TakeOver::Continued(next)
 }
 
-/// Records that a target broke a response off.
+/// Records that a target broke a response off, or that it was given up.
 pub(super) fn record_broken(context: &Rc<Context>, request: &CallerRequest, attempt: &Attempt) {
     let now = Instant::now();
     context.record_result(attempt.target_id, false, now);
--- /dev/null
+++ b/livetests/tests/crashing_request.rs
@@ -0,0 +1,65 @@
+//! Requests that crash the targets that run them.
+
+use std::time::Duration;
+
+use knapweed_livetests::edge::{EdgeFleet, RED_KEY, status_of};
+use tokio::time::sleep;
+
+/// The number of targets that a request may crash before all routers must know it.
+const KNOWN_CRASHES: usize = 3;
+
+/// The number of further arrivals at targets that are allowed.
+const ALLOWED_ARRIVALS: usize = 3;
+
+/// The time within which all routers know.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+
+/// The pause between two of the requests.
+const PAUSE: Duration = Duration::from_millis(400);
+
+fn crash_count(fleet: &EdgeFleet) -> usize {
+    let targets = fleet.targets.iter();
+    targets.filter(|target| target.has_crashed()).count()
+}
+
+fn arrival_count(fleet: &EdgeFleet) -> usize {
+    fleet.targets.iter().map(|it| it.arrivals().len()).sum()
+}
+
+/// Sends the request to the routers in turn until it has crashed [`KNOWN_CRASHES`] targets.
+async fn crash_targets(fleet: &EdgeFleet, path: &str, routers: usize) {
+    for number in 0..2 * KNOWN_CRASHES {
+        if crash_count(fleet) >= KNOWN_CRASHES {
+            break;
+        }
+        let id = format!("first{number}");
+        fleet
+            .send_to(number % routers, "GET", path, &id, Some(RED_KEY))
+            .await;
+        sleep(PAUSE).await;
+    }
+    assert!(crash_count(fleet) >= KNOWN_CRASHES, "the targets crash");
+}
+
+/// A crash within the answer left no record, so the request was accepted for ever.
+#[actix_rt::test]
+async fn request_that_crashes_targets_within_their_answer_is_refused() -> eyre::Result<()> {
+    const ROUTERS: usize = 2;
+    let fleet = EdgeFleet::start("die", ROUTERS, 16).await?;
+    crash_targets(&fleet, "/safe/die", ROUTERS).await;
+    sleep(STABLE_WINDOW).await;
+    let before = arrival_count(&fleet);
+    for number in 0..6 {
+        let id = format!("later{number}");
+        let answer = fleet
+            .send_to(number % ROUTERS, "GET", "/safe/die", &id, Some(RED_KEY))
+            .await;
+        assert_ne!(status_of(&answer), 200, "{answer}");
+        sleep(PAUSE).await;
+    }
+    let arrivals = arrival_count(&fleet) - before;
+    assert!(arrivals <= ALLOWED_ARRIVALS, "{arrivals} arrivals");
+    let sound = fleet.send("GET", "/safe/ok", "sound").await;
+    assert_eq!(status_of(&sound), 200, "{sound}");
+    Ok(())
+}
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -19,6 +19,7 @@
 //! | `cut-json` | like `cut`, with the content type of JSON |
 //! | `extra` | answers, and then sends a second answer with the id of another request |
 //! | `unframed` | answers without a content length and closes the connection |
+//! | `die` | crashes in the middle of its answer, 20 ms after the request |
 //! | `mute` | never answers |
 //! | `endless-head` | sends a response head without end |
 //! | `endless-informational` | sends informational responses without end |
@@ -362,6 +363,14 @@
                 let other = whole.replace(id, "ffffffffffffffff");
                 format!("{whole}{other}")
             }
+            "die" => {
+                stream
+                    .write_all(&whole.as_bytes()[..whole.len() - 3])
+                    .await?;
+                sleep(CRASH_DELAY).await;
+                self.crashed.send_replace(true);
+                return Ok(false);
+            }
             "unframed" => format!("HTTP/1.1 200 OK\r\n{identity_headers}\r\n{body}"),
             "mute" | "nap" if name == "mute" || is_resumption => {
                 // Becomes readable when the client closes the connection.
