Routers that start are told which requests crash their targets

Cause: a crash is part of ten rounds of heartbeats after it became known; a router that starts later never hears of it.

Fix: when a router hears one that has started, it tells the crashes of the last 60 s of requests that crashed two targets or more, with their age, in a message of their own. Ages are kept from hop to hop, so that restarts in series do not prolong a refusal. Single crashes are left out: a target that dies takes many sound requests with it.

--- a/edge/src/crashes.rs
+++ b/edge/src/crashes.rs
@@ -195,8 +195,8 @@
 
     /// Applies what peers saw, and forgets what is old.
     pub(crate) fn run_maintenance(&self, shared: &Shared, metrics: &TrafficMetrics, now: Instant) {
-        for record in shared.take_peer_crashes() {
-            self.requests.borrow_mut().add(record, now);
+        for (record, at) in shared.take_peer_crashes() {
+            self.requests.borrow_mut().add(record, at);
             self.record_unreachable(record.target, "peer", shared, now);
         }
         for (heard_at, news) in shared.take_peer_parts() {
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -241,6 +241,7 @@
             Ok(Datagram::Rates(update)) => Message::Rates(update),
             Ok(Datagram::Parts(news)) => Message::Parts(news),
             Ok(Datagram::Limits(update)) => Message::Limits(update),
+            Ok(Datagram::Crashes(rows)) => Message::Crashes(rows),
             Ok(
                 datagram @ (Datagram::Listing(_)
                 | Datagram::VersionedListing(_)
@@ -290,9 +291,13 @@
         if let Some((digest, at)) = received.confirmation {
             self.store.record_peer_confirmation(sender, digest, at);
         }
-        let crashes = received.crashes.into_iter().map(|row| CrashRecord {
-            request: Fingerprint(row.request),
-            target: row.target,
+        let crashes = received.crashes.into_iter().filter_map(|row| {
+            let record = CrashRecord {
+                request: Fingerprint(row.request),
+                target: row.target,
+            };
+            let age = Duration::from_millis(row.age.into());
+            Some((record, now.mono.checked_sub(age)?))
         });
         self.shared.add_peer_crashes(crashes);
         if !received.leaving.is_empty() {
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -145,7 +145,8 @@
 #[derive(Debug, Default)]
 struct CrashQueues {
     local: Vec<CrashRecord>,
-    peers: Vec<CrashRecord>,
+    /// With the time at which the crash was noticed.
+    peers: Vec<(CrashRecord, Instant)>,
 }
 
 #[derive(Debug, Default)]
@@ -356,7 +357,10 @@
     }
 
     /// Adds crash records received from peers.
-    pub(crate) fn add_peer_crashes(&self, crashes: impl IntoIterator<Item = CrashRecord>) {
+    pub(crate) fn add_peer_crashes(
+        &self,
+        crashes: impl IntoIterator<Item = (CrashRecord, Instant)>,
+    ) {
         self.crash_queues().peers.extend(crashes);
     }
 
@@ -366,7 +370,7 @@
     }
 
     /// Takes the crash records received from peers.
-    pub(crate) fn take_peer_crashes(&self) -> Vec<CrashRecord> {
+    pub(crate) fn take_peer_crashes(&self) -> Vec<(CrashRecord, Instant)> {
         std::mem::take(&mut self.crash_queues().peers)
     }
 
--- a/livetests/tests/crashing_request.rs
+++ b/livetests/tests/crashing_request.rs
@@ -63,3 +63,27 @@
     assert_eq!(status_of(&sound), 200, "{sound}");
     Ok(())
 }
+
+/// A router that started was not told what the others knew.
+#[actix_rt::test]
+async fn routers_that_start_know_which_requests_crash_their_targets() -> eyre::Result<()> {
+    const OLD_ROUTERS: usize = 2;
+    let mut fleet = EdgeFleet::start("die-start", OLD_ROUTERS, 24).await?;
+    crash_targets(&fleet, "/safe/die", OLD_ROUTERS).await;
+    let mut arrivals = 0;
+    for router in OLD_ROUTERS..OLD_ROUTERS + 2 {
+        fleet.add_router().await?;
+        sleep(STABLE_WINDOW).await;
+        let before = arrival_count(&fleet);
+        for number in 0..3 {
+            let id = format!("later{router}-{number}");
+            fleet
+                .send_to(router, "GET", "/safe/die", &id, Some(RED_KEY))
+                .await;
+            sleep(PAUSE).await;
+        }
+        arrivals += arrival_count(&fleet) - before;
+    }
+    assert!(arrivals <= ALLOWED_ARRIVALS, "{arrivals} arrivals");
+    Ok(())
+}
--- a/policy/src/direct/crash.rs
+++ b/policy/src/direct/crash.rs
@@ -50,17 +50,18 @@
 }
 
 impl CrashHistory {
-    /// Adds a record from this router or a peer. Returns whether it is new.
-    pub fn add(&mut self, record: CrashRecord, now: Instant) -> bool {
-        self.evict(now);
+    /// Adds a record, of a crash that this router or a peer noticed at `at`. Returns whether
+    /// it is new.
+    pub fn add(&mut self, record: CrashRecord, at: Instant) -> bool {
+        self.evict(at);
         let new_entry = || RequestCrashes {
             targets: FxHashSet::default(),
-            last_crash: now,
+            last_crash: at,
         };
         let crashes = self.crashes.entry(record.request).or_insert_with(new_entry);
         let is_new = crashes.targets.insert(record.target);
         if is_new {
-            crashes.last_crash = now;
+            crashes.last_crash = crashes.last_crash.max(at);
         }
         is_new
     }
--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -21,6 +21,7 @@
 //! - A summary for a router leaves out what that router reported itself.
 
 mod beat;
+mod crashes;
 pub mod kept;
 pub mod limits;
 mod members;
@@ -45,9 +46,12 @@
 use super::kept::KeptRow;
 use super::rotation::{Neighbour, Readiness};
 use super::target_table::{LoadReport, PeerLoadReport};
+use crashes::CrashLog;
 use kept::KeptLog;
 use limits::LimitBook;
-use message::{Beat, CentreTag, CrashRow, Message, PartNews, Scope, TeamRow, Trouble};
+use message::{
+    AgedCrashRow, Beat, CentreTag, CrashRow, Message, PartNews, Scope, TeamRow, Trouble,
+};
 use parts::PartLog;
 use rates::RateBook;
 use records::RecordLog;
@@ -91,9 +95,6 @@
 /// The maximum number of members and contacts.
 const MAX_ROUTERS: usize = 4_096;
 
-/// The maximum number of crash records in a heartbeat.
-const MAX_CRASH_ROWS: usize = 48;
-
 /// The maximum number of leaving targets sent at once.
 const MAX_LEAVING_ROWS: usize = 512;
 
@@ -170,7 +171,7 @@
     /// The digest of settings that the sender knew to be current at that time.
     pub confirmation: Option<(u64, Uptime)>,
     /// Crashes that were not known.
-    pub crashes: Vec<CrashRow>,
+    pub crashes: Vec<AgedCrashRow>,
     /// Leaving targets that were not known.
     pub leaving: Vec<u64>,
     /// Uses of prompt parts at targets.
@@ -308,7 +309,7 @@
     /// The latest summary of the fleet from this router's relay.
     fleet: Option<ReceivedSummary>,
     sent_beats: VecDeque<(u32, Uptime)>,
-    crashes: RecordLog<CrashRow>,
+    crashes: CrashLog,
     leaving: RecordLog<u64>,
     parts: PartLog,
     rates: RateBook,
@@ -346,7 +347,7 @@
             resting_relays: BTreeMap::new(),
             fleet: None,
             sent_beats: VecDeque::new(),
-            crashes: RecordLog::new(MAX_CRASH_ROWS),
+            crashes: CrashLog::default(),
             leaving: RecordLog::new(MAX_LEAVING_ROWS),
             parts: PartLog::default(),
             rates: RateBook::default(),
@@ -529,6 +530,10 @@
             },
             Message::Rates(update) => self.receive_rates(update, now.mono),
             Message::Limits(update) => self.receive_limits(update, now.mono),
+            Message::Crashes(rows) => Received {
+                crashes: self.crashes.add_earlier(rows, now.mono),
+                ..Received::default()
+            },
             Message::Parts(news) => Received {
                 parts: self.parts.add(news, now.uptime.0),
                 ..Received::default()
--- a/policy/src/direct/exchange/beat.rs
+++ b/policy/src/direct/exchange/beat.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use super::message::{Beat, Echo, LoadRow, Message, Place, TeamRow, Trouble};
+use super::message::{AgedCrashRow, Beat, Echo, LoadRow, Message, Place, TeamRow, Trouble};
 
 use super::{
     Exchange, LocalState, MAX_ROUTERS, Member, Moment, Outgoing, Peer, Received, RejectReason,
@@ -36,6 +36,7 @@
         let previous = previous.filter(|it| it.beat.life == beat.life);
         if previous.is_none() {
             self.parts.resend();
+            self.crashes.tell_again(now);
         }
         let reads = beat.confirmed.map(u64::from).map(Duration::from_millis);
         let reads = !beat.leaving && reads.is_some_and(|age| age < self.lost_age);
@@ -50,7 +51,7 @@
                 reads,
             },
         );
-        let crashes = self.crashes.add(beat.crashes.drain(..), now);
+        let crashes = self.crashes.add(beat.crashes.drain(..), now).into_iter();
         let confirmation = self.date_confirmation(&beat);
         for address in beat.peers.drain(..) {
             let has_room = self.contacts.len() < MAX_ROUTERS;
@@ -92,7 +93,7 @@
         self.peers.insert(from, peer);
         Received {
             confirmation,
-            crashes,
+            crashes: crashes.map(AgedCrashRow::from).collect(),
             wants_reply,
             is_new: !is_known,
             ..Received::default()
@@ -134,10 +135,12 @@
         let leaving = self.leaving.pending();
         let leaving = (!leaving.is_empty()).then_some(Message::Leaving(leaving));
         let parts = self.parts.pending(now.uptime.0).map(Message::Parts);
+        let crashes = self.crashes.told(now.mono).map(Message::Crashes);
         let has_group = self.has_group(now.mono);
         let mut sent = Vec::new();
         for &to in to {
-            let before = trouble.iter().chain(&leaving).chain(&parts).cloned();
+            let before = trouble.iter().chain(&leaving).chain(&parts);
+            let before = before.chain(&crashes).cloned();
             sent.extend(before.map(|message| Outgoing { to, message }));
             let mut beat = beat.clone();
             let peer = self.peers.get(&to);
--- a/policy/src/direct/exchange/message.rs
+++ b/policy/src/direct/exchange/message.rs
@@ -146,6 +146,38 @@
     pub target: u64,
 }
 
+/// A crash of a target while it ran a request, told to routers that start.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct AgedCrashRow {
+    /// The request's fingerprint.
+    pub request: u128,
+    /// The tag of the target's incarnation.
+    pub target: u64,
+    /// The time since the crash was noticed, in milliseconds.
+    pub age: u32,
+}
+
+impl AgedCrashRow {
+    /// The crash without its age.
+    pub fn crash(&self) -> CrashRow {
+        CrashRow {
+            request: self.request,
+            target: self.target,
+        }
+    }
+}
+
+impl From<CrashRow> for AgedCrashRow {
+    /// A crash that was just noticed.
+    fn from(row: CrashRow) -> Self {
+        Self {
+            request: row.request,
+            target: row.target,
+            age: 0,
+        }
+    }
+}
+
 /// A crash of a target while it ran a request with a prompt part, or before.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct PartCrashRow {
@@ -364,4 +396,6 @@
     Parts(PartNews),
     /// The limits that targets name.
     Limits(LimitUpdate),
+    /// Earlier crashes of targets, with the request that was running.
+    Crashes(Vec<AgedCrashRow>),
 }
--- a/policy/src/direct/exchange/records.rs
+++ b/policy/src/direct/exchange/records.rs
@@ -43,7 +43,7 @@
     pub(super) fn add(&mut self, records: impl IntoIterator<Item = T>, now: Instant) -> Vec<T> {
         let mut new = Vec::new();
         for record in records {
-            if self.known.len() < MAX_RECORDS && self.known.insert(record, now).is_none() {
+            if self.insert(record, now) {
                 new.push(record);
             }
         }
@@ -52,6 +52,26 @@
         new
     }
 
+    /// Adds a record that has been known since `at` and is not passed on; returns whether it
+    /// was not known.
+    pub(super) fn insert(&mut self, record: T, at: Instant) -> bool {
+        if self.known.len() >= MAX_RECORDS || self.known.contains_key(&record) {
+            return false;
+        }
+        self.known.insert(record, at);
+        true
+    }
+
+    /// All records, and since when they have been known.
+    pub(super) fn records(&self) -> impl Iterator<Item = (T, Instant)> {
+        self.known.iter().map(|(&record, &at)| (record, at))
+    }
+
+    /// Since when a record has been known.
+    pub(super) fn known_since(&self, record: T) -> Option<Instant> {
+        self.known.get(&record).copied()
+    }
+
     /// The records for the next message, oldest first.
     pub(super) fn pending(&self) -> Vec<T> {
         let pending = self.pending.iter().take(self.limit);
--- a/policy/tests/direct_exchange.rs
+++ b/policy/tests/direct_exchange.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use knapweed_policy::direct::exchange::message::{
-    PartCrashRow, PartNews, PartRunRow, RateRow, Scope,
+    CrashRow, PartCrashRow, PartNews, PartRunRow, RateRow, Scope,
 };
 use knapweed_policy::direct::exchange::rates::RATE_PERIODS;
 use knapweed_policy::direct::exchange::{PEER_TIMEOUT, PERIOD};
@@ -483,3 +483,39 @@
         }
     }
 }
+
+/// A router that restarted sent requests that the others knew to crash their targets.
+#[test]
+fn a_router_that_restarts_learns_which_requests_crash_their_targets() {
+    for (count, centres) in [FLEETS[0], FLEETS[1], FLEETS[2]] {
+        let mut net = settled(count, centres, 7);
+        net.loss = 0.05;
+        net.is_measured = count < FLEETS[1].0;
+        for target in 0..CRASHES {
+            let moment = net.moment();
+            // Other requests were at the target when it died.
+            let bystanders = (0..30).map(|it| u128::from(100 * (target + 1) + it));
+            let requests = bystanders.chain([7]);
+            let rows = requests.map(|request| CrashRow { request, target });
+            net.routers[0].exchange.add_crashes(rows, moment.mono);
+            net.run_for(millis(200));
+        }
+        // Until no heartbeat has them any more.
+        net.run_for(Duration::from_secs(8));
+        let known_at = net.now;
+        // In series, so that some learn it from routers that were told themselves.
+        for restarted in [1, count / 2, 0, count - 1, 1] {
+            net.restart(restarted);
+            net.run_for(PART_NEWS_TIME);
+            let known = net.routers[restarted].crashes.iter();
+            let known: Vec<Duration> = known
+                .filter(|((request, _), _)| *request == 7)
+                .map(|(_, &at)| at)
+                .collect();
+            assert_eq!(known.len() as u64, CRASHES, "{count} routers: {restarted}");
+            // A restart makes no crash more recent.
+            assert!(known.iter().all(|&at| at <= known_at), "{known:?}");
+        }
+        assert!(net.largest_datagram <= MAX_DATAGRAM_BYTES);
+    }
+}
--- a/policy/tests/direct_exchange/net.rs
+++ b/policy/tests/direct_exchange/net.rs
@@ -50,6 +50,9 @@
     pub(crate) crashed_parts: BTreeSet<(u64, u64)>,
     /// The parts that completed runs cleared here.
     pub(crate) run_parts: BTreeSet<u64>,
+    /// The requests and targets of crashes that were news here, and when each happened by
+    /// its age.
+    pub(crate) crashes: BTreeMap<(u128, u64), Duration>,
     /// Messages that arrived while it was frozen.
     held: VecDeque<Message>,
 }
@@ -157,6 +160,7 @@
             kept: BTreeMap::new(),
             crashed_parts: BTreeSet::new(),
             run_parts: BTreeSet::new(),
+            crashes: BTreeMap::new(),
             held: VecDeque::new(),
         }
     }
@@ -285,6 +289,10 @@
         router.crashed_parts.extend(crashes);
         let runs = received.parts.runs.iter().map(|row| row.part);
         router.run_parts.extend(runs);
+        for row in received.crashes {
+            let at = self.now.saturating_sub(millis(row.age));
+            router.crashes.insert((row.request, row.target), at);
+        }
         if let Some((_, at)) = received.confirmation {
             router.confirmed_at = router.confirmed_at.max(Some(at.0));
         }
@@ -373,6 +381,7 @@
         Message::Rates(rows) => postcard::to_stdvec(rows).expect("encodes").len(),
         Message::Parts(news) => postcard::to_stdvec(news).expect("encodes").len(),
         Message::Limits(rows) => postcard::to_stdvec(rows).expect("encodes").len(),
+        Message::Crashes(rows) => postcard::to_stdvec(rows).expect("encodes").len(),
     };
     encoded + 2
 }
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -10,8 +10,8 @@
 use derive_more::{Display, Error};
 use entity::Name;
 use policy::direct::exchange::message::{
-    Beat, KeptUpdate, LimitUpdate, Message, PartNews, Place, RateUpdate, ReadinessRow, Summary,
-    Trouble,
+    AgedCrashRow, Beat, KeptUpdate, LimitUpdate, Message, PartNews, Place, RateUpdate,
+    ReadinessRow, Summary, Trouble,
 };
 use policy::direct::listing::ListingChange;
 use policy::direct::listing::message::{ListingMessage, Part, RangeAnswer, RangeQuery, Step};
@@ -195,6 +195,8 @@
     Holders(Vec<(u64, VersionTag)>),
     /// The limits that targets name.
     Limits(LimitUpdate),
+    /// Earlier crashes of targets, with the request that was running.
+    Crashes(Vec<AgedCrashRow>),
 }
 
 impl From<Message> for Datagram {
@@ -208,6 +210,7 @@
             Message::Rates(rows) => Self::Rates(rows),
             Message::Parts(news) => Self::Parts(news),
             Message::Limits(update) => Self::Limits(update),
+            Message::Crashes(rows) => Self::Crashes(rows),
         }
     }
 }
--- a/wire/tests/datagram.rs
+++ b/wire/tests/datagram.rs
@@ -4,9 +4,12 @@
 
 use entity::Name;
 use knapweed_wire::{
-    Datagram, DatagramError, Listing, ListingRangeQuery, VersionedListing, listing_digest,
+    Datagram, DatagramError, Listing, ListingRangeQuery, MAX_DATAGRAM_BYTES, VersionedListing,
+    listing_digest,
+};
+use policy::direct::exchange::message::{
+    AgedCrashRow, Beat, CentreTag, Place, ReadinessRow, Scope, Summary,
 };
-use policy::direct::exchange::message::{Beat, CentreTag, Place, ReadinessRow, Scope, Summary};
 use policy::direct::listing::ListingChange;
 use policy::direct::listing::message::{ListingMessage, RangeAnswer, RangeQuery, Step};
 use policy::direct::rotation::Readiness;
@@ -209,3 +212,18 @@
     assert_eq!(bytes, b"\x01\x0c\x03\x01\x04");
     assert_eq!(Datagram::ListingQuery.encode(), b"\x01\x0a");
 }
+
+#[test]
+fn earlier_crashes_are_the_last_variant() {
+    let row = AgedCrashRow {
+        request: u128::MAX - 1,
+        target: 9,
+        age: 40_000,
+    };
+    let datagram = Datagram::Crashes(vec![row; 64]);
+    let bytes = datagram.encode();
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+    // Routers of former versions know the variants before it.
+    assert_eq!(bytes[1], 21);
+    assert_eq!(Datagram::decode(&bytes), Ok(datagram));
+}
