Routers that were cut off, or start, are told all news that they missed

Cause: only a later incarnation made others tell again, and only crashes. Fix: a heartbeat after 1.2 s of silence is a reason as well, and leaving targets are told again, four times.

Test, failing before with ((0, 0), 0) where ((5, 5), 1) is due: a_router_that_was_cut_off_learns_what_it_missed.

--- a/policy/src/direct/exchange/beat.rs
+++ b/policy/src/direct/exchange/beat.rs
@@ -14,6 +14,10 @@
 /// The minimum time between two replies to a router that does not know the fleet.
 const MIN_REPLY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The silence of a router after which it may have missed news, which is repeated for about
+/// as long. Routers that are no partners are heard once a second.
+const MISSED_NEWS_SILENCE: Duration = Duration::from_millis(1_200);
+
 /// The number of heartbeats whose send times are kept for matching echoes.
 const MAX_SENT_BEATS: usize = 64;
 
@@ -34,8 +38,12 @@
         }
         // A later incarnation knows nothing of what the former one was sent.
         let previous = previous.filter(|it| it.beat.life == beat.life);
-        if previous.is_none() {
+        let silence = previous
+            .as_ref()
+            .map(|it| now.saturating_duration_since(it.heard_at));
+        if silence.is_none_or(|silence| silence >= MISSED_NEWS_SILENCE) {
             self.parts.resend();
+            self.leaving.resend();
             self.crashes.tell_again(now);
         }
         let reads = beat.confirmed.map(u64::from).map(Duration::from_millis);
--- a/policy/src/direct/exchange/crashes.rs
+++ b/policy/src/direct/exchange/crashes.rs
@@ -1,7 +1,7 @@
 //! Crashes of targets and the requests that ran there, on their way through the fleet.
 //!
-//! News is part of the next heartbeats. Routers that start are told what was news before, with
-//! its age.
+//! News is part of the next heartbeats. Routers that start, or were cut off, are told what was
+//! news before, with its age.
 //!
 //! Invariants:
 //! - A row that is told appears no more recent than when its sender learned it, but for the
--- a/policy/src/direct/exchange/records.rs
+++ b/policy/src/direct/exchange/records.rs
@@ -2,17 +2,20 @@
 //!
 //! Invariants:
 //! - A record is passed on a fixed number of times after it became known, since
-//!   datagrams may be lost, and not again while it is remembered.
+//!   datagrams may be lost, and again only for routers that missed it.
 //! - At most [`MAX_RECORDS`] are remembered, for [`RECORD_TTL`].
 
 use std::hash::Hash;
 use std::time::{Duration, Instant};
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 /// The number of rounds of heartbeats with which a record is repeated.
 const RECORD_REPEATS: u8 = 10;
 
+/// The number of rounds with which a record is repeated for a router that missed it.
+const MISSED_REPEATS: u8 = 4;
+
 /// How long a record is remembered; longer than it travels through a fleet.
 const RECORD_TTL: Duration = Duration::from_secs(120);
 
@@ -78,6 +81,14 @@
         pending.map(|(record, _)| *record).collect()
     }
 
+    /// Passes all records on once more, since a router has missed some.
+    pub(super) fn resend(&mut self) {
+        let pending: FxHashSet<T> = self.pending.iter().map(|(record, _)| *record).collect();
+        let missed = self.known.keys().filter(|record| !pending.contains(record));
+        self.pending
+            .extend(missed.map(|&record| (record, MISSED_REPEATS)));
+    }
+
     /// Counts one repeat of the records in a message, and forgets old ones.
     pub(super) fn count_repeat(&mut self, now: Instant) {
         for (_, remaining) in self.pending.iter_mut().take(self.limit) {
--- a/policy/tests/direct_exchange.rs
+++ b/policy/tests/direct_exchange.rs
@@ -519,3 +519,52 @@
         assert!(net.largest_datagram <= MAX_DATAGRAM_BYTES);
     }
 }
+
+/// A router that was cut off for longer than news is repeated never heard of it.
+#[test]
+fn a_router_that_was_cut_off_learns_what_it_missed() {
+    const LEAVING: u64 = 77;
+    for (count, centres) in [FLEETS[0], FLEETS[1]] {
+        let mut net = settled(count, centres, 8);
+        let cut = [1, count - 1];
+        for &router in &cut {
+            net.routers[router].is_cut = true;
+        }
+        for target in 0..CRASHES {
+            let moment = net.moment();
+            let row = CrashRow { request: 7, target };
+            net.routers[0].exchange.add_crashes([row], moment.mono);
+            let crash = PartCrashRow {
+                part: 9,
+                target,
+                sent: 150,
+                broken: 100,
+            };
+            let news = PartNews {
+                crashes: vec![crash],
+                runs: Vec::new(),
+            };
+            net.routers[0].exchange.add_parts(news, moment);
+            net.run_for(millis(300));
+        }
+        let moment = net.moment();
+        net.routers[0].exchange.add_leaving([LEAVING], moment.mono);
+        net.run_for(Duration::from_secs(4));
+        for &router in &cut {
+            net.routers[router].is_cut = false;
+        }
+        net.run_for(PART_NEWS_TIME);
+        let known = |net: &Net, router: usize| {
+            let router = &net.routers[router];
+            let crashes = (router.crashes.len(), router.crashed_parts.len());
+            (crashes, router.leaving.len())
+        };
+        let all = ((CRASHES as usize, CRASHES as usize), 1);
+        for router in cut {
+            assert_eq!(known(&net, router), all, "{count} routers: {router}");
+        }
+        net.restart(count / 2);
+        net.run_for(PART_NEWS_TIME);
+        assert_eq!(known(&net, count / 2), all, "{count} routers, restarted");
+    }
+}
--- a/policy/tests/direct_exchange/net.rs
+++ b/policy/tests/direct_exchange/net.rs
@@ -53,6 +53,8 @@
     /// The requests and targets of crashes that were news here, and when each happened by
     /// its age.
     pub(crate) crashes: BTreeMap<(u128, u64), Duration>,
+    /// The targets that were news here as leaving.
+    pub(crate) leaving: BTreeSet<u64>,
     /// Messages that arrived while it was frozen.
     held: VecDeque<Message>,
 }
@@ -161,6 +163,7 @@
             crashed_parts: BTreeSet::new(),
             run_parts: BTreeSet::new(),
             crashes: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             held: VecDeque::new(),
         }
     }
@@ -289,6 +292,7 @@
         router.crashed_parts.extend(crashes);
         let runs = received.parts.runs.iter().map(|row| row.part);
         router.run_parts.extend(runs);
+        router.leaving.extend(received.leaving);
         for row in received.crashes {
             let at = self.now.saturating_sub(millis(row.age));
             router.crashes.insert((row.request, row.target), at);
