A planned stop answers requests that arrive late

What callers saw: in a planned stop, from 2.7 s after the signal while a long stream still runs, new connections are closed without their request being read; and a kept connection whose stream had not announced it is shut down after the answer, the next request on it is read and thrown away. Both are requests that end without an answer (LOST), on real processes.

Cause: the phase in which requests are refused closed connections instead of refusing requests, and the end of an answer closed the connection whatever the answer had said.

Fix: a connection is kept after an answer that did not announce its end; once requests are refused, a request on its way is waited for, 200 ms, and gets 503 with a time to come back; the process ends when its connections are closed, at most 0.5 s after its last request.

--- a/edge/src/caller.rs
+++ b/edge/src/caller.rs
@@ -38,6 +38,12 @@
 /// The time limit for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// How long a request is waited for on an idle connection that is to be closed.
+const CLOSING_READ_TIME: Duration = Duration::from_millis(200);
+
+/// The time limit for the caller to close its side after the last response.
+pub(crate) const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The limits used until a configuration is known.
 pub(crate) const INITIAL_LIMITS: CallerLimits = CallerLimits {
     head_bytes: 16 * 1024,
@@ -115,6 +121,9 @@
     }
 
     /// Waits for the first byte of a request; returns `false` if the connection must be closed.
+    ///
+    /// Once the router refuses new requests, one that is on its way is still waited for, so
+    /// that its caller gets an answer.
     pub(crate) async fn wait_for_request(&mut self, context: &Context, idle: Duration) -> bool {
         if !self.input.is_empty() {
             return true;
@@ -122,14 +131,15 @@
         // Frees the buffer: buffers of many idle connections would use too much memory.
         self.input = BytesMut::new();
         let closing = context.closing.notified();
-        if context.shared.closing.load(Ordering::Relaxed) {
-            return false;
-        }
-        tokio::select! {
-            biased;
-            read = timeout(idle, self.fill_input()) => matches!(read, Ok(Ok(true))),
-            () = closing => false,
+        if !context.shared.closing.load(Ordering::Relaxed) {
+            tokio::select! {
+                biased;
+                read = timeout(idle, self.fill_input()) => return matches!(read, Ok(Ok(true))),
+                () = closing => {}
+            }
         }
+        let read = timeout(CLOSING_READ_TIME, self.fill_input()).await;
+        matches!(read, Ok(Ok(true)))
     }
 
     /// Reads a request whose first bytes were received.
@@ -351,9 +361,6 @@
     }
 }
 
-/// The time limit for the caller to close its side after the last response.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Runs `future` until `at`; returns `None` if it did not complete by then.
 pub(crate) async fn run_until<F: Future>(at: Instant, future: F) -> Option<F::Output> {
     timeout_at(at, future).await.ok()
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{interval, sleep};
 
+use crate::caller::LINGER_TIMEOUT;
 use crate::context::{Context, MAINTENANCE_PERIOD};
 use crate::gossip::Gossip;
 use crate::kept_events::KeptEvents;
@@ -298,10 +299,12 @@
     context.shared.stopping.store(true, Ordering::Relaxed);
 }
 
-/// Waits until all requests have ended or the stop limit is reached.
+/// Waits until all requests have ended and callers had time to close their connections, or
+/// the stop limit is reached.
 async fn wait_for_requests(context: Rc<Context>, limit: Duration) -> Exit {
     let started_at = Instant::now();
     let limit = limit.saturating_sub(STOP_MARGIN);
+    let mut idle_since = started_at;
     loop {
         let open = context.shared.open_requests.load(Ordering::Relaxed);
         let elapsed = started_at.elapsed();
@@ -309,7 +312,12 @@
         if is_accept_over && !context.shared.closing.swap(true, Ordering::Relaxed) {
             context.closing.notify_waiters();
         }
-        if open == 0 && is_accept_over {
+        if open > 0 || !is_accept_over {
+            idle_since = Instant::now();
+        }
+        let is_idle = open == 0 && is_accept_over;
+        let is_unconnected = context.connections.open_count() == 0;
+        if is_idle && (is_unconnected || idle_since.elapsed() >= LINGER_TIMEOUT) {
             event::log(Event::StopEnded, &[("after_ms", &elapsed.as_millis())]);
             return Exit::Finished;
         }
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -77,8 +77,9 @@
         let ended = handle_request(&context, &mut caller, CallerRequest::new(request)).await;
         context.shared.open_requests.fetch_sub(1, Ordering::Relaxed);
         match ended {
-            RequestEnd::Answered { keep: true, .. } if !context.shared.is_stopping() => {}
-            RequestEnd::Answered { .. } => return caller.close().await,
+            // The caller may reuse the connection unless the response said that it is closed.
+            RequestEnd::Answered { keep: true, .. } => {}
+            RequestEnd::Answered { keep: false, .. } => return caller.close().await,
             RequestEnd::Truncated(_) | RequestEnd::Disconnected => return,
         }
     }
