--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -28,7 +28,7 @@
 const MAX_PAUSE_MILLIS: u64 = 60;
 
 /// The mix of requests. The weights add up to 100.
-const REQUEST_MIX: [RequestTemplate; 14] = [
+const REQUEST_MIX: [RequestTemplate; 15] = [
     RequestTemplate::new(RouteKind::Safe, "ok", 25),
     RequestTemplate::new(RouteKind::Safe, "error", 1),
     RequestTemplate::new(RouteKind::Safe, "extra", 2),
@@ -41,7 +41,9 @@
     RequestTemplate::new(RouteKind::Stream, "slow-30", 8),
     RequestTemplate::new(RouteKind::Resumable, "halt-4", 3),
     RequestTemplate::new(RouteKind::Resumable, "torn-4", 1),
-    RequestTemplate::new(RouteKind::Resumable, "slow-20", 14),
+    RequestTemplate::new(RouteKind::Resumable, "slow-20", 12),
+    // The target pauses, and the others take no resumption.
+    RequestTemplate::new(RouteKind::Resumable, "doze-4", 2),
     RequestTemplate {
         cancels: true,
         ..RequestTemplate::new(RouteKind::Safe, "mute", 1)
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -63,3 +63,24 @@
 async fn seed_2_keeps_all_promises() -> eyre::Result<()> {
     assert_promises_kept("seed-2", &Schedule::generate(2, SIZE), SIZE).await
 }
+
+/// Random schedules hardly judge planned stops, since something else is mostly harmed.
+///
+/// A stream that its target breaks is not counted here; see `KNOWN-RED.txt`, seed 9004.
+#[actix_rt::test]
+async fn stops_in_series_lose_no_request_that_its_target_goes_on_with() -> eyre::Result<()> {
+    const STOPS: &str = "1000 4500 StopRouter 0\n3000 4500 StopRouter 1\n5500 4500 StopRouter 2\n";
+    const MANY_CALLERS: usize = 16;
+    let size = FleetSize {
+        length: Duration::from_secs(10),
+        ..SIZE
+    };
+    let directory = directory("stops");
+    let record = run_schedule(&STOPS.parse()?, size, MANY_CALLERS, 1, &directory).await?;
+    let findings = check(&record).into_iter().map(|it| it.to_string());
+    let is_broken_off = |it: &str| it.contains("(halt)") || it.contains("(torn)");
+    let findings: Vec<String> = findings.filter(|it| !is_broken_off(it)).collect();
+    assert!(findings.is_empty(), "{findings:?}: {}", directory.display());
+    std::fs::remove_dir_all(directory)?;
+    Ok(())
+}
