Only crashes of rejected requests are told to routers that start

Routers that had been restarted refused sound requests with "crashes its targets": these had been at three targets when the targets died, had completed many times since at the other routers, and the others told the crashes all the same. Not load: the refusals are in the logs.

Fix: what is told are the crashes of the requests that the teller itself rejects, which a completed run ends; they are told when a router starts or was cut off, and once when a request begins to be rejected. So the crashes that lead to a rejection reach all at once and do not wait behind others: the new model test passes, which failed before (3 of 5 after 2 s in a fleet of 5, 155 crashes at once). News is also counted as sent while a router has no partners; it was kept until one started.

Tests, failing before: sound_requests_beside_crashes_are_served_by_routers_that_start (503), crashes_of_one_request_reach_every_router_in_time_whatever_else_was_there.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -442,6 +442,7 @@
             readiness: self.rotation.borrow().readiness(),
             rates: self.target_table.borrow().rate_rows(now),
             limits,
+            rejected: self.crashes.rejected_requests(now),
         };
         self.shared.local_report.store(Arc::new(local_report));
         self.log_avoided_targets(now);
--- a/edge/src/crashes.rs
+++ b/edge/src/crashes.rs
@@ -9,6 +9,7 @@
 use entity::Fingerprint;
 use node::event::{self, Event};
 use policy::direct::crash::{CrashHistory, CrashRecord};
+use policy::direct::exchange::crashes::MAX_TOLD;
 use policy::direct::exchange::message::{PartCrashRow, PartNews, PartRunRow};
 use policy::direct::part_crash::{
     MAX_SUSPECT_AGE, PartCrash, PartHistory, PartIds, VerdictChange, suspect_parts,
@@ -65,6 +66,11 @@
         Some(("a part crashes its targets", after))
     }
 
+    /// The crashes of rejected requests, each with the time of the latest one of its request.
+    pub(crate) fn rejected_requests(&self, now: Instant) -> Vec<(CrashRecord, Instant)> {
+        self.requests.borrow().rejected(MAX_TOLD, now)
+    }
+
     /// The number of rejected prompt parts, or groups of parts.
     pub(crate) fn rejected_parts(&self) -> usize {
         self.parts.borrow().rejected_count()
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -155,6 +155,9 @@
         let report = self.shared.local_report.load_full();
         self.exchange.set_own_rates(report.rates.clone());
         self.exchange.set_own_limits(report.limits.clone());
+        let rejected = report.rejected.iter();
+        let rejected = rejected.map(|(record, at)| (crash_row(record), *at));
+        self.exchange.set_rejected(rejected.collect());
         let sent = self.exchange.tick(&self.local_state(&report), now);
         self.log_events();
         self.publish_if_stale(now.mono);
@@ -217,10 +220,7 @@
     /// Hands records of the traffic thread to the exchange.
     fn add_local_records(&mut self, now: Moment) {
         let crashes = self.shared.take_local_crashes().into_iter();
-        let rows = crashes.map(|crash| CrashRow {
-            request: crash.request.0,
-            target: crash.target,
-        });
+        let rows = crashes.map(|crash| crash_row(&crash));
         self.exchange.add_crashes(rows, now.mono);
         let leaving = self.shared.take_local_leaving();
         self.exchange.add_leaving(leaving, now.mono);
@@ -402,6 +402,13 @@
     }
 }
 
+fn crash_row(record: &CrashRecord) -> CrashRow {
+    CrashRow {
+        request: record.request.0,
+        target: record.target,
+    }
+}
+
 /// Returns the present on both clocks.
 fn present() -> Moment {
     Moment {
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -82,6 +82,8 @@
     pub(crate) rates: Vec<RateRow>,
     /// What it heard of limits of targets, and what it needs.
     pub(crate) limits: Vec<LimitReport>,
+    /// The crashes of the requests that it rejects, with the time of the latest one.
+    pub(crate) rejected: Vec<(CrashRecord, Instant)>,
 }
 
 /// The state that both threads access.
--- a/livetests/tests/crashing_request.rs
+++ b/livetests/tests/crashing_request.rs
@@ -87,3 +87,37 @@
     assert!(arrivals <= ALLOWED_ARRIVALS, "{arrivals} arrivals");
     Ok(())
 }
+
+/// A router that started refused sound requests that had been at several targets when these
+/// died, although they had completed since.
+#[actix_rt::test]
+async fn sound_requests_beside_crashes_are_served_by_routers_that_start() -> eyre::Result<()> {
+    const PATH: &str = "/resume/slow-60";
+    const STREAMS: usize = 12;
+    let mut fleet = EdgeFleet::start("die-beside", 1, 0).await?;
+    fleet.add_fragile_targets(12, "f00").await?;
+    sleep(STABLE_WINDOW).await;
+    for number in 0..KNOWN_CRASHES {
+        let ids: Vec<String> = (0..STREAMS).map(|it| format!("s{number}-{it}")).collect();
+        let streams = ids.iter().map(|id| fleet.send("GET", PATH, id));
+        let fatal = async {
+            sleep(Duration::from_millis(200)).await;
+            let parts = format!("f00:300,{number}:200");
+            let id = format!("fatal{number}");
+            fleet.send_prompt(0, "/resume/stream-3", &id, &parts).await
+        };
+        futures::join!(futures::future::join_all(streams), fatal);
+        let sound = fleet.send("GET", PATH, &format!("sound{number}")).await;
+        assert_eq!(status_of(&sound), 200, "{sound}");
+        sleep(PAUSE).await;
+    }
+    assert!(crash_count(&fleet) >= KNOWN_CRASHES, "the targets crash");
+    sleep(STABLE_WINDOW).await;
+    fleet.add_router().await?;
+    sleep(STABLE_WINDOW).await;
+    let answer = fleet
+        .send_to(1, "GET", PATH, "started", Some(RED_KEY))
+        .await;
+    assert_eq!(status_of(&answer), 200, "{answer}");
+    Ok(())
+}
--- a/policy/src/direct/crash.rs
+++ b/policy/src/direct/crash.rs
@@ -80,6 +80,18 @@
         (crashes.targets.len() >= MAX_CRASHED_TARGETS && !remaining.is_zero()).then_some(remaining)
     }
 
+    /// The records of rejected requests, each with the time of the latest crash of its request;
+    /// at most `limit`.
+    pub fn rejected(&self, limit: usize, now: Instant) -> Vec<(CrashRecord, Instant)> {
+        let requests = self.crashes.iter();
+        let rejected = requests.filter(|(request, _)| self.rejected_for(**request, now).is_some());
+        let records = rejected.flat_map(|(&request, crashes)| {
+            let targets = crashes.targets.iter();
+            targets.map(move |&target| (CrashRecord { request, target }, crashes.last_crash))
+        });
+        records.take(limit).collect()
+    }
+
     fn evict(&mut self, now: Instant) {
         if self.crashes.len() < MAX_RECORDED_REQUESTS {
             return;
--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -21,7 +21,7 @@
 //! - A summary for a router leaves out what that router reported itself.
 
 mod beat;
-mod crashes;
+pub mod crashes;
 pub mod kept;
 pub mod limits;
 mod members;
@@ -413,6 +413,12 @@
         self.crashes.add(rows, now)
     }
 
+    /// Replaces the crashes of the requests that this router rejects, each with the time of
+    /// the latest one of its request.
+    pub fn set_rejected(&mut self, rejected: Vec<(CrashRow, Instant)>) {
+        self.crashes.set_rejected(rejected);
+    }
+
     /// Adds targets that said that they are leaving, to be sent to the others; returns
     /// those that are new.
     pub fn add_leaving(
@@ -462,11 +468,12 @@
             due.extend(self.addresses_to_contact());
         }
         records.extend(self.kept_messages(now));
-        if due.is_empty() {
-            return records;
-        }
-        let mut sent = self.messages_to(&due, local, now);
+        let mut sent = match due.is_empty() {
+            true => Vec::new(),
+            false => self.messages_to(&due, local, now),
+        };
         sent.extend(records);
+        // Without partners too: what is news now is not for a router that starts later.
         if turn + 1 == rounds {
             self.crashes.count_repeat(now.mono);
             self.leaving.count_repeat(now.mono);
@@ -531,7 +538,7 @@
             Message::Rates(update) => self.receive_rates(update, now.mono),
             Message::Limits(update) => self.receive_limits(update, now.mono),
             Message::Crashes(rows) => Received {
-                crashes: self.crashes.add_earlier(rows, now.mono),
+                crashes: self.crashes.add_told(rows, now.mono),
                 ..Received::default()
             },
             Message::Parts(news) => Received {
--- a/policy/src/direct/exchange/beat.rs
+++ b/policy/src/direct/exchange/beat.rs
@@ -44,7 +44,7 @@
         if silence.is_none_or(|silence| silence >= MISSED_NEWS_SILENCE) {
             self.parts.resend();
             self.leaving.resend();
-            self.crashes.tell_again(now);
+            self.crashes.tell();
         }
         let reads = beat.confirmed.map(u64::from).map(Duration::from_millis);
         let reads = !beat.leaving && reads.is_some_and(|age| age < self.lost_age);
--- a/policy/src/direct/exchange/crashes.rs
+++ b/policy/src/direct/exchange/crashes.rs
@@ -1,51 +1,54 @@
 //! Crashes of targets and the requests that ran there, on their way through the fleet.
 //!
-//! News is part of the next heartbeats. Routers that start, or were cut off, are told what was
-//! news before, with its age.
+//! News is part of the next heartbeats. Routers that start, or were cut off, are told which
+//! requests are rejected here, as are all once a request begins to be rejected. Crashes of
+//! other requests are not told: a target that dies takes sound requests with it, and whether
+//! these completed since is known to the routers that ran them.
 //!
 //! Invariants:
-//! - A row that is told appears no more recent than when its sender learned it, but for the
-//!   delay of the network, so restarts in series do not prolong the rejection of a request.
-//! - Routers that start are told at most [`MAX_TOLD`] rows, each a fixed number of times.
+//! - A row that is told appears no more recent than the latest crash of its request that its
+//!   sender knows, but for the delay of the network, so restarts in series do not prolong the
+//!   rejection of a request.
+//! - At most [`MAX_TOLD`] rows are told, each a fixed number of times.
 
-use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
-use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
 
 use super::message::{AgedCrashRow, CrashRow};
 use super::records::RecordLog;
-use crate::direct::crash::{CRASH_RECORD_TTL, MAX_CRASHED_TARGETS};
 
 /// The maximum number of rows in a heartbeat.
 const MAX_BEAT_ROWS: usize = 48;
 
-/// The maximum number of rows in a message to routers that start.
+/// The maximum number of rows in a message.
 const MAX_ROWS: usize = 64;
 
-/// The maximum number of rows that routers that start are told.
-const MAX_TOLD: usize = 4 * MAX_ROWS;
+/// The maximum number of rows that are told.
+pub const MAX_TOLD: usize = 4 * MAX_ROWS;
 
 /// The number of rounds of heartbeats with which a row is told, since datagrams may be lost.
 const REPEATS: u8 = 4;
 
-/// The number of crashes from which routers that start are told of a request. A target that
-/// dies takes many requests with it, and few of them twice.
-const MIN_TOLD_CRASHES: usize = MAX_CRASHED_TARGETS - 1;
+/// A crash of a rejected request, and when the latest one was.
+type RejectedRow = (CrashRow, Instant);
 
 /// The crashes that this router passes on.
 #[derive(Clone, Debug)]
 pub(super) struct CrashLog {
-    records: RecordLog<CrashRow>,
-    /// The rows for routers that start, with the number of times they were sent; those of the
-    /// next message come first.
-    told: Vec<(CrashRow, u8)>,
+    news: RecordLog<CrashRow>,
+    /// The crashes of the requests that this router rejects.
+    rejected: Vec<RejectedRow>,
+    /// The rows to be told, with the number of times they were; those of the next message
+    /// come first.
+    told: Vec<(RejectedRow, u8)>,
 }
 
 impl Default for CrashLog {
     fn default() -> Self {
         Self {
-            records: RecordLog::new(MAX_BEAT_ROWS),
+            news: RecordLog::new(MAX_BEAT_ROWS),
+            rejected: Vec::new(),
             told: Vec::new(),
         }
     }
@@ -58,59 +61,52 @@
         rows: impl IntoIterator<Item = CrashRow>,
         now: Instant,
     ) -> Vec<CrashRow> {
-        self.records.add(rows, now)
+        self.news.add(rows, now)
     }
 
-    /// Adds earlier crashes, to be told on; returns those that are news.
-    pub(super) fn add_earlier(
+    /// Adds crashes that a peer told; returns those that are news.
+    pub(super) fn add_told(
         &mut self,
-        rows: Vec<AgedCrashRow>,
+        mut rows: Vec<AgedCrashRow>,
         now: Instant,
     ) -> Vec<AgedCrashRow> {
-        let mut new = rows;
-        new.retain(|row| {
+        rows.retain(|row| {
             let at = now.checked_sub(Duration::from_millis(row.age.into()));
-            at.is_some_and(|at| self.records.insert(row.crash(), at))
+            at.is_some_and(|at| self.news.insert(row.crash(), at))
         });
-        let room = MAX_TOLD.saturating_sub(self.told.len());
-        let told = new.iter().take(room).map(|row| (row.crash(), 0));
-        self.told.extend(told);
-        new
+        rows
     }
 
-    /// Tells routers that start of the requests that crashed several targets.
-    pub(super) fn tell_again(&mut self, now: Instant) {
-        let is_current = |at| now.saturating_duration_since(at) < CRASH_RECORD_TTL;
-        let records = self.records.records().filter(|(_, at)| is_current(*at));
-        let records: Vec<(CrashRow, Instant)> = records.collect();
-        let mut counts: FxHashMap<u128, usize> = FxHashMap::default();
-        for (row, _) in &records {
-            *counts.entry(row.request).or_default() += 1;
+    /// Replaces the crashes of rejected requests, and tells all if a request is new.
+    pub(super) fn set_rejected(&mut self, rejected: Vec<RejectedRow>) {
+        let known = self.rejected.iter().map(|(row, _)| row.request);
+        let known: FxHashSet<u128> = known.collect();
+        let mut requests = rejected.iter().map(|(row, _)| row.request);
+        let is_longer = requests.any(|request| !known.contains(&request));
+        self.rejected = rejected;
+        if is_longer {
+            self.tell();
         }
-        let told = records.into_iter().map(|(row, _)| row);
-        let mut told: Vec<CrashRow> = told
-            .filter(|row| counts[&row.request] >= MIN_TOLD_CRASHES)
-            .collect();
-        told.sort_unstable_by_key(|row| (Reverse(counts[&row.request]), row.request, row.target));
-        told.truncate(MAX_TOLD);
-        self.told = told.into_iter().map(|row| (row, 0)).collect();
+    }
+
+    /// Tells the crashes of rejected requests.
+    pub(super) fn tell(&mut self) {
+        let rows = self.rejected.iter().take(MAX_TOLD);
+        self.told = rows.map(|&row| (row, 0)).collect();
     }
 
     /// The crashes for the next heartbeat.
     pub(super) fn pending(&self) -> Vec<CrashRow> {
-        self.records.pending()
+        self.news.pending()
     }
 
-    /// The next message to routers that start; `None` if there is none.
+    /// The rows of the next message; `None` if there are none.
     pub(super) fn told(&self, now: Instant) -> Option<Vec<AgedCrashRow>> {
         let told = self.told.iter().take(MAX_ROWS);
-        let rows = told.filter_map(|&(row, _)| {
-            let at = self.records.known_since(row)?;
-            Some(AgedCrashRow {
-                request: row.request,
-                target: row.target,
-                age: age(at, now),
-            })
+        let rows = told.map(|((row, at), _)| AgedCrashRow {
+            request: row.request,
+            target: row.target,
+            age: age(*at, now),
         });
         let rows: Vec<AgedCrashRow> = rows.collect();
         (!rows.is_empty()).then_some(rows)
@@ -118,7 +114,7 @@
 
     /// Counts one repeat of the rows in the messages, and forgets old ones.
     pub(super) fn count_repeat(&mut self, now: Instant) {
-        self.records.count_repeat(now);
+        self.news.count_repeat(now);
         for (_, sent) in self.told.iter_mut().take(MAX_ROWS) {
             *sent += 1;
         }
--- a/policy/src/direct/exchange/message.rs
+++ b/policy/src/direct/exchange/message.rs
@@ -146,14 +146,14 @@
     pub target: u64,
 }
 
-/// A crash of a target while it ran a request, told to routers that start.
+/// A crash of a target while it ran a request that is rejected.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct AgedCrashRow {
     /// The request's fingerprint.
     pub request: u128,
     /// The tag of the target's incarnation.
     pub target: u64,
-    /// The time since the crash was noticed, in milliseconds.
+    /// The time since the latest crash of the request was noticed, in milliseconds.
     pub age: u32,
 }
 
@@ -396,6 +396,6 @@
     Parts(PartNews),
     /// The limits that targets name.
     Limits(LimitUpdate),
-    /// Earlier crashes of targets, with the request that was running.
+    /// Crashes of targets, with requests that are rejected for it.
     Crashes(Vec<AgedCrashRow>),
 }
--- a/policy/src/direct/exchange/records.rs
+++ b/policy/src/direct/exchange/records.rs
@@ -65,16 +65,6 @@
         true
     }
 
-    /// All records, and since when they have been known.
-    pub(super) fn records(&self) -> impl Iterator<Item = (T, Instant)> {
-        self.known.iter().map(|(&record, &at)| (record, at))
-    }
-
-    /// Since when a record has been known.
-    pub(super) fn known_since(&self, record: T) -> Option<Instant> {
-        self.known.get(&record).copied()
-    }
-
     /// The records for the next message, oldest first.
     pub(super) fn pending(&self) -> Vec<T> {
         let pending = self.pending.iter().take(self.limit);
--- a/policy/tests/direct_exchange.rs
+++ b/policy/tests/direct_exchange.rs
@@ -492,12 +492,11 @@
         net.loss = 0.05;
         net.is_measured = count < FLEETS[1].0;
         for target in 0..CRASHES {
-            let moment = net.moment();
             // Other requests were at the target when it died.
             let bystanders = (0..30).map(|it| u128::from(100 * (target + 1) + it));
             let requests = bystanders.chain([7]);
             let rows = requests.map(|request| CrashRow { request, target });
-            net.routers[0].exchange.add_crashes(rows, moment.mono);
+            net.add_crashes(0, rows);
             net.run_for(millis(200));
         }
         // Until no heartbeat has them any more.
@@ -533,7 +532,7 @@
         for target in 0..CRASHES {
             let moment = net.moment();
             let row = CrashRow { request: 7, target };
-            net.routers[0].exchange.add_crashes([row], moment.mono);
+            net.add_crashes(0, [row].into_iter());
             let crash = PartCrashRow {
                 part: 9,
                 target,
@@ -568,3 +567,23 @@
         assert_eq!(known(&net, count / 2), all, "{count} routers, restarted");
     }
 }
+
+/// Heartbeats hold 48 crashes, the oldest first; 155 of them took longer than a second each hop.
+#[test]
+fn crashes_of_one_request_reach_every_router_in_time_whatever_else_was_there() {
+    for (count, centres) in FLEETS {
+        let mut net = settled(count, centres, 9);
+        net.loss = 0.05;
+        for target in 0..CRASHES {
+            let bystanders = (0..30).map(|it| u128::from(100 * (target + 1) + it));
+            let rows = bystanders.chain([7]);
+            let rows = rows.map(|request| CrashRow { request, target });
+            net.add_crashes(0, rows);
+        }
+        net.run_for(PART_NEWS_TIME);
+        for (index, router) in net.routers.iter().enumerate().skip(1) {
+            let known = router.crashes.keys().filter(|it| it.0 == 7).count();
+            assert_eq!(known as u64, CRASHES, "{count} routers: {index}");
+        }
+    }
+}
--- a/policy/tests/direct_exchange/net.rs
+++ b/policy/tests/direct_exchange/net.rs
@@ -7,7 +7,8 @@
 
 use entity::Name;
 use knapweed_policy::direct::confirmation::Uptime;
-use knapweed_policy::direct::exchange::message::{CentreTag, Message};
+use knapweed_policy::direct::crash::MAX_CRASHED_TARGETS;
+use knapweed_policy::direct::exchange::message::{CentreTag, CrashRow, Message};
 use knapweed_policy::direct::exchange::{Exchange, Identity, LocalState, Moment, Outgoing, PERIOD};
 use knapweed_policy::direct::fair_share::TeamRate;
 use knapweed_policy::direct::rotation::Readiness;
@@ -216,11 +217,22 @@
         if router.read_at.is_some() {
             router.confirmed_at = router.confirmed_at.max(router.read_at);
         }
+        let rejected = router.rejected(self.origin);
         let (exchange, local) = router.parts(moment);
+        exchange.set_rejected(rejected);
         let sent = exchange.tick(&local, moment);
         self.send(index, sent);
     }
 
+    /// Adds crashes that a router notices.
+    pub(crate) fn add_crashes(&mut self, router: usize, rows: impl Iterator<Item = CrashRow>) {
+        let moment = self.moment();
+        let router = &mut self.routers[router];
+        let new = router.exchange.add_crashes(rows, moment.mono);
+        let new = new.iter().map(|row| ((row.request, row.target), self.now));
+        router.crashes.extend(new);
+    }
+
     fn send(&mut self, from: usize, messages: Vec<Outgoing>) {
         for Outgoing { to, mut message } in messages {
             let router = &mut self.routers[from];
@@ -351,6 +363,24 @@
 }
 
 impl Router {
+    /// The crashes of the requests that it rejects, with the time of the latest one.
+    fn rejected(&self, origin: Instant) -> Vec<(CrashRow, Instant)> {
+        let mut targets: BTreeMap<u128, Vec<u64>> = BTreeMap::new();
+        let mut latest: BTreeMap<u128, Duration> = BTreeMap::new();
+        for (&(request, target), &at) in &self.crashes {
+            targets.entry(request).or_default().push(target);
+            let latest = latest.entry(request).or_default();
+            *latest = at.max(*latest);
+        }
+        targets.retain(|_, targets| targets.len() >= MAX_CRASHED_TARGETS);
+        let rows = targets.into_iter().flat_map(|(request, targets)| {
+            let at = origin + latest[&request];
+            let targets = targets.into_iter();
+            targets.map(move |target| (CrashRow { request, target }, at))
+        });
+        rows.collect()
+    }
+
     fn parts(&mut self, moment: Moment) -> (&mut Exchange, LocalState<'_>) {
         let local = LocalState {
             loads: &self.loads,
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -195,7 +195,7 @@
     Holders(Vec<(u64, VersionTag)>),
     /// The limits that targets name.
     Limits(LimitUpdate),
-    /// Earlier crashes of targets, with the request that was running.
+    /// Crashes of targets, with requests that are rejected for it.
     Crashes(Vec<AgedCrashRow>),
 }
 
--- a/wire/tests/datagram.rs
+++ b/wire/tests/datagram.rs
@@ -214,7 +214,7 @@
 }
 
 #[test]
-fn earlier_crashes_are_the_last_variant() {
+fn crashes_of_rejected_requests_are_the_last_variant() {
     let row = AgedCrashRow {
         request: u128::MAX - 1,
         target: 9,
