Completed runs of a request are told to all routers and end its rejection

Cause: crashes were told to all routers, completed runs to nobody, and runs before the crashes did not count. Ruled out: load; a run at another router only (it is a second way, which the live test plays alone).

Runs with prompt parts pass through the same log now.

The wire test of crashes keeps its check of the number 21; the new variant is the last one now. record_completed of the fleet view's test takes the time of the run.

--- a/edge/src/crashes.rs
+++ b/edge/src/crashes.rs
@@ -8,7 +8,7 @@
 
 use entity::Fingerprint;
 use node::event::{self, Event};
-use policy::direct::crash::{CrashHistory, CrashRecord};
+use policy::direct::crash::{CompletedRun, CrashHistory, CrashRecord};
 use policy::direct::exchange::crashes::MAX_TOLD;
 use policy::direct::exchange::message::{PartCrashRow, PartNews, PartRunRow};
 use policy::direct::part_crash::{
@@ -19,7 +19,7 @@
 
 use crate::attempt::AttemptTimes;
 use crate::metrics::TrafficMetrics;
-use crate::request::CallerRequest;
+use crate::request::{CallerRequest, FingerprintTag};
 use crate::shared::Shared;
 
 /// The time after a broken attempt during which it is suspected of crashing its target.
@@ -29,6 +29,9 @@
 /// first sign of a crash.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The maximum number of runs that one event names.
+const MAX_LOGGED_RUNS: usize = 16;
+
 /// A broken attempt that may have crashed its target.
 struct BrokenAttempt {
     /// The tag of the target's incarnation.
@@ -173,8 +176,11 @@
         shared: &Shared,
         now: Instant,
     ) {
-        let mut requests = self.requests.borrow_mut();
-        requests.record_completed(request.fingerprint);
+        let run = CompletedRun {
+            request: request.fingerprint,
+            at: now,
+        };
+        self.requests.borrow_mut().record_completed(run);
         if let Some(prompt) = request
             .caller_headers
             .prompt
@@ -205,6 +211,12 @@
             self.requests.borrow_mut().add(record, at);
             self.record_unreachable(record.target, "peer", shared, now);
         }
+        for run in shared.take_peer_runs() {
+            self.requests.borrow_mut().record_peer_run(run, now);
+        }
+        let runs = self.requests.borrow_mut().take_news();
+        log_runs(&runs, now);
+        shared.add_local_runs(runs);
         for (heard_at, news) in shared.take_peer_parts() {
             self.apply(&news, heard_at, shared, now);
         }
@@ -245,6 +257,20 @@
     }
 }
 
+/// Logs runs after which the crashes of their requests no longer count.
+fn log_runs(runs: &[CompletedRun], now: Instant) {
+    let Some(first) = runs.iter().map(|run| run.at).min() else {
+        return;
+    };
+    let age = now.saturating_duration_since(first).as_millis();
+    let works = runs.iter().take(MAX_LOGGED_RUNS);
+    let works = works.map(|run| FingerprintTag::from(run.request).to_string());
+    let works = works.collect::<Vec<_>>().join(",");
+    let fields: [event::Field<'_>; 3] =
+        [("runs", &runs.len()), ("works", &works), ("age_ms", &age)];
+    event::log(Event::CrashesCleared, &fields);
+}
+
 fn log_change(change: &VerdictChange) {
     let parts = change.parts.iter().map(|part| format!("{part:x}"));
     let parts = parts.collect::<Vec<_>>().join(",");
--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -17,9 +17,9 @@
 use entity::{Clock, Fingerprint, Name, SystemClock};
 use node::event::{self, Event};
 use policy::direct::cold::Members;
-use policy::direct::crash::CrashRecord;
+use policy::direct::crash::{CompletedRun, CrashRecord};
 use policy::direct::exchange::kept::Roster;
-use policy::direct::exchange::message::{CentreTag, CrashRow, Message};
+use policy::direct::exchange::message::{CentreTag, CrashRow, Message, RequestRunRow};
 use policy::direct::exchange::{
     Exchange, Identity, LocalState, Moment, Outgoing, PERIOD, PeerEvent, Received,
 };
@@ -222,6 +222,9 @@
         let crashes = self.shared.take_local_crashes().into_iter();
         let rows = crashes.map(|crash| crash_row(&crash));
         self.exchange.add_crashes(rows, now.mono);
+        let runs = self.shared.take_local_runs().into_iter();
+        let runs = runs.map(|run| run_row(&run, now.mono)).collect();
+        self.exchange.add_request_runs(runs, now);
         let leaving = self.shared.take_local_leaving();
         self.exchange.add_leaving(leaving, now.mono);
         for (at, news) in self.shared.take_local_parts() {
@@ -242,6 +245,7 @@
             Ok(Datagram::Parts(news)) => Message::Parts(news),
             Ok(Datagram::Limits(update)) => Message::Limits(update),
             Ok(Datagram::Crashes(rows)) => Message::Crashes(rows),
+            Ok(Datagram::RequestRuns(rows)) => Message::RequestRuns(rows),
             Ok(
                 datagram @ (Datagram::Listing(_)
                 | Datagram::VersionedListing(_)
@@ -300,6 +304,15 @@
             Some((record, now.mono.checked_sub(age)?))
         });
         self.shared.add_peer_crashes(crashes);
+        let runs = received.request_runs.into_iter().filter_map(|row| {
+            Some(CompletedRun {
+                request: Fingerprint(row.request),
+                at: now
+                    .mono
+                    .checked_sub(Duration::from_millis(row.age.into()))?,
+            })
+        });
+        self.shared.add_peer_runs(runs);
         if !received.leaving.is_empty() {
             self.shared.add_peer_leaving(received.leaving);
         }
@@ -409,6 +422,15 @@
     }
 }
 
+fn run_row(run: &CompletedRun, now: Instant) -> RequestRunRow {
+    let age = now.saturating_duration_since(run.at).as_millis();
+    RequestRunRow {
+        request: run.request.0,
+        // Rounded up, so that the run never appears more recent than it is.
+        age: u32::try_from(age).unwrap_or(u32::MAX).saturating_add(1),
+    }
+}
+
 /// Returns the present on both clocks.
 fn present() -> Moment {
     Moment {
--- a/edge/src/request.rs
+++ b/edge/src/request.rs
@@ -53,6 +53,12 @@
 #[display("{_0:08x}")]
 pub(crate) struct FingerprintTag(u32);
 
+impl From<Fingerprint> for FingerprintTag {
+    fn from(fingerprint: Fingerprint) -> Self {
+        Self(fingerprint.0 as u32)
+    }
+}
+
 /// A request's route, team and service under one configuration.
 #[derive(Clone, Debug)]
 pub(crate) struct AuthorizedRequest {
@@ -135,7 +141,7 @@
 
     /// Returns the tag by which logs identify all attempts of identical requests.
     pub(crate) fn fingerprint_tag(&self) -> FingerprintTag {
-        FingerprintTag(self.fingerprint.0 as u32)
+        self.fingerprint.into()
     }
 
     /// Checks the request against the active configuration.
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -12,7 +12,7 @@
 use policy::direct::cold::Members;
 use policy::direct::config::Config;
 use policy::direct::confirmation::{Confirmation, Uptime};
-use policy::direct::crash::CrashRecord;
+use policy::direct::crash::{CompletedRun, CrashRecord};
 use policy::direct::exchange::message::PartNews;
 use policy::direct::fair_share::TeamRate;
 use policy::direct::kept::KeptRow;
@@ -149,6 +149,8 @@
     local: Vec<CrashRecord>,
     /// With the time at which the crash was noticed.
     peers: Vec<(CrashRecord, Instant)>,
+    local_runs: Vec<CompletedRun>,
+    peer_runs: Vec<CompletedRun>,
 }
 
 #[derive(Debug, Default)]
@@ -376,6 +378,28 @@
         std::mem::take(&mut self.crash_queues().peers)
     }
 
+    /// Adds completed runs of which the peers are told.
+    pub(crate) fn add_local_runs(&self, runs: Vec<CompletedRun>) {
+        if !runs.is_empty() {
+            self.crash_queues().local_runs.extend(runs);
+        }
+    }
+
+    /// Adds completed runs that peers saw.
+    pub(crate) fn add_peer_runs(&self, runs: impl IntoIterator<Item = CompletedRun>) {
+        self.crash_queues().peer_runs.extend(runs);
+    }
+
+    /// Takes the completed runs of which the peers are told.
+    pub(crate) fn take_local_runs(&self) -> Vec<CompletedRun> {
+        std::mem::take(&mut self.crash_queues().local_runs)
+    }
+
+    /// Takes the completed runs that peers saw.
+    pub(crate) fn take_peer_runs(&self) -> Vec<CompletedRun> {
+        std::mem::take(&mut self.crash_queues().peer_runs)
+    }
+
     fn crash_queues(&self) -> MutexGuard<'_, CrashQueues> {
         self.crash_queues
             .lock()
--- a/livetests/tests/crashing_request.rs
+++ b/livetests/tests/crashing_request.rs
@@ -121,3 +121,34 @@
     assert_eq!(status_of(&answer), 200, "{answer}");
     Ok(())
 }
+
+/// A run that completed was told to nobody, so the other routers refused the request.
+#[actix_rt::test]
+async fn request_that_completes_at_one_router_is_served_by_all() -> eyre::Result<()> {
+    const PATH: &str = "/once/slow-60";
+    const STREAMS: usize = 24;
+    let mut fleet = EdgeFleet::start("die-complete", 2, 0).await?;
+    fleet.add_fragile_targets(8, "f00").await?;
+    sleep(STABLE_WINDOW).await;
+    let ids: Vec<String> = (0..STREAMS).map(|it| format!("s{it}")).collect();
+    let streams = ids.iter().map(|id| fleet.send("GET", PATH, id));
+    let fatal = async {
+        sleep(Duration::from_millis(200)).await;
+        for number in 0..KNOWN_CRASHES {
+            let parts = format!("f00:300,{number}:200");
+            let id = format!("fatal{number}");
+            fleet.send_prompt(0, "/once/stream-3", &id, &parts).await;
+        }
+    };
+    let (answers, ()) = futures::join!(futures::future::join_all(streams), fatal);
+    assert!(crash_count(&fleet) >= KNOWN_CRASHES, "the targets crash");
+    let mut statuses = answers.iter().map(|answer| status_of(answer));
+    assert!(statuses.any(|status| status == 200), "a stream completes");
+    sleep(STABLE_WINDOW).await;
+    for router in 0..2 {
+        let id = format!("later{router}");
+        let answer = fleet.send_to(router, "GET", PATH, &id, Some(RED_KEY)).await;
+        assert_eq!(status_of(&answer), 200, "router {router}: {answer}");
+    }
+    Ok(())
+}
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -229,6 +229,8 @@
     PartRejected 1519 Error "part-rejected";
     /// Requests with these prompt parts are accepted again.
     PartCleared 1520 Info "part-cleared";
+    /// Requests completed, so crashes of targets that ran them do not count.
+    CrashesCleared 1521 Info "crashes-cleared";
 }
 
 impl Display for Event {
--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -30,6 +30,7 @@
 pub mod rates;
 mod records;
 mod relay;
+mod runs;
 mod summary;
 pub mod topology;
 
@@ -42,6 +43,7 @@
 use rustc_hash::FxHashMap;
 
 use super::confirmation::Uptime;
+use super::crash::CRASH_RECORD_TTL;
 use super::fair_share::TeamRate;
 use super::kept::KeptRow;
 use super::rotation::{Neighbour, Readiness};
@@ -50,11 +52,13 @@
 use kept::KeptLog;
 use limits::LimitBook;
 use message::{
-    AgedCrashRow, Beat, CentreTag, CrashRow, Message, PartNews, Scope, TeamRow, Trouble,
+    AgedCrashRow, Beat, CentreTag, CrashRow, Message, PartNews, RequestRunRow, Scope, TeamRow,
+    Trouble,
 };
 use parts::PartLog;
 use rates::RateBook;
 use records::RecordLog;
+use runs::RunLog;
 use summary::{PartialSummary, ReceivedSummary};
 use topology::Topology;
 
@@ -172,6 +176,8 @@
     pub confirmation: Option<(u64, Uptime)>,
     /// Crashes that were not known.
     pub crashes: Vec<AgedCrashRow>,
+    /// Completed runs of requests that were not known.
+    pub request_runs: Vec<RequestRunRow>,
     /// Leaving targets that were not known.
     pub leaving: Vec<u64>,
     /// Uses of prompt parts at targets.
@@ -310,6 +316,7 @@
     fleet: Option<ReceivedSummary>,
     sent_beats: VecDeque<(u32, Uptime)>,
     crashes: CrashLog,
+    request_runs: RunLog<u128>,
     leaving: RecordLog<u64>,
     parts: PartLog,
     rates: RateBook,
@@ -348,6 +355,7 @@
             fleet: None,
             sent_beats: VecDeque::new(),
             crashes: CrashLog::default(),
+            request_runs: RunLog::default(),
             leaving: RecordLog::new(MAX_LEAVING_ROWS),
             parts: PartLog::default(),
             rates: RateBook::default(),
@@ -419,6 +427,11 @@
         self.crashes.set_rejected(rejected);
     }
 
+    /// Adds completed runs of requests of which crashes are known, to be sent to the others.
+    pub fn add_request_runs(&mut self, rows: Vec<RequestRunRow>, now: Moment) {
+        self.request_runs.add_requests(rows, now.uptime.0);
+    }
+
     /// Adds targets that said that they are leaving, to be sent to the others; returns
     /// those that are new.
     pub fn add_leaving(
@@ -476,6 +489,8 @@
         // Without partners too: what is news now is not for a router that starts later.
         if turn + 1 == rounds {
             self.crashes.count_repeat(now.mono);
+            self.request_runs
+                .count_repeat(CRASH_RECORD_TTL, now.uptime.0);
             self.leaving.count_repeat(now.mono);
             self.parts.count_repeat(now.uptime.0);
         }
@@ -541,6 +556,10 @@
                 crashes: self.crashes.add_told(rows, now.mono),
                 ..Received::default()
             },
+            Message::RequestRuns(rows) => Received {
+                request_runs: self.request_runs.add_requests(rows, now.uptime.0),
+                ..Received::default()
+            },
             Message::Parts(news) => Received {
                 parts: self.parts.add(news, now.uptime.0),
                 ..Received::default()
--- a/policy/src/direct/exchange/beat.rs
+++ b/policy/src/direct/exchange/beat.rs
@@ -45,6 +45,7 @@
             self.parts.resend();
             self.leaving.resend();
             self.crashes.tell();
+            self.request_runs.resend(|_| true);
         }
         let reads = beat.confirmed.map(u64::from).map(Duration::from_millis);
         let reads = !beat.leaving && reads.is_some_and(|age| age < self.lost_age);
@@ -144,11 +145,13 @@
         let leaving = (!leaving.is_empty()).then_some(Message::Leaving(leaving));
         let parts = self.parts.pending(now.uptime.0).map(Message::Parts);
         let crashes = self.crashes.told(now.mono).map(Message::Crashes);
+        let runs = self.request_runs.pending_requests(now.uptime.0);
+        let runs = runs.map(Message::RequestRuns);
         let has_group = self.has_group(now.mono);
         let mut sent = Vec::new();
         for &to in to {
             let before = trouble.iter().chain(&leaving).chain(&parts);
-            let before = before.chain(&crashes).cloned();
+            let before = before.chain(&crashes).chain(&runs).cloned();
             sent.extend(before.map(|message| Outgoing { to, message }));
             let mut beat = beat.clone();
             let peer = self.peers.get(&to);
--- a/policy/src/direct/exchange/crashes.rs
+++ b/policy/src/direct/exchange/crashes.rs
@@ -81,6 +81,10 @@
     pub(super) fn set_rejected(&mut self, rejected: Vec<RejectedRow>) {
         let known = self.rejected.iter().map(|(row, _)| row.request);
         let known: FxHashSet<u128> = known.collect();
+        let remaining = rejected.iter().map(|(row, _)| row.request);
+        let remaining: FxHashSet<u128> = remaining.collect();
+        self.told
+            .retain(|((row, _), _)| remaining.contains(&row.request));
         let mut requests = rejected.iter().map(|(row, _)| row.request);
         let is_longer = requests.any(|request| !known.contains(&request));
         self.rejected = rejected;
--- a/policy/src/direct/exchange/message.rs
+++ b/policy/src/direct/exchange/message.rs
@@ -200,6 +200,15 @@
     pub age: u32,
 }
 
+/// A completed run of a request of which crashes are known.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct RequestRunRow {
+    /// The request's fingerprint.
+    pub request: u128,
+    /// The time since the run completed, in milliseconds.
+    pub age: u32,
+}
+
 /// Crashes under prompt parts, and runs that clear parts.
 #[derive(Clone, Default, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct PartNews {
@@ -398,4 +407,6 @@
     Limits(LimitUpdate),
     /// Crashes of targets, with requests that are rejected for it.
     Crashes(Vec<AgedCrashRow>),
+    /// Completed runs of requests of which crashes are known.
+    RequestRuns(Vec<RequestRunRow>),
 }
--- a/policy/src/direct/exchange/parts.rs
+++ b/policy/src/direct/exchange/parts.rs
@@ -14,23 +14,13 @@
 use rustc_hash::FxHashMap;
 
 use super::message::{PartCrashRow, PartNews, PartRunRow};
+pub use super::runs::MAX_ROWS;
+use super::runs::{MAX_KNOWN, RunLog, age, count, millis};
 use crate::direct::part_crash::{MIN_ROUNDS, PART_TTL};
 
-/// The maximum number of rows of each kind in a message.
-pub const MAX_ROWS: usize = 64;
-
-/// The number of rounds of heartbeats with which a row is sent, since datagrams may be lost.
-const REPEATS: u8 = 4;
-
 /// The number of crashes under a part from which routers that start are told of it.
 const MIN_TOLD_CRASHES: u32 = MIN_ROUNDS as u32;
 
-/// The maximum number of rows of each kind that are remembered.
-const MAX_KNOWN: usize = 8_192;
-
-/// The least difference of two runs that are both told.
-const MIN_RUN_STEP: Duration = Duration::from_millis(200);
-
 /// A crash of a target under a part.
 #[derive(Clone, Copy, Debug)]
 struct Crash {
@@ -43,11 +33,10 @@
 #[derive(Clone, Default, Debug)]
 pub(super) struct PartLog {
     crashes: FxHashMap<(u64, u64), Crash>,
-    runs: FxHashMap<u64, Duration>,
+    runs: RunLog<u64>,
     /// The rows to be sent, with the number of times they were; those of the next message
     /// come first.
     pending_crashes: Vec<((u64, u64), u8)>,
-    pending_runs: Vec<(u64, u8)>,
     /// The number of crashes known under each part.
     counts: FxHashMap<u64, u32>,
     /// Whether crashes were added or sent since they were ordered.
@@ -74,18 +63,9 @@
         }
         self.is_unordered |= !new.crashes.is_empty();
         for row in news.runs {
-            let at = now.saturating_sub(millis(row.age));
-            let has_room = self.runs.len() < MAX_KNOWN || self.runs.contains_key(&row.part);
-            let known = self.runs.get(&row.part).copied();
-            // A run told by two routers has two times, as far apart as rounding makes them.
-            let is_news = known.is_none_or(|known| at > known + MIN_RUN_STEP);
-            if !has_room || !is_news {
-                continue;
+            if self.runs.add(row.part, row.age, now) {
+                new.runs.push(row);
             }
-            self.runs.insert(row.part, at);
-            self.pending_runs.retain(|(part, _)| *part != row.part);
-            self.pending_runs.insert(0, (row.part, 0));
-            new.runs.push(row);
         }
         new
     }
@@ -98,12 +78,9 @@
         };
         let crashes = self.crashes.keys().filter(|(part, _)| is_told(part));
         let crashes: Vec<((u64, u64), u8)> = crashes.map(|&key| (key, 0)).collect();
-        let runs = self.runs.keys().filter(|part| is_told(part));
-        let runs: Vec<(u64, u8)> = runs.map(|&part| (part, 0)).collect();
         self.pending_crashes.retain(|(key, _)| !is_told(&key.0));
-        self.pending_runs.retain(|(part, _)| !is_told(part));
         self.pending_crashes.extend(crashes);
-        self.pending_runs.splice(0..0, runs);
+        self.runs.resend(is_told);
         self.is_unordered = true;
     }
 
@@ -134,12 +111,8 @@
                 broken: age(crash.broken_at, now),
             })
         });
-        let runs = self.pending_runs.iter().take(MAX_ROWS);
-        let runs = runs.filter_map(|&(part, _)| {
-            let at = *self.runs.get(&part)?;
-            let age = age(at, now);
-            Some(PartRunRow { part, age })
-        });
+        let runs = self.runs.pending(now);
+        let runs = runs.map(|(part, age)| PartRunRow { part, age });
         let news = PartNews {
             crashes: crashes.collect(),
             runs: runs.collect(),
@@ -151,8 +124,7 @@
     pub(super) fn count_repeat(&mut self, now: Duration) {
         count(&mut self.pending_crashes);
         self.is_unordered = true;
-        count(&mut self.pending_runs);
-        self.pending_runs.sort_by_key(|(_, sent)| *sent);
+        self.runs.count_repeat(PART_TTL, now);
         let is_recent = |at: Duration| now.saturating_sub(at) < PART_TTL;
         let counts = &mut self.counts;
         self.crashes.retain(|(part, _), crash| {
@@ -163,23 +135,5 @@
             is_kept
         });
         self.counts.retain(|_, count| *count > 0);
-        self.runs.retain(|_, at| is_recent(*at));
     }
 }
-
-fn count<T>(pending: &mut Vec<(T, u8)>) {
-    for (_, sent) in pending.iter_mut().take(MAX_ROWS) {
-        *sent += 1;
-    }
-    pending.retain(|(_, sent)| *sent < REPEATS);
-}
-
-fn millis(age: u32) -> Duration {
-    Duration::from_millis(age.into())
-}
-
-/// Rounded up, so that a row never appears more recent than it is.
-fn age(at: Duration, now: Duration) -> u32 {
-    let age = now.saturating_sub(at).as_millis();
-    u32::try_from(age).unwrap_or(u32::MAX).saturating_add(1)
-}
--- a/policy/tests/direct_exchange.rs
+++ b/policy/tests/direct_exchange.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use knapweed_policy::direct::exchange::message::{
-    CrashRow, PartCrashRow, PartNews, PartRunRow, RateRow, Scope,
+    CrashRow, PartCrashRow, PartNews, PartRunRow, RateRow, RequestRunRow, Scope,
 };
 use knapweed_policy::direct::exchange::rates::RATE_PERIODS;
 use knapweed_policy::direct::exchange::{PEER_TIMEOUT, PERIOD};
@@ -587,3 +587,35 @@
         }
     }
 }
+
+/// A run that completed at one router ends the rejection of its request at all.
+#[test]
+fn runs_of_requests_reach_every_router_in_time() {
+    const RUNS: u128 = 100;
+    for (count, centres) in FLEETS {
+        let mut net = settled(count, centres, 10);
+        net.loss = 0.05;
+        net.is_measured = count < FLEETS[2].0;
+        let cut = count / 2;
+        net.routers[cut].is_cut = true;
+        let moment = net.moment();
+        let rows = (0..RUNS).map(|request| RequestRunRow { request, age: 900 });
+        net.routers[0]
+            .exchange
+            .add_request_runs(rows.collect(), moment);
+        net.run_for(PART_NEWS_TIME);
+        for (index, router) in net.routers.iter().enumerate().skip(1) {
+            if index != cut {
+                let known = router.run_requests.len() as u128;
+                assert_eq!(known, RUNS, "{count} routers: {index}");
+                // No run becomes more recent on its way.
+                assert!(router.run_requests.values().all(|&age| age >= 900));
+            }
+        }
+        net.routers[cut].is_cut = false;
+        net.run_for(PART_NEWS_TIME);
+        let known = net.routers[cut].run_requests.len() as u128;
+        assert_eq!(known, RUNS, "{count} routers: was cut off");
+        assert!(net.largest_datagram <= MAX_DATAGRAM_BYTES);
+    }
+}
--- a/policy/tests/direct_exchange/net.rs
+++ b/policy/tests/direct_exchange/net.rs
@@ -51,6 +51,8 @@
     pub(crate) crashed_parts: BTreeSet<(u64, u64)>,
     /// The parts that completed runs cleared here.
     pub(crate) run_parts: BTreeSet<u64>,
+    /// The requests of completed runs that were news here, with their ages then.
+    pub(crate) run_requests: BTreeMap<u128, u32>,
     /// The requests and targets of crashes that were news here, and when each happened by
     /// its age.
     pub(crate) crashes: BTreeMap<(u128, u64), Duration>,
@@ -163,6 +165,7 @@
             kept: BTreeMap::new(),
             crashed_parts: BTreeSet::new(),
             run_parts: BTreeSet::new(),
+            run_requests: BTreeMap::new(),
             crashes: BTreeMap::new(),
             leaving: BTreeSet::new(),
             held: VecDeque::new(),
@@ -305,6 +308,10 @@
         let runs = received.parts.runs.iter().map(|row| row.part);
         router.run_parts.extend(runs);
         router.leaving.extend(received.leaving);
+        let runs = received.request_runs.iter();
+        router
+            .run_requests
+            .extend(runs.map(|row| (row.request, row.age)));
         for row in received.crashes {
             let at = self.now.saturating_sub(millis(row.age));
             router.crashes.insert((row.request, row.target), at);
@@ -416,6 +423,7 @@
         Message::Parts(news) => postcard::to_stdvec(news).expect("encodes").len(),
         Message::Limits(rows) => postcard::to_stdvec(rows).expect("encodes").len(),
         Message::Crashes(rows) => postcard::to_stdvec(rows).expect("encodes").len(),
+        Message::RequestRuns(rows) => postcard::to_stdvec(rows).expect("encodes").len(),
     };
     encoded + 2
 }
--- a/policy/tests/direct_fleet_view.rs
+++ b/policy/tests/direct_fleet_view.rs
@@ -8,7 +8,7 @@
 use knapweed_policy::direct::budget::{RetryBudget, RetryLimit};
 use knapweed_policy::direct::confirmation::{Confirmation, Uptime};
 use knapweed_policy::direct::crash::{
-    CRASH_RECORD_TTL, CrashHistory, CrashRecord, MAX_CRASHED_TARGETS,
+    CRASH_RECORD_TTL, CompletedRun, CrashHistory, CrashRecord, MAX_CRASHED_TARGETS,
 };
 use knapweed_policy::direct::fair_share::{FairShares, TeamRate};
 use knapweed_policy::direct::outlier::{MAX_EJECTION_TIME, OutlierDetector};
@@ -289,7 +289,7 @@
     assert!(crashes.rejected_for(request, now).is_some());
     assert_eq!(crashes.rejected_for(Fingerprint(8), now), None);
     assert_eq!(crashes.rejected_for(request, now + CRASH_RECORD_TTL), None);
-    crashes.record_completed(request);
+    crashes.record_completed(CompletedRun { request, at: now });
     assert_eq!(crashes.rejected_for(request, now), None);
 }
 
--- a/wire/src/datagram.rs
+++ b/wire/src/datagram.rs
@@ -11,7 +11,7 @@
 use entity::Name;
 use policy::direct::exchange::message::{
     AgedCrashRow, Beat, KeptUpdate, LimitUpdate, Message, PartNews, Place, RateUpdate,
-    ReadinessRow, Summary, Trouble,
+    ReadinessRow, RequestRunRow, Summary, Trouble,
 };
 use policy::direct::listing::ListingChange;
 use policy::direct::listing::message::{ListingMessage, Part, RangeAnswer, RangeQuery, Step};
@@ -197,6 +197,8 @@
     Limits(LimitUpdate),
     /// Crashes of targets, with requests that are rejected for it.
     Crashes(Vec<AgedCrashRow>),
+    /// Completed runs of requests of which crashes are known.
+    RequestRuns(Vec<RequestRunRow>),
 }
 
 impl From<Message> for Datagram {
@@ -211,6 +213,7 @@
             Message::Parts(news) => Self::Parts(news),
             Message::Limits(update) => Self::Limits(update),
             Message::Crashes(rows) => Self::Crashes(rows),
+            Message::RequestRuns(rows) => Self::RequestRuns(rows),
         }
     }
 }
--- a/wire/tests/datagram.rs
+++ b/wire/tests/datagram.rs
@@ -8,7 +8,7 @@
     listing_digest,
 };
 use policy::direct::exchange::message::{
-    AgedCrashRow, Beat, CentreTag, Place, ReadinessRow, Scope, Summary,
+    AgedCrashRow, Beat, CentreTag, Place, ReadinessRow, RequestRunRow, Scope, Summary,
 };
 use policy::direct::listing::ListingChange;
 use policy::direct::listing::message::{ListingMessage, RangeAnswer, RangeQuery, Step};
@@ -214,7 +214,7 @@
 }
 
 #[test]
-fn crashes_of_rejected_requests_are_the_last_variant() {
+fn crashes_of_rejected_requests_keep_their_encoding() {
     let row = AgedCrashRow {
         request: u128::MAX - 1,
         target: 9,
@@ -223,7 +223,20 @@
     let datagram = Datagram::Crashes(vec![row; 64]);
     let bytes = datagram.encode();
     assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
-    // Routers of former versions know the variants before it.
     assert_eq!(bytes[1], 21);
     assert_eq!(Datagram::decode(&bytes), Ok(datagram));
 }
+
+#[test]
+fn completed_runs_of_requests_are_the_last_variant() {
+    let row = RequestRunRow {
+        request: u128::MAX - 1,
+        age: 40_000,
+    };
+    let datagram = Datagram::RequestRuns(vec![row; 64]);
+    let bytes = datagram.encode();
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+    // Routers of former versions know the variants before it.
+    assert_eq!(bytes[1], 22);
+    assert_eq!(Datagram::decode(&bytes), Ok(datagram));
+}
