A panic ends one request, or one turn of a loop, and not the loop for good

A panic while a connection was served never released the connection, and its request counted as open for good, so that a planned stop took until its limit.

Cause: the loops are tasks of which nobody waits for the end. Fix: restart_on_panic around each of them, catch_panic around connections and requests; KW1016 says which part panicked and why. Ending the process was weighed: all routers meet the same entry, so all would end again and again.

Tests: edge/tests/supervise.rs.

--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -24,6 +24,7 @@
     Exchange, Identity, LocalState, Moment, Outgoing, PERIOD, PeerEvent, Received,
 };
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{Datagram, DatagramError, MAX_DATAGRAM_BYTES};
 use xxhash_rust::xxh3::xxh3_64;
@@ -125,7 +126,7 @@
     }
 
     /// Sends and receives for as long as the process runs.
-    pub(crate) async fn run(mut self, mut seeds: tokio::sync::watch::Receiver<Vec<SocketAddr>>) {
+    pub(crate) async fn run(&mut self, seeds: &mut watch::Receiver<Vec<SocketAddr>>) {
         let mut ticks = interval(PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -32,5 +32,6 @@
 mod shed;
 mod spare_log;
 mod store;
+pub mod supervise;
 mod target;
 mod tcp;
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -31,6 +31,7 @@
 use crate::shared::Shared;
 use crate::shed;
 use crate::store::StoreReader;
+use crate::supervise::{catch_panic, restart_on_panic};
 
 /// The maximum number of connections waiting to be accepted: at the lowest rate, those of
 /// less than half a second, since callers leave after a second and objectives are not much
@@ -175,10 +176,18 @@
     );
     let gossip = gossip.await.wrap_err("cannot bind the control address")?;
     let (seeds, changed) = watch::channel(settings.peers.clone());
-    actix_rt::spawn(gossip.run(changed));
-    actix_rt::spawn(store.clone().follow_operators());
-    actix_rt::spawn(store.clone().follow_peers());
-    actix_rt::spawn(store.follow_targets());
+    actix_rt::spawn(run_gossip(gossip, changed));
+    let operators_store = store.clone();
+    actix_rt::spawn(restart_on_panic("operators' entries", async move || {
+        operators_store.clone().follow_operators().await;
+    }));
+    let peers_store = store.clone();
+    actix_rt::spawn(restart_on_panic("peers' entries", async move || {
+        peers_store.clone().follow_peers().await;
+    }));
+    actix_rt::spawn(restart_on_panic("targets", async move || {
+        store.clone().follow_targets().await;
+    }));
     actix_rt::spawn(follow_settings(path, settings, seeds));
     Ok(operators_address)
 }
@@ -225,7 +234,17 @@
     }
 }
 
+async fn run_gossip(mut gossip: Gossip, mut seeds: watch::Receiver<Vec<SocketAddr>>) {
+    let run = async || gossip.run(&mut seeds).await;
+    restart_on_panic("exchange", run).await;
+}
+
 async fn run_maintenance_loop(context: Rc<Context>, mut dumps: mpsc::Receiver<DumpRequest>) {
+    let run = async || run_maintenance(&context, &mut dumps).await;
+    restart_on_panic("maintenance", run).await;
+}
+
+async fn run_maintenance(context: &Context, dumps: &mut mpsc::Receiver<DumpRequest>) {
     let mut ticks = interval(MAINTENANCE_PERIOD);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -273,10 +292,13 @@
                     pause = context.record_accepted(Instant::now());
                     let context = context.clone();
                     actix_rt::spawn(async move {
-                        match context.rejects_connections(Instant::now()) {
-                            true => shed::reject(&context, stream).await,
-                            false => session::serve(context.clone(), stream).await,
-                        }
+                        let session = async {
+                            match context.rejects_connections(Instant::now()) {
+                                true => shed::reject(&context, stream).await,
+                                false => session::serve(context.clone(), stream).await,
+                            }
+                        };
+                        catch_panic("connection", session).await;
                         context.connections.release();
                     });
                 }
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -26,6 +26,7 @@
 use crate::origin;
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
 use crate::serve::{Dispatch, Outcome, StreamedResponse};
+use crate::supervise::catch_panic;
 use crate::target::{BodyFraming, BodyTruncated};
 use resume::{Resumed, TakeOver, record_broken, resume_stream, take_over};
 
@@ -74,9 +75,10 @@
             ReadOutcome::Closed => return,
         };
         context.shared.open_requests.fetch_add(1, Ordering::Relaxed);
-        let ended = handle_request(&context, &mut caller, CallerRequest::new(request)).await;
+        let request = CallerRequest::new(request);
+        let ended = catch_panic("request", handle_request(&context, &mut caller, request)).await;
         context.shared.open_requests.fetch_sub(1, Ordering::Relaxed);
-        match ended {
+        match ended.unwrap_or(RequestEnd::Disconnected) {
             // The caller may reuse the connection unless the response said that it is closed.
             RequestEnd::Answered { keep: true, .. } => {}
             RequestEnd::Answered { keep: false, .. } => return caller.close().await,
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -79,6 +79,8 @@
     LoadRejected 1014 Warn "load-rejected";
     /// The process is overloaded and stays ready, for the data centre.
     RotationHeld 1015 Warn "rotation-held";
+    /// A request or a turn of a loop panicked.
+    TaskPanicked 1016 Error "task-panicked";
 
     /// The configuration service responded again.
     ServiceReachable 1201 Info "service-reachable";
