A target that refused a connection counts as cold until its incarnation is known

Cause: a refused connection took a target out for 0.5 s, and the former incarnation was used again after that, though the refusal shows that it has ended. Ruled out: the division of the limit (4 requests once the list was read).

The doubt ends with another incarnation in the list, with an answer on an earlier connection, or with a list read 4 s after the last refusal.

--- a/edge/src/context/targets.rs
+++ b/edge/src/context/targets.rs
@@ -17,7 +17,7 @@
 use super::Context;
 use crate::attempt::AttemptTimes;
 use crate::request::CallerRequest;
-use crate::target::BodyFraming;
+use crate::target::{BodyFraming, SendError};
 
 /// The time from a broken attempt to the look at its target, in which the other connections
 /// to a target that died are closed as well.
@@ -72,16 +72,25 @@
         let context = self.clone();
         actix_rt::spawn(async move {
             sleep(PROBE_DELAY).await;
-            if !context.connection_pool.is_reachable(address).await {
-                context.record_unreachable(target_id, Instant::now());
+            if let Err(error) = context.connection_pool.probe(address).await {
+                context.record_unreachable(target_id, error, Instant::now());
             }
         });
     }
 
     /// Records that a target is unreachable, which recently broken attempts on it may
     /// have caused.
-    pub(crate) fn record_unreachable(&self, target_id: TargetEntryId, now: Instant) {
+    pub(crate) fn record_unreachable(
+        &self,
+        target_id: TargetEntryId,
+        error: SendError,
+        now: Instant,
+    ) {
         let mut target_table = self.target_table.borrow_mut();
+        if error == SendError::Refused && target_table.incarnation(target_id).record_refused(now) {
+            let name = &target_table.target(target_id).name;
+            event::log(Event::IncarnationDoubted, &[("target", name)]);
+        }
         target_table
             .outlier_detector(target_id)
             .record_connect_failure(now);
@@ -91,6 +100,18 @@
             .record_unreachable(target, "self", &self.shared, now);
     }
 
+    /// Records a response, on a connection opened at `opened_at`, to a request sent at `sent_at`.
+    pub(crate) fn record_response(
+        &self,
+        target_id: TargetEntryId,
+        opened_at: Instant,
+        sent_at: Instant,
+    ) {
+        let mut target_table = self.target_table.borrow_mut();
+        let incarnation = target_table.incarnation(target_id);
+        incarnation.record_response(opened_at, sent_at);
+    }
+
     /// Records that a request ran to the marked end of its response.
     pub(crate) fn record_completed(&self, request: &CallerRequest, status: StatusCode) {
         let now = Instant::now();
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -135,10 +135,10 @@
             let now = Instant::now();
             let response = match response {
                 Ok(response) => response,
-                Err(SendFailure::Unsent) => {
+                Err(SendFailure::Unsent(error)) => {
                     self.record_failure(target_id, "unreachable");
                     drop(attempt);
-                    self.context.record_unreachable(target_id, now);
+                    self.context.record_unreachable(target_id, error, now);
                     self.tried.push(target_id);
                     continue;
                 }
@@ -541,7 +541,9 @@
                 Err(SendFailure::Broken("silent"))
             }
             Some(Err(SendError::Unsent)) if config_changed.get() => Err(SendFailure::ConfigChanged),
-            Some(Err(SendError::Unsent)) => Err(SendFailure::Unsent),
+            Some(Err(error @ (SendError::Unsent | SendError::Refused))) => {
+                Err(SendFailure::Unsent(error))
+            }
             Some(Err(SendError::Broken)) => {
                 self.sends += 1;
                 self.runs += 1;
@@ -549,6 +551,9 @@
             }
             Some(Ok(response)) => {
                 self.sends += 1;
+                let sent_at = attempt.times().sent_at;
+                self.context
+                    .record_response(attempt.target_id, response.opened_at, sent_at);
                 Ok(response)
             }
         }
@@ -627,7 +632,7 @@
 /// Why an attempt got no response.
 enum SendFailure {
     /// No byte was sent.
-    Unsent,
+    Unsent(SendError),
     /// The configuration changed before the first byte was sent.
     ConfigChanged,
     /// The request may have run.
--- a/edge/src/serve/response.rs
+++ b/edge/src/serve/response.rs
@@ -29,6 +29,7 @@
             status,
             headers,
             mut body,
+            ..
         } = response;
         let head = response::parse_head(status.as_u16(), &headers);
         let target_id = attempt.target_id;
--- a/edge/src/target.rs
+++ b/edge/src/target.rs
@@ -1,13 +1,15 @@
 //! The connection pool for targets, and HTTP exchanges on its connections.
 //!
 //! Invariants:
-//! - [`SendError::Unsent`] means that no byte of the request left this process.
+//! - [`SendError::Unsent`] and [`SendError::Refused`] mean that no byte of the request left
+//!   this process.
 //! - A body ends with `None` only if its framing shows that it is complete, or if it is
 //!   delimited by the end of the connection, which shows nothing.
 //! - A connection is reused only if its last request was fully written, its last
 //!   response was fully read and no bytes followed the response.
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -86,6 +88,9 @@
     /// No byte of the request left this process.
     #[display("unsent")]
     Unsent,
+    /// The same, since no process listens, or none that has room.
+    #[display("refused")]
+    Refused,
     /// The connection failed, or carried no valid response, after bytes were sent.
     #[display("broken")]
     Broken,
@@ -100,10 +105,13 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Body,
+    /// When the connection was opened.
+    pub(crate) opened_at: Instant,
 }
 
 struct IdleConnection {
     stream: TcpStream,
+    opened_at: Instant,
     idle_since: Instant,
     expires_at: Instant,
 }
@@ -159,15 +167,16 @@
         may_send: impl FnOnce() -> bool,
         on_head: impl Fn(&ResponseHead<'_>),
     ) -> Result<TargetResponse, SendError> {
-        let stream = match self.take_idle(address, request.idempotent) {
-            Some(stream) => stream,
-            None => self.connect(address).await?,
+        let (stream, opened_at) = match self.take_idle(address, request.idempotent) {
+            Some(idle) => (idle.stream, idle.opened_at),
+            None => (self.connect(address).await?, Instant::now()),
         };
         if !may_send() {
             return Err(SendError::Unsent);
         }
         let mut connection = Connection {
             stream,
+            opened_at,
             input: BytesMut::new(),
         };
         let exchange = self.exchange(address, &mut connection, request, id, on_head);
@@ -187,13 +196,14 @@
                     status,
                     headers,
                     body,
+                    opened_at,
                 })
             }
             None => Err(SendError::Broken),
         }
     }
 
-    fn take_idle(&self, address: SocketAddr, idempotent: bool) -> Option<TcpStream> {
+    fn take_idle(&self, address: SocketAddr, idempotent: bool) -> Option<IdleConnection> {
         let now = Instant::now();
         let mut idle_connections = self.idle_connections.borrow_mut();
         let connections = idle_connections.get_mut(&address)?;
@@ -205,13 +215,17 @@
                 connections.push(idle);
                 return None;
             }
-            return Some(idle.stream);
+            return Some(idle);
         }
         None
     }
 
-    /// Whether a target accepts connections; keeps a connection that is opened to find out.
-    pub(crate) async fn is_reachable(&self, address: SocketAddr) -> bool {
+    /// Finds out whether a target accepts connections; keeps one that is opened for that.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it accepts none.
+    pub(crate) async fn probe(&self, address: SocketAddr) -> Result<(), SendError> {
         let has_usable = |idle: &Vec<IdleConnection>| idle.iter().any(|it| is_usable(&it.stream));
         if self
             .idle_connections
@@ -219,14 +233,13 @@
             .get(&address)
             .is_some_and(has_usable)
         {
-            return true;
+            return Ok(());
         }
-        let Ok(stream) = self.connect(address).await else {
-            return false;
-        };
+        let stream = self.connect(address).await?;
         let now = Instant::now();
         let connection = IdleConnection {
             stream,
+            opened_at: now,
             idle_since: now,
             expires_at: now + DEFAULT_IDLE_TIME,
         };
@@ -235,14 +248,18 @@
             .entry(address)
             .or_default()
             .push(connection);
-        true
+        Ok(())
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<TcpStream, SendError> {
         self.opened_count.set(self.opened_count.get() + 1);
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let Ok(Ok(stream)) = connected else {
-            return Err(SendError::Unsent);
+        let stream = match connected {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(SendError::Refused);
+            }
+            Ok(Err(_)) | Err(_) => return Err(SendError::Unsent),
         };
         tcp::configure(&stream).map_err(|_| SendError::Unsent)?;
         Ok(stream)
@@ -342,6 +359,7 @@
 
 struct Connection {
     stream: TcpStream,
+    opened_at: Instant,
     input: BytesMut,
 }
 
@@ -538,6 +556,7 @@
         let now = Instant::now();
         let idle = IdleConnection {
             stream: connection.stream,
+            opened_at: connection.opened_at,
             idle_since: now,
             expires_at: now + self.idle_time,
         };
@@ -553,7 +572,7 @@
 fn is_usable(stream: &TcpStream) -> bool {
     let mut byte = [0];
     let read = stream.try_read(&mut byte);
-    read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
 }
 
 /// Returns how long the connection may stay idle after a response with these headers.
--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -36,6 +36,8 @@
     pub timeout_ms: u64,
     /// Whether the targets have engines that keep prompts.
     pub has_engine: bool,
+    /// The requests per second that a cold target tolerates; 0 for no limit.
+    pub cold_per_s: f64,
 }
 
 impl Default for EdgeConfig {
@@ -45,6 +47,7 @@
             keys: vec![RED_KEY],
             timeout_ms: 5_000,
             has_engine: false,
+            cold_per_s: 0.0,
         }
     }
 }
@@ -83,7 +86,7 @@
                 "healthPath": "/health",
                 "maxConns": 100,
                 "coldStartS": 0.0,
-                "coldPerS": 0.0,
+                "coldPerS": self.cold_per_s,
                 "engine": self.has_engine.then_some(engine),
             }],
             "limits": {
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -190,6 +190,8 @@
     TargetLimited 1426 Warn "target-limited";
     /// A target names no limit on its requests any more.
     TargetUnlimited 1427 Info "target-unlimited";
+    /// A target refused a connection and may start again.
+    IncarnationDoubted 1428 Info "incarnation-doubted";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -49,6 +49,7 @@
 pub mod crash;
 pub mod exchange;
 pub mod fair_share;
+pub mod incarnation;
 pub mod kept;
 pub mod kept_watch;
 pub mod listing;
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -16,6 +16,7 @@
 use entity::Name;
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use super::incarnation::IncarnationCheck;
 use super::kept::KeptParts;
 use super::outlier::OutlierDetector;
 use super::prefill_rate::PrefillRate;
@@ -65,6 +66,7 @@
             entry.accepts_requests = false;
         }
         self.by_service.clear();
+        let read_at = registry.age(now).and_then(|age| now.checked_sub(age));
         let mut names: Vec<&Name> = registry.targets.keys().collect();
         names.sort();
         for name in names {
@@ -80,6 +82,9 @@
                 }
             };
             let entry = &mut self.entries[id];
+            if let Some(read_at) = read_at {
+                entry.incarnation.record_listed(read_at);
+            }
             let is_drained = registry.drained.contains(&target.centre);
             entry.accepts_requests =
                 target.state == TargetState::Ready && !is_drained && !entry.said_leaving;
@@ -140,6 +145,11 @@
         &mut self.entries[id].outlier_detector
     }
 
+    /// Returns what refused connections show of a target's incarnation, for updating.
+    pub fn incarnation(&mut self, id: TargetEntryId) -> &mut IncarnationCheck {
+        &mut self.entries[id].incarnation
+    }
+
     /// Extends a target's cold time: the target reported that it stays cold for
     /// `remaining`, of which at most [`MAX_COLD`] counts.
     pub fn extend_cold(&mut self, id: TargetEntryId, remaining: Duration, now: Instant) {
--- a/policy/src/direct/target_table/entry.rs
+++ b/policy/src/direct/target_table/entry.rs
@@ -10,6 +10,7 @@
 use rustc_hash::FxHashMap;
 
 use super::load::TargetLoad;
+use crate::direct::incarnation::IncarnationCheck;
 use crate::direct::memory::MemoryUse;
 use crate::direct::outlier::OutlierDetector;
 use crate::direct::prompt::Prompt;
@@ -76,6 +77,7 @@
     pub outlier_detector: OutlierDetector,
     /// The time until which it is cold.
     pub cold_until: Option<Instant>,
+    pub(super) incarnation: IncarnationCheck,
     pub(super) own_load: TargetLoad,
     /// Attempts of this router without a first event, in the order of sending.
     pub(super) pending_prefills: VecDeque<PendingPrefill>,
@@ -134,6 +136,7 @@
             said_leaving: false,
             outlier_detector: OutlierDetector::default(),
             cold_until: None,
+            incarnation: IncarnationCheck::default(),
             own_load: TargetLoad::default(),
             pending_prefills: VecDeque::new(),
             last_first_event: None,
@@ -308,8 +311,8 @@
         self.slot_state.occupancy(known, own, now)
     }
 
-    /// Whether the target is cold at `now`.
+    /// Whether the target is cold at `now`, or may be since it may have started again.
     pub fn is_cold(&self, now: Instant) -> bool {
-        self.cold_until.is_some_and(|until| until > now)
+        self.incarnation.is_doubtful() || self.cold_until.is_some_and(|until| until > now)
     }
 }
--- a/policy/tests/direct_cold.rs
+++ b/policy/tests/direct_cold.rs
@@ -185,3 +185,36 @@
         }
     }
 }
+
+/// A target that starts again under its name is cold before the list shows it.
+#[test]
+fn a_target_that_refused_connections_gets_its_cold_rate_before_and_after_the_list_is_read() {
+    for routers in [1, 2, 5, 24, 68] {
+        let start = Instant::now();
+        let warm = target("reborn", Duration::ZERO);
+        let router = |own| (members(own, routers), table(&[warm.clone()], start));
+        let mut tables: Vec<(Members, TargetTable)> = (0..routers).map(router).collect();
+        for (_, table) in &mut tables {
+            let (id, _) = table.targets().next().expect("a target");
+            table.incarnation(id).record_refused(start);
+        }
+        let mut reborn = target("reborn", COLD_TIME);
+        reborn.born += 1;
+        let mut requests = Vec::new();
+        let listed_at = SECOND * 6 / 5;
+        for step in 0..(SECOND * 3).div_duration_f64(STEP) as u32 {
+            let at = STEP * step;
+            for (members, table) in &mut tables {
+                if at == listed_at {
+                    let mut registry = TargetRegistry::default();
+                    registry.replace(vec![reborn.clone()], start + at);
+                    table.apply_registry(&registry, start + at);
+                }
+                requests.extend(place(table, members, start + at).map(|_| start + at));
+            }
+        }
+        let most = max_in_one_second(&requests);
+        assert!(!requests.is_empty(), "{routers} routers");
+        assert!(most <= MAX_REQUESTS_PER_SECOND, "{routers} routers: {most}");
+    }
+}
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -51,7 +51,7 @@
 use serde_json::{Value, json};
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, ToSocketAddrs};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -141,7 +141,24 @@
     ///
     /// Returns an error if no port can be bound.
     pub async fn start_fragile(id: &str, fatal_part: Option<&str>) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at("127.0.0.1:0", id, fatal_part).await
+    }
+
+    /// Starts a new incarnation of a target that crashed, with its id and at its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the port cannot be bound.
+    pub async fn start_again(&self) -> io::Result<Self> {
+        Self::start_at(self.address, &self.id, self.fatal_part.as_deref()).await
+    }
+
+    async fn start_at(
+        address: impl ToSocketAddrs,
+        id: &str,
+        fatal_part: Option<&str>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let target = Self {
             id: id.into(),
             address: listener.local_addr()?,
