--- a/policy/tests/direct_cold.rs
+++ b/policy/tests/direct_cold.rs
@@ -192,7 +192,12 @@
     for routers in [1, 2, 5, 24, 68] {
         let start = Instant::now();
         let warm = target("reborn", Duration::ZERO);
-        let router = |own| (members(own, routers), table(&[warm.clone()], start));
+        let router = |own| {
+            (
+                members(own, routers),
+                table(std::slice::from_ref(&warm), start),
+            )
+        };
         let mut tables: Vec<(Members, TargetTable)> = (0..routers).map(router).collect();
         for (_, table) in &mut tables {
             let (id, _) = table.targets().next().expect("a target");
