Relays tell all kept parts only to routers that missed them

Cause: a relay that knew of no kept part left its routers marked as untold, so all of them got everything that it knew a period after the first use, on top of the rows of each period: 710 rows, 16 kB, at a router of a group of 120 routers, which then received 45,983 bytes in a second where the constants of the exchange give 38,730. Found by printing each message of the failing test with its rows. Ruled out: two relays at a time (one sender in the whole second), more than one message of each kind in a period.

Fix: routers that report while nothing is known count as told; they miss nothing, as later uses reach them in each period.

--- a/policy/src/direct/exchange/kept.rs
+++ b/policy/src/direct/exchange/kept.rs
@@ -394,9 +394,6 @@
     /// Tells routers what this one knows that report to it for the first time, or again
     /// after a silence.
     fn kept_to_new(&mut self, now: Moment) -> Vec<Outgoing> {
-        if self.kept.known.is_empty() {
-            return Vec::new();
-        }
         let mut untold = Vec::new();
         let peers = self.peers.values();
         let told = peers.filter(|peer| peer.is_live(now.mono) && self.tells_kept(peer));
@@ -407,7 +404,8 @@
                 untold.push(*address);
             }
         }
-        if untold.is_empty() {
+        // Routers that report while nothing is known miss nothing.
+        if untold.is_empty() || self.kept.known.is_empty() {
             return Vec::new();
         }
         let rows = self.kept.all_rows(now.uptime.0);
