--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/stand ] && [ -x target/deploy/knapweed-edge ] || exit 2
-exec target/review-2/stand bodies review/9
+exec target/review-2/stand reborn review/9
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -2,11 +2,11 @@
 //! 1 if it was broken, and 2 if the case could not run. Without trouble (`TROUBLE=0`) the
 //! disruption is left out.
 
-mod bodies;
 mod fleet;
 mod http;
 mod keys;
 mod others;
+mod reborn;
 mod seeds;
 mod store;
 mod worker;
@@ -45,9 +45,9 @@
     // The routers are killed when the case returns or panics.
     thread::spawn(move || {
         let play = || match case.as_str() {
-            "bodies" => bodies::play(&files, &record, trouble),
             "keys" => keys::play(&files, &record, trouble),
             "others" => others::play(&files, &record, trouble),
+            "reborn" => reborn::play(&files, &record, trouble),
             "seeds" => seeds::play(&files, &record, trouble),
             _ => Err(std::io::Error::other("no such case")),
         };
