Any unannounced end of a connection leaves a doubt about a target's incarnation

Cause: only a refused connection was taken for a sign that the process had ended. Connections that are closed, reset, not established in time or left unanswered show the same.

Why this works: only a connection opened after the first sign can lead to another incarnation. Requests go on without a limit over idle ones opened before, so a target that merely breaks connections keeps its traffic, and the first response on one of them settles the doubt. What needs a new connection draws on the cold rate. A request that finds its idle connection ended is placed again instead of opening one.

- livetests restarted_target, new test: fails on (28 49 27, 5 9 10, 27 48 11 in the worst seconds after silences of 0, 0.5 and 2.5 s, 11 allowed), passes; the former test passes before and after.

--- a/edge/src/attempt.rs
+++ b/edge/src/attempt.rs
@@ -19,6 +19,8 @@
     pub(crate) target_id: TargetEntryId,
     /// The target from which cached prompt parts are copied.
     pub(crate) copy_source: Option<CopySource>,
+    /// The time before which the connection must have been opened, if that matters.
+    pub(crate) opened_before: Option<Instant>,
     cost: AttemptCost,
     sent_at: Instant,
     /// When the first byte of the response was received.
@@ -28,6 +30,14 @@
     charge: Option<Charge>,
 }
 
+/// Where a request is sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Selected {
+    pub(crate) target_id: TargetEntryId,
+    pub(crate) copy_source: Option<CopySource>,
+    pub(crate) opened_before: Option<Instant>,
+}
+
 /// When an attempt was sent and began to be answered.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AttemptTimes {
@@ -47,12 +57,16 @@
 impl Attempt {
     pub(crate) fn begin(
         context: &Rc<Context>,
-        target_id: TargetEntryId,
+        selected: Selected,
         prompt: Option<&Prompt>,
-        copy_source: Option<CopySource>,
         charge: Option<Charge>,
         now: Instant,
     ) -> Self {
+        let Selected {
+            target_id,
+            copy_source,
+            opened_before,
+        } = selected;
         if let Some(Charge { team, tokens, .. }) = charge {
             let mut fair_shares = context.fair_shares.borrow_mut();
             fair_shares.record_admitted(team, tokens, now);
@@ -65,6 +79,7 @@
             context: context.clone(),
             target_id,
             copy_source,
+            opened_before,
             cost,
             sent_at: now,
             started_at: Cell::new(None),
--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -370,10 +370,14 @@
 
     /// Applies the latest snapshots published by the control thread.
     pub(crate) fn refresh(&self, now: Instant) {
+        self.apply_connection_ends();
         if let Some(registry) = self.registry.take_if_new(&self.shared.registry) {
-            self.target_table
-                .borrow_mut()
-                .apply_registry(&registry, now);
+            let mut target_table = self.target_table.borrow_mut();
+            let confirmed = target_table.apply_registry(&registry, now);
+            drop(target_table);
+            for (target_id, doubted_at) in confirmed {
+                self.log_confirmed(target_id, "list", doubted_at);
+            }
             let wall = SystemClock.now().wall;
             let is_settled = |born: u64| {
                 let born = UNIX_EPOCH + Duration::from_millis(born);
--- a/edge/src/context/targets.rs
+++ b/edge/src/context/targets.rs
@@ -17,7 +17,7 @@
 use super::Context;
 use crate::attempt::AttemptTimes;
 use crate::request::CallerRequest;
-use crate::target::{BodyFraming, SendError};
+use crate::target::BodyFraming;
 
 /// The time from a broken attempt to the look at its target, in which the other connections
 /// to a target that died are closed as well.
@@ -72,25 +72,16 @@
         let context = self.clone();
         actix_rt::spawn(async move {
             sleep(PROBE_DELAY).await;
-            if let Err(error) = context.connection_pool.probe(address).await {
-                context.record_unreachable(target_id, error, Instant::now());
+            if context.connection_pool.probe(address).await.is_err() {
+                context.record_unreachable(target_id, Instant::now());
             }
         });
     }
 
     /// Records that a target is unreachable, which recently broken attempts on it may
     /// have caused.
-    pub(crate) fn record_unreachable(
-        &self,
-        target_id: TargetEntryId,
-        error: SendError,
-        now: Instant,
-    ) {
+    pub(crate) fn record_unreachable(&self, target_id: TargetEntryId, now: Instant) {
         let mut target_table = self.target_table.borrow_mut();
-        if error == SendError::Refused && target_table.incarnation(target_id).record_refused(now) {
-            let name = &target_table.target(target_id).name;
-            event::log(Event::IncarnationDoubted, &[("target", name)]);
-        }
         target_table
             .outlier_detector(target_id)
             .record_connect_failure(now);
@@ -100,6 +91,24 @@
             .record_unreachable(target, "self", &self.shared, now);
     }
 
+    /// Records the connections to targets that ended unannounced.
+    pub(super) fn apply_connection_ends(&self) {
+        for end in self.connection_pool.take_ends() {
+            let mut target_table = self.target_table.borrow_mut();
+            for target_id in target_table.record_connection_end(end) {
+                self.metrics
+                    .record_incarnation("doubted", &end.cause.to_string());
+                let gap = end.at.saturating_duration_since(end.since).as_millis();
+                let fields: [event::Field<'_>; 3] = [
+                    ("target", &target_table.target(target_id).name),
+                    ("cause", &end.cause),
+                    ("since_ms", &gap),
+                ];
+                event::log(Event::IncarnationDoubted, &fields);
+            }
+        }
+    }
+
     /// Records a response, on a connection opened at `opened_at`, to a request sent at `sent_at`.
     pub(crate) fn record_response(
         &self,
@@ -109,7 +118,28 @@
     ) {
         let mut target_table = self.target_table.borrow_mut();
         let incarnation = target_table.incarnation(target_id);
-        incarnation.record_response(opened_at, sent_at);
+        if let Some(doubted_at) = incarnation.record_response(opened_at, sent_at) {
+            drop(target_table);
+            self.log_confirmed(target_id, "response", doubted_at);
+        }
+    }
+
+    /// Logs that a target has not started again, which became doubtful at `doubted_at`.
+    pub(super) fn log_confirmed(
+        &self,
+        target_id: TargetEntryId,
+        by: &'static str,
+        doubted_at: Instant,
+    ) {
+        self.metrics.record_incarnation("confirmed", by);
+        let age = doubted_at.elapsed().as_millis();
+        let target_table = self.target_table.borrow();
+        let fields: [event::Field<'_>; 3] = [
+            ("target", &target_table.target(target_id).name),
+            ("by", &by),
+            ("age_ms", &age),
+        ];
+        event::log(Event::IncarnationConfirmed, &fields);
     }
 
     /// Records that a request ran to the marked end of its response.
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -56,6 +56,7 @@
     leaving_targets: Counter<u64>,
     pauses: Counter<u64>,
     limits: Counter<u64>,
+    incarnations: Counter<u64>,
     full_targets: Counter<u64>,
     evicted_parts: Counter<u64>,
     part_verdicts: Counter<u64>,
@@ -89,6 +90,9 @@
             full_targets: meter.u64_counter("knapweed_edge_full_targets").build(),
             pauses: meter.u64_counter("knapweed_edge_target_pauses").build(),
             limits: meter.u64_counter("knapweed_edge_target_limits").build(),
+            incarnations: meter
+                .u64_counter("knapweed_edge_target_incarnations")
+                .build(),
             rate_changes: meter
                 .u64_counter("knapweed_edge_target_rate_changes")
                 .build(),
@@ -193,6 +197,15 @@
         self.limits.add(1, &labels);
     }
 
+    /// Counts targets that may have started again, or have not.
+    pub(crate) fn record_incarnation(&self, change: &'static str, by: &str) {
+        let labels = [
+            KeyValue::new("change", change),
+            KeyValue::new("by", by.to_owned()),
+        ];
+        self.incarnations.add(1, &labels);
+    }
+
     /// Counts prompt parts that are rejected, or are accepted again.
     pub(crate) fn record_part_verdict(&self, is_rejected: bool) {
         let verdict = if is_rejected { "rejected" } else { "cleared" };
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -19,7 +19,7 @@
 use platform::attempt::{SystemHeaders, set_system_headers};
 use platform::response::ResponseHead;
 use policy::direct::config::{RetryPolicy, Route};
-use policy::direct::placement::{self, Placement, PlacementRequest};
+use policy::direct::placement::{self, Placement, PlacementRequest, select_target};
 use policy::direct::stream_origin::StreamId;
 use policy::direct::target::VersionTag;
 use policy::direct::target_table::{Prompt, TargetEntryId};
@@ -27,7 +27,7 @@
 use smallvec::SmallVec;
 use tokio::time::sleep;
 
-use crate::attempt::{Attempt, AttemptTimes, Charge};
+use crate::attempt::{Attempt, AttemptTimes, Charge, Selected};
 use crate::context::Context;
 use crate::request::{AuthorizedRequest, CallerRequest, Refusal};
 use crate::target::{Body, BodyFraming, SendError, TargetRequest, TargetResponse};
@@ -93,6 +93,8 @@
     /// The only software version at which the request may run, since it continues a stream.
     version: Option<VersionTag>,
     tried: SmallVec<[TargetEntryId; 4]>,
+    /// Whether idle connections that were to be used could not be.
+    avoids_idle: bool,
     sends: u32,
     runs: u32,
 }
@@ -110,6 +112,7 @@
             sent: Cell::new(false),
             version: None,
             tried: SmallVec::new(),
+            avoids_idle: false,
             sends: 0,
             runs: 0,
         }
@@ -135,13 +138,17 @@
             let now = Instant::now();
             let response = match response {
                 Ok(response) => response,
-                Err(SendFailure::Unsent(error)) => {
+                Err(SendFailure::Unsent) => {
                     self.record_failure(target_id, "unreachable");
                     drop(attempt);
-                    self.context.record_unreachable(target_id, error, now);
+                    self.context.record_unreachable(target_id, now);
                     self.tried.push(target_id);
                     continue;
                 }
+                Err(SendFailure::Ended) => {
+                    self.avoids_idle |= attempt.opened_before.is_some();
+                    continue;
+                }
                 Err(SendFailure::ConfigChanged) => continue,
                 Err(SendFailure::Broken(why)) => {
                     let times = attempt.times();
@@ -303,26 +310,32 @@
             tried: &self.tried,
             members: &peers.members,
         };
-        let placement = placement::select_target(
-            &mut context.target_table.borrow_mut(),
-            &context.placement.get(),
-            &placement_request,
-            &context.connection_pool,
-            now,
-        );
+        let (settings, pool) = (context.placement.get(), &context.connection_pool);
+        let mut target_table = context.target_table.borrow_mut();
+        let placement = match self.avoids_idle {
+            true => select_target(&mut target_table, &settings, &placement_request, &(), now),
+            false => select_target(&mut target_table, &settings, &placement_request, pool, now),
+        };
+        drop(target_table);
         match placement {
             Placement::Target {
                 target: target_id,
                 wait_millis: wait,
                 is_home,
                 copy_source,
+                opened_before,
             } => {
                 if excess_delay.is_some() {
                     context.metrics.record_excess();
                     context.spare_log.borrow_mut().record_excess();
                 }
                 let charge = self.charge(prompt, now);
-                let attempt = Attempt::begin(context, target_id, prompt, copy_source, charge, now);
+                let selected = Selected {
+                    target_id,
+                    copy_source,
+                    opened_before,
+                };
+                let attempt = Attempt::begin(context, selected, prompt, charge, now);
                 self.log_sent(&attempt, wait, is_home, wait_factor);
                 Ok(attempt)
             }
@@ -511,6 +524,7 @@
         let exchange = pool.send(
             address,
             target_request,
+            attempt.opened_before,
             &self.request.caller_headers.id,
             may_send,
             on_head,
@@ -541,9 +555,8 @@
                 Err(SendFailure::Broken("silent"))
             }
             Some(Err(SendError::Unsent)) if config_changed.get() => Err(SendFailure::ConfigChanged),
-            Some(Err(error @ (SendError::Unsent | SendError::Refused))) => {
-                Err(SendFailure::Unsent(error))
-            }
+            Some(Err(SendError::Unsent)) => Err(SendFailure::Unsent),
+            Some(Err(SendError::Ended)) => Err(SendFailure::Ended),
             Some(Err(SendError::Broken)) => {
                 self.sends += 1;
                 self.runs += 1;
@@ -632,7 +645,9 @@
 /// Why an attempt got no response.
 enum SendFailure {
     /// No byte was sent.
-    Unsent(SendError),
+    Unsent,
+    /// The same, since the idle connections to the target had ended.
+    Ended,
     /// The configuration changed before the first byte was sent.
     ConfigChanged,
     /// The request may have run.
--- a/edge/src/target.rs
+++ b/edge/src/target.rs
@@ -1,14 +1,17 @@
 //! The connection pool for targets, and HTTP exchanges on its connections.
 //!
 //! Invariants:
-//! - [`SendError::Unsent`] and [`SendError::Refused`] mean that no byte of the request left
+//! - [`SendError::Unsent`] and [`SendError::Ended`] mean that no byte of the request left
 //!   this process.
+//! - No connection is opened for a request that found idle ones ended: the target may be
+//!   another incarnation then, and is to be selected again.
 //! - A body ends with `None` only if its framing shows that it is complete, or if it is
 //!   delimited by the end of the connection, which shows nothing.
 //! - A connection is reused only if its last request was fully written, its last
 //!   response was fully read and no bytes followed the response.
 
-use std::cell::RefCell;
+mod connections;
+
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,17 +21,18 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_http::{Method, RequestHead, RequestHeadType, ServiceConfig, StatusCode, Uri};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use derive_more::Display;
 use platform::response::ResponseHead;
+use policy::direct::incarnation::{ConnectionEnd, EndCause};
 use policy::direct::placement::IdleConnections;
-use rustc_hash::FxHashMap;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::tcp;
+use connections::{AnswerWatch, Connections, IdleConnection, NoIdle};
 
 /// The time limit for opening a connection; the latency between data centres is a few
 /// milliseconds.
@@ -47,12 +51,6 @@
 /// not close a connection while a request is in transit.
 const IDLE_MARGIN: Duration = Duration::from_millis(1200);
 
-/// The maximum idle time of a connection that is reused for a non-idempotent request.
-///
-/// A target may drop an idle connection without closing it. The request that
-/// fails because of this cannot be retried if it must not run twice.
-const MAX_NON_IDEMPOTENT_IDLE: Duration = Duration::from_millis(3000);
-
 /// The maximum size of a response head in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -88,9 +86,9 @@
     /// No byte of the request left this process.
     #[display("unsent")]
     Unsent,
-    /// The same, since no process listens, or none that has room.
-    #[display("refused")]
-    Refused,
+    /// The same, since the idle connections that were to be used had ended.
+    #[display("ended")]
+    Ended,
     /// The connection failed, or carried no valid response, after bytes were sent.
     #[display("broken")]
     Broken,
@@ -109,19 +107,10 @@
     pub(crate) opened_at: Instant,
 }
 
-struct IdleConnection {
-    stream: TcpStream,
-    opened_at: Instant,
-    idle_since: Instant,
-    expires_at: Instant,
-}
-
-type IdleByAddress = Rc<RefCell<FxHashMap<SocketAddr, Vec<IdleConnection>>>>;
-
 /// The connections of one router to all targets.
 #[derive(Clone)]
 pub(crate) struct ConnectionPool {
-    idle_connections: IdleByAddress,
+    connections: Rc<Connections>,
     config: ServiceConfig,
     opened_count: Rc<std::cell::Cell<u64>>,
 }
@@ -129,7 +118,7 @@
 impl ConnectionPool {
     pub(crate) fn new(config: ServiceConfig) -> Self {
         Self {
-            idle_connections: IdleByAddress::default(),
+            connections: Rc::default(),
             config,
             opened_count: Rc::default(),
         }
@@ -142,19 +131,20 @@
 
     /// Closes idle connections that have expired.
     pub(crate) fn close_expired(&self, now: Instant) {
-        let mut idle_connections = self.idle_connections.borrow_mut();
-        for connections in idle_connections.values_mut() {
-            connections.retain(|idle| idle.expires_at > now);
-        }
-        idle_connections.retain(|_, connections| !connections.is_empty());
+        self.connections.close_expired(now);
+    }
+
+    /// Takes the unannounced ends of connections since the last call.
+    pub(crate) fn take_ends(&self) -> Vec<ConnectionEnd> {
+        self.connections.take_ends()
     }
 
     /// Sends a request and waits for the head of its response, without a time limit.
     ///
-    /// Dropping the future or the body closes the connection. `may_send` is called
-    /// right before the first byte is written; if it returns `false`, nothing is
-    /// sent. `on_head` is called with each head that the target sends, also of responses
-    /// to other requests.
+    /// Dropping the future or the body closes the connection. With `opened_before`, only a
+    /// connection opened before that time is used. `may_send` is called right before the
+    /// first byte is written; if it returns `false`, nothing is sent. `on_head` is called with
+    /// each head that the target sends, also of responses to other requests.
     ///
     /// # Errors
     ///
@@ -163,13 +153,20 @@
         &self,
         address: SocketAddr,
         request: TargetRequest,
+        opened_before: Option<Instant>,
         id: &str,
         may_send: impl FnOnce() -> bool,
         on_head: impl Fn(&ResponseHead<'_>),
     ) -> Result<TargetResponse, SendError> {
-        let (stream, opened_at) = match self.take_idle(address, request.idempotent) {
-            Some(idle) => (idle.stream, idle.opened_at),
-            None => (self.connect(address).await?, Instant::now()),
+        let idle = self
+            .connections
+            .take_idle(address, request.idempotent, opened_before);
+        let (stream, opened_at) = match idle {
+            Ok(idle) => (idle.stream, idle.opened_at),
+            Err(NoIdle::None) if opened_before.is_none() => {
+                (self.connect(address).await?, Instant::now())
+            }
+            Err(NoIdle::None | NoIdle::Ended) => return Err(SendError::Ended),
         };
         if !may_send() {
             return Err(SendError::Unsent);
@@ -178,14 +175,17 @@
             stream,
             opened_at,
             input: BytesMut::new(),
+            last_byte: Instant::now(),
         };
+        let watch = AnswerWatch::new(self.connections.clone(), address);
         let exchange = self.exchange(address, &mut connection, request, id, on_head);
         let response = exchange.await;
+        watch.finish();
         match response {
             Some((status, headers, framing, request_written)) => {
                 let idle_time = allowed_idle_time(&headers);
                 let body = Body::new(
-                    self.idle_connections.clone(),
+                    self.connections.clone(),
                     address,
                     connection,
                     framing,
@@ -203,36 +203,13 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr, idempotent: bool) -> Option<IdleConnection> {
-        let now = Instant::now();
-        let mut idle_connections = self.idle_connections.borrow_mut();
-        let connections = idle_connections.get_mut(&address)?;
-        while let Some(idle) = connections.pop() {
-            if idle.expires_at <= now || !is_usable(&idle.stream) {
-                continue;
-            }
-            if !idempotent && now.duration_since(idle.idle_since) > MAX_NON_IDEMPOTENT_IDLE {
-                connections.push(idle);
-                return None;
-            }
-            return Some(idle);
-        }
-        None
-    }
-
     /// Finds out whether a target accepts connections; keeps one that is opened for that.
     ///
     /// # Errors
     ///
     /// Returns an error if it accepts none.
     pub(crate) async fn probe(&self, address: SocketAddr) -> Result<(), SendError> {
-        let has_usable = |idle: &Vec<IdleConnection>| idle.iter().any(|it| is_usable(&it.stream));
-        if self
-            .idle_connections
-            .borrow()
-            .get(&address)
-            .is_some_and(has_usable)
-        {
+        if self.connections.has_usable(address, |_| true) {
             return Ok(());
         }
         let stream = self.connect(address).await?;
@@ -243,23 +220,29 @@
             idle_since: now,
             expires_at: now + DEFAULT_IDLE_TIME,
         };
-        let mut idle_connections = self.idle_connections.borrow_mut();
-        idle_connections
-            .entry(address)
-            .or_default()
-            .push(connection);
+        self.connections.keep(address, connection);
         Ok(())
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<TcpStream, SendError> {
         self.opened_count.set(self.opened_count.get() + 1);
+        let begun_at = Instant::now();
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let stream = match connected {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                return Err(SendError::Refused);
-            }
-            Ok(Err(_)) | Err(_) => return Err(SendError::Unsent),
+        let end_cause = match &connected {
+            Ok(Ok(_)) => None,
+            Ok(Err(error)) => match error.kind() {
+                ErrorKind::ConnectionRefused => Some(EndCause::Refused),
+                ErrorKind::TimedOut => Some(EndCause::TimedOut),
+                // Errors of this machine say nothing of the target.
+                _ => None,
+            },
+            Err(_) => Some(EndCause::TimedOut),
+        };
+        if let Some(cause) = end_cause {
+            self.connections.record_end(address, cause, begun_at);
+        }
+        let Ok(Ok(stream)) = connected else {
+            return Err(SendError::Unsent);
         };
         tcp::configure(&stream).map_err(|_| SendError::Unsent)?;
         Ok(stream)
@@ -312,12 +295,21 @@
             }
             connection.input.reserve(READ_CHUNK_BYTES);
             tokio::select! {
-                read = read_half.read_buf(&mut connection.input) => if read.ok()? == 0 {
-                    return None;
+                read = read_half.read_buf(&mut connection.input) => match read {
+                    Ok(count) if count > 0 => connection.last_byte = Instant::now(),
+                    Ok(_) | Err(_) => {
+                        let last_byte = connection.last_byte;
+                        self.connections.record_end(address, EndCause::Broken, last_byte);
+                        return None;
+                    }
                 },
-                written = write_half.write(&output), if !output.is_empty() => {
-                    let count = written.ok()?;
-                    let _ = output.split_to(count);
+                written = write_half.write(&output), if !output.is_empty() => match written {
+                    Ok(count) => output.advance(count),
+                    Err(_) => {
+                        let last_byte = connection.last_byte;
+                        self.connections.record_end(address, EndCause::Broken, last_byte);
+                        return None;
+                    }
                 }
             }
         }
@@ -326,11 +318,12 @@
 
 impl IdleConnections for ConnectionPool {
     fn has_idle(&self, address: SocketAddr) -> bool {
-        // Expired connections are removed with the next maintenance.
-        let idle_connections = self.idle_connections.borrow();
-        idle_connections
-            .get(&address)
-            .is_some_and(|idle| !idle.is_empty())
+        self.connections.has_idle(address)
+    }
+
+    fn has_idle_opened_before(&self, address: SocketAddr, time: Instant) -> bool {
+        self.connections
+            .has_usable(address, |idle| idle.opened_at < time)
     }
 }
 
@@ -361,6 +354,8 @@
     stream: TcpStream,
     opened_at: Instant,
     input: BytesMut,
+    /// When the last bytes were received, or the request was begun.
+    last_byte: Instant,
 }
 
 /// How the end of a body is marked.
@@ -447,7 +442,7 @@
 
 /// The body of a response.
 pub(crate) struct Body {
-    idle_connections: IdleByAddress,
+    connections: Rc<Connections>,
     address: SocketAddr,
     /// `None` after the end of the body.
     connection: Option<Connection>,
@@ -459,7 +454,7 @@
 
 impl Body {
     fn new(
-        idle_connections: IdleByAddress,
+        connections: Rc<Connections>,
         address: SocketAddr,
         connection: Connection,
         framing: Framing,
@@ -467,7 +462,7 @@
         idle_time: Duration,
     ) -> Self {
         let mut body = Self {
-            idle_connections,
+            connections,
             address,
             connection: Some(connection),
             framing,
@@ -520,8 +515,16 @@
                     self.connection = None;
                     return Ok(None);
                 }
-                Ok(0) | Err(_) => return self.truncate(),
-                Ok(count) => framing_bytes += count,
+                Ok(0) | Err(_) => {
+                    let last_byte = connection.last_byte;
+                    self.connections
+                        .record_end(self.address, EndCause::Broken, last_byte);
+                    return self.truncate();
+                }
+                Ok(count) => {
+                    framing_bytes += count;
+                    connection.last_byte = Instant::now();
+                }
             }
         }
     }
@@ -560,19 +563,17 @@
             idle_since: now,
             expires_at: now + self.idle_time,
         };
-        self.idle_connections
-            .borrow_mut()
-            .entry(self.address)
-            .or_default()
-            .push(idle);
+        self.connections.keep(self.address, idle);
     }
 }
 
-/// Whether an idle connection is still open and has received no unexpected bytes.
-fn is_usable(stream: &TcpStream) -> bool {
-    let mut byte = [0];
-    let read = stream.try_read(&mut byte);
-    read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+impl Drop for Body {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            self.connections
+                .record_abandoned(self.address, connection.last_byte);
+        }
+    }
 }
 
 /// Returns how long the connection may stay idle after a response with these headers.
--- a/livetests/tests/restarted_target.rs
+++ b/livetests/tests/restarted_target.rs
@@ -27,6 +27,18 @@
     Duration::from_millis(2_300),
 ];
 
+/// For how long targets are silent before they start again, and the timeout of the routes in
+/// milliseconds. After the longest silence no request waits any more.
+const SILENCES: [(Duration, u64); 3] = [
+    (Duration::ZERO, 5_000),
+    (Duration::from_millis(500), 5_000),
+    (Duration::from_millis(2_500), 800),
+];
+
+/// The number of targets that start again, at different parts of the period at which their
+/// list is read.
+const RESTARTS: usize = 3;
+
 const ROUTERS: usize = 2;
 
 const CALLERS: usize = 32;
@@ -43,15 +55,18 @@
     worst.unwrap_or(0)
 }
 
-/// Routers sent a target that had started again its full part of the traffic while it was
-/// cold, until they read the list of targets again.
-#[actix_rt::test]
-async fn target_that_starts_again_under_its_id_gets_its_cold_rate_at_once() -> eyre::Result<()> {
-    let mut fleet = EdgeFleet::start("reborn", 0, 4).await?;
+/// A fleet before targets with a cold rate, with callers that keep it busy until `trouble` ends.
+async fn run_under_load<T>(
+    name: &str,
+    timeout_ms: u64,
+    trouble: impl AsyncFnOnce(&EdgeFleet) -> eyre::Result<T>,
+) -> eyre::Result<T> {
+    let mut fleet = EdgeFleet::start(name, 0, 4).await?;
     fleet.more_settings = BOUNDS;
     let config = EdgeConfig {
         version: 2,
         cold_per_s: COLD_PER_S,
+        timeout_ms,
         ..EdgeConfig::default()
     };
     fleet.store.put("op/config", &config.to_json());
@@ -73,17 +88,28 @@
             number += 1;
         }
     });
-    let restarts = async {
+    let trouble = async {
+        let result = trouble(fleet).await;
+        is_over.set(true);
+        result
+    };
+    let (_, result) = futures::join!(futures::future::join_all(callers), trouble);
+    result
+}
+
+/// Routers sent a target that had started again its full part of the traffic while it was
+/// cold, until they read the list of targets again.
+#[actix_rt::test]
+async fn target_that_starts_again_under_its_id_gets_its_cold_rate_at_once() -> eyre::Result<()> {
+    let worst = run_under_load("reborn", 5_000, async |fleet: &EdgeFleet| {
         let (mut worst, mut targets) = (Vec::new(), fleet.targets.clone());
         for downtime in DOWNTIMES {
             sleep(Duration::from_secs(1)).await;
             worst.push(crash_and_restart(fleet, &mut targets, downtime).await?);
         }
-        is_over.set(true);
-        eyre::Ok(worst)
-    };
-    let (_, worst) = futures::join!(futures::future::join_all(callers), restarts);
-    let worst = worst?;
+        Ok(worst)
+    })
+    .await?;
     assert!(worst.iter().all(|&it| it <= COLD_BOUND), "{worst:?}");
     assert!(worst.iter().any(|&it| it > 0), "{worst:?}");
     Ok(())
@@ -102,6 +128,13 @@
     let target = crashed.expect("a target crashes");
     sleep(downtime).await;
     *target = target.start_again().await?;
+    arrivals_while_cold(fleet, target).await
+}
+
+/// Registers a new incarnation of a target, and returns its arrivals in its worst second while
+/// it is cold.
+async fn arrivals_while_cold(fleet: &EdgeFleet, target: &ScriptedTarget) -> eyre::Result<usize> {
+    let started = Instant::now();
     let mut entry = target.entry("desk", "ready");
     let born = SystemClock.now().wall;
     let born = born.duration_since(std::time::UNIX_EPOCH)?.as_millis();
@@ -110,6 +143,36 @@
     fleet.store.put(&target.key(), &entry);
     sleep(COLD_TIME).await;
     let arrivals = target.arrivals();
-    let arrivals: Vec<Instant> = arrivals.iter().map(|it| it.at).collect();
+    let arrivals = arrivals.iter().map(|it| it.at);
+    let arrivals: Vec<Instant> = arrivals.filter(|&at| at >= started).collect();
     Ok(worst_second(&arrivals))
 }
+
+/// Only a refused connection counted as a sign of a new start. A target whose connections were
+/// closed or reset, or that had been silent, got its full part of the traffic while it was cold.
+#[actix_rt::test]
+async fn target_that_starts_again_without_refusing_a_connection_gets_its_cold_rate()
+-> eyre::Result<()> {
+    let mut worst = Vec::new();
+    for (silence, timeout_ms) in SILENCES {
+        let name = format!("unrefused-{}", silence.as_millis());
+        let counts = run_under_load(&name, timeout_ms, async |fleet: &EdgeFleet| {
+            let mut counts = Vec::new();
+            for target in fleet.targets.iter().take(RESTARTS) {
+                sleep(Duration::from_millis(1_300)).await;
+                target.set_silent(true);
+                sleep(silence).await;
+                target.replace_process();
+                target.set_silent(false);
+                counts.push(arrivals_while_cold(fleet, target).await?);
+            }
+            Ok(counts)
+        });
+        worst.push((silence, counts.await?));
+    }
+    for (silence, counts) in &worst {
+        let most = counts.iter().max().copied().unwrap_or(0);
+        assert!((1..=COLD_BOUND).contains(&most), "{silence:?}: {worst:?}");
+    }
+    Ok(())
+}
--- a/node/src/event.rs
+++ b/node/src/event.rs
@@ -190,8 +190,10 @@
     TargetLimited 1426 Warn "target-limited";
     /// A target names no limit on its requests any more.
     TargetUnlimited 1427 Info "target-unlimited";
-    /// A target refused a connection and may start again.
+    /// A connection to a target ended unannounced, so it may have started again.
     IncarnationDoubted 1428 Info "incarnation-doubted";
+    /// A target that may have started again has not.
+    IncarnationConfirmed 1429 Info "incarnation-confirmed";
 
     /// A request is quarantined because targets crashed while running it.
     RequestQuarantined 1501 Error "request-quarantined";
--- a/policy/src/direct/placement.rs
+++ b/policy/src/direct/placement.rs
@@ -179,6 +179,9 @@
         is_home: bool,
         /// The target from which shared parts are copied, if any.
         copy_source: Option<CopySource>,
+        /// If the target may have started again, the time before which the connection must
+        /// have been opened to lead to the incarnation that was selected.
+        opened_before: Option<Instant>,
     },
     /// The request is refused.
     Refused {
@@ -198,6 +201,9 @@
 pub trait IdleConnections {
     /// Whether there is an idle connection to the target at this address.
     fn has_idle(&self, address: SocketAddr) -> bool;
+
+    /// Whether there is one that was opened before this time and is still open.
+    fn has_idle_opened_before(&self, address: SocketAddr, time: Instant) -> bool;
 }
 
 /// No idle connections.
@@ -205,6 +211,10 @@
     fn has_idle(&self, _address: SocketAddr) -> bool {
         false
     }
+
+    fn has_idle_opened_before(&self, _address: SocketAddr, _time: Instant) -> bool {
+        false
+    }
 }
 
 /// Selects a target. If the target is cold or names a limit, uses up one of this router's
@@ -220,21 +230,31 @@
         (Some(engine), Some(prompt)) => {
             select_engine_target(table, settings, request, connections, (engine, prompt), now)
         }
-        (None, _) if settings.uses_slots => select_by_slots(table, settings, request, now),
+        (None, _) if settings.uses_slots => {
+            select_by_slots(table, settings, request, connections, now)
+        }
         _ => select_plain_target(table, settings, request, connections, now),
     };
     if let Some(target) = selection.needed {
         table.record_limit_need(target, now);
     }
-    if let Placement::Target { target, .. } = selection.placement {
-        if let Some(share) = cold_rate_share(table.target(target), settings, request, now) {
-            table.spend_cold_request(target, share, now);
+    let mut placement = selection.placement;
+    if let Placement::Target {
+        target,
+        opened_before,
+        ..
+    } = &mut placement
+    {
+        match cold_limit(table.target(*target), settings, request, connections, now) {
+            ColdRequests::Unlimited => {}
+            ColdRequests::OpenedBefore(time) => *opened_before = Some(time),
+            ColdRequests::Share(share) => table.spend_cold_request(*target, share, now),
         }
-        if let Some(part) = limit_part(table.target(target), request, now) {
-            table.spend_limited_request(target, part, now);
+        if let Some(part) = limit_part(table.target(*target), request, now) {
+            table.spend_limited_request(*target, part, now);
         }
     }
-    selection.placement
+    placement
 }
 
 /// A placement, and the target that the request would have used without named limits, if
@@ -336,22 +356,38 @@
     }
 }
 
-/// This router's share of the rate of a cold target in requests per second, or
-/// `None` if requests are not limited.
-fn cold_rate_share(
+/// What this router may send to a target that is cold, or may be.
+enum ColdRequests {
+    /// The target is warm.
+    Unlimited,
+    /// The target may have started again, but there are idle connections that were opened
+    /// before this time and lead to the incarnation before that.
+    OpenedBefore(Instant),
+    /// This router's share of the target's rate, in requests per second.
+    Share(f64),
+}
+
+fn cold_limit(
     entry: &TargetEntry,
     settings: &PlacementSettings,
     request: &PlacementRequest<'_>,
+    connections: &impl IdleConnections,
     now: Instant,
-) -> Option<f64> {
+) -> ColdRequests {
     let rate = request.service.cold_rate;
-    let is_limited = rate > 0.0 && entry.is_cold(now);
-    is_limited.then(|| {
-        let share = request
-            .members
-            .cold_rate_share(entry.tag, rate, settings.cold_limit);
-        share.unwrap_or(0.0)
-    })
+    if rate <= 0.0 || !entry.is_cold(now) {
+        return ColdRequests::Unlimited;
+    }
+    let warm_before = entry.warm_before(now);
+    let has_idle = |time: &Instant| connections.has_idle_opened_before(entry.address, *time);
+    match warm_before.filter(has_idle) {
+        Some(time) => ColdRequests::OpenedBefore(time),
+        None => {
+            let members = request.members;
+            let share = members.cold_rate_share(entry.tag, rate, settings.cold_limit);
+            ColdRequests::Share(share.unwrap_or(0.0))
+        }
+    }
 }
 
 /// Whether this router has used up its requests to a target that is cold.
@@ -359,10 +395,13 @@
     entry: &TargetEntry,
     settings: &PlacementSettings,
     request: &PlacementRequest<'_>,
+    connections: &impl IdleConnections,
     now: Instant,
 ) -> bool {
-    let share = cold_rate_share(entry, settings, request, now);
-    share.is_some_and(|share| share == 0.0 || !entry.may_send_cold(share, now))
+    match cold_limit(entry, settings, request, connections, now) {
+        ColdRequests::Unlimited | ColdRequests::OpenedBefore(_) => false,
+        ColdRequests::Share(share) => share == 0.0 || !entry.may_send_cold(share, now),
+    }
 }
 
 struct Candidate {
@@ -380,6 +419,7 @@
             wait_millis: self.wait_millis,
             is_home: self.is_home,
             copy_source: self.copy_source,
+            opened_before: None,
         }
     }
 }
--- a/policy/src/direct/placement/engine.rs
+++ b/policy/src/direct/placement/engine.rs
@@ -45,7 +45,7 @@
     let mut min_exceeded: Option<ExceededWait> = None;
     for (index, &target) in eligible.iter().enumerate() {
         let entry = table.target(target);
-        if is_cold_rate_used_up(entry, settings, request, now) {
+        if is_cold_rate_used_up(entry, settings, request, connections, now) {
             continue;
         }
         let Some(limit_wait) = limit_wait(entry, request, now) else {
--- a/policy/src/direct/placement/plain.rs
+++ b/policy/src/direct/placement/plain.rs
@@ -39,7 +39,7 @@
         let entry = table.target(target);
         let utilisation = f64::from(entry.load().attempts) / f64::from(entry.slots.max(1));
         if utilisation >= PLAIN_MAX_UTILISATION
-            || is_cold_rate_used_up(entry, settings, request, now)
+            || is_cold_rate_used_up(entry, settings, request, connections, now)
         {
             continue;
         }
--- a/policy/src/direct/placement/plain_slots.rs
+++ b/policy/src/direct/placement/plain_slots.rs
@@ -12,8 +12,9 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    ExceededWait, MIN_RETRY_AFTER, Placement, PlacementRequest, PlacementSettings, RefusalReason,
-    Selection, eligible_targets, is_cold_rate_used_up, limit_wait, refuse_without_target,
+    ExceededWait, IdleConnections, MIN_RETRY_AFTER, Placement, PlacementRequest, PlacementSettings,
+    RefusalReason, Selection, eligible_targets, is_cold_rate_used_up, limit_wait,
+    refuse_without_target,
 };
 use crate::direct::target_table::{TargetEntry, TargetEntryId, TargetTable};
 
@@ -77,6 +78,7 @@
     table: &mut TargetTable,
     settings: &PlacementSettings,
     request: &PlacementRequest<'_>,
+    connections: &impl IdleConnections,
     now: Instant,
 ) -> Selection {
     let eligible = eligible_targets(table, settings, request, now);
@@ -85,7 +87,7 @@
     }
     let estimates = eligible.iter().filter_map(|&target| {
         let entry = table.target(target);
-        let is_used_up = is_cold_rate_used_up(entry, settings, request, now);
+        let is_used_up = is_cold_rate_used_up(entry, settings, request, connections, now);
         let limit_wait = limit_wait(entry, request, now).filter(|_| !is_used_up)?;
         let estimate = Estimate::new((target, entry), settings, request, now);
         Some((limit_wait, estimate))
@@ -136,6 +138,7 @@
         wait_millis: chosen.wait.as_secs_f64() * 1e3,
         is_home: false,
         copy_source: None,
+        opened_before: None,
     }
 }
 
--- a/policy/src/direct/stall.rs
+++ b/policy/src/direct/stall.rs
@@ -62,6 +62,11 @@
         self.streams = self.streams.saturating_sub(1);
     }
 
+    /// The time of the last received byte.
+    pub fn last_byte(&self) -> Option<Instant> {
+        self.last_byte
+    }
+
     /// The time since the last byte.
     pub fn silence(&self, now: Instant) -> Option<Duration> {
         self.last_byte
--- a/policy/src/direct/target_table.rs
+++ b/policy/src/direct/target_table.rs
@@ -16,7 +16,7 @@
 use entity::Name;
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use super::incarnation::IncarnationCheck;
+use super::incarnation::{ConnectionEnd, EndCause, IncarnationCheck};
 use super::kept::KeptParts;
 use super::outlier::OutlierDetector;
 use super::prefill_rate::PrefillRate;
@@ -60,8 +60,14 @@
 }
 
 impl TargetTable {
-    /// Applies the list of registered targets.
-    pub fn apply_registry(&mut self, registry: &TargetRegistry, now: Instant) {
+    /// Applies the list of registered targets. Returns those of which it shows that they have
+    /// not started again, with the time at which that became doubtful.
+    pub fn apply_registry(
+        &mut self,
+        registry: &TargetRegistry,
+        now: Instant,
+    ) -> Vec<(TargetEntryId, Instant)> {
+        let mut confirmed = Vec::new();
         for entry in self.entries.values_mut() {
             entry.accepts_requests = false;
         }
@@ -82,9 +88,8 @@
                 }
             };
             let entry = &mut self.entries[id];
-            if let Some(read_at) = read_at {
-                entry.incarnation.record_listed(read_at);
-            }
+            let doubted_at = read_at.and_then(|read_at| entry.incarnation.record_listed(read_at));
+            confirmed.extend(doubted_at.map(|doubted_at| (id, doubted_at)));
             let is_drained = registry.drained.contains(&target.centre);
             entry.accepts_requests =
                 target.state == TargetState::Ready && !is_drained && !entry.said_leaving;
@@ -102,6 +107,7 @@
                 .push(id);
         }
         self.retain_kept_parts();
+        confirmed
     }
 
     /// The prompt parts that targets keep, by the tag of the target.
@@ -145,7 +151,23 @@
         &mut self.entries[id].outlier_detector
     }
 
-    /// Returns what refused connections show of a target's incarnation, for updating.
+    /// Records the end of a connection. Returns the targets at its address that may have
+    /// started again for the first time.
+    pub fn record_connection_end(&mut self, end: ConnectionEnd) -> Vec<TargetEntryId> {
+        let registered = self.by_service.values().flatten().copied();
+        let registered: Vec<TargetEntryId> = registered
+            .filter(|&id| self.entries[id].address == end.address)
+            .collect();
+        let begins = |id: &TargetEntryId| {
+            let entry = &mut self.entries[*id];
+            let is_heard = end.cause == EndCause::Unanswered
+                && entry.activity.last_byte().is_some_and(|at| at > end.since);
+            !is_heard && entry.incarnation.record_end(end)
+        };
+        registered.into_iter().filter(begins).collect()
+    }
+
+    /// Returns what connections show of a target's incarnation, for updating.
     pub fn incarnation(&mut self, id: TargetEntryId) -> &mut IncarnationCheck {
         &mut self.entries[id].incarnation
     }
--- a/policy/src/direct/target_table/entry.rs
+++ b/policy/src/direct/target_table/entry.rs
@@ -313,6 +313,17 @@
 
     /// Whether the target is cold at `now`, or may be since it may have started again.
     pub fn is_cold(&self, now: Instant) -> bool {
-        self.incarnation.is_doubtful() || self.cold_until.is_some_and(|until| until > now)
+        self.incarnation.is_doubtful() || self.is_listed_cold(now)
+    }
+
+    /// If only a later incarnation of the target would be cold, the time before which a
+    /// connection must have been opened to lead to this one.
+    pub fn warm_before(&self, now: Instant) -> Option<Instant> {
+        let since = self.incarnation.doubted_since()?;
+        (!self.is_listed_cold(now)).then_some(since)
+    }
+
+    fn is_listed_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| until > now)
     }
 }
--- a/policy/tests/direct_cold.rs
+++ b/policy/tests/direct_cold.rs
@@ -1,15 +1,17 @@
 //! Tests of the requests that a cold target receives from all routers together.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use entity::Name;
 use knapweed_policy::direct::cold::{ColdLimit, Members};
 use knapweed_policy::direct::config::Service;
+use knapweed_policy::direct::incarnation::{ConnectionEnd, EndCause};
 use knapweed_policy::direct::placement::{
-    Placement, PlacementRequest, PlacementSettings, select_target,
+    IdleConnections, Placement, PlacementRequest, PlacementSettings, select_target,
 };
 use knapweed_policy::direct::target::{SoftwareVersion, Target, TargetRegistry, TargetState};
-use knapweed_policy::direct::target_table::TargetTable;
+use knapweed_policy::direct::target_table::{TargetTable, incarnation_tag};
 
 /// Requests per second that a cold target of these tests can handle.
 const COLD_RATE: f64 = 13.0;
@@ -43,6 +45,10 @@
     table
 }
 
+fn tag(target: &Target) -> u64 {
+    incarnation_tag(&target.name, target.born)
+}
+
 fn service() -> Service {
     Service {
         name: Name::new("pool"),
@@ -70,6 +76,18 @@
 
 /// Places one request; returns the target, or `None` if the request is refused.
 fn place(table: &mut TargetTable, members: &Members, now: Instant) -> Option<Name> {
+    match place_with(table, members, &(), now) {
+        Placement::Target { target, .. } => Some(table.target(target).name.clone()),
+        Placement::Refused { .. } => None,
+    }
+}
+
+fn place_with(
+    table: &mut TargetTable,
+    members: &Members,
+    connections: &impl IdleConnections,
+    now: Instant,
+) -> Placement {
     let service = service();
     let request = PlacementRequest {
         service: &service,
@@ -83,9 +101,19 @@
         tried: &[],
         members,
     };
-    match select_target(table, &settings(), &request, &(), now) {
-        Placement::Target { target, .. } => Some(table.target(target).name.clone()),
-        Placement::Refused { .. } => None,
+    select_target(table, &settings(), &request, connections, now)
+}
+
+/// Idle connections to one target, by the time at which they were opened.
+struct Idle(Vec<Instant>);
+
+impl IdleConnections for Idle {
+    fn has_idle(&self, _address: SocketAddr) -> bool {
+        !self.0.is_empty()
+    }
+
+    fn has_idle_opened_before(&self, _address: SocketAddr, time: Instant) -> bool {
+        self.0.iter().any(|&opened_at| opened_at < time)
     }
 }
 
@@ -201,7 +229,14 @@
         let mut tables: Vec<(Members, TargetTable)> = (0..routers).map(router).collect();
         for (_, table) in &mut tables {
             let (id, _) = table.targets().next().expect("a target");
-            table.incarnation(id).record_refused(start);
+            let address = table.target(id).address;
+            let begun = table.record_connection_end(ConnectionEnd {
+                address,
+                cause: EndCause::Refused,
+                since: start,
+                at: start,
+            });
+            assert_eq!(begun, [id]);
         }
         let mut reborn = target("reborn", COLD_TIME);
         reborn.born += 1;
@@ -223,3 +258,93 @@
         assert!(most <= MAX_REQUESTS_PER_SECOND, "{routers} routers: {most}");
     }
 }
+
+/// A router that is not among the senders to a cold target would do without a target that only
+/// dropped a connection.
+#[test]
+fn requests_go_on_over_connections_that_only_lead_to_the_listed_incarnation() {
+    let start = Instant::now();
+    let warm = target("goes-on", Duration::ZERO);
+    // One of the many routers is no sender.
+    let members = (0..350)
+        .map(|own| members(own, 350))
+        .find(|it| {
+            it.cold_rate_share(tag(&warm), COLD_RATE, settings().cold_limit)
+                .is_none()
+        })
+        .expect("a router that may not send");
+    let mut table = table(std::slice::from_ref(&warm), start);
+    let first_sign = start + SECOND;
+    let end = ConnectionEnd {
+        address: warm.address,
+        cause: EndCause::Idle,
+        since: first_sign,
+        at: first_sign + STEP,
+    };
+    let id = table.record_connection_end(end)[0];
+    let now = first_sign + STEP;
+    let (earlier, later) = (first_sign - STEP, first_sign);
+    let known = Idle(vec![earlier, later]);
+    for _ in 0..40 {
+        let placed = place_with(&mut table, &members, &known, now);
+        let Placement::Target { opened_before, .. } = placed else {
+            panic!("refused: {placed:?}");
+        };
+        assert_eq!(opened_before, Some(first_sign));
+    }
+    for idle in [Idle(Vec::new()), Idle(vec![later])] {
+        let placed = place_with(&mut table, &members, &idle, now);
+        assert!(matches!(placed, Placement::Refused { .. }), "{placed:?}");
+    }
+    // The response on the earlier connection lifts the limit.
+    let incarnation = table.incarnation(id);
+    assert!(incarnation.record_response(earlier, now + STEP).is_some());
+    let placed = place_with(&mut table, &members, &(), now + STEP * 2);
+    let Placement::Target { opened_before, .. } = placed else {
+        panic!("refused: {placed:?}");
+    };
+    assert_eq!(opened_before, None);
+}
+
+/// A target that the list shows to be cold is cold on any connection.
+#[test]
+fn an_earlier_connection_to_a_cold_target_is_limited_too() {
+    let start = Instant::now();
+    let cold = target("cold", COLD_TIME);
+    let mut table = table(std::slice::from_ref(&cold), start);
+    table.record_connection_end(ConnectionEnd {
+        address: cold.address,
+        cause: EndCause::Broken,
+        since: start + STEP,
+        at: start + STEP,
+    });
+    let known = Idle(vec![start]);
+    let requests = (0..100).filter(|&step| {
+        let now = start + STEP * 2 + STEP * step;
+        let placed = place_with(&mut table, &members(0, 1), &known, now);
+        matches!(placed, Placement::Target { .. })
+    });
+    assert!(requests.count() <= MAX_REQUESTS_PER_SECOND);
+}
+
+/// Bytes on another connection show that a target is not silent.
+#[test]
+fn an_unanswered_request_to_a_target_that_sends_something_leaves_no_doubt() {
+    let start = Instant::now();
+    let warm = target("busy", Duration::ZERO);
+    let mut table = table(std::slice::from_ref(&warm), start);
+    let unanswered = |since| ConnectionEnd {
+        address: warm.address,
+        cause: EndCause::Unanswered,
+        since,
+        at: start + SECOND,
+    };
+    let (id, _) = table.targets().next().expect("a target");
+    table.record_byte(id, start + STEP);
+    assert_eq!(table.record_connection_end(unanswered(start)), []);
+    assert_eq!(
+        table.record_connection_end(unanswered(start + STEP)),
+        [id],
+        "nothing came since"
+    );
+}
--- a/policy/tests/direct_connections.rs
+++ b/policy/tests/direct_connections.rs
@@ -63,6 +63,10 @@
     fn has_idle(&self, address: SocketAddr) -> bool {
         self.idle.borrow().iter().any(|(it, _)| *it == address)
     }
+
+    fn has_idle_opened_before(&self, _address: SocketAddr, _time: Instant) -> bool {
+        false
+    }
 }
 
 fn registry(now: Instant) -> TargetRegistry {
--- a/standins/src/platform/target.rs
+++ b/standins/src/platform/target.rs
@@ -120,6 +120,10 @@
     /// The part of a prompt that crashes the target.
     fatal_part: Option<Arc<str>>,
     crashed: watch::Sender<bool>,
+    /// The number of times that its process was replaced behind the open port.
+    replaced: watch::Sender<u64>,
+    /// Whether it reads requests and does nothing else.
+    silent: watch::Sender<bool>,
     /// The seconds for which it asks when it turns the next call about kept parts away.
     kept_pause: Arc<Mutex<Option<u32>>>,
 }
@@ -165,6 +169,8 @@
             log: Arc::default(),
             fatal_part: fatal_part.map(Arc::from),
             crashed: watch::Sender::new(false),
+            replaced: watch::Sender::new(0),
+            silent: watch::Sender::new(false),
             kept_pause: Arc::default(),
         };
         let server = target.clone();
@@ -172,7 +178,7 @@
             while let Ok((stream, _)) = listener.accept().await {
                 server.lock().connections += 1;
                 let connection = server.clone();
-                tokio::spawn(server.until_crash(async move {
+                tokio::spawn(server.until_end(async move {
                     // Some scripts break the connection on purpose.
                     let _ended = connection.serve(stream).await;
                 }));
@@ -187,6 +193,17 @@
         *self.crashed.borrow()
     }
 
+    /// Ends all connections, as when another process takes the target's place; connections are
+    /// accepted all the while.
+    pub fn replace_process(&self) {
+        self.replaced.send_modify(|count| *count += 1);
+    }
+
+    /// Sets whether the target reads requests and does nothing else.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.silent.send_replace(is_silent);
+    }
+
     /// Runs a task until the target crashes.
     fn until_crash<F: Future<Output = ()>>(&self, task: F) -> impl Future<Output = ()> + use<F> {
         let mut crashed = self.crashed.subscribe();
@@ -198,6 +215,20 @@
         }
     }
 
+    /// Runs a task until the target crashes or its process is replaced.
+    fn until_end<F: Future<Output = ()>>(&self, task: F) -> impl Future<Output = ()> + use<F> {
+        let mut replaced = self.replaced.subscribe();
+        let task = self.until_crash(task);
+        async move {
+            // The former process does nothing more.
+            tokio::select! {
+                biased;
+                _ = replaced.changed() => {}
+                () = task => {}
+            }
+        }
+    }
+
     /// Turns the next call about kept parts away, and asks for a pause of some seconds.
     pub fn pause_next_kept_call(&self, seconds: u32) {
         let pause = self.kept_pause.lock();
@@ -298,7 +329,10 @@
 
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut input = BytesMut::new();
+        let mut silent = self.silent.subscribe();
         while let Some(request) = http::read(&mut stream, &mut input).await? {
+            // The sender lives as long as the target.
+            let _ = silent.wait_for(|silent| !silent).await;
             let expected = request.header("x-knapweedgate-expect-instance");
             if expected.is_some_and(|expected| expected != &*self.id) {
                 let head = "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n";
