A configuration that lists no team admits nobody

Cause: a missing and an empty list of teams were decoded to the same value, and without teams no key was asked for. That the old version stayed in force, the other hypothesis, would have given 401 to forged keys.

The decoder keeps the difference now; `Config::needs_keys` is false only for a configuration without the field.

- livetests edge_faults no_request_is_admitted_once_the_last_team_is_removed: on 200 for a revoked key, passes now.

--- a/edge/src/request.rs
+++ b/edge/src/request.rs
@@ -158,7 +158,7 @@
         };
         let route = config.route_at(index);
         let team = match &self.key {
-            _ if route.is_public || !config.has_teams() => None,
+            _ if route.is_public || !config.needs_keys => None,
             CallerKey::Missing => {
                 return Err(Refusal::new(StatusCode::UNAUTHORIZED, "no key"));
             }
--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -32,6 +32,8 @@
     pub version: u64,
     /// The API keys of the team `red`.
     pub keys: Vec<&'static str>,
+    /// Whether the list of teams holds the team `red`, or is empty.
+    pub has_team: bool,
     /// The timeout of all routes, in milliseconds.
     pub timeout_ms: u64,
     /// Whether the targets have engines that keep prompts.
@@ -45,6 +47,7 @@
         Self {
             version: 1,
             keys: vec![RED_KEY],
+            has_team: true,
             timeout_ms: 5_000,
             has_engine: false,
             cold_per_s: 0.0,
@@ -56,6 +59,8 @@
     /// The configuration with the routes `/safe/`, `/once/`, `/open/`, `/stream/` and `/resume/`.
     pub fn to_json(&self) -> Value {
         let engine = json!({ "slots": 8, "kvCapacity": 100_000 });
+        let tenant = json!({ "name": "red", "apiKeys": self.keys });
+        let tenants = Vec::from_iter(self.has_team.then_some(tenant));
         let route = |name: &str, kind: &str, resumable: bool, open: bool| {
             json!({
                 "name": name,
@@ -96,7 +101,7 @@
                 "idleTimeoutMs": 15000,
                 "tokensPerS": 100_000,
             },
-            "tenants": [{ "name": "red", "apiKeys": self.keys }],
+            "tenants": tenants,
         })
     }
 }
--- a/livetests/tests/edge_faults.rs
+++ b/livetests/tests/edge_faults.rs
@@ -63,6 +63,42 @@
     Ok(())
 }
 
+/// An empty list of teams was taken for none at all: every key worked, revoked and forged ones,
+/// and requests without one ran as well.
+#[actix_rt::test]
+async fn no_request_is_admitted_once_the_last_team_is_removed() -> eyre::Result<()> {
+    let fleet = EdgeFleet::start("last-team", 2, 1).await?;
+    for version in [2, 4] {
+        let without_team = EdgeConfig {
+            version,
+            has_team: false,
+            ..EdgeConfig::default()
+        };
+        fleet.store.put("op/config", &without_team.to_json());
+        sleep(PROPAGATION_TIME).await;
+        for router in 0..2 {
+            for key in [Some(RED_KEY), Some("forged"), None] {
+                for path in ["/safe/ok", "/once/ok", "/resume/stream-3"] {
+                    let answer = fleet.send_to(router, "GET", path, "l", key).await;
+                    assert_eq!(status_of(&answer), 401, "{path} {key:?}: {answer}");
+                }
+            }
+            let open = fleet.send_to(router, "GET", "/open/ok", "o", None).await;
+            assert_eq!(status_of(&open), 200, "{open}");
+        }
+        assert!(fleet.arrivals("l").is_empty());
+        let with_team = EdgeConfig {
+            version: version + 1,
+            ..EdgeConfig::default()
+        };
+        fleet.store.put("op/config", &with_team.to_json());
+        fleet
+            .wait_for_status(0, "/safe/ok", api_key(RED_KEY), 200)
+            .await;
+    }
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn routers_read_the_store_when_the_watching_router_is_suspended() -> eyre::Result<()> {
     let fleet = EdgeFleet::start("watcher", 3, 1).await?;
--- a/policy/src/direct/config.rs
+++ b/policy/src/direct/config.rs
@@ -148,6 +148,8 @@
     pub limits: CallerLimits,
     /// Tokens per second that all targets together generate; 0 if not configured.
     pub pool_rate: f64,
+    /// Whether callers need an API key, except on public routes.
+    pub needs_keys: bool,
     routes: PrimaryMap<RouteIndex, Route>,
     teams: PrimaryMap<TeamIndex, Team>,
     by_host: FxHashMap<Name, Vec<RouteIndex>>,
@@ -156,17 +158,19 @@
 }
 
 impl Config {
-    /// Builds a configuration and its indexes.
+    /// Builds a configuration and its indexes. Callers need an API key if teams are
+    /// configured; an empty list of teams admits nobody.
     pub fn new(
         version: u64,
         routes: Vec<Route>,
         services: Vec<Service>,
-        teams: Vec<Team>,
+        teams: Option<Vec<Team>>,
         limits: CallerLimits,
         pool_rate: f64,
     ) -> Self {
         let routes: PrimaryMap<RouteIndex, Route> = routes.into_iter().collect();
-        let teams: PrimaryMap<TeamIndex, Team> = teams.into_iter().collect();
+        let needs_keys = teams.is_some();
+        let teams: PrimaryMap<TeamIndex, Team> = teams.into_iter().flatten().collect();
         let mut by_host: FxHashMap<Name, Vec<RouteIndex>> = FxHashMap::default();
         for (index, route) in &routes {
             by_host.entry(route.host.clone()).or_default().push(index);
@@ -194,6 +198,7 @@
                 .collect(),
             limits,
             pool_rate,
+            needs_keys,
             by_host,
             by_key,
             objectives,
@@ -237,11 +242,6 @@
         names.find(|name| name.tag().0 == tag)
     }
 
-    /// Whether any team is configured, so that some callers need an API key.
-    pub fn has_teams(&self) -> bool {
-        !self.teams.is_empty()
-    }
-
     /// The number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.len()
