An answer whose status is no status of HTTP counts as broken

Callers saw: a target's answer with a status from 600 to 999 was given to them as an answer (`HTTP/1.1 600 <unknown status code>`), the form in which this system shows the users' observation of the status 000 (MIXED). 000 itself, and what is not three digits, was rejected before.

Cause: the codec accepts each number from 100 to 999. RFC 9110, section 15, names 100 to 599. Both clients of targets check that now, before anything that the head says of the target is used.

--- a/edge/src/target.rs
+++ b/edge/src/target.rs
@@ -23,6 +23,7 @@
 use actix_http::{Method, RequestHead, RequestHeadType, ServiceConfig, StatusCode, Uri};
 use bytes::{Buf, Bytes, BytesMut};
 use derive_more::Display;
+use node::http::is_valid_status;
 use platform::response::ResponseHead;
 use policy::direct::incarnation::{ConnectionEnd, EndCause};
 use policy::direct::placement::IdleConnections;
@@ -266,6 +267,9 @@
             let decoded = codec.decode(&mut connection.input).ok()?;
             if let Some(head) = decoded {
                 let status = head.status;
+                if !is_valid_status(status) {
+                    return None;
+                }
                 let headers = head.headers().clone();
                 let parsed = platform::response::parse_head(status.as_u16(), &headers);
                 on_head(&parsed);
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -7,7 +7,7 @@
 //! Invariants:
 //! - [`SendError::Unsent`] means that no byte of the request left this process.
 //! - A body ends with `None` only if its framing confirms that it is complete; a
-//!   response without framing is treated as broken.
+//!   response without framing, or without a valid status, is treated as broken.
 //! - A connection is reused only after its previous response was read to the end.
 
 use std::cell::RefCell;
@@ -30,7 +30,7 @@
 use tokio::time::timeout;
 
 use crate::body::TruncatedBody;
-use crate::http::CLIENT_KEEP_ALIVE;
+use crate::http::{CLIENT_KEEP_ALIVE, is_valid_status};
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -148,7 +148,7 @@
             }
         };
         let (status, headers) = (head.status, head.headers().clone());
-        if !has_framing(status, &headers) {
+        if !is_valid_status(status) || !has_framing(status, &headers) {
             return Err(ConnectionBroken);
         }
         let body = match connection.codec_ref().message_type() {
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_http::header::{HeaderMap, HeaderName};
-use actix_http::{Payload, Request};
+use actix_http::{Payload, Request, StatusCode};
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use futures::StreamExt;
@@ -85,6 +85,12 @@
     Ok(body.freeze())
 }
 
+/// Whether a status is one of HTTP (RFC 9110, section 15). The codec accepts numbers beyond
+/// those.
+pub fn is_valid_status(status: StatusCode) -> bool {
+    (100..600).contains(&status.as_u16())
+}
+
 /// Whether a header may be forwarded between caller and target.
 pub fn is_forwardable(name: &HeaderName) -> bool {
     let name = name.as_str();
--- a/node/tests/client.rs
+++ b/node/tests/client.rs
@@ -106,3 +106,21 @@
         actix_rt::time::sleep(Duration::from_millis(1)).await;
     }
 }
+
+/// The agents forwarded the answer of a target whose status was no status of HTTP.
+#[actix_rt::test]
+async fn a_response_without_a_valid_status_is_broken() {
+    let cases: [&'static [&'static str]; 6] = [
+        &["HTTP/1.1 000 X\r\ncontent-length: 2\r\n\r\nok"],
+        &["HTTP/1.1 099 X\r\ncontent-length: 2\r\n\r\nok"],
+        &["HTTP/1.1 600 X\r\ncontent-length: 2\r\n\r\nok"],
+        &["HTTP/1.1 999 X\r\ncontent-length: 2\r\n\r\nok"],
+        &["HTTP/1.1 1000 X\r\ncontent-length: 2\r\n\r\nok"],
+        &["HTTP/1.1 X\r\ncontent-length: 2\r\n\r\nok"],
+    ];
+    for case in cases {
+        assert_eq!(response_summary(serve(case)).await, "Broken", "{case:?}");
+    }
+    let valid = serve(&["HTTP/1.1 599 X\r\ncontent-length: 2\r\n\r\nok"]);
+    assert_eq!(response_summary(valid).await, "599 Ok(b\"ok\")");
+}
