A router that has met no other does not take itself for the whole fleet

Cause: a router counted as settled 3 s after its start, whether it had met another one or not. That routers which know each other divide wrongly, the other hypothesis, does not fit: in the model 5 to 350 of them keep the limit.

The time of discovery now runs from when the first other router was met, and a router that meets none does not know among how many a limit is divided; it sends nothing to cold targets, unless no others are named. The same holds 30 s after it was cut off.

- policy direct_exchange cold_shares, new: with the former rule 64.8 requests in a second at 3 s with 9 routers, and a router that was cut off is the whole fleet; both pass now.

--- a/edge/src/gossip.rs
+++ b/edge/src/gossip.rs
@@ -360,10 +360,10 @@
         }
     }
 
-    /// Publishes the state received since the last publication, and once when the
-    /// discovery time is over.
+    /// Publishes the state received since the last publication, and when it changes whether
+    /// all members are known.
     fn publish_if_stale(&mut self, now: Instant) {
-        let is_settled = self.exchange.is_settled(now);
+        let is_settled = self.exchange.knows_members(now);
         if self.is_stale || is_settled != std::mem::replace(&mut self.was_settled, is_settled) {
             self.publish(now);
         }
@@ -399,7 +399,7 @@
         let others = self.exchange.members();
         let others = others.map(|(address, _)| member_tag(address));
         let own = member_tag(self.address);
-        let is_settled = self.exchange.is_settled(now);
+        let is_settled = self.exchange.knows_members(now);
         self.shared.peers.store(Arc::new(PeerState {
             members: Members::new(own, others.collect(), is_settled).with_silent(silent),
             reports: view.reports,
--- a/policy/src/direct/cold.rs
+++ b/policy/src/direct/cold.rs
@@ -64,7 +64,7 @@
     /// Creates the member list as seen by one router. Members are identified by
     /// hashes of their names.
     ///
-    /// `settled` is true once the router has had time to discover all others.
+    /// `settled` is true once the router has met others and had time to discover all.
     pub fn new(own: u64, others: Vec<u64>, settled: bool) -> Self {
         let stamp = others.iter().fold(own, |stamp, &other| {
             stamp.wrapping_add(xxh3_64(&other.to_le_bytes()))
--- a/policy/src/direct/exchange.rs
+++ b/policy/src/direct/exchange.rs
@@ -15,6 +15,7 @@
 //! - A router counts as a member, among which limits are divided, until it was neither
 //!   heard nor listed for [`MEMBER_TIMEOUT`], so that the shares of partitioned routers
 //!   are not given to others. No message shortens that time.
+//! - A router that meets no other does not take itself for the whole fleet.
 //! - A confirmation of the configuration is dated by the echo of this router's own
 //!   heartbeat, so it never appears more recent than it is, however many relays it
 //!   passed.
@@ -296,6 +297,8 @@
     /// Ordered, so that messages are sent in a fixed order.
     peers: BTreeMap<SocketAddr, Peer>,
     members: BTreeMap<SocketAddr, Member>,
+    /// When this router met another one while it knew none.
+    met_at: Option<Instant>,
     /// Counts changes of the members.
     roster: u64,
     /// The roster, and whether this router was settled, for which the topology holds.
@@ -343,6 +346,7 @@
             contacts: BTreeMap::new(),
             peers: BTreeMap::new(),
             members: BTreeMap::new(),
+            met_at: None,
             roster: 0,
             topology_basis: None,
             topology: Topology::default(),
@@ -378,6 +382,18 @@
         now.saturating_duration_since(self.started) >= DISCOVERY_TIME
     }
 
+    /// Whether this router knows among how many limits are divided. Routers that meet none of
+    /// the seeds cannot find each other, so one that is alone may be one of many, unless no
+    /// others are named.
+    pub fn knows_members(&self, now: Instant) -> bool {
+        let known_since = match self.met_at {
+            Some(met_at) => met_at,
+            None if self.seeds.is_empty() => self.started,
+            None => return false,
+        };
+        now.saturating_duration_since(known_since) >= DISCOVERY_TIME
+    }
+
     /// Whether other routers report to this one, or would in its own view.
     pub fn is_relay(&self) -> bool {
         self.relay.is_none()
--- a/policy/src/direct/exchange/members.rs
+++ b/policy/src/direct/exchange/members.rs
@@ -25,6 +25,9 @@
         if self.members.len() >= MAX_ROUTERS && !self.members.contains_key(&address) {
             return;
         }
+        if self.members.is_empty() {
+            self.met_at = Some(seen.seen_at);
+        }
         let previous = self.members.insert(address, seen);
         let is_same = |old: Member| {
             Member {
@@ -62,6 +65,9 @@
         if self.members.len() != count {
             self.roster += 1;
         }
+        if self.members.is_empty() {
+            self.met_at = None;
+        }
         let members = &self.members;
         self.peers
             .retain(|address, _| members.contains_key(address));
--- a/policy/tests/direct_exchange.rs
+++ b/policy/tests/direct_exchange.rs
@@ -2,6 +2,8 @@
 
 #[path = "direct_exchange/bad_input.rs"]
 mod bad_input;
+#[path = "direct_exchange/cold_shares.rs"]
+mod cold_shares;
 #[path = "direct_exchange/limits.rs"]
 mod limits;
 #[path = "direct_exchange/net.rs"]
