--- a/livetests/tests/restarted_target.rs
+++ b/livetests/tests/restarted_target.rs
@@ -153,8 +153,7 @@
 #[actix_rt::test]
 async fn target_that_starts_again_without_refusing_a_connection_gets_its_cold_rate()
 -> eyre::Result<()> {
-    let mut worst = Vec::new();
-    for (silence, timeout_ms) in SILENCES {
+    let fleets = SILENCES.map(|(silence, timeout_ms)| async move {
         let name = format!("unrefused-{}", silence.as_millis());
         let counts = run_under_load(&name, timeout_ms, async |fleet: &EdgeFleet| {
             let mut counts = Vec::new();
@@ -168,8 +167,9 @@
             }
             Ok(counts)
         });
-        worst.push((silence, counts.await?));
-    }
+        eyre::Ok((silence, counts.await?))
+    });
+    let worst = futures::future::try_join_all(fleets).await?;
     for (silence, counts) in &worst {
         let most = counts.iter().max().copied().unwrap_or(0);
         assert!((1..=COLD_BOUND).contains(&most), "{silence:?}: {worst:?}");
