--- a/policy/tests/direct_fleet_view.rs
+++ b/policy/tests/direct_fleet_view.rs
@@ -322,6 +322,11 @@
 /// The number of retries that `routers` routers send in one window in which every
 /// request needs a retry.
 fn retries(routers: usize, requests: usize, limit: RetryLimit) -> usize {
+    retries_of(routers, Some(routers), requests, limit)
+}
+
+/// The same; `known` is the number of routers that each of them assumes.
+fn retries_of(routers: usize, known: Option<usize>, requests: usize, limit: RetryLimit) -> usize {
     let start = Instant::now();
     let service = Name::new("pool");
     let mut budgets: Vec<_> = (0..routers).map(|_| RetryBudget::new(limit)).collect();
@@ -329,8 +334,8 @@
     for number in 0..requests {
         let now = start + limit.window * number as u32 / requests as u32;
         let budget = &mut budgets[number % routers];
-        budget.record_request(&service, routers, now);
-        sent += usize::from(budget.try_spend(&service, routers, now));
+        budget.record_request(&service, known, now);
+        sent += usize::from(budget.try_spend(&service, known, now));
     }
     sent
 }
@@ -353,6 +358,25 @@
     }
 }
 
+/// Routers that could not find each other each spent the allowance of the whole fleet.
+#[test]
+fn retries_of_routers_that_do_not_know_each_other_stay_within_the_limit() {
+    let limit = RetryLimit {
+        ratio: 0.2,
+        slack: 56.0,
+        window: Duration::from_secs(10),
+    };
+    for (routers, requests) in [(6, 600), (24, 2_000), (31, 500)] {
+        let sent = retries_of(routers, None, requests, limit);
+        let max_retries = limit.ratio * requests as f64 + limit.slack;
+        assert!(
+            sent as f64 <= max_retries,
+            "{routers} routers: {sent} retries, limit {max_retries}"
+        );
+        assert!(sent > 0);
+    }
+}
+
 #[test]
 fn shares_are_max_min() {
     let now = Instant::now();
