An answer without an id proves nothing on a connection that had one before

Cause: these answers bear no id, and an answer without one counted as the answer to the request just sent.

Connections on which an answer came without an id are no longer used for requests that must not run twice. Idempotent requests still use them; a further answer without an id counts there only if it says that the request has not run.

- livetests mixed_answers late_copy_of_an_answer_without_an_id_...: on the former code /once/x-0 ran and was answered 503.

--- a/edge/src/target.rs
+++ b/edge/src/target.rs
@@ -7,6 +7,8 @@
 //!   another incarnation then, and is to be selected again.
 //! - A body ends with `None` only if its framing shows that it is complete, or if it is
 //!   delimited by the end of the connection, which shows nothing.
+//! - A response that names no request counts as the response to a request that must not run
+//!   twice only if no earlier response on its connection named none.
 //! - A connection is reused only if its last request was fully written, its last
 //!   response was fully read and no bytes followed the response.
 
@@ -162,10 +164,10 @@
         let idle = self
             .connections
             .take_idle(address, request.idempotent, opened_before);
-        let (stream, opened_at) = match idle {
-            Ok(idle) => (idle.stream, idle.opened_at),
+        let (stream, opened_at, is_ambiguous) = match idle {
+            Ok(idle) => (idle.stream, idle.opened_at, idle.is_ambiguous),
             Err(NoIdle::None) if opened_before.is_none() => {
-                (self.connect(address).await?, Instant::now())
+                (self.connect(address).await?, Instant::now(), false)
             }
             Err(NoIdle::None | NoIdle::Ended) => return Err(SendError::Ended),
         };
@@ -177,6 +179,7 @@
             opened_at,
             input: BytesMut::new(),
             last_byte: Instant::now(),
+            is_ambiguous,
         };
         let watch = AnswerWatch::new(self.connections.clone(), address);
         let exchange = self.exchange(address, &mut connection, request, id, on_head);
@@ -220,6 +223,7 @@
             opened_at: now,
             idle_since: now,
             expires_at: now + DEFAULT_IDLE_TIME,
+            is_ambiguous: false,
         };
         self.connections.keep(address, connection);
         Ok(())
@@ -283,6 +287,14 @@
                 let is_mismatched = parsed.request.is_some_and(|answered| answered != id);
                 let (framing, next) = response_framing(codec, status, &headers);
                 if !is_mismatched {
+                    let is_unnamed = parsed.request.is_none();
+                    let has_run =
+                        !parsed.facts.not_run && status != StatusCode::MISDIRECTED_REQUEST;
+                    // It may be a second copy of the response to an earlier request.
+                    if is_unnamed && connection.is_ambiguous && has_run {
+                        return None;
+                    }
+                    connection.is_ambiguous |= is_unnamed;
                     return Some((status, headers, framing, output.is_empty()));
                 }
                 mismatched += 1;
@@ -360,6 +372,8 @@
     input: BytesMut,
     /// When the last bytes were received, or the request was begun.
     last_byte: Instant,
+    /// See [`IdleConnection::is_ambiguous`].
+    is_ambiguous: bool,
 }
 
 /// How the end of a body is marked.
@@ -566,6 +580,7 @@
             opened_at: connection.opened_at,
             idle_since: now,
             expires_at: now + self.idle_time,
+            is_ambiguous: connection.is_ambiguous,
         };
         self.connections.keep(self.address, idle);
     }
--- a/edge/src/target/connections.rs
+++ b/edge/src/target/connections.rs
@@ -24,6 +24,9 @@
     pub(super) opened_at: Instant,
     pub(super) idle_since: Instant,
     pub(super) expires_at: Instant,
+    /// Whether a response on it did not name its request. A late second copy of it cannot be
+    /// told from the response to the next request.
+    pub(super) is_ambiguous: bool,
 }
 
 /// What became of a connection while it was idle.
@@ -85,9 +88,11 @@
         let Some(connections) = idle.get_mut(&address) else {
             return Err(NoIdle::None);
         };
-        let is_early = |idle: &IdleConnection| opened_before.is_none_or(|at| idle.opened_at < at);
+        let may_use = |idle: &IdleConnection| {
+            (idempotent || !idle.is_ambiguous) && opened_before.is_none_or(|at| idle.opened_at < at)
+        };
         let mut no_idle = NoIdle::None;
-        while let Some(index) = connections.iter().rposition(is_early) {
+        while let Some(index) = connections.iter().rposition(may_use) {
             let idle = connections.remove(index);
             if idle.expires_at <= now {
                 continue;
--- a/livetests/tests/mixed_answers.rs
+++ b/livetests/tests/mixed_answers.rs
@@ -2,6 +2,7 @@
 //! valid status, through an edge router.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use knapweed_livetests::edge::{EdgeConfig, EdgeFleet, RED_KEY, looks_complete, status_of};
@@ -18,6 +19,12 @@
 /// The receive buffer of a target, in bytes.
 const RECEIVE_BUFFER: usize = 16 * 1024;
 
+/// The answer of a target that did not run a request.
+const SHED: &str = "HTTP/1.1 503 X\r\nX-Knapweedgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// The connections of a target on which it turns the first request away.
+const SHEDDING_CONNECTIONS: usize = 2;
+
 /// How a target ends an upload that it has already answered.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum UploadEnd {
@@ -27,6 +34,9 @@
     CloseUnread,
 }
 
+/// The requests that targets ran.
+type Runs = Arc<Mutex<Vec<String>>>;
+
 /// What a target sends.
 #[derive(Clone, Debug)]
 enum Script {
@@ -35,6 +45,10 @@
     /// A whole answer, and an answer with this status line to each later request on the
     /// connection; at once if the flag is not set.
     Status { line: String, is_kept: bool },
+    /// An answer that the first request on one of the first connections has not run, which names
+    /// no request. All others run, on such a connection after a late copy of that answer if the
+    /// flag is set.
+    LateCopy { runs: Runs, is_copied: bool },
     /// The first events of a stream, and an answer with this status line to its resumption.
     Resumption { line: String },
 }
@@ -45,10 +59,12 @@
     SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER)?;
     register(fleet, id, listener.local_addr()?);
     tokio::spawn(async move {
+        let mut connection = 0;
         while let Ok((stream, _)) = listener.accept().await {
             let script = script.clone();
             // The connection is broken on purpose.
-            tokio::spawn(async move { serve(stream, script).await.ok() });
+            tokio::spawn(async move { serve(stream, connection, script).await.ok() });
+            connection += 1;
         }
     });
     Ok(())
@@ -80,15 +96,25 @@
     Ok(String::from_utf8_lossy(&head).into_owned())
 }
 
-fn identity(request: &str) -> String {
+fn id_of(request: &str) -> &str {
     let lines = request.lines();
     let mut headers = lines.filter_map(|line| line.split_once(": "));
     let id = headers.find(|(name, _)| name.eq_ignore_ascii_case("x-knapweedgate-request-id"));
-    let id = id.map_or("", |(_, value)| value);
+    id.map_or("", |(_, value)| value)
+}
+
+fn identity(request: &str) -> String {
+    let id = id_of(request);
     format!("X-Knapweedgate-Request-Id: {id}\r\nX-Knapweedgate-Server-Seal: s.{id}\r\n")
 }
 
-async fn serve(mut stream: TcpStream, script: Script) -> std::io::Result<()> {
+fn record_run(runs: &Runs, id: &str) {
+    let mut runs = runs.lock().unwrap_or_else(PoisonError::into_inner);
+    runs.push(id.to_owned());
+}
+
+/// Serves the connection of this number, from 0.
+async fn serve(mut stream: TcpStream, connection: usize, script: Script) -> std::io::Result<()> {
     let mut is_first = true;
     loop {
         let request = read_head(&mut stream).await?;
@@ -114,6 +140,17 @@
                 stream.write_all(events.as_bytes()).await?;
                 return Ok(());
             }
+            Script::LateCopy { .. } if is_first && connection < SHEDDING_CONNECTIONS => {
+                stream.write_all(SHED.as_bytes()).await?;
+            }
+            Script::LateCopy { runs, is_copied } => {
+                if *is_copied && !is_first && connection < SHEDDING_CONNECTIONS {
+                    stream.write_all(SHED.as_bytes()).await?;
+                }
+                record_run(runs, id_of(&request));
+                let whole = format!("HTTP/1.1 200 OK\r\n{identity}Content-Length: 2\r\n\r\nok");
+                stream.write_all(whole.as_bytes()).await?;
+            }
             Script::Status { is_kept: true, .. } if is_first => {
                 let whole = format!("HTTP/1.1 200 OK\r\n{identity}Content-Length: 2\r\n\r\nok");
                 stream.write_all(whole.as_bytes()).await?;
@@ -219,3 +256,34 @@
     }
     Ok(())
 }
+
+/// A late second copy of an answer that names no request was taken for the answer to the next
+/// request on the connection, which ran again at another target, or was refused though it ran.
+#[actix_rt::test]
+async fn late_copy_of_an_answer_without_an_id_answers_no_request_that_must_not_repeat()
+-> eyre::Result<()> {
+    for is_copied in [true, false] {
+        let runs = Runs::default();
+        let script = Script::LateCopy {
+            runs: runs.clone(),
+            is_copied,
+        };
+        let fleet = start_fleet("late-copy", 2, script).await?;
+        for path in ["/once/x", "/stream/x"] {
+            for number in 0..6 {
+                let id = format!("{path}-{number}");
+                // Connections to the targets are opened, and answered on, by safe requests too.
+                fleet.send("GET", "/safe/x", "other").await;
+                let answer = fleet.send("POST", path, &id).await;
+                let runs = runs.lock().unwrap_or_else(PoisonError::into_inner);
+                let count = runs.iter().filter(|&it| *it == id).count();
+                assert!(count <= 1, "{id} ran {count} times");
+                let is_refused = status_of(&answer) == 503;
+                assert!(!is_refused || count == 0, "{id} ran: {answer}");
+            }
+        }
+        let runs = runs.lock().unwrap_or_else(PoisonError::into_inner);
+        assert!(runs.iter().any(|id| id.starts_with("/once/")), "{runs:?}");
+    }
+    Ok(())
+}
