Connections of requests that were given up are reset

Cause: a dropped connection is closed, and closing delivers what was written. That the router sends late, the other hypothesis, does not fit: a target that reads late received the whole of a request that had been given up before.

--- a/edge/src/target.rs
+++ b/edge/src/target.rs
@@ -9,6 +9,7 @@
 //!   delimited by the end of the connection, which shows nothing.
 //! - A response that names no request counts as the response to a request that must not run
 //!   twice only if no earlier response on its connection named none.
+//! - A connection is reset, not closed, if its request was given up.
 //! - A connection is reused only if its last request was fully written, its last
 //!   response was fully read and no bytes followed the response.
 
@@ -35,7 +36,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::tcp;
-use connections::{AnswerWatch, Connections, IdleConnection, NoIdle};
+use connections::{Connections, IdleConnection, NoIdle};
 
 /// The time limit for opening a connection; the latency between data centres is a few
 /// milliseconds.
@@ -174,24 +175,23 @@
         if !may_send() {
             return Err(SendError::Unsent);
         }
-        let mut connection = Connection {
+        let connection = Connection {
             stream,
             opened_at,
             input: BytesMut::new(),
             last_byte: Instant::now(),
             is_ambiguous,
         };
-        let watch = AnswerWatch::new(self.connections.clone(), address);
-        let exchange = self.exchange(address, &mut connection, request, id, on_head);
+        let mut pending = Pending::new(self.connections.clone(), address, connection);
+        let exchange = self.exchange(address, pending.connection(), request, id, on_head);
         let response = exchange.await;
-        watch.finish();
         match response {
             Some((status, headers, framing, request_written)) => {
                 let idle_time = allowed_idle_time(&headers);
                 let body = Body::new(
                     self.connections.clone(),
                     address,
-                    connection,
+                    pending.finish(),
                     framing,
                     request_written,
                     idle_time,
@@ -203,7 +203,10 @@
                     opened_at,
                 })
             }
-            None => Err(SendError::Broken),
+            None => {
+                reset(pending.finish());
+                Err(SendError::Broken)
+            }
         }
     }
 
@@ -558,7 +561,7 @@
     }
 
     fn truncate(&mut self) -> Result<Option<Bytes>, BodyTruncated> {
-        self.connection = None;
+        self.connection.take().map(reset);
         Err(BodyTruncated)
     }
 
@@ -588,13 +591,59 @@
 
 impl Drop for Body {
     fn drop(&mut self) {
-        if let Some(connection) = &self.connection {
+        if let Some(connection) = self.connection.take() {
             self.connections
                 .record_abandoned(self.address, connection.last_byte);
+            reset(connection);
         }
     }
 }
 
+/// A request whose response has not begun.
+struct Pending {
+    connections: Rc<Connections>,
+    address: SocketAddr,
+    /// `None` once the exchange has ended by itself.
+    connection: Option<Connection>,
+    sent_at: Instant,
+}
+
+impl Pending {
+    fn new(connections: Rc<Connections>, address: SocketAddr, connection: Connection) -> Self {
+        Self {
+            connections,
+            address,
+            connection: Some(connection),
+            sent_at: Instant::now(),
+        }
+    }
+
+    fn connection(&mut self) -> &mut Connection {
+        self.connection.as_mut().expect("the exchange goes on")
+    }
+
+    fn finish(mut self) -> Connection {
+        self.connection.take().expect("the exchange went on")
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.connections
+                .record_abandoned(self.address, self.sent_at);
+            reset(connection);
+        }
+    }
+}
+
+/// Resets a connection on which nobody waits any more. If it were closed, the bytes that the
+/// network holds up would be delivered once it recovers.
+fn reset(connection: Connection) {
+    // Without the option the connection is closed.
+    let _ = tcp::set_reset_on_drop(&connection.stream, true);
+}
+
 /// Returns how long the connection may stay idle after a response with these headers.
 fn allowed_idle_time(headers: &HeaderMap) -> Duration {
     keep_alive_timeout(headers).map_or(DEFAULT_IDLE_TIME, |stated| {
--- a/edge/src/target/connections.rs
+++ b/edge/src/target/connections.rs
@@ -5,7 +5,6 @@
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use policy::direct::incarnation::{ConnectionEnd, EndCause, UNANSWERED_TIME};
@@ -166,36 +165,3 @@
         self.ends.take()
     }
 }
-
-/// Records a request that is given up before the head of its response.
-pub(super) struct AnswerWatch {
-    connections: Rc<Connections>,
-    address: SocketAddr,
-    sent_at: Instant,
-    is_finished: bool,
-}
-
-impl AnswerWatch {
-    pub(super) fn new(connections: Rc<Connections>, address: SocketAddr) -> Self {
-        Self {
-            connections,
-            address,
-            sent_at: Instant::now(),
-            is_finished: false,
-        }
-    }
-
-    /// Records that the exchange ended by itself.
-    pub(super) fn finish(mut self) {
-        self.is_finished = true;
-    }
-}
-
-impl Drop for AnswerWatch {
-    fn drop(&mut self) {
-        if !self.is_finished {
-            self.connections
-                .record_abandoned(self.address, self.sent_at);
-        }
-    }
-}
