--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -203,6 +203,22 @@
         Ok(())
     }
 
+    /// Registers a target that listens at this address.
+    pub fn register(&self, id: &str, address: SocketAddr) {
+        let entry = json!({
+            "service": "desk",
+            "address": address,
+            "zone": DATA_CENTRE,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "born": 1_700_000_000_000_u64,
+            "seq": 1,
+        });
+        self.store.put(&format!("servers/{id}"), &entry);
+    }
+
     /// Starts and registers targets that crash on a request with a part in its prompt.
     ///
     /// # Errors
--- a/livetests/tests/given_up.rs
+++ b/livetests/tests/given_up.rs
@@ -1,10 +1,9 @@
 //! Requests that an edge router has given up, at targets that read them late.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use knapweed_livetests::edge::{EdgeConfig, EdgeFleet, RED_KEY, status_of};
-use serde_json::{Value, json};
+use serde_json::Value;
 use socket2::SockRef;
 use standins::platform::raw_exchange;
 use tokio::io::AsyncReadExt;
@@ -41,20 +40,6 @@
     }
 }
 
-fn entry(address: SocketAddr) -> Value {
-    json!({
-        "service": "desk",
-        "address": address,
-        "zone": "north",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "coldRemainingMs": 0,
-        "born": 1_700_000_000_000_u64,
-        "seq": 1,
-    })
-}
-
 /// Connections of requests that were given up were closed, so what the network had held up
 /// reached the target later, when it was known to leave.
 #[actix_rt::test]
@@ -70,8 +55,7 @@
     fleet.store.put("op/config", &config);
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER)?;
-    let target = entry(listener.local_addr()?);
-    fleet.store.put("servers/late", &target);
+    fleet.register("late", listener.local_addr()?);
     let (sender, mut received) = mpsc::unbounded_channel();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
--- a/livetests/tests/mixed_answers.rs
+++ b/livetests/tests/mixed_answers.rs
@@ -1,12 +1,11 @@
 //! Answers that targets break off while they still receive the request, and answers without a
 //! valid status, through an edge router.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use knapweed_livetests::edge::{EdgeConfig, EdgeFleet, RED_KEY, looks_complete, status_of};
-use serde_json::{Value, json};
+use serde_json::Value;
 use socket2::SockRef;
 use standins::platform::{RawResponse, raw_exchange};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -57,7 +56,7 @@
 async fn start_target(fleet: &EdgeFleet, id: &str, script: Script) -> eyre::Result<()> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER)?;
-    register(fleet, id, listener.local_addr()?);
+    fleet.register(id, listener.local_addr()?);
     tokio::spawn(async move {
         let mut connection = 0;
         while let Ok((stream, _)) = listener.accept().await {
@@ -70,21 +69,6 @@
     Ok(())
 }
 
-fn register(fleet: &EdgeFleet, id: &str, address: SocketAddr) {
-    let entry = json!({
-        "service": "desk",
-        "address": address,
-        "zone": "north",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "coldRemainingMs": 0,
-        "born": 1_700_000_000_000_u64,
-        "seq": 1,
-    });
-    fleet.store.put(&format!("servers/{id}"), &entry);
-}
-
 /// Reads the head of a request; returns it with the part of the body that came along.
 async fn read_head(stream: &mut TcpStream) -> std::io::Result<String> {
     let mut head = Vec::new();
