--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -663,7 +663,7 @@
         });
         serde_json::json!({
             "config": self.config().map(|config| config.version),
-            "routers": self.shared.peers.load().members.count(),
+            "routers": self.shared.router_count(),
             "kept_exchange": self.dump_kept(),
             "relay": self.shared.peers.load().relay.map(|relay| relay.to_string()),
             "open": self.shared.open_requests.load(Ordering::Relaxed),
--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -270,7 +270,7 @@
             return Err(Refusal::not_run(why, after));
         }
         let peers = context.shared.peers.load();
-        let routers = peers.members.fleet_size();
+        let routers = peers.members.count();
         let is_retry = self.sends > 0;
         let has_budget = !is_retry
             || context
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -109,7 +109,7 @@
         }
     };
     let now = Instant::now();
-    let routers = context.shared.fleet_size();
+    let routers = context.shared.router_count();
     let service = authorized.service.clone();
     context
         .retry_budget
--- a/edge/src/shared.rs
+++ b/edge/src/shared.rs
@@ -227,9 +227,9 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of routers, including this one, if it is known.
-    pub(crate) fn fleet_size(&self) -> Option<usize> {
-        self.peers.load().members.fleet_size()
+    /// Returns the number of routers, including this one.
+    pub(crate) fn router_count(&self) -> usize {
+        self.peers.load().members.count()
     }
 
     /// Publishes the time at which the targets were last read.
--- a/policy/src/direct/budget.rs
+++ b/policy/src/direct/budget.rs
@@ -4,8 +4,7 @@
 //! applies to all routers together and consists of a ratio of the requests plus a
 //! constant allowance per sliding window. Each router spends a ratio of its own
 //! requests and an equal share of the allowance, so that the fleet stays within
-//! the limit without coordination. A router that does not know how many others there are
-//! saves up one retry.
+//! the limit without coordination.
 //!
 //! Invariant: in any window the number of retries is at most the ratio times the
 //! requests of that window and the previous one, plus this router's share of the
@@ -53,9 +52,8 @@
         }
     }
 
-    /// Credits the budget for a new request to `service`; `routers` is the number of all
-    /// routers, if it is known.
-    pub fn record_request(&mut self, service: &Name, routers: Option<usize>, now: Instant) {
+    /// Credits the budget for a new request to `service`.
+    pub fn record_request(&mut self, service: &Name, routers: usize, now: Instant) {
         let credit = self.limit.ratio * USED_RATIO_FRACTION;
         let capacity = self.capacity(routers);
         let bucket = self.bucket(service, routers, now);
@@ -63,7 +61,7 @@
     }
 
     /// Spends one retry for `service`. Returns false if the budget is exhausted.
-    pub fn try_spend(&mut self, service: &Name, routers: Option<usize>, now: Instant) -> bool {
+    pub fn try_spend(&mut self, service: &Name, routers: usize, now: Instant) -> bool {
         let bucket = self.bucket(service, routers, now);
         let has_token = bucket.tokens >= 1.0;
         if has_token {
@@ -75,12 +73,11 @@
     /// The capacity of a bucket, in retries. It is half of this router's share of
     /// the allowance, since a bucket that is full at the start of a window is
     /// refilled once within it, but at least one retry.
-    fn capacity(&self, routers: Option<usize>) -> f64 {
-        let share = |routers: usize| self.limit.slack / 2.0 / routers.max(1) as f64;
-        routers.map_or(1.0, share).max(1.0)
+    fn capacity(&self, routers: usize) -> f64 {
+        (self.limit.slack / 2.0 / routers.max(1) as f64).max(1.0)
     }
 
-    fn bucket(&mut self, service: &Name, routers: Option<usize>, now: Instant) -> &mut Bucket {
+    fn bucket(&mut self, service: &Name, routers: usize, now: Instant) -> &mut Bucket {
         let capacity = self.capacity(routers);
         let rate = capacity / self.limit.window.as_secs_f64();
         let full_bucket = Bucket {
--- a/policy/src/direct/cold.rs
+++ b/policy/src/direct/cold.rs
@@ -105,13 +105,6 @@
         self.others.len() + 1
     }
 
-    /// The number of all routers; `None` if this router met no other although there may be
-    /// some.
-    pub fn fleet_size(&self) -> Option<usize> {
-        let is_alone = self.others.is_empty() && !self.settled;
-        (!is_alone).then(|| self.count())
-    }
-
     /// The rank of this router in the hash order of senders to `target`, from 0.
     fn rank(&self, target: u64) -> usize {
         let score = |member: u64| {
