Logs and counters tell streams that are taken up from new ones

KW1509 names the attempt that a refused request resumes; KW1515 tells `ambiguous` (targets of several versions keep the prompt part) from `unknown` (none is known to); knapweed_edge_stream_placements counts new and taken-up streams by result. Before, the two shares that LOST compares had to be joined from three events by id, and two causes of an unknown version looked alike. No decision changes.

--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -52,6 +52,7 @@
     connections: Counter<u64>,
     body_ends: Counter<u64>,
     stream_origins: Counter<u64>,
+    stream_placements: Counter<u64>,
     rate_changes: Counter<u64>,
     leaving_targets: Counter<u64>,
     pauses: Counter<u64>,
@@ -100,6 +101,7 @@
             part_verdicts: meter.u64_counter("knapweed_edge_part_verdicts").build(),
             leaving_targets: meter.u64_counter("knapweed_edge_leaving_targets").build(),
             stream_origins: meter.u64_counter("knapweed_edge_stream_origins").build(),
+            stream_placements: meter.u64_counter("knapweed_edge_stream_placements").build(),
             body_ends: meter.u64_counter("knapweed_edge_body_ends").build(),
             reported_connections: Cell::new(0),
         }
@@ -165,6 +167,17 @@
         self.body_ends.add(1, &labels);
     }
 
+    /// Counts a stream that was sent to a target or refused, and why; `is_taken_up` tells
+    /// whether its caller has events of it already.
+    pub(crate) fn record_stream_placement(&self, is_taken_up: bool, result: &'static str) {
+        let stream = if is_taken_up { "taken-up" } else { "new" };
+        let labels = [
+            KeyValue::new("stream", stream),
+            KeyValue::new("result", result),
+        ];
+        self.stream_placements.add(1, &labels);
+    }
+
     /// Counts a stream that a caller takes up by how its version became known.
     pub(crate) fn record_stream_origin(&self, origin: &'static str) {
         self.stream_origins
--- a/edge/src/origin.rs
+++ b/edge/src/origin.rs
@@ -38,7 +38,7 @@
     authorized: &AuthorizedRequest,
 ) -> Result<Option<VersionTag>, Refusal> {
     let headers = &request.caller_headers;
-    if headers.last_event.is_none() || !authorized.retry_policy().is_stream() {
+    if !request.takes_up_stream(authorized) {
         return Ok(None);
     }
     let stream = headers.resumes.as_deref().map(StreamId::of_attempt);
@@ -49,6 +49,7 @@
         Origin::Recorded(_) => "recorded",
         Origin::Single(_) => "single",
         Origin::Kept(_) => "kept",
+        Origin::Ambiguous => "ambiguous",
         Origin::Unknown => "unknown",
     };
     let build = origin.version();
--- a/edge/src/request.rs
+++ b/edge/src/request.rs
@@ -187,6 +187,11 @@
         })
     }
 
+    /// Whether the caller takes up a stream of which it has events already.
+    pub(crate) fn takes_up_stream(&self, authorized: &AuthorizedRequest) -> bool {
+        self.caller_headers.last_event.is_some() && authorized.retry_policy().is_stream()
+    }
+
     /// Returns the earlier of the caller's deadline and the timeout of its route.
     pub(crate) fn deadline(&self, timeout: Duration) -> Instant {
         let wait = self
--- a/edge/src/session.rs
+++ b/edge/src/session.rs
@@ -142,6 +142,7 @@
     let origin = match origin::required_version(context, &request, &authorized).await {
         Ok(origin) => origin,
         Err(refusal) => {
+            context.metrics.record_stream_placement(true, refusal.why);
             log_refused(&request, team.as_ref(), refusal);
             let ended = refuse(context, caller, refusal).await;
             log_ended(context, &request, kind, team.as_ref(), &ended);
@@ -154,7 +155,14 @@
     }
     // A refusal needs neither the connection's options nor a watch for the end of the
     // connection, which cost an overloaded router more than the refusal itself.
-    let first_attempt = match dispatch.next_attempt() {
+    let first_attempt = dispatch.next_attempt();
+    if dispatch.authorized.retry_policy().is_stream() {
+        let result = first_attempt.as_ref().err().map_or("sent", |it| it.why);
+        context
+            .metrics
+            .record_stream_placement(origin.is_some(), result);
+    }
+    let first_attempt = match first_attempt {
         Ok(attempt) => attempt,
         Err(refusal) => {
             let refused = Outcome::Refused(refusal);
@@ -441,9 +449,11 @@
     };
     let wait = millis(refusal.exceeded.map(|it| it.wait_millis));
     let limit = millis(refusal.exceeded.map(|it| it.limit_millis));
-    let fields: [Field<'_>; 10] = [
+    let resumes = request.caller_headers.resumes.as_deref().unwrap_or("-");
+    let fields: [Field<'_>; 11] = [
         ("request", &request.caller_headers.id),
         ("work", &request.fingerprint_tag()),
+        ("resumes", &resumes),
         ("status", &refusal.status.as_u16()),
         ("why", &refusal.why),
         ("retry_ms", &retry),
--- a/policy/src/direct/stream_origin.rs
+++ b/policy/src/direct/stream_origin.rs
@@ -71,6 +71,8 @@
     Single(VersionTag),
     /// The targets that keep the own part of its prompt have this version.
     Kept(VersionTag),
+    /// The targets that keep the own part of its prompt have several versions.
+    Ambiguous,
     /// Other routers may know it.
     Unknown,
 }
@@ -80,7 +82,7 @@
     pub fn version(self) -> Option<VersionTag> {
         match self {
             Self::Recorded(version) | Self::Single(version) | Self::Kept(version) => Some(version),
-            Self::Unknown => None,
+            Self::Ambiguous | Self::Unknown => None,
         }
     }
 }
@@ -256,9 +258,11 @@
     pub fn version_of_holders(&self, part: u64, now: Instant) -> Origin {
         let known = self.holders.get(&part);
         let known = known.filter(|(_, at)| now.saturating_duration_since(*at) < HOLDER_TTL);
-        known
-            .and_then(|(version, _)| *version)
-            .map_or(Origin::Unknown, Origin::Kept)
+        match known {
+            Some(&(Some(version), _)) => Origin::Kept(version),
+            Some((None, _)) => Origin::Ambiguous,
+            None => Origin::Unknown,
+        }
     }
 
     /// Records a stream that this router began.
