Streams that have begun are admitted before new requests

Cause: admission knew only new requests. A stream that goes on had the wait limit of its team, which is far below one for a team beyond its share; it was held back for other teams; its limit was reduced for the length of its prompt and for a long objective, both of which concern the first event, which had been delivered; and it may run at the targets of one version only, whose wait limit new requests reach as well.

Now a stream that has begun may wait as long as a request of the least served team and is not held. So that callers cannot pass the shares by it, a team's preferred work is bounded by its share of any time and of two seconds besides, divided by the routers (policy/src/direct/continued.rs).

--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -19,6 +19,7 @@
 use platform::attempt::{SystemHeaders, set_system_headers};
 use platform::response::ResponseHead;
 use policy::direct::config::{RetryPolicy, Route};
+use policy::direct::fair_share::MAX_WAIT_FACTOR;
 use policy::direct::placement::{self, Placement, PlacementRequest, select_target};
 use policy::direct::stream_origin::StreamId;
 use policy::direct::target::VersionTag;
@@ -286,9 +287,14 @@
             .prompt
             .as_ref()
             .filter(|_| service.engine.is_some());
-        let wait_factor = self.wait_factor(prompt, now);
+        let is_preferred = self.is_continued_preferred(prompt, now);
+        let wait_factor = match is_preferred {
+            true => MAX_WAIT_FACTOR,
+            false => self.wait_factor(prompt, now),
+        };
         // What was sent already goes on, whatever its team gets.
-        if !is_retry && let Some(after) = self.held_for(prompt, now) {
+        let may_be_held = !is_retry && !is_preferred;
+        if may_be_held && let Some(after) = self.held_for(prompt, now) {
             return Err(Refusal {
                 favour: Some(wait_factor),
                 ..Refusal::not_run("held", after + self.retry_jitter())
@@ -329,6 +335,9 @@
                     context.metrics.record_excess();
                     context.spare_log.borrow_mut().record_excess();
                 }
+                if is_preferred {
+                    self.record_continued(prompt, now);
+                }
                 let charge = self.charge(prompt, now);
                 let selected = Selected {
                     target_id,
@@ -366,6 +375,25 @@
         }
     }
 
+    /// Whether the request continues a stream that is preferred to new requests.
+    fn is_continued_preferred(&self, prompt: Option<&Prompt>, now: Instant) -> bool {
+        let team = self.authorized.team_name().filter(|_| prompt.is_some());
+        let team = team.filter(|_| self.version.is_some());
+        let routers = self.context.shared.router_count();
+        let mut fair_shares = self.context.fair_shares.borrow_mut();
+        team.is_some_and(|team| fair_shares.is_continued_preferred(team.tag().0, routers, now))
+    }
+
+    fn record_continued(&self, prompt: Option<&Prompt>, now: Instant) {
+        let team = self.authorized.team_name();
+        if let (Some(team), Some(prompt)) = (team, prompt) {
+            let tokens = prompt.weighted_tokens();
+            let routers = self.context.shared.router_count();
+            let mut fair_shares = self.context.fair_shares.borrow_mut();
+            fair_shares.record_continued(team.tag().0, tokens, routers, now);
+        }
+    }
+
     /// How long to hold back the request because another team is left behind.
     fn held_for(&self, prompt: Option<&Prompt>, now: Instant) -> Option<Duration> {
         let team = self.authorized.team_name()?;
--- a/livetests/src/edge.rs
+++ b/livetests/src/edge.rs
@@ -307,10 +307,23 @@
     /// Sends a generation request with [`RED_KEY`] and these prompt parts to a router and
     /// returns the raw response; empty on an I/O error.
     pub async fn send_prompt(&self, router: usize, path: &str, id: &str, parts: &str) -> String {
+        self.send_long_prompt(router, path, id, 900, parts).await
+    }
+
+    /// Like [`Self::send_prompt`], with this number of tokens in the prompt.
+    pub async fn send_long_prompt(
+        &self,
+        router: usize,
+        path: &str,
+        id: &str,
+        tokens: u32,
+        parts: &str,
+    ) -> String {
         let address = self.routers[router].address("callers");
         let request = request_text("GET", path, id, Some(RED_KEY));
         let headers = format!(
-            "X-Knapweedgate-Token-Usage: 900,80\r\nX-Knapweedgate-Prompt-Prefix: {parts}\r\n\r\n"
+            "X-Knapweedgate-Token-Usage: {tokens},80\r\n\
+             X-Knapweedgate-Prompt-Prefix: {parts}\r\n\r\n"
         );
         let request = request.replacen("\r\n\r\n", &format!("\r\n{headers}"), 1);
         raw_call(address, &request).await.unwrap_or_default()
--- a/livetests/tests/versions.rs
+++ b/livetests/tests/versions.rs
@@ -1,8 +1,8 @@
 //! Streams while targets of several software versions serve one service.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use futures::future::join_all;
+use futures::future::{join, join_all};
 use knapweed_livetests::edge::{EdgeConfig, EdgeFleet, body_of, looks_complete, status_of};
 use serde_json::json;
 use tokio::time::sleep;
@@ -221,3 +221,64 @@
     }
     Ok(())
 }
+
+/// A prompt that its target reads for longer than a new request may wait, but not for as long
+/// as a stream that has begun; in tokens, at the rate in the settings' defaults.
+const BLOCKING_TOKENS: u32 = 17_000;
+
+/// The time after which a target that reads nothing for so long counts as stalled.
+const STALL_TIME: Duration = Duration::from_millis(400);
+
+/// The maximum number of times that a test makes its target busy.
+const BUSY_ROUNDS: usize = 40;
+
+/// Takes a stream up again between two new requests while a prompt occupies the only target.
+/// Returns the answer to it if both new ones were refused as busy.
+async fn take_up_while_busy(fleet: &EdgeFleet, round: usize) -> Option<String> {
+    let id = |name: &str| format!("{name}{round}");
+    let blocking = id("blocking");
+    let part = format!("f{round}:{BLOCKING_TOKENS}");
+    let blocked = fleet.send_long_prompt(0, "/stream/mute", &blocking, BLOCKING_TOKENS, &part);
+    let offered = async {
+        let sent_at = Instant::now();
+        while fleet.arrivals(&blocking).is_empty() && sent_at.elapsed() < STALL_TIME {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let is_refused = |id: String| async move {
+            let answer = fleet.send_prompt(0, "/resume/stream-10", &id, "a1:500,b1:300");
+            body_of(&answer.await) == "busy\n"
+        };
+        let is_before = is_refused(id("before")).await;
+        let again = id("again");
+        let names = (again.as_str(), "begin");
+        let answer = fleet.take_up_prompt(0, "/resume/stream-10", names, "a1:500,b1:300");
+        let answer = answer.await;
+        let is_busy = is_before && is_refused(id("after")).await;
+        (is_busy && sent_at.elapsed() < STALL_TIME).then_some(answer)
+    };
+    join(blocked, offered).await.1
+}
+
+#[actix_rt::test]
+async fn stream_taken_up_goes_on_while_new_requests_are_refused_as_busy() -> eyre::Result<()> {
+    let mut fleet = EdgeFleet::start("version-busy", 0, 1).await?;
+    let config = EdgeConfig {
+        version: 2,
+        has_engine: true,
+        timeout_ms: 600,
+        ..EdgeConfig::default()
+    };
+    fleet.store.put("op/config", &config.to_json());
+    fleet.add_router().await?;
+    let begun = fleet.send_prompt(0, "/resume/stream-10", "begin", "a1:500,b1:300");
+    assert_eq!(status_of(&begun.await), 200);
+    for round in 0..BUSY_ROUNDS {
+        if let Some(answer) = take_up_while_busy(&fleet, round).await {
+            assert_eq!(status_of(&answer), 200, "{answer}");
+            return Ok(());
+        }
+        // The target is trusted again.
+        sleep(Duration::from_millis(300)).await;
+    }
+    panic!("the target was never busy for two requests in a row");
+}
--- a/policy/src/direct.rs
+++ b/policy/src/direct.rs
@@ -46,6 +46,7 @@
 pub mod cold;
 pub mod config;
 pub mod confirmation;
+pub mod continued;
 pub mod crash;
 pub mod exchange;
 pub mod fair_share;
--- a/policy/src/direct/fair_share.rs
+++ b/policy/src/direct/fair_share.rs
@@ -14,6 +14,7 @@
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
+use crate::direct::continued::ContinuedWork;
 use crate::direct::service_bound::{Bound, ServiceBound};
 use crate::direct::spare_capacity::SpareCapacity;
 
@@ -43,7 +44,7 @@
 pub const MIN_WAIT_FACTOR: f64 = 0.65;
 
 /// The maximum wait factor.
-const MAX_WAIT_FACTOR: f64 = 1.8;
+pub const MAX_WAIT_FACTOR: f64 = 1.8;
 
 /// The half-life of the size of the largest requests, in half-lives of a rate.
 const LARGEST_REQUEST_HALF_LIVES: u32 = 4;
@@ -111,6 +112,7 @@
     fair_share: f64,
     /// The admitted rate of an average team.
     mean_admitted: f64,
+    team_count: usize,
     computed_at: Option<Instant>,
     /// The requests shed since the last report.
     shed: u32,
@@ -118,6 +120,7 @@
     service_bound: ServiceBound,
     /// What teams beyond their share may use, if they may.
     spare_capacity: Option<SpareCapacity>,
+    continued: ContinuedWork,
 }
 
 /// The size of the largest requests seen, which falls slowly.
@@ -149,11 +152,13 @@
             peers: FxHashMap::default(),
             fair_share: f64::INFINITY,
             mean_admitted: 0.0,
+            team_count: 0,
             computed_at: None,
             shed: 0,
             largest_request: LargestRequest::default(),
             service_bound: ServiceBound::default(),
             spare_capacity: None,
+            continued: ContinuedWork::default(),
         }
     }
 
@@ -240,6 +245,28 @@
         }
     }
 
+    /// Whether a stream of a team that has begun is preferred to new requests: it is not held
+    /// back, and may wait as long as a request of the least served team.
+    pub fn is_continued_preferred(&mut self, team: u64, routers: usize, now: Instant) -> bool {
+        let share = self.continued_share(routers, now);
+        self.continued.is_preferred(team, share, now)
+    }
+
+    /// Records that a preferred stream was sent to a target.
+    pub fn record_continued(&mut self, team: u64, tokens: f64, routers: usize, now: Instant) {
+        let share = self.continued_share(routers, now);
+        self.continued.record(team, tokens, share, now);
+    }
+
+    /// The part of a team's share that this router may use for preferred streams. The
+    /// admitted rate, from which the fair share is taken, is low after a restart of all
+    /// routers, so an even part of the configured rate counts as well.
+    fn continued_share(&mut self, routers: usize, now: Instant) -> f64 {
+        self.update_fair_share(now);
+        let even_share = self.pool_rate / self.team_count.max(1) as f64;
+        self.fair_share.max(even_share) / routers.max(1) as f64
+    }
+
     /// The time by which a request of a team beyond its share may delay others; `None` if
     /// the team is within its share, or must not use spare capacity.
     pub fn excess_delay(
@@ -374,6 +401,7 @@
         let rates: SmallVec<[(u64, TeamRate); 64]> = rates.collect();
         let requested: Vec<f64> = rates.iter().map(|(_, rate)| rate.requested).collect();
         let admitted: f64 = rates.iter().map(|(_, rate)| rate.admitted).sum();
+        self.team_count = requested.len();
         self.mean_admitted = admitted / requested.len().max(1) as f64;
         // While some requests are refused, the admitted rate shows the current
         // capacity of the pool.
--- a/policy/src/direct/placement/engine.rs
+++ b/policy/src/direct/placement/engine.rs
@@ -59,9 +59,13 @@
         }
         let rate = entry.prefill_rate(settings.prefill_rate, now);
         let wait_millis = entry.waiting_tokens(settings.prefill_rate, now) / rate;
-        // A long prompt meets its objective only if little waits before it.
         let prefill_millis = f64::from(reading.prefill_tokens) / rate;
-        let wait_limit = base_limit * (1.0 - prefill_millis / objective).max(MIN_LIMIT_FRACTION);
+        let wait_limit = match request.version {
+            // Its first event, to which the objective applies, has been delivered.
+            Some(_) => base_limit,
+            // A long prompt meets its objective only if little waits before it.
+            None => base_limit * (1.0 - prefill_millis / objective).max(MIN_LIMIT_FRACTION),
+        };
         // Frequent requests find each target just when nothing waits there, so
         // the mean wait of the pool is taken into account as well.
         let exceeded = ExceededWait {
@@ -166,11 +170,11 @@
 /// The maximum wait at a target to which a request is sent, in milliseconds.
 ///
 /// Under load, requests with a longer objective are refused before those with a
-/// shorter one.
+/// shorter one, unless they continue a stream.
 fn wait_limit(settings: &PlacementSettings, request: &PlacementRequest<'_>) -> f64 {
     let min_objective = request.min_objective.as_secs_f64();
     let own_objective = request.objective.as_secs_f64().max(min_objective);
-    let ratio = if own_objective > 0.0 {
+    let ratio = if own_objective > 0.0 && request.version.is_none() {
         min_objective / own_objective
     } else {
         1.0
--- a/policy/tests/direct_load.rs
+++ b/policy/tests/direct_load.rs
@@ -16,6 +16,8 @@
 
 use pool::{KINDS, PREFILL_RATE, Policy, Pool, Request, STEP, prompt, seeded_random};
 
+#[path = "direct_load/continued.rs"]
+mod continued;
 #[path = "direct_load/fairness.rs"]
 mod fairness;
 
--- /dev/null
+++ b/policy/tests/direct_load/continued.rs
@@ -0,0 +1,141 @@
+//! Streams that are taken up again while the pool is overloaded.
+//!
+//! Two of eight targets have the software version at which the streams began; the others
+//! take new requests as well. Team 0 requests as much as all other teams together.
+
+use std::time::{Duration, Instant};
+
+use knapweed_policy::direct::target::SoftwareVersion;
+use rand::RngExt as _;
+
+use crate::ROUTERS;
+use crate::pool::{KINDS, PREFILL_RATE, Policy, Pool, Request, STEP, prompt, random_of_seed};
+
+const SEEDS: std::ops::Range<u64> = 1..5;
+
+const TARGETS: usize = 8;
+
+/// The targets of the version at which the streams began.
+const OLD_TARGETS: usize = 2;
+
+const OLD_VERSION: &str = "old";
+
+/// The load as a multiple of the usual load.
+const LOAD_FACTOR: f64 = 4.0;
+
+/// The configured rate of the pool, in tokens per second.
+const POOL_RATE: f64 = 400_000.0;
+
+/// The number of teams beside team 0.
+const OTHERS: usize = 5;
+
+const SECONDS: u64 = 12;
+
+/// The kind of the streams, and of the new requests with which they are compared.
+const REVIEW: usize = 0;
+
+/// The work of a kind of request.
+#[derive(Default, Clone, Copy, Debug)]
+struct Work {
+    requested: f64,
+    sent: f64,
+}
+
+impl Work {
+    fn record(&mut self, request: Request, is_sent: bool) {
+        self.requested += request.tokens;
+        self.sent += if is_sent { request.tokens } else { 0.0 };
+    }
+
+    fn sent_share(self) -> f64 {
+        self.sent / self.requested
+    }
+}
+
+/// The work of team 0 and of each other one.
+#[derive(Default, Debug)]
+struct Outcome {
+    /// New streams of the kind that is taken up.
+    new: Work,
+    taken_up: [Work; 1 + OTHERS],
+    all: [Work; 1 + OTHERS],
+}
+
+/// Plays a load in which a team takes up streams at these rates per second.
+fn run(taken_up: [f64; 1 + OTHERS], seed: u64) -> Outcome {
+    let start = Instant::now();
+    let mut random = random_of_seed(seed);
+    let lags = [Duration::ZERO; ROUTERS];
+    let mut pool = Pool::new(Policy::Product, TARGETS, PREFILL_RATE, &lags, start);
+    pool.configure_shares(POOL_RATE, false, start);
+    pool.set_version(OLD_TARGETS, OLD_VERSION, start);
+    let old = SoftwareVersion::new(OLD_VERSION).tag();
+    let mut outcome = Outcome::default();
+    for step in 0..SECONDS * 1_000 / STEP.as_millis() as u64 {
+        let now = start + STEP * step as u32;
+        pool.begin_step(now);
+        for (kind, it) in KINDS.iter().enumerate() {
+            if !random.random_bool(it.per_second * LOAD_FACTOR * STEP.as_secs_f64()) {
+                continue;
+            }
+            let prompt = prompt(kind, &mut random);
+            let team = random
+                .random_range(0..2 * OTHERS)
+                .saturating_sub(OTHERS - 1);
+            let tokens = prompt.weighted_tokens();
+            let request = Request { kind, team, tokens };
+            let router = random.random_range(0..ROUTERS);
+            let is_sent = pool.offer(router, request, &prompt, &mut random, now);
+            outcome.all[team].record(request, is_sent);
+            if kind == REVIEW {
+                outcome.new.record(request, is_sent);
+            }
+        }
+        for (team, rate) in taken_up.iter().enumerate() {
+            if !random.random_bool(rate * STEP.as_secs_f64()) {
+                continue;
+            }
+            let prompt = prompt(REVIEW, &mut random);
+            let tokens = prompt.weighted_tokens();
+            let kind = REVIEW;
+            let request = Request { kind, team, tokens };
+            let router = random.random_range(0..ROUTERS);
+            let is_sent = pool.take_up(router, request, &prompt, old, &mut random, now);
+            outcome.taken_up[team].record(request, is_sent);
+            outcome.all[team].record(request, is_sent);
+        }
+        pool.end_step(now);
+    }
+    outcome
+}
+
+#[test]
+fn streams_taken_up_go_on_no_less_often_than_new_ones_begin() {
+    for seed in SEEDS {
+        let outcome = run([2.0, 0.5, 0.5, 0.5, 0.5, 0.5], seed);
+        let new = outcome.new.sent_share();
+        assert!(new < 0.8, "no overload: {new}");
+        let flood = outcome.taken_up[0].sent_share();
+        assert!(flood >= new, "team 0: {flood} of {new}, seed {seed}");
+        let mut others = Work::default();
+        for work in &outcome.taken_up[1..] {
+            others.requested += work.requested;
+            others.sent += work.sent;
+        }
+        let others = others.sent_share();
+        assert!(others >= new, "others: {others} of {new}, seed {seed}");
+    }
+}
+
+#[test]
+fn a_team_that_only_takes_streams_up_gets_no_more_than_twice_what_others_get() {
+    for seed in SEEDS {
+        let outcome = run([150.0, 0.0, 0.0, 0.0, 0.0, 0.0], seed);
+        let [flood, others @ ..] = outcome.all;
+        for work in others {
+            let fair = work.requested.min(flood.sent);
+            let share = work.sent / fair;
+            assert!(share >= 0.5, "{share} of {fair}, seed {seed}");
+        }
+    }
+}
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -11,12 +11,14 @@
 use entity::Name;
 use knapweed_policy::direct::cold::Members;
 use knapweed_policy::direct::config::{Engine, Service};
-use knapweed_policy::direct::fair_share::{FairShares, TeamRate};
+use knapweed_policy::direct::fair_share::{FairShares, MAX_WAIT_FACTOR, TeamRate};
 use knapweed_policy::direct::overload::MAX_LAG;
 use knapweed_policy::direct::placement::{
     CopySource, Placement, PlacementRequest, PlacementSettings, select_target,
 };
-use knapweed_policy::direct::target::{SoftwareVersion, Target, TargetRegistry, TargetState};
+use knapweed_policy::direct::target::{
+    SoftwareVersion, Target, TargetRegistry, TargetState, VersionTag,
+};
 use knapweed_policy::direct::target_rate::{RateRow, merge_rows};
 use knapweed_policy::direct::target_table::{
     AttemptCost, PeerLoadReport, Prompt, PromptPart, TargetEntryId, TargetTable,
@@ -456,6 +458,29 @@
         all_begun
     }
 
+    /// Sets the software version of the first `count` targets, before the first request.
+    pub(crate) fn set_version(&mut self, count: usize, version: &str, now: Instant) {
+        let mut registry = registry(self.targets.len(), now);
+        let mut targets: Vec<Target> = registry
+            .targets
+            .values()
+            .map(|(it, _)| it.clone())
+            .collect();
+        let first = self.targets[..count].iter();
+        let first: Vec<Name> = first
+            .map(|&it| self.routers[0].table.target(it).name.clone())
+            .collect();
+        for target in targets.iter_mut().filter(|it| first.contains(&it.name)) {
+            target.version = SoftwareVersion::new(version);
+        }
+        registry.replace(targets, now);
+        for router in &mut self.routers {
+            // The version of an incarnation does not change.
+            router.table = TargetTable::default();
+            router.table.apply_registry(&registry, now);
+        }
+    }
+
     /// Offers a request to a router. Returns whether it was sent to a target.
     pub(crate) fn offer(
         &mut self,
@@ -465,10 +490,26 @@
         random: &mut ChaCha8Rng,
         now: Instant,
     ) -> bool {
-        let attempt = self.begin_attempt(router, request, prompt, random, now);
-        let Some(attempt) = attempt else {
-            return false;
-        };
+        let attempt = self.begin_attempt(router, request, prompt, None, random, now);
+        attempt.is_some_and(|attempt| self.send(attempt, request, prompt, now))
+    }
+
+    /// Offers a stream to a router that began at a software version. Returns whether it was
+    /// sent to a target.
+    pub(crate) fn take_up(
+        &mut self,
+        router: usize,
+        request: Request,
+        prompt: &Prompt,
+        version: VersionTag,
+        random: &mut ChaCha8Rng,
+        now: Instant,
+    ) -> bool {
+        let attempt = self.begin_attempt(router, request, prompt, Some(version), random, now);
+        attempt.is_some_and(|attempt| self.send(attempt, request, prompt, now))
+    }
+
+    fn send(&mut self, attempt: Attempt, request: Request, prompt: &Prompt, now: Instant) -> bool {
         let source_tokens = attempt.copy_source.map_or(0, |source| {
             let source = self.engine_index(source.target);
             self.engines[source].cached_tokens(prompt)
@@ -515,7 +556,7 @@
         random: &mut ChaCha8Rng,
         now: Instant,
     ) -> bool {
-        let attempt = self.begin_attempt(router, request, prompt, random, now);
+        let attempt = self.begin_attempt(router, request, prompt, None, random, now);
         let Some(Attempt { target, cost, .. }) = attempt else {
             return false;
         };
@@ -531,15 +572,20 @@
         router: usize,
         request: Request,
         prompt: &Prompt,
+        version: Option<VersionTag>,
         random: &mut ChaCha8Rng,
         now: Instant,
     ) -> Option<Attempt> {
+        let routers = self.routers.len();
         let state = &mut self.routers[router];
         let team = request.team as u64;
         state
             .shares
             .record_request(team, prompt.weighted_tokens(), now);
+        let is_preferred =
+            version.is_some() && state.shares.is_continued_preferred(team, routers, now);
         if matches!(self.policy, Policy::Product | Policy::PerTarget)
+            && !is_preferred
             && state.shares.held_for(team, now).is_some()
         {
             return None;
@@ -568,10 +614,13 @@
                     prompt: Some(prompt),
                     min_objective,
                     objective: Duration::from_millis(objective),
-                    wait_factor: state.shares.wait_factor(team, now),
+                    wait_factor: match is_preferred {
+                        true => MAX_WAIT_FACTOR,
+                        false => state.shares.wait_factor(team, now),
+                    },
                     excess_delay: state.shares.excess_delay(team, min_objective, now),
                     centre: &Name::new("north"),
-                    version: None,
+                    version,
                     tried: &[],
                     members: &Members::default(),
                 };
@@ -590,6 +639,10 @@
             }
         };
         let (target, copy_source) = chosen?;
+        if is_preferred {
+            let tokens = prompt.weighted_tokens();
+            state.shares.record_continued(team, tokens, routers, now);
+        }
         state
             .shares
             .record_admitted(team, prompt.weighted_tokens(), now);
