What leaving targets keep tells the version of streams that began there

Callers saw: after the loss of all routers during a release, streams were refused for an unknown version while several targets of their version served (LOST).

Cause: without a record the version comes from the targets that keep the stream's prompt. A target was asked in order to place new requests, and only those targets were.

Now a registered target that is leaving is asked once for its whole list, before the others, and what a target held that left is remembered for as long as a stream can be taken up. Its parts are not passed on to other routers, which could not use them. A target that said itself that it leaves is still not asked. The calls are no requests: DRAIN counts those of clients.

--- a/edge/src/kept_events.rs
+++ b/edge/src/kept_events.rs
@@ -6,8 +6,8 @@
 //! Invariants:
 //! - An answer that is too long, too late or cannot be read changes nothing but the time of
 //!   the next call, and is counted.
-//! - A target that is leaving, wants a pause or names a limit is not asked, and what it says
-//!   of itself in the head of an answer counts as in the response to a request.
+//! - A target that said that it leaves, wants a pause or names a limit is not asked, and what
+//!   it says of itself in the head of an answer counts as in the response to a request.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -55,6 +55,7 @@
     name: Name,
     address: SocketAddr,
     version: VersionTag,
+    is_leaving: bool,
 }
 
 /// The calls to the targets.
@@ -89,7 +90,7 @@
         &self.metrics
     }
 
-    /// Takes over the targets with engines that accept requests.
+    /// Takes over the targets with engines that accept requests or are leaving.
     pub(crate) fn set_registry(
         &mut self,
         registry: &TargetRegistry,
@@ -103,7 +104,7 @@
         let targets = registry.targets.values().filter(|(target, reported_at)| {
             let is_cold = reported_at.is_some_and(|at| now < target.cold_until(at));
             // Nothing may be sent to a drained data centre, and little to a cold target.
-            target.state == TargetState::Ready
+            matches!(target.state, TargetState::Ready | TargetState::Leaving)
                 && !is_cold
                 && !registry.drained.contains(&target.centre)
                 && has_engine(&target.service)
@@ -113,10 +114,19 @@
                 name: target.name.clone(),
                 address: target.address,
                 version: target.version.tag(),
+                is_leaving: target.state == TargetState::Leaving,
             };
             (incarnation_tag(&target.name, target.born), askable)
         });
-        self.askable = askable.collect();
+        let previous = std::mem::replace(&mut self.askable, askable.collect());
+        let version = |target| match self.askable.contains_key(&target) {
+            true => None,
+            false => previous.get(&target).map(|it| it.version),
+        };
+        self.watch.retire(version, now);
+        let leaving = self.askable.iter().filter(|(_, it)| it.is_leaving);
+        self.watch
+            .set_leaving(leaving.map(|(&target, _)| target).collect());
     }
 
     /// Sets this router and the others among which the targets are divided, if this router
@@ -212,7 +222,8 @@
     /// The software versions of the targets that said that they hold a part.
     pub(crate) fn versions_of_holders(&self, part: u64) -> impl Iterator<Item = VersionTag> {
         let holders = self.watch.holders(part);
-        holders.filter_map(|target| Some(self.askable.get(&target)?.version))
+        let holders = holders.filter_map(|target| Some(self.askable.get(&target)?.version));
+        holders.chain(self.watch.departed_versions(part))
     }
 
     /// Returns rows of targets that hold parts which another router has begun to use.
--- a/livetests/tests/versions.rs
+++ b/livetests/tests/versions.rs
@@ -153,37 +153,22 @@
 /// Registers a target of a version whose software was started just now.
 async fn add_new_target(fleet: &mut EdgeFleet, version: &str) -> eyre::Result<()> {
     fleet.add_target(version).await?;
-    let target = fleet.targets.last().expect("a target was added");
-    let mut entry = target.versioned_entry("desk", "ready", version);
+    register_new(fleet, fleet.targets.len() - 1, "ready", version)
+}
+
+/// Registers a target as one that was started just now.
+fn register_new(fleet: &EdgeFleet, number: usize, state: &str, version: &str) -> eyre::Result<()> {
+    let target = &fleet.targets[number];
+    let mut entry = target.versioned_entry("desk", state, version);
     let now = SystemTime::now().duration_since(UNIX_EPOCH)?;
     entry["born"] = json!(now.as_millis() as u64);
     fleet.store.put(&target.key(), &entry);
     Ok(())
 }
 
-#[actix_rt::test]
-async fn stream_does_not_go_on_at_a_new_version_after_all_routers_were_killed() -> eyre::Result<()>
-{
-    let mut fleet = EdgeFleet::start_versions("version-herd", 2, &VERSIONS[..1]).await?;
-    let response = fleet.receive("GET", SLOW_STREAM, "begin").await?;
-    assert!(looks_complete(&response), "{response:?}");
-    add_new_target(&mut fleet, VERSIONS[1]).await?;
-    let old = fleet.targets[0].key();
-    fleet.store.delete(&old);
-    for router in &mut fleet.routers {
-        router.kill()?;
-    }
-    fleet.routers.clear();
-    fleet.add_router().await?;
-    let response = fleet.take_up(0, SLOW_STREAM, "again", "begin", 4).await?;
-    assert_eq!(status_of(&response.text), 503, "{response:?}");
-    assert!(fleet.arrivals("again").is_empty());
-    Ok(())
-}
-
-#[actix_rt::test]
-async fn stream_goes_on_at_its_version_after_all_routers_were_killed() -> eyre::Result<()> {
-    let mut fleet = EdgeFleet::start("version-kept-parts", 2, 0).await?;
+/// Starts two routers before engines of several versions, none of which is settled.
+async fn start_new_engines(name: &str) -> eyre::Result<EdgeFleet> {
+    let mut fleet = EdgeFleet::start(name, 2, 0).await?;
     let config = EdgeConfig {
         version: 2,
         has_engine: true,
@@ -194,15 +179,28 @@
         add_new_target(&mut fleet, version).await?;
     }
     sleep(Duration::from_secs(3)).await;
-    let parts = |number: usize| format!("a1:500,b{number}:300,c{number}:100");
+    Ok(fleet)
+}
+
+/// The parts of the prompt of a stream, the last of which is its own.
+fn parts_of(number: usize) -> String {
+    format!("a1:500,b{number}:300,c{number}:100")
+}
+
+/// Begins streams with prompts, and returns the version of each.
+async fn begin_prompts(fleet: &EdgeFleet) -> Vec<&'static str> {
     let mut begun = Vec::new();
     for number in 0..STREAMS {
-        let id = format!("begin{number}");
-        let parts = parts(number);
+        let (id, parts) = (format!("begin{number}"), parts_of(number));
         let answer = fleet.send_prompt(number % 2, SLOW_STREAM, &id, &parts);
         assert_eq!(status_of(&answer.await), 200);
-        begun.extend(versions_of(&fleet, &id));
+        begun.extend(versions_of(fleet, &id));
     }
+    begun
+}
+
+/// Kills all routers, and starts one that asks what targets keep.
+async fn replace_routers(fleet: &mut EdgeFleet) -> eyre::Result<()> {
     for router in &mut fleet.routers {
         router.kill()?;
     }
@@ -211,14 +209,48 @@
     fleet.add_router().await?;
     // The router asks each target once what it keeps, one every 250 ms.
     sleep(Duration::from_secs(3)).await;
-    for (number, version) in begun.into_iter().enumerate() {
+    Ok(())
+}
+
+/// Takes the streams of [`begin_prompts`] up, and checks the versions at which they go on.
+async fn check_prompts_go_on(fleet: &EdgeFleet, begun: &[&'static str]) {
+    assert_eq!(begun.len(), STREAMS);
+    for (number, version) in begun.iter().enumerate() {
         let (id, began) = (format!("again{number}"), format!("begin{number}"));
         let names = (id.as_str(), began.as_str());
-        let parts = parts(number);
+        let parts = parts_of(number);
         let answer = fleet.take_up_prompt(0, SLOW_STREAM, names, &parts).await;
         assert_eq!(status_of(&answer), 200, "{answer}");
-        assert_eq!(versions_of(&fleet, &id), [version]);
+        assert_eq!(versions_of(fleet, &id), [*version]);
+    }
+}
+
+#[actix_rt::test]
+async fn stream_does_not_go_on_at_a_new_version_after_all_routers_were_killed() -> eyre::Result<()>
+{
+    let mut fleet = EdgeFleet::start_versions("version-herd", 2, &VERSIONS[..1]).await?;
+    let response = fleet.receive("GET", SLOW_STREAM, "begin").await?;
+    assert!(looks_complete(&response), "{response:?}");
+    add_new_target(&mut fleet, VERSIONS[1]).await?;
+    let old = fleet.targets[0].key();
+    fleet.store.delete(&old);
+    for router in &mut fleet.routers {
+        router.kill()?;
     }
+    fleet.routers.clear();
+    fleet.add_router().await?;
+    let response = fleet.take_up(0, SLOW_STREAM, "again", "begin", 4).await?;
+    assert_eq!(status_of(&response.text), 503, "{response:?}");
+    assert!(fleet.arrivals("again").is_empty());
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn stream_goes_on_at_its_version_after_all_routers_were_killed() -> eyre::Result<()> {
+    let mut fleet = start_new_engines("version-kept-parts").await?;
+    let begun = begin_prompts(&fleet).await;
+    replace_routers(&mut fleet).await?;
+    check_prompts_go_on(&fleet, &begun).await;
     Ok(())
 }
 
@@ -282,3 +314,15 @@
     }
     panic!("the target was never busy for two requests in a row");
 }
+
+#[actix_rt::test]
+async fn stream_whose_target_left_goes_on_after_all_routers_were_killed() -> eyre::Result<()> {
+    let mut fleet = start_new_engines("version-left").await?;
+    let begun = begin_prompts(&fleet).await;
+    register_new(&fleet, 0, "draining", VERSIONS[0])?;
+    replace_routers(&mut fleet).await?;
+    fleet.store.delete(&fleet.targets[0].key());
+    sleep(Duration::from_secs(2)).await;
+    check_prompts_go_on(&fleet, &begun).await;
+    Ok(())
+}
--- a/policy/src/direct/kept_watch.rs
+++ b/policy/src/direct/kept_watch.rs
@@ -16,8 +16,11 @@
 //!   alike, so that a target's events keep their order and a use in between prevails over
 //!   an eviction.
 //! - What a target is believed to hold is bounded by [`MAX_HELD`] parts.
+//! - A target that leaves is asked once at most, for its whole list and before others. What it
+//!   held is remembered for [`ORIGIN_TTL`], for streams that began there; other routers are
+//!   not told of its parts, since they could not use them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
@@ -25,6 +28,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::kept::KeptRow;
+use super::stream_origin::ORIGIN_TTL;
+use super::target::VersionTag;
 
 /// The time from the end of one call to a target to the start of the next. A request's
 /// objective is near it, so an eviction is known before most callers meet it.
@@ -65,6 +70,9 @@
 /// others are passed on when some router uses them.
 pub const MAX_LISTED_ROWS: usize = 64;
 
+/// The maximum number of targets that left and of which it is remembered what they held.
+const MAX_DEPARTED: usize = 256;
+
 /// A call to a target.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
 pub enum Call {
@@ -142,9 +150,20 @@
     failures: u32,
 }
 
+/// A target that left.
+#[derive(Clone, Debug)]
+struct Departed {
+    target: u64,
+    version: VersionTag,
+    held: FxHashMap<u64, u32>,
+    at: Instant,
+}
+
 /// The targets that this router watches.
 #[derive(Clone, Default, Debug)]
 pub struct KeptWatch {
+    leaving: FxHashSet<u64>,
+    departed: VecDeque<Departed>,
     /// Ordered, so that calls are made in a fixed order.
     targets: BTreeMap<u64, Watched>,
     listed_at: Option<Instant>,
@@ -167,11 +186,49 @@
     /// Sets the targets that this router watches.
     pub fn set_targets(&mut self, targets: &FxHashSet<u64>) {
         self.targets.retain(|target, _| targets.contains(target));
+        self.departed.retain(|it| !targets.contains(&it.target));
         for &target in targets {
             self.targets.entry(target).or_default();
         }
     }
 
+    /// Sets the targets that are leaving.
+    pub fn set_leaving(&mut self, leaving: FxHashSet<u64>) {
+        self.leaving = leaving;
+    }
+
+    /// Remembers what watched targets held that can no longer be asked; `version` is that of
+    /// a target's software, `None` if it can be asked.
+    pub fn retire(&mut self, version: impl Fn(u64) -> Option<VersionTag>, now: Instant) {
+        let retired = self
+            .targets
+            .extract_if(.., |&target, _| version(target).is_some());
+        for (target, watched) in retired {
+            let Some(version) = version(target).filter(|_| !watched.held.is_empty()) else {
+                continue;
+            };
+            self.departed.push_back(Departed {
+                target,
+                version,
+                held: watched.held,
+                at: now,
+            });
+        }
+        while let Some(first) = self.departed.front()
+            && (now.saturating_duration_since(first.at) >= ORIGIN_TTL
+                || self.departed.len() > MAX_DEPARTED)
+        {
+            self.departed.pop_front();
+        }
+    }
+
+    /// The versions of targets that left and held a part.
+    pub fn departed_versions(&self, part: u64) -> impl Iterator<Item = VersionTag> {
+        let departed = self.departed.iter();
+        let holding = departed.filter(move |it| it.held.contains_key(&part));
+        holding.map(|it| it.version)
+    }
+
     /// The number of targets watched, of calls under way, and of parts believed held.
     pub fn counts(&self) -> (usize, usize, usize) {
         let held = self.targets.values().map(|it| it.held.len()).sum();
@@ -190,8 +247,16 @@
             at.is_none_or(|at| now.saturating_duration_since(at) >= period)
         };
         let mut due = Vec::new();
-        for (&target, watched) in &mut self.targets {
-            let is_due = watched.due_at.is_none_or(|at| now >= at);
+        let (leaving, staying) = self
+            .targets
+            .keys()
+            .partition::<Vec<u64>, _>(|&target| self.leaving.contains(target));
+        for target in leaving.into_iter().chain(staying) {
+            let Some(watched) = self.targets.get_mut(&target) else {
+                continue;
+            };
+            let is_done = self.leaving.contains(&target) && watched.listed_at.is_some();
+            let is_due = !is_done && watched.due_at.is_none_or(|at| now >= at);
             if watched.call.is_some() || !is_due || room == 0 || !may_call(target) {
                 continue;
             }
@@ -253,7 +318,11 @@
             (Call::List, Answer::List { epoch, next, held }) => {
                 watched.failures = 0;
                 watched.position = Some((epoch, next));
-                watched.replace(target, &held, known)
+                let rows = watched.replace(target, &held, known);
+                match self.leaving.contains(&target) {
+                    true => Vec::new(),
+                    false => rows,
+                }
             }
             // No failure: the time of the next call is up to `may_call`.
             (_, Answer::Paused) => Vec::new(),
--- a/policy/tests/direct_kept_watch.rs
+++ b/policy/tests/direct_kept_watch.rs
@@ -14,6 +14,8 @@
     Answer, CALL_PERIOD, Call, EVENT_DELAY, KeptEvent, KeptWatch, KnownParts, LIST_PERIOD,
     LIST_SPACING, MAX_CALLS, MAX_HELD, MAX_LISTED_ROWS, is_watcher,
 };
+use knapweed_policy::direct::stream_origin::ORIGIN_TTL;
+use knapweed_policy::direct::target::SoftwareVersion;
 use net::Net;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -362,3 +364,52 @@
     let shortest = rows.iter().map(|row| row.tokens).min().expect("rows");
     assert_eq!(shortest as usize, 3 * MAX_HELD - MAX_LISTED_ROWS + 1);
 }
+
+#[test]
+fn a_leaving_target_is_asked_first_and_once_and_its_parts_are_not_passed_on() {
+    let mut play = Play::new(3);
+    let nothing = KnownParts::default();
+    play.watch.set_leaving([2].into_iter().collect());
+    let due = play.due();
+    assert_eq!(due, [(2, Call::List)]);
+    let answer = list(1, 10, vec![part(7, 100)]);
+    assert!(play.record(2, answer, &nothing).is_empty());
+    assert_eq!(play.watch.holders(7).collect::<Vec<_>>(), [2]);
+    for _ in 0..100 {
+        play.now += millis(100);
+        for (target, _) in play.due() {
+            assert_ne!(target, 2);
+            play.record(target, Answer::Failed, &nothing);
+        }
+    }
+}
+
+#[test]
+fn what_a_target_held_that_left_is_known_for_as_long_as_a_stream_can_be_taken_up() {
+    let mut play = Play::new(2);
+    let nothing = KnownParts::default();
+    for target in [0, 1] {
+        play.now += LIST_SPACING;
+        let due = play.due();
+        assert_eq!(due, [(target, Call::List)]);
+        play.record(target, list(1, 10, vec![part(target, 100)]), &nothing);
+    }
+    let version = SoftwareVersion::new("v1").tag();
+    let left_at = play.start + play.now;
+    let retire = |play: &mut Play, now| {
+        let is_gone = |target| (target == 1).then_some(version);
+        play.watch.retire(is_gone, now);
+    };
+    retire(&mut play, left_at);
+    let versions = |play: &Play, part| {
+        let versions = play.watch.departed_versions(part);
+        versions.collect::<Vec<_>>()
+    };
+    assert_eq!(versions(&play, 1), [version]);
+    assert!(versions(&play, 0).is_empty());
+    assert_eq!(play.watch.holders(0).collect::<Vec<_>>(), [0]);
+    retire(&mut play, left_at + ORIGIN_TTL - millis(1));
+    assert_eq!(versions(&play, 1), [version]);
+    retire(&mut play, left_at + ORIGIN_TTL);
+    assert!(versions(&play, 1).is_empty());
+}
