Preferred streams: a larger burst and a lower rate

A team's preferred work is now bounded by its share of four seconds, and of a quarter of the time, in place of two seconds and all of the time.

--- a/policy/src/direct/continued.rs
+++ b/policy/src/direct/continued.rs
@@ -6,17 +6,21 @@
 //! or all routers restart, while a team requests several times its share.
 //!
 //! Invariants:
-//! - The preferred work of a team is bounded by its share in any time and in [`MAX_BURST`]
-//!   besides, divided by the number of routers; the last stream may exceed it.
+//! - The preferred work of a team is bounded by its share of [`MAX_BURST`] and of
+//!   [`REFILL_FRACTION`] of the time, divided by the number of routers; the last stream may
+//!   exceed it.
 //! - Preferred work is charged to the team like any other.
 
 use std::time::{Duration, Instant};
 
 use rustc_hash::FxHashMap;
 
-/// The time whose share a team may use at once; callers give a stream up after a pause of
-/// about as long.
-pub const MAX_BURST: Duration = Duration::from_secs(2);
+/// The time whose share a team may use at once: all of its streams are lost with a target or
+/// the routers, and come back within seconds.
+pub const MAX_BURST: Duration = Duration::from_secs(4);
+
+/// The part of a team's share that it may use all the time.
+pub const REFILL_FRACTION: f64 = 0.25;
 
 /// The preferred work of a team that its share has not covered yet.
 #[derive(Clone, Copy, Debug)]
@@ -60,6 +64,6 @@
             return 0.0;
         }
         let elapsed = now.saturating_duration_since(self.updated_at);
-        (self.tokens - share * elapsed.as_secs_f64()).max(0.0)
+        (self.tokens - share * REFILL_FRACTION * elapsed.as_secs_f64()).max(0.0)
     }
 }
