Preferred streams: a team's share is divided by its demand at each router

Routers divide it now as they divide the bound on teams' rates. A router that has just started takes all demand for its own until its peers report, some 100 ms. Test: a_team_uses_its_share_for_streams_where_its_callers_are.

--- a/edge/src/serve.rs
+++ b/edge/src/serve.rs
@@ -379,18 +379,16 @@
     fn is_continued_preferred(&self, prompt: Option<&Prompt>, now: Instant) -> bool {
         let team = self.authorized.team_name().filter(|_| prompt.is_some());
         let team = team.filter(|_| self.version.is_some());
-        let routers = self.context.shared.router_count();
         let mut fair_shares = self.context.fair_shares.borrow_mut();
-        team.is_some_and(|team| fair_shares.is_continued_preferred(team.tag().0, routers, now))
+        team.is_some_and(|team| fair_shares.is_continued_preferred(team.tag().0, now))
     }
 
     fn record_continued(&self, prompt: Option<&Prompt>, now: Instant) {
         let team = self.authorized.team_name();
         if let (Some(team), Some(prompt)) = (team, prompt) {
             let tokens = prompt.weighted_tokens();
-            let routers = self.context.shared.router_count();
             let mut fair_shares = self.context.fair_shares.borrow_mut();
-            fair_shares.record_continued(team.tag().0, tokens, routers, now);
+            fair_shares.record_continued(team.tag().0, tokens, now);
         }
     }
 
--- a/policy/src/direct/continued.rs
+++ b/policy/src/direct/continued.rs
@@ -7,8 +7,8 @@
 //!
 //! Invariants:
 //! - The preferred work of a team is bounded by its share of [`MAX_BURST`] and of
-//!   [`REFILL_FRACTION`] of the time, divided by the number of routers; the last stream may
-//!   exceed it.
+//!   [`REFILL_FRACTION`] of the time, divided among routers by its demand at each; the last
+//!   stream may exceed it, and a router that has just started takes all demand for its own.
 //! - Preferred work is charged to the team like any other.
 
 use std::time::{Duration, Instant};
--- a/policy/src/direct/fair_share.rs
+++ b/policy/src/direct/fair_share.rs
@@ -247,24 +247,27 @@
 
     /// Whether a stream of a team that has begun is preferred to new requests: it is not held
     /// back, and may wait as long as a request of the least served team.
-    pub fn is_continued_preferred(&mut self, team: u64, routers: usize, now: Instant) -> bool {
-        let share = self.continued_share(routers, now);
+    pub fn is_continued_preferred(&mut self, team: u64, now: Instant) -> bool {
+        let share = self.continued_share(team, now);
         self.continued.is_preferred(team, share, now)
     }
 
     /// Records that a preferred stream was sent to a target.
-    pub fn record_continued(&mut self, team: u64, tokens: f64, routers: usize, now: Instant) {
-        let share = self.continued_share(routers, now);
+    pub fn record_continued(&mut self, team: u64, tokens: f64, now: Instant) {
+        let share = self.continued_share(team, now);
         self.continued.record(team, tokens, share, now);
     }
 
-    /// The part of a team's share that this router may use for preferred streams. The
-    /// admitted rate, from which the fair share is taken, is low after a restart of all
-    /// routers, so an even part of the configured rate counts as well.
-    fn continued_share(&mut self, routers: usize, now: Instant) -> f64 {
+    /// The part of a team's share that this router may use for preferred streams, in
+    /// proportion to the team's demand here. The admitted rate, from which the fair share is
+    /// taken, is low after a restart of all routers, so an even part of the configured rate
+    /// counts as well.
+    fn continued_share(&mut self, team: u64, now: Instant) -> f64 {
         self.update_fair_share(now);
         let even_share = self.pool_rate / self.team_count.max(1) as f64;
-        self.fair_share.max(even_share) / routers.max(1) as f64
+        let own = self.own_rate(team, now).requested;
+        let total = self.total(team, now).requested;
+        self.fair_share.max(even_share) * (own / total.max(MIN_TRACKED_RATE)).min(1.0)
     }
 
     /// The time by which a request of a team beyond its share may delay others; `None` if
--- a/policy/tests/direct_load/continued.rs
+++ b/policy/tests/direct_load/continued.rs
@@ -5,6 +5,8 @@
 
 use std::time::{Duration, Instant};
 
+use knapweed_policy::direct::continued::MAX_BURST;
+use knapweed_policy::direct::fair_share::{FairShares, TeamRate};
 use knapweed_policy::direct::target::SoftwareVersion;
 use rand::RngExt as _;
 
@@ -148,3 +150,39 @@
         }
     }
 }
+
+/// The work of streams that is preferred at once, in tokens, if the team's demand at the
+/// other routers is this multiple of that at this one.
+fn preferred_burst(demand_elsewhere: f64) -> f64 {
+    const TEAM: u64 = 0;
+    const REQUEST: f64 = 10_000.0;
+    const STREAM: f64 = 100.0;
+    let now = Instant::now();
+    let mut shares = FairShares::new(POOL_RATE);
+    shares.record_request(TEAM, REQUEST, now);
+    let own = shares.team_usage(TEAM, now).own.requested;
+    let rate = |requested| TeamRate {
+        requested,
+        admitted: POOL_RATE / OTHERS as f64,
+    };
+    let others = (1..=OTHERS as u64).map(|team| (team, rate(POOL_RATE)));
+    let elsewhere = (TEAM, rate(own * demand_elsewhere));
+    shares.set_peers(others.chain([elsewhere]).collect());
+    let now = now + Duration::from_millis(200);
+    let mut preferred = 0.0;
+    while shares.is_continued_preferred(TEAM, now) {
+        shares.record_continued(TEAM, STREAM, now);
+        preferred += STREAM;
+    }
+    preferred
+}
+
+#[test]
+fn a_team_uses_its_share_for_streams_where_its_callers_are() {
+    let whole = preferred_burst(0.0);
+    let even = POOL_RATE / (1 + OTHERS) as f64 * MAX_BURST.as_secs_f64();
+    assert!(whole >= even, "{whole} of {even}");
+    let quarter = preferred_burst(3.0);
+    let ratio = quarter / whole;
+    assert!((ratio - 0.25).abs() < 0.05, "{ratio}");
+}
--- a/policy/tests/direct_load/pool.rs
+++ b/policy/tests/direct_load/pool.rs
@@ -576,14 +576,12 @@
         random: &mut ChaCha8Rng,
         now: Instant,
     ) -> Option<Attempt> {
-        let routers = self.routers.len();
         let state = &mut self.routers[router];
         let team = request.team as u64;
         state
             .shares
             .record_request(team, prompt.weighted_tokens(), now);
-        let is_preferred =
-            version.is_some() && state.shares.is_continued_preferred(team, routers, now);
+        let is_preferred = version.is_some() && state.shares.is_continued_preferred(team, now);
         if matches!(self.policy, Policy::Product | Policy::PerTarget)
             && !is_preferred
             && state.shares.held_for(team, now).is_some()
@@ -641,7 +639,7 @@
         let (target, copy_source) = chosen?;
         if is_preferred {
             let tokens = prompt.weighted_tokens();
-            state.shares.record_continued(team, tokens, routers, now);
+            state.shares.record_continued(team, tokens, now);
         }
         state
             .shares
