A stream that no target keeps goes on at the version that lost targets

Callers saw, after the loss of all routers during a release: refusals for an unknown version of streams whose version serves (LOST). Of 71 such streams, 69 had begun at a target that left before any of the new routers could ask it, so nothing that is there knows them.

That nothing knows them tells something, though: they began at a target that left. The targets of a version whose oldest one is younger than a stream can be have just started. So if a single version has served for 15 s, longer than any caller waits, the stream is of that version. Nothing is inferred while a target of the service is cold, since such a target is not asked, before all targets could be asked, or without the exchange of kept parts.

--- a/edge/src/context.rs
+++ b/edge/src/context.rs
@@ -22,7 +22,7 @@
 use policy::direct::overload::{MAX_LAG, OverloadState, SUSPENSION_LAG};
 use policy::direct::placement::PlacementSettings;
 use policy::direct::rotation::{OwnLoad, Rotation};
-use policy::direct::stream_origin::{SETTLED_AGE, VersionSighting};
+use policy::direct::stream_origin::VersionSighting;
 use policy::direct::target::TargetRegistry;
 use policy::direct::target_limit::LimitReport;
 use policy::direct::target_rate::RateRow;
@@ -134,7 +134,7 @@
     /// The limits of targets that peers report, as last applied.
     peer_limits: LatestSnapshot<Vec<LimitReport>>,
     /// Whether routers tell each other which prompt parts targets keep.
-    shares_kept: bool,
+    pub(crate) shares_kept: bool,
 }
 
 impl Context {
@@ -379,16 +379,15 @@
                 self.log_confirmed(target_id, "list", doubted_at);
             }
             let wall = SystemClock.now().wall;
-            let is_settled = |born: u64| {
+            let age = |born: u64| {
                 let born = UNIX_EPOCH + Duration::from_millis(born);
-                wall.duration_since(born)
-                    .is_ok_and(|age| age >= SETTLED_AGE)
+                wall.duration_since(born).unwrap_or_default()
             };
             let targets = registry.targets.values().map(|(target, _)| target);
             let versions = targets.map(|target| VersionSighting {
                 service: &target.service,
                 version: target.version.tag(),
-                is_settled: is_settled(target.born),
+                age: age(target.born),
             });
             self.shared.origins().observe_versions(versions, now);
             if let Some(config) = self.config() {
--- a/edge/src/origin.rs
+++ b/edge/src/origin.rs
@@ -4,10 +4,12 @@
 
 use std::time::{Duration, Instant};
 
+use entity::Name;
 use node::event::{self, Event, Field};
 use policy::direct::prompt::Prompt;
 use policy::direct::stream_origin::{Origin, StreamId};
 use policy::direct::target::{MIN_OUTAGE, VersionTag};
+use policy::direct::target_table::TargetEntryId;
 use tokio::time::timeout_at;
 
 use crate::clock::{BootClock, SystemBootClock};
@@ -23,6 +25,9 @@
     (Duration::from_millis(70), true),
 ];
 
+/// The number of routers that ask targets what they keep, at least, if there are as many.
+const MIN_WATCHERS: usize = 4;
+
 /// The retry delay of a caller whose stream cannot go on because its version is unknown;
 /// a peer that knows it may be reachable again by then.
 const UNKNOWN_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -49,6 +54,7 @@
         Origin::Recorded(_) => "recorded",
         Origin::Single(_) => "single",
         Origin::Kept(_) => "kept",
+        Origin::Established(_) => "established",
         Origin::Ambiguous => "ambiguous",
         Origin::Unknown => "unknown",
     };
@@ -121,8 +127,27 @@
         let origins = shared.origins();
         origins.version_of_holders(part, Instant::now())
     });
-    match look_up() {
-        Origin::Unknown => (kept, QUESTIONS.len()),
-        origin => (origin, QUESTIONS.len()),
+    let origin = match (look_up(), kept) {
+        (Origin::Unknown, Origin::Unknown) if part.is_some() => {
+            origin_of_departed(context, &authorized.service)
+        }
+        (Origin::Unknown, kept) => kept,
+        (origin, _) => origin,
+    };
+    (origin, QUESTIONS.len())
+}
+
+/// Finds the origin of a stream whose prompt no target is known to keep.
+fn origin_of_departed(context: &Context, service: &Name) -> Origin {
+    let now = Instant::now();
+    let target_table = context.target_table.borrow();
+    let targets = target_table.targets_of_service(service).iter();
+    // A cold target is not asked what it keeps.
+    let is_cold = |&id: &TargetEntryId| target_table.target(id).is_cold(now);
+    if !context.shares_kept || targets.copied().any(|id| is_cold(&id)) {
+        return Origin::Unknown;
     }
+    let watchers = context.shared.router_count().min(MIN_WATCHERS);
+    let origins = context.shared.origins();
+    origins.version_of_departed(service, watchers, now)
 }
--- a/policy/src/direct/stream_origin.rs
+++ b/policy/src/direct/stream_origin.rs
@@ -13,6 +13,9 @@
 //!   a router that watched for so long, or from the age of the targets.
 //! - The version of a target that keeps the own part of a stream's prompt is taken for the
 //!   stream's only if all targets that keep it have that version.
+//! - If no target is known to keep it, the stream began at one that left before any router
+//!   asked it. A version is taken for that target's only if it is the single one that has
+//!   served for [`MAX_STREAM_AGE`]: the targets of the others have just started.
 //! - Records are kept for [`ORIGIN_TTL`], and at most [`MAX_ORIGINS`] of them.
 
 use std::collections::VecDeque;
@@ -25,6 +28,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::kept_watch::{LIST_SPACING, START_DELAY};
 use super::target::VersionTag;
 
 /// How long after its begin a stream can be taken up; longer than any caller waits.
@@ -35,6 +39,9 @@
 /// leave.
 pub const SETTLED_AGE: Duration = Duration::from_secs(20);
 
+/// The greatest age of a stream that is taken up; callers wait less.
+pub const MAX_STREAM_AGE: Duration = Duration::from_secs(15);
+
 /// The maximum number of streams whose origin is kept; the oldest are evicted.
 pub const MAX_ORIGINS: usize = 65_536;
 
@@ -71,6 +78,8 @@
     Single(VersionTag),
     /// The targets that keep the own part of its prompt have this version.
     Kept(VersionTag),
+    /// It began at a target that left, and no other version has served for so long.
+    Established(VersionTag),
     /// The targets that keep the own part of its prompt have several versions.
     Ambiguous,
     /// Other routers may know it.
@@ -81,7 +90,10 @@
     /// Returns the version, if it is known.
     pub fn version(self) -> Option<VersionTag> {
         match self {
-            Self::Recorded(version) | Self::Single(version) | Self::Kept(version) => Some(version),
+            Self::Recorded(version)
+            | Self::Single(version)
+            | Self::Kept(version)
+            | Self::Established(version) => Some(version),
             Self::Ambiguous | Self::Unknown => None,
         }
     }
@@ -100,8 +112,8 @@
     pub service: &'a Name,
     /// The version of the target's software.
     pub version: VersionTag,
-    /// Whether the target is older than [`SETTLED_AGE`].
-    pub is_settled: bool,
+    /// The time since the start of the target.
+    pub age: Duration,
 }
 
 /// A service that had a single version for as long as a stream can be taken up.
@@ -110,7 +122,8 @@
 /// The registered targets of one service.
 #[derive(Default)]
 struct Sighted {
-    versions: SmallVec<[VersionTag; 2]>,
+    /// Each version, with the age of its oldest target.
+    versions: SmallVec<[(VersionTag, Duration); 2]>,
     targets: usize,
     settled: usize,
 }
@@ -119,6 +132,9 @@
 #[derive(Clone, Default, Debug)]
 struct VersionHistory {
     current: SmallVec<[VersionTag; 2]>,
+    targets: usize,
+    /// When the oldest target of each current version started.
+    started: SmallVec<[Option<Instant>; 2]>,
     /// When this router first saw the service.
     watched_since: Option<Instant>,
     /// Whether no other version served shortly before that.
@@ -130,10 +146,16 @@
 impl VersionHistory {
     fn update(&mut self, sighted: Sighted, now: Instant) {
         let Sighted {
-            versions: current,
+            versions,
             targets,
             settled,
         } = sighted;
+        self.targets = targets;
+        let current: SmallVec<[_; 2]> = versions.iter().map(|&(version, _)| version).collect();
+        self.started = versions
+            .iter()
+            .map(|&(_, age)| now.checked_sub(age))
+            .collect();
         if !current.is_empty() {
             self.watched_since.get_or_insert(now);
         }
@@ -155,6 +177,27 @@
         self.is_single_before |= self.current.len() == 1 && self.past.is_empty();
     }
 
+    /// Whether this many routers, if they all started with this one, have asked all targets
+    /// what they keep.
+    fn are_targets_asked(&self, watchers: usize, now: Instant) -> bool {
+        let lists = self.targets.div_ceil(watchers.max(1));
+        let needed = START_DELAY + LIST_SPACING * u32::try_from(lists).unwrap_or(u32::MAX);
+        let watched_since = self.watched_since;
+        watched_since.is_some_and(|at| now.saturating_duration_since(at) >= needed)
+    }
+
+    /// Returns the only version that has served for [`MAX_STREAM_AGE`], if there is one.
+    fn established(&self, now: Instant) -> Option<VersionTag> {
+        let has_served = |started: Option<Instant>| {
+            started.is_none_or(|at| now.saturating_duration_since(at) >= MAX_STREAM_AGE)
+        };
+        let versions = self.current.iter().zip(&self.started);
+        let mut versions = versions.filter(|&(_, &started)| has_served(started));
+        let first = versions.next();
+        let (&version, _) = first.filter(|_| versions.next().is_none())?;
+        Some(version)
+    }
+
     /// Returns the only version that streams can have begun at, if there is one.
     fn single(&self, now: Instant) -> Option<VersionTag> {
         let is_recent = |gone_at| now.saturating_duration_since(gone_at) < ORIGIN_TTL;
@@ -194,9 +237,11 @@
         for target in targets {
             let sighted = current.entry(target.service).or_default();
             sighted.targets += 1;
-            sighted.settled += usize::from(target.is_settled);
-            if !sighted.versions.contains(&target.version) {
-                sighted.versions.push(target.version);
+            sighted.settled += usize::from(target.age >= SETTLED_AGE);
+            let mut versions = sighted.versions.iter_mut();
+            match versions.find(|(version, _)| *version == target.version) {
+                Some((_, age)) => *age = target.age.max(*age),
+                None => sighted.versions.push((target.version, target.age)),
             }
         }
         for service in current.keys() {
@@ -265,6 +310,15 @@
         }
     }
 
+    /// Returns the version of a stream of a service whose prompt no target is known to keep,
+    /// after the time in which `watchers` routers have asked all targets.
+    pub fn version_of_departed(&self, service: &Name, watchers: usize, now: Instant) -> Origin {
+        let history = self.versions.get(service);
+        let history = history.filter(|history| history.are_targets_asked(watchers, now));
+        let established = history.and_then(|history| history.established(now));
+        established.map_or(Origin::Unknown, Origin::Established)
+    }
+
     /// Records a stream that this router began.
     pub fn record_begun(&mut self, stream: StreamId, version: VersionTag, now: Instant) {
         self.record(stream, version, now);
